--- /dev/null
+++ b/include/harelink/Config/settings.h
@@ -0,0 +1,56 @@
+//===- harelink/Config/settings.h - The daemon's settings -------*- C++ -*-===//
+///
+/// \file
+/// The settings file of harelinkd: JSON with comments, checked whole at start.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_CONFIG_SETTINGS_H
+#define HARELINK_CONFIG_SETTINGS_H
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace harelink {
+
+/// How a caller proves which client account it speaks for.
+enum class CallerTrust {
+    BearerToken, ///< A token whose SHA-256 stands in the ClientAccount.
+    Balancer,    ///< The balancer in front sets the account's header.
+};
+
+/// Everything a daemon is told at start.
+struct Settings
+{
+    std::string host;            ///< This host's name, unique.
+    std::string dataCentre;      ///< Where it stands.
+    std::string callerAddress;   ///< Listens for callers.
+    std::string operatorAddress; ///< Listens for operators: health, metrics.
+    std::string peerAddress;     ///< Listens for other daemons.
+    std::string platformAddress; ///< The platform's object API.
+    CallerTrust callerTrust = CallerTrust::BearerToken;
+    std::string routingPolicy;         ///< Name of a plug-in.
+    std::string logLevel;              ///< debug, info, warning or error.
+    int workers = 2;                   ///< Worker threads.
+    int listenerThreads = 2;           ///< Threads that read callers' connections.
+    std::size_t mostRequests = 10'000; ///< In progress on one worker; more are refused.
+    std::chrono::milliseconds platformTimeout{1000};    ///< After it a call counts as silent.
+    std::chrono::milliseconds drainLimit{10'000};       ///< A planned stop takes no longer.
+    std::chrono::milliseconds keyRetention{86'400'000}; ///< An idempotency key is remembered.
+};
+
+/// Reads settings; an error lists every fault with its path.
+///
+/// \param routingPolicies the names that are registered, for the check.
+[[nodiscard]] absl::StatusOr<Settings>
+readSettings(std::string_view text, std::string_view origin,
+             const std::vector<std::string> &routingPolicies);
+
+} // namespace harelink
+
+#endif // HARELINK_CONFIG_SETTINGS_H
--- /dev/null
+++ b/include/harelink/Daemon/daemon.h
@@ -0,0 +1,62 @@
+//===- harelink/Daemon/daemon.h - The whole daemon --------------*- C++ -*-===//
+///
+/// \file
+/// Puts listeners, workers and the control thread together.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_DAEMON_DAEMON_H
+#define HARELINK_DAEMON_DAEMON_H
+
+#include "harelink/Adapters/httpserver.h"
+#include "harelink/Daemon/control.h"
+#include "harelink/Daemon/worker.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace harelink {
+
+/// One daemon.
+class Daemon
+{
+public:
+    explicit Daemon(Settings settings);
+    ~Daemon();
+
+    /// Starts everything; an error names the address that cannot be had.
+    absl::Status start();
+    /// Begins a planned stop: not ready any more, but still serving.
+    void announceStop() { m_draining = true; }
+    /// Goes on with it: new requests are refused.
+    void drain();
+    /// Whether nothing is in progress any more; asks the workers.
+    [[nodiscard]] bool idle();
+    /// Answers all that is in progress at once.
+    void abandonAll();
+    /// Ends everything.
+    void stop();
+    [[nodiscard]] const Settings &settings() const { return m_settings; }
+
+private:
+    void handleCaller(HttpRequest request, const Responder &responder);
+    void handleOperator(const HttpRequest &request, const Responder &responder);
+    void replyMetrics(const Responder &responder);
+    Worker &workerOf(std::uint64_t sequence);
+
+    Settings m_settings;
+    SystemClock m_clock;
+    Incarnation m_incarnation;
+    SnapshotCell m_snapshot;
+    std::atomic<std::uint64_t> m_nextSequence{1};
+    std::atomic<bool> m_draining{false};
+    std::unique_ptr<Control> m_control;
+    std::vector<std::unique_ptr<Worker>> m_workers;
+    std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_operators;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_DAEMON_DAEMON_H
--- /dev/null
+++ b/include/harelink/Daemon/metrics.h
@@ -0,0 +1,64 @@
+//===- harelink/Daemon/metrics.h - What operators watch ---------*- C++ -*-===//
+///
+/// \file
+/// Counts and histograms of what a worker did, in Prometheus text. Each worker
+/// has its own; they are merged when somebody asks.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_DAEMON_METRICS_H
+#define HARELINK_DAEMON_METRICS_H
+
+#include "harelink/Kernel/requestmachine.h"
+
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace harelink {
+
+/// A histogram of seconds.
+class SecondsHistogram
+{
+public:
+    SecondsHistogram();
+    void add(Duration time);
+    void merge(const SecondsHistogram &other);
+    /// Appends the lines of one Prometheus histogram.
+    void render(const std::string &name, const std::string &labels, std::string &out) const;
+
+private:
+    using Axes = std::tuple<boost::histogram::axis::variable<double>>;
+    boost::histogram::histogram<Axes> m_counts;
+    double m_sum = 0;
+};
+
+/// What requests came to.
+class RequestMetrics
+{
+public:
+    /// Takes in the answer to one request.
+    void observe(const AnswerCaller &answer);
+    /// Adds what another worker saw.
+    void merge(const RequestMetrics &other);
+    /// Appends Prometheus text.
+    void render(std::string &out) const;
+
+private:
+    std::map<std::string, std::uint64_t> m_requests; // By labels.
+    std::map<std::string, std::uint64_t> m_attained; // Completed within the deadline.
+    std::map<std::string, double> m_cost;            // By stage and account.
+    std::map<std::string, SecondsHistogram> m_stageSeconds;
+    std::map<std::string, SecondsHistogram> m_requestSeconds;
+};
+
+/// Appends one counter or gauge without labels.
+void renderValue(const std::string &name, std::string_view type, double value, std::string &out);
+
+} // namespace harelink
+
+#endif // HARELINK_DAEMON_METRICS_H
--- /dev/null
+++ b/include/harelink/Daemon/worker.h
@@ -0,0 +1,98 @@
+//===- harelink/Daemon/worker.h - A worker thread ---------------*- C++ -*-===//
+///
+/// \file
+/// Runs one request machine on a thread of its own and carries out its actions.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_DAEMON_WORKER_H
+#define HARELINK_DAEMON_WORKER_H
+
+#include "harelink/Adapters/eventloop.h"
+#include "harelink/Adapters/snapshotcell.h"
+#include "harelink/Adapters/stageprotocol.h"
+#include "harelink/Config/settings.h"
+#include "harelink/Daemon/callerapi.h"
+#include "harelink/Daemon/metrics.h"
+#include "harelink/Kernel/requestmachine.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace harelink {
+
+/// What a worker tells when asked.
+struct WorkerReport
+{
+    RequestMetrics metrics;
+    RequestCounters counters;
+    std::size_t inProgress = 0;
+    std::size_t queued = 0;
+};
+
+/// One worker.
+class Worker
+{
+public:
+    /// Where claim messages go; called on the worker's thread.
+    struct ClaimSink
+    {
+        std::function<void(ClaimRequest)> request;
+        std::function<void(ClaimFinish)> finish;
+    };
+
+    /// All references outlive the worker.
+    Worker(const Settings &settings, const Clock &clock, const SnapshotCell &snapshot,
+           std::uint64_t seed, ClaimSink claims);
+    ~Worker();
+
+    /// Starts the thread.
+    void start();
+    /// Takes in a caller's request; from any thread. \p responder is called once.
+    void submit(CallerRequest request, const Responder &responder);
+    /// Takes in the decision on a claim; from any thread.
+    void decide(ClaimDecision decision);
+    /// Refuses new requests from now on; from any thread.
+    void drain();
+    /// Answers all that is in progress at once; from any thread.
+    void abandonAll();
+    /// Calls \p take with a report, on the worker's thread.
+    void report(std::function<void(WorkerReport)> take);
+    /// Ends the thread.
+    void stop();
+
+private:
+    template <typename Event>
+    void feed(Event event);
+    void refuseToken(const CallerRequest &request, const Responder &responder);
+    void accept(CallerRequest request, const Responder &responder);
+    std::optional<TimePoint> turn();
+    void carryOut();
+    void perform(SendStage action);
+    void perform(const CancelStage &action);
+    void perform(const AnswerCaller &action);
+    void perform(ClaimRequest action);
+    void perform(ClaimFinish action);
+    const StageProtocol &protocol(const std::string &name);
+
+    const Settings &m_settings;
+    const Clock &m_clock;
+    const SnapshotCell &m_snapshot;
+    ClaimSink m_claims;
+    EventLoop m_loop;
+    RequestMachine m_machine;
+    RequestMetrics m_metrics;
+    absl::flat_hash_map<std::uint64_t, Responder> m_responders; // By request sequence.
+    std::map<CallId, std::uint64_t> m_calls;                    // To HttpClient's ids.
+    std::map<std::string, std::unique_ptr<StageProtocol>> m_protocols;
+    std::thread m_thread;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_DAEMON_WORKER_H
--- /dev/null
+++ b/include/harelink/Kernel/configmachine.h
@@ -0,0 +1,96 @@
+//===- harelink/Kernel/configmachine.h - Configuration ----------*- C++ -*-===//
+///
+/// \file
+/// Follows the declared resources and keeps the last good of each in force.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_CONFIGMACHINE_H
+#define HARELINK_KERNEL_CONFIGMACHINE_H
+
+#include "harelink/Config/resources.h"
+#include "harelink/Kernel/guards.h"
+#include "harelink/Kernel/platform.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace harelink {
+
+/// What a daemon holds of one declared object.
+struct ConfigEntry
+{
+    Version seen = 0; ///< The highest version of which there was news.
+    bool deleted = false;
+    std::string value;                ///< Of the version seen.
+    Version inForce = 0;              ///< The version that is applied; 0 for none.
+    std::optional<Resource> resource; ///< As applied: the last good one.
+    std::string fault;                ///< Why the version seen is not in force; empty where it is.
+};
+
+/// The declared objects of one daemon. Versions only rise.
+template <GuardPolicy G>
+class BasicConfigTable
+{
+public:
+    using Key = std::pair<std::string, std::string>; // Kind and name.
+
+    /// Takes in news; true where what is in force changed.
+    bool apply(const PlatformObject &news);
+    /// Takes in a whole listing as of \p revision: what it lacks was deleted.
+    bool applyListing(const std::vector<PlatformObject> &objects, Version revision);
+    /// The resources in force.
+    [[nodiscard]] std::vector<Resource> resources() const;
+    /// The highest version in force.
+    [[nodiscard]] Version revision() const;
+    [[nodiscard]] const std::map<Key, ConfigEntry> &entries() const { return m_entries; }
+    /// How often older news came in and was dropped.
+    [[nodiscard]] std::uint64_t droppedNews() const { return m_droppedNews; }
+
+private:
+    std::map<Key, ConfigEntry> m_entries;
+    std::uint64_t m_droppedNews = 0;
+};
+
+/// The table of the product.
+using ConfigTable = BasicConfigTable<AllGuards>;
+
+/// Keeps a ConfigTable up to date by listing and watching.
+class ConfigWatcher
+{
+public:
+    /// \param clock outlives the watcher.
+    ConfigWatcher(const Clock &clock, ConfigTable &table);
+    /// Makes the next call where it is due.
+    void tick(std::vector<PlatformCall> &calls, std::uint64_t &nextCallId);
+    /// Takes in a result; true where what is in force changed.
+    bool handle(const PlatformResult &result);
+    /// Whether \p callId is of this watcher.
+    [[nodiscard]] bool owns(std::uint64_t callId) const { return m_callId == callId; }
+    /// Whether the platform answered the last call.
+    [[nodiscard]] bool connected() const { return m_connected; }
+    /// Whether a whole listing has been seen.
+    [[nodiscard]] bool synced() const { return m_synced; }
+    [[nodiscard]] TimePoint nextTick() const;
+
+private:
+    void backOff();
+
+    const Clock &m_clock;
+    ConfigTable &m_table;
+    Version m_since = 0;
+    bool m_listNext = true;
+    bool m_synced = false;
+    bool m_connected = false;
+    std::uint64_t m_callId = 0;
+    bool m_listing = false;
+    TimePoint m_notBefore;
+    Duration m_backOff;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_CONFIGMACHINE_H
--- /dev/null
+++ b/include/harelink/Kernel/fairqueue.h
@@ -0,0 +1,53 @@
+//===- harelink/Kernel/fairqueue.h - Weighted fair queue --------*- C++ -*-===//
+///
+/// \file
+/// The queue of one pool on one worker: among accounts the one that used least
+/// of the pool for its weight goes first, within an account the earliest
+/// deadline.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_FAIRQUEUE_H
+#define HARELINK_KERNEL_FAIRQUEUE_H
+
+#include "harelink/Kernel/snapshot.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace harelink {
+
+/// Orders requests, named by sequence number, for one pool.
+class FairQueue
+{
+public:
+    /// Adds a request of \p account that is due at \p deadline.
+    void push(const std::string &account, TimePoint deadline, std::uint64_t sequence);
+    /// Takes out a request that is no longer wanted.
+    void remove(const std::string &account, TimePoint deadline, std::uint64_t sequence);
+    /// Takes out the request that goes next.
+    ///
+    /// \param pool the pool's name, whose use meters of \p snapshot decide.
+    std::optional<std::uint64_t> pop(const Snapshot &snapshot, const std::string &pool,
+                                     TimePoint now);
+    /// How many requests of all accounts would go before a new one of
+    /// \p account, if each account gets its share.
+    [[nodiscard]] double ahead(const Snapshot &snapshot, const std::string &account) const;
+    /// How many requests wait.
+    [[nodiscard]] std::size_t size() const { return m_size; }
+
+private:
+    using Backlog = std::set<std::pair<TimePoint, std::uint64_t>>;
+
+    absl::flat_hash_map<std::string, Backlog> m_accounts; // Only those that wait.
+    std::size_t m_size = 0;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_FAIRQUEUE_H
--- /dev/null
+++ b/include/harelink/Kernel/guards.h
@@ -0,0 +1,80 @@
+//===- harelink/Kernel/guards.h - The mechanisms, one by one ----*- C++ -*-===//
+///
+/// \file
+/// Names each mechanism that guards a promise. The product always has all of
+/// them; a test takes one out, by a policy of its own, to show that the promise
+/// breaks without it.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_GUARDS_H
+#define HARELINK_KERNEL_GUARDS_H
+
+#include <concepts>
+
+namespace harelink {
+
+/// All mechanisms in place.
+struct AllGuards
+{
+    /// A request that may not be repeated is claimed before its first byte is sent.
+    static constexpr bool claimsBeforeSending = true;
+    /// An answer counts only for the attempt that is current.
+    static constexpr bool matchesAttempts = true;
+    /// "Not run" is said only on evidence that nothing was sent.
+    static constexpr bool notRunNeedsEvidence = true;
+    /// A call that may have run is sent again only for repeatable pipelines.
+    static constexpr bool retriesOnlyRepeatable = true;
+    /// A claim is written only over the version that it was decided on.
+    static constexpr bool updatesConditionally = true;
+    /// A write whose answer was lost is settled only by a version that moved.
+    static constexpr bool settlesByVersion = true;
+    /// A claim belongs to one request, not to the daemon that took it in.
+    static constexpr bool claimantIsRequest = true;
+    /// News of an object counts only if it is newer than what was seen.
+    static constexpr bool dropsOlderNews = true;
+    /// A leaving endpoint gets no new work.
+    static constexpr bool shunsLeaving = true;
+    /// A stopping daemon finishes what is in flight.
+    static constexpr bool drainsBeforeExit = true;
+};
+
+/// A policy that says of each mechanism whether it is in place.
+template <typename G>
+concept GuardPolicy = requires
+{
+    {
+        G::claimsBeforeSending
+        } -> std::convertible_to<bool>;
+    {
+        G::matchesAttempts
+        } -> std::convertible_to<bool>;
+    {
+        G::notRunNeedsEvidence
+        } -> std::convertible_to<bool>;
+    {
+        G::retriesOnlyRepeatable
+        } -> std::convertible_to<bool>;
+    {
+        G::updatesConditionally
+        } -> std::convertible_to<bool>;
+    {
+        G::settlesByVersion
+        } -> std::convertible_to<bool>;
+    {
+        G::claimantIsRequest
+        } -> std::convertible_to<bool>;
+    {
+        G::dropsOlderNews
+        } -> std::convertible_to<bool>;
+    {
+        G::shunsLeaving
+        } -> std::convertible_to<bool>;
+    {
+        G::drainsBeforeExit
+        } -> std::convertible_to<bool>;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_GUARDS_H
--- /dev/null
+++ b/include/harelink/Kernel/requestmachine.h
@@ -0,0 +1,215 @@
+//===- harelink/Kernel/requestmachine.h - A request's life ------*- C++ -*-===//
+///
+/// \file
+/// Takes requests through the stages of their pipelines. One machine belongs to
+/// one worker thread and owns its requests for their whole life. Events go in,
+/// actions come out; the machine reads no clock, socket or random device.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_REQUESTMACHINE_H
+#define HARELINK_KERNEL_REQUESTMACHINE_H
+
+#include "harelink/Kernel/claims.h"
+#include "harelink/Kernel/fairqueue.h"
+#include "harelink/Kernel/guards.h"
+#include "harelink/Kernel/latency.h"
+#include "harelink/Kernel/routing.h"
+#include "harelink/Kernel/snapshot.h"
+#include "harelink/Kernel/types.h"
+#include "harelink/Support/random.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace harelink {
+
+/// Event: a caller's request came in.
+struct RequestArrived
+{
+    RequestId id;
+    std::string account;
+    std::string pipeline;
+    std::string body;
+    std::string idempotencyKey;          ///< Empty where the caller gave none.
+    std::optional<Duration> timeAllowed; ///< The pipeline's deadline where absent.
+    std::string traceparent;             ///< W3C; empty where the caller gave none.
+};
+
+/// Event: an endpoint answered a call.
+struct StageAnswered
+{
+    CallId call;   ///< The call on whose connection the answer came.
+    CallId echoed; ///< The identity that the answer itself carries.
+    std::string body;
+    Duration busy{};         ///< The endpoint's own time; zero where it tells none.
+    int reportedActive = -1; ///< Its load report; negative where it sent none.
+};
+
+/// Event: a call failed.
+struct StageFailed
+{
+    CallId call;
+    SendEvidence evidence = SendEvidence::Sent;
+    absl::Status status;
+};
+
+/// Event: the caller went away.
+struct CallerGone
+{
+    RequestId id;
+};
+
+/// Action: send one stage to an endpoint.
+struct SendStage
+{
+    CallId call;
+    std::string endpoint;
+    std::string address;
+    std::string protocol;
+    std::string stage;
+    std::string request;  ///< The caller's body.
+    std::string previous; ///< The answer of the stage before; empty at the first.
+    std::string idempotencyKey;
+    bool repeatable = true;            ///< False: not a byte of it may be sent a second time.
+    bool refusesBeforeRunning = false; ///< The endpoint's 429 and 503 mean that nothing ran.
+    std::string traceparent;
+    Duration timeout{};
+};
+
+/// Action: stop a call; its answer is no longer wanted.
+struct CancelStage
+{
+    CallId call;
+};
+
+/// Action: answer the caller. Comes exactly once for each RequestArrived.
+struct AnswerCaller
+{
+    RequestId id;
+    std::string account;
+    std::string pipeline;
+    Outcome outcome = Outcome::Unknown;
+    Reason reason = Reason::None;
+    std::string body;      ///< The answer, where the outcome is Completed.
+    absl::Status error;    ///< With the step and the peer, otherwise.
+    bool replayed = false; ///< The stored answer of an earlier request.
+    Duration retryAfter{}; ///< When to come back; zero where that is of no use.
+    Duration elapsed{};
+    Duration allowed{};
+    std::vector<StageCost> costs;
+};
+
+/// What a machine wants done.
+using RequestAction = std::variant<SendStage, CancelStage, AnswerCaller, ClaimRequest, ClaimFinish>;
+
+/// Counts of what a machine did.
+struct RequestCounters
+{
+    std::uint64_t sends = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t staleAnswers = 0;      ///< For an attempt that is no longer current.
+    std::uint64_t mismatchedAnswers = 0; ///< That carry another call's identity.
+    std::uint64_t lateGrants = 0;        ///< For a request already given up on.
+    std::array<std::uint64_t, reasonCount> reasons{};
+};
+
+/// How a machine limits itself.
+struct RequestLimits
+{
+    std::size_t mostRequests = 10'000; ///< In progress; more are refused.
+    int workers = 1;                   ///< Machines that share the endpoints.
+};
+
+/// The machine. \p G is AllGuards in the product.
+template <GuardPolicy G>
+class BasicRequestMachine
+{
+public:
+    /// \param clock outlives the machine.
+    /// \param policy chooses endpoints.
+    /// \param seed of the machine's random draws.
+    BasicRequestMachine(const Clock &clock, std::unique_ptr<RoutingPolicy> policy,
+                        std::uint64_t seed, RequestLimits limits);
+    ~BasicRequestMachine();
+
+    /// The events. \p snapshot is the configuration now in force.
+    void handle(RequestArrived event, const Snapshot &snapshot);
+    void handle(StageAnswered event, const Snapshot &snapshot);
+    void handle(const StageFailed &event, const Snapshot &snapshot);
+    void handle(const ClaimDecision &event, const Snapshot &snapshot);
+    void handle(const CallerGone &event, const Snapshot &snapshot);
+    /// Time passed: gives up what is due and sends what can go.
+    void tick(const Snapshot &snapshot);
+    /// From now on refuses new requests; those in progress go on.
+    void drain() { m_draining = true; }
+    /// Answers all that is in progress, as honestly as can be, at once.
+    void abandonAll(const Snapshot &snapshot);
+
+    /// Takes the actions that came up since the last call.
+    [[nodiscard]] std::vector<RequestAction> takeActions();
+    /// When tick() is due at the latest; nothing while no request is there.
+    [[nodiscard]] std::optional<TimePoint> nextTick() const;
+    /// How many requests are in progress.
+    [[nodiscard]] std::size_t inProgress() const { return m_requests.size(); }
+    /// How many requests wait for an endpoint.
+    [[nodiscard]] std::size_t queued() const;
+    [[nodiscard]] const RequestCounters &counters() const { return m_counters; }
+
+private:
+    struct Request;
+    struct PoolState;
+
+    Request *find(const RequestId &id);
+    PoolState &poolState(const std::string &pool);
+    std::optional<AnswerCaller> refuseAtOnce(const RequestArrived &event,
+                                             const Snapshot &snapshot) const;
+    void claim(Request &request);
+    void enqueue(Request &request, const Snapshot &snapshot);
+    void dispatch(const std::string &pool, const Snapshot &snapshot);
+    void send(Request &request, const PoolEntry &pool, const EndpointEntry &endpoint,
+              const Snapshot &snapshot);
+    void charge(const Request &request, Duration amount, const Snapshot &snapshot);
+    void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
+    void complete(Request &request);
+    void retryOrFail(Request &request, const StageFailed &event, const Snapshot &snapshot);
+    bool mayRetry(const Request &request, SendEvidence evidence, const Snapshot &snapshot);
+    void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
+    void finishClaim(const Request &request, Outcome outcome, const std::string &answer);
+    void answer(Request &request, AnswerCaller &&action);
+    void settleCall(Request &request, const Snapshot &snapshot);
+    Outcome outcomeOfFailure(const Request &request) const;
+    Duration remainingTime(const Request &request, const Snapshot &snapshot);
+    Duration queueWait(const Request &request, const PoolEntry &pool, const Snapshot &snapshot);
+    Duration retryAfter(const Request &request, const Snapshot &snapshot);
+    void expire(Request &request, const Snapshot &snapshot);
+    void schedule(const Request &request, TimePoint at);
+
+    const Clock &m_clock;
+    std::unique_ptr<RoutingPolicy> m_policy;
+    Random m_random;
+    RequestLimits m_limits;
+    bool m_draining = false;
+    double m_retryTokens;
+    absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
+    absl::flat_hash_map<std::string, std::unique_ptr<PoolState>> m_pools;
+    using Timer = std::pair<TimePoint, std::uint64_t>;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+    std::vector<RequestAction> m_actions;
+    RequestCounters m_counters;
+};
+
+/// The machine of the product.
+using RequestMachine = BasicRequestMachine<AllGuards>;
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_REQUESTMACHINE_H
--- /dev/null
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -0,0 +1,786 @@
+//===- harelink/Kernel/requestmachineimpl.h - Definitions -------*- C++ -*-===//
+///
+/// \file
+/// The definitions of BasicRequestMachine. Included only where the template is
+/// instantiated: once in the product, and by tests that take a guard out.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_REQUESTMACHINEIMPL_H
+#define HARELINK_KERNEL_REQUESTMACHINEIMPL_H
+
+#include "harelink/Kernel/requestmachine.h"
+
+#include "harelink/Support/error.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include <fmt/format.h>
+
+namespace harelink {
+
+namespace requestmachine {
+
+/// A caller is answered this long before its deadline, so that the answer is in time.
+inline constexpr std::chrono::milliseconds answerMargin{2};
+/// How soon a waiting queue is looked at again: another worker may have freed an endpoint.
+inline constexpr std::chrono::milliseconds queuePollInterval{5};
+/// The shortest time after which a refused caller is told to come back.
+inline constexpr std::chrono::milliseconds leastRetryAfter{100};
+/// Retries earned by each first send, and the most that can be saved up.
+inline constexpr double retryTokensPerSend = 0.1;
+inline constexpr double mostRetryTokens = 20;
+/// Sends of one request over all its stages.
+inline constexpr std::uint32_t mostAttempts = 16;
+/// Bytes of a request that are taken for its prompt's prefix.
+inline constexpr std::size_t prefixBytes = 256;
+/// The charge for a call while nothing is known of its pool.
+inline constexpr std::chrono::milliseconds unknownCharge{1};
+/// Share by which one dispatch moves the smoothed interval between dispatches.
+inline constexpr double intervalSmoothing = 0.2;
+
+inline double seconds(Duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+inline Duration fromSeconds(double time)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(time));
+}
+
+} // namespace requestmachine
+
+/// What the machine keeps of a request.
+template <GuardPolicy G>
+struct BasicRequestMachine<G>::Request
+{
+    enum class Phase { Claiming, Queued, Running };
+
+    RequestId id;
+    std::string account;
+    PipelineSpec pipeline;
+    std::string body;
+    std::string idempotencyKey;
+    std::string traceparent;
+    Hash128 key;
+    TimePoint arrivedAt;
+    TimePoint deadline;
+    Phase phase = Phase::Queued;
+    std::uint32_t stage = 0;
+    std::uint32_t attempt = 0;
+    bool holdsClaim = false;
+    bool sentUnsettled = false; ///< A send of the current stage may have run.
+    std::string previous;
+    std::string endpoint; ///< Of the call in progress, or of the last one that failed.
+    TimePoint sentAt;
+    Duration charged{};
+    std::vector<StageCost> costs;
+
+    [[nodiscard]] const StageSpec &stageSpec() const { return pipeline.stages[stage]; }
+    [[nodiscard]] CallId call() const { return {id, stage, attempt}; }
+    [[nodiscard]] std::size_t bytes() const { return body.size() + previous.size(); }
+};
+
+/// What the machine keeps of a pool.
+template <GuardPolicy G>
+struct BasicRequestMachine<G>::PoolState
+{
+    FairQueue queue;
+    LatencyModel latency;
+    Duration dispatchInterval{}; ///< Smoothed, while requests waited.
+    TimePoint lastDispatch;
+};
+
+template <GuardPolicy G>
+BasicRequestMachine<G>::BasicRequestMachine(const Clock &clock,
+                                            std::unique_ptr<RoutingPolicy> policy,
+                                            std::uint64_t seed, RequestLimits limits)
+    : m_clock(clock)
+    , m_policy(std::move(policy))
+    , m_random(seed)
+    , m_limits(limits)
+    , m_retryTokens(requestmachine::mostRetryTokens)
+{
+    assert(m_policy != nullptr && "a machine needs a routing policy");
+}
+
+template <GuardPolicy G>
+BasicRequestMachine<G>::~BasicRequestMachine() = default;
+
+template <GuardPolicy G>
+std::vector<RequestAction> BasicRequestMachine<G>::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+template <GuardPolicy G>
+std::size_t BasicRequestMachine<G>::queued() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, pool] : m_pools) {
+        count += pool->queue.size();
+    }
+    return count;
+}
+
+template <GuardPolicy G>
+std::optional<TimePoint> BasicRequestMachine<G>::nextTick() const
+{
+    if (m_requests.empty()) {
+        return std::nullopt;
+    }
+    TimePoint next = m_timers.empty() ? TimePoint::max() : m_timers.top().first;
+    if (queued() > 0) {
+        next = std::min(next, m_clock.now() + requestmachine::queuePollInterval);
+    }
+    return next;
+}
+
+template <GuardPolicy G>
+auto BasicRequestMachine<G>::find(const RequestId &id) -> Request *
+{
+    const auto found = m_requests.find(id.sequence);
+    if (found == m_requests.end() || found->second->id != id) {
+        return nullptr;
+    }
+    return found->second.get();
+}
+
+template <GuardPolicy G>
+auto BasicRequestMachine<G>::poolState(const std::string &pool) -> PoolState &
+{
+    std::unique_ptr<PoolState> &state = m_pools[pool];
+    if (state == nullptr) {
+        state = std::make_unique<PoolState>();
+    }
+    return *state;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::schedule(const Request &request, TimePoint at)
+{
+    m_timers.emplace(at, request.id.sequence);
+}
+
+// Arrival ---------------------------------------------------------------------
+
+template <GuardPolicy G>
+std::optional<AnswerCaller> BasicRequestMachine<G>::refuseAtOnce(const RequestArrived &event,
+                                                                 const Snapshot &snapshot) const
+{
+    const auto refusal = [&event](Reason reason, absl::StatusCode code, std::string_view step,
+                                  const std::string &peer, std::string_view message) {
+        AnswerCaller answer;
+        answer.id = event.id;
+        answer.outcome = Outcome::NotRun;
+        answer.reason = reason;
+        answer.error = makeError(code, step, peer, message);
+        return answer;
+    };
+    if (m_draining) {
+        return refusal(Reason::Draining, absl::StatusCode::kUnavailable, "admission", "",
+                       "this daemon is stopping");
+    }
+    if (!snapshot.ready) {
+        return refusal(Reason::NotReady, absl::StatusCode::kUnavailable, "admission", "",
+                       "no configuration has been seen yet");
+    }
+    const PipelineSpec *pipeline = snapshot.pipeline(event.pipeline);
+    if (pipeline == nullptr) {
+        return refusal(Reason::UnknownPipeline, absl::StatusCode::kNotFound, "admission", "",
+                       "there is no such pipeline");
+    }
+    if (snapshot.account(event.account) == nullptr) {
+        return refusal(Reason::UnknownAccount, absl::StatusCode::kPermissionDenied, "admission", "",
+                       "there is no such client account");
+    }
+    if (event.body.size() > pipeline->largestBody) {
+        return refusal(Reason::BodyTooLarge, absl::StatusCode::kInvalidArgument, "admission", "",
+                       fmt::format("the body is larger than {} bytes", pipeline->largestBody));
+    }
+    if (!pipeline->repeatable && event.idempotencyKey.empty()) {
+        return refusal(Reason::KeyMissing, absl::StatusCode::kInvalidArgument, "admission", "",
+                       "this pipeline may not be repeated and needs an idempotency key");
+    }
+    if (m_requests.size() >= m_limits.mostRequests) {
+        return refusal(Reason::TooManyRequests, absl::StatusCode::kResourceExhausted, "admission",
+                       "", "as many requests as allowed are in progress");
+    }
+    return std::nullopt;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(RequestArrived event, const Snapshot &snapshot)
+{
+    if (std::optional<AnswerCaller> refusal = refuseAtOnce(event, snapshot)) {
+        refusal->account = event.account;
+        refusal->pipeline = event.pipeline;
+        refusal->retryAfter = requestmachine::leastRetryAfter;
+        ++m_counters.reasons[static_cast<std::size_t>(refusal->reason)];
+        m_actions.emplace_back(*std::move(refusal));
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    auto owned = std::make_unique<Request>();
+    Request &request = *owned;
+    request.id = event.id;
+    request.pipeline = *snapshot.pipeline(event.pipeline);
+    request.account = std::move(event.account);
+    request.body = std::move(event.body);
+    request.idempotencyKey = std::move(event.idempotencyKey);
+    request.traceparent = std::move(event.traceparent);
+    request.arrivedAt = now;
+    request.deadline = now + event.timeAllowed.value_or(request.pipeline.deadline);
+    const bool added = m_requests.emplace(event.id.sequence, std::move(owned)).second;
+    assert(added && "a request arrives once");
+    (void)added;
+
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    const Duration wait = pool == nullptr ? Duration{} : queueWait(request, *pool, snapshot);
+    if (now + wait + remainingTime(request, snapshot) > request.deadline) {
+        fail(request, Reason::CannotFinish,
+             makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
+                       "the predicted time does not fit into the deadline"),
+             snapshot);
+        return;
+    }
+    schedule(request, request.deadline - requestmachine::answerMargin);
+    if (!request.pipeline.repeatable && G::claimsBeforeSending) {
+        claim(request);
+        return;
+    }
+    enqueue(request, snapshot);
+    dispatch(request.stageSpec().pool, snapshot);
+}
+
+// Claims ----------------------------------------------------------------------
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::claim(Request &request)
+{
+    request.phase = Request::Phase::Claiming;
+    const std::string name =
+        fmt::format("{}\n{}\n{}", request.account, request.pipeline.name, request.idempotencyKey);
+    request.key = hash128(name);
+    ClaimRequest action;
+    action.claimant = request.id;
+    action.key = request.key;
+    action.digest = hash128(fmt::format("{}\n{}", request.pipeline.name, request.body));
+    action.patience = request.deadline - m_clock.now();
+    m_actions.emplace_back(std::move(action));
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(const ClaimDecision &event, const Snapshot &snapshot)
+{
+    Request *request = find(event.claimant);
+    if (request == nullptr || request->phase != Request::Phase::Claiming) {
+        // The request was given up on: it never will run, so others may.
+        if (event.verdict == ClaimVerdict::Granted && request == nullptr) {
+            ++m_counters.lateGrants;
+            m_actions.emplace_back(
+                ClaimFinish{event.claimant, event.key, ClaimEnd::Released, std::string()});
+        }
+        return;
+    }
+    switch (event.verdict) {
+    case ClaimVerdict::Granted:
+        request->holdsClaim = true;
+        enqueue(*request, snapshot);
+        dispatch(request->stageSpec().pool, snapshot);
+        return;
+    case ClaimVerdict::Stored: {
+        AnswerCaller stored;
+        stored.outcome = Outcome::Completed;
+        stored.body = event.answer;
+        stored.replayed = true;
+        answer(*request, std::move(stored));
+        return;
+    }
+    case ClaimVerdict::KeyReused:
+        fail(*request, Reason::KeyReused,
+             makeError(absl::StatusCode::kInvalidArgument, "claim", "platform",
+                       "the idempotency key came before with another request"),
+             snapshot);
+        return;
+    case ClaimVerdict::MayHaveRun: {
+        AnswerCaller unknown;
+        unknown.outcome = Outcome::Unknown;
+        unknown.reason = Reason::MayHaveRun;
+        unknown.error = makeError(absl::StatusCode::kAborted, "claim", "platform",
+                                  "this key's request may have run and will not be run again");
+        answer(*request, std::move(unknown));
+        return;
+    }
+    case ClaimVerdict::Unavailable:
+        fail(*request, Reason::ClaimUnavailable,
+             makeError(absl::StatusCode::kUnavailable, "claim", "platform",
+                       "the claim could not be written"),
+             snapshot);
+        return;
+    }
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::finishClaim(const Request &request, Outcome outcome,
+                                         const std::string &answer)
+{
+    // Whoever still waits for a grant may have got one: it must be given back.
+    const bool mayHoldClaim = request.holdsClaim || request.phase == Request::Phase::Claiming;
+    if (request.pipeline.repeatable || !mayHoldClaim) {
+        return;
+    }
+    ClaimFinish finish;
+    finish.claimant = request.id;
+    finish.key = request.key;
+    finish.end = ClaimEnd::Abandoned;
+    if (outcome == Outcome::Completed) {
+        finish.end = ClaimEnd::Done;
+        finish.answer = answer;
+    } else if (outcome == Outcome::NotRun) {
+        finish.end = ClaimEnd::Released;
+    }
+    m_actions.emplace_back(std::move(finish));
+}
+
+// Predicted times -------------------------------------------------------------
+
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::remainingTime(const Request &request, const Snapshot &snapshot)
+{
+    (void)snapshot;
+    Duration total{};
+    for (std::size_t i = request.stage; i < request.pipeline.stages.size(); ++i) {
+        total += poolState(request.pipeline.stages[i].pool).latency.typical(request.bytes());
+    }
+    return total;
+}
+
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::queueWait(const Request &request, const PoolEntry &pool,
+                                           const Snapshot &snapshot)
+{
+    const PoolState &state = poolState(pool.spec.name);
+    if (state.queue.size() == 0) {
+        return {};
+    }
+    Duration interval = state.dispatchInterval;
+    if (interval == Duration{}) {
+        const int slots = std::max(1, pool.totalSlots);
+        interval = state.latency.typical(request.bytes()) * m_limits.workers / slots;
+    }
+    // A queue that does not move says more than how it moved before.
+    interval = std::max(interval, m_clock.now() - state.lastDispatch);
+    const double ahead = state.queue.ahead(snapshot, request.account);
+    return requestmachine::fromSeconds(ahead * requestmachine::seconds(interval));
+}
+
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::retryAfter(const Request &request, const Snapshot &snapshot)
+{
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    const Duration wait = pool == nullptr ? Duration{} : queueWait(request, *pool, snapshot);
+    return std::max<Duration>(wait, requestmachine::leastRetryAfter);
+}
+
+// Dispatch --------------------------------------------------------------------
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::enqueue(Request &request, const Snapshot &snapshot)
+{
+    const std::string &pool = request.stageSpec().pool;
+    request.phase = Request::Phase::Queued;
+    PoolState &state = poolState(pool);
+    if (state.queue.size() == 0) {
+        state.lastDispatch = m_clock.now();
+    }
+    state.queue.push(request.account, request.deadline, request.id.sequence);
+    if (const PoolEntry *entry = snapshot.pool(pool)) {
+        entry->load->queued.fetch_add(1, std::memory_order_relaxed);
+    }
+    // It is given up on as soon as it can no longer finish, not at its deadline.
+    schedule(request, request.deadline - remainingTime(request, snapshot));
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::dispatch(const std::string &poolName, const Snapshot &snapshot)
+{
+    const PoolEntry *pool = snapshot.pool(poolName);
+    PoolState &state = poolState(poolName);
+    const TimePoint now = m_clock.now();
+    while (state.queue.size() > 0) {
+        const std::optional<std::uint64_t> sequence = state.queue.pop(snapshot, poolName, now);
+        assert(sequence && "a queue that is not empty has a next request");
+        Request &request = *m_requests.at(*sequence);
+        if (pool == nullptr || pool->endpoints.empty()) {
+            fail(request, Reason::NoEndpoint,
+                 makeError(absl::StatusCode::kUnavailable, "routing", poolName,
+                           "the pool has no endpoint"),
+                 snapshot);
+            continue;
+        }
+        const EndpointEntry *avoid =
+            request.endpoint.empty() ? nullptr : pool->find(request.endpoint);
+        const std::string prefix =
+            request.account + request.body.substr(0, requestmachine::prefixBytes);
+        const EndpointEntry *endpoint =
+            m_policy->choose({*pool, now, hash64(prefix), avoid}, m_random);
+        if (endpoint == nullptr) {
+            state.queue.push(request.account, request.deadline, *sequence);
+            return;
+        }
+        pool->load->queued.fetch_sub(1, std::memory_order_relaxed);
+        const double before = requestmachine::seconds(state.dispatchInterval);
+        const double gap = requestmachine::seconds(now - state.lastDispatch);
+        state.dispatchInterval = requestmachine::fromSeconds(
+            before + (gap - before) * requestmachine::intervalSmoothing);
+        state.lastDispatch = now;
+        send(request, *pool, *endpoint, snapshot);
+    }
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::send(Request &request, const PoolEntry &pool,
+                                  const EndpointEntry &endpoint, const Snapshot &snapshot)
+{
+    assert((request.pipeline.repeatable || request.holdsClaim || !G::claimsBeforeSending)
+           && "a request that may not be repeated is sent under a claim only");
+    const TimePoint now = m_clock.now();
+    request.phase = Request::Phase::Running;
+    request.endpoint = endpoint.spec.name;
+    request.sentAt = now;
+    ++request.attempt;
+    if (request.costs.size() <= request.stage) {
+        request.costs.push_back({request.stageSpec().name, pool.spec.name, {}, {}, 0, 0});
+        m_retryTokens = std::min(m_retryTokens + requestmachine::retryTokensPerSend,
+                                 requestmachine::mostRetryTokens);
+    }
+    ++request.costs[request.stage].sends;
+    ++m_counters.sends;
+    endpoint.load->inFlight.fetch_add(1, std::memory_order_relaxed);
+    const Duration typical = poolState(pool.spec.name).latency.typical(request.bytes());
+    request.charged = std::max<Duration>(typical, requestmachine::unknownCharge);
+    charge(request, request.charged, snapshot);
+
+    SendStage action;
+    action.call = request.call();
+    action.endpoint = endpoint.spec.name;
+    action.address = endpoint.spec.address;
+    action.protocol = pool.spec.protocol;
+    action.stage = request.stageSpec().name;
+    action.request = request.body;
+    action.previous = request.previous;
+    action.idempotencyKey = request.idempotencyKey;
+    action.repeatable = request.pipeline.repeatable;
+    action.refusesBeforeRunning = endpoint.spec.refusesBeforeRunning;
+    action.traceparent = request.traceparent;
+    action.timeout = request.deadline - now;
+    m_actions.emplace_back(std::move(action));
+}
+
+/// Books use of the stage's pool to the account. A call is charged when it is
+/// sent, by estimate, so that a burst cannot outrun its own bill.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::charge(const Request &request, Duration amount,
+                                    const Snapshot &snapshot)
+{
+    const AccountEntry *account = snapshot.account(request.account);
+    if (account == nullptr) {
+        return;
+    }
+    const auto meter = account->usage.find(request.stageSpec().pool);
+    if (meter != account->usage.end()) {
+        meter->second->add(m_clock.now(), amount);
+    }
+}
+
+/// Books the end of the call in progress: the endpoint's place and the use.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::settleCall(Request &request, const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    StageCost &cost = request.costs[request.stage];
+    cost.elapsed += now - request.sentAt;
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    if (pool == nullptr) {
+        return;
+    }
+    if (const EndpointEntry *endpoint = pool->find(request.endpoint)) {
+        const int before = endpoint->load->inFlight.fetch_sub(1, std::memory_order_relaxed);
+        // An endpoint declared anew under the same name starts from zero.
+        if (before <= 0) {
+            endpoint->load->inFlight.store(0, std::memory_order_relaxed);
+        }
+    }
+}
+
+// Answers ---------------------------------------------------------------------
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(StageAnswered event, const Snapshot &snapshot)
+{
+    Request *request = find(event.call.request);
+    const bool running = request != nullptr && request->phase == Request::Phase::Running;
+    if (!running || (G::matchesAttempts && request->call() != event.call)) {
+        ++m_counters.staleAnswers;
+        return;
+    }
+    if (G::matchesAttempts && event.echoed != event.call) {
+        ++m_counters.mismatchedAnswers;
+        StageFailed failure;
+        failure.call = event.call;
+        failure.status =
+            makeError(absl::StatusCode::kInternal, "stage " + request->stageSpec().name,
+                      request->endpoint, "the answer carries another call's identity");
+        handle(failure, snapshot);
+        return;
+    }
+    const Duration elapsed = m_clock.now() - request->sentAt;
+    const std::string poolName = request->stageSpec().pool;
+    settleCall(*request, snapshot);
+    poolState(poolName).latency.add(request->bytes(), elapsed);
+    if (const PoolEntry *pool = snapshot.pool(poolName)) {
+        const Duration busy = event.busy == Duration{} ? elapsed : event.busy;
+        StageCost &cost = request->costs[request->stage];
+        cost.busy += busy;
+        cost.cost += requestmachine::seconds(busy) * pool->spec.costPerSecond;
+        if (const EndpointEntry *endpoint = pool->find(request->endpoint)) {
+            noteSuccess(*endpoint, elapsed);
+            if (event.reportedActive >= 0) {
+                endpoint->load->reportedActive.store(event.reportedActive,
+                                                     std::memory_order_relaxed);
+            }
+        }
+        charge(*request, busy - request->charged, snapshot);
+    }
+    advance(*request, std::move(event.body), snapshot);
+    dispatch(poolName, snapshot);
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::advance(Request &request, std::string &&stageAnswer,
+                                     const Snapshot &snapshot)
+{
+    request.previous = std::move(stageAnswer);
+    request.sentUnsettled = false;
+    request.phase = Request::Phase::Queued;
+    request.endpoint.clear();
+    ++request.stage;
+    if (request.stage == request.pipeline.stages.size()) {
+        complete(request);
+        return;
+    }
+    if (m_clock.now() + remainingTime(request, snapshot) > request.deadline) {
+        fail(request, Reason::CannotFinish,
+             makeError(absl::StatusCode::kDeadlineExceeded, "stage " + request.stageSpec().name, "",
+                       "the stages left do not fit into the deadline"),
+             snapshot);
+        return;
+    }
+    enqueue(request, snapshot);
+    dispatch(request.stageSpec().pool, snapshot);
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::complete(Request &request)
+{
+    AnswerCaller action;
+    action.outcome = Outcome::Completed;
+    action.body = request.previous;
+    answer(request, std::move(action));
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(const StageFailed &event, const Snapshot &snapshot)
+{
+    Request *request = find(event.call.request);
+    const bool running = request != nullptr && request->phase == Request::Phase::Running;
+    if (!running || (G::matchesAttempts && request->call() != event.call)) {
+        ++m_counters.staleAnswers;
+        return;
+    }
+    const std::string poolName = request->stageSpec().pool;
+    settleCall(*request, snapshot);
+    charge(*request, m_clock.now() - request->sentAt - request->charged, snapshot);
+    request->phase = Request::Phase::Queued;
+    if (const PoolEntry *pool = snapshot.pool(poolName)) {
+        if (const EndpointEntry *endpoint = pool->find(request->endpoint)) {
+            noteFailure(*pool, *endpoint, event.evidence, m_clock.now());
+        }
+    }
+    if (event.evidence == SendEvidence::Sent) {
+        request->sentUnsettled = true;
+    }
+    retryOrFail(*request, event, snapshot);
+    dispatch(poolName, snapshot);
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
+                                         const Snapshot &snapshot)
+{
+    if (mayRetry(request, event.evidence, snapshot)) {
+        ++m_counters.retries;
+        enqueue(request, snapshot);
+        return;
+    }
+    fail(request, Reason::StageFailed, event.status, snapshot);
+}
+
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::mayRetry(const Request &request, SendEvidence evidence,
+                                      const Snapshot &snapshot)
+{
+    const bool mayHaveRun = evidence == SendEvidence::Sent;
+    if (mayHaveRun && !request.pipeline.repeatable && G::retriesOnlyRepeatable) {
+        return false;
+    }
+    if (request.attempt >= requestmachine::mostAttempts) {
+        return false;
+    }
+    if (m_clock.now() + remainingTime(request, snapshot) > request.deadline) {
+        return false;
+    }
+    // A refusal cost the endpoint nothing and has lowered its limit already.
+    if (evidence == SendEvidence::RefusedBeforeRun) {
+        return true;
+    }
+    if (m_retryTokens < 1) {
+        return false;
+    }
+    m_retryTokens -= 1;
+    return true;
+}
+
+template <GuardPolicy G>
+Outcome BasicRequestMachine<G>::outcomeOfFailure(const Request &request) const
+{
+    if (!G::notRunNeedsEvidence) {
+        return Outcome::NotRun;
+    }
+    if (request.sentUnsettled || request.phase == Request::Phase::Running) {
+        return Outcome::Unknown;
+    }
+    return request.stage > 0 ? Outcome::RanIncomplete : Outcome::NotRun;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::fail(Request &request, Reason reason, absl::Status error,
+                                  const Snapshot &snapshot)
+{
+    AnswerCaller action;
+    action.outcome = outcomeOfFailure(request);
+    action.reason = reason;
+    action.error = std::move(error);
+    action.retryAfter = retryAfter(request, snapshot);
+    answer(request, std::move(action));
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::answer(Request &request, AnswerCaller &&action)
+{
+    action.id = request.id;
+    action.account = request.account;
+    action.pipeline = request.pipeline.name;
+    action.elapsed = m_clock.now() - request.arrivedAt;
+    action.allowed = request.deadline - request.arrivedAt;
+    action.costs = std::move(request.costs);
+    ++m_counters.reasons[static_cast<std::size_t>(action.reason)];
+    if (!action.replayed && action.reason != Reason::MayHaveRun
+        && action.reason != Reason::KeyReused && action.reason != Reason::ClaimUnavailable) {
+        finishClaim(request, action.outcome, action.body);
+    }
+    m_actions.emplace_back(std::move(action));
+    m_requests.erase(request.id.sequence);
+}
+
+// Time ------------------------------------------------------------------------
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::tick(const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    while (!m_timers.empty() && m_timers.top().first <= now) {
+        const std::uint64_t sequence = m_timers.top().second;
+        m_timers.pop();
+        const auto found = m_requests.find(sequence);
+        if (found != m_requests.end()) {
+            expire(*found->second, snapshot);
+        }
+    }
+    for (const auto &[name, pool] : m_pools) {
+        if (pool->queue.size() > 0) {
+            dispatch(name, snapshot);
+        }
+    }
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::expire(Request &request, const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    const bool due = now >= request.deadline - requestmachine::answerMargin;
+    const bool queued = request.phase == Request::Phase::Queued;
+    if (!due && (!queued || now + remainingTime(request, snapshot) < request.deadline)) {
+        return;
+    }
+    const std::string poolName = request.stageSpec().pool;
+    const std::string step = request.phase == Request::Phase::Claiming
+                                 ? std::string("claim")
+                                 : "stage " + request.stageSpec().name;
+    if (queued) {
+        poolState(poolName).queue.remove(request.account, request.deadline, request.id.sequence);
+        if (const PoolEntry *pool = snapshot.pool(poolName)) {
+            pool->load->queued.fetch_sub(1, std::memory_order_relaxed);
+        }
+    }
+    if (request.phase == Request::Phase::Running) {
+        m_actions.emplace_back(CancelStage{request.call()});
+        settleCall(request, snapshot);
+        // It says the endpoint is slow, and the slowness is what must be learnt.
+        poolState(poolName).latency.add(request.bytes(), now - request.sentAt);
+    }
+    const std::string peer = queued ? std::string() : request.endpoint;
+    fail(request, due ? Reason::DeadlineExceeded : Reason::CannotFinish,
+         makeError(absl::StatusCode::kDeadlineExceeded, step, peer,
+                   due ? "the deadline passed" : "the time left is too short"),
+         snapshot);
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(const CallerGone &event, const Snapshot &snapshot)
+{
+    // Its work goes on: a result that may not be repeated is kept for a retry.
+    (void)event;
+    (void)snapshot;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::abandonAll(const Snapshot &snapshot)
+{
+    std::vector<std::uint64_t> sequences;
+    for (const auto &[sequence, request] : m_requests) {
+        sequences.push_back(sequence);
+    }
+    std::sort(sequences.begin(), sequences.end());
+    for (const std::uint64_t sequence : sequences) {
+        Request &request = *m_requests.at(sequence);
+        if (request.phase == Request::Phase::Queued) {
+            poolState(request.stageSpec().pool)
+                .queue.remove(request.account, request.deadline, sequence);
+        }
+        if (request.phase == Request::Phase::Running) {
+            m_actions.emplace_back(CancelStage{request.call()});
+            settleCall(request, snapshot);
+        }
+        fail(request, Reason::Draining,
+             makeError(absl::StatusCode::kUnavailable, "stop", "", "this daemon stops now"),
+             snapshot);
+    }
+}
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_REQUESTMACHINEIMPL_H
--- /dev/null
+++ b/include/harelink/Kernel/routing.h
@@ -0,0 +1,53 @@
+//===- harelink/Kernel/routing.h - Choice of an endpoint --------*- C++ -*-===//
+///
+/// \file
+/// Which endpoint of a pool gets a call, and what is learnt from each call
+/// about its endpoint's health and limit.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_ROUTING_H
+#define HARELINK_KERNEL_ROUTING_H
+
+#include "harelink/Kernel/snapshot.h"
+#include "harelink/Kernel/types.h"
+#include "harelink/Support/random.h"
+
+#include <cstdint>
+#include <string>
+
+namespace harelink {
+
+/// What a choice may look at.
+struct RoutingQuery
+{
+    const PoolEntry &pool;
+    TimePoint now;
+    std::uint64_t prefix = 0;             ///< Hash of the prompt's prefix; 0 where there is none.
+    const EndpointEntry *avoid = nullptr; ///< Failed this request just now; last resort only.
+};
+
+/// Whether \p entry may get one more call now.
+[[nodiscard]] bool isEligible(const EndpointEntry &entry, TimePoint now);
+
+/// Chooses endpoints. Each worker has its own, so a policy needs no lock.
+class RoutingPolicy
+{
+public:
+    virtual ~RoutingPolicy() = default;
+    /// An eligible endpoint of the pool, or null where there is none.
+    virtual const EndpointEntry *choose(const RoutingQuery &query, Random &random) = 0;
+};
+
+/// Takes in that a call to \p entry was answered after \p elapsed.
+void noteSuccess(const EndpointEntry &entry, Duration elapsed);
+/// Takes in that a call to \p entry failed.
+///
+/// Several failures in a row eject the endpoint for a time that doubles, but
+/// never more than half of \p pool at once.
+void noteFailure(const PoolEntry &pool, const EndpointEntry &entry, SendEvidence evidence,
+                 TimePoint now);
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_ROUTING_H
--- /dev/null
+++ b/include/harelink/Kernel/snapshot.h
@@ -0,0 +1,77 @@
+//===- harelink/Kernel/snapshot.h - Configuration in force ------*- C++ -*-===//
+///
+/// \file
+/// The immutable view of the declared resources that workers read under RCU.
+/// Load counters live on from one snapshot to the next.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_SNAPSHOT_H
+#define HARELINK_KERNEL_SNAPSHOT_H
+
+#include "harelink/Config/resources.h"
+#include "harelink/Kernel/load.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace harelink {
+
+/// An endpoint and its counters.
+struct EndpointEntry
+{
+    EndpointSpec spec;
+    /// Shared with the snapshots before and after this one.
+    std::shared_ptr<EndpointLoad> load;
+};
+
+/// A client account and its counters.
+struct AccountEntry
+{
+    ClientAccountSpec spec;
+    /// Use by pool, as far as this daemon and its peers have told.
+    absl::flat_hash_map<std::string, std::shared_ptr<UsageMeter>> usage;
+};
+
+/// A pool with its endpoints, those of the own data centre first.
+struct PoolEntry
+{
+    PoolSpec spec;
+    std::vector<EndpointEntry> endpoints;
+    std::size_t localCount = 0; ///< How many at the front are of the own data centre.
+    int totalSlots = 0;
+    std::shared_ptr<PoolLoad> load;
+
+    /// The endpoint called \p name, or null.
+    [[nodiscard]] const EndpointEntry *find(const std::string &name) const;
+};
+
+/// The configuration in force.
+struct Snapshot
+{
+    bool ready = false;         ///< False until a configuration has been seen.
+    std::uint64_t revision = 0; ///< Highest version of any object in it.
+    absl::flat_hash_map<std::string, PipelineSpec> pipelines;
+    absl::flat_hash_map<std::string, AccountEntry> accounts;
+    absl::flat_hash_map<std::string, PoolEntry> pools;
+    std::vector<ModelVersionSpec> modelVersions;
+
+    [[nodiscard]] const PipelineSpec *pipeline(const std::string &name) const;
+    [[nodiscard]] const AccountEntry *account(const std::string &name) const;
+    [[nodiscard]] const PoolEntry *pool(const std::string &name) const;
+};
+
+/// Builds the snapshot of \p resources for a daemon in \p dataCentre.
+///
+/// \param previous whose counters are carried over; may be null.
+[[nodiscard]] std::unique_ptr<const Snapshot> buildSnapshot(const std::vector<Resource> &resources,
+                                                            std::uint64_t revision,
+                                                            const std::string &dataCentre,
+                                                            const Snapshot *previous);
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_SNAPSHOT_H
--- /dev/null
+++ b/lib/Adapters/eventloop.cpp
@@ -0,0 +1,61 @@
+//===- eventloop.cpp - One thread's loop ----------------------------------===//
+
+#include "harelink/Adapters/eventloop.h"
+
+#include <algorithm>
+
+namespace harelink {
+namespace {
+
+/// The longest time without a turn.
+constexpr std::chrono::milliseconds longestWait{500};
+
+} // namespace
+
+void EventLoop::post(Task task)
+{
+    bool wasEmpty = false;
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        wasEmpty = m_tasks.empty();
+        m_tasks.push_back(std::move(task));
+    }
+    if (wasEmpty) {
+        m_http.wakeUp();
+    }
+}
+
+bool EventLoop::runTasks()
+{
+    std::vector<Task> tasks;
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        tasks.swap(m_tasks);
+    }
+    for (const Task &task : tasks) {
+        task();
+    }
+    return !tasks.empty();
+}
+
+void EventLoop::run(const Clock &clock, const Turn &turn, int extraDescriptor)
+{
+    while (!m_stopped) {
+        runTasks();
+        const std::optional<TimePoint> next = turn();
+        Duration wait = longestWait;
+        if (next) {
+            wait = std::clamp<Duration>(*next - clock.now(), Duration::zero(), longestWait);
+        }
+        m_http.poll(wait, extraDescriptor);
+    }
+    runTasks();
+}
+
+void EventLoop::stop()
+{
+    m_stopped = true;
+    m_http.wakeUp();
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Adapters/httpclient.cpp
@@ -0,0 +1,255 @@
+//===- httpclient.cpp - Outgoing HTTP -------------------------------------===//
+
+#include "harelink/Adapters/httpclient.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cctype>
+#include <mutex>
+
+#include <curl/curl.h>
+
+namespace harelink {
+namespace {
+
+constexpr long keptConnections = 512;
+
+/// libcurl wants its global start before any thread uses it.
+void startLibrary()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+}
+
+std::string trimmed(std::string_view text)
+{
+    const auto isSpace = [](char c) { return std::isspace(static_cast<unsigned char>(c)) != 0; };
+    while (!text.empty() && isSpace(text.front())) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && isSpace(text.back())) {
+        text.remove_suffix(1);
+    }
+    return std::string(text);
+}
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *user)
+{
+    static_cast<HttpResult *>(user)->body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t takeHeader(char *data, std::size_t size, std::size_t count, void *user)
+{
+    const std::string_view line(data, size * count);
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+        const std::string name = lowerCase(trimmed(line.substr(0, colon)));
+        static_cast<HttpResult *>(user)->headers[name] = trimmed(line.substr(colon + 1));
+    }
+    return size * count;
+}
+
+} // namespace
+
+std::string HttpResult::header(const std::string &name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string() : found->second;
+}
+
+/// One call in progress; owns what libcurl points to.
+class HttpClient::Transfer
+{
+public:
+    Transfer(const HttpCall &call, std::uint64_t id, Done done)
+        : m_id(id)
+        , m_easy(curl_easy_init())
+        , m_body(call.body)
+        , m_done(std::move(done))
+    {
+        assert(m_easy != nullptr && "libcurl has no handle left");
+        curl_easy_setopt(m_easy, CURLOPT_URL, call.url.c_str());
+        curl_easy_setopt(m_easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+        curl_easy_setopt(m_easy, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(m_easy, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
+        curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, milliseconds(call.timeout));
+        curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http");
+        if (!call.body.empty() || call.method != "GET") {
+            curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_body.data());
+            curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(m_body.size()));
+        }
+        if (!call.resendable) {
+            // On a kept connection that breaks, libcurl would send a POST again.
+            curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
+            curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 1L);
+        }
+        for (const std::string &header : call.headers) {
+            m_headers = curl_slist_append(m_headers, header.c_str());
+        }
+        m_headers = curl_slist_append(m_headers, "Expect:");
+        curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headers);
+        curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, takeBody);
+        curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, &m_result);
+        curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, takeHeader);
+        curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, &m_result);
+    }
+    ~Transfer()
+    {
+        curl_easy_cleanup(m_easy);
+        curl_slist_free_all(m_headers);
+    }
+    Transfer(const Transfer &) = delete;
+    Transfer &operator=(const Transfer &) = delete;
+
+    [[nodiscard]] std::uint64_t id() const { return m_id; }
+    [[nodiscard]] CURL *easy() const { return m_easy; }
+
+    /// Fills the result from how libcurl ended.
+    void conclude(CURLcode code)
+    {
+        long requestBytes = 0;
+        curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
+        m_result.sent = requestBytes > 0;
+        if (code != CURLE_OK) {
+            m_result.error = lowerCase(curl_easy_strerror(code));
+            return;
+        }
+        long status = 0;
+        curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+        m_result.status = static_cast<int>(status);
+    }
+
+    HttpResult takeResult() { return std::move(m_result); }
+    Done takeDone() { return std::move(m_done); }
+
+private:
+    static long milliseconds(Duration time)
+    {
+        const auto count = std::chrono::ceil<std::chrono::milliseconds>(time).count();
+        // Zero would mean no limit to libcurl.
+        return std::max<long>(1, static_cast<long>(count));
+    }
+
+    std::uint64_t m_id;
+    CURL *m_easy;
+    curl_slist *m_headers = nullptr;
+    std::string m_body;
+    HttpResult m_result;
+    Done m_done;
+};
+
+/// libcurl's set of calls.
+struct HttpClient::Multi
+{
+    Multi()
+        : handle(curl_multi_init())
+    {
+        assert(handle != nullptr && "libcurl has no handle left");
+        curl_multi_setopt(handle, CURLMOPT_MAXCONNECTS, keptConnections);
+    }
+    ~Multi() { curl_multi_cleanup(handle); }
+    Multi(const Multi &) = delete;
+    Multi &operator=(const Multi &) = delete;
+
+    CURLM *handle;
+};
+
+HttpClient::HttpClient()
+{
+    startLibrary();
+    m_multi = std::make_unique<Multi>();
+}
+
+HttpClient::~HttpClient()
+{
+    for (auto &[id, transfer] : m_transfers) {
+        curl_multi_remove_handle(m_multi->handle, transfer->easy());
+    }
+    m_transfers.clear();
+}
+
+std::uint64_t HttpClient::send(const HttpCall &call, Done done)
+{
+    const std::uint64_t id = m_nextId++;
+    auto transfer = std::make_unique<Transfer>(call, id, std::move(done));
+    curl_multi_add_handle(m_multi->handle, transfer->easy());
+    m_transfers.emplace(id, std::move(transfer));
+    return id;
+}
+
+void HttpClient::cancel(std::uint64_t id)
+{
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end()) {
+        return;
+    }
+    curl_multi_remove_handle(m_multi->handle, found->second->easy());
+    m_transfers.erase(found);
+}
+
+void HttpClient::poll(Duration timeout, int extraDescriptor)
+{
+    int running = 0;
+    curl_multi_perform(m_multi->handle, &running);
+    finishTransfers();
+    curl_waitfd extra{extraDescriptor, CURL_WAIT_POLLIN, 0};
+    const unsigned extraCount = extraDescriptor < 0 ? 0 : 1;
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(timeout).count();
+    int ready = 0;
+    curl_multi_poll(m_multi->handle, &extra, extraCount,
+                    static_cast<int>(std::max<std::int64_t>(0, wait)), &ready);
+    curl_multi_perform(m_multi->handle, &running);
+    finishTransfers();
+}
+
+void HttpClient::finishTransfers()
+{
+    int left = 0;
+    while (CURLMsg *message = curl_multi_info_read(m_multi->handle, &left)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        void *user = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &user);
+        const CURLcode code = message->data.result;
+        const auto found = m_transfers.find(static_cast<const Transfer *>(user)->id());
+        assert(found != m_transfers.end() && "a finished call is one that was started");
+        std::unique_ptr<Transfer> transfer = std::move(found->second);
+        m_transfers.erase(found);
+        transfer->conclude(code);
+        curl_multi_remove_handle(m_multi->handle, transfer->easy());
+        // The callback may start and cancel calls: nothing of this one is used after it.
+        transfer->takeDone()(transfer->takeResult());
+    }
+}
+
+void HttpClient::wakeUp()
+{
+    curl_multi_wakeup(m_multi->handle);
+}
+
+HttpResult callAndWait(const HttpCall &call)
+{
+    HttpClient client;
+    HttpResult result;
+    bool done = false;
+    client.send(call, [&](HttpResult finished) {
+        result = std::move(finished);
+        done = true;
+    });
+    while (!done) {
+        client.poll(std::chrono::seconds(1));
+    }
+    return result;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Adapters/stageprotocol.cpp
@@ -0,0 +1,100 @@
+//===- stageprotocol.cpp - Talking to endpoints ---------------------------===//
+
+#include "harelink/Adapters/stageprotocol.h"
+
+#include "harelink/Support/error.h"
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+namespace harelink {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusTooManyRequests = 429;
+constexpr int statusUnavailable = 503;
+
+/// The endpoint's own time, from the standard Server-Timing header: "run;dur=12.5".
+Duration readServerTiming(const std::string &header)
+{
+    constexpr std::string_view mark = "dur=";
+    const std::size_t at = header.find(mark);
+    double millis = 0;
+    if (at == std::string::npos) {
+        return {};
+    }
+    const char *begin = header.data() + at + mark.size();
+    if (std::from_chars(begin, header.data() + header.size(), millis).ec != std::errc()) {
+        return {};
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(millis));
+}
+
+/// The load report that came with an answer, or -1.
+int readActive(const std::string &header)
+{
+    int active = -1;
+    std::from_chars(header.data(), header.data() + header.size(), active);
+    return active;
+}
+
+StageFailed failure(const SendStage &stage, SendEvidence evidence, std::string_view message)
+{
+    StageFailed event;
+    event.call = stage.call;
+    event.evidence = evidence;
+    event.status =
+        makeError(absl::StatusCode::kUnavailable, "stage " + stage.stage, stage.endpoint, message);
+    return event;
+}
+
+} // namespace
+
+HttpCall encodeStage(const StageProtocol &protocol, const SendStage &stage)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = fmt::format("http://{}", stage.address);
+    call.timeout = stage.timeout;
+    call.resendable = stage.repeatable;
+    call.headers.push_back(fmt::format("{}: {}", callIdHeader, toText(stage.call)));
+    call.headers.emplace_back("Content-Type: application/json");
+    if (!stage.idempotencyKey.empty()) {
+        call.headers.push_back(fmt::format("Idempotency-Key: {}", stage.idempotencyKey));
+    }
+    if (!stage.traceparent.empty()) {
+        call.headers.push_back(fmt::format("traceparent: {}", stage.traceparent));
+    }
+    protocol.encode(stage, call);
+    return call;
+}
+
+std::variant<StageAnswered, StageFailed>
+decodeStage(const StageProtocol &protocol, const SendStage &stage, const HttpResult &result)
+{
+    if (result.status == 0) {
+        const auto evidence = result.sent ? SendEvidence::Sent : SendEvidence::NothingSent;
+        return failure(stage, evidence, result.error);
+    }
+    if (result.status != statusOk) {
+        const bool refusal =
+            result.status == statusTooManyRequests || result.status == statusUnavailable;
+        const auto evidence = refusal && stage.refusesBeforeRunning ? SendEvidence::RefusedBeforeRun
+                                                                    : SendEvidence::Sent;
+        return failure(stage, evidence, fmt::format("answered with status {}", result.status));
+    }
+    absl::StatusOr<std::string> body = protocol.decode(result.body);
+    if (!body.ok()) {
+        return failure(stage, SendEvidence::Sent, errorMessage(body.status()));
+    }
+    StageAnswered event;
+    event.call = stage.call;
+    event.echoed = parseCallId(result.header("x-request-id")).value_or(CallId{});
+    event.body = *std::move(body);
+    event.busy = readServerTiming(result.header("server-timing"));
+    event.reportedActive = readActive(result.header("x-active-requests"));
+    return event;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Config/settings.cpp
@@ -0,0 +1,74 @@
+//===- settings.cpp - The daemon's settings -------------------------------===//
+
+#include "harelink/Config/settings.h"
+
+#include "harelink/Config/jsonreader.h"
+#include "harelink/Support/error.h"
+
+namespace harelink {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t mostThreads = 64;
+constexpr std::int64_t mostRequestsAllowed = 1'000'000;
+constexpr milliseconds oneMinute{60'000};
+constexpr milliseconds oneMonth{2'592'000'000};
+
+void readListeners(JsonReader reader, Settings &settings)
+{
+    settings.callerAddress = reader.endpointAddress("callers");
+    settings.operatorAddress = reader.endpointAddress("operators");
+    settings.peerAddress = reader.endpointAddress("peers");
+    reader.finish();
+}
+
+void readLimits(JsonReader reader, Settings &settings)
+{
+    settings.workers = static_cast<int>(reader.integer("workers", 1, mostThreads, 2));
+    settings.listenerThreads =
+        static_cast<int>(reader.integer("listenerThreads", 1, mostThreads, 2));
+    settings.mostRequests = static_cast<std::size_t>(
+        reader.integer("requestsPerWorker", 1, mostRequestsAllowed, 10'000));
+    settings.platformTimeout = reader.milliseconds("platformTimeoutMs", milliseconds(10), oneMinute,
+                                                   settings.platformTimeout);
+    settings.drainLimit =
+        reader.milliseconds("drainLimitMs", milliseconds(0), oneMinute * 10, settings.drainLimit);
+    settings.keyRetention =
+        reader.milliseconds("keyRetentionMs", milliseconds(1000), oneMonth, settings.keyRetention);
+    reader.finish();
+}
+
+} // namespace
+
+absl::StatusOr<Settings> readSettings(std::string_view text, std::string_view origin,
+                                      const std::vector<std::string> &routingPolicies)
+{
+    const absl::StatusOr<nlohmann::json> parsed = parseJson(text, origin);
+    if (!parsed.ok()) {
+        return parsed.status();
+    }
+    Faults faults;
+    JsonReader reader(*parsed, "", faults);
+    Settings settings;
+    settings.host = reader.name("host");
+    settings.dataCentre = reader.name("dataCentre");
+    readListeners(reader.object("listen"), settings);
+    settings.platformAddress = reader.endpointAddress("platform");
+    // No default: an open door has to be chosen in so many words.
+    const std::string trust = reader.choice("callerTrust", {"bearer-token", "balancer"});
+    settings.callerTrust = trust == "balancer" ? CallerTrust::Balancer : CallerTrust::BearerToken;
+    settings.routingPolicy = reader.choice("routing", routingPolicies, "power-of-two");
+    settings.logLevel = reader.choice("logLevel", {"debug", "info", "warning", "error"}, "info");
+    if (reader.has("limits")) {
+        readLimits(reader.object("limits"), settings);
+    }
+    reader.finish();
+    if (!faults.empty()) {
+        return makeError(absl::StatusCode::kInvalidArgument, "checking", origin,
+                         joinFaults(faults));
+    }
+    return settings;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Daemon/daemon.cpp
@@ -0,0 +1,255 @@
+//===- daemon.cpp - The whole daemon --------------------------------------===//
+
+#include "harelink/Daemon/daemon.h"
+
+#include "harelink/Support/error.h"
+#include "harelink/Support/log.h"
+
+#include <fmt/format.h>
+
+#include <future>
+#include <mutex>
+#include <random>
+
+namespace harelink {
+namespace {
+
+constexpr Logger logger("daemon");
+constexpr int statusNotFound = 404;
+constexpr int statusBadRequest = 400;
+constexpr int statusMethodNotAllowed = 405;
+constexpr int statusUnavailable = 503;
+
+Incarnation drawIncarnation()
+{
+    std::random_device device;
+    return (static_cast<Incarnation>(device()) << 32) | device();
+}
+
+int statusOfBadRequest(const absl::Status &status)
+{
+    switch (status.code()) {
+    case absl::StatusCode::kNotFound:
+        return statusNotFound;
+    case absl::StatusCode::kUnimplemented:
+        return statusMethodNotAllowed;
+    default:
+        return statusBadRequest;
+    }
+}
+
+HttpReply plainReply(int status, std::string body)
+{
+    HttpReply reply;
+    reply.status = status;
+    reply.contentType = "text/plain; charset=utf-8";
+    reply.body = std::move(body);
+    return reply;
+}
+
+/// Collects the reports of all threads and replies when the last is in.
+class MetricsGatherer
+{
+public:
+    MetricsGatherer(std::size_t parts, Responder responder)
+        : m_missing(parts)
+        , m_responder(std::move(responder))
+    {
+    }
+
+    void add(const WorkerReport &report)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        m_metrics.merge(report.metrics);
+        m_sends += report.counters.sends;
+        m_retries += report.counters.retries;
+        m_stale += report.counters.staleAnswers;
+        m_mismatched += report.counters.mismatchedAnswers;
+        m_inProgress += report.inProgress;
+        m_queued += report.queued;
+        finishPart();
+    }
+    void add(const std::string &text)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        m_text += text;
+        finishPart();
+    }
+
+private:
+    void finishPart()
+    {
+        if (--m_missing > 0) {
+            return;
+        }
+        m_metrics.render(m_text);
+        const auto value = [this](const char *name, const char *type, std::uint64_t number) {
+            renderValue(name, type, static_cast<double>(number), m_text);
+        };
+        value("harelink_stage_sends_total", "counter", m_sends);
+        value("harelink_stage_retries_total", "counter", m_retries);
+        value("harelink_stale_answers_total", "counter", m_stale);
+        value("harelink_mismatched_answers_total", "counter", m_mismatched);
+        value("harelink_requests_in_progress", "gauge", m_inProgress);
+        value("harelink_requests_queued", "gauge", m_queued);
+        m_responder(plainReply(200, std::move(m_text)));
+    }
+
+    std::mutex m_mutex;
+    std::size_t m_missing;
+    Responder m_responder;
+    RequestMetrics m_metrics;
+    std::string m_text;
+    std::uint64_t m_sends = 0;
+    std::uint64_t m_retries = 0;
+    std::uint64_t m_stale = 0;
+    std::uint64_t m_mismatched = 0;
+    std::uint64_t m_inProgress = 0;
+    std::uint64_t m_queued = 0;
+};
+
+} // namespace
+
+Daemon::Daemon(Settings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(drawIncarnation())
+{
+    m_control = std::make_unique<Control>(
+        m_settings, m_clock, m_snapshot, m_incarnation, [this](ClaimDecision decision) {
+            const std::uint64_t sequence = decision.claimant.sequence;
+            workerOf(sequence).decide(std::move(decision));
+        });
+    for (int i = 0; i < m_settings.workers; ++i) {
+        m_workers.push_back(std::make_unique<Worker>(
+            m_settings, m_clock, m_snapshot, m_incarnation + static_cast<std::uint64_t>(i),
+            Worker::ClaimSink{
+                [this](ClaimRequest request) { m_control->request(std::move(request)); },
+                [this](const ClaimFinish &finish) { m_control->finish(finish); }}));
+    }
+}
+
+Daemon::~Daemon()
+{
+    stop();
+}
+
+Worker &Daemon::workerOf(std::uint64_t sequence)
+{
+    return *m_workers[sequence % m_workers.size()];
+}
+
+absl::Status Daemon::start()
+{
+    for (const auto &worker : m_workers) {
+        worker->start();
+    }
+    m_control->start();
+    HttpServerOptions options;
+    options.address = m_settings.operatorAddress;
+    absl::StatusOr<std::unique_ptr<HttpServer>> operators =
+        HttpServer::start(options, [this](const HttpRequest &request, const Responder &responder) {
+            handleOperator(request, responder);
+        });
+    if (!operators.ok()) {
+        return operators.status();
+    }
+    m_operators = *std::move(operators);
+    options.address = m_settings.callerAddress;
+    options.threads = m_settings.listenerThreads;
+    absl::StatusOr<std::unique_ptr<HttpServer>> callers =
+        HttpServer::start(options, [this](HttpRequest request, const Responder &responder) {
+            handleCaller(std::move(request), responder);
+        });
+    if (!callers.ok()) {
+        return callers.status();
+    }
+    m_callers = *std::move(callers);
+    logger.info("Host {} in data centre {} listens for callers on port {}, for operators on {}.",
+                m_settings.host, m_settings.dataCentre, m_callers->port(), m_operators->port());
+    return absl::OkStatus();
+}
+
+void Daemon::handleCaller(HttpRequest request, const Responder &responder)
+{
+    absl::StatusOr<CallerRequest> read = readCallerRequest(std::move(request));
+    if (!read.ok()) {
+        HttpReply reply =
+            makeProblem(statusOfBadRequest(read.status()), "bad-request", read.status());
+        reply.headers.emplace_back("Harelink-Outcome", toText(Outcome::NotRun));
+        responder(std::move(reply));
+        return;
+    }
+    const std::uint64_t sequence = m_nextSequence++;
+    read->arrival.id = {m_incarnation, sequence};
+    workerOf(sequence).submit(*std::move(read), responder);
+}
+
+void Daemon::handleOperator(const HttpRequest &request, const Responder &responder)
+{
+    if (request.path == "/healthz") {
+        responder(plainReply(200, "ok\n"));
+        return;
+    }
+    if (request.path == "/readyz") {
+        const bool ready = m_control->ready() && !m_draining;
+        responder(plainReply(ready ? 200 : statusUnavailable, ready ? "ready\n" : "not ready\n"));
+        return;
+    }
+    if (request.path == "/metrics") {
+        replyMetrics(responder);
+        return;
+    }
+    responder(plainReply(statusNotFound, "no such path\n"));
+}
+
+void Daemon::replyMetrics(const Responder &responder)
+{
+    auto gatherer = std::make_shared<MetricsGatherer>(m_workers.size() + 1, responder);
+    for (const auto &worker : m_workers) {
+        worker->report([gatherer](const WorkerReport &report) { gatherer->add(report); });
+    }
+    m_control->report([gatherer](const std::string &text) { gatherer->add(text); });
+}
+
+void Daemon::drain()
+{
+    m_draining = true;
+    for (const auto &worker : m_workers) {
+        worker->drain();
+    }
+}
+
+bool Daemon::idle()
+{
+    std::size_t inProgress = 0;
+    for (const auto &worker : m_workers) {
+        std::promise<std::size_t> answer;
+        worker->report(
+            [&answer](const WorkerReport &report) { answer.set_value(report.inProgress); });
+        inProgress += answer.get_future().get();
+    }
+    return inProgress == 0;
+}
+
+void Daemon::abandonAll()
+{
+    for (const auto &worker : m_workers) {
+        worker->abandonAll();
+    }
+}
+
+void Daemon::stop()
+{
+    if (m_callers != nullptr) {
+        m_callers->stop();
+    }
+    if (m_operators != nullptr) {
+        m_operators->stop();
+    }
+    for (const auto &worker : m_workers) {
+        worker->stop();
+    }
+    m_control->stop();
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Daemon/metrics.cpp
@@ -0,0 +1,135 @@
+//===- metrics.cpp - What operators watch ---------------------------------===//
+
+#include "harelink/Daemon/metrics.h"
+
+#include <boost/histogram/ostream.hpp>
+#include <fmt/format.h>
+
+#include <vector>
+
+namespace harelink {
+namespace {
+
+const std::vector<double> &bounds()
+{
+    static const std::vector<double> seconds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+                                                0.25,  0.5,    1,     2,    4,     8,    16};
+    return seconds;
+}
+
+template <typename Value>
+void renderFamily(const std::string &name, const std::map<std::string, Value> &values,
+                  std::string &out)
+{
+    out += fmt::format("# TYPE {} counter\n", name);
+    for (const auto &[labels, value] : values) {
+        out += fmt::format("{}{{{}}} {}\n", name, labels, value);
+    }
+}
+
+void renderHistograms(const std::string &name, const std::map<std::string, SecondsHistogram> &from,
+                      std::string &out)
+{
+    out += fmt::format("# TYPE {} histogram\n", name);
+    for (const auto &[labels, histogram] : from) {
+        histogram.render(name, labels, out);
+    }
+}
+
+template <typename Value>
+void addAll(std::map<std::string, Value> &to, const std::map<std::string, Value> &from)
+{
+    for (const auto &[labels, value] : from) {
+        to[labels] += value;
+    }
+}
+
+void mergeAll(std::map<std::string, SecondsHistogram> &to,
+              const std::map<std::string, SecondsHistogram> &from)
+{
+    for (const auto &[labels, histogram] : from) {
+        to[labels].merge(histogram);
+    }
+}
+
+} // namespace
+
+SecondsHistogram::SecondsHistogram()
+    : m_counts(boost::histogram::make_histogram(
+        boost::histogram::axis::variable<double>(bounds().begin(), bounds().end())))
+{
+}
+
+void SecondsHistogram::add(Duration time)
+{
+    const double seconds = std::chrono::duration<double>(time).count();
+    m_counts(seconds);
+    m_sum += seconds;
+}
+
+void SecondsHistogram::merge(const SecondsHistogram &other)
+{
+    m_counts += other.m_counts;
+    m_sum += other.m_sum;
+}
+
+void SecondsHistogram::render(const std::string &name, const std::string &labels,
+                              std::string &out) const
+{
+    // Bin -1 lies below the first bound, the last one above the highest.
+    double total = 0;
+    const auto &upper = bounds();
+    for (std::size_t i = 0; i < upper.size(); ++i) {
+        total += m_counts.at(static_cast<int>(i) - 1);
+        out += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", name, labels, upper[i], total);
+    }
+    total += m_counts.at(static_cast<int>(upper.size()) - 1);
+    out += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", name, labels, total);
+    out += fmt::format("{}_sum{{{}}} {}\n", name, labels, m_sum);
+    out += fmt::format("{}_count{{{}}} {}\n", name, labels, total);
+}
+
+void RequestMetrics::observe(const AnswerCaller &answer)
+{
+    // Names that nobody declared would let callers grow the metrics without bound.
+    const bool declared =
+        answer.reason != Reason::UnknownPipeline && answer.reason != Reason::UnknownAccount;
+    const std::string names =
+        declared ? fmt::format("pipeline=\"{}\",account=\"{}\"", answer.pipeline, answer.account)
+                 : std::string("pipeline=\"\",account=\"\"");
+    ++m_requests[fmt::format("{},outcome=\"{}\",reason=\"{}\"", names, toText(answer.outcome),
+                             toText(answer.reason))];
+    const bool attained = answer.outcome == Outcome::Completed && answer.elapsed <= answer.allowed;
+    m_attained[names] += attained ? 1 : 0;
+    m_requestSeconds[names].add(answer.elapsed);
+    for (const StageCost &cost : answer.costs) {
+        const std::string stage = fmt::format("{},stage=\"{}\"", names, cost.stage);
+        m_cost[stage] += cost.cost;
+        m_stageSeconds[stage].add(cost.elapsed);
+    }
+}
+
+void RequestMetrics::merge(const RequestMetrics &other)
+{
+    addAll(m_requests, other.m_requests);
+    addAll(m_attained, other.m_attained);
+    addAll(m_cost, other.m_cost);
+    mergeAll(m_stageSeconds, other.m_stageSeconds);
+    mergeAll(m_requestSeconds, other.m_requestSeconds);
+}
+
+void RequestMetrics::render(std::string &out) const
+{
+    renderFamily("harelink_requests_total", m_requests, out);
+    renderFamily("harelink_requests_attained_total", m_attained, out);
+    renderFamily("harelink_stage_cost_total", m_cost, out);
+    renderHistograms("harelink_stage_seconds", m_stageSeconds, out);
+    renderHistograms("harelink_request_seconds", m_requestSeconds, out);
+}
+
+void renderValue(const std::string &name, std::string_view type, double value, std::string &out)
+{
+    out += fmt::format("# TYPE {} {}\n{} {}\n", name, type, name, value);
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Kernel/latency.cpp
@@ -0,0 +1,98 @@
+//===- latency.cpp - Predicted times and shared use meters ----------------===//
+
+#include "harelink/Kernel/latency.h"
+
+#include "harelink/Kernel/load.h"
+
+#include <algorithm>
+
+namespace harelink {
+namespace {
+
+/// Share by which a sample may move an estimate.
+constexpr double learningRate = 0.2;
+/// An estimate never falls below this, or it could not grow again.
+constexpr double leastSeconds = 1e-6;
+/// Bytes of a request that take as long as the fixed part of a call.
+constexpr double bytesPerUnit = 16384;
+
+/// Bits of a usage slot that hold microseconds; the rest holds the window.
+constexpr unsigned microsBits = 40;
+constexpr std::uint64_t microsMask = (std::uint64_t(1) << microsBits) - 1;
+constexpr std::uint64_t windowMask = (std::uint64_t(1) << (64 - microsBits)) - 1;
+
+double sizeFactor(std::size_t bytes)
+{
+    return 1 + static_cast<double>(bytes) / bytesPerUnit;
+}
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+std::uint64_t windowOf(TimePoint now)
+{
+    return static_cast<std::uint64_t>(now.time_since_epoch() / UsageMeter::windowLength)
+           & windowMask;
+}
+
+} // namespace
+
+void QuantileEstimate::add(Duration sample)
+{
+    const double seconds = std::chrono::duration<double>(sample).count();
+    if (m_seconds == 0) {
+        m_seconds = std::max(seconds, leastSeconds);
+        return;
+    }
+    const double step = seconds > m_seconds ? m_quantile : m_quantile - 1;
+    m_seconds = std::max(m_seconds * (1 + learningRate * step), leastSeconds);
+}
+
+Duration QuantileEstimate::value() const
+{
+    return fromSeconds(m_seconds);
+}
+
+void LatencyModel::add(std::size_t bytes, Duration elapsed)
+{
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    m_normalised.add(fromSeconds(seconds / sizeFactor(bytes)));
+}
+
+Duration LatencyModel::typical(std::size_t bytes) const
+{
+    const double seconds = std::chrono::duration<double>(m_normalised.value()).count();
+    return fromSeconds(seconds * sizeFactor(bytes));
+}
+
+void UsageMeter::add(TimePoint now, Duration cost)
+{
+    const std::uint64_t window = windowOf(now);
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(cost).count();
+    std::atomic<std::uint64_t> &slot = m_slots[window % windowCount];
+    std::uint64_t seen = slot.load(std::memory_order_relaxed);
+    std::uint64_t wanted = 0;
+    do {
+        const bool current = (seen >> microsBits) == window;
+        const auto before = current ? static_cast<std::int64_t>(seen & microsMask) : 0;
+        const auto after = std::clamp<std::int64_t>(before + micros, 0, microsMask);
+        wanted = (window << microsBits) | static_cast<std::uint64_t>(after);
+    } while (!slot.compare_exchange_weak(seen, wanted, std::memory_order_relaxed));
+}
+
+Duration UsageMeter::recent(TimePoint now) const
+{
+    const std::uint64_t window = windowOf(now);
+    std::uint64_t micros = 0;
+    for (const std::atomic<std::uint64_t> &slot : m_slots) {
+        const std::uint64_t seen = slot.load(std::memory_order_relaxed);
+        if (((window - (seen >> microsBits)) & windowMask) < windowCount) {
+            micros += seen & microsMask;
+        }
+    }
+    return std::chrono::microseconds(micros);
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Kernel/snapshot.cpp
@@ -0,0 +1,145 @@
+//===- snapshot.cpp - Configuration in force ------------------------------===//
+
+#include "harelink/Kernel/snapshot.h"
+
+#include <algorithm>
+
+namespace harelink {
+namespace {
+
+template <typename Map>
+const typename Map::mapped_type *findIn(const Map &map, const std::string &name)
+{
+    const auto found = map.find(name);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+/// Adds one resource after another to a snapshot.
+class Builder
+{
+public:
+    Builder(Snapshot &snapshot, const Snapshot *previous)
+        : m_snapshot(snapshot)
+        , m_previous(previous)
+    {
+    }
+
+    void operator()(const PipelineSpec &spec) { m_snapshot.pipelines[spec.name] = spec; }
+    void operator()(const ClientAccountSpec &spec) { m_snapshot.accounts[spec.name].spec = spec; }
+    void operator()(const ModelVersionSpec &spec) { m_snapshot.modelVersions.push_back(spec); }
+
+    void operator()(const PoolSpec &spec)
+    {
+        PoolEntry &entry = m_snapshot.pools[spec.name];
+        entry.spec = spec;
+        const PoolEntry *before = m_previous == nullptr ? nullptr : m_previous->pool(spec.name);
+        entry.load = before == nullptr ? std::make_shared<PoolLoad>() : before->load;
+    }
+
+    void operator()(const EndpointSpec &spec) { m_endpoints.push_back(spec); }
+
+    void finish(const std::string &dataCentre)
+    {
+        placeEndpoints(dataCentre);
+        for (auto &[name, account] : m_snapshot.accounts) {
+            placeMeters(name, account);
+        }
+    }
+
+private:
+    void placeEndpoints(const std::string &dataCentre)
+    {
+        const auto isLocal = [&dataCentre](const EndpointSpec &spec) {
+            return spec.dataCentre == dataCentre;
+        };
+        std::sort(m_endpoints.begin(), m_endpoints.end(),
+                  [](const auto &a, const auto &b) { return a.name < b.name; });
+        std::stable_partition(m_endpoints.begin(), m_endpoints.end(), isLocal);
+        for (const EndpointSpec &spec : m_endpoints) {
+            const auto pool = m_snapshot.pools.find(spec.pool);
+            if (pool == m_snapshot.pools.end()) {
+                continue;
+            }
+            pool->second.endpoints.push_back({spec, loadOf(spec)});
+            pool->second.localCount += isLocal(spec) ? 1 : 0;
+            pool->second.totalSlots += spec.slots;
+        }
+    }
+
+    std::shared_ptr<EndpointLoad> loadOf(const EndpointSpec &spec) const
+    {
+        const PoolEntry *pool = m_previous == nullptr ? nullptr : m_previous->pool(spec.pool);
+        const EndpointEntry *before = pool == nullptr ? nullptr : pool->find(spec.name);
+        // Another address is another endpoint: what was learnt does not hold for it.
+        if (before != nullptr && before->spec.address == spec.address
+            && before->spec.slots == spec.slots) {
+            return before->load;
+        }
+        auto load = std::make_shared<EndpointLoad>();
+        load->limit.store(spec.slots);
+        return load;
+    }
+
+    void placeMeters(const std::string &name, AccountEntry &account) const
+    {
+        const AccountEntry *before = m_previous == nullptr ? nullptr : m_previous->account(name);
+        for (const auto &[pool, entry] : m_snapshot.pools) {
+            std::shared_ptr<UsageMeter> &meter = account.usage[pool];
+            const auto *kept = before == nullptr ? nullptr : findIn(before->usage, pool);
+            meter = kept == nullptr ? std::make_shared<UsageMeter>() : *kept;
+        }
+    }
+
+    Snapshot &m_snapshot;
+    const Snapshot *m_previous;
+    std::vector<EndpointSpec> m_endpoints;
+};
+
+} // namespace
+
+const EndpointEntry *PoolEntry::find(const std::string &name) const
+{
+    // Two sorted runs: the own data centre's endpoints, then the others.
+    const auto byName = [](const EndpointEntry &entry, const std::string &wanted) {
+        return entry.spec.name < wanted;
+    };
+    const auto middle = endpoints.begin() + static_cast<std::ptrdiff_t>(localCount);
+    const auto local = std::lower_bound(endpoints.begin(), middle, name, byName);
+    if (local != middle && local->spec.name == name) {
+        return &*local;
+    }
+    const auto remote = std::lower_bound(middle, endpoints.end(), name, byName);
+    return remote != endpoints.end() && remote->spec.name == name ? &*remote : nullptr;
+}
+
+const PipelineSpec *Snapshot::pipeline(const std::string &name) const
+{
+    return findIn(pipelines, name);
+}
+
+const AccountEntry *Snapshot::account(const std::string &name) const
+{
+    return findIn(accounts, name);
+}
+
+const PoolEntry *Snapshot::pool(const std::string &name) const
+{
+    return findIn(pools, name);
+}
+
+std::unique_ptr<const Snapshot> buildSnapshot(const std::vector<Resource> &resources,
+                                              std::uint64_t revision, const std::string &dataCentre,
+                                              const Snapshot *previous)
+{
+    auto snapshot = std::make_unique<Snapshot>();
+    snapshot->ready = true;
+    snapshot->revision = revision;
+    Builder builder(*snapshot, previous);
+    for (const Resource &resource : resources) {
+        std::visit(builder, resource.spec);
+    }
+    builder.finish(dataCentre);
+    return snapshot;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Plugins/stageprotocols.cpp
@@ -0,0 +1,115 @@
+//===- stageprotocols.cpp - Stage protocol plug-ins -----------------------===//
+///
+/// \file
+/// "model-engine" speaks the usual completions call, "stage-pool" a plain call
+/// with the request and the answer of the stage before, "plain-service" passes
+/// the caller's body through.
+///
+//===----------------------------------------------------------------------===//
+
+#include "harelink/Adapters/stageprotocol.h"
+#include "harelink/Kernel/registry.h"
+#include "harelink/Support/error.h"
+
+#include <nlohmann/json.hpp>
+
+namespace harelink {
+namespace {
+
+constexpr int defaultTokens = 64;
+
+/// A text as JSON, or as a JSON string where it is not JSON.
+nlohmann::json asJson(const std::string &text)
+{
+    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    return parsed.is_discarded() ? nlohmann::json(text) : parsed;
+}
+
+absl::Status unreadable()
+{
+    return makeError(absl::StatusCode::kInternal, "decoding", "",
+                     "the answer is not of the protocol");
+}
+
+std::string dump(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+class ModelEngine final : public StageProtocol
+{
+public:
+    void encode(const SendStage &stage, HttpCall &call) const override
+    {
+        call.url += "/v1/completions";
+        const nlohmann::json request = asJson(stage.request);
+        nlohmann::json body;
+        body["model"] = "default";
+        body["prompt"] =
+            stage.previous.empty() ? stage.request : stage.request + "\n" + stage.previous;
+        body["max_tokens"] = defaultTokens;
+        if (request.is_object() && request.contains("maxTokens")) {
+            body["max_tokens"] = request["maxTokens"];
+        }
+        call.body = dump(body);
+    }
+    absl::StatusOr<std::string> decode(const std::string &body) const override
+    {
+        const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+        if (!answer.is_object() || !answer.contains("choices") || !answer["choices"].is_array()
+            || answer["choices"].empty()) {
+            return unreadable();
+        }
+        const nlohmann::json &choice = answer["choices"][0];
+        if (!choice.is_object() || !choice.contains("text") || !choice["text"].is_string()) {
+            return unreadable();
+        }
+        // A completion that ended for another reason is not whole.
+        const std::string reason = choice.value("finish_reason", "");
+        if (reason != "stop" && reason != "length") {
+            return unreadable();
+        }
+        return dump(choice["text"]);
+    }
+};
+
+class StagePool final : public StageProtocol
+{
+public:
+    void encode(const SendStage &stage, HttpCall &call) const override
+    {
+        call.url += "/v1/stages/" + stage.stage;
+        nlohmann::json body;
+        body["request"] = asJson(stage.request);
+        if (!stage.previous.empty()) {
+            body["previous"] = asJson(stage.previous);
+        }
+        call.body = dump(body);
+    }
+    absl::StatusOr<std::string> decode(const std::string &body) const override
+    {
+        const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+        if (!answer.is_object() || !answer.contains("output")) {
+            return unreadable();
+        }
+        return dump(answer["output"]);
+    }
+};
+
+class PlainService final : public StageProtocol
+{
+public:
+    void encode(const SendStage &stage, HttpCall &call) const override
+    {
+        call.url += "/";
+        call.body = stage.previous.empty() ? stage.request : stage.previous;
+    }
+    absl::StatusOr<std::string> decode(const std::string &body) const override { return body; }
+};
+
+const Registration<StageProtocol, ModelEngine> modelEngine("model-engine");
+const Registration<StageProtocol, StagePool> stagePool("stage-pool");
+const Registration<StageProtocol, PlainService> plainService("plain-service");
+
+} // namespace
+} // namespace harelink
--- /dev/null
+++ b/tools/harelink/harelink.cpp
@@ -0,0 +1,94 @@
+//===- harelink.cpp - The command line ------------------------------------===//
+///
+/// \file
+/// Writes desired state to the platform, follows it, and sends single requests.
+///
+//===----------------------------------------------------------------------===//
+
+#include "commands.h"
+#include "platform.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace harelink::cli;
+
+constexpr const char *version = "0.1.0";
+
+/// One command and what its help says.
+struct Command
+{
+    const char *name;
+    const char *usage;
+    const char *help;
+    int (*run)(const Words &);
+};
+
+int versionCommand(const Words &)
+{
+    fmt::print("harelink {}\n", version);
+    return ExitDone;
+}
+
+constexpr Command commands[] = {
+    {"apply", "apply -f FILE",
+     "Checks all resources of the file, then writes each over the version it found.", applyCommand},
+    {"get", "get [KIND [NAME]] [--output json]", "Lists resources, or prints one with its version.",
+     getCommand},
+    {"describe", "describe KIND NAME", "Prints one resource.", describeCommand},
+    {"delete", "delete KIND NAME", "Deletes the version of a resource that it found.",
+     deleteCommand},
+    {"watch", "watch [KIND] [--changes N]", "Prints changes as they happen.", watchCommand},
+    {"call", "call PIPELINE --account NAME [--body JSON] [--key KEY] [--daemon ADDRESS]",
+     "Sends one request; the answer goes to standard output.", callCommand},
+    {"version", "version", "Prints the version.", versionCommand},
+};
+
+void printHelp()
+{
+    fmt::print("usage: harelink COMMAND [--platform ADDRESS]\n\n");
+    for (const Command &command : commands) {
+        fmt::print("  harelink {}\n      {}\n", command.usage, command.help);
+    }
+    fmt::print("\nexit codes: 0 done, 1 refused, 2 usage, 3 invalid resource, 4 conflict,\n"
+               "            5 not found, 6 not reachable\n");
+}
+
+const Command *findCommand(const std::string &name)
+{
+    const auto *found = std::find_if(std::begin(commands), std::end(commands),
+                                     [&name](const Command &c) { return name == c.name; });
+    return found == std::end(commands) ? nullptr : found;
+}
+
+bool isHelp(const std::string &word)
+{
+    return word == "--help" || word == "-h" || word == "help";
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Words all(argv + 1, argv + argc);
+    const bool wantsHelp = std::any_of(all.begin(), all.end(), isHelp);
+    if (all.empty() || isHelp(all[0])) {
+        printHelp();
+        return all.empty() ? ExitUsage : ExitDone;
+    }
+    const Command *command = findCommand(all[0]);
+    if (command == nullptr) {
+        fmt::print(stderr, "harelink: '{}' is no command; see 'harelink --help'\n", all[0]);
+        return ExitUsage;
+    }
+    if (wantsHelp) {
+        fmt::print("usage: harelink {}\n{}\n", command->usage, command->help);
+        return ExitDone;
+    }
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return command->run(Words(argv + 2, argv + argc));
+}
--- /dev/null
+++ b/tools/harelink/objectcommands.cpp
@@ -0,0 +1,286 @@
+//===- objectcommands.cpp - Commands on declared resources ----------------===//
+
+#include "commands.h"
+#include "platform.h"
+
+#include "harelink/Config/resources.h"
+#include "harelink/Support/error.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+
+DEFINE_string(f, "", "apply: the file of resources.");
+DEFINE_string(output, "table", "table or json.");
+DEFINE_int32(changes, 0, "watch: end after so many changes; 0 goes on for ever.");
+
+namespace harelink::cli {
+namespace {
+
+constexpr std::chrono::seconds watchWait{10};
+
+int usage(const std::string &text)
+{
+    fmt::print(stderr, "harelink: usage: harelink {}\n", text);
+    return ExitUsage;
+}
+
+absl::StatusOr<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return makeError(absl::StatusCode::kInvalidArgument, "opening", path, "cannot be read");
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+bool isKind(const std::string &kind)
+{
+    const auto &kinds = resourceKinds();
+    return std::find(kinds.begin(), kinds.end(), kind) != kinds.end();
+}
+
+int unknownKind(const std::string &kind)
+{
+    return report(makeError(absl::StatusCode::kInvalidArgument, "reading the command", "",
+                            fmt::format("kind '{}' is unknown; known are: {}", kind,
+                                        fmt::join(resourceKinds(), ", "))));
+}
+
+PlatformCall objectCall(PlatformOperation operation, const std::string &kind,
+                        const std::string &name)
+{
+    PlatformCall call;
+    call.operation = operation;
+    call.kind = kind;
+    call.name = name;
+    return call;
+}
+
+/// Prints what \p before lacks of \p after, one difference a line.
+void printDifference(const nlohmann::json &before, const nlohmann::json &after)
+{
+    for (const nlohmann::json &change : nlohmann::json::diff(before, after)) {
+        fmt::print(stderr, "  {} {} {}\n", change.value("op", ""), change.value("path", ""),
+                   change.contains("value") ? change["value"].dump() : "");
+    }
+}
+
+int reportConflict(const Resource &resource, Version current, const std::string &stored)
+{
+    const std::string place = fmt::format("{}/{}", resource.kind, resource.name);
+    const int code = report(makeError(
+        absl::StatusCode::kAborted, "writing", place,
+        fmt::format("somebody changed it: it is at version {} now; nothing was overwritten. "
+                    "look at 'harelink get {} {}' and apply again",
+                    current, resource.kind, resource.name)));
+    const nlohmann::json now = nlohmann::json::parse(stored, nullptr, false);
+    if (now.is_object()) {
+        fmt::print(stderr, "what applying would change against version {}:\n", current);
+        printDifference(now, resource.document);
+    }
+    return code;
+}
+
+int applyOne(const Resource &resource)
+{
+    const PlatformResult found =
+        callPlatform(objectCall(PlatformOperation::Get, resource.kind, resource.name));
+    const bool exists = found.outcome == PlatformOutcome::Ok;
+    if (!exists && found.outcome != PlatformOutcome::NotFound) {
+        return reportUnreachable(found);
+    }
+    const Version current = exists ? found.version : 0;
+    if (resource.madeFrom && *resource.madeFrom != current) {
+        return reportConflict(resource, current, found.value);
+    }
+    if (exists && nlohmann::json::parse(found.value, nullptr, false) == resource.document) {
+        fmt::print("{}/{} unchanged, version {}\n", resource.kind, resource.name, current);
+        return ExitDone;
+    }
+    PlatformCall put = objectCall(PlatformOperation::Put, resource.kind, resource.name);
+    put.ifVersion = current;
+    put.value = resource.document.dump();
+    const PlatformResult written = callPlatform(put);
+    if (written.outcome == PlatformOutcome::Conflict) {
+        const PlatformResult now =
+            callPlatform(objectCall(PlatformOperation::Get, resource.kind, resource.name));
+        return reportConflict(resource, now.version, now.value);
+    }
+    if (written.outcome != PlatformOutcome::Ok) {
+        return reportUnreachable(written);
+    }
+    fmt::print("{}/{} {}, version {}\n", resource.kind, resource.name,
+               exists ? "changed" : "created", written.version);
+    return ExitDone;
+}
+
+void printTable(const std::vector<PlatformObject> &objects)
+{
+    fmt::print("{:<16}{:<32}{:>10}\n", "KIND", "NAME", "VERSION");
+    for (const PlatformObject &object : objects) {
+        fmt::print("{:<16}{:<32}{:>10}\n", object.kind, object.name, object.version);
+    }
+}
+
+nlohmann::json withVersion(const std::string &value, Version version)
+{
+    nlohmann::json document = nlohmann::json::parse(value, nullptr, false);
+    if (document.is_object()) {
+        document["version"] = version;
+    }
+    return document;
+}
+
+int listKind(const std::string &kinds)
+{
+    const PlatformResult result = callPlatform(objectCall(PlatformOperation::List, kinds, ""));
+    if (result.outcome != PlatformOutcome::Ok) {
+        return reportUnreachable(result);
+    }
+    if (FLAGS_output == "json") {
+        nlohmann::json all = nlohmann::json::array();
+        for (const PlatformObject &object : result.objects) {
+            all.push_back(withVersion(object.value, object.version));
+        }
+        fmt::print("{}\n", all.dump(2));
+        return ExitDone;
+    }
+    printTable(result.objects);
+    return ExitDone;
+}
+
+int getOne(const std::string &kind, const std::string &name)
+{
+    const PlatformResult result = callPlatform(objectCall(PlatformOperation::Get, kind, name));
+    if (result.outcome == PlatformOutcome::NotFound) {
+        return report(makeError(absl::StatusCode::kNotFound, "reading",
+                                fmt::format("{}/{}", kind, name), "there is no such object"));
+    }
+    if (result.outcome != PlatformOutcome::Ok) {
+        return reportUnreachable(result);
+    }
+    fmt::print("{}\n", withVersion(result.value, result.version).dump(2));
+    return ExitDone;
+}
+
+} // namespace
+
+int applyCommand(const Words &words)
+{
+    if (FLAGS_f.empty() || !words.empty()) {
+        return usage("apply -f FILE");
+    }
+    const absl::StatusOr<std::string> text = readFile(FLAGS_f);
+    if (!text.ok()) {
+        return report(text.status());
+    }
+    // Everything is checked before anything is written.
+    absl::StatusOr<std::vector<Resource>> resources = readResources(*text, FLAGS_f);
+    if (!resources.ok()) {
+        return report(resources.status());
+    }
+    for (const Resource &resource : *resources) {
+        const int code = applyOne(resource);
+        if (code != ExitDone) {
+            return code;
+        }
+    }
+    return ExitDone;
+}
+
+int getCommand(const Words &words)
+{
+    if (words.empty()) {
+        return listKind(fmt::format("{}", fmt::join(resourceKinds(), ",")));
+    }
+    if (!isKind(words[0])) {
+        return unknownKind(words[0]);
+    }
+    if (words.size() == 1) {
+        return listKind(words[0]);
+    }
+    return words.size() == 2 ? getOne(words[0], words[1]) : usage("get [KIND [NAME]]");
+}
+
+int describeCommand(const Words &words)
+{
+    if (words.size() != 2) {
+        return usage("describe KIND NAME");
+    }
+    if (!isKind(words[0])) {
+        return unknownKind(words[0]);
+    }
+    return getOne(words[0], words[1]);
+}
+
+int deleteCommand(const Words &words)
+{
+    if (words.size() != 2) {
+        return usage("delete KIND NAME");
+    }
+    if (!isKind(words[0])) {
+        return unknownKind(words[0]);
+    }
+    const std::string place = fmt::format("{}/{}", words[0], words[1]);
+    const PlatformResult found =
+        callPlatform(objectCall(PlatformOperation::Get, words[0], words[1]));
+    if (found.outcome == PlatformOutcome::NotFound) {
+        return report(
+            makeError(absl::StatusCode::kNotFound, "deleting", place, "there is no such object"));
+    }
+    if (found.outcome != PlatformOutcome::Ok) {
+        return reportUnreachable(found);
+    }
+    PlatformCall call = objectCall(PlatformOperation::Delete, words[0], words[1]);
+    call.ifVersion = found.version;
+    const PlatformResult deleted = callPlatform(call);
+    if (deleted.outcome == PlatformOutcome::Conflict) {
+        return report(makeError(absl::StatusCode::kAborted, "deleting", place,
+                                fmt::format("somebody changed it: it is at version {} now; "
+                                            "nothing was deleted",
+                                            deleted.version)));
+    }
+    if (deleted.outcome != PlatformOutcome::Ok) {
+        return reportUnreachable(deleted);
+    }
+    fmt::print("{} deleted, version {}\n", place, deleted.version);
+    return ExitDone;
+}
+
+int watchCommand(const Words &words)
+{
+    if (words.size() > 1) {
+        return usage("watch [KIND]");
+    }
+    if (words.size() == 1 && !isKind(words[0])) {
+        return unknownKind(words[0]);
+    }
+    const std::string kinds =
+        words.empty() ? fmt::format("{}", fmt::join(resourceKinds(), ",")) : words[0];
+    PlatformResult result = callPlatform(objectCall(PlatformOperation::List, kinds, ""));
+    int seen = 0;
+    while (result.outcome == PlatformOutcome::Ok) {
+        PlatformCall watch = objectCall(PlatformOperation::Watch, kinds, "");
+        watch.since = result.version;
+        watch.wait = watchWait;
+        result = callPlatform(watch);
+        for (const PlatformObject &object : result.objects) {
+            fmt::print("{} {}/{} version {}\n", object.deleted ? "deleted" : "changed", object.kind,
+                       object.name, object.version);
+            std::fflush(stdout);
+            if (++seen == FLAGS_changes) {
+                return ExitDone;
+            }
+        }
+    }
+    return reportUnreachable(result);
+}
+
+} // namespace harelink::cli
--- /dev/null
+++ b/tools/harelinkd/harelinkd.cpp
@@ -0,0 +1,128 @@
+//===- harelinkd.cpp - The daemon -----------------------------------------===//
+///
+/// \file
+/// Serves callers' requests. SIGTERM begins a planned stop; a second one ends
+/// it at once, with an honest answer to everything in progress.
+///
+/// Exit codes: 0 stopped as planned, 78 the settings are wrong, 1 otherwise.
+///
+//===----------------------------------------------------------------------===//
+
+#include "harelink/Config/settings.h"
+#include "harelink/Daemon/daemon.h"
+#include "harelink/Kernel/registry.h"
+#include "harelink/Support/error.h"
+#include "harelink/Support/log.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+DEFINE_string(config, "", "The settings file, JSON with comments.");
+DEFINE_bool(check_config, false, "Only check the settings file.");
+
+namespace {
+
+using namespace harelink;
+
+constexpr Logger logger("daemon");
+/// EX_CONFIG of sysexits.h.
+constexpr int exitBadSettings = 78;
+/// How often a stopping daemon looks whether it is idle.
+constexpr std::chrono::milliseconds drainPoll{20};
+/// Left after the last answer, so that it reaches its caller.
+constexpr std::chrono::milliseconds lastAnswerGrace{100};
+/// Between "not ready" and the first refusal, so that the balancer notices.
+constexpr std::chrono::milliseconds balancerGrace{500};
+
+absl::StatusOr<Settings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return makeError(absl::StatusCode::kNotFound, "opening", path, "cannot be read");
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return readSettings(text.str(), path, Registry<RoutingPolicy>::instance().names());
+}
+
+void applyLogLevel(const std::string &level)
+{
+    if (level == "debug") {
+        setLogLevel(LogLevel::Debug);
+    } else if (level == "warning") {
+        setLogLevel(LogLevel::Warning);
+    } else if (level == "error") {
+        setLogLevel(LogLevel::Error);
+    }
+}
+
+/// Blocks the stop signals in this and all later threads.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+/// Waits up to \p time for a stop signal.
+bool waitForSignal(const sigset_t &signals, std::chrono::milliseconds time)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(time);
+    const std::chrono::nanoseconds rest = time - seconds;
+    const timespec limit{seconds.count(), rest.count()};
+    return sigtimedwait(&signals, nullptr, &limit) > 0;
+}
+
+void stopAsPlanned(Daemon &daemon, const sigset_t &signals)
+{
+    const SystemClock clock;
+    const TimePoint limit = clock.now() + daemon.settings().drainLimit;
+    daemon.announceStop();
+    logger.info("Stopping: the balancer is told, then requests in progress are finished.");
+    bool atOnce = waitForSignal(signals, balancerGrace);
+    daemon.drain();
+    while (!atOnce && !daemon.idle() && clock.now() < limit) {
+        atOnce = waitForSignal(signals, drainPoll);
+    }
+    daemon.abandonAll();
+    std::this_thread::sleep_for(lastAnswerGrace);
+    daemon.stop();
+    logger.info("Stopped.");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("harelinkd --config FILE [--check_config]");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const absl::StatusOr<Settings> settings = loadSettings(FLAGS_config);
+    if (!settings.ok()) {
+        fmt::print(stderr, "harelinkd: {}\n", describeError(settings.status()));
+        return exitBadSettings;
+    }
+    if (FLAGS_check_config) {
+        fmt::print("{}: the settings are valid\n", FLAGS_config);
+        return 0;
+    }
+    applyLogLevel(settings->logLevel);
+    const sigset_t signals = blockStopSignals();
+    Daemon daemon(*settings);
+    const absl::Status started = daemon.start();
+    if (!started.ok()) {
+        logger.error("Cannot start: {}.", describeError(started));
+        return 1;
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    stopAsPlanned(daemon, signals);
+    return 0;
+}
--- /dev/null
+++ b/unittests/Adapters/httpclienttest.cpp
@@ -0,0 +1,170 @@
+//===- httpclienttest.cpp - Tests of outgoing HTTP ------------------------===//
+
+#include "harelink/Adapters/httpclient.h"
+#include "harelink/Adapters/httpserver.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fmt/format.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+using namespace harelink;
+
+namespace {
+
+/// Answers the first request on each connection and then, when the second one
+/// is in, closes the connection without a word, as a dying endpoint does.
+class DyingServer
+{
+public:
+    DyingServer()
+        : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        (void)bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        listen(m_listener, 16);
+        socklen_t size = sizeof address;
+        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~DyingServer()
+    {
+        shutdown(m_listener, SHUT_RDWR);
+        m_thread.join();
+        // Each ends when its client closes, which the tests do first.
+        for (std::thread &connection : m_connections) {
+            connection.join();
+        }
+        close(m_listener);
+    }
+    [[nodiscard]] std::string url() const { return fmt::format("http://127.0.0.1:{}/", m_port); }
+    [[nodiscard]] int seen() const { return m_seen; }
+
+private:
+    bool readRequest(int connection)
+    {
+        char buffer[4096];
+        if (recv(connection, buffer, sizeof buffer, 0) <= 0) {
+            return false;
+        }
+        ++m_seen;
+        return true;
+    }
+
+    void serve()
+    {
+        for (;;) {
+            const int connection = accept(m_listener, nullptr, nullptr);
+            if (connection < 0) {
+                return;
+            }
+            // A kept connection waits for its second request beside the others.
+            m_connections.emplace_back([this, connection] { serveConnection(connection); });
+        }
+    }
+
+    void serveConnection(int connection)
+    {
+        if (readRequest(connection)) {
+            constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+            readRequest(connection);
+        }
+        close(connection);
+    }
+
+    int m_listener;
+    int m_port = 0;
+    std::atomic<int> m_seen{0};
+    std::thread m_thread;
+    std::vector<std::thread> m_connections; ///< Of m_thread alone until it ended.
+};
+
+HttpResult callOn(HttpClient &client, const HttpCall &call)
+{
+    HttpResult result;
+    bool done = false;
+    client.send(call, [&](HttpResult finished) {
+        result = std::move(finished);
+        done = true;
+    });
+    while (!done) {
+        client.poll(std::chrono::milliseconds(100));
+    }
+    return result;
+}
+
+HttpCall post(const std::string &url, bool resendable)
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = url;
+    call.body = "{}";
+    call.timeout = std::chrono::seconds(5);
+    call.resendable = resendable;
+    return call;
+}
+
+} // namespace
+
+TEST_GROUP(HttpClient){};
+
+TEST(HttpClient, ReadsAnAnswer)
+{
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    auto server = HttpServer::start(options, [](const HttpRequest &request, const Responder &to) {
+        HttpReply reply;
+        reply.status = 418;
+        reply.headers.emplace_back("X-Echo", request.header("x-question"));
+        reply.body = request.parameter("list") + request.body;
+        to(reply);
+    });
+    CHECK(server.ok());
+    HttpClient client;
+    HttpCall call = post(fmt::format("http://127.0.0.1:{}/a?list=x,y", (*server)->port()), true);
+    call.headers.emplace_back("X-Question: why");
+    const HttpResult result = callOn(client, call);
+    CHECK_EQUAL(418, result.status);
+    STRCMP_EQUAL("why", result.header("x-echo").c_str());
+    STRCMP_EQUAL("x,y{}", result.body.c_str());
+}
+
+TEST(HttpClient, SaysThatNothingWasSentWhenNobodyListens)
+{
+    HttpClient client;
+    const HttpResult result = callOn(client, post("http://127.0.0.1:1/", true));
+    CHECK_EQUAL(0, result.status);
+    CHECK_FALSE(result.sent);
+}
+
+// The library sends a POST again when a kept connection breaks. A call that may
+// not be repeated must therefore never use a kept connection.
+TEST(HttpClient, ACallThatMayNotBeRepeatedIsSentOnce)
+{
+    DyingServer server;
+    HttpClient client;
+    CHECK_EQUAL(200, callOn(client, post(server.url(), true)).status);
+    CHECK_EQUAL(200, callOn(client, post(server.url(), false)).status);
+    CHECK_EQUAL(2, server.seen());
+}
+
+TEST(HttpClient, ControlAResendableCallIsSentTwiceOverABrokenConnection)
+{
+    DyingServer server;
+    HttpClient client;
+    CHECK_EQUAL(200, callOn(client, post(server.url(), true)).status);
+    // Seen once on the kept connection, which breaks, and once more on a new one.
+    CHECK_EQUAL(200, callOn(client, post(server.url(), true)).status);
+    CHECK_EQUAL(3, server.seen());
+}
--- /dev/null
+++ b/unittests/Config/settingstest.cpp
@@ -0,0 +1,54 @@
+//===- settingstest.cpp - Tests of the daemon's settings ------------------===//
+
+#include "harelink/Config/settings.h"
+#include "harelink/Support/error.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace harelink;
+
+namespace {
+
+constexpr const char *good = R"({
+    "host": "h1", "dataCentre": "porto", // Where it stands.
+    "listen": {"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+    "platform": "127.0.0.1:4", "callerTrust": "balancer"})";
+
+absl::StatusOr<Settings> read(const std::string &text)
+{
+    return readSettings(text, "h1.jsonc", {"power-of-two", "round-robin"});
+}
+
+} // namespace
+
+TEST_GROUP(Settings){};
+
+TEST(Settings, ReadsAGoodFile)
+{
+    const auto settings = read(good);
+    CHECK(settings.ok());
+    STRCMP_EQUAL("porto", settings->dataCentre.c_str());
+    STRCMP_EQUAL("power-of-two", settings->routingPolicy.c_str());
+    CHECK(settings->callerTrust == CallerTrust::Balancer);
+}
+
+TEST(Settings, HasNoSilentDefaultToOpen)
+{
+    std::string text = good;
+    text.erase(text.find(", \"callerTrust\": \"balancer\""), 27);
+    STRCMP_CONTAINS("callerTrust: is missing", errorMessage(read(text).status()).c_str());
+}
+
+TEST(Settings, ListsEveryFault)
+{
+    const std::string fault = errorMessage(
+        read(R"({"host": "H 1", "listen": {"callers": "here"}, "routing": "best", "colour": 1})")
+            .status());
+    for (const char *expected :
+         {"host: must be a name", "dataCentre: is missing", "listen.callers: must be an ip number",
+          "listen.operators: is missing", "platform: is missing",
+          "routing: 'best' is unknown; known are: power-of-two, round-robin",
+          "colour: is an unknown field"}) {
+        STRCMP_CONTAINS(expected, fault.c_str());
+    }
+}
--- /dev/null
+++ b/unittests/Kernel/configtabletest.cpp
@@ -0,0 +1,92 @@
+//===- configtabletest.cpp - Tests of the configuration in force ----------===//
+
+#include "harelink/Kernel/configmachine.h"
+#include "harelink/Kernel/configtableimpl.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace harelink;
+
+namespace {
+
+PlatformObject account(Version version, double weight)
+{
+    PlatformObject object;
+    object.kind = "ClientAccount";
+    object.name = "drivers";
+    object.version = version;
+    object.value = R"({"kind": "ClientAccount", "name": "drivers", "spec": {"weight": )"
+                   + std::to_string(weight) + "}}";
+    return object;
+}
+
+template <typename Table>
+double weightIn(const Table &table)
+{
+    const std::vector<Resource> resources = table.resources();
+    return resources.empty() ? 0 : std::get<ClientAccountSpec>(resources[0].spec).weight;
+}
+
+/// Takes older news as well; what the product must not do.
+struct NoHighWater : AllGuards
+{
+    static constexpr bool dropsOlderNews = false;
+};
+
+} // namespace
+
+TEST_GROUP(ConfigTable){};
+
+TEST(ConfigTable, OlderNewsChangesNothing)
+{
+    ConfigTable table;
+    CHECK(table.apply(account(5, 2)));
+    CHECK_FALSE(table.apply(account(4, 9)));
+    DOUBLES_EQUAL(2, weightIn(table), 0);
+    CHECK_EQUAL(1u, table.droppedNews());
+}
+
+TEST(ConfigTable, ControlWithoutHighWaterRevertsToOlderNews)
+{
+    BasicConfigTable<NoHighWater> table;
+    table.apply(account(5, 2));
+    table.apply(account(4, 9));
+    DOUBLES_EQUAL(9, weightIn(table), 0);
+}
+
+TEST(ConfigTable, ADeletedObjectDoesNotComeBackByOldNews)
+{
+    ConfigTable table;
+    table.apply(account(5, 2));
+    PlatformObject deletion = account(6, 0);
+    deletion.deleted = true;
+    CHECK(table.apply(deletion));
+    CHECK_FALSE(table.apply(account(5, 2)));
+    CHECK(table.resources().empty());
+}
+
+TEST(ConfigTable, AListingDeletesWhatItLacks)
+{
+    ConfigTable table;
+    table.apply(account(5, 2));
+    CHECK(table.applyListing({}, 8));
+    CHECK(table.resources().empty());
+    // A listing older than the object says nothing about it.
+    CHECK(table.apply(account(12, 3)));
+    CHECK_FALSE(table.applyListing({}, 9));
+    DOUBLES_EQUAL(3, weightIn(table), 0);
+}
+
+TEST(ConfigTable, TheLastGoodVersionStaysInForce)
+{
+    ConfigTable table;
+    table.apply(account(5, 2));
+    CHECK_FALSE(table.apply(account(6, -1)));
+    DOUBLES_EQUAL(2, weightIn(table), 0);
+    const ConfigEntry &entry = table.entries().begin()->second;
+    CHECK_EQUAL(6u, entry.seen);
+    CHECK_EQUAL(5u, entry.inForce);
+    STRCMP_CONTAINS("spec.weight", entry.fault.c_str());
+    CHECK(table.apply(account(7, 4)));
+    CHECK(table.entries().begin()->second.fault.empty());
+}
--- /dev/null
+++ b/utils/local-fleet.sh
@@ -0,0 +1,105 @@
+# Functions that start stand-ins and daemons on the loopback addresses, each on
+# a port that the system chose, and end just these. To be sourced.
+#
+# Needs: bin (folder of the programs) and work (a scratch folder).
+
+declare -A fleet_pid fleet_address fleet_operators
+
+# fleet_wait_for FILE PATTERN: waits until a line of FILE matches, prints it.
+fleet_wait_for() {
+    local tries
+    for tries in $(seq 200); do
+        if grep -m1 -E "$2" "$1" 2>/dev/null; then
+            return 0
+        fi
+        sleep 0.05
+    done
+    echo "no line like '$2' in $1 after 10 s" >&2
+    return 1
+}
+
+# fleet_standin NAME PROGRAM [FLAGS...]: starts a stand-in.
+fleet_standin() {
+    local name=$1 program=$2
+    shift 2
+    "$bin/$program" "$@" >"$work/$name.out" 2>"$work/$name.log" &
+    fleet_pid[$name]=$!
+    local line
+    line=$(fleet_wait_for "$work/$name.out" '^port [0-9]+')
+    fleet_address[$name]="127.0.0.1:${line#port }"
+}
+
+# fleet_daemon NAME DATA_CENTRE [TRUST]: starts a daemon against the platform.
+fleet_daemon() {
+    local name=$1
+    cat >"$work/$name.jsonc" <<SETTINGS
+{
+    // Written by local-fleet.sh; port 0 lets the system choose.
+    "host": "$name",
+    "dataCentre": "$2",
+    "listen": {
+        "callers": "127.0.0.1:0",
+        "operators": "127.0.0.1:0",
+        "peers": "127.0.0.1:0"
+    },
+    "platform": "${fleet_address[platform]}",
+    "callerTrust": "${3:-balancer}",
+    "limits": { "workers": 2, "platformTimeoutMs": 300 ${fleet_limits:-} }
+}
+SETTINGS
+    "$bin/harelinkd" --config "$work/$name.jsonc" 2>"$work/$name.log" &
+    fleet_pid[$name]=$!
+    local line
+    line=$(fleet_wait_for "$work/$name.log" 'listens for callers on port')
+    fleet_address[$name]="127.0.0.1:$(sed -E 's/.*callers on port ([0-9]+).*/\1/' <<<"$line")"
+    fleet_operators[$name]="127.0.0.1:$(sed -E 's/.*operators on ([0-9]+).*/\1/' <<<"$line")"
+}
+
+# fleet_ready NAME: waits until the daemon is ready.
+fleet_ready() {
+    local tries
+    for tries in $(seq 200); do
+        if [ "$(curl -s -o /dev/null -w '%{http_code}' "http://${fleet_operators[$1]}/readyz")" = 200 ]; then
+            return 0
+        fi
+        sleep 0.05
+    done
+    echo "daemon $1 is not ready after 10 s" >&2
+    return 1
+}
+
+# fleet_fill FILE: prints it with each @NAME@ replaced by that process's address.
+fleet_fill() {
+    local name script=()
+    for name in "${!fleet_address[@]}"; do
+        script+=(-e "s/@$name@/${fleet_address[$name]}/g")
+    done
+    sed "${script[@]}" "$1"
+}
+
+# fleet_switch NAME JSON: sets switches of a stand-in.
+fleet_switch() {
+    curl -sf -o /dev/null -X POST -d "$2" "http://${fleet_address[$1]}/control"
+}
+
+# fleet_counter NAME FIELD: prints one counter of a stand-in.
+fleet_counter() {
+    curl -sf "http://${fleet_address[$1]}/counters" |
+        python3 -c 'import json, sys; print(json.load(sys.stdin)[sys.argv[1]])' "$2"
+}
+
+# fleet_signal NAME SIGNAL: sends a signal to one process of the fleet.
+fleet_signal() {
+    kill -s "$2" "${fleet_pid[$1]}"
+}
+
+# fleet_end: ends every process that was started here, by its id.
+fleet_end() {
+    local name
+    for name in "${!fleet_pid[@]}"; do
+        kill -CONT "${fleet_pid[$name]}" 2>/dev/null || true
+        kill -KILL "${fleet_pid[$name]}" 2>/dev/null || true
+        wait "${fleet_pid[$name]}" 2>/dev/null || true
+    done
+    fleet_pid=()
+}
--- /dev/null
+++ b/utils/standin/endpoint.cpp
@@ -0,0 +1,252 @@
+//===- endpoint.cpp - Stand-in for an endpoint ----------------------------===//
+///
+/// \file
+/// A model engine, a stage pool or a plain service, by --kind. It works on
+/// --slots calls at a time, queues as many more and refuses the rest with 429
+/// before running them. Its answers repeat the caller's "nonce", so that a
+/// mixed-up answer shows. Switches:
+///
+///   POST /control  {"slowFactor": F, "failing": bool, "hanging": bool,
+///                   "refusing": bool}
+///   GET  /counters  runs, runs per idempotency key, prefix hits
+///
+//===----------------------------------------------------------------------===//
+
+#include "harelink/Adapters/httpserver.h"
+#include "harelink/Support/error.h"
+#include "harelink/Support/hash.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <deque>
+#include <list>
+#include <mutex>
+
+DEFINE_string(address, "127.0.0.1:0", "Where to listen.");
+DEFINE_string(kind, "stage-pool", "model-engine, stage-pool or plain-service.");
+DEFINE_int32(slots, 8, "Calls worked on at a time.");
+DEFINE_double(base_ms, 5, "Time of a call without its size.");
+DEFINE_double(token_ms, 0.1, "Time of one token of a model engine.");
+DEFINE_int32(prefixes, 32, "Prompt prefixes that a model engine keeps.");
+
+namespace {
+
+using namespace harelink;
+
+constexpr std::size_t prefixBytes = 256;
+/// Part of the base time that a cached prefix saves.
+constexpr double prefixSaving = 0.6;
+
+struct Switches
+{
+    double slowFactor = 1;
+    bool failing = false;
+    bool hanging = false;
+    bool refusing = false;
+};
+
+/// The prompt prefixes that were used last.
+class PrefixCache
+{
+public:
+    /// Whether \p prefix was there; it is now.
+    bool touch(std::uint64_t prefix)
+    {
+        const auto found = std::find(m_recent.begin(), m_recent.end(), prefix);
+        const bool hit = found != m_recent.end();
+        if (hit) {
+            m_recent.erase(found);
+        }
+        m_recent.push_front(prefix);
+        if (m_recent.size() > static_cast<std::size_t>(FLAGS_prefixes)) {
+            m_recent.pop_back();
+        }
+        return hit;
+    }
+
+private:
+    std::list<std::uint64_t> m_recent;
+};
+
+struct Job
+{
+    HttpRequest request;
+    Responder responder;
+};
+
+class Endpoint
+{
+public:
+    void attach(HttpServer *server) { m_server = server; }
+
+    void handle(HttpRequest request, const Responder &responder)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        if (request.path == "/control") {
+            responder(control(request));
+            return;
+        }
+        if (request.path == "/counters") {
+            responder(counters());
+            return;
+        }
+        if (m_switches.hanging) {
+            m_held.push_back(responder);
+            return;
+        }
+        if (m_switches.failing) {
+            responder(reply(request, 500, {{"error", "failing"}}));
+            return;
+        }
+        const auto most = static_cast<std::size_t>(FLAGS_slots);
+        if (m_switches.refusing || m_queue.size() >= most) {
+            ++m_refused;
+            responder(reply(request, 429, {{"error", "full"}}));
+            return;
+        }
+        m_queue.push_back({std::move(request), responder});
+        startNext();
+    }
+
+private:
+    HttpReply control(const HttpRequest &request)
+    {
+        const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+        if (!body.is_object()) {
+            return reply(request, 400, {{"error", "not a json object"}});
+        }
+        m_switches.slowFactor = body.value("slowFactor", m_switches.slowFactor);
+        m_switches.failing = body.value("failing", m_switches.failing);
+        m_switches.hanging = body.value("hanging", m_switches.hanging);
+        m_switches.refusing = body.value("refusing", m_switches.refusing);
+        return reply(request, 200, {{"ok", true}});
+    }
+
+    HttpReply counters() const
+    {
+        std::uint64_t most = 0;
+        for (const auto &[key, runs] : m_runsByKey) {
+            most = std::max(most, runs);
+        }
+        nlohmann::json body = {{"runs", m_runs},
+                               {"refused", m_refused},
+                               {"prefixHits", m_prefixHits},
+                               {"keys", m_runsByKey.size()},
+                               {"mostRunsOfAKey", most}};
+        HttpReply answer;
+        answer.body = body.dump();
+        return answer;
+    }
+
+    HttpReply reply(const HttpRequest &request, int status, const nlohmann::json &body) const
+    {
+        HttpReply answer;
+        answer.status = status;
+        answer.headers.emplace_back("X-Request-Id", request.header("x-request-id"));
+        answer.headers.emplace_back("X-Active-Requests", fmt::format("{}", m_active));
+        answer.body = body.dump();
+        return answer;
+    }
+
+    void startNext()
+    {
+        while (m_active < FLAGS_slots && !m_queue.empty()) {
+            Job job = std::move(m_queue.front());
+            m_queue.pop_front();
+            ++m_active;
+            ++m_runs;
+            const std::string key = job.request.header("idempotency-key");
+            if (!key.empty()) {
+                ++m_runsByKey[key];
+            }
+            const double millis = timeOf(job.request) * m_switches.slowFactor;
+            const auto delay = std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double, std::milli>(millis));
+            m_server->runAfter(delay,
+                               [this, job = std::move(job), millis] { finish(job, millis); });
+        }
+    }
+
+    double timeOf(const HttpRequest &request)
+    {
+        if (FLAGS_kind != "model-engine") {
+            return FLAGS_base_ms;
+        }
+        const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+        const std::string prompt = body.value("prompt", "");
+        const bool hit = m_prefixes.touch(hash64(prompt.substr(0, prefixBytes)));
+        m_prefixHits += hit ? 1 : 0;
+        return FLAGS_base_ms * (hit ? 1 - prefixSaving : 1)
+               + FLAGS_token_ms * body.value("max_tokens", 0);
+    }
+
+    void finish(const Job &job, double millis)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        --m_active;
+        HttpReply answer = reply(job.request, 200, answerTo(job.request));
+        answer.headers.emplace_back("Server-Timing", fmt::format("run;dur={:.3f}", millis));
+        job.responder(std::move(answer));
+        startNext();
+    }
+
+    nlohmann::json answerTo(const HttpRequest &request) const
+    {
+        const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+        if (FLAGS_kind == "model-engine") {
+            const nlohmann::json choice = {{"text", "answer to " + body.value("prompt", "")},
+                                           {"finish_reason", "stop"}};
+            return {{"choices", nlohmann::json::array({choice})}};
+        }
+        if (FLAGS_kind == "plain-service") {
+            return {{"nonce", body.value("nonce", "")}, {"key", request.header("idempotency-key")}};
+        }
+        const nlohmann::json from = body.value("request", nlohmann::json::object());
+        return {{"output", {{"nonce", from.value("nonce", "")}, {"stage", request.path}}}};
+    }
+
+    std::mutex m_mutex;
+    HttpServer *m_server = nullptr;
+    Switches m_switches;
+    PrefixCache m_prefixes;
+    std::deque<Job> m_queue;
+    std::vector<Responder> m_held;
+    int m_active = 0;
+    std::uint64_t m_runs = 0;
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_prefixHits = 0;
+    std::map<std::string, std::uint64_t> m_runsByKey;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    Endpoint endpoint;
+    HttpServerOptions options;
+    options.address = FLAGS_address;
+    auto server = HttpServer::start(options, [&](HttpRequest request, const Responder &to) {
+        endpoint.handle(std::move(request), to);
+    });
+    if (!server.ok()) {
+        fmt::print(stderr, "standin-endpoint: {}\n", describeError(server.status()));
+        return 1;
+    }
+    endpoint.attach(server->get());
+    fmt::print("port {}\n", (*server)->port());
+    std::fflush(stdout);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    (*server)->stop();
+    return 0;
+}
--- /dev/null
+++ b/utils/standin/platformstore.cpp
@@ -0,0 +1,87 @@
+//===- platformstore.cpp - Objects of the platform's stand-in -------------===//
+
+#include "platformstore.h"
+
+namespace harelink::standin {
+
+Version PlatformStore::versionOf(const Key &key) const
+{
+    const auto found = m_objects.find(key);
+    return found == m_objects.end() ? 0 : found->second.version;
+}
+
+std::optional<PlatformObject> PlatformStore::get(const std::string &kind,
+                                                 const std::string &name) const
+{
+    const auto found = m_objects.find({kind, name});
+    if (found == m_objects.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::optional<Version> PlatformStore::put(const std::string &kind, const std::string &name,
+                                          Version ifVersion, std::string value)
+{
+    if (versionOf({kind, name}) != ifVersion) {
+        return std::nullopt;
+    }
+    PlatformObject object{kind, name, ++m_version, false, std::move(value)};
+    m_objects[{kind, name}] = object;
+    remember(std::move(object));
+    return m_version;
+}
+
+std::optional<Version> PlatformStore::remove(const std::string &kind, const std::string &name,
+                                             Version ifVersion)
+{
+    const Version current = versionOf({kind, name});
+    if (current == 0 || current != ifVersion) {
+        return std::nullopt;
+    }
+    m_objects.erase({kind, name});
+    remember({kind, name, ++m_version, true, std::string()});
+    return m_version;
+}
+
+void PlatformStore::remember(PlatformObject change)
+{
+    m_changes.push_back(std::move(change));
+    if (m_changes.size() > m_keptEvents) {
+        m_forgotten = m_changes.front().version;
+        m_changes.pop_front();
+    }
+}
+
+std::vector<PlatformObject> PlatformStore::list(const std::set<std::string> &kinds) const
+{
+    std::vector<PlatformObject> objects;
+    for (const auto &[key, object] : m_objects) {
+        if (kinds.contains(key.first)) {
+            objects.push_back(object);
+        }
+    }
+    return objects;
+}
+
+std::optional<std::vector<PlatformObject>>
+PlatformStore::changes(const std::set<std::string> &kinds, Version since) const
+{
+    if (since < m_forgotten) {
+        return std::nullopt;
+    }
+    std::map<Key, PlatformObject> last;
+    for (const PlatformObject &change : m_changes) {
+        if (change.version > since && kinds.contains(change.kind)) {
+            last[{change.kind, change.name}] = change;
+        }
+    }
+    std::vector<PlatformObject> objects;
+    objects.reserve(last.size());
+    for (auto &[key, change] : last) {
+        objects.push_back(std::move(change));
+    }
+    return objects;
+}
+
+} // namespace harelink::standin
