--- a/include/harelink/Adapters/platformclient.h
+++ b/include/harelink/Adapters/platformclient.h
@@ -8,6 +8,7 @@
 ///   DELETE /v1/objects/KIND/NAME?ifVersion=V  -> {"version": V}; 409 on another version
 ///   GET    /v1/objects?kind=A,B               -> {"version": V, "objects": [...]}
 ///   GET    /v1/watch?kind=A,B&since=V&waitMs=M -> the same, of what changed; 410 if forgotten
+///   GET    /v1/hosts -> {"hosts": [{"host", "dataCentre", "peers", "state"}]}
 ///
 //===----------------------------------------------------------------------===//
 
--- /dev/null
+++ b/include/harelink/Kernel/claimledgerimpl.h
@@ -0,0 +1,540 @@
+//===- harelink/Kernel/claimledgerimpl.h - Definitions ----------*- C++ -*-===//
+///
+/// \file
+/// The definitions of BasicClaimLedger; included only where it is instantiated.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_CLAIMLEDGERIMPL_H
+#define HARELINK_KERNEL_CLAIMLEDGERIMPL_H
+
+#include "harelink/Kernel/claimledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace harelink {
+
+namespace claimledger {
+
+inline constexpr std::chrono::milliseconds firstBackOff{50};
+inline constexpr std::chrono::milliseconds longestBackOff{1000};
+/// How often a bucket is read again while claims wait for a live claimant.
+inline constexpr std::chrono::milliseconds waitingReadInterval{250};
+/// How often an owner reads its bucket at the least.
+inline constexpr std::chrono::milliseconds ownerReadInterval{2000};
+/// How often an owner reminds claimants of claims that are older than this.
+inline constexpr std::chrono::milliseconds reminderInterval{1000};
+/// How long it is remembered that a claim was given up; longer than any ledger
+/// holds on to a claim.
+inline constexpr std::chrono::minutes releasedMemory{15};
+/// How many claimants of one key that gave up are remembered.
+inline constexpr std::size_t mostGivenUp = 32;
+/// A bucket's value is never larger, with room below the platform's limit.
+inline constexpr std::size_t largestValue = 950'000;
+
+inline bool contains(const std::vector<RequestId> &ids, const RequestId &id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace claimledger
+
+template <GuardPolicy G>
+BasicClaimLedger<G>::BasicClaimLedger(const Clock &clock, HostOf hostOf, ClaimLedgerOptions options)
+    : m_clock(clock)
+    , m_hostOf(std::move(hostOf))
+    , m_options(options)
+{
+    for (Bucket &bucket : m_buckets) {
+        bucket.notBefore = clock.now();
+        bucket.lastRead = clock.now();
+        bucket.lastReminder = clock.now();
+    }
+}
+
+template <GuardPolicy G>
+std::vector<ClaimReply> BasicClaimLedger<G>::takeReplies()
+{
+    return std::exchange(m_replies, {});
+}
+
+template <GuardPolicy G>
+std::vector<FinishReply> BasicClaimLedger<G>::takeFinished()
+{
+    return std::exchange(m_finished, {});
+}
+
+template <GuardPolicy G>
+bool BasicClaimLedger<G>::idle() const
+{
+    return std::all_of(m_buckets.begin(), m_buckets.end(), [](const Bucket &bucket) {
+        return bucket.pending.empty() && bucket.batch.empty();
+    });
+}
+
+template <GuardPolicy G>
+TimePoint BasicClaimLedger<G>::nextTick() const
+{
+    TimePoint next = TimePoint::max();
+    for (const Bucket &bucket : m_buckets) {
+        if (bucket.callId != 0) {
+            continue;
+        }
+        if (!bucket.pending.empty() || bucket.unsettled) {
+            next = std::min(next, bucket.notBefore);
+        } else if (!bucket.waiting.empty()) {
+            next = std::min(next, bucket.lastRead + claimledger::waitingReadInterval);
+        } else if (bucket.owned) {
+            next = std::min(next, bucket.lastRead + claimledger::ownerReadInterval);
+        }
+    }
+    return next;
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::reply(const ClaimRequest &request, const std::string &host,
+                                ClaimVerdict verdict, const std::string &answer)
+{
+    m_counters.granted += verdict == ClaimVerdict::Granted ? 1 : 0;
+    m_replies.push_back({host, {request.claimant, request.key, verdict, answer}});
+}
+
+// Operations ------------------------------------------------------------------
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::claim(const ClaimRequest &request, const std::string &host)
+{
+    Bucket &bucket = m_buckets[bucketOf(request.key)];
+    ++m_counters.operations;
+    if (bucket.down && m_clock.now() < bucket.notBefore) {
+        // The platform is out: the caller learns at once, not at its deadline.
+        reply(request, host, ClaimVerdict::Unavailable, {});
+        return;
+    }
+    bucket.pending.push_back({request, host, m_clock.now() + request.patience, false});
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::finish(const ClaimFinish &finish, const std::string &host)
+{
+    Bucket &bucket = m_buckets[bucketOf(finish.key)];
+    ++m_counters.operations;
+    const auto isItsClaim = [&finish](const Operation &operation) {
+        const auto *request = std::get_if<ClaimRequest>(&operation.what);
+        return request != nullptr && request->claimant == finish.claimant
+               && !operation.maybeWritten;
+    };
+    std::erase_if(bucket.waiting, isItsClaim);
+    // A claim that never left this ledger needs no release.
+    std::erase_if(bucket.pending, isItsClaim);
+    bucket.pending.push_back({finish, host, TimePoint::max(), false});
+}
+
+template <GuardPolicy G>
+auto BasicClaimLedger<G>::apply(const ClaimRequest &request, ClaimRecords &records) const -> Applied
+{
+    const auto found = records.find(request.key);
+    const bool absent = found == records.end();
+    if (!absent && claimledger::contains(found->second.givenUp, request.claimant)) {
+        // A copy of a claim that was given up meanwhile.
+        return {ClaimVerdict::Unavailable, {}};
+    }
+    if (absent || found->second.state == ClaimRecord::State::Released) {
+        ClaimRecord &record = records[request.key];
+        record.claimant = request.claimant;
+        record.digest = request.digest;
+        record.state = ClaimRecord::State::Claimed;
+        record.changedAt = m_clock.wallNow();
+        return {ClaimVerdict::Granted, {}};
+    }
+    const ClaimRecord &record = found->second;
+    if (record.digest != request.digest) {
+        return {ClaimVerdict::KeyReused, {}};
+    }
+    if (record.state == ClaimRecord::State::Done) {
+        return {record.answerDropped ? ClaimVerdict::MayHaveRun : ClaimVerdict::Stored,
+                record.answer};
+    }
+    if (record.state == ClaimRecord::State::Abandoned) {
+        return {ClaimVerdict::MayHaveRun, {}};
+    }
+    const bool own = G::claimantIsRequest
+                         ? record.claimant == request.claimant
+                         : record.claimant.incarnation == request.claimant.incarnation;
+    if (own) {
+        return {ClaimVerdict::Granted, {}};
+    }
+    if (!isLive(record.claimant.incarnation)) {
+        return {ClaimVerdict::MayHaveRun, {}};
+    }
+    return {std::nullopt, {}};
+}
+
+template <GuardPolicy G>
+auto BasicClaimLedger<G>::apply(const ClaimFinish &finish, ClaimRecords &records) const -> Applied
+{
+    if (finish.end == ClaimEnd::Released) {
+        release(finish, records);
+        return {};
+    }
+    const auto found = records.find(finish.key);
+    if (found == records.end() || found->second.claimant != finish.claimant
+        || found->second.state != ClaimRecord::State::Claimed) {
+        return {};
+    }
+    ClaimRecord &record = found->second;
+    record.changedAt = m_clock.wallNow();
+    switch (finish.end) {
+    case ClaimEnd::Done:
+        record.state = ClaimRecord::State::Done;
+        record.answerDropped = finish.answer.size() > largestKeptAnswer;
+        if (!record.answerDropped) {
+            record.answer = finish.answer;
+        }
+        break;
+    default:
+        record.state = ClaimRecord::State::Abandoned;
+        break;
+    }
+    return {};
+}
+
+/// Another ledger may still hold the claim and write it later, when the
+/// claimant is gone. It must then find that the claim was given up.
+template <GuardPolicy G>
+void BasicClaimLedger<G>::release(const ClaimFinish &finish, ClaimRecords &records) const
+{
+    const bool absent = !records.contains(finish.key);
+    ClaimRecord &record = records[finish.key];
+    const bool own = record.claimant == finish.claimant;
+    if (absent || (own && record.state == ClaimRecord::State::Claimed)) {
+        record.claimant = finish.claimant;
+        record.state = ClaimRecord::State::Released;
+        record.changedAt = m_clock.wallNow();
+    }
+    const bool open =
+        record.state == ClaimRecord::State::Claimed || record.state == ClaimRecord::State::Released;
+    if (!open || claimledger::contains(record.givenUp, finish.claimant)) {
+        return;
+    }
+    record.givenUp.push_back(finish.claimant);
+    if (record.givenUp.size() > claimledger::mostGivenUp) {
+        record.givenUp.erase(record.givenUp.begin());
+    }
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::dropExpired(ClaimRecords &records) const
+{
+    const WallTime oldest = m_clock.wallNow() - m_options.retention;
+    const WallTime oldestReleased = m_clock.wallNow() - claimledger::releasedMemory;
+    std::erase_if(records, [&](const auto &entry) {
+        const bool released = entry.second.state == ClaimRecord::State::Released;
+        return entry.second.changedAt < (released ? std::max(oldest, oldestReleased) : oldest);
+    });
+}
+
+// Calls -----------------------------------------------------------------------
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::tick(std::vector<PlatformCall> &calls, std::uint64_t &nextCallId)
+{
+    for (std::size_t i = 0; i < m_buckets.size(); ++i) {
+        step(i, calls, nextCallId);
+    }
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::step(std::size_t index, std::vector<PlatformCall> &calls,
+                               std::uint64_t &nextCallId)
+{
+    Bucket &bucket = m_buckets[index];
+    const TimePoint now = m_clock.now();
+    if (bucket.callId != 0 || now < bucket.notBefore) {
+        return;
+    }
+    // A claim that nobody waits for any more must not be written.
+    const auto isStale = [now](const Operation &operation) {
+        return operation.giveUpAt <= now && !operation.maybeWritten;
+    };
+    std::erase_if(bucket.waiting, isStale);
+    std::erase_if(bucket.pending, isStale);
+    const Duration sinceRead = now - bucket.lastRead;
+    const bool mustRead = (!bucket.waiting.empty() && sinceRead >= claimledger::waitingReadInterval)
+                          || (bucket.owned && sinceRead >= claimledger::ownerReadInterval);
+    if (bucket.owned && bucket.loaded
+        && now >= bucket.lastReminder + claimledger::reminderInterval) {
+        remindClaimants(bucket);
+    }
+    const bool mustWrite = !bucket.pending.empty() || bucket.unsettled;
+    if (mustRead || (mustWrite && !bucket.loaded)) {
+        read(bucket, index, calls, nextCallId);
+        return;
+    }
+    if (mustWrite) {
+        write(bucket, index, calls, nextCallId);
+    }
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::read(Bucket &bucket, std::size_t index, std::vector<PlatformCall> &calls,
+                               std::uint64_t &nextCallId)
+{
+    ++m_counters.reads;
+    PlatformCall call;
+    call.id = nextCallId++;
+    call.operation = PlatformOperation::Get;
+    call.kind = claimBucketKind;
+    call.name = bucketName(index);
+    bucket.callId = call.id;
+    bucket.writing = false;
+    bucket.lastRead = m_clock.now();
+    calls.push_back(std::move(call));
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::write(Bucket &bucket, std::size_t index, std::vector<PlatformCall> &calls,
+                                std::uint64_t &nextCallId)
+{
+    bucket.proposed = bucket.records;
+    bucket.applied.clear();
+    bucket.batch.assign(std::make_move_iterator(bucket.pending.begin()),
+                        std::make_move_iterator(bucket.pending.end()));
+    bucket.pending.clear();
+    for (const Operation &operation : bucket.batch) {
+        bucket.applied.push_back(std::visit(
+            [&](const auto &what) { return apply(what, bucket.proposed); }, operation.what));
+    }
+    if (bucket.proposed == bucket.records && !bucket.unsettled) {
+        // Nothing to write: what was read decides.
+        deliver(bucket);
+        return;
+    }
+    dropExpired(bucket.proposed);
+    PlatformCall call;
+    call.value = encodeRecords(bucket.proposed);
+    if (call.value.size() > claimledger::largestValue) {
+        returnBatch(bucket, false);
+        refusePending(bucket);
+        backOff(bucket);
+        return;
+    }
+    ++m_counters.updates;
+    call.id = nextCallId++;
+    call.operation = PlatformOperation::Put;
+    call.kind = claimBucketKind;
+    call.name = bucketName(index);
+    call.ifVersion = bucket.version;
+    call.unconditional = !G::updatesConditionally;
+    bucket.callId = call.id;
+    bucket.writing = true;
+    bucket.notBefore = m_clock.now() + m_options.updateInterval;
+    calls.push_back(std::move(call));
+}
+
+template <GuardPolicy G>
+bool BasicClaimLedger<G>::handle(const PlatformResult &result)
+{
+    for (Bucket &bucket : m_buckets) {
+        if (bucket.callId == result.id && result.id != 0) {
+            bucket.callId = 0;
+            if (bucket.writing) {
+                handleWrite(bucket, result);
+            } else {
+                handleRead(bucket, result);
+            }
+            return true;
+        }
+    }
+    return false;
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::handleRead(Bucket &bucket, const PlatformResult &result)
+{
+    const bool absent = result.outcome == PlatformOutcome::NotFound;
+    std::optional<ClaimRecords> records;
+    if (result.outcome == PlatformOutcome::Ok) {
+        records = decodeRecords(result.value);
+    }
+    if (!absent && !records) {
+        backOff(bucket);
+        refusePending(bucket);
+        return;
+    }
+    const Version version = absent ? 0 : result.version;
+    bucket.down = false;
+    bucket.backOff = {};
+    if (bucket.unsettled && version != bucket.version) {
+        // It moved: the lost update is in what was just read, or never will be.
+        settle(bucket);
+    }
+    bucket.loaded = true;
+    bucket.version = version;
+    bucket.records = records ? *std::move(records) : ClaimRecords();
+    wakeWaiting(bucket);
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::handleWrite(Bucket &bucket, const PlatformResult &result)
+{
+    switch (result.outcome) {
+    case PlatformOutcome::Ok:
+        commit(bucket, result.version);
+        return;
+    case PlatformOutcome::Silent:
+        ++m_counters.silences;
+        if (!G::settlesByVersion) {
+            commit(bucket, bucket.version);
+            return;
+        }
+        returnBatch(bucket, true);
+        bucket.unsettled = true;
+        bucket.loaded = false;
+        backOff(bucket);
+        refusePending(bucket);
+        return;
+    case PlatformOutcome::Refused:
+        returnBatch(bucket, false);
+        backOff(bucket);
+        refusePending(bucket);
+        return;
+    default:
+        ++m_counters.conflicts;
+        // The version has moved, so no update on the old one can arrive any more.
+        returnBatch(bucket, false);
+        settle(bucket);
+        bucket.loaded = false;
+        bucket.notBefore = m_clock.now();
+        return;
+    }
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::commit(Bucket &bucket, Version version)
+{
+    bucket.version = version;
+    bucket.records = std::move(bucket.proposed);
+    bucket.proposed.clear();
+    bucket.unsettled = false;
+    bucket.down = false;
+    bucket.backOff = {};
+    deliver(bucket);
+    wakeWaiting(bucket);
+}
+
+/// No update can arrive any more of which the outcome is not known.
+template <GuardPolicy G>
+void BasicClaimLedger<G>::settle(Bucket &bucket)
+{
+    bucket.unsettled = false;
+    for (Operation &operation : bucket.pending) {
+        operation.maybeWritten = false;
+    }
+}
+
+/// Tells everyone of the batch what became of it.
+template <GuardPolicy G>
+void BasicClaimLedger<G>::deliver(Bucket &bucket)
+{
+    for (std::size_t i = 0; i < bucket.batch.size(); ++i) {
+        Operation &operation = bucket.batch[i];
+        if (const auto *finish = std::get_if<ClaimFinish>(&operation.what)) {
+            m_finished.push_back({operation.host, finish->claimant});
+            continue;
+        }
+        const auto &request = std::get<ClaimRequest>(operation.what);
+        const Applied &applied = bucket.applied[i];
+        if (applied.verdict) {
+            reply(request, operation.host, *applied.verdict, applied.answer);
+            continue;
+        }
+        bucket.waiting.push_back(std::move(operation));
+    }
+    bucket.batch.clear();
+    bucket.applied.clear();
+}
+
+/// Puts the batch back in front of what came in since.
+template <GuardPolicy G>
+void BasicClaimLedger<G>::returnBatch(Bucket &bucket, bool maybeWritten)
+{
+    for (auto at = bucket.batch.rbegin(); at != bucket.batch.rend(); ++at) {
+        at->maybeWritten = at->maybeWritten || maybeWritten;
+        bucket.pending.push_front(std::move(*at));
+    }
+    bucket.batch.clear();
+    bucket.applied.clear();
+}
+
+template <GuardPolicy G>
+void BasicClaimLedger<G>::backOff(Bucket &bucket)
+{
+    bucket.down = true;
+    bucket.backOff = std::clamp<Duration>(bucket.backOff * 2, claimledger::firstBackOff,
+                                          claimledger::longestBackOff);
+    bucket.notBefore = m_clock.now() + bucket.backOff;
+}
+
+/// Refuses the claims of which no byte can have been written.
+template <GuardPolicy G>
+void BasicClaimLedger<G>::refusePending(Bucket &bucket)
+{
+    std::deque<Operation> kept;
+    for (Operation &operation : bucket.pending) {
+        const auto *request = std::get_if<ClaimRequest>(&operation.what);
+        if (request == nullptr || operation.maybeWritten) {
+            kept.push_back(std::move(operation));
+            continue;
+        }
+        reply(*request, operation.host, ClaimVerdict::Unavailable, {});
+    }
+    bucket.pending = std::move(kept);
+}
+
+/// Looks at the waiting claims again: their key's record may have changed.
+template <GuardPolicy G>
+void BasicClaimLedger<G>::wakeWaiting(Bucket &bucket)
+{
+    std::vector<Operation> waiting = std::exchange(bucket.waiting, {});
+    for (Operation &operation : waiting) {
+        const auto &request = std::get<ClaimRequest>(operation.what);
+        const auto record = bucket.records.find(request.key);
+        const bool held = record != bucket.records.end()
+                          && record->second.state == ClaimRecord::State::Claimed
+                          && isLive(record->second.claimant.incarnation);
+        if (held) {
+            bucket.waiting.push_back(std::move(operation));
+        } else {
+            bucket.pending.push_back(std::move(operation));
+        }
+    }
+}
+
+template <GuardPolicy G>
+bool BasicClaimLedger<G>::isLive(Incarnation incarnation) const
+{
+    return m_hostOf(incarnation).has_value();
+}
+
+/// Grants old claims again. A claimant that runs ignores it; one that gave up
+/// before its grant came, or whose grant was lost, releases the claim.
+template <GuardPolicy G>
+void BasicClaimLedger<G>::remindClaimants(Bucket &bucket)
+{
+    bucket.lastReminder = m_clock.now();
+    const WallTime oldest = m_clock.wallNow() - claimledger::reminderInterval;
+    for (const auto &[key, record] : bucket.records) {
+        if (record.state != ClaimRecord::State::Claimed || record.changedAt > oldest) {
+            continue;
+        }
+        if (const std::optional<std::string> host = m_hostOf(record.claimant.incarnation)) {
+            m_replies.push_back({*host, {record.claimant, key, ClaimVerdict::Granted, {}}});
+        }
+    }
+}
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_CLAIMLEDGERIMPL_H
--- a/include/harelink/Kernel/claims.h
+++ b/include/harelink/Kernel/claims.h
@@ -43,7 +43,8 @@
     RequestId claimant;
     Hash128 key;
     ClaimVerdict verdict = ClaimVerdict::Unavailable;
-    std::string answer; ///< With Stored, byte for byte as it was first given.
+    std::string answer;   ///< With Stored, byte for byte as it was first given.
+    bool inDoubt = false; ///< With Unavailable: a copy may still be written, so release it.
 };
 
 /// How a claimant ended.
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -58,12 +58,13 @@
 /// The table of the product.
 using ConfigTable = BasicConfigTable<AllGuards>;
 
-/// Keeps a ConfigTable up to date by listing and watching.
-class ConfigWatcher
+/// Keeps a table up to date by listing and watching.
+template <GuardPolicy G>
+class BasicConfigWatcher
 {
 public:
     /// \param clock outlives the watcher.
-    ConfigWatcher(const Clock &clock, ConfigTable &table);
+    BasicConfigWatcher(const Clock &clock, BasicConfigTable<G> &table);
     /// Makes the next call where it is due.
     void tick(std::vector<PlatformCall> &calls, std::uint64_t &nextCallId);
     /// Takes in a result; true where what is in force changed.
@@ -80,7 +81,7 @@
     void backOff();
 
     const Clock &m_clock;
-    ConfigTable &m_table;
+    BasicConfigTable<G> &m_table;
     Version m_since = 0;
     bool m_listNext = true;
     bool m_synced = false;
@@ -91,6 +92,9 @@
     Duration m_backOff;
 };
 
+/// The watcher of the product.
+using ConfigWatcher = BasicConfigWatcher<AllGuards>;
+
 } // namespace harelink
 
 #endif // HARELINK_KERNEL_CONFIGMACHINE_H
--- /dev/null
+++ b/include/harelink/Kernel/controlmachine.h
@@ -0,0 +1,107 @@
+//===- harelink/Kernel/controlmachine.h - A daemon's control ----*- C++ -*-===//
+///
+/// \file
+/// All that a daemon decides besides its requests: configuration, membership
+/// and claims. Events go in, an output of actions comes out.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_CONTROLMACHINE_H
+#define HARELINK_KERNEL_CONTROLMACHINE_H
+
+#include "harelink/Kernel/claimledger.h"
+#include "harelink/Kernel/claimrouter.h"
+#include "harelink/Kernel/configmachine.h"
+#include "harelink/Kernel/membership.h"
+
+#include <string>
+#include <vector>
+
+namespace harelink {
+
+/// What the control wants done.
+struct ControlOutput
+{
+    std::vector<PlatformCall> calls;
+    std::vector<PeerSend> sends;
+    std::vector<ClaimDecision> decisions; ///< For the workers.
+    std::vector<UsageReport> usage;       ///< Of peers, for the meters.
+    bool configChanged = false;           ///< Another configuration is in force.
+};
+
+/// What a control is told at start.
+struct ControlOptions
+{
+    std::string host;
+    std::string dataCentre;
+    Incarnation incarnation = 0;
+    ClaimLedgerOptions claims;
+};
+
+/// The control of one daemon. \p G is AllGuards in the product.
+template <GuardPolicy G>
+class BasicControlMachine
+{
+public:
+    /// \param clock outlives the machine.
+    BasicControlMachine(const Clock &clock, const ControlOptions &options);
+
+    /// The events.
+    void handle(const ClaimRequest &request) { m_router.claim(request); }
+    void handle(const ClaimFinish &finish) { m_router.finish(finish); }
+    void handle(const PeerMessage &message);
+    void handle(const PlatformResult &result);
+    /// Own use since the last call, for the next heartbeats.
+    void noteUsage(std::vector<UsageReport> usage) { m_ownUsage = std::move(usage); }
+    /// A planned stop begins: peers are told and own buckets move on.
+    void leave() { m_membership.leave(); }
+    /// Time passed. Whether heartbeats go out with this tick is told by
+    /// heartbeatsDue(), so that usage can be handed in before.
+    void tick();
+    [[nodiscard]] bool heartbeatsDue() const;
+
+    /// Takes what came up since the last call.
+    [[nodiscard]] ControlOutput takeOutput();
+    /// When tick() is due at the latest.
+    [[nodiscard]] TimePoint nextTick() const;
+    /// Whether no claim or end of this daemon waits for anything.
+    [[nodiscard]] bool idle() const { return m_router.idle() && m_ledger.idle(); }
+
+    [[nodiscard]] const BasicConfigTable<G> &config() const { return m_config; }
+    [[nodiscard]] const Membership &membership() const { return m_membership; }
+    [[nodiscard]] const ClaimLedgerCounters &claimCounters() const { return m_ledger.counters(); }
+    [[nodiscard]] std::uint64_t claimDetours() const { return m_router.detours(); }
+    [[nodiscard]] bool connected() const { return m_watcher.connected(); }
+    [[nodiscard]] bool synced() const { return m_watcher.synced(); }
+
+private:
+    void handle(const PeerMessage &message, const Heartbeat &content);
+    void handle(const PeerMessage &message, const ClaimRequest &content);
+    void handle(const PeerMessage &message, const ClaimDecision &content);
+    void handle(const PeerMessage &message, const ClaimFinish &content);
+    void handle(const PeerMessage &message, const ClaimFinished &content);
+    void handle(const PeerMessage &message, const ConfigPush &content);
+    void handle(const PeerMessage &message, const ConfigDigest &content);
+    void forwardLedgerReplies();
+    void sendTo(const std::string &host, decltype(PeerMessage::content) content);
+    void pollHostList();
+
+    const Clock &m_clock;
+    BasicConfigTable<G> m_config;
+    BasicConfigWatcher<G> m_watcher;
+    Membership m_membership;
+    BasicClaimLedger<G> m_ledger;
+    BasicClaimRouter<G> m_router;
+    std::uint64_t m_nextCallId = 1;
+    std::uint64_t m_hostListCall = 0;
+    TimePoint m_nextHostList;
+    std::vector<UsageReport> m_ownUsage;
+    ControlOutput m_output;
+};
+
+/// The control of the product.
+using ControlMachine = BasicControlMachine<AllGuards>;
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_CONTROLMACHINE_H
--- a/include/harelink/Kernel/fairqueue.h
+++ b/include/harelink/Kernel/fairqueue.h
@@ -12,9 +12,8 @@
 
 #include "harelink/Kernel/snapshot.h"
 
-#include <absl/container/flat_hash_map.h>
-
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -44,7 +43,7 @@
 private:
     using Backlog = std::set<std::pair<TimePoint, std::uint64_t>>;
 
-    absl::flat_hash_map<std::string, Backlog> m_accounts; // Only those that wait.
+    std::map<std::string, Backlog> m_accounts; // Only those that wait.
     std::size_t m_size = 0;
 };
 
--- /dev/null
+++ b/include/harelink/Kernel/membership.h
@@ -0,0 +1,83 @@
+//===- harelink/Kernel/membership.h - Which hosts live ----------*- C++ -*-===//
+///
+/// \file
+/// Joins the platform's lagging host list with direct heartbeats.
+///
+/// Who lives is a hint for choosing owners and for not making callers wait. No
+/// silence of a host ever grants anybody a right to run something.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_MEMBERSHIP_H
+#define HARELINK_KERNEL_MEMBERSHIP_H
+
+#include "harelink/Kernel/peers.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace harelink {
+
+/// What is known of another host.
+struct PeerHost
+{
+    std::string address; ///< For peers; from the host list.
+    std::string dataCentre;
+    Incarnation incarnation = 0; ///< Of its last heartbeat; 0 before the first.
+    bool leaving = false;        ///< Of this incarnation; never goes back to false.
+    TimePoint lastHeard;
+};
+
+/// The hosts as one daemon sees them.
+class Membership
+{
+public:
+    /// \param clock outlives the membership.
+    Membership(const Clock &clock, std::string host, std::string dataCentre,
+               Incarnation incarnation);
+
+    /// Takes in the platform's host list: objects whose value is a JSON object
+    /// with "dataCentre", "peers" and "state".
+    void takeHostList(const std::vector<PlatformObject> &hosts);
+    /// Takes in that a message came from \p message's host.
+    void heard(const PeerMessage &message);
+    /// The heartbeats that are due, without their usage reports.
+    std::vector<PeerSend> dueHeartbeats();
+    /// This host is leaving; the next heartbeats say so, at once.
+    void leave();
+
+    /// The hosts that may own a bucket, this one among them, sorted.
+    [[nodiscard]] std::vector<std::string> candidates() const;
+    /// The host that was heard of lately under \p incarnation; empty for this host.
+    [[nodiscard]] std::optional<std::string> hostOf(Incarnation incarnation) const;
+    /// The address of \p host, or an empty text.
+    [[nodiscard]] std::string addressOf(const std::string &host) const;
+    /// The live hosts other than this one.
+    [[nodiscard]] std::vector<std::string> livePeers() const;
+    [[nodiscard]] const std::map<std::string, PeerHost> &peers() const { return m_peers; }
+    [[nodiscard]] const std::string &host() const { return m_host; }
+    [[nodiscard]] Incarnation incarnation() const { return m_incarnation; }
+    [[nodiscard]] bool leaving() const { return m_leaving; }
+    [[nodiscard]] TimePoint nextTick() const { return m_nextHeartbeat; }
+
+private:
+    [[nodiscard]] bool isLive(const PeerHost &peer) const;
+
+    const Clock &m_clock;
+    std::string m_host;
+    std::string m_dataCentre;
+    Incarnation m_incarnation;
+    bool m_leaving = false;
+    TimePoint m_nextHeartbeat;
+    std::map<std::string, PeerHost> m_peers;
+};
+
+/// The host of \p hosts that normally writes \p bucket, by rendezvous hashing:
+/// when a host comes or goes, only its own buckets move.
+[[nodiscard]] std::string softOwner(std::size_t bucket, const std::vector<std::string> &hosts);
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_MEMBERSHIP_H
--- /dev/null
+++ b/include/harelink/Kernel/peers.h
@@ -0,0 +1,83 @@
+//===- harelink/Kernel/peers.h - What daemons tell each other ---*- C++ -*-===//
+///
+/// \file
+/// The messages between daemons. Each may be lost, late, doubled or reordered;
+/// nothing that must hold depends on their coming.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_PEERS_H
+#define HARELINK_KERNEL_PEERS_H
+
+#include "harelink/Kernel/claims.h"
+#include "harelink/Kernel/platform.h"
+#include "harelink/Kernel/types.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace harelink {
+
+/// Time of a pool that was spent on an account since the last heartbeat.
+struct UsageReport
+{
+    std::string account;
+    std::string pool;
+    Duration time{};
+};
+
+/// A daemon lives.
+struct Heartbeat
+{
+    std::string dataCentre;
+    bool leaving = false;
+    std::vector<UsageReport> usage;
+};
+
+/// The end of a claimant is written.
+struct ClaimFinished
+{
+    RequestId claimant;
+};
+
+/// News of declared objects.
+struct ConfigPush
+{
+    std::vector<PlatformObject> objects;
+};
+
+/// The highest version of each declared object that the sender has seen.
+struct ConfigDigest
+{
+    struct Entry
+    {
+        std::string kind;
+        std::string name;
+        Version version = 0;
+    };
+    std::vector<Entry> entries;
+    bool requestsAll = false; ///< The sender has nothing yet.
+};
+
+/// One message.
+struct PeerMessage
+{
+    std::string host;            ///< The sender's.
+    Incarnation incarnation = 0; ///< The sender's.
+    std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
+                 ConfigDigest>
+        content;
+};
+
+/// Action: send a message to a host.
+struct PeerSend
+{
+    std::string host;
+    std::string address; ///< IP number and port.
+    PeerMessage message;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_PEERS_H
--- a/include/harelink/Kernel/platform.h
+++ b/include/harelink/Kernel/platform.h
@@ -32,7 +32,14 @@
 };
 
 /// What a call asks for.
-enum class PlatformOperation { Get, Put, Delete, List, Watch };
+enum class PlatformOperation {
+    Get,
+    Put,
+    Delete,
+    List,
+    Watch,
+    Hosts, ///< The host list, as objects with JSON values.
+};
 
 /// Action: call the platform.
 struct PlatformCall
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -20,9 +20,12 @@
 #include "harelink/Support/random.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/status/status.h>
 
 #include <array>
+#include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -183,6 +186,7 @@
     void retryOrFail(Request &request, const StageFailed &event, const Snapshot &snapshot);
     bool mayRetry(const Request &request, SendEvidence evidence, const Snapshot &snapshot);
     void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
+    void rememberGivenUp(const Request &request);
     void finishClaim(const Request &request, Outcome outcome, const std::string &answer);
     void answer(Request &request, AnswerCaller &&action);
     void settleCall(Request &request, const Snapshot &snapshot);
@@ -200,9 +204,12 @@
     bool m_draining = false;
     double m_retryTokens;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
-    absl::flat_hash_map<std::string, std::unique_ptr<PoolState>> m_pools;
+    // Ordered, so that the same events always give the same actions.
+    std::map<std::string, std::unique_ptr<PoolState>> m_pools;
     using Timer = std::pair<TimePoint, std::uint64_t>;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+    absl::flat_hash_set<std::uint64_t> m_givenUpClaims; // Answered while they waited.
+    std::deque<std::pair<TimePoint, std::uint64_t>> m_givenUpOrder;
     std::vector<RequestAction> m_actions;
     RequestCounters m_counters;
 };
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -37,6 +37,8 @@
 inline constexpr std::size_t prefixBytes = 256;
 /// The charge for a call while nothing is known of its pool.
 inline constexpr std::chrono::milliseconds unknownCharge{1};
+/// How long a grant may be late and still be given back.
+inline constexpr std::chrono::minutes lateGrantMemory{10};
 /// Share by which one dispatch moves the smoothed interval between dispatches.
 inline constexpr double intervalSmoothing = 0.2;
 
@@ -277,8 +279,10 @@
 {
     Request *request = find(event.claimant);
     if (request == nullptr || request->phase != Request::Phase::Claiming) {
-        // The request was given up on: it never will run, so others may.
-        if (event.verdict == ClaimVerdict::Granted && request == nullptr) {
+        // Only a request that was given up while it waited gives a grant back.
+        // One that ran may see a copy of its grant, and must not release it.
+        const bool givenUp = m_givenUpClaims.contains(event.claimant.sequence);
+        if (event.verdict == ClaimVerdict::Granted && request == nullptr && givenUp) {
             ++m_counters.lateGrants;
             m_actions.emplace_back(
                 ClaimFinish{event.claimant, event.key, ClaimEnd::Released, std::string()});
@@ -315,6 +319,11 @@
         return;
     }
     case ClaimVerdict::Unavailable:
+        // Nothing was written, but a copy of the claim may still be on its way.
+        rememberGivenUp(*request);
+        if (event.inDoubt) {
+            finishClaim(*request, Outcome::NotRun, {});
+        }
         fail(*request, Reason::ClaimUnavailable,
              makeError(absl::StatusCode::kUnavailable, "claim", "platform",
                        "the claim could not be written"),
@@ -323,6 +332,16 @@
     }
 }
 
+/// A grant may still come for a request that is answered while it waits for one.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::rememberGivenUp(const Request &request)
+{
+    if (request.phase == Request::Phase::Claiming
+        && m_givenUpClaims.insert(request.id.sequence).second) {
+        m_givenUpOrder.emplace_back(m_clock.now(), request.id.sequence);
+    }
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::finishClaim(const Request &request, Outcome outcome,
                                          const std::string &answer)
@@ -332,6 +351,7 @@
     if (request.pipeline.repeatable || !mayHoldClaim) {
         return;
     }
+    rememberGivenUp(request);
     ClaimFinish finish;
     finish.claimant = request.id;
     finish.key = request.key;
@@ -710,6 +730,11 @@
             expire(*found->second, snapshot);
         }
     }
+    while (!m_givenUpOrder.empty()
+           && m_givenUpOrder.front().first + requestmachine::lateGrantMemory < now) {
+        m_givenUpClaims.erase(m_givenUpOrder.front().second);
+        m_givenUpOrder.pop_front();
+    }
     for (const auto &[name, pool] : m_pools) {
         if (pool->queue.size() > 0) {
             dispatch(name, snapshot);
--- a/lib/Adapters/platformclient.cpp
+++ b/lib/Adapters/platformclient.cpp
@@ -60,6 +60,12 @@
     for (const nlohmann::json &object : body.value("objects", nlohmann::json::array())) {
         result.objects.push_back(readObject(object));
     }
+    for (const nlohmann::json &host : body.value("hosts", nlohmann::json::array())) {
+        PlatformObject object;
+        object.name = host.at("host").get<std::string>();
+        object.value = host.dump();
+        result.objects.push_back(std::move(object));
+    }
 }
 
 } // namespace
@@ -91,6 +97,9 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(call.wait).count());
         http.timeout += call.wait;
         break;
+    case PlatformOperation::Hosts:
+        http.url = fmt::format("http://{}/v1/hosts", address);
+        break;
     }
     // The kernel settles a lost answer itself, by the version.
     http.resendable =
--- /dev/null
+++ b/lib/Kernel/membership.cpp
@@ -0,0 +1,164 @@
+//===- membership.cpp - Which hosts live ----------------------------------===//
+
+#include "harelink/Kernel/membership.h"
+
+#include "harelink/Support/hash.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace harelink {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds heartbeatInterval{250};
+/// A host is taken to live this long after its last word.
+constexpr milliseconds livenessLimit{1000};
+
+} // namespace
+
+Membership::Membership(const Clock &clock, std::string host, std::string dataCentre,
+                       Incarnation incarnation)
+    : m_clock(clock)
+    , m_host(std::move(host))
+    , m_dataCentre(std::move(dataCentre))
+    , m_incarnation(incarnation)
+    , m_nextHeartbeat(clock.now())
+{
+}
+
+void Membership::takeHostList(const std::vector<PlatformObject> &hosts)
+{
+    std::set<std::string> listed;
+    for (const PlatformObject &host : hosts) {
+        const nlohmann::json value = nlohmann::json::parse(host.value, nullptr, false);
+        if (host.name == m_host || !value.is_object()) {
+            continue;
+        }
+        listed.insert(host.name);
+        PeerHost &peer = m_peers[host.name];
+        peer.address = value.value("peers", "");
+        peer.dataCentre = value.value("dataCentre", "");
+        if (peer.incarnation == 0) {
+            peer.lastHeard = TimePoint::min();
+        }
+    }
+    // The list lags: a host that still speaks is not gone because the list says so.
+    std::erase_if(m_peers, [&](const auto &entry) {
+        return !listed.contains(entry.first) && !isLive(entry.second);
+    });
+}
+
+void Membership::heard(const PeerMessage &message)
+{
+    if (message.host == m_host || message.host.empty()) {
+        return;
+    }
+    PeerHost &peer = m_peers[message.host];
+    if (peer.incarnation != message.incarnation) {
+        // Incarnations are drawn at random, so an old message cannot be told by its
+        // number. It may bring an old incarnation back for a moment; the next
+        // heartbeat of the new one ends that, and nothing but hints hangs on it.
+        peer.incarnation = message.incarnation;
+        peer.leaving = false;
+    }
+    peer.lastHeard = m_clock.now();
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&message.content)) {
+        peer.dataCentre = heartbeat->dataCentre;
+        peer.leaving = peer.leaving || heartbeat->leaving;
+    }
+}
+
+std::vector<PeerSend> Membership::dueHeartbeats()
+{
+    std::vector<PeerSend> sends;
+    if (m_clock.now() < m_nextHeartbeat) {
+        return sends;
+    }
+    m_nextHeartbeat = m_clock.now() + heartbeatInterval;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.address.empty()) {
+            continue;
+        }
+        PeerSend send{name, peer.address, {m_host, m_incarnation, {}}};
+        send.message.content = Heartbeat{m_dataCentre, m_leaving, {}};
+        sends.push_back(std::move(send));
+    }
+    return sends;
+}
+
+void Membership::leave()
+{
+    m_leaving = true;
+    m_nextHeartbeat = m_clock.now();
+}
+
+bool Membership::isLive(const PeerHost &peer) const
+{
+    return peer.incarnation != 0 && m_clock.now() - peer.lastHeard <= livenessLimit;
+}
+
+std::optional<std::string> Membership::hostOf(Incarnation incarnation) const
+{
+    if (incarnation == m_incarnation) {
+        return std::string();
+    }
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.incarnation == incarnation && isLive(peer)) {
+            return name;
+        }
+    }
+    return std::nullopt;
+}
+
+std::vector<std::string> Membership::candidates() const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[name, peer] : m_peers) {
+        if (isLive(peer) && !peer.leaving && !peer.address.empty()) {
+            hosts.push_back(name);
+        }
+    }
+    if (!m_leaving || hosts.empty()) {
+        hosts.push_back(m_host);
+    }
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
+std::vector<std::string> Membership::livePeers() const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[name, peer] : m_peers) {
+        if (isLive(peer) && !peer.address.empty()) {
+            hosts.push_back(name);
+        }
+    }
+    return hosts;
+}
+
+std::string Membership::addressOf(const std::string &host) const
+{
+    const auto found = m_peers.find(host);
+    return found == m_peers.end() ? std::string() : found->second.address;
+}
+
+std::string softOwner(std::size_t bucket, const std::vector<std::string> &hosts)
+{
+    std::string best;
+    std::uint64_t bestScore = 0;
+    for (const std::string &host : hosts) {
+        const std::uint64_t score = hash64(fmt::format("{}/{}", bucket, host));
+        if (best.empty() || score > bestScore) {
+            best = host;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/test/randrun/main.cpp
@@ -0,0 +1,85 @@
+//===- main.cpp - Randomised runs from the command line -------------------===//
+///
+/// \file
+/// harelink-randrun --seed N --steps M [--seeds K] [--without MECHANISM]
+///
+/// Plays K runs from seed N on, M steps each, and prints "violations: V"; on a
+/// violation the seed and the last lines of its trace. With --without the run
+/// is a control: the kernel lacks one mechanism, and the exit code is 0 only if
+/// some run broke.
+///
+//===----------------------------------------------------------------------===//
+
+#include "players.h"
+
+#include <gflags/gflags.h>
+
+#include <fmt/format.h>
+
+DEFINE_uint64(seed, 1, "The first seed.");
+DEFINE_uint64(seeds, 1, "How many seeds to play.");
+DEFINE_uint64(steps, 20'000, "Events of each run.");
+DEFINE_string(without, "", "The mechanism to take out; empty for none.");
+
+std::map<std::string, harelink::sim::Player> &harelink::sim::players()
+{
+    static std::map<std::string, Player> all;
+    return all;
+}
+
+namespace {
+
+using namespace harelink;
+using namespace harelink::sim;
+
+void printViolation(std::uint64_t seed, const RunResult &result)
+{
+    fmt::print("seed {}: {}\n", seed, result.violations.front());
+    if (FLAGS_without.empty()) {
+        for (const std::string &line : result.lastLines) {
+            fmt::print("    {}\n", line);
+        }
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto player = players().find(FLAGS_without);
+    if (player == players().end()) {
+        fmt::print(stderr, "randrun: there is no mechanism '{}'\n", FLAGS_without);
+        return 2;
+    }
+    std::size_t violations = 0;
+    std::uint64_t steps = 0;
+    std::uint64_t traceHash = 0;
+    int requests = 0;
+    int faults = 0;
+    std::map<std::string, int> outcomes;
+    for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
+        const RunResult result = player->second(FLAGS_seed + i, FLAGS_steps);
+        if (!result.violations.empty()) {
+            if (violations == 0) {
+                printViolation(FLAGS_seed + i, result);
+            }
+            violations += result.violations.size();
+        }
+        steps += result.steps;
+        traceHash ^= result.traceHash;
+        requests += result.requests;
+        faults += result.faults;
+        for (const auto &[outcome, count] : result.outcomes) {
+            outcomes[outcome] += count;
+        }
+    }
+    fmt::print("seeds {} from {}, steps {}, requests {}, faults {}, trace {:016x}\n", FLAGS_seeds,
+               FLAGS_seed, steps, requests, faults, traceHash);
+    for (const auto &[outcome, count] : outcomes) {
+        fmt::print("  {} {}\n", outcome, count);
+    }
+    fmt::print("violations: {}\n", violations);
+    const bool control = !FLAGS_without.empty();
+    return (violations > 0) == control ? 0 : 1;
+}
--- /dev/null
+++ b/test/randrun/player.cpp
@@ -0,0 +1,30 @@
+//===- player.cpp - One player --------------------------------------------===//
+///
+/// \file
+/// Compiled once for each player, so that the compilers work side by side:
+/// HARELINK_PLAYER is its name and HARELINK_GUARD the guard that it lacks.
+///
+//===----------------------------------------------------------------------===//
+
+#include "players.h"
+#include "randrun.h"
+
+namespace harelink::sim {
+namespace {
+
+struct Guards : AllGuards
+{
+#ifdef HARELINK_GUARD
+    static constexpr bool HARELINK_GUARD = false;
+#endif
+};
+
+RunResult play(std::uint64_t seed, std::uint64_t steps)
+{
+    return RandomRun<Guards>(seed).play(steps);
+}
+
+const PlayerRegistration registration(HARELINK_PLAYER, play);
+
+} // namespace
+} // namespace harelink::sim
--- /dev/null
+++ b/test/randrun/randrun.h
@@ -0,0 +1,210 @@
+//===- randrun.h - One randomised run ---------------------------*- C++ -*-===//
+///
+/// \file
+/// Draws requests and faults from a seed and plays them to a world.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_TEST_RANDRUN_RANDRUN_H
+#define HARELINK_TEST_RANDRUN_RANDRUN_H
+
+#include "runresult.h"
+#include "world.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace harelink::sim {
+
+/// Plays one run.
+template <GuardPolicy G>
+class RandomRun
+{
+public:
+    explicit RandomRun(std::uint64_t seed)
+        : m_world(seed, hostCount, dataCentreCount)
+    {
+    }
+
+    /// Runs until \p steps events were handled, heals, and judges.
+    RunResult play(std::uint64_t steps)
+    {
+        m_result.steps += m_world.run(std::chrono::seconds(2));
+        m_world.faults() = {0.02, 0.05, 0.05, 0.05, 0.5};
+        while (m_result.steps < steps && m_world.checks().violations().empty()) {
+            m_result.steps += m_world.run(std::chrono::milliseconds(1 + random().below(20)));
+            sendSomething();
+            if (random().chance(0.03)) {
+                breakSomething();
+            }
+        }
+        keepLines();
+        settle();
+        return conclude();
+    }
+
+private:
+    static constexpr int hostCount = 4;
+    static constexpr int dataCentreCount = 2;
+    /// Time for everything to settle once all is healed: longer than any
+    /// deadline, back-off or heartbeat limit.
+    static constexpr std::chrono::seconds settleTime{8};
+    static constexpr std::size_t mostRetriedKeys = 40;
+
+    Random &random() { return m_world.random(); }
+
+    std::string anyHost()
+    {
+        const std::vector<std::string> names = m_world.hostNames();
+        return names[random().below(names.size())];
+    }
+
+    std::string anyEndpoint()
+    {
+        auto at = m_world.endpoints().begin();
+        std::advance(at, random().below(m_world.endpoints().size()));
+        return at->first;
+    }
+
+    void sendSomething()
+    {
+        const Duration allowed = std::chrono::milliseconds(100 + random().below(1500));
+        if (random().chance(0.4)) {
+            const std::string body = fmt::format("q{}", ++m_bodies);
+            m_result.requests += m_world.submit(anyHost(), "answer", body, "", allowed) ? 1 : 0;
+            return;
+        }
+        // A new key, or one used lately: the retry of a caller in doubt.
+        const bool again = m_keys > 0 && random().chance(0.5);
+        const std::uint64_t key =
+            again ? m_keys - random().below(std::min<std::uint64_t>(m_keys, 10)) : ++m_keys;
+        const std::string name = fmt::format("k{}", key);
+        const int copies = random().chance(0.2) ? 2 : 1;
+        const std::string first = anyHost();
+        for (int i = 0; i < copies; ++i) {
+            const std::string host = random().chance(0.5) ? first : anyHost();
+            m_result.requests += m_world.submit(host, "record", "r" + name, name, allowed) ? 1 : 0;
+        }
+    }
+
+    void later(Duration least, std::function<void()> heal)
+    {
+        m_world.queue().after(least + std::chrono::milliseconds(random().below(1500)),
+                              std::move(heal));
+    }
+
+    void breakSomething()
+    {
+        using std::chrono::milliseconds;
+        ++m_result.faults;
+        switch (random().below(10)) {
+        case 0: {
+            const std::string host = anyHost();
+            m_world.killHost(host);
+            later(milliseconds(200), [=, this] { m_world.startHost(host); });
+            return;
+        }
+        case 1: {
+            const std::string host = anyHost();
+            m_world.freeze(host);
+            later(milliseconds(100), [=, this] { m_world.thaw(host); });
+            return;
+        }
+        case 2:
+            m_world.trace().add("cut dc1 from dc2");
+            m_world.cuts().cut("dc1", "dc2");
+            later(milliseconds(100), [this] { m_world.cuts().heal("dc1", "dc2"); });
+            return;
+        case 3: {
+            const std::string dataCentre = random().chance(0.5) ? "dc1" : "dc2";
+            m_world.trace().add("cut " + dataCentre + " from platform");
+            m_world.cuts().cut(dataCentre, "platform");
+            later(milliseconds(100), [=, this] { m_world.cuts().heal(dataCentre, "platform"); });
+            return;
+        }
+        case 4:
+            m_world.trace().add("platform out");
+            m_world.platform().faults().outage = true;
+            later(milliseconds(100), [this] { m_world.platform().faults().outage = false; });
+            return;
+        case 5:
+            m_world.trace().add("platform slow");
+            m_world.platform().faults().slow = milliseconds(random().below(300));
+            later(milliseconds(100), [this] { m_world.platform().faults().slow = {}; });
+            return;
+        case 6:
+            m_world.trace().add("platform loses answers");
+            m_world.platform().faults().loseAnswers = 0.3;
+            later(milliseconds(100), [this] { m_world.platform().faults().loseAnswers = 0; });
+            return;
+        case 7:
+            m_world.trace().add("platform applies late");
+            m_world.platform().faults().applyLate = 0.3;
+            later(milliseconds(100), [this] { m_world.platform().faults().applyLate = 0; });
+            return;
+        case 8: {
+            const std::string endpoint = anyEndpoint();
+            m_world.killEndpoint(endpoint);
+            later(milliseconds(100), [=, this] { m_world.startEndpoint(endpoint); });
+            return;
+        }
+        default: {
+            const std::string host = anyHost();
+            m_world.drainHost(host);
+            later(milliseconds(3000), [=, this] { m_world.startHost(host); });
+            return;
+        }
+        }
+    }
+
+    void keepLines()
+    {
+        const auto &last = m_world.trace().last();
+        m_result.lastLines.assign(last.begin(), last.end());
+    }
+
+    void settle()
+    {
+        m_world.healAll();
+        m_result.steps += m_world.run(settleTime);
+        // A key that never ran can be run now: nothing may block it.
+        std::vector<Submission> keys = m_world.checks().neverRunKeys();
+        if (keys.size() > mostRetriedKeys) {
+            keys.resize(mostRetriedKeys);
+        }
+        for (const Submission &key : keys) {
+            m_world.submit("h1", key.pipeline, key.body, key.key, std::chrono::seconds(4));
+        }
+        m_result.steps += m_world.run(settleTime);
+        for (const auto &[id, submission] : m_world.checks().submissions()) {
+            const bool retried = std::any_of(keys.begin(), keys.end(), [&](const Submission &key) {
+                return key.key == submission.key;
+            });
+            if (retried && !m_world.checks().ledger().runsByKey.contains(submission.key)) {
+                m_world.checks().violation(
+                    fmt::format("key {} never ran and can no longer be run", submission.key));
+                break;
+            }
+        }
+    }
+
+    RunResult conclude()
+    {
+        m_world.checks().finish();
+        m_result.violations = m_world.checks().violations();
+        m_result.outcomes = m_world.checks().outcomes();
+        m_result.traceHash = m_world.trace().hash();
+        return m_result;
+    }
+
+    World<G> m_world;
+    RunResult m_result;
+    std::uint64_t m_keys = 0;
+    std::uint64_t m_bodies = 0;
+};
+
+} // namespace harelink::sim
+
+#endif // HARELINK_TEST_RANDRUN_RANDRUN_H
--- /dev/null
+++ b/test/randrun/runresult.h
@@ -0,0 +1,27 @@
+//===- runresult.h - What a randomised run came to --------------*- C++ -*-===//
+
+#ifndef HARELINK_TEST_RANDRUN_RUNRESULT_H
+#define HARELINK_TEST_RANDRUN_RUNRESULT_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace harelink::sim {
+
+/// What a run came to.
+struct RunResult
+{
+    std::uint64_t steps = 0;
+    std::uint64_t traceHash = 0;
+    int requests = 0;
+    int faults = 0;
+    std::map<std::string, int> outcomes;
+    std::vector<std::string> violations;
+    std::vector<std::string> lastLines; ///< Of the trace up to the first violation.
+};
+
+} // namespace harelink::sim
+
+#endif // HARELINK_TEST_RANDRUN_RUNRESULT_H
--- /dev/null
+++ b/test/sim/checks.cpp
@@ -0,0 +1,161 @@
+//===- checks.cpp - What must always hold ---------------------------------===//
+
+#include "checks.h"
+
+#include <fmt/format.h>
+
+#include <set>
+
+namespace harelink::sim {
+namespace {
+
+/// How long after it began to leave an endpoint may still get new work.
+constexpr std::chrono::seconds leavingAllowance{3};
+
+/// The one right answer to a request.
+std::string rightAnswer(const Submission &submission)
+{
+    if (submission.pipeline == "record") {
+        return "record(" + submission.body + ")";
+    }
+    return "generate(encode(" + submission.body + "))";
+}
+
+} // namespace
+
+void Checks::violation(const std::string &line)
+{
+    m_trace.add("VIOLATION " + line);
+    m_violations.push_back(line);
+}
+
+void Checks::submitted(const Submission &submission)
+{
+    m_trace.add(fmt::format("caller -> {}: {} {} key={}", submission.host, toText(submission.id),
+                            submission.pipeline, submission.key));
+    m_submissions[submission.id] = submission;
+}
+
+void Checks::answered(const AnswerCaller &answer)
+{
+    Submission &submission = m_submissions.at(answer.id);
+    m_trace.add(fmt::format("{} -> caller: {} {} {}", submission.host, toText(answer.id),
+                            toText(answer.outcome), toText(answer.reason)));
+    if (submission.answered) {
+        violation(fmt::format("request {} was answered twice", toText(answer.id)));
+    }
+    submission.answered = true;
+    submission.outcome = answer.outcome;
+    submission.reason = answer.reason;
+    ++m_outcomes[std::string(toText(answer.outcome))];
+    if (answer.outcome == Outcome::Completed && answer.body != rightAnswer(submission)) {
+        violation(fmt::format("request {} got {} for {}", toText(answer.id), answer.body,
+                              rightAnswer(submission)));
+    }
+    if (answer.outcome == Outcome::NotRun && m_ledger.callsByRequest.contains(answer.id)) {
+        violation(
+            fmt::format("request {} was said not to have run, but it did", toText(answer.id)));
+    }
+    if (submission.drainBegan && answer.reason == Reason::Draining) {
+        violation(fmt::format("request {} was cut off by a planned stop", toText(answer.id)));
+    }
+}
+
+void Checks::arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
+                               const SendStage &stage)
+{
+    ++m_ledger.callsByRequest[stage.call.request];
+    const auto found = m_submissions.find(stage.call.request);
+    if (found != m_submissions.end() && found->second.answered
+        && found->second.outcome == Outcome::NotRun) {
+        violation(fmt::format("request {} ran after it was said not to have run",
+                              toText(stage.call.request)));
+    }
+    if (endpoint.leavingSince != TimePoint::max()
+        && m_queue.now() - endpoint.leavingSince > leavingAllowance) {
+        violation(fmt::format("{} got new work {} ms after it began to leave", endpointName,
+                              toMilliseconds(m_queue.now() - endpoint.leavingSince)));
+    }
+}
+
+void Checks::ranAtEndpoint(const SendStage &stage)
+{
+    m_trace.add(fmt::format("{} runs {}", stage.endpoint, toText(stage.call)));
+    if (stage.idempotencyKey.empty()) {
+        return;
+    }
+    const int runs = ++m_ledger.runsByKey[stage.idempotencyKey];
+    if (runs > 1) {
+        violation(fmt::format("key {} ran {} times", stage.idempotencyKey, runs));
+    }
+}
+
+void Checks::hostKilled(const std::string &host, Incarnation incarnation)
+{
+    for (auto &[id, submission] : m_submissions) {
+        if (submission.host == host && id.incarnation == incarnation) {
+            submission.daemonDied = true;
+            submission.orphaned = !submission.answered;
+        }
+    }
+}
+
+void Checks::hostDraining(const std::string &host)
+{
+    for (auto &[id, submission] : m_submissions) {
+        if (submission.host == host && !submission.answered && !submission.orphaned) {
+            submission.drainBegan = true;
+        }
+    }
+}
+
+void Checks::hostRestarted(const std::string &host)
+{
+    std::erase_if(m_inForce, [&host](const auto &entry) { return entry.first.first == host; });
+}
+
+void Checks::versionInForce(const std::string &host, const std::string &object, Version version)
+{
+    Version &highest = m_inForce[{host, object}];
+    if (version < highest) {
+        violation(fmt::format("{} on {} went back from version {} to {}", object, host, highest,
+                              version));
+    }
+    highest = version;
+}
+
+void Checks::finish()
+{
+    for (const auto &[id, submission] : m_submissions) {
+        if (!submission.answered && !submission.orphaned) {
+            violation(fmt::format("request {} was never answered", toText(id)));
+        }
+    }
+}
+
+std::vector<Submission> Checks::neverRunKeys() const
+{
+    std::map<std::string, Submission> byKey;
+    std::set<std::string> unsure;
+    for (const auto &[id, submission] : m_submissions) {
+        if (submission.key.empty()) {
+            continue;
+        }
+        byKey[submission.key] = submission;
+        // A daemon that dies may leave a claim behind that nobody can release, and
+        // a request refused by rule says nothing of its key.
+        if (submission.daemonDied || submission.outcome != Outcome::NotRun
+            || submission.reason == Reason::KeyReused) {
+            unsure.insert(submission.key);
+        }
+    }
+    std::vector<Submission> keys;
+    for (const auto &[key, submission] : byKey) {
+        if (!unsure.contains(key) && !m_ledger.runsByKey.contains(key)) {
+            keys.push_back(submission);
+        }
+    }
+    return keys;
+}
+
+} // namespace harelink::sim
--- /dev/null
+++ b/test/sim/checks.h
@@ -0,0 +1,79 @@
+//===- checks.h - What must always hold -------------------------*- C++ -*-===//
+///
+/// \file
+/// Judges every answer and every run as they happen, and the whole at the end.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_TEST_SIM_CHECKS_H
+#define HARELINK_TEST_SIM_CHECKS_H
+
+#include "fakes.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace harelink::sim {
+
+/// A request as its caller remembers it.
+struct Submission
+{
+    RequestId id;
+    std::string host;
+    std::string pipeline;
+    std::string body;
+    std::string key; ///< Empty for repeatable pipelines.
+    bool answered = false;
+    Outcome outcome = Outcome::Unknown;
+    Reason reason = Reason::None;
+    bool orphaned = false;   ///< Its daemon was killed: nobody will answer.
+    bool daemonDied = false; ///< Killed before or after the answer.
+    bool drainBegan = false; ///< It was in progress when a planned stop began.
+};
+
+/// The invariants.
+class Checks
+{
+public:
+    Checks(EventQueue &queue, Trace &trace)
+        : m_queue(queue)
+        , m_trace(trace)
+    {
+    }
+
+    /// The events that are judged.
+    void submitted(const Submission &submission);
+    void answered(const AnswerCaller &answer);
+    void arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
+                           const SendStage &stage);
+    void ranAtEndpoint(const SendStage &stage);
+    void hostKilled(const std::string &host, Incarnation incarnation);
+    void hostDraining(const std::string &host);
+    void versionInForce(const std::string &host, const std::string &object, Version version);
+    void hostRestarted(const std::string &host);
+    /// At the end, when all faults are healed and time was given.
+    void finish();
+
+    void violation(const std::string &line);
+    [[nodiscard]] const std::vector<std::string> &violations() const { return m_violations; }
+    [[nodiscard]] std::map<RequestId, Submission> &submissions() { return m_submissions; }
+    [[nodiscard]] const EndpointLedger &ledger() const { return m_ledger; }
+    /// Counts of answers by outcome.
+    [[nodiscard]] const std::map<std::string, int> &outcomes() const { return m_outcomes; }
+    /// Keys that never ran and whose every caller was told "not run".
+    [[nodiscard]] std::vector<Submission> neverRunKeys() const;
+
+private:
+    EventQueue &m_queue;
+    Trace &m_trace;
+    EndpointLedger m_ledger;
+    std::map<RequestId, Submission> m_submissions;
+    std::map<std::string, int> m_outcomes;
+    std::map<std::pair<std::string, std::string>, Version> m_inForce;
+    std::vector<std::string> m_violations;
+};
+
+} // namespace harelink::sim
+
+#endif // HARELINK_TEST_SIM_CHECKS_H
--- /dev/null
+++ b/test/sim/fakes.cpp
@@ -0,0 +1,191 @@
+//===- fakes.cpp - The world around the kernel, on a virtual clock --------===//
+
+#include "fakes.h"
+
+#include "harelink/Support/hash.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace harelink::sim {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::size_t keptTraceLines = 60;
+/// A daemon takes a call for silent after this time.
+constexpr milliseconds clientPatience{300};
+/// A late write arrives within this time.
+constexpr std::uint64_t latestWriteMs = 900;
+constexpr milliseconds watchPoll{20};
+
+std::set<std::string> splitKinds(const std::string &text)
+{
+    std::set<std::string> kinds;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const std::size_t end = std::min(text.find(',', at), text.size());
+        kinds.insert(text.substr(at, end - at));
+        at = end + 1;
+    }
+    return kinds;
+}
+
+PlatformResult resultOf(const PlatformCall &call, PlatformOutcome outcome)
+{
+    PlatformResult result;
+    result.id = call.id;
+    result.outcome = outcome;
+    return result;
+}
+
+} // namespace
+
+void EventQueue::after(Duration delay, Event event)
+{
+    m_entries.push({now() + delay, ++m_made, std::move(event)});
+}
+
+std::uint64_t EventQueue::runUntil(TimePoint end)
+{
+    std::uint64_t ran = 0;
+    while (!m_entries.empty() && m_entries.top().time <= end) {
+        const Entry entry = m_entries.top();
+        m_entries.pop();
+        m_clock.advanceTo(entry.time);
+        entry.event();
+        ++ran;
+    }
+    m_clock.advanceTo(std::max(end, now()));
+    return ran;
+}
+
+void Trace::add(const std::string &line)
+{
+    const auto micros = std::chrono::duration_cast<microseconds>(m_queue.elapsed()).count();
+    std::string timed = fmt::format("{:>10.3f} ms  {}", static_cast<double>(micros) / 1000, line);
+    m_hash = hash64(timed, m_hash);
+    m_last.push_back(std::move(timed));
+    if (m_last.size() > keptTraceLines) {
+        m_last.pop_front();
+    }
+}
+
+void FakePlatform::setHost(const std::string &name, const std::string &dataCentre,
+                           const std::string &state)
+{
+    const nlohmann::json value = {{"dataCentre", dataCentre}, {"peers", name}, {"state", state}};
+    m_hosts[name] = value.dump();
+}
+
+void FakePlatform::handle(const PlatformCall &call, const Reply &reply)
+{
+    ++m_calls;
+    const Duration latency = m_faults.slow + microseconds(300 + m_random.below(700));
+    if (m_faults.outage) {
+        m_queue.after(latency, [=] { reply(resultOf(call, PlatformOutcome::Refused)); });
+        return;
+    }
+    if (call.operation == PlatformOperation::Watch) {
+        m_queue.after(latency, [=, this] { watch(call, m_queue.now() + call.wait, reply); });
+        return;
+    }
+    const auto silence = [=, this] {
+        m_queue.after(clientPatience, [=] { reply(resultOf(call, PlatformOutcome::Silent)); });
+    };
+    const bool writes = call.operation == PlatformOperation::Put;
+    m_writes += writes ? 1 : 0;
+    if (writes && m_random.chance(m_faults.applyLate)) {
+        m_queue.after(milliseconds(m_random.below(latestWriteMs)), [=, this] { carryOut(call); });
+        silence();
+        return;
+    }
+    if (m_random.chance(m_faults.loseAnswers)) {
+        m_queue.after(latency, [=, this] { carryOut(call); });
+        silence();
+        return;
+    }
+    if (latency * 2 > clientPatience) {
+        m_queue.after(latency, [=, this] { carryOut(call); });
+        silence();
+        return;
+    }
+    // The write takes effect half way, the answer arrives after as long again.
+    m_queue.after(latency, [=, this] {
+        const PlatformResult result = carryOut(call);
+        m_queue.after(latency, [=] { reply(result); });
+    });
+}
+
+PlatformResult FakePlatform::put(const PlatformCall &call)
+{
+    Version over = call.ifVersion;
+    if (call.unconditional) {
+        const auto current = m_store.get(call.kind, call.name);
+        over = current ? current->version : 0;
+    }
+    const auto version = m_store.put(call.kind, call.name, over, call.value);
+    PlatformResult result =
+        resultOf(call, version ? PlatformOutcome::Ok : PlatformOutcome::Conflict);
+    result.version = version.value_or(0);
+    return result;
+}
+
+PlatformResult FakePlatform::carryOut(const PlatformCall &call)
+{
+    PlatformResult result = resultOf(call, PlatformOutcome::Ok);
+    switch (call.operation) {
+    case PlatformOperation::Get: {
+        const auto object = m_store.get(call.kind, call.name);
+        if (!object) {
+            return resultOf(call, PlatformOutcome::NotFound);
+        }
+        result.version = object->version;
+        result.value = object->value;
+        return result;
+    }
+    case PlatformOperation::Put:
+        return put(call);
+    case PlatformOperation::List:
+        result.version = m_store.version();
+        result.objects = m_store.list(splitKinds(call.kind));
+        return result;
+    case PlatformOperation::Hosts:
+        for (const auto &[name, value] : m_hosts) {
+            result.objects.push_back({"", name, 0, false, value});
+        }
+        return result;
+    default:
+        return resultOf(call, PlatformOutcome::Refused);
+    }
+}
+
+void FakePlatform::watch(const PlatformCall &call, TimePoint limit, const Reply &reply)
+{
+    if (m_faults.outage) {
+        reply(resultOf(call, PlatformOutcome::Refused));
+        return;
+    }
+    const auto changes = m_store.changes(splitKinds(call.kind), call.since);
+    if (!changes) {
+        reply(resultOf(call, PlatformOutcome::Gone));
+        return;
+    }
+    if (!changes->empty() || m_queue.now() >= limit) {
+        PlatformResult result = resultOf(call, PlatformOutcome::Ok);
+        result.version = m_store.version();
+        result.objects = *changes;
+        reply(result);
+        return;
+    }
+    m_queue.after(watchPoll, [=, this] { watch(call, limit, reply); });
+}
+
+std::string answerTo(const SendStage &stage)
+{
+    return fmt::format("{}({})", stage.stage,
+                       stage.previous.empty() ? stage.request : stage.previous);
+}
+
+} // namespace harelink::sim
--- /dev/null
+++ b/test/sim/world.h
@@ -0,0 +1,509 @@
+//===- world.h - Daemon kernels among fakes ---------------------*- C++ -*-===//
+///
+/// \file
+/// Several daemon kernels, each a request machine and a control machine, wired
+/// to each other, to the platform and to endpoints over a network that loses,
+/// delays, doubles and reorders.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_TEST_SIM_WORLD_H
+#define HARELINK_TEST_SIM_WORLD_H
+
+#include "checks.h"
+#include "fakes.h"
+
+#include "harelink/Kernel/controlmachineimpl.h"
+#include "harelink/Kernel/registry.h"
+#include "harelink/Kernel/requestmachineimpl.h"
+
+#include <fmt/format.h>
+
+#include <memory>
+
+namespace harelink::sim {
+
+/// How unreliable the world's network and endpoints are, as shares of messages.
+struct WorldFaults
+{
+    double loseMessage = 0;
+    double doubleMessage = 0;
+    double lateMessage = 0;
+    double brokenCall = 0; ///< A call's connection breaks after it ran.
+    double lateAnswer = 0; ///< An answer comes once more, much later, on another call.
+};
+
+/// The world; \p G says which mechanisms the kernels have.
+template <GuardPolicy G>
+class World
+{
+public:
+    World(std::uint64_t seed, int hosts, int dataCentres)
+        : m_random(seed)
+        , m_trace(m_queue)
+        , m_platform(m_queue, m_random)
+        , m_checks(m_queue, m_trace)
+        , m_dataCentres(dataCentres)
+    {
+        declareResources();
+        for (int i = 0; i < hosts; ++i) {
+            const std::string name = fmt::format("h{}", i + 1);
+            Host &host = m_hosts[name];
+            host.name = name;
+            host.dataCentre = fmt::format("dc{}", i % dataCentres + 1);
+            m_platform.setHost(name, host.dataCentre, "live");
+            startHost(name);
+        }
+    }
+
+    // What a run or a scenario does to the world ------------------------------
+
+    /// Runs for \p time; gives how many events ran.
+    std::uint64_t run(Duration time) { return m_queue.runUntil(m_queue.now() + time); }
+
+    /// Sends a request to \p hostName; false where nobody listens there.
+    bool submit(const std::string &hostName, const std::string &pipeline, const std::string &body,
+                const std::string &key, Duration allowed)
+    {
+        Host &host = m_hosts.at(hostName);
+        if (!host.alive) {
+            return false;
+        }
+        RequestArrived event;
+        event.id = {host.incarnation, ++host.lastSequence};
+        event.account = m_random.chance(0.5) ? "drivers" : "lab";
+        // A key is of one account, so that its retries meet it again.
+        event.account = key.empty() ? event.account : "drivers";
+        event.pipeline = pipeline;
+        event.body = body;
+        event.idempotencyKey = key;
+        event.timeAllowed = allowed;
+        m_checks.submitted({event.id, hostName, pipeline, body, key});
+        toRequests(hostName, host.incarnation, std::move(event));
+        return true;
+    }
+
+    void killHost(const std::string &name)
+    {
+        Host &host = m_hosts.at(name);
+        if (!host.alive) {
+            return;
+        }
+        m_trace.add("kill " + name);
+        m_checks.hostKilled(name, host.incarnation);
+        stopHost(host);
+    }
+
+    void startHost(const std::string &name)
+    {
+        Host &host = m_hosts.at(name);
+        if (host.alive) {
+            return;
+        }
+        m_trace.add("start " + name);
+        m_checks.hostRestarted(name);
+        host.alive = true;
+        host.drainSent = false;
+        host.draining = false;
+        host.incarnation = m_random.bits();
+        host.lastSequence = 0;
+        ControlOptions options;
+        options.host = name;
+        options.dataCentre = host.dataCentre;
+        options.incarnation = host.incarnation;
+        host.control = std::make_unique<BasicControlMachine<G>>(m_queue.clock(), options);
+        host.requests = std::make_unique<BasicRequestMachine<G>>(
+            m_queue.clock(), Registry<RoutingPolicy>::instance().make("power-of-two"),
+            host.incarnation, RequestLimits{});
+        host.snapshot = std::make_unique<Snapshot>();
+        scheduleTick(name, host.incarnation);
+    }
+
+    /// Stops the host's clock hands: what comes in waits until thaw().
+    void freeze(const std::string &name)
+    {
+        m_trace.add("freeze " + name);
+        m_hosts.at(name).frozen = true;
+    }
+
+    void thaw(const std::string &name)
+    {
+        Host &host = m_hosts.at(name);
+        if (!host.frozen) {
+            return;
+        }
+        m_trace.add("thaw " + name);
+        host.frozen = false;
+        std::vector<std::function<void()>> deferred = std::exchange(host.deferred, {});
+        for (const auto &event : deferred) {
+            event();
+        }
+    }
+
+    /// Begins a planned stop; the host ends when it is idle. A frozen host takes
+    /// the signal in when it thaws, after what came in before it.
+    void drainHost(const std::string &name)
+    {
+        Host &target = m_hosts.at(name);
+        if (!target.alive || target.drainSent) {
+            return;
+        }
+        m_trace.add("drain " + name);
+        target.drainSent = true;
+        m_checks.hostDraining(name);
+        onHost(name, target.incarnation, [this](Host &host) { beginDrain(host); });
+    }
+
+    void killEndpoint(const std::string &name)
+    {
+        m_trace.add("kill " + name);
+        FakeEndpoint &endpoint = m_endpoints.at(name);
+        endpoint.down = true;
+        ++endpoint.generation;
+    }
+    void startEndpoint(const std::string &name) { m_endpoints.at(name).down = false; }
+
+    void healAll()
+    {
+        m_trace.add("heal everything");
+        m_cuts.healAll();
+        m_platform.faults() = {};
+        m_faults = {};
+        for (auto &[name, endpoint] : m_endpoints) {
+            endpoint.down = false;
+            endpoint.slowFactor = 1;
+        }
+        for (auto &[name, host] : m_hosts) {
+            thaw(name);
+            startHost(name);
+        }
+    }
+
+    [[nodiscard]] bool isAlive(const std::string &host) const { return m_hosts.at(host).alive; }
+    [[nodiscard]] EventQueue &queue() { return m_queue; }
+    [[nodiscard]] Random &random() { return m_random; }
+    [[nodiscard]] Trace &trace() { return m_trace; }
+    [[nodiscard]] Checks &checks() { return m_checks; }
+    [[nodiscard]] FakePlatform &platform() { return m_platform; }
+    [[nodiscard]] Cuts &cuts() { return m_cuts; }
+    [[nodiscard]] WorldFaults &faults() { return m_faults; }
+    [[nodiscard]] std::map<std::string, FakeEndpoint> &endpoints() { return m_endpoints; }
+    [[nodiscard]] std::vector<std::string> hostNames() const
+    {
+        std::vector<std::string> names;
+        for (const auto &[name, host] : m_hosts) {
+            names.push_back(name);
+        }
+        return names;
+    }
+    /// The control of a living host.
+    [[nodiscard]] const BasicControlMachine<G> &control(const std::string &host) const
+    {
+        return *m_hosts.at(host).control;
+    }
+
+private:
+    struct Host
+    {
+        std::string name;
+        std::string dataCentre;
+        bool alive = false;
+        bool frozen = false;
+        bool drainSent = false;
+        bool draining = false;
+        Incarnation incarnation = 0;
+        std::uint64_t lastSequence = 0;
+        std::unique_ptr<BasicRequestMachine<G>> requests;
+        std::unique_ptr<BasicControlMachine<G>> control;
+        std::unique_ptr<const Snapshot> snapshot;
+        std::vector<std::function<void()>> deferred;
+    };
+
+    static constexpr std::chrono::milliseconds tickInterval{5};
+
+    static void stopHost(Host &host)
+    {
+        host.alive = false;
+        host.frozen = false;
+        host.deferred.clear();
+        host.requests.reset();
+        host.control.reset();
+    }
+
+    void declare(const std::string &kind, const std::string &name, const nlohmann::json &spec)
+    {
+        const nlohmann::json document = {{"kind", kind}, {"name", name}, {"spec", spec}};
+        m_platform.store().put(kind, name, 0, document.dump());
+    }
+
+    void declareResources()
+    {
+        using nlohmann::json;
+        for (const char *pool : {"encoders", "engines", "records"}) {
+            declare("Pool", pool, {{"protocol", "plain-service"}});
+            for (int i = 0; i < m_dataCentres * 2; ++i) {
+                const std::string name = fmt::format("{}-{}", pool, i + 1);
+                const std::string dataCentre = fmt::format("dc{}", i % m_dataCentres + 1);
+                declare("Endpoint", name,
+                        {{"pool", pool},
+                         {"address", "127.0.0.1:1"},
+                         {"dataCentre", dataCentre},
+                         {"slots", 8}});
+                m_endpoints[name].dataCentre = dataCentre;
+            }
+        }
+        declare("ClientAccount", "drivers", {{"weight", 3}});
+        declare("ClientAccount", "lab", {{"weight", 1}});
+        declare("Pipeline", "answer",
+                {{"stages", json::array({{{"name", "encode"}, {"pool", "encoders"}},
+                                         {{"name", "generate"}, {"pool", "engines"}}})}});
+        declare("Pipeline", "record",
+                {{"stages", json::array({{{"name", "record"}, {"pool", "records"}}})},
+                 {"repeatable", false}});
+    }
+
+    void beginDrain(Host &host)
+    {
+        host.draining = true;
+        host.requests->drain();
+        host.control->leave();
+        if (!G::drainsBeforeExit) {
+            host.requests->abandonAll(*host.snapshot);
+            pump(host);
+            killHost(host.name);
+        }
+    }
+
+    // Events into a host ------------------------------------------------------
+
+    /// Calls \p event on the host if that start of it still lives; when frozen, later.
+    void onHost(const std::string &name, Incarnation incarnation,
+                const std::function<void(Host &)> &event)
+    {
+        Host &host = m_hosts.at(name);
+        if (!host.alive || host.incarnation != incarnation) {
+            return;
+        }
+        if (host.frozen) {
+            host.deferred.push_back([=, this] { onHost(name, incarnation, event); });
+            return;
+        }
+        event(host);
+        pump(host);
+    }
+
+    template <typename Event>
+    void toRequests(const std::string &name, Incarnation incarnation, const Event &event)
+    {
+        onHost(name, incarnation,
+               [event](Host &host) { host.requests->handle(event, *host.snapshot); });
+    }
+
+    template <typename Event>
+    void toControl(const std::string &name, Incarnation incarnation, const Event &event)
+    {
+        onHost(name, incarnation, [event](Host &host) { host.control->handle(event); });
+    }
+
+    void scheduleTick(const std::string &name, Incarnation incarnation)
+    {
+        m_queue.after(tickInterval, [=, this] {
+            onHost(name, incarnation, [](Host &host) {
+                host.control->tick();
+                host.requests->tick(*host.snapshot);
+            });
+            Host &host = m_hosts.at(name);
+            if (!host.alive || host.incarnation != incarnation) {
+                return;
+            }
+            const bool done =
+                host.draining && host.requests->inProgress() == 0 && host.control->idle();
+            if (done && !host.frozen) {
+                stopHost(host);
+                return;
+            }
+            scheduleTick(name, incarnation);
+        });
+    }
+
+    // Actions out of a host ---------------------------------------------------
+
+    void pump(Host &host)
+    {
+        if (!host.alive) {
+            return;
+        }
+        for (RequestAction &action : host.requests->takeActions()) {
+            std::visit([&](const auto &what) { perform(host, what); }, action);
+        }
+        ControlOutput output = host.control->takeOutput();
+        for (const PlatformCall &call : output.calls) {
+            perform(host, call);
+        }
+        for (const PeerSend &send : output.sends) {
+            perform(host, send);
+        }
+        for (const ClaimDecision &decision : output.decisions) {
+            m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
+                toRequests(name, start, decision);
+            });
+        }
+        if (output.configChanged) {
+            publish(host);
+        }
+    }
+
+    /// The way between a worker's and the control's thread.
+    Duration handover() { return std::chrono::microseconds(10 + m_random.below(100)); }
+    Duration networkDelay() { return std::chrono::microseconds(200 + m_random.below(800)); }
+
+    void publish(Host &host)
+    {
+        host.snapshot =
+            buildSnapshot(host.control->config().resources(), host.control->config().revision(),
+                          host.dataCentre, host.snapshot.get());
+        for (const auto &[key, entry] : host.control->config().entries()) {
+            m_checks.versionInForce(host.name, key.first + "/" + key.second, entry.inForce);
+        }
+    }
+
+    void perform(Host &, const AnswerCaller &action) { m_checks.answered(action); }
+    void perform(Host &, const CancelStage &) {}
+
+    void perform(Host &host, const ClaimRequest &action)
+    {
+        m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
+            toControl(name, start, action);
+        });
+    }
+
+    void perform(Host &host, const ClaimFinish &action)
+    {
+        m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
+            toControl(name, start, action);
+        });
+    }
+
+    void perform(Host &host, const PlatformCall &call)
+    {
+        const std::string name = host.name;
+        const Incarnation start = host.incarnation;
+        if (m_cuts.isCut(host.dataCentre, "platform")) {
+            m_queue.after(std::chrono::milliseconds(300), [=, this] {
+                PlatformResult silent;
+                silent.id = call.id;
+                toControl(name, start, silent);
+            });
+            return;
+        }
+        m_platform.handle(
+            call, [=, this](const PlatformResult &result) { toControl(name, start, result); });
+    }
+
+    void perform(Host &host, const PeerSend &send)
+    {
+        const Host &to = m_hosts.at(send.host);
+        if (m_cuts.isCut(host.dataCentre, to.dataCentre) || m_random.chance(m_faults.loseMessage)) {
+            return;
+        }
+        const int copies = m_random.chance(m_faults.doubleMessage) ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            Duration delay = networkDelay();
+            if (m_random.chance(m_faults.lateMessage)) {
+                delay += std::chrono::milliseconds(m_random.below(1500));
+            }
+            m_queue.after(delay, [this, name = send.host, message = send.message] {
+                toControl(name, m_hosts.at(name).incarnation, message);
+            });
+        }
+    }
+
+    void perform(Host &host, const SendStage &stage)
+    {
+        const FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
+        const std::string name = host.name;
+        const Incarnation start = host.incarnation;
+        if (endpoint.down) {
+            m_queue.after(networkDelay(),
+                          [=, this] { failStage(name, start, stage, SendEvidence::NothingSent); });
+            return;
+        }
+        if (m_cuts.isCut(host.dataCentre, endpoint.dataCentre)) {
+            // The connection is never made; the daemon gives up by its deadline.
+            return;
+        }
+        m_queue.after(networkDelay(), [=, this] { arrive(name, start, stage); });
+    }
+
+    void failStage(const std::string &name, Incarnation start, const SendStage &stage,
+                   SendEvidence evidence)
+    {
+        StageFailed event;
+        event.call = stage.call;
+        event.evidence = evidence;
+        event.status = absl::UnavailableError("the connection broke");
+        toRequests(name, start, event);
+    }
+
+    void arrive(const std::string &name, Incarnation start, const SendStage &stage)
+    {
+        FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
+        if (endpoint.down) {
+            failStage(name, start, stage, SendEvidence::Sent);
+            return;
+        }
+        m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage);
+        m_checks.ranAtEndpoint(stage);
+        const double millis = (3 + 20 * m_random.unit()) * endpoint.slowFactor;
+        const auto time =
+            std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(millis));
+        const std::uint64_t generation = endpoint.generation;
+        const bool breaks = m_random.chance(m_faults.brokenCall);
+        m_queue.after(time + networkDelay(), [=, this] {
+            const bool died = m_endpoints.at(stage.endpoint).generation != generation;
+            if (died || breaks) {
+                failStage(name, start, stage, SendEvidence::Sent);
+                misdeliver(name, start, stage);
+                return;
+            }
+            StageAnswered event;
+            event.call = stage.call;
+            event.echoed = stage.call;
+            event.body = answerTo(stage);
+            toRequests(name, start, event);
+        });
+    }
+
+    /// The answer of a call that was given up on still arrives, on the call that
+    /// is now current for the request, or long after.
+    void misdeliver(const std::string &name, Incarnation start, const SendStage &stage)
+    {
+        if (!m_random.chance(m_faults.lateAnswer)) {
+            return;
+        }
+        StageAnswered event;
+        event.call = stage.call;
+        event.echoed = stage.call;
+        event.body = answerTo(stage);
+        if (m_random.chance(0.5)) {
+            event.call.attempt += 1;
+        }
+        m_queue.after(std::chrono::milliseconds(m_random.below(60)),
+                      [=, this] { toRequests(name, start, event); });
+    }
+
+    EventQueue m_queue;
+    Random m_random;
+    Trace m_trace;
+    FakePlatform m_platform;
+    Checks m_checks;
+    Cuts m_cuts;
+    WorldFaults m_faults;
+    int m_dataCentres;
+    std::map<std::string, Host> m_hosts;
+    std::map<std::string, FakeEndpoint> m_endpoints;
+};
+
+} // namespace harelink::sim
+
+#endif // HARELINK_TEST_SIM_WORLD_H
--- a/unittests/Kernel/configtabletest.cpp
+++ b/unittests/Kernel/configtabletest.cpp
@@ -1,7 +1,7 @@
 //===- configtabletest.cpp - Tests of the configuration in force ----------===//
 
 #include "harelink/Kernel/configmachine.h"
-#include "harelink/Kernel/configtableimpl.h"
+#include "harelink/Kernel/configmachineimpl.h"
 
 #include <CppUTest/TestHarness.h>
 
