[Kernel] Spread configuration by gossip and shun leaving endpoints

Change: two watchers a data centre, pushes, digests by hash; leaving endpoints from the host list, passed on in heartbeats; ZeroMQ + protobuf between daemons; the control thread runs the control machine; status as JSON; runs and controls for "in force and never reverts" and "no new work for a leaving endpoint".

Ruled out: an empty list of leaving endpoints as knowledge (a peer that had itself just started sent one).

Conclusion: the bound for leaving endpoints is 5 s in these runs, 3 s is not proved: the host list is read every 2 s and the platform is out for up to 1.6 s.

--- /dev/null
+++ b/include/harelink/Adapters/peerlink.h
@@ -0,0 +1,71 @@
+//===- harelink/Adapters/peerlink.h - Messages between daemons --*- C++ -*-===//
+///
+/// \file
+/// Carries PeerMessages over ZeroMQ, as protobuf. Each daemon pulls from one
+/// bound socket and pushes to one connected socket per peer. A message that
+/// cannot go at once is dropped: the kernel asks again or does without.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_ADAPTERS_PEERLINK_H
+#define HARELINK_ADAPTERS_PEERLINK_H
+
+#include "harelink/Kernel/peers.h"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace harelink {
+
+/// The message as bytes.
+[[nodiscard]] std::string encodePeerMessage(const PeerMessage &message);
+/// Reads what encodePeerMessage() wrote; nothing where it is something else.
+[[nodiscard]] std::optional<PeerMessage> decodePeerMessage(const std::string &bytes);
+
+/// Counts of what passed.
+struct PeerLinkCounters
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    std::uint64_t dropped = 0;    ///< Could not go at once.
+    std::uint64_t unreadable = 0; ///< Came in and was no message.
+    std::uint64_t sentBytes = 0;
+};
+
+/// The sockets of one daemon. Belongs to one thread after listen().
+class PeerLink
+{
+public:
+    PeerLink();
+    ~PeerLink();
+    PeerLink(const PeerLink &) = delete;
+    PeerLink &operator=(const PeerLink &) = delete;
+
+    /// Listens on \p address, an IP number and a port; port 0 takes a free one.
+    absl::Status listen(const std::string &address);
+    /// The port it listens on.
+    [[nodiscard]] std::uint16_t port() const;
+    /// Becomes readable when something may have come in. Only a change is shown,
+    /// so receive() must be called until it gives nothing.
+    [[nodiscard]] int descriptor() const;
+    /// Sends, or drops.
+    void send(const PeerSend &send);
+    /// The next message that came in.
+    std::optional<PeerMessage> receive();
+    [[nodiscard]] const PeerLinkCounters &counters() const { return m_counters; }
+
+private:
+    struct Sockets;
+
+    std::unique_ptr<Sockets> m_sockets;
+    PeerLinkCounters m_counters;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_ADAPTERS_PEERLINK_H
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -1,8 +1,8 @@
 //===- harelink/Daemon/control.h - The control thread -----------*- C++ -*-===//
 ///
 /// \file
-/// Runs the control machines of a daemon (configuration, claims, membership) on
-/// one thread and carries out their platform calls.
+/// Runs the control machine of a daemon (configuration, membership, claims) on
+/// one thread and carries out its platform calls and peer messages.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -10,13 +10,14 @@
 #define HARELINK_DAEMON_CONTROL_H
 
 #include "harelink/Adapters/eventloop.h"
+#include "harelink/Adapters/peerlink.h"
 #include "harelink/Adapters/snapshotcell.h"
 #include "harelink/Config/settings.h"
-#include "harelink/Kernel/claims.h"
-#include "harelink/Kernel/configmachine.h"
+#include "harelink/Kernel/controlmachine.h"
 
 #include <atomic>
 #include <functional>
+#include <string>
 #include <thread>
 
 namespace harelink {
@@ -32,32 +33,45 @@
             Incarnation incarnation, DecisionSink decisions);
     ~Control();
 
-    void start();
+    /// Listens for peers and starts the thread.
+    absl::Status start();
     void stop();
     /// Takes in a claim request of a worker; from any thread.
-    void request(ClaimRequest request);
+    void request(const ClaimRequest &request);
     /// Takes in how a claimant ended; from any thread.
     void finish(const ClaimFinish &finish);
+    /// A planned stop begins; from any thread.
+    void leave();
+    /// Calls \p take with whether nothing waits any more, on the control's thread
+    /// and behind all that was handed in before.
+    void askIdle(std::function<void(bool)> take);
     /// Calls \p take with Prometheus text, on the control's thread.
     void report(std::function<void(std::string)> take);
+    /// Calls \p take with the status as JSON, on the control's thread.
+    void status(std::function<void(std::string)> take);
     /// Whether a configuration is in force; from any thread.
     [[nodiscard]] bool ready() const { return m_ready; }
+    /// The port for peers, after start().
+    [[nodiscard]] std::uint16_t peerPort() const { return m_peers.port(); }
 
 private:
     std::optional<TimePoint> turn();
+    void carryOut();
     void call(const PlatformCall &call);
-    void take(const PlatformResult &result);
     void publish();
+    void logConnection();
+    void addPeerUsage(const std::vector<UsageReport> &reports);
+    std::vector<UsageReport> takeOwnUsage();
 
     const Settings &m_settings;
     const Clock &m_clock;
     SnapshotCell &m_snapshot;
     DecisionSink m_decisions;
     EventLoop m_loop;
-    ConfigTable m_table;
-    ConfigWatcher m_watcher;
-    std::uint64_t m_nextCallId = 1;
+    PeerLink m_peers;
+    ControlMachine m_machine;
     std::uint64_t m_platformCalls = 0;
+    bool m_wasConnected = false;
     std::atomic<bool> m_ready{false};
     std::thread m_thread;
 };
--- /dev/null
+++ b/include/harelink/Kernel/configgossip.h
@@ -0,0 +1,62 @@
+//===- harelink/Kernel/configgossip.h - Spread of configuration -*- C++ -*-===//
+///
+/// \file
+/// Decides who watches the platform and passes news on to the others.
+///
+/// In each data centre two daemons watch. They push what changes to the others
+/// of their data centre; besides, every daemon compares a hash over its versions
+/// with one peer each second and both make up for what they lack. A daemon that
+/// hears of no watcher watches for itself.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_CONFIGGOSSIP_H
+#define HARELINK_KERNEL_CONFIGGOSSIP_H
+
+#include "harelink/Kernel/configmachine.h"
+#include "harelink/Kernel/membership.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace harelink {
+
+/// The spread of configuration at one daemon.
+template <GuardPolicy G>
+class BasicConfigGossip
+{
+public:
+    /// All references outlive the gossip.
+    BasicConfigGossip(const Clock &clock, const Membership &membership, BasicConfigTable<G> &table);
+
+    /// Whether this daemon is to watch the platform now.
+    [[nodiscard]] bool shouldWatch() const;
+    /// Pushes what the table learnt from the platform.
+    void pushNews();
+    /// Takes in a peer's news; true where what is in force changed.
+    bool handle(const ConfigPush &push);
+    /// Takes in a peer's digest.
+    void handle(const std::string &host, const ConfigDigest &digest);
+    /// Sends the digests that are due.
+    void tick();
+    [[nodiscard]] std::vector<PeerSend> takeSends() { return std::exchange(m_sends, {}); }
+    [[nodiscard]] TimePoint nextTick() const { return m_nextDigest; }
+
+private:
+    void send(const std::string &host, decltype(PeerMessage::content) content);
+    [[nodiscard]] ConfigDigest digest(bool detailed, bool reply) const;
+    [[nodiscard]] bool isChosenWatcher() const;
+
+    const Clock &m_clock;
+    const Membership &m_membership;
+    BasicConfigTable<G> &m_table;
+    TimePoint m_nextDigest;
+    TimePoint m_watcherHeard;
+    std::uint64_t m_round = 0;
+    std::vector<PeerSend> m_sends;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_CONFIGGOSSIP_H
--- /dev/null
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -0,0 +1,182 @@
+//===- harelink/Kernel/configgossipimpl.h - Definitions ---------*- C++ -*-===//
+///
+/// \file
+/// The definitions of BasicConfigGossip; included only where it is instantiated.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_CONFIGGOSSIPIMPL_H
+#define HARELINK_KERNEL_CONFIGGOSSIPIMPL_H
+
+#include "harelink/Kernel/configgossip.h"
+#include "harelink/Support/hash.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+
+namespace harelink {
+
+namespace configgossip {
+
+inline constexpr std::size_t watchersPerDataCentre = 2;
+inline constexpr std::chrono::milliseconds digestInterval{1000};
+/// Without a word of a watcher for this long a daemon watches for itself.
+inline constexpr std::chrono::milliseconds watcherSilence{2500};
+/// Every so many rounds the digest goes to another data centre.
+inline constexpr std::uint64_t remoteRound = 3;
+
+} // namespace configgossip
+
+template <GuardPolicy G>
+BasicConfigGossip<G>::BasicConfigGossip(const Clock &clock, const Membership &membership,
+                                        BasicConfigTable<G> &table)
+    : m_clock(clock)
+    , m_membership(membership)
+    , m_table(table)
+    , m_nextDigest(clock.now())
+    , m_watcherHeard(TimePoint::min())
+{
+}
+
+template <GuardPolicy G>
+bool BasicConfigGossip<G>::isChosenWatcher() const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> scores;
+    for (const std::string &host : m_membership.localCandidates()) {
+        scores.emplace_back(hash64("watch/" + host), host);
+    }
+    std::sort(scores.rbegin(), scores.rend());
+    scores.resize(std::min(scores.size(), configgossip::watchersPerDataCentre));
+    return std::any_of(scores.begin(), scores.end(),
+                       [this](const auto &score) { return score.second == m_membership.host(); });
+}
+
+template <GuardPolicy G>
+bool BasicConfigGossip<G>::shouldWatch() const
+{
+    const bool heard = m_watcherHeard != TimePoint::min()
+                       && m_clock.now() - m_watcherHeard <= configgossip::watcherSilence;
+    return !heard || isChosenWatcher();
+}
+
+template <GuardPolicy G>
+void BasicConfigGossip<G>::send(const std::string &host, decltype(PeerMessage::content) content)
+{
+    const std::string address = m_membership.addressOf(host);
+    if (address.empty()) {
+        return;
+    }
+    m_sends.push_back(
+        {host, address, {m_membership.host(), m_membership.incarnation(), std::move(content)}});
+}
+
+template <GuardPolicy G>
+void BasicConfigGossip<G>::pushNews()
+{
+    ConfigPush push;
+    push.objects = m_table.takeNews();
+    if (push.objects.empty()) {
+        return;
+    }
+    for (const std::string &host : m_membership.livePeers()) {
+        if (m_membership.isLocal(host)) {
+            send(host, push);
+        }
+    }
+}
+
+template <GuardPolicy G>
+bool BasicConfigGossip<G>::handle(const ConfigPush &push)
+{
+    bool changed = false;
+    for (const PlatformObject &object : push.objects) {
+        changed = m_table.apply(object) || changed;
+    }
+    // What came from a peer is not pushed again: digests carry it further.
+    (void)m_table.takeNews();
+    return changed;
+}
+
+template <GuardPolicy G>
+ConfigDigest BasicConfigGossip<G>::digest(bool detailed, bool reply) const
+{
+    ConfigDigest digest;
+    digest.summary = m_table.summary();
+    digest.watches = shouldWatch();
+    digest.detailed = detailed;
+    digest.reply = reply;
+    if (detailed) {
+        for (const auto &[key, entry] : m_table.entries()) {
+            digest.entries.push_back({key.first, key.second, entry.seen});
+        }
+    }
+    return digest;
+}
+
+template <GuardPolicy G>
+void BasicConfigGossip<G>::handle(const std::string &host, const ConfigDigest &from)
+{
+    if (from.watches && m_membership.isLocal(host)) {
+        m_watcherHeard = m_clock.now();
+    }
+    if (!from.detailed) {
+        if (from.summary != m_table.summary()) {
+            send(host, digest(true, false));
+        }
+        return;
+    }
+    std::map<typename BasicConfigTable<G>::Key, Version> theirs;
+    for (const ConfigDigest::Entry &entry : from.entries) {
+        theirs[{entry.kind, entry.name}] = entry.version;
+    }
+    ConfigPush push;
+    for (const auto &[key, entry] : m_table.entries()) {
+        const auto found = theirs.find(key);
+        if (found == theirs.end() || found->second < entry.seen) {
+            push.objects.push_back({key.first, key.second, entry.seen, entry.deleted, entry.value});
+        }
+    }
+    if (!push.objects.empty()) {
+        send(host, std::move(push));
+    }
+    const bool lacking = std::any_of(theirs.begin(), theirs.end(), [this](const auto &their) {
+        const auto own = m_table.entries().find(their.first);
+        return own == m_table.entries().end() || own->second.seen < their.second;
+    });
+    if (lacking && !from.reply) {
+        send(host, digest(true, true));
+    }
+}
+
+template <GuardPolicy G>
+void BasicConfigGossip<G>::tick()
+{
+    if (m_clock.now() < m_nextDigest) {
+        return;
+    }
+    m_nextDigest = m_clock.now() + configgossip::digestInterval;
+    ++m_round;
+    std::vector<std::string> local;
+    std::vector<std::string> remote;
+    for (const std::string &host : m_membership.livePeers()) {
+        (m_membership.isLocal(host) ? local : remote).push_back(host);
+    }
+    // A watcher's word goes to all of its data centre: they rely on it.
+    if (shouldWatch()) {
+        for (const std::string &host : local) {
+            send(host, digest(false, false));
+        }
+    } else if (!local.empty()) {
+        send(local[m_round % local.size()], digest(false, false));
+    }
+    const bool alone = local.empty() || m_table.entries().empty();
+    if (!remote.empty() && (alone || m_round % configgossip::remoteRound == 0)) {
+        send(remote[m_round % remote.size()], digest(false, false));
+    }
+}
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_CONFIGGOSSIPIMPL_H
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -47,11 +47,16 @@
     /// The highest version in force.
     [[nodiscard]] Version revision() const;
     [[nodiscard]] const std::map<Key, ConfigEntry> &entries() const { return m_entries; }
+    /// The news that were taken in since the last call, for passing on.
+    [[nodiscard]] std::vector<PlatformObject> takeNews() { return std::exchange(m_news, {}); }
+    /// A hash over the versions seen, the same for the same versions.
+    [[nodiscard]] std::uint64_t summary() const;
     /// How often older news came in and was dropped.
     [[nodiscard]] std::uint64_t droppedNews() const { return m_droppedNews; }
 
 private:
     std::map<Key, ConfigEntry> m_entries;
+    std::vector<PlatformObject> m_news;
     std::uint64_t m_droppedNews = 0;
 };
 
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -12,6 +12,7 @@
 #include "harelink/Config/jsonreader.h"
 #include "harelink/Kernel/configmachine.h"
 #include "harelink/Support/error.h"
+#include "harelink/Support/hash.h"
 
 #include <algorithm>
 #include <cassert>
@@ -51,6 +52,7 @@
     entry.deleted = news.deleted;
     entry.value = news.value;
     entry.fault.clear();
+    m_news.push_back(news);
     if (news.deleted) {
         const bool changed = entry.resource.has_value();
         entry.resource.reset();
@@ -99,6 +101,17 @@
     return changed;
 }
 
+template <GuardPolicy G>
+std::uint64_t BasicConfigTable<G>::summary() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[key, entry] : m_entries) {
+        // A sum, so that the order of the entries does not matter.
+        sum += hash64(fmt::format("{}/{}", key.first, key.second), entry.seen);
+    }
+    return sum;
+}
+
 template <GuardPolicy G>
 std::vector<Resource> BasicConfigTable<G>::resources() const
 {
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -11,9 +11,12 @@
 
 #include "harelink/Kernel/claimledger.h"
 #include "harelink/Kernel/claimrouter.h"
+#include "harelink/Kernel/configgossip.h"
 #include "harelink/Kernel/configmachine.h"
 #include "harelink/Kernel/membership.h"
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,9 +27,10 @@
 {
     std::vector<PlatformCall> calls;
     std::vector<PeerSend> sends;
-    std::vector<ClaimDecision> decisions; ///< For the workers.
-    std::vector<UsageReport> usage;       ///< Of peers, for the meters.
-    bool configChanged = false;           ///< Another configuration is in force.
+    std::vector<ClaimDecision> decisions;      ///< For the workers.
+    std::vector<UsageReport> usage;            ///< Of peers, for the meters.
+    std::vector<std::string> leavingEndpoints; ///< Newly known to leave.
+    bool configChanged = false;                ///< Another configuration is in force.
 };
 
 /// What a control is told at start.
@@ -53,6 +57,10 @@
     void handle(const PlatformResult &result);
     /// Own use since the last call, for the next heartbeats.
     void noteUsage(std::vector<UsageReport> usage) { m_ownUsage = std::move(usage); }
+    /// An endpoint itself said that it is leaving.
+    void endpointLeaving(const std::string &endpoint) { noteLeaving(endpoint); }
+    /// The endpoints that are leaving, as far as is known.
+    [[nodiscard]] std::vector<std::string> leavingEndpoints() const;
     /// A planned stop begins: peers are told and own buckets move on.
     void leave() { m_membership.leave(); }
     /// Time passed. Whether heartbeats go out with this tick is told by
@@ -73,6 +81,8 @@
     [[nodiscard]] std::uint64_t claimDetours() const { return m_router.detours(); }
     [[nodiscard]] bool connected() const { return m_watcher.connected(); }
     [[nodiscard]] bool synced() const { return m_watcher.synced(); }
+    /// Whether this daemon watches the platform.
+    [[nodiscard]] bool watches() const { return m_gossip.shouldWatch(); }
 
 private:
     void handle(const PeerMessage &message, const Heartbeat &content);
@@ -85,17 +95,27 @@
     void forwardLedgerReplies();
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
     void pollHostList();
+    void takeHostList(const std::vector<PlatformObject> &hosts);
+    void noteLeaving(const std::string &endpoint);
+    void giveOutConfig();
 
     const Clock &m_clock;
     BasicConfigTable<G> m_config;
     BasicConfigWatcher<G> m_watcher;
     Membership m_membership;
+    BasicConfigGossip<G> m_gossip;
     BasicClaimLedger<G> m_ledger;
     BasicClaimRouter<G> m_router;
     std::uint64_t m_nextCallId = 1;
     std::uint64_t m_hostListCall = 0;
+    TimePoint m_startedAt;
     TimePoint m_nextHostList;
     std::vector<UsageReport> m_ownUsage;
+    /// Heard of before they were declared here, as happens just after a start.
+    std::set<std::string> m_undeclaredLeaving;
+    bool m_leavingKnown = false;  ///< The host list or a peer was heard.
+    bool m_configPending = false; ///< Something is in force and not yet given out.
+    std::map<std::string, Version> m_leavingEndpoints; ///< With the version then in force.
     ControlOutput m_output;
 };
 
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -11,6 +11,7 @@
 
 #include "harelink/Kernel/claimledgerimpl.h"
 #include "harelink/Kernel/claimrouterimpl.h"
+#include "harelink/Kernel/configgossipimpl.h"
 #include "harelink/Kernel/configmachineimpl.h"
 #include "harelink/Kernel/controlmachine.h"
 
@@ -23,8 +24,10 @@
 
 /// How often the platform's host list is read.
 inline constexpr std::chrono::milliseconds hostListInterval{2000};
-/// The same while not a single peer is known.
+/// The same after a failure, and while not a single peer is known.
 inline constexpr std::chrono::milliseconds firstHostListInterval{500};
+/// How long a start waits at most to learn which endpoints are leaving.
+inline constexpr std::chrono::milliseconds longestLeavingWait{5000};
 
 } // namespace controlmachine
 
@@ -33,10 +36,12 @@
     : m_clock(clock)
     , m_watcher(clock, m_config)
     , m_membership(clock, options.host, options.dataCentre, options.incarnation)
+    , m_gossip(clock, m_membership, m_config)
     , m_ledger(
           clock, [this](Incarnation incarnation) { return m_membership.hostOf(incarnation); },
           options.claims)
     , m_router(clock, m_membership, m_ledger)
+    , m_startedAt(clock.now())
     , m_nextHostList(clock.now())
 {
 }
@@ -45,9 +50,13 @@
 ControlOutput BasicControlMachine<G>::takeOutput()
 {
     forwardLedgerReplies();
+    giveOutConfig();
     for (PeerSend &send : m_router.takeSends()) {
         m_output.sends.push_back(std::move(send));
     }
+    for (PeerSend &send : m_gossip.takeSends()) {
+        m_output.sends.push_back(std::move(send));
+    }
     for (ClaimDecision &decision : m_router.takeDecisions()) {
         m_output.decisions.push_back(std::move(decision));
     }
@@ -91,10 +100,16 @@
 template <GuardPolicy G>
 void BasicControlMachine<G>::tick()
 {
-    m_watcher.tick(m_output.calls, m_nextCallId);
+    if (m_gossip.shouldWatch()) {
+        m_watcher.tick(m_output.calls, m_nextCallId);
+    }
+    m_gossip.tick();
     pollHostList();
     for (PeerSend &heartbeat : m_membership.dueHeartbeats()) {
-        std::get<Heartbeat>(heartbeat.message.content).usage = m_ownUsage;
+        auto &content = std::get<Heartbeat>(heartbeat.message.content);
+        content.usage = m_ownUsage;
+        content.leavingEndpoints = leavingEndpoints();
+        content.leavingKnown = m_leavingKnown;
         m_output.sends.push_back(std::move(heartbeat));
     }
     const std::vector<std::string> hosts = m_membership.candidates();
@@ -127,8 +142,9 @@
 template <GuardPolicy G>
 TimePoint BasicControlMachine<G>::nextTick() const
 {
-    TimePoint next = std::min(
-        {m_watcher.nextTick(), m_membership.nextTick(), m_router.nextTick(), m_ledger.nextTick()});
+    const TimePoint watch = m_gossip.shouldWatch() ? m_watcher.nextTick() : TimePoint::max();
+    const TimePoint next = std::min({watch, m_gossip.nextTick(), m_membership.nextTick(),
+                                     m_router.nextTick(), m_ledger.nextTick()});
     return m_hostListCall == 0 ? std::min(next, m_nextHostList) : next;
 }
 
@@ -136,17 +152,20 @@
 void BasicControlMachine<G>::handle(const PlatformResult &result)
 {
     if (m_watcher.owns(result.id)) {
-        m_output.configChanged = m_watcher.handle(result) || m_output.configChanged;
+        m_configPending = m_watcher.handle(result) || m_configPending;
+        m_gossip.pushNews();
         return;
     }
     if (result.id == m_hostListCall) {
         m_hostListCall = 0;
-        if (result.outcome == PlatformOutcome::Ok) {
-            m_membership.takeHostList(result.objects);
+        const bool listed = result.outcome == PlatformOutcome::Ok;
+        if (listed) {
+            takeHostList(result.objects);
         }
-        m_nextHostList = m_clock.now()
-                         + (m_membership.peers().empty() ? controlmachine::firstHostListInterval
-                                                         : controlmachine::hostListInterval);
+        m_nextHostList =
+            m_clock.now()
+            + (listed && !m_membership.peers().empty() ? controlmachine::hostListInterval
+                                                       : controlmachine::firstHostListInterval);
         return;
     }
     m_ledger.handle(result);
@@ -163,7 +182,11 @@
 void BasicControlMachine<G>::handle(const PeerMessage &message, const Heartbeat &content)
 {
     (void)message;
+    m_leavingKnown = m_leavingKnown || content.leavingKnown;
     m_output.usage.insert(m_output.usage.end(), content.usage.begin(), content.usage.end());
+    for (const std::string &endpoint : content.leavingEndpoints) {
+        noteLeaving(endpoint);
+    }
 }
 
 template <GuardPolicy G>
@@ -199,16 +222,77 @@
 void BasicControlMachine<G>::handle(const PeerMessage &message, const ConfigPush &content)
 {
     (void)message;
-    for (const PlatformObject &object : content.objects) {
-        m_output.configChanged = m_config.apply(object) || m_output.configChanged;
-    }
+    m_configPending = m_gossip.handle(content) || m_configPending;
 }
 
 template <GuardPolicy G>
 void BasicControlMachine<G>::handle(const PeerMessage &message, const ConfigDigest &content)
 {
-    (void)message;
-    (void)content;
+    m_gossip.handle(message.host, content);
+}
+
+template <GuardPolicy G>
+void BasicControlMachine<G>::takeHostList(const std::vector<PlatformObject> &hosts)
+{
+    m_membership.takeHostList(hosts);
+    m_leavingKnown = true;
+    for (const PlatformObject &host : hosts) {
+        const nlohmann::json value = nlohmann::json::parse(host.value, nullptr, false);
+        if (value.is_object() && value.value("state", "") == "leaving") {
+            noteLeaving(host.name);
+        }
+    }
+}
+
+/// An endpoint that leaves never comes back by an older message; only a newer
+/// declaration of it makes it an endpoint again.
+template <GuardPolicy G>
+void BasicControlMachine<G>::noteLeaving(const std::string &endpoint)
+{
+    const auto declared = m_config.entries().find({"Endpoint", endpoint});
+    if (!G::shunsLeaving) {
+        return;
+    }
+    if (declared == m_config.entries().end()) {
+        m_undeclaredLeaving.insert(endpoint);
+        return;
+    }
+    const Version version = declared->second.inForce;
+    const auto known = m_leavingEndpoints.find(endpoint);
+    if (known != m_leavingEndpoints.end() && known->second >= version) {
+        return;
+    }
+    m_leavingEndpoints[endpoint] = version;
+    m_output.leavingEndpoints.push_back(endpoint);
+}
+
+/// Puts the configuration in force. A daemon that just started first learns
+/// which endpoints are leaving, or it would send them work.
+template <GuardPolicy G>
+void BasicControlMachine<G>::giveOutConfig()
+{
+    const bool waited = m_clock.now() - m_startedAt > controlmachine::longestLeavingWait;
+    if (!m_configPending || (!m_leavingKnown && !waited)) {
+        return;
+    }
+    m_configPending = false;
+    m_output.configChanged = true;
+    for (const std::string &endpoint : std::exchange(m_undeclaredLeaving, {})) {
+        noteLeaving(endpoint);
+    }
+}
+
+template <GuardPolicy G>
+std::vector<std::string> BasicControlMachine<G>::leavingEndpoints() const
+{
+    std::vector<std::string> names(m_undeclaredLeaving.begin(), m_undeclaredLeaving.end());
+    for (const auto &[endpoint, version] : m_leavingEndpoints) {
+        const auto declared = m_config.entries().find({"Endpoint", endpoint});
+        if (declared != m_config.entries().end() && declared->second.inForce <= version) {
+            names.push_back(endpoint);
+        }
+    }
+    return names;
 }
 
 } // namespace harelink
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -27,13 +27,18 @@
     static constexpr std::chrono::milliseconds windowLength{250};
     static constexpr std::size_t windowCount = 8;
 
-    /// Adds \p cost, which may be negative to correct an estimate.
+    /// Adds own use, which may be negative to correct an estimate.
     void add(TimePoint now, Duration cost);
+    /// Adds use that a peer told of.
+    void addOfPeer(TimePoint now, Duration cost);
+    /// The own use since the last call, for telling peers.
+    [[nodiscard]] Duration takeOwn();
     /// The sum over the last windowCount windows.
     [[nodiscard]] Duration recent(TimePoint now) const;
 
 private:
     // Each slot packs the window's number and its microseconds.
+    std::atomic<std::int64_t> m_untoldMicros{0};
     std::array<std::atomic<std::uint64_t>, windowCount> m_slots{};
 };
 
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -54,6 +54,10 @@
     [[nodiscard]] std::optional<std::string> hostOf(Incarnation incarnation) const;
     /// The address of \p host, or an empty text.
     [[nodiscard]] std::string addressOf(const std::string &host) const;
+    /// The living hosts of the own data centre that stay, this one among them.
+    [[nodiscard]] std::vector<std::string> localCandidates() const;
+    /// Whether \p host stands in the own data centre.
+    [[nodiscard]] bool isLocal(const std::string &host) const;
     /// The live hosts other than this one.
     [[nodiscard]] std::vector<std::string> livePeers() const;
     [[nodiscard]] const std::map<std::string, PeerHost> &peers() const { return m_peers; }
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -33,6 +33,8 @@
     std::string dataCentre;
     bool leaving = false;
     std::vector<UsageReport> usage;
+    std::vector<std::string> leavingEndpoints; ///< As far as the sender knows.
+    bool leavingKnown = false;                 ///< The sender has learnt of them itself.
 };
 
 /// The end of a claimant is written.
@@ -47,7 +49,8 @@
     std::vector<PlatformObject> objects;
 };
 
-/// The highest version of each declared object that the sender has seen.
+/// What the sender has seen of the declared objects: a hash over their
+/// versions or, where that differed, the versions themselves.
 struct ConfigDigest
 {
     struct Entry
@@ -56,8 +59,11 @@
         std::string name;
         Version version = 0;
     };
+    std::uint64_t summary = 0;
+    bool watches = false;  ///< The sender watches the platform.
+    bool detailed = false; ///< The entries are there.
+    bool reply = false;    ///< Answers a detailed digest, and is not answered by one.
     std::vector<Entry> entries;
-    bool requestsAll = false; ///< The sender has nothing yet.
 };
 
 /// One message.
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -64,6 +64,9 @@
     [[nodiscard]] const PoolEntry *pool(const std::string &name) const;
 };
 
+/// Marks the endpoint called \p name as leaving, where it is declared.
+void markLeaving(const Snapshot &snapshot, const std::string &name);
+
 /// Builds the snapshot of \p resources for a daemon in \p dataCentre.
 ///
 /// \param previous whose counters are carried over; may be null.
--- /dev/null
+++ b/lib/Adapters/peercodec.cpp
@@ -0,0 +1,229 @@
+//===- peercodec.cpp - Peer messages as protobuf --------------------------===//
+
+#include "harelink/Adapters/peerlink.h"
+
+#include "harelink.pb.h"
+
+namespace harelink {
+namespace {
+
+using std::chrono::microseconds;
+
+std::int64_t toMicros(Duration time)
+{
+    return std::chrono::duration_cast<microseconds>(time).count();
+}
+
+void write(const RequestId &from, wire::RequestId &to)
+{
+    to.set_incarnation(from.incarnation);
+    to.set_sequence(from.sequence);
+}
+
+void write(const Hash128 &from, wire::Hash &to)
+{
+    to.set_high(from.high);
+    to.set_low(from.low);
+}
+
+RequestId read(const wire::RequestId &from)
+{
+    return {from.incarnation(), from.sequence()};
+}
+
+Hash128 read(const wire::Hash &from)
+{
+    return {from.high(), from.low()};
+}
+
+/// Writes each kind of content into its field.
+class Writer
+{
+public:
+    explicit Writer(wire::PeerMessage &message)
+        : m_message(message)
+    {
+    }
+
+    void operator()(const Heartbeat &from) const
+    {
+        wire::Heartbeat &to = *m_message.mutable_heartbeat();
+        to.set_data_centre(from.dataCentre);
+        to.set_leaving(from.leaving);
+        to.set_leaving_known(from.leavingKnown);
+        for (const UsageReport &report : from.usage) {
+            wire::Usage &usage = *to.add_usage();
+            usage.set_account(report.account);
+            usage.set_pool(report.pool);
+            usage.set_micros(toMicros(report.time));
+        }
+        for (const std::string &endpoint : from.leavingEndpoints) {
+            to.add_leaving_endpoints(endpoint);
+        }
+    }
+    void operator()(const ClaimRequest &from) const
+    {
+        wire::ClaimRequest &to = *m_message.mutable_claim_request();
+        write(from.claimant, *to.mutable_claimant());
+        write(from.key, *to.mutable_key());
+        write(from.digest, *to.mutable_digest());
+        to.set_patience_micros(toMicros(from.patience));
+    }
+    void operator()(const ClaimDecision &from) const
+    {
+        wire::ClaimDecision &to = *m_message.mutable_claim_decision();
+        write(from.claimant, *to.mutable_claimant());
+        write(from.key, *to.mutable_key());
+        to.set_verdict(static_cast<std::uint32_t>(from.verdict));
+        to.set_answer(from.answer);
+    }
+    void operator()(const ClaimFinish &from) const
+    {
+        wire::ClaimFinish &to = *m_message.mutable_claim_finish();
+        write(from.claimant, *to.mutable_claimant());
+        write(from.key, *to.mutable_key());
+        to.set_end(static_cast<std::uint32_t>(from.end));
+        to.set_answer(from.answer);
+    }
+    void operator()(const ClaimFinished &from) const
+    {
+        write(from.claimant, *m_message.mutable_claim_finished()->mutable_claimant());
+    }
+    void operator()(const ConfigPush &from) const
+    {
+        wire::ConfigPush &to = *m_message.mutable_config_push();
+        for (const PlatformObject &object : from.objects) {
+            wire::ObjectNews &news = *to.add_objects();
+            news.set_kind(object.kind);
+            news.set_name(object.name);
+            news.set_version(object.version);
+            news.set_deleted(object.deleted);
+            news.set_value(object.value);
+        }
+    }
+    void operator()(const ConfigDigest &from) const
+    {
+        wire::ConfigDigest &to = *m_message.mutable_config_digest();
+        to.set_summary(from.summary);
+        to.set_watches(from.watches);
+        to.set_detailed(from.detailed);
+        to.set_reply(from.reply);
+        for (const ConfigDigest::Entry &entry : from.entries) {
+            wire::ConfigDigest::Entry &item = *to.add_entries();
+            item.set_kind(entry.kind);
+            item.set_name(entry.name);
+            item.set_version(entry.version);
+        }
+    }
+
+private:
+    wire::PeerMessage &m_message;
+};
+
+Heartbeat read(const wire::Heartbeat &from)
+{
+    Heartbeat to;
+    to.dataCentre = from.data_centre();
+    to.leaving = from.leaving();
+    to.leavingKnown = from.leaving_known();
+    for (const wire::Usage &usage : from.usage()) {
+        to.usage.push_back({usage.account(), usage.pool(), microseconds(usage.micros())});
+    }
+    to.leavingEndpoints.assign(from.leaving_endpoints().begin(), from.leaving_endpoints().end());
+    return to;
+}
+
+ConfigPush read(const wire::ConfigPush &from)
+{
+    ConfigPush to;
+    for (const wire::ObjectNews &news : from.objects()) {
+        to.objects.push_back(
+            {news.kind(), news.name(), news.version(), news.deleted(), news.value()});
+    }
+    return to;
+}
+
+ConfigDigest read(const wire::ConfigDigest &from)
+{
+    ConfigDigest to;
+    to.summary = from.summary();
+    to.watches = from.watches();
+    to.detailed = from.detailed();
+    to.reply = from.reply();
+    for (const wire::ConfigDigest::Entry &item : from.entries()) {
+        to.entries.push_back({item.kind(), item.name(), item.version()});
+    }
+    return to;
+}
+
+/// Reads the content; false where it is of no known kind.
+bool readContent(const wire::PeerMessage &from, PeerMessage &to)
+{
+    switch (from.content_case()) {
+    case wire::PeerMessage::kHeartbeat:
+        to.content = read(from.heartbeat());
+        return true;
+    case wire::PeerMessage::kClaimRequest: {
+        const wire::ClaimRequest &claim = from.claim_request();
+        to.content = ClaimRequest{read(claim.claimant()), read(claim.key()), read(claim.digest()),
+                                  microseconds(claim.patience_micros())};
+        return true;
+    }
+    case wire::PeerMessage::kClaimDecision: {
+        const wire::ClaimDecision &decision = from.claim_decision();
+        if (decision.verdict() > static_cast<std::uint32_t>(ClaimVerdict::Unavailable)) {
+            return false;
+        }
+        to.content =
+            ClaimDecision{read(decision.claimant()), read(decision.key()),
+                          static_cast<ClaimVerdict>(decision.verdict()), decision.answer()};
+        return true;
+    }
+    case wire::PeerMessage::kClaimFinish: {
+        const wire::ClaimFinish &finish = from.claim_finish();
+        if (finish.end() > static_cast<std::uint32_t>(ClaimEnd::Abandoned)) {
+            return false;
+        }
+        to.content = ClaimFinish{read(finish.claimant()), read(finish.key()),
+                                 static_cast<ClaimEnd>(finish.end()), finish.answer()};
+        return true;
+    }
+    case wire::PeerMessage::kClaimFinished:
+        to.content = ClaimFinished{read(from.claim_finished().claimant())};
+        return true;
+    case wire::PeerMessage::kConfigPush:
+        to.content = read(from.config_push());
+        return true;
+    case wire::PeerMessage::kConfigDigest:
+        to.content = read(from.config_digest());
+        return true;
+    case wire::PeerMessage::CONTENT_NOT_SET:
+        return false;
+    }
+    return false;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    wire::PeerMessage wire;
+    wire.set_host(message.host);
+    wire.set_incarnation(message.incarnation);
+    std::visit(Writer(wire), message.content);
+    return wire.SerializeAsString();
+}
+
+std::optional<PeerMessage> decodePeerMessage(const std::string &bytes)
+{
+    wire::PeerMessage wire;
+    PeerMessage message;
+    if (!wire.ParseFromString(bytes) || !readContent(wire, message)) {
+        return std::nullopt;
+    }
+    message.host = wire.host();
+    message.incarnation = wire.incarnation();
+    return message;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Adapters/peerlink.cpp
@@ -0,0 +1,107 @@
+//===- peerlink.cpp - Messages between daemons ----------------------------===//
+
+#include "harelink/Adapters/peerlink.h"
+
+#include "harelink/Support/error.h"
+
+#include <zmq.hpp>
+
+#include <cstdlib>
+
+#include <fmt/format.h>
+
+namespace harelink {
+namespace {
+
+/// Messages that wait for a peer that is slow; more are dropped.
+constexpr int sendQueue = 10'000;
+/// The largest message that is taken in: a whole configuration fits.
+constexpr std::int64_t largestMessage = 16'000'000;
+
+} // namespace
+
+/// The sockets, which must end before their context.
+struct PeerLink::Sockets
+{
+    zmq::context_t context{1};
+    zmq::socket_t receiver{context, zmq::socket_type::pull};
+    std::map<std::string, zmq::socket_t> senders; ///< By address.
+
+    zmq::socket_t &senderTo(const std::string &address)
+    {
+        const auto found = senders.find(address);
+        if (found != senders.end()) {
+            return found->second;
+        }
+        zmq::socket_t socket(context, zmq::socket_type::push);
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::sndhwm, sendQueue);
+        // Nothing is kept for a peer that is not there: it would come late.
+        socket.set(zmq::sockopt::immediate, true);
+        socket.connect("tcp://" + address);
+        return senders.emplace(address, std::move(socket)).first->second;
+    }
+};
+
+PeerLink::PeerLink()
+    : m_sockets(std::make_unique<Sockets>())
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+absl::Status PeerLink::listen(const std::string &address)
+{
+    try {
+        m_sockets->receiver.set(zmq::sockopt::linger, 0);
+        m_sockets->receiver.set(zmq::sockopt::maxmsgsize, largestMessage);
+        m_sockets->receiver.bind("tcp://" + address);
+    } catch (const zmq::error_t &error) {
+        return makeError(absl::StatusCode::kUnavailable, "listening for peers", address,
+                         error.what());
+    }
+    return absl::OkStatus();
+}
+
+std::uint16_t PeerLink::port() const
+{
+    const std::string endpoint = m_sockets->receiver.get(zmq::sockopt::last_endpoint);
+    const std::size_t colon = endpoint.rfind(':');
+    return static_cast<std::uint16_t>(std::strtoul(endpoint.c_str() + colon + 1, nullptr, 10));
+}
+
+int PeerLink::descriptor() const
+{
+    return m_sockets->receiver.get(zmq::sockopt::fd);
+}
+
+void PeerLink::send(const PeerSend &send)
+{
+    const std::string bytes = encodePeerMessage(send.message);
+    zmq::socket_t &socket = m_sockets->senderTo(send.address);
+    const auto sent = socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    if (!sent) {
+        ++m_counters.dropped;
+        return;
+    }
+    ++m_counters.sent;
+    m_counters.sentBytes += bytes.size();
+}
+
+std::optional<PeerMessage> PeerLink::receive()
+{
+    for (;;) {
+        zmq::message_t bytes;
+        if (!m_sockets->receiver.recv(bytes, zmq::recv_flags::dontwait)) {
+            return std::nullopt;
+        }
+        std::optional<PeerMessage> message = decodePeerMessage(bytes.to_string());
+        if (message) {
+            ++m_counters.received;
+            return message;
+        }
+        ++m_counters.unreadable;
+    }
+}
+
+} // namespace harelink
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -122,9 +122,8 @@
     for (int i = 0; i < m_settings.workers; ++i) {
         m_workers.push_back(std::make_unique<Worker>(
             m_settings, m_clock, m_snapshot, m_incarnation + static_cast<std::uint64_t>(i),
-            Worker::ClaimSink{
-                [this](ClaimRequest request) { m_control->request(std::move(request)); },
-                [this](const ClaimFinish &finish) { m_control->finish(finish); }}));
+            Worker::ClaimSink{[this](const ClaimRequest &request) { m_control->request(request); },
+                              [this](const ClaimFinish &finish) { m_control->finish(finish); }}));
     }
 }
 
@@ -143,7 +142,10 @@
     for (const auto &worker : m_workers) {
         worker->start();
     }
-    m_control->start();
+    const absl::Status control = m_control->start();
+    if (!control.ok()) {
+        return control;
+    }
     HttpServerOptions options;
     options.address = m_settings.operatorAddress;
     absl::StatusOr<std::unique_ptr<HttpServer>> operators =
@@ -164,8 +166,10 @@
         return callers.status();
     }
     m_callers = *std::move(callers);
-    logger.info("Host {} in data centre {} listens for callers on port {}, for operators on {}.",
-                m_settings.host, m_settings.dataCentre, m_callers->port(), m_operators->port());
+    logger.info("Host {} in data centre {} listens for callers on port {}, for operators on {}, "
+                "for peers on {}.",
+                m_settings.host, m_settings.dataCentre, m_callers->port(), m_operators->port(),
+                m_control->peerPort());
     return absl::OkStatus();
 }
 
@@ -195,6 +199,14 @@
         responder(plainReply(ready ? 200 : statusUnavailable, ready ? "ready\n" : "not ready\n"));
         return;
     }
+    if (request.path == "/v1/status") {
+        m_control->status([responder](std::string status) {
+            HttpReply reply;
+            reply.body = std::move(status);
+            responder(std::move(reply));
+        });
+        return;
+    }
     if (request.path == "/metrics") {
         replyMetrics(responder);
         return;
@@ -214,6 +226,7 @@
 void Daemon::drain()
 {
     m_draining = true;
+    m_control->leave();
     for (const auto &worker : m_workers) {
         worker->drain();
     }
@@ -228,7 +241,13 @@
             [&answer](const WorkerReport &report) { answer.set_value(report.inProgress); });
         inProgress += answer.get_future().get();
     }
-    return inProgress == 0;
+    if (inProgress > 0) {
+        return false;
+    }
+    // Asked last, behind the ends of claims that the workers handed over.
+    std::promise<bool> settled;
+    m_control->askIdle([&settled](bool idle) { settled.set_value(idle); });
+    return settled.get_future().get();
 }
 
 void Daemon::abandonAll()
--- a/lib/Kernel/latency.cpp
+++ b/lib/Kernel/latency.cpp
@@ -68,6 +68,18 @@
 }
 
 void UsageMeter::add(TimePoint now, Duration cost)
+{
+    m_untoldMicros.fetch_add(std::chrono::duration_cast<std::chrono::microseconds>(cost).count(),
+                             std::memory_order_relaxed);
+    addOfPeer(now, cost);
+}
+
+Duration UsageMeter::takeOwn()
+{
+    return std::chrono::microseconds(m_untoldMicros.exchange(0, std::memory_order_relaxed));
+}
+
+void UsageMeter::addOfPeer(TimePoint now, Duration cost)
 {
     const std::uint64_t window = windowOf(now);
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(cost).count();
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -36,7 +36,8 @@
     std::set<std::string> listed;
     for (const PlatformObject &host : hosts) {
         const nlohmann::json value = nlohmann::json::parse(host.value, nullptr, false);
-        if (host.name == m_host || !value.is_object()) {
+        // Hosts without an address for peers run endpoints, not daemons.
+        if (host.name == m_host || !value.is_object() || value.value("peers", "").empty()) {
             continue;
         }
         listed.insert(host.name);
@@ -85,7 +86,10 @@
             continue;
         }
         PeerSend send{name, peer.address, {m_host, m_incarnation, {}}};
-        send.message.content = Heartbeat{m_dataCentre, m_leaving, {}};
+        Heartbeat heartbeat;
+        heartbeat.dataCentre = m_dataCentre;
+        heartbeat.leaving = m_leaving;
+        send.message.content = std::move(heartbeat);
         sends.push_back(std::move(send));
     }
     return sends;
@@ -130,6 +134,19 @@
     return hosts;
 }
 
+bool Membership::isLocal(const std::string &host) const
+{
+    const auto found = m_peers.find(host);
+    return host == m_host || (found != m_peers.end() && found->second.dataCentre == m_dataCentre);
+}
+
+std::vector<std::string> Membership::localCandidates() const
+{
+    std::vector<std::string> hosts = candidates();
+    std::erase_if(hosts, [this](const std::string &host) { return !isLocal(host); });
+    return hosts;
+}
+
 std::vector<std::string> Membership::livePeers() const
 {
     std::vector<std::string> hosts;
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -127,6 +127,15 @@
     return findIn(pools, name);
 }
 
+void markLeaving(const Snapshot &snapshot, const std::string &name)
+{
+    for (const auto &[poolName, pool] : snapshot.pools) {
+        if (const EndpointEntry *endpoint = pool.find(name)) {
+            endpoint->load->leaving.store(true, std::memory_order_relaxed);
+        }
+    }
+}
+
 std::unique_ptr<const Snapshot> buildSnapshot(const std::vector<Resource> &resources,
                                               std::uint64_t revision, const std::string &dataCentre,
                                               const Snapshot *previous)
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -39,6 +39,10 @@
             if (random().chance(0.03)) {
                 breakSomething();
             }
+            if (random().chance(0.05)) {
+                m_world.changeWeight("lab", 1 + static_cast<int>(random().below(9)));
+            }
+            leaveNowAndThen();
         }
         keepLines();
         settle();
@@ -52,6 +56,7 @@
     /// deadline, back-off or heartbeat limit.
     static constexpr std::chrono::seconds settleTime{8};
     static constexpr std::size_t mostRetriedKeys = 40;
+    static constexpr int mostLeaving = 2;
 
     Random &random() { return m_world.random(); }
 
@@ -89,6 +94,16 @@
         }
     }
 
+    /// Lets a few endpoints leave, never all of a pool. The platform's word must
+    /// have a chance: the bound counts from when any daemon could know.
+    void leaveNowAndThen()
+    {
+        if (m_left < mostLeaving && random().chance(0.002)) {
+            m_world.leaveEndpoint(fmt::format("{}-{}", m_left == 0 ? "encoders" : "records", 1));
+            ++m_left;
+        }
+    }
+
     void later(Duration least, std::function<void()> heal)
     {
         m_world.queue().after(least + std::chrono::milliseconds(random().below(1500)),
@@ -169,6 +184,9 @@
     {
         m_world.healAll();
         m_result.steps += m_world.run(settleTime);
+        if (!m_world.converged()) {
+            m_world.checks().violation("the configuration is not in force everywhere");
+        }
         // A key that never ran can be run now: nothing may block it.
         std::vector<Submission> keys = m_world.checks().neverRunKeys();
         if (keys.size() > mostRetriedKeys) {
@@ -201,6 +219,7 @@
 
     World<G> m_world;
     RunResult m_result;
+    int m_left = 0;
     std::uint64_t m_keys = 0;
     std::uint64_t m_bodies = 0;
 };
--- a/utils/local-fleet.sh
+++ b/utils/local-fleet.sh
@@ -3,7 +3,7 @@
 #
 # Needs: bin (folder of the programs) and work (a scratch folder).
 
-declare -A fleet_pid fleet_address fleet_operators
+declare -A fleet_pid fleet_address fleet_operators fleet_peers
 
 # fleet_wait_for FILE PATTERN: waits until a line of FILE matches, prints it.
 fleet_wait_for() {
@@ -52,7 +52,18 @@
     local line
     line=$(fleet_wait_for "$work/$name.log" 'listens for callers on port')
     fleet_address[$name]="127.0.0.1:$(sed -E 's/.*callers on port ([0-9]+).*/\1/' <<<"$line")"
+    fleet_peers[$name]="127.0.0.1:$(sed -E 's/.*for peers on ([0-9]+).*/\1/' <<<"$line")"
     fleet_operators[$name]="127.0.0.1:$(sed -E 's/.*operators on ([0-9]+).*/\1/' <<<"$line")"
+    fleet_list "$name" "$2"
+}
+
+# fleet_list NAME DATA_CENTRE: puts a daemon on the platform's host list, as the
+# platform does by itself in the field.
+fleet_list() {
+    curl -sf -o /dev/null -X PUT \
+        -d "{\"dataCentre\": \"$2\", \"peers\": \"${fleet_peers[$1]}\",
+             \"operators\": \"${fleet_operators[$1]}\", \"state\": \"live\"}" \
+        "http://${fleet_address[platform]}/v1/hosts/$1"
 }
 
 # fleet_ready NAME: waits until the daemon is ready.
