--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -37,6 +37,7 @@
 struct ControlOptions
 {
     std::string host;
+    std::string peerAddress; ///< Where this daemon listens for peers.
     std::string dataCentre;
     Incarnation incarnation = 0;
     ClaimLedgerOptions claims;
@@ -57,6 +58,8 @@
     void handle(const PlatformResult &result);
     /// Own use since the last call, for the next heartbeats.
     void noteUsage(std::vector<UsageReport> usage) { m_ownUsage = std::move(usage); }
+    /// Where this daemon listens for peers, once that is known.
+    void setPeerAddress(const std::string &address) { m_membership.setAddress(address); }
     /// An endpoint itself said that it is leaving.
     void endpointLeaving(const std::string &endpoint) { noteLeaving(endpoint); }
     /// The endpoints that are leaving, as far as is known.
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -35,7 +35,8 @@
 BasicControlMachine<G>::BasicControlMachine(const Clock &clock, const ControlOptions &options)
     : m_clock(clock)
     , m_watcher(clock, m_config)
-    , m_membership(clock, options.host, options.dataCentre, options.incarnation)
+    , m_membership(clock, options.host, options.peerAddress, options.dataCentre,
+                   options.incarnation)
     , m_gossip(clock, m_membership, m_config)
     , m_ledger(
           clock, [this](Incarnation incarnation) { return m_membership.hostOf(incarnation); },
--- a/include/harelink/Kernel/latency.h
+++ b/include/harelink/Kernel/latency.h
@@ -44,11 +44,15 @@
 {
 public:
     /// Takes in that a call of \p bytes took \p elapsed.
-    void add(std::size_t bytes, Duration elapsed);
+    void add(TimePoint now, std::size_t bytes, Duration elapsed);
     /// The time half the calls of \p bytes need; zero while nothing is known.
-    [[nodiscard]] Duration typical(std::size_t bytes) const;
+    ///
+    /// Without new samples it fades: a pool that is taken to be too slow is sent
+    /// nothing, and could otherwise never show that it is fast again.
+    [[nodiscard]] Duration typical(TimePoint now, std::size_t bytes) const;
 
 private:
+    TimePoint m_lastSample;
     QuantileEstimate m_normalised{0.5};
 };
 
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -23,7 +23,7 @@
 /// What is known of another host.
 struct PeerHost
 {
-    std::string address; ///< For peers; from the host list.
+    std::string address; ///< For peers; from the host list or its own word.
     std::string dataCentre;
     Incarnation incarnation = 0; ///< Of its last heartbeat; 0 before the first.
     bool leaving = false;        ///< Of this incarnation; never goes back to false.
@@ -35,7 +35,7 @@
 {
 public:
     /// \param clock outlives the membership.
-    Membership(const Clock &clock, std::string host, std::string dataCentre,
+    Membership(const Clock &clock, std::string host, std::string address, std::string dataCentre,
                Incarnation incarnation);
 
     /// Takes in the platform's host list: objects whose value is a JSON object
@@ -45,6 +45,8 @@
     void heard(const PeerMessage &message);
     /// The heartbeats that are due, without their usage reports.
     std::vector<PeerSend> dueHeartbeats();
+    /// Where this daemon listens for peers.
+    void setAddress(const std::string &address) { m_address = address; }
     /// This host is leaving; the next heartbeats say so, at once.
     void leave();
 
@@ -71,6 +73,7 @@
 
     const Clock &m_clock;
     std::string m_host;
+    std::string m_address;
     std::string m_dataCentre;
     Incarnation m_incarnation;
     bool m_leaving = false;
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -31,6 +31,7 @@
 struct Heartbeat
 {
     std::string dataCentre;
+    std::string address; ///< Where the sender listens for peers.
     bool leaving = false;
     std::vector<UsageReport> usage;
     std::vector<std::string> leavingEndpoints; ///< As far as the sender knows.
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -196,12 +196,16 @@
     Duration retryAfter(const Request &request, const Snapshot &snapshot);
     void expire(Request &request, const Snapshot &snapshot);
     void schedule(const Request &request, TimePoint at);
+    void noticePause();
+    void learnLatency(const Request &request, Duration elapsed);
 
     const Clock &m_clock;
     std::unique_ptr<RoutingPolicy> m_policy;
     Random m_random;
     RequestLimits m_limits;
     bool m_draining = false;
+    TimePoint m_lastTurn;  ///< Of the last tick, answer or failure.
+    TimePoint m_resumedAt; ///< When this process last woke from a long pause.
     double m_retryTokens;
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
     // Ordered, so that the same events always give the same actions.
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -39,6 +39,8 @@
 inline constexpr std::chrono::milliseconds unknownCharge{1};
 /// How long a grant may be late and still be given back.
 inline constexpr std::chrono::minutes lateGrantMemory{10};
+/// A machine has a turn more often than this, unless its process stands still.
+inline constexpr std::chrono::milliseconds longestTurnGap{750};
 /// Share by which one dispatch moves the smoothed interval between dispatches.
 inline constexpr double intervalSmoothing = 0.2;
 
@@ -103,6 +105,8 @@
     , m_policy(std::move(policy))
     , m_random(seed)
     , m_limits(limits)
+    , m_lastTurn(clock.now())
+    , m_resumedAt(clock.now())
     , m_retryTokens(requestmachine::mostRetryTokens)
 {
     assert(m_policy != nullptr && "a machine needs a routing policy");
@@ -373,7 +377,8 @@
     (void)snapshot;
     Duration total{};
     for (std::size_t i = request.stage; i < request.pipeline.stages.size(); ++i) {
-        total += poolState(request.pipeline.stages[i].pool).latency.typical(request.bytes());
+        total += poolState(request.pipeline.stages[i].pool)
+                     .latency.typical(m_clock.now(), request.bytes());
     }
     return total;
 }
@@ -389,7 +394,7 @@
     Duration interval = state.dispatchInterval;
     if (interval == Duration{}) {
         const int slots = std::max(1, pool.totalSlots);
-        interval = state.latency.typical(request.bytes()) * m_limits.workers / slots;
+        interval = state.latency.typical(m_clock.now(), request.bytes()) * m_limits.workers / slots;
     }
     // A queue that does not move says more than how it moved before.
     interval = std::max(interval, m_clock.now() - state.lastDispatch);
@@ -480,7 +485,8 @@
     ++request.costs[request.stage].sends;
     ++m_counters.sends;
     endpoint.load->inFlight.fetch_add(1, std::memory_order_relaxed);
-    const Duration typical = poolState(pool.spec.name).latency.typical(request.bytes());
+    const Duration typical =
+        poolState(pool.spec.name).latency.typical(m_clock.now(), request.bytes());
     request.charged = std::max<Duration>(typical, requestmachine::unknownCharge);
     charge(request, request.charged, snapshot);
 
@@ -541,6 +547,7 @@
 template <GuardPolicy G>
 void BasicRequestMachine<G>::handle(StageAnswered event, const Snapshot &snapshot)
 {
+    noticePause();
     Request *request = find(event.call.request);
     const bool running = request != nullptr && request->phase == Request::Phase::Running;
     if (!running || (G::matchesAttempts && request->call() != event.call)) {
@@ -560,7 +567,7 @@
     const Duration elapsed = m_clock.now() - request->sentAt;
     const std::string poolName = request->stageSpec().pool;
     settleCall(*request, snapshot);
-    poolState(poolName).latency.add(request->bytes(), elapsed);
+    learnLatency(*request, elapsed);
     if (const PoolEntry *pool = snapshot.pool(poolName)) {
         const Duration busy = event.busy == Duration{} ? elapsed : event.busy;
         StageCost &cost = request->costs[request->stage];
@@ -615,6 +622,7 @@
 template <GuardPolicy G>
 void BasicRequestMachine<G>::handle(const StageFailed &event, const Snapshot &snapshot)
 {
+    noticePause();
     Request *request = find(event.call.request);
     const bool running = request != nullptr && request->phase == Request::Phase::Running;
     if (!running || (G::matchesAttempts && request->call() != event.call)) {
@@ -716,11 +724,32 @@
     m_requests.erase(request.id.sequence);
 }
 
+/// Notices that the process itself stood still: what seems slow was not.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::noticePause()
+{
+    const TimePoint now = m_clock.now();
+    if (now - m_lastTurn > requestmachine::longestTurnGap) {
+        m_resumedAt = now;
+    }
+    m_lastTurn = now;
+}
+
+/// Learns from a call, unless this process slept while it was in progress.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::learnLatency(const Request &request, Duration elapsed)
+{
+    if (request.sentAt >= m_resumedAt) {
+        poolState(request.stageSpec().pool).latency.add(m_clock.now(), request.bytes(), elapsed);
+    }
+}
+
 // Time ------------------------------------------------------------------------
 
 template <GuardPolicy G>
 void BasicRequestMachine<G>::tick(const Snapshot &snapshot)
 {
+    noticePause();
     const TimePoint now = m_clock.now();
     while (!m_timers.empty() && m_timers.top().first <= now) {
         const std::uint64_t sequence = m_timers.top().second;
@@ -765,7 +794,7 @@
         m_actions.emplace_back(CancelStage{request.call()});
         settleCall(request, snapshot);
         // It says the endpoint is slow, and the slowness is what must be learnt.
-        poolState(poolName).latency.add(request.bytes(), now - request.sentAt);
+        learnLatency(request, now - request.sentAt);
     }
     const std::string peer = queued ? std::string() : request.endpoint;
     fail(request, due ? Reason::DeadlineExceeded : Reason::CannotFinish,
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -49,6 +49,7 @@
     {
         wire::Heartbeat &to = *m_message.mutable_heartbeat();
         to.set_data_centre(from.dataCentre);
+        to.set_address(from.address);
         to.set_leaving(from.leaving);
         to.set_leaving_known(from.leavingKnown);
         for (const UsageReport &report : from.usage) {
@@ -124,6 +125,7 @@
 {
     Heartbeat to;
     to.dataCentre = from.data_centre();
+    to.address = from.address();
     to.leaving = from.leaving();
     to.leavingKnown = from.leaving_known();
     for (const wire::Usage &usage : from.usage()) {
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -17,6 +17,7 @@
 {
     ControlOptions options;
     options.host = settings.host;
+    options.peerAddress = settings.peerAddress;
     options.dataCentre = settings.dataCentre;
     options.incarnation = incarnation;
     options.claims.retention = settings.keyRetention;
@@ -53,10 +54,13 @@
 
 absl::Status Control::start()
 {
-    const absl::Status listening = m_peers.listen(m_settings.peerAddress);
+    absl::Status listening = m_peers.listen(m_settings.peerAddress);
     if (!listening.ok()) {
         return listening;
     }
+    // With port 0 in the settings only now is it known where peers find it.
+    const std::string ip = m_settings.peerAddress.substr(0, m_settings.peerAddress.rfind(':'));
+    m_machine.setPeerAddress(fmt::format("{}:{}", ip, m_peers.port()));
     m_thread = std::thread([this] {
         m_loop.run(
             m_clock, [this] { return turn(); }, m_peers.descriptor());
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -142,7 +142,7 @@
     for (const auto &worker : m_workers) {
         worker->start();
     }
-    const absl::Status control = m_control->start();
+    absl::Status control = m_control->start();
     if (!control.ok()) {
         return control;
     }
--- a/lib/Kernel/latency.cpp
+++ b/lib/Kernel/latency.cpp
@@ -5,6 +5,7 @@
 #include "harelink/Kernel/load.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace harelink {
 namespace {
@@ -13,6 +14,8 @@
 constexpr double learningRate = 0.2;
 /// An estimate never falls below this, or it could not grow again.
 constexpr double leastSeconds = 1e-6;
+/// An estimate halves with each second that passes after so long without a sample.
+constexpr double fadeAfterSeconds = 1;
 /// Bytes of a request that take as long as the fixed part of a call.
 constexpr double bytesPerUnit = 16384;
 
@@ -55,16 +58,19 @@
     return fromSeconds(m_seconds);
 }
 
-void LatencyModel::add(std::size_t bytes, Duration elapsed)
+void LatencyModel::add(TimePoint now, std::size_t bytes, Duration elapsed)
 {
+    m_lastSample = now;
     const double seconds = std::chrono::duration<double>(elapsed).count();
     m_normalised.add(fromSeconds(seconds / sizeFactor(bytes)));
 }
 
-Duration LatencyModel::typical(std::size_t bytes) const
+Duration LatencyModel::typical(TimePoint now, std::size_t bytes) const
 {
     const double seconds = std::chrono::duration<double>(m_normalised.value()).count();
-    return fromSeconds(seconds * sizeFactor(bytes));
+    const double idle = std::chrono::duration<double>(now - m_lastSample).count();
+    const double halvings = std::max(0.0, idle - fadeAfterSeconds);
+    return fromSeconds(seconds * sizeFactor(bytes) * std::exp2(-halvings));
 }
 
 void UsageMeter::add(TimePoint now, Duration cost)
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -21,10 +21,11 @@
 
 } // namespace
 
-Membership::Membership(const Clock &clock, std::string host, std::string dataCentre,
-                       Incarnation incarnation)
+Membership::Membership(const Clock &clock, std::string host, std::string address,
+                       std::string dataCentre, Incarnation incarnation)
     : m_clock(clock)
     , m_host(std::move(host))
+    , m_address(std::move(address))
     , m_dataCentre(std::move(dataCentre))
     , m_incarnation(incarnation)
     , m_nextHeartbeat(clock.now())
@@ -69,6 +70,8 @@
     }
     peer.lastHeard = m_clock.now();
     if (const auto *heartbeat = std::get_if<Heartbeat>(&message.content)) {
+        // Its own word reaches a daemon that starts while the host list is out.
+        peer.address = heartbeat->address;
         peer.dataCentre = heartbeat->dataCentre;
         peer.leaving = peer.leaving || heartbeat->leaving;
     }
@@ -88,6 +91,7 @@
         PeerSend send{name, peer.address, {m_host, m_incarnation, {}}};
         Heartbeat heartbeat;
         heartbeat.dataCentre = m_dataCentre;
+        heartbeat.address = m_address;
         heartbeat.leaving = m_leaving;
         send.message.content = std::move(heartbeat);
         sends.push_back(std::move(send));
--- /dev/null
+++ b/test/scenarios/runner.cpp
@@ -0,0 +1,272 @@
+//===- runner.cpp - Plays scenarios ---------------------------------------===//
+///
+/// \file
+/// harelink-scenario FILE...: plays each file in a world of its own and fails on
+/// an expectation that is not met or a promise that is broken. A line is
+///
+///   at TIME COMMAND         where TIME is as in "250ms" or "4s"
+///   expect WHAT             judged when all is done
+///   # a remark
+///
+/// The commands:
+///
+///   send N answers to HOST           N repeatable requests
+///   send record KEY to HOST          one that may not be repeated
+///   kill HOST | start HOST | freeze HOST | thaw HOST | drain HOST
+///   kill endpoint NAME | leave endpoint NAME
+///   cut PLACE from PLACE | heal
+///   platform out | platform back | platform loses answers | platform applies late
+///   weigh ACCOUNT NUMBER             an operator's change
+///
+/// What can be expected:
+///
+///   no violations | converged
+///   OUTCOME at least N | OUTCOME at most N | OUTCOME exactly N
+///   runs of KEY exactly N
+///
+//===----------------------------------------------------------------------===//
+
+#include "world.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+
+#include <fstream>
+
+namespace {
+
+using namespace harelink;
+using namespace harelink::sim;
+using Words = std::vector<std::string>;
+
+constexpr std::uint64_t scenarioSeed = 7;
+constexpr std::chrono::milliseconds requestDeadline{1000};
+/// Time after the last command for everything to settle.
+constexpr std::chrono::seconds settleTime{8};
+
+int numberOf(const std::string &word)
+{
+    int number = 0;
+    return absl::SimpleAtoi(word, &number) ? number : -1;
+}
+
+/// "250ms" or "4s".
+std::optional<Duration> timeOf(const std::string &word)
+{
+    const std::size_t unit = word.find_first_not_of("0123456789");
+    const int number = numberOf(word.substr(0, unit));
+    if (unit == std::string::npos || number < 0) {
+        return std::nullopt;
+    }
+    if (word.substr(unit) == "ms") {
+        return std::chrono::milliseconds(number);
+    }
+    if (word.substr(unit) == "s") {
+        return std::chrono::seconds(number);
+    }
+    return std::nullopt;
+}
+
+class Scenario
+{
+public:
+    /// Plays the file; false where it failed.
+    bool play(const std::string &path)
+    {
+        std::ifstream file(path);
+        std::string line;
+        int number = 0;
+        bool good = static_cast<bool>(file);
+        std::vector<Words> expectations;
+        while (good && std::getline(file, line)) {
+            ++number;
+            const Words words = absl::StrSplit(line, ' ', absl::SkipEmpty());
+            if (words.empty() || words[0] == "#") {
+                continue;
+            }
+            if (words[0] == "expect") {
+                expectations.emplace_back(words.begin() + 1, words.end());
+                continue;
+            }
+            good = playLine(words);
+            if (!good) {
+                fmt::print("{}:{}: cannot be read: {}\n", path, number, line);
+            }
+        }
+        if (!good || expectations.empty()) {
+            fmt::print("{}: not a scenario with expectations\n", path);
+            return false;
+        }
+        m_world.run(settleTime);
+        m_world.checks().finish();
+        for (const Words &expectation : expectations) {
+            good = judge(expectation, path) && good;
+        }
+        fmt::print("{} {}\n", good ? "passed" : "FAILED", path);
+        return good;
+    }
+
+private:
+    bool playLine(const Words &words)
+    {
+        const std::optional<Duration> time =
+            words.size() > 2 && words[0] == "at" ? timeOf(words[1]) : std::nullopt;
+        if (!time || *time < m_world.queue().elapsed()) {
+            return false;
+        }
+        m_world.run(*time - m_world.queue().elapsed());
+        return command(Words(words.begin() + 2, words.end()));
+    }
+
+    bool command(const Words &words)
+    {
+        const std::string &verb = words[0];
+        if (verb == "send") {
+            return send(words);
+        }
+        if (verb == "platform" && words.size() >= 2) {
+            return platform(words);
+        }
+        if (verb == "cut" && words.size() == 4) {
+            m_world.cuts().cut(words[1], words[3]);
+            return true;
+        }
+        if (verb == "heal") {
+            m_world.healAll();
+            return true;
+        }
+        if (verb == "weigh" && words.size() == 3) {
+            m_world.changeWeight(words[1], numberOf(words[2]));
+            return true;
+        }
+        return words.size() == 3 ? onEndpoint(words) : onHost(words);
+    }
+
+    bool send(const Words &words)
+    {
+        if (words.size() != 5) {
+            return false;
+        }
+        if (words[1] == "record") {
+            m_world.submit(words[4], "record", words[2], words[2], requestDeadline);
+            return true;
+        }
+        for (int i = 0; i < numberOf(words[1]); ++i) {
+            m_world.submit(words[4], "answer", fmt::format("q{}", ++m_bodies), "", requestDeadline);
+        }
+        return words[2] == "answers";
+    }
+
+    bool platform(const Words &words)
+    {
+        FakePlatform::Faults &faults = m_world.platform().faults();
+        if (words[1] == "out" || words[1] == "back") {
+            faults = {};
+            faults.outage = words[1] == "out";
+            return true;
+        }
+        if (words[1] == "loses") {
+            faults.loseAnswers = 1;
+            return true;
+        }
+        if (words[1] == "applies") {
+            faults.applyLate = 1;
+            return true;
+        }
+        return false;
+    }
+
+    bool onEndpoint(const Words &words)
+    {
+        if (words[1] != "endpoint" || !m_world.endpoints().contains(words[2])) {
+            return false;
+        }
+        if (words[0] == "kill") {
+            m_world.killEndpoint(words[2]);
+            return true;
+        }
+        if (words[0] == "leave") {
+            m_world.leaveEndpoint(words[2]);
+            return true;
+        }
+        return false;
+    }
+
+    bool onHost(const Words &words)
+    {
+        if (words.size() != 2) {
+            return false;
+        }
+        static const std::map<std::string, void (World<AllGuards>::*)(const std::string &)> verbs =
+            {{"kill", &World<AllGuards>::killHost},
+             {"start", &World<AllGuards>::startHost},
+             {"freeze", &World<AllGuards>::freeze},
+             {"thaw", &World<AllGuards>::thaw},
+             {"drain", &World<AllGuards>::drainHost}};
+        const auto found = verbs.find(words[0]);
+        if (found == verbs.end()) {
+            return false;
+        }
+        (m_world.*found->second)(words[1]);
+        return true;
+    }
+
+    bool judge(const Words &words, const std::string &path)
+    {
+        if (words == Words{"no", "violations"}) {
+            for (const std::string &line : m_world.checks().violations()) {
+                fmt::print("{}: {}\n", path, line);
+            }
+            return m_world.checks().violations().empty();
+        }
+        if (words == Words{"converged"}) {
+            return m_world.converged();
+        }
+        if (words.size() == 5 && words[0] == "runs") {
+            const auto &runs = m_world.checks().ledger().runsByKey;
+            const auto found = runs.find(words[2]);
+            return compare(found == runs.end() ? 0 : found->second, words[3], words[4], words[2],
+                           path);
+        }
+        if (words.size() == 4 && words[1] == "at") {
+            return compare(count(words[0]), words[2], words[3], words[0], path);
+        }
+        return words.size() == 3 && compare(count(words[0]), words[1], words[2], words[0], path);
+    }
+
+    int count(const std::string &outcome)
+    {
+        const auto &outcomes = m_world.checks().outcomes();
+        const auto found = outcomes.find(outcome);
+        return found == outcomes.end() ? 0 : found->second;
+    }
+
+    static bool compare(int actual, const std::string &relation, const std::string &bound,
+                        const std::string &what, const std::string &path)
+    {
+        const int number = numberOf(bound);
+        const bool good = (relation == "exactly" && actual == number)
+                          || (relation == "least" && actual >= number)
+                          || (relation == "most" && actual <= number);
+        if (!good) {
+            fmt::print("{}: {} is {}, expected {} {}\n", path, what, actual, relation, bound);
+        }
+        return good;
+    }
+
+    World<AllGuards> m_world{scenarioSeed, 4, 2};
+    int m_bodies = 0;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    int failed = argc < 2 ? 1 : 0;
+    for (int i = 1; i < argc; ++i) {
+        Scenario scenario;
+        failed += scenario.play(argv[i]) ? 0 : 1;
+    }
+    fmt::print("{} passed, {} failed\n", argc - 1 - failed, failed);
+    return failed == 0 ? 0 : 1;
+}
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -111,6 +111,7 @@
         host.lastSequence = 0;
         ControlOptions options;
         options.host = name;
+        options.peerAddress = name;
         options.dataCentre = host.dataCentre;
         options.incarnation = host.incarnation;
         host.control = std::make_unique<BasicControlMachine<G>>(m_queue.clock(), options);
--- a/unittests/Kernel/kernelfixture.h
+++ b/unittests/Kernel/kernelfixture.h
@@ -112,11 +112,17 @@
         machine.handle(ClaimDecision{id, {}, verdict, stored}, *snapshot);
         collect();
     }
+    /// Lets time pass with a turn at least every 500 ms, as the daemon has.
     void advance(Duration step)
     {
-        clock.advance(step);
-        machine.tick(*snapshot);
-        collect();
+        constexpr std::chrono::milliseconds longestWait{500};
+        while (step > Duration::zero()) {
+            const Duration part = std::min<Duration>(step, longestWait);
+            clock.advance(part);
+            step -= part;
+            machine.tick(*snapshot);
+            collect();
+        }
     }
     void collect()
     {
--- a/unittests/Kernel/requestmachinetest.cpp
+++ b/unittests/Kernel/requestmachinetest.cpp
@@ -244,6 +244,18 @@
     CHECK(bench.answers[1].retryAfter > Duration::zero());
 }
 
+// What a process that was stopped finds when it wakes looks slow and is not.
+TEST(RequestMachine, AnOwnPauseIsNotLearntAsSlowness)
+{
+    Bench bench;
+    bench.arrive("answer");
+    bench.clock.advance(std::chrono::seconds(5));
+    bench.answer(bench.sends.at(0).call);
+    CHECK(bench.answers.at(0).reason == Reason::CannotFinish);
+    bench.arrive("answer");
+    CHECK_EQUAL(2u, bench.sends.size());
+}
+
 TEST(RequestMachine, ABurstTakesTurnsByWeight)
 {
     Bench bench(1, 1);
