[Kernel] Take one lost answer for what it is, not for an outage

Cause: a claim ledger that met one silent update backed off and refused every claim that waited; with 10% of the platform's answers lost and 1,000 claims a second it completed 3,587 of 5,000.

Change: three silences in a row, or one refusal, count as an outage; after a single silence the bucket is read again at once.

--- a/include/harelink/Kernel/claimledger.h
+++ b/include/harelink/Kernel/claimledger.h
@@ -131,7 +131,8 @@
         std::vector<Applied> applied;
         ClaimRecords proposed;
         bool unsettled = false; ///< An update on this version may yet arrive.
-        bool down = false;      ///< The last call got no useful answer.
+        int failures = 0;       ///< Calls in a row without a useful answer.
+        bool down = false;      ///< The platform counts as out.
         TimePoint notBefore;
         Duration backOff{};
         TimePoint lastRead;
@@ -150,7 +151,7 @@
     void settle(Bucket &bucket);
     void deliver(Bucket &bucket);
     void returnBatch(Bucket &bucket, bool maybeWritten);
-    void backOff(Bucket &bucket);
+    void backOff(Bucket &bucket, PlatformOutcome outcome);
     void refusePending(Bucket &bucket);
     void wakeWaiting(Bucket &bucket);
     void remindClaimants(Bucket &bucket);
--- a/include/harelink/Kernel/claimledgerimpl.h
+++ b/include/harelink/Kernel/claimledgerimpl.h
@@ -19,6 +19,8 @@
 
 inline constexpr std::chrono::milliseconds firstBackOff{50};
 inline constexpr std::chrono::milliseconds longestBackOff{1000};
+/// Calls without an answer in a row after which the platform counts as out.
+inline constexpr int silencesOfAnOutage = 3;
 /// How often a bucket is read again while claims wait for a live claimant.
 inline constexpr std::chrono::milliseconds waitingReadInterval{250};
 /// How often an owner reads its bucket at the least.
@@ -316,8 +318,7 @@
     call.value = encodeRecords(bucket.proposed);
     if (call.value.size() > claimledger::largestValue) {
         returnBatch(bucket, false);
-        refusePending(bucket);
-        backOff(bucket);
+        backOff(bucket, PlatformOutcome::Refused);
         return;
     }
     ++m_counters.updates;
@@ -359,12 +360,12 @@
         records = decodeRecords(result.value);
     }
     if (!absent && !records) {
-        backOff(bucket);
-        refusePending(bucket);
+        backOff(bucket, result.outcome);
         return;
     }
     const Version version = absent ? 0 : result.version;
     bucket.down = false;
+    bucket.failures = 0;
     bucket.backOff = {};
     if (bucket.unsettled && version != bucket.version) {
         // It moved: the lost update is in what was just read, or never will be.
@@ -392,13 +393,11 @@
         returnBatch(bucket, true);
         bucket.unsettled = true;
         bucket.loaded = false;
-        backOff(bucket);
-        refusePending(bucket);
+        backOff(bucket, result.outcome);
         return;
     case PlatformOutcome::Refused:
         returnBatch(bucket, false);
-        backOff(bucket);
-        refusePending(bucket);
+        backOff(bucket, result.outcome);
         return;
     default:
         ++m_counters.conflicts;
@@ -419,6 +418,7 @@
     bucket.proposed.clear();
     bucket.unsettled = false;
     bucket.down = false;
+    bucket.failures = 0;
     bucket.backOff = {};
     deliver(bucket);
     wakeWaiting(bucket);
@@ -468,13 +468,20 @@
     bucket.applied.clear();
 }
 
+/// Waits before the next call. A single lost answer is no outage: only a refusal
+/// or several silences in a row make the claims that wait be refused.
 template <GuardPolicy G>
-void BasicClaimLedger<G>::backOff(Bucket &bucket)
+void BasicClaimLedger<G>::backOff(Bucket &bucket, PlatformOutcome outcome)
 {
-    bucket.down = true;
+    ++bucket.failures;
+    bucket.down =
+        outcome != PlatformOutcome::Silent || bucket.failures >= claimledger::silencesOfAnOutage;
     bucket.backOff = std::clamp<Duration>(bucket.backOff * 2, claimledger::firstBackOff,
                                           claimledger::longestBackOff);
-    bucket.notBefore = m_clock.now() + bucket.backOff;
+    bucket.notBefore = m_clock.now() + (bucket.down ? bucket.backOff : Duration::zero());
+    if (bucket.down) {
+        refusePending(bucket);
+    }
 }
 
 /// Refuses the claims of which no byte can have been written.
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -182,6 +182,9 @@
 
     void settle()
     {
+        m_world.healAll();
+        m_result.steps += m_world.run(settleTime);
+        // A planned stop that began before may have ended only now.
         m_world.healAll();
         m_result.steps += m_world.run(settleTime);
         if (!m_world.converged()) {
--- a/tools/harelink/commands.h
+++ b/tools/harelink/commands.h
@@ -25,6 +25,8 @@
 int deleteCommand(const Words &words);
 /// Prints changes to resources as they happen.
 int watchCommand(const Words &words);
+/// Shows what each daemon has in force.
+int statusCommand(const Words &words);
 /// Sends one request to a daemon and prints the answer.
 int callCommand(const Words &words);
 
--- a/tools/harelink/harelink.cpp
+++ b/tools/harelink/harelink.cpp
@@ -45,6 +45,8 @@
     {"watch", "watch [KIND] [--changes N]", "Prints changes as they happen.", watchCommand},
     {"call", "call PIPELINE --account NAME [--body JSON] [--key KEY] [--daemon ADDRESS]",
      "Sends one request; the answer goes to standard output.", callCommand},
+    {"status", "status [--output json]",
+     "Shows each listed daemon: ready, version in force, faults, platform, peers.", statusCommand},
     {"version", "version", "Prints the version.", versionCommand},
 };
 
--- /dev/null
+++ b/utils/bench/kernel.cpp
@@ -0,0 +1,90 @@
+//===- kernel.cpp - Cost of a request's decisions -------------------------===//
+///
+/// \file
+/// The kernel's time for one whole request of two stages, by the number of
+/// endpoints in its pools and of client accounts.
+///
+//===----------------------------------------------------------------------===//
+
+#include "harelink/Kernel/registry.h"
+#include "harelink/Kernel/requestmachine.h"
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+namespace {
+
+using namespace harelink;
+
+std::vector<Resource> configuration(std::int64_t endpoints, std::int64_t accounts)
+{
+    std::vector<Resource> resources;
+    const auto add = [&resources](ResourceSpec spec) {
+        resources.emplace_back();
+        resources.back().spec = std::move(spec);
+    };
+    for (std::int64_t i = 0; i < accounts; ++i) {
+        add(ClientAccountSpec{fmt::format("account-{}", i), 1, ""});
+    }
+    PipelineSpec pipeline;
+    pipeline.name = "answer";
+    pipeline.stages = {{"encode", "encoders"}, {"generate", "engines"}};
+    add(pipeline);
+    for (const char *pool : {"encoders", "engines"}) {
+        add(PoolSpec{pool, "plain-service", 1});
+        for (std::int64_t i = 0; i < endpoints / 2; ++i) {
+            EndpointSpec endpoint;
+            endpoint.name = fmt::format("{}-{}", pool, i);
+            endpoint.pool = pool;
+            endpoint.address = "127.0.0.1:1";
+            endpoint.dataCentre = "dc1";
+            endpoint.slots = 8;
+            add(endpoint);
+        }
+    }
+    return resources;
+}
+
+/// Answers every call that the machine asked for; gives how many.
+int answerCalls(RequestMachine &machine, const Snapshot &snapshot)
+{
+    int answered = 0;
+    for (RequestAction &action : machine.takeActions()) {
+        if (const auto *send = std::get_if<SendStage>(&action)) {
+            StageAnswered event;
+            event.call = send->call;
+            event.echoed = send->call;
+            event.body = "{}";
+            machine.handle(std::move(event), snapshot);
+            ++answered;
+        }
+    }
+    return answered;
+}
+
+void wholeRequest(benchmark::State &state)
+{
+    const auto snapshot =
+        buildSnapshot(configuration(state.range(0), state.range(1)), 1, "dc1", nullptr);
+    ManualClock clock;
+    RequestMachine machine(clock, Registry<RoutingPolicy>::instance().make("power-of-two"), 1, {});
+    std::uint64_t sequence = 0;
+    for (auto _ : state) {
+        RequestArrived event;
+        event.id = {1, ++sequence};
+        event.account = "account-1";
+        event.pipeline = "answer";
+        event.body = "{}";
+        machine.handle(std::move(event), *snapshot);
+        while (answerCalls(machine, *snapshot) > 0) {
+        }
+        clock.advance(std::chrono::microseconds(10));
+        machine.tick(*snapshot);
+    }
+}
+
+BENCHMARK(wholeRequest)->ArgsProduct({{36, 1000, 12000}, {5, 320}});
+
+} // namespace
+
+BENCHMARK_MAIN();
