[Kernel] Grant a claim that was found written before anything else

A claim's update was silent, then read to stand; the claim was handed to the next update of the bucket, which the platform refused, and the claim was then refused as never written, while its record stood and blocked the key. After a conflict the mark "may be written" was cleared before the read.

Change: a read that settles grants the claims that stand in it at once and only then clears the marks.

Ruled out: refusing with a release in doubt (the record is known, so it is not in doubt).

--- a/include/harelink/Kernel/claimledgerimpl.h
+++ b/include/harelink/Kernel/claimledgerimpl.h
@@ -367,13 +367,14 @@
     bucket.down = false;
     bucket.failures = 0;
     bucket.backOff = {};
-    if (bucket.unsettled && version != bucket.version) {
-        // It moved: the lost update is in what was just read, or never will be.
-        settle(bucket);
-    }
+    // If it moved, the lost update is in what was just read, or never will be.
+    const bool settled = !bucket.unsettled || version != bucket.version;
     bucket.loaded = true;
     bucket.version = version;
     bucket.records = records ? *std::move(records) : ClaimRecords();
+    if (settled) {
+        settle(bucket);
+    }
     wakeWaiting(bucket);
 }
 
@@ -403,7 +404,7 @@
         ++m_counters.conflicts;
         // The version has moved, so no update on the old one can arrive any more.
         returnBatch(bucket, false);
-        settle(bucket);
+        bucket.unsettled = false;
         bucket.loaded = false;
         bucket.notBefore = m_clock.now();
         return;
@@ -424,14 +425,28 @@
     wakeWaiting(bucket);
 }
 
-/// No update can arrive any more of which the outcome is not known.
+/// What was just read holds every update that ever will take effect. Claims that
+/// stand in it are granted at once: were they handed to the next update instead,
+/// its failure would have them refused as never written.
 template <GuardPolicy G>
 void BasicClaimLedger<G>::settle(Bucket &bucket)
 {
     bucket.unsettled = false;
-    for (Operation &operation : bucket.pending) {
+    std::erase_if(bucket.pending, [&](Operation &operation) {
         operation.maybeWritten = false;
-    }
+        const auto *request = std::get_if<ClaimRequest>(&operation.what);
+        if (request == nullptr) {
+            return false;
+        }
+        const auto record = bucket.records.find(request->key);
+        const bool stands = record != bucket.records.end()
+                            && record->second.claimant == request->claimant
+                            && record->second.state == ClaimRecord::State::Claimed;
+        if (stands) {
+            reply(*request, operation.host, ClaimVerdict::Granted, {});
+        }
+        return stands;
+    });
 }
 
 /// Tells everyone of the batch what became of it.
