[Standin] Share what both stand-ins did twice

Cause: the stand-ins' main functions and the reading of lists of kinds stood twice (a read of the tree as a newcomer).

--- a/test/sim/fakes.cpp
+++ b/test/sim/fakes.cpp
@@ -20,18 +20,6 @@
 constexpr std::uint64_t latestWriteMs = 900;
 constexpr milliseconds watchPoll{20};
 
-std::set<std::string> splitKinds(const std::string &text)
-{
-    std::set<std::string> kinds;
-    std::size_t at = 0;
-    while (at < text.size()) {
-        const std::size_t end = std::min(text.find(',', at), text.size());
-        kinds.insert(text.substr(at, end - at));
-        at = end + 1;
-    }
-    return kinds;
-}
-
 PlatformResult resultOf(const PlatformCall &call, PlatformOutcome outcome)
 {
     PlatformResult result;
@@ -150,7 +138,7 @@
         return put(call);
     case PlatformOperation::List:
         result.version = m_store.version();
-        result.objects = m_store.list(splitKinds(call.kind));
+        result.objects = m_store.list(standin::splitKinds(call.kind));
         return result;
     case PlatformOperation::Hosts:
         for (const auto &[name, value] : m_hosts) {
@@ -168,7 +156,7 @@
         reply(resultOf(call, PlatformOutcome::Refused));
         return;
     }
-    const auto changes = m_store.changes(splitKinds(call.kind), call.since);
+    const auto changes = m_store.changes(standin::splitKinds(call.kind), call.since);
     if (!changes) {
         reply(resultOf(call, PlatformOutcome::Gone));
         return;
--- a/utils/standin/endpoint.cpp
+++ b/utils/standin/endpoint.cpp
@@ -12,8 +12,9 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "serve.h"
+
 #include "harelink/Adapters/httpserver.h"
-#include "harelink/Support/error.h"
 #include "harelink/Support/hash.h"
 
 #include <fmt/format.h>
@@ -21,7 +22,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <csignal>
 #include <deque>
 #include <list>
 #include <mutex>
@@ -227,26 +227,11 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     Endpoint endpoint;
     HttpServerOptions options;
     options.address = FLAGS_address;
-    auto server = HttpServer::start(options, [&](HttpRequest request, const Responder &to) {
-        endpoint.handle(std::move(request), to);
-    });
-    if (!server.ok()) {
-        fmt::print(stderr, "standin-endpoint: {}\n", describeError(server.status()));
-        return 1;
-    }
-    endpoint.attach(server->get());
-    fmt::print("port {}\n", (*server)->port());
-    std::fflush(stdout);
-    int signal = 0;
-    sigwait(&signals, &signal);
-    (*server)->stop();
-    return 0;
+    return harelink::standin::serve(
+        options,
+        [&](HttpRequest request, const Responder &to) { endpoint.handle(std::move(request), to); },
+        [&](HttpServer *server) { endpoint.attach(server); });
 }
--- a/utils/standin/platform.cpp
+++ b/utils/standin/platform.cpp
@@ -14,17 +14,15 @@
 //===----------------------------------------------------------------------===//
 
 #include "platformstore.h"
+#include "serve.h"
 
 #include "harelink/Adapters/httpserver.h"
 #include "harelink/Config/resources.h"
-#include "harelink/Support/error.h"
 #include "harelink/Support/random.h"
 
-#include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
-#include <csignal>
 #include <deque>
 #include <mutex>
 
@@ -60,18 +58,6 @@
     std::uint64_t lost = 0;
 };
 
-std::set<std::string> splitKinds(const std::string &text)
-{
-    std::set<std::string> kinds;
-    std::size_t at = 0;
-    while (at < text.size()) {
-        const std::size_t end = std::min(text.find(',', at), text.size());
-        kinds.insert(text.substr(at, end - at));
-        at = end + 1;
-    }
-    return kinds;
-}
-
 nlohmann::json toJson(const PlatformObject &object)
 {
     return {{"kind", object.kind},
@@ -336,28 +322,13 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     Platform platform;
     HttpServerOptions options;
     options.address = FLAGS_address;
     options.threads = 2;
     options.largestBody = 3'000'000;
-    auto server = HttpServer::start(options, [&](const HttpRequest &request, const Responder &to) {
-        platform.handle(request, to);
-    });
-    if (!server.ok()) {
-        fmt::print(stderr, "standin-platform: {}\n", describeError(server.status()));
-        return 1;
-    }
-    platform.attach(server->get());
-    fmt::print("port {}\n", (*server)->port());
-    std::fflush(stdout);
-    int signal = 0;
-    sigwait(&signals, &signal);
-    (*server)->stop();
-    return 0;
+    return serve(
+        options,
+        [&](const HttpRequest &request, const Responder &to) { platform.handle(request, to); },
+        [&](HttpServer *server) { platform.attach(server); });
 }
--- a/utils/standin/platformstore.cpp
+++ b/utils/standin/platformstore.cpp
@@ -2,8 +2,22 @@
 
 #include "platformstore.h"
 
+#include <algorithm>
+
 namespace harelink::standin {
 
+std::set<std::string> splitKinds(const std::string &text)
+{
+    std::set<std::string> kinds;
+    std::size_t at = 0;
+    while (at < text.size()) {
+        const std::size_t end = std::min(text.find(',', at), text.size());
+        kinds.insert(text.substr(at, end - at));
+        at = end + 1;
+    }
+    return kinds;
+}
+
 Version PlatformStore::versionOf(const Key &key) const
 {
     const auto found = m_objects.find(key);
--- a/utils/standin/platformstore.h
+++ b/utils/standin/platformstore.h
@@ -21,6 +21,9 @@
 
 namespace harelink::standin {
 
+/// The kinds of a list such as "Pool,Endpoint".
+[[nodiscard]] std::set<std::string> splitKinds(const std::string &text);
+
 /// The objects. Not thread-safe.
 class PlatformStore
 {
