[Test] Name the key of a submission without a structured binding

Cause: the linter of the packaged clang 14 refuses a lambda that reads a structured binding, though g++ compiles it.

Change: the loop names its submission before the lambda reads it.

Ruled out: turning the check off; the code is easier to read without the binding.

Conclusion: mended.

--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -199,7 +199,8 @@
             m_world.submit("h1", key.pipeline, key.body, key.key, std::chrono::seconds(4));
         }
         m_result.steps += m_world.run(settleTime);
-        for (const auto &[id, submission] : m_world.checks().submissions()) {
+        for (const auto &entry : m_world.checks().submissions()) {
+            const Submission &submission = entry.second;
             const bool retried = std::any_of(keys.begin(), keys.end(), [&](const Submission &key) {
                 return key.key == submission.key;
             });
