[Bench] Measure admission, shares and routing against baselines

Cause: the decisions under load were built and never measured; DESIGN said so.

Change: a load world (request machines of nine daemons, endpoints with slots, queues and prompt caches, use exchanged every 250 ms) and harelink-bench-policies, which plays one load and one fault to the product and to simpler policies. Two guards for it: admitsByPrediction and ordersByUse. The fair queue takes a place by name.

--- a/include/harelink/Kernel/fairqueue.h
+++ b/include/harelink/Kernel/fairqueue.h
@@ -25,10 +25,18 @@
 class FairQueue
 {
 public:
-    /// Adds a request of \p account that is due at \p deadline.
-    void push(const std::string &account, TimePoint deadline, std::uint64_t sequence);
+    /// Where a request waits.
+    struct Place
+    {
+        std::string account;
+        TimePoint due; ///< The earliest of an account goes first.
+        std::uint64_t sequence = 0;
+    };
+
+    /// Adds a request.
+    void push(const Place &place);
     /// Takes out a request that is no longer wanted.
-    void remove(const std::string &account, TimePoint deadline, std::uint64_t sequence);
+    void remove(const Place &place);
     /// Takes out the request that goes next.
     ///
     /// \param pool the pool's name, whose use meters of \p snapshot decide.
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -1,9 +1,9 @@
 //===- harelink/Kernel/guards.h - The mechanisms, one by one ----*- C++ -*-===//
 ///
 /// \file
-/// Names each mechanism that guards a promise. The product always has all of
-/// them; a test takes one out, by a policy of its own, to show that the promise
-/// breaks without it.
+/// Names each mechanism that guards a promise or decides under load. The product
+/// always has all of them; a test takes one out, by a policy of its own, to show
+/// that the promise breaks, or how much worse the load is met, without it.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -37,6 +37,10 @@
     static constexpr bool shunsLeaving = true;
     /// A stopping daemon finishes what is in flight.
     static constexpr bool drainsBeforeExit = true;
+    /// A request is taken in, and kept, only while it is predicted to be in time.
+    static constexpr bool admitsByPrediction = true;
+    /// Waiting accounts go by their use for their weight, not as they came.
+    static constexpr bool ordersByUse = true;
 };
 
 /// A policy that says of each mechanism whether it is in place.
@@ -73,6 +77,12 @@
     {
         G::drainsBeforeExit
         } -> std::convertible_to<bool>;
+    {
+        G::admitsByPrediction
+        } -> std::convertible_to<bool>;
+    {
+        G::ordersByUse
+        } -> std::convertible_to<bool>;
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -176,6 +176,8 @@
     std::optional<AnswerCaller> refuseAtOnce(const RequestArrived &event,
                                              const Snapshot &snapshot) const;
     void claim(Request &request);
+    bool fitsDeadline(const Request &request, Duration wait, const Snapshot &snapshot);
+    static FairQueue::Place placeOf(const Request &request);
     void enqueue(Request &request, const Snapshot &snapshot);
     void dispatch(const std::string &pool, const Snapshot &snapshot);
     void send(Request &request, const PoolEntry &pool, const EndpointEntry &endpoint,
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -245,7 +245,7 @@
 
     const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
     const Duration wait = pool == nullptr ? Duration{} : queueWait(request, *pool, snapshot);
-    if (now + wait + remainingTime(request, snapshot) > request.deadline) {
+    if (!fitsDeadline(request, wait, snapshot)) {
         fail(request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
                        "the predicted time does not fit into the deadline"),
@@ -383,6 +383,17 @@
     return total;
 }
 
+/// Whether a request that first waits for \p wait is predicted to be in time.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::fitsDeadline(const Request &request, Duration wait,
+                                          const Snapshot &snapshot)
+{
+    if (!G::admitsByPrediction) {
+        return true;
+    }
+    return m_clock.now() + wait + remainingTime(request, snapshot) < request.deadline;
+}
+
 template <GuardPolicy G>
 Duration BasicRequestMachine<G>::queueWait(const Request &request, const PoolEntry &pool,
                                            const Snapshot &snapshot)
@@ -412,6 +423,15 @@
 
 // Dispatch --------------------------------------------------------------------
 
+template <GuardPolicy G>
+FairQueue::Place BasicRequestMachine<G>::placeOf(const Request &request)
+{
+    if (!G::ordersByUse) {
+        return {{}, request.arrivedAt, request.id.sequence};
+    }
+    return {request.account, request.deadline, request.id.sequence};
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::enqueue(Request &request, const Snapshot &snapshot)
 {
@@ -421,7 +441,7 @@
     if (state.queue.size() == 0) {
         state.lastDispatch = m_clock.now();
     }
-    state.queue.push(request.account, request.deadline, request.id.sequence);
+    state.queue.push(placeOf(request));
     if (const PoolEntry *entry = snapshot.pool(pool)) {
         entry->load->queued.fetch_add(1, std::memory_order_relaxed);
     }
@@ -453,7 +473,7 @@
         const EndpointEntry *endpoint =
             m_policy->choose({*pool, now, hash64(prefix), avoid}, m_random);
         if (endpoint == nullptr) {
-            state.queue.push(request.account, request.deadline, *sequence);
+            state.queue.push(placeOf(request));
             return;
         }
         pool->load->queued.fetch_sub(1, std::memory_order_relaxed);
@@ -599,7 +619,7 @@
         complete(request);
         return;
     }
-    if (m_clock.now() + remainingTime(request, snapshot) > request.deadline) {
+    if (!fitsDeadline(request, {}, snapshot)) {
         fail(request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "stage " + request.stageSpec().name, "",
                        "the stages left do not fit into the deadline"),
@@ -668,7 +688,7 @@
     if (request.attempt >= requestmachine::mostAttempts) {
         return false;
     }
-    if (m_clock.now() + remainingTime(request, snapshot) > request.deadline) {
+    if (!fitsDeadline(request, {}, snapshot)) {
         return false;
     }
     // A refusal cost the endpoint nothing and has lowered its limit already.
@@ -777,7 +797,7 @@
     const TimePoint now = m_clock.now();
     const bool due = now >= request.deadline - requestmachine::answerMargin;
     const bool queued = request.phase == Request::Phase::Queued;
-    if (!due && (!queued || now + remainingTime(request, snapshot) < request.deadline)) {
+    if (!due && (!queued || fitsDeadline(request, {}, snapshot))) {
         return;
     }
     const std::string poolName = request.stageSpec().pool;
@@ -785,7 +805,7 @@
                                  ? std::string("claim")
                                  : "stage " + request.stageSpec().name;
     if (queued) {
-        poolState(poolName).queue.remove(request.account, request.deadline, request.id.sequence);
+        poolState(poolName).queue.remove(placeOf(request));
         if (const PoolEntry *pool = snapshot.pool(poolName)) {
             pool->load->queued.fetch_sub(1, std::memory_order_relaxed);
         }
@@ -822,8 +842,7 @@
     for (const std::uint64_t sequence : sequences) {
         Request &request = *m_requests.at(sequence);
         if (request.phase == Request::Phase::Queued) {
-            poolState(request.stageSpec().pool)
-                .queue.remove(request.account, request.deadline, sequence);
+            poolState(request.stageSpec().pool).queue.remove(placeOf(request));
         }
         if (request.phase == Request::Phase::Running) {
             m_actions.emplace_back(CancelStage{request.call()});
--- a/lib/Kernel/fairqueue.cpp
+++ b/lib/Kernel/fairqueue.cpp
@@ -36,20 +36,20 @@
 
 } // namespace
 
-void FairQueue::push(const std::string &account, TimePoint deadline, std::uint64_t sequence)
+void FairQueue::push(const Place &place)
 {
-    const bool added = m_accounts[account].emplace(deadline, sequence).second;
+    const bool added = m_accounts[place.account].emplace(place.due, place.sequence).second;
     assert(added && "a request waits once");
     m_size += added ? 1 : 0;
 }
 
-void FairQueue::remove(const std::string &account, TimePoint deadline, std::uint64_t sequence)
+void FairQueue::remove(const Place &place)
 {
-    const auto backlog = m_accounts.find(account);
+    const auto backlog = m_accounts.find(place.account);
     if (backlog == m_accounts.end()) {
         return;
     }
-    m_size -= backlog->second.erase({deadline, sequence});
+    m_size -= backlog->second.erase({place.due, place.sequence});
     if (backlog->second.empty()) {
         m_accounts.erase(backlog);
     }
--- /dev/null
+++ b/test/sim/loadendpoint.h
@@ -0,0 +1,106 @@
+//===- loadendpoint.h - An endpoint with limited slots ----------*- C++ -*-===//
+///
+/// \file
+/// An endpoint that works on a limited number of calls, queues as many more and
+/// refuses the rest before running them. It keeps the prompts used last, and
+/// can be slowed, broken and killed.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_TEST_SIM_LOADENDPOINT_H
+#define HARELINK_TEST_SIM_LOADENDPOINT_H
+
+#include "fakes.h"
+
+#include <deque>
+#include <list>
+#include <optional>
+
+namespace harelink::sim {
+
+/// Endpoints of one kind.
+struct LoadPool
+{
+    std::string name;
+    int endpoints = 1;
+    int slots = 1;
+    std::chrono::milliseconds callTime{10}; ///< Mean time of a call.
+    std::size_t keptPrompts = 0;            ///< Size of the prompt cache of each.
+};
+
+/// How a call ended.
+struct LoadAnswer
+{
+    std::optional<SendEvidence> fault; ///< Nothing where it was answered.
+    Duration busy{};                   ///< Time that an endpoint's slot was held.
+    int active = 0;                    ///< Calls there, waiting ones included.
+};
+
+/// One endpoint.
+class LoadEndpoint
+{
+public:
+    using Done = std::function<void(const LoadAnswer &)>;
+
+    /// The references outlive the endpoint.
+    LoadEndpoint(const LoadPool &pool, EventQueue &queue, Random &random)
+        : m_pool(pool)
+        , m_queue(queue)
+        , m_random(random)
+    {
+    }
+
+    /// Takes in a call; \p done comes once, unless the call is cancelled.
+    void take(const SendStage &stage, Done done);
+    /// Ends a call; gives the time that it held a slot.
+    Duration cancel(const CallId &call);
+    /// A daemon sent something here, at \p now.
+    void noteSend(TimePoint now) { m_lastSend = now; }
+    /// Ends all calls and refuses connections until it is started.
+    void kill();
+    void start() { m_down = false; }
+    void setSlowFactor(double factor) { m_slowFactor = factor; }
+    /// The share of calls that fail after they ran.
+    void setFailing(double share) { m_failing = share; }
+
+    [[nodiscard]] TimePoint lastSend() const { return m_lastSend; }
+    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+    [[nodiscard]] std::uint64_t promptHits() const { return m_promptHits; }
+
+private:
+    struct Job
+    {
+        CallId call;
+        std::string prompt;
+        Done done;
+        TimePoint startedAt;
+        std::uint64_t run = 0; ///< Tells its end from that of a cancelled run.
+    };
+
+    void startNext();
+    void finish(std::uint64_t run);
+    Duration timeOf(const std::string &prompt);
+    bool touchPrompt(const std::string &prompt);
+    [[nodiscard]] int active() const
+    {
+        return static_cast<int>(m_running.size() + m_waiting.size());
+    }
+
+    LoadPool m_pool;
+    EventQueue &m_queue;
+    Random &m_random;
+    std::deque<Job> m_waiting;
+    std::list<Job> m_running;
+    std::list<std::string> m_prompts; // Those used last come first.
+    bool m_down = false;
+    double m_slowFactor = 1;
+    double m_failing = 0;
+    std::uint64_t m_runs = 0;
+    std::uint64_t m_calls = 0;
+    std::uint64_t m_promptHits = 0;
+    TimePoint m_lastSend;
+};
+
+} // namespace harelink::sim
+
+#endif // HARELINK_TEST_SIM_LOADENDPOINT_H
