[Kernel] Leave an endpoint alone that just refused

Cause: under overload every daemon asked full endpoints again within a round trip. A request used up its 16 sends on refusals, within some 20 ms, and failed though its account was first in line: the fair queue decided who was refused next.

Change: a refusal before running marks the endpoint full for a quarter of a call's time (2 to 250 ms), or until a call there ends; refusals no longer count as sends.

--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -51,6 +51,7 @@
     std::atomic<int> reportedActive{0};         ///< Last load report: calls in progress.
     std::atomic<int> failures{0};               ///< In a row.
     std::atomic<std::int64_t> ejectedUntil{0};  ///< Nanoseconds of the steady clock.
+    std::atomic<std::int64_t> fullUntil{0};     ///< After a refusal; nanoseconds as above.
     std::atomic<bool> leaving{false};           ///< Never goes back to false.
 };
 
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -31,7 +31,7 @@
 /// Retries earned by each first send, and the most that can be saved up.
 inline constexpr double retryTokensPerSend = 0.1;
 inline constexpr double mostRetryTokens = 20;
-/// Sends of one request over all its stages.
+/// Sends of one request over all its stages, those refused before running apart.
 inline constexpr std::uint32_t mostAttempts = 16;
 /// Bytes of a request that are taken for its prompt's prefix.
 inline constexpr std::size_t prefixBytes = 256;
@@ -74,6 +74,7 @@
     Phase phase = Phase::Queued;
     std::uint32_t stage = 0;
     std::uint32_t attempt = 0;
+    std::uint32_t refusals = 0; ///< Attempts that an endpoint refused before running them.
     bool holdsClaim = false;
     bool sentUnsettled = false; ///< A send of the current stage may have run.
     std::string previous;
@@ -661,6 +662,9 @@
     if (event.evidence == SendEvidence::Sent) {
         request->sentUnsettled = true;
     }
+    if (event.evidence == SendEvidence::RefusedBeforeRun) {
+        ++request->refusals;
+    }
     retryOrFail(*request, event, snapshot);
     dispatch(poolName, snapshot);
 }
@@ -685,7 +689,7 @@
     if (mayHaveRun && !request.pipeline.repeatable && G::retriesOnlyRepeatable) {
         return false;
     }
-    if (request.attempt >= requestmachine::mostAttempts) {
+    if (request.attempt - request.refusals >= requestmachine::mostAttempts) {
         return false;
     }
     if (!fitsDeadline(request, {}, snapshot)) {
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -14,6 +14,11 @@
 /// The first ejection's length; each further failure doubles it.
 constexpr milliseconds firstEjection{200};
 constexpr milliseconds longestEjection{10'000};
+/// After a refusal an endpoint is taken to be full for this part of a call's time,
+/// within bounds.
+constexpr int fullShare = 4;
+constexpr milliseconds leastFullTime{2};
+constexpr milliseconds mostFullTime{250};
 /// A smoothed latency moves by this part of the difference.
 constexpr std::int64_t smoothing = 8;
 /// At most this part of a pool is ejected at once.
@@ -24,6 +29,12 @@
     return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
 }
 
+Duration fullTime(const EndpointLoad &load)
+{
+    const std::chrono::microseconds call(load.latencyMicros.load(std::memory_order_relaxed));
+    return std::clamp<Duration>(call / fullShare, leastFullTime, mostFullTime);
+}
+
 bool isEjected(const EndpointEntry &entry, TimePoint now)
 {
     return entry.load->ejectedUntil.load(std::memory_order_relaxed) > nanos(now);
@@ -63,7 +74,7 @@
     if (load.leaving.load(std::memory_order_relaxed)) {
         return false;
     }
-    if (isEjected(entry, now)) {
+    if (isEjected(entry, now) || load.fullUntil.load(std::memory_order_relaxed) > nanos(now)) {
         return false;
     }
     const int inFlight = load.inFlight.load(std::memory_order_relaxed);
@@ -82,6 +93,7 @@
     const std::int64_t after = before == 0 ? sample : before + (sample - before) / smoothing;
     load.latencyMicros.store(std::max<std::int64_t>(after, 1), std::memory_order_relaxed);
     load.failures.store(0, std::memory_order_relaxed);
+    load.fullUntil.store(0, std::memory_order_relaxed);
     const int limit = load.limit.load(std::memory_order_relaxed);
     const bool wasFull = load.inFlight.load(std::memory_order_relaxed) + 1 >= limit;
     if (wasFull && limit < entry.spec.slots) {
@@ -94,8 +106,10 @@
 {
     EndpointLoad &load = *entry.load;
     if (evidence == SendEvidence::RefusedBeforeRun) {
-        // It is well but full: others send to it too, so take a smaller part.
+        // It is well but full: others send to it too, so take a smaller part, and
+        // ask again only when a call has had time to end.
         lowerLimit(load);
+        load.fullUntil.store(nanos(now + fullTime(load)), std::memory_order_relaxed);
         return;
     }
     const int failures = load.failures.fetch_add(1, std::memory_order_relaxed) + 1;
