[Kernel] Foresee the queues behind all stages, not only the first

Cause: admission added the wait of the first stage's queue only.

Change: each pool counts the requests of the worker that still need it, also those at earlier stages, by account. A new request is predicted to reach a stage no sooner than what goes before it there is sent, at the interval at which that queue moves or, at best, the whole pool could serve. Retry-After is taken from the same figure.

Ruled out: refusing more at later stages; by then the cost has been paid.

Whoever floods through one daemon gets less than who floods through all: daemons do not know each other's demand.

--- a/include/harelink/Kernel/fairqueue.h
+++ b/include/harelink/Kernel/fairqueue.h
@@ -42,9 +42,6 @@
     /// \param pool the pool's name, whose use meters of \p snapshot decide.
     std::optional<std::uint64_t> pop(const Snapshot &snapshot, const std::string &pool,
                                      TimePoint now);
-    /// How many requests of all accounts would go before a new one of
-    /// \p account, if each account gets its share.
-    [[nodiscard]] double ahead(const Snapshot &snapshot, const std::string &account) const;
     /// How many requests wait.
     [[nodiscard]] std::size_t size() const { return m_size; }
 
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -14,6 +14,7 @@
 #include "harelink/Kernel/fairqueue.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/latency.h"
+#include "harelink/Kernel/pooldemand.h"
 #include "harelink/Kernel/routing.h"
 #include "harelink/Kernel/snapshot.h"
 #include "harelink/Kernel/types.h"
@@ -176,7 +177,7 @@
     std::optional<AnswerCaller> refuseAtOnce(const RequestArrived &event,
                                              const Snapshot &snapshot) const;
     void claim(Request &request);
-    bool fitsDeadline(const Request &request, Duration wait, const Snapshot &snapshot);
+    bool fitsDeadline(const Request &request, Duration needed);
     static FairQueue::Place placeOf(const Request &request);
     void enqueue(Request &request, const Snapshot &snapshot);
     void dispatch(const std::string &pool, const Snapshot &snapshot);
@@ -186,15 +187,17 @@
     void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
     void complete(Request &request);
     void retryOrFail(Request &request, const StageFailed &event, const Snapshot &snapshot);
-    bool mayRetry(const Request &request, SendEvidence evidence, const Snapshot &snapshot);
+    bool mayRetry(const Request &request, SendEvidence evidence);
     void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
     void rememberGivenUp(const Request &request);
     void finishClaim(const Request &request, Outcome outcome, const std::string &answer);
     void answer(Request &request, AnswerCaller &&action);
     void settleCall(Request &request, const Snapshot &snapshot);
     Outcome outcomeOfFailure(const Request &request) const;
-    Duration remainingTime(const Request &request, const Snapshot &snapshot);
-    Duration queueWait(const Request &request, const PoolEntry &pool, const Snapshot &snapshot);
+    Duration remainingTime(const Request &request);
+    Duration timeWithWaits(const Request &request, const Snapshot &snapshot);
+    Duration queueWait(const Request &request, const StageSpec &stage, const Snapshot &snapshot);
+    void countDemand(Request &request, std::uint32_t from);
     Duration retryAfter(const Request &request, const Snapshot &snapshot);
     void expire(Request &request, const Snapshot &snapshot);
     void schedule(const Request &request, TimePoint at);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -74,6 +74,8 @@
     Phase phase = Phase::Queued;
     std::uint32_t stage = 0;
     std::uint32_t attempt = 0;
+    /// The first stage that is counted in its pool's demand, as are all after it.
+    std::uint32_t demandFrom = 0;
     std::uint32_t refusals = 0; ///< Attempts that an endpoint refused before running them.
     bool holdsClaim = false;
     bool sentUnsettled = false; ///< A send of the current stage may have run.
@@ -93,6 +95,7 @@
 struct BasicRequestMachine<G>::PoolState
 {
     FairQueue queue;
+    PoolDemand demand;
     LatencyModel latency;
     Duration dispatchInterval{}; ///< Smoothed, while requests waited.
     TimePoint lastDispatch;
@@ -244,15 +247,15 @@
     assert(added && "a request arrives once");
     (void)added;
 
-    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
-    const Duration wait = pool == nullptr ? Duration{} : queueWait(request, *pool, snapshot);
-    if (!fitsDeadline(request, wait, snapshot)) {
+    request.demandFrom = static_cast<std::uint32_t>(request.pipeline.stages.size());
+    if (!fitsDeadline(request, timeWithWaits(request, snapshot))) {
         fail(request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
                        "the predicted time does not fit into the deadline"),
              snapshot);
         return;
     }
+    countDemand(request, 0);
     schedule(request, request.deadline - requestmachine::answerMargin);
     if (!request.pipeline.repeatable && G::claimsBeforeSending) {
         claim(request);
@@ -372,10 +375,10 @@
 
 // Predicted times -------------------------------------------------------------
 
+/// The time that the stages left need, without waiting.
 template <GuardPolicy G>
-Duration BasicRequestMachine<G>::remainingTime(const Request &request, const Snapshot &snapshot)
+Duration BasicRequestMachine<G>::remainingTime(const Request &request)
 {
-    (void)snapshot;
     Duration total{};
     for (std::size_t i = request.stage; i < request.pipeline.stages.size(); ++i) {
         total += poolState(request.pipeline.stages[i].pool)
@@ -384,42 +387,73 @@
     return total;
 }
 
-/// Whether a request that first waits for \p wait is predicted to be in time.
+/// The time that all stages of a new request need, with the queues before them.
+/// While the request is at one stage, the queues of the later ones move on.
 template <GuardPolicy G>
-bool BasicRequestMachine<G>::fitsDeadline(const Request &request, Duration wait,
-                                          const Snapshot &snapshot)
+Duration BasicRequestMachine<G>::timeWithWaits(const Request &request, const Snapshot &snapshot)
 {
-    if (!G::admitsByPrediction) {
-        return true;
+    Duration total{};
+    for (const StageSpec &stage : request.pipeline.stages) {
+        const Duration call = poolState(stage.pool).latency.typical(m_clock.now(), request.bytes());
+        total = std::max(total, queueWait(request, stage, snapshot)) + call;
     }
-    return m_clock.now() + wait + remainingTime(request, snapshot) < request.deadline;
+    return total;
 }
 
+/// Whether a request that still needs \p needed is predicted to be in time.
 template <GuardPolicy G>
-Duration BasicRequestMachine<G>::queueWait(const Request &request, const PoolEntry &pool,
+bool BasicRequestMachine<G>::fitsDeadline(const Request &request, Duration needed)
+{
+    return !G::admitsByPrediction || m_clock.now() + needed < request.deadline;
+}
+
+/// The time until all that now goes before \p request has been sent to a stage's
+/// pool, from this worker.
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::queueWait(const Request &request, const StageSpec &stage,
                                            const Snapshot &snapshot)
 {
-    const PoolState &state = poolState(pool.spec.name);
-    if (state.queue.size() == 0) {
+    const PoolEntry *pool = snapshot.pool(stage.pool);
+    const PoolState &state = poolState(stage.pool);
+    if (pool == nullptr || state.demand.size() == 0) {
         return {};
     }
-    Duration interval = state.dispatchInterval;
-    if (interval == Duration{}) {
-        const int slots = std::max(1, pool.totalSlots);
-        interval = state.latency.typical(m_clock.now(), request.bytes()) * m_limits.workers / slots;
+    // At best this worker has the whole pool; how fast its queue moved says more.
+    const int slots = std::max(1, pool->totalSlots);
+    const Duration atBest =
+        state.latency.typical(m_clock.now(), request.bytes()) * m_limits.workers / slots;
+    Duration interval = std::max(state.dispatchInterval, atBest);
+    if (state.queue.size() > 0) {
+        interval = std::max(interval, m_clock.now() - state.lastDispatch);
     }
-    // A queue that does not move says more than how it moved before.
-    interval = std::max(interval, m_clock.now() - state.lastDispatch);
-    const double ahead = state.queue.ahead(snapshot, request.account);
+    const double ahead = state.demand.ahead(snapshot, request.account);
     return requestmachine::fromSeconds(ahead * requestmachine::seconds(interval));
 }
 
+/// Counts a request in the demand of its stages' pools from stage \p from on, and
+/// no more in that of the stages before.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::countDemand(Request &request, std::uint32_t from)
+{
+    const auto demand = [&](std::uint32_t stage) -> PoolDemand & {
+        return poolState(request.pipeline.stages[stage].pool).demand;
+    };
+    while (request.demandFrom > from) {
+        demand(--request.demandFrom).add(request.account);
+    }
+    while (request.demandFrom < from) {
+        demand(request.demandFrom++).remove(request.account);
+    }
+}
+
 template <GuardPolicy G>
 Duration BasicRequestMachine<G>::retryAfter(const Request &request, const Snapshot &snapshot)
 {
-    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
-    const Duration wait = pool == nullptr ? Duration{} : queueWait(request, *pool, snapshot);
-    return std::max<Duration>(wait, requestmachine::leastRetryAfter);
+    Duration wait = requestmachine::leastRetryAfter;
+    for (const StageSpec &stage : request.pipeline.stages) {
+        wait = std::max(wait, queueWait(request, stage, snapshot));
+    }
+    return wait;
 }
 
 // Dispatch --------------------------------------------------------------------
@@ -438,6 +472,7 @@
 {
     const std::string &pool = request.stageSpec().pool;
     request.phase = Request::Phase::Queued;
+    countDemand(request, request.stage);
     PoolState &state = poolState(pool);
     if (state.queue.size() == 0) {
         state.lastDispatch = m_clock.now();
@@ -447,7 +482,7 @@
         entry->load->queued.fetch_add(1, std::memory_order_relaxed);
     }
     // It is given up on as soon as it can no longer finish, not at its deadline.
-    schedule(request, request.deadline - remainingTime(request, snapshot));
+    schedule(request, request.deadline - remainingTime(request));
 }
 
 template <GuardPolicy G>
@@ -495,6 +530,7 @@
            && "a request that may not be repeated is sent under a claim only");
     const TimePoint now = m_clock.now();
     request.phase = Request::Phase::Running;
+    countDemand(request, request.stage + 1);
     request.endpoint = endpoint.spec.name;
     request.sentAt = now;
     ++request.attempt;
@@ -620,7 +656,7 @@
         complete(request);
         return;
     }
-    if (!fitsDeadline(request, {}, snapshot)) {
+    if (!fitsDeadline(request, remainingTime(request))) {
         fail(request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "stage " + request.stageSpec().name, "",
                        "the stages left do not fit into the deadline"),
@@ -673,7 +709,7 @@
 void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
                                          const Snapshot &snapshot)
 {
-    if (mayRetry(request, event.evidence, snapshot)) {
+    if (mayRetry(request, event.evidence)) {
         ++m_counters.retries;
         enqueue(request, snapshot);
         return;
@@ -682,8 +718,7 @@
 }
 
 template <GuardPolicy G>
-bool BasicRequestMachine<G>::mayRetry(const Request &request, SendEvidence evidence,
-                                      const Snapshot &snapshot)
+bool BasicRequestMachine<G>::mayRetry(const Request &request, SendEvidence evidence)
 {
     const bool mayHaveRun = evidence == SendEvidence::Sent;
     if (mayHaveRun && !request.pipeline.repeatable && G::retriesOnlyRepeatable) {
@@ -692,7 +727,7 @@
     if (request.attempt - request.refusals >= requestmachine::mostAttempts) {
         return false;
     }
-    if (!fitsDeadline(request, {}, snapshot)) {
+    if (!fitsDeadline(request, remainingTime(request))) {
         return false;
     }
     // A refusal cost the endpoint nothing and has lowered its limit already.
@@ -739,6 +774,7 @@
     action.elapsed = m_clock.now() - request.arrivedAt;
     action.allowed = request.deadline - request.arrivedAt;
     action.costs = std::move(request.costs);
+    countDemand(request, static_cast<std::uint32_t>(request.pipeline.stages.size()));
     ++m_counters.reasons[static_cast<std::size_t>(action.reason)];
     if (!action.replayed && action.reason != Reason::MayHaveRun
         && action.reason != Reason::KeyReused && action.reason != Reason::ClaimUnavailable) {
@@ -801,7 +837,7 @@
     const TimePoint now = m_clock.now();
     const bool due = now >= request.deadline - requestmachine::answerMargin;
     const bool queued = request.phase == Request::Phase::Queued;
-    if (!due && (!queued || fitsDeadline(request, {}, snapshot))) {
+    if (!due && (!queued || fitsDeadline(request, remainingTime(request)))) {
         return;
     }
     const std::string poolName = request.stageSpec().pool;
--- a/lib/Kernel/fairqueue.cpp
+++ b/lib/Kernel/fairqueue.cpp
@@ -2,22 +2,12 @@
 
 #include "harelink/Kernel/fairqueue.h"
 
-#include <algorithm>
 #include <cassert>
 #include <limits>
 
 namespace harelink {
 namespace {
 
-/// The weight of an account that was deleted while its requests wait.
-constexpr double weightOfDeleted = 1;
-
-double weightOf(const Snapshot &snapshot, const std::string &account)
-{
-    const AccountEntry *entry = snapshot.account(account);
-    return entry == nullptr ? weightOfDeleted : entry->spec.weight;
-}
-
 /// The account's recent use of the pool, in seconds for a unit of weight.
 double weightedUse(const Snapshot &snapshot, const std::string &account, const std::string &pool,
                    TimePoint now)
@@ -81,18 +71,4 @@
     return sequence;
 }
 
-double FairQueue::ahead(const Snapshot &snapshot, const std::string &account) const
-{
-    const auto own = m_accounts.find(account);
-    const double ownLength = own == m_accounts.end() ? 0 : static_cast<double>(own->second.size());
-    double otherWeights = 0;
-    for (const auto &[name, backlog] : m_accounts) {
-        if (name != account) {
-            otherWeights += weightOf(snapshot, name);
-        }
-    }
-    const double shareOfOthers = otherWeights / weightOf(snapshot, account);
-    return std::min(static_cast<double>(m_size), (ownLength + 1) * (1 + shareOfOthers) - 1);
-}
-
 } // namespace harelink
--- a/unittests/Kernel/overloadtest.cpp
+++ b/unittests/Kernel/overloadtest.cpp
@@ -6,6 +6,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
+
 using namespace harelink;
 using namespace harelink::testing;
 using std::chrono::milliseconds;
@@ -14,6 +16,58 @@
 
 using Bench = MachineBench<AllGuards>;
 
+struct AdmitsEverything : AllGuards
+{
+    static constexpr bool admitsByPrediction = false;
+};
+
+struct BurstResult
+{
+    std::size_t refusedUnrun = 0;
+    std::size_t ranForNothing = 0;
+    std::size_t completed = 0;
+};
+
+/// Thirty requests at once, of which the second stage, with one slot and 100 ms a
+/// call, can serve some nine within the deadline of 1 s.
+template <GuardPolicy G>
+BurstResult burstBeforeANarrowSecondStage()
+{
+    MachineBench<G> bench(1, 1);
+    auto serve = [&bench, served = std::size_t(0),
+                  due = std::multimap<TimePoint, CallId>()]() mutable {
+        for (;;) {
+            for (; served < bench.sends.size(); ++served) {
+                const bool slow = bench.sends[served].stage == "generate";
+                due.emplace(bench.clock.now() + milliseconds(slow ? 100 : 1),
+                            bench.sends[served].call);
+            }
+            if (due.empty()) {
+                return;
+            }
+            const auto [time, call] = *due.begin();
+            due.erase(due.begin());
+            bench.advance(time - bench.clock.now());
+            bench.answer(call);
+        }
+    };
+    bench.arrive("answer");
+    serve();
+    for (int i = 0; i < 30; ++i) {
+        bench.arrive("answer");
+    }
+    serve();
+    BurstResult result;
+    for (const AnswerCaller &answer : bench.answers) {
+        const bool completed = answer.outcome == Outcome::Completed;
+        const bool refusedUnrun = answer.outcome == Outcome::NotRun;
+        result.completed += completed ? 1 : 0;
+        result.refusedUnrun += refusedUnrun ? 1 : 0;
+        result.ranForNothing += !completed && !refusedUnrun ? 1 : 0;
+    }
+    return result;
+}
+
 } // namespace
 
 TEST_GROUP(Overload){};
@@ -45,3 +99,13 @@
     CHECK_EQUAL(41u, bench.sends.size());
     CHECK_EQUAL(0u, bench.answers.size());
 }
+
+TEST(Overload, AQueueBehindALaterStageIsForeseen)
+{
+    const BurstResult result = burstBeforeANarrowSecondStage<AllGuards>();
+    CHECK(result.completed >= 9);
+    CHECK(result.ranForNothing <= 2);
+    CHECK_EQUAL(31u, result.completed + result.refusedUnrun + result.ranForNothing);
+    const BurstResult control = burstBeforeANarrowSecondStage<AdmitsEverything>();
+    CHECK(control.ranForNothing >= 10);
+}
