[Plugins] Choose among all data centres, and one home for a prompt

Cause: the choice looked at the own data centre alone while anything there would take a call, so a daemon queued before a third of the pool; and each data centre had its own home for a prompt, so that its prefix was kept three times over. Pools that keep no prompts had homes too.

Change: the best of two draws from the own data centre, two from all, and the home; a crossing counts as 1 ms. The home is a point on a hash ring, the same at every daemon. A pool says by keepsPrompts whether it has homes.

--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -65,8 +65,9 @@
 struct PoolSpec
 {
     std::string name;
-    std::string protocol;     ///< Name of a stage protocol plug-in.
-    double costPerSecond = 1; ///< Price of a second of an endpoint's time.
+    std::string protocol;      ///< Name of a stage protocol plug-in.
+    double costPerSecond = 1;  ///< Price of a second of an endpoint's time.
+    bool keepsPrompts = false; ///< Its endpoints are faster on a prompt they saw lately.
 };
 
 /// An endpoint.
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -511,10 +511,8 @@
         }
         const EndpointEntry *avoid =
             request.endpoint.empty() ? nullptr : pool->find(request.endpoint);
-        const std::string prefix =
-            request.account + request.body.substr(0, requestmachine::prefixBytes);
         const EndpointEntry *endpoint =
-            m_policy->choose({*pool, now, hash64(prefix), avoid}, m_random);
+            m_policy->choose({*pool, now, homeOf(request, *pool), avoid}, m_random);
         if (endpoint == nullptr) {
             state.queue.push(placeOf(request));
             return;
@@ -528,6 +526,18 @@
     }
 }
 
+/// The endpoint that is likely to have the request's prompt still at hand.
+template <GuardPolicy G>
+const EndpointEntry *BasicRequestMachine<G>::homeOf(const Request &request, const PoolEntry &pool)
+{
+    if (!pool.spec.keepsPrompts) {
+        return nullptr;
+    }
+    const std::string prefix =
+        request.account + request.body.substr(0, requestmachine::prefixBytes);
+    return pool.homeOf(hash64(prefix));
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::send(Request &request, const PoolEntry &pool,
                                   const EndpointEntry &endpoint, const Snapshot &snapshot)
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -23,7 +23,7 @@
 {
     const PoolEntry &pool;
     TimePoint now;
-    std::uint64_t prefix = 0;             ///< Hash of the prompt's prefix; 0 where there is none.
+    const EndpointEntry *home = nullptr;  ///< Likely has the prompt at hand; null where unknown.
     const EndpointEntry *avoid = nullptr; ///< Failed this request just now; last resort only.
 };
 
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -14,8 +14,10 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace harelink {
@@ -43,7 +45,13 @@
     std::vector<EndpointEntry> endpoints;
     std::size_t localCount = 0; ///< How many at the front are of the own data centre.
     int totalSlots = 0;
+    /// Points on a ring, each an endpoint's index; empty where prompts are not kept.
+    std::vector<std::pair<std::uint64_t, std::size_t>> promptRing;
 
+    /// The endpoint where prompts that begin with what \p prefix is the hash of are
+    /// kept: the same at every daemon, and for most prefixes still the same when
+    /// an endpoint is added. Null where prompts are not kept.
+    [[nodiscard]] const EndpointEntry *homeOf(std::uint64_t prefix) const;
     /// The endpoint called \p name, or null.
     [[nodiscard]] const EndpointEntry *find(const std::string &name) const;
 };
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -68,6 +68,7 @@
     spec.name = name;
     spec.protocol = reader.choice("protocol", {"model-engine", "stage-pool", "plain-service"});
     spec.costPerSecond = reader.number("costPerSecond", 0, heaviestWeight, 1);
+    spec.keepsPrompts = reader.boolean("keepsPrompts", false);
     return spec;
 }
 
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -2,11 +2,16 @@
 
 #include "harelink/Kernel/snapshot.h"
 
+#include "harelink/Support/hash.h"
+
 #include <algorithm>
 
 namespace harelink {
 namespace {
 
+/// An endpoint's points on the ring of prompts: more spread them more evenly.
+constexpr std::uint64_t ringPoints = 16;
+
 template <typename Map>
 const typename Map::mapped_type *findIn(const Map &map, const std::string &name)
 {
@@ -58,6 +63,21 @@
             pool->second.localCount += isLocal(spec) ? 1 : 0;
             pool->second.totalSlots += spec.slots;
         }
+        for (auto &[name, pool] : m_snapshot.pools) {
+            if (pool.spec.keepsPrompts) {
+                placeRing(pool);
+            }
+        }
+    }
+
+    static void placeRing(PoolEntry &pool)
+    {
+        for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
+            for (std::uint64_t point = 0; point < ringPoints; ++point) {
+                pool.promptRing.emplace_back(hash64(pool.endpoints[i].spec.name, point), i);
+            }
+        }
+        std::sort(pool.promptRing.begin(), pool.promptRing.end());
     }
 
     std::shared_ptr<EndpointLoad> loadOf(const EndpointSpec &spec) const
@@ -106,6 +126,16 @@
     return remote != endpoints.end() && remote->spec.name == name ? &*remote : nullptr;
 }
 
+const EndpointEntry *PoolEntry::homeOf(std::uint64_t prefix) const
+{
+    if (promptRing.empty()) {
+        return nullptr;
+    }
+    const auto next = std::lower_bound(promptRing.begin(), promptRing.end(),
+                                       std::pair<std::uint64_t, std::size_t>(prefix, 0));
+    return &endpoints[(next == promptRing.end() ? promptRing.front() : *next).second];
+}
+
 const PipelineSpec *Snapshot::pipeline(const std::string &name) const
 {
     return findIn(pipelines, name);
--- a/lib/Plugins/routingpolicies.cpp
+++ b/lib/Plugins/routingpolicies.cpp
@@ -8,17 +8,18 @@
 
 #include "harelink/Kernel/registry.h"
 #include "harelink/Kernel/routing.h"
-#include "harelink/Support/hash.h"
 
 #include <algorithm>
 
 namespace harelink {
 namespace {
 
-/// Random draws before a pool is searched from end to end.
-constexpr int mostDraws = 6;
+/// Random draws from the own data centre, and as many from all.
+constexpr int drawsEach = 2;
 /// Share of a call's time that a cached prefix is taken to save.
-constexpr double prefixSaving = 0.3;
+constexpr double prefixSaving = 0.5;
+/// What a call to another data centre costs, as time.
+constexpr double crossingMicros = 1000;
 
 /// The time until a new call to \p entry would be answered, in microseconds.
 double predictedMicros(const EndpointEntry &entry, TimePoint now)
@@ -57,8 +58,9 @@
     return usable ? query.avoid : nullptr;
 }
 
-/// Takes the better of two random endpoints, those of the own data centre
-/// first, and counts a cached prefix as time saved.
+/// Takes the best of a few random endpoints, some of them from the own data centre,
+/// and of the one where the prompt's prefix is kept. A crossing between data centres
+/// and a kept prefix count as time.
 class PowerOfTwo final : public RoutingPolicy
 {
 public:
@@ -66,67 +68,67 @@
     {
         const std::size_t local = query.pool.localCount;
         const std::size_t all = query.pool.endpoints.size();
-        if (const EndpointEntry *entry = chooseWithin(query, 0, local, random)) {
-            return entry;
+        Best best(query);
+        if (query.home != nullptr && query.home != query.avoid
+            && isEligible(*query.home, query.now)) {
+            best.consider(query.home);
         }
-        if (const EndpointEntry *entry = chooseWithin(query, local, all, random)) {
-            return entry;
+        for (int i = 0; i < drawsEach; ++i) {
+            best.consider(draw(query, local, random));
+            best.consider(draw(query, all, random));
         }
-        return lastResort(query);
+        if (best.entry() == nullptr) {
+            best.consider(firstEligible(query, 0, local, random));
+            best.consider(firstEligible(query, local, all, random));
+        }
+        return best.entry() != nullptr ? best.entry() : lastResort(query);
     }
 
 private:
-    static const EndpointEntry *chooseWithin(const RoutingQuery &query, std::size_t begin,
-                                             std::size_t end, Random &random)
+    /// The best of the endpoints that were considered.
+    class Best
     {
-        if (begin == end) {
-            return nullptr;
-        }
-        const EndpointEntry *first = draw(query, begin, end, random);
-        if (first == nullptr) {
-            return nullptr;
+    public:
+        explicit Best(const RoutingQuery &query)
+            : m_query(query)
+        {
         }
-        const EndpointEntry *second = draw(query, begin, end, random);
-        const EndpointEntry *home = homeOf(query, begin, end);
-        const EndpointEntry *best = first;
-        double bestTime = timeOf(*first, home, query.now);
-        for (const EndpointEntry *entry : {second, home}) {
-            if (entry != nullptr && timeOf(*entry, home, query.now) < bestTime) {
-                best = entry;
-                bestTime = timeOf(*entry, home, query.now);
+        void consider(const EndpointEntry *entry)
+        {
+            if (entry == nullptr) {
+                return;
             }
-        }
-        return best;
-    }
-
-    static const EndpointEntry *draw(const RoutingQuery &query, std::size_t begin, std::size_t end,
-                                     Random &random)
-    {
-        for (int i = 0; i < mostDraws; ++i) {
-            const EndpointEntry &entry = query.pool.endpoints[begin + random.below(end - begin)];
-            if (&entry != query.avoid && isEligible(entry, query.now)) {
-                return &entry;
+            const double time = timeOf(*entry);
+            if (m_entry == nullptr || time < m_time) {
+                m_entry = entry;
+                m_time = time;
             }
         }
-        return firstEligible(query, begin, end, random);
-    }
+        [[nodiscard]] const EndpointEntry *entry() const { return m_entry; }
+
+    private:
+        [[nodiscard]] double timeOf(const EndpointEntry &entry) const
+        {
+            const double time = predictedMicros(entry, m_query.now);
+            const auto index = static_cast<std::size_t>(&entry - m_query.pool.endpoints.data());
+            const double crossing = index < m_query.pool.localCount ? 0 : crossingMicros;
+            return crossing + (&entry == m_query.home ? time * (1 - prefixSaving) : time);
+        }
 
-    /// The endpoint where a prompt's prefix is kept warm.
-    static const EndpointEntry *homeOf(const RoutingQuery &query, std::size_t begin,
-                                       std::size_t end)
+        const RoutingQuery &m_query;
+        const EndpointEntry *m_entry = nullptr;
+        double m_time = 0;
+    };
+
+    /// A random one of the first \p count endpoints, if it is eligible.
+    static const EndpointEntry *draw(const RoutingQuery &query, std::size_t count, Random &random)
     {
-        if (query.prefix == 0) {
+        if (count == 0) {
             return nullptr;
         }
-        const EndpointEntry &entry = query.pool.endpoints[begin + query.prefix % (end - begin)];
+        const EndpointEntry &entry = query.pool.endpoints[random.below(count)];
         return &entry != query.avoid && isEligible(entry, query.now) ? &entry : nullptr;
     }
-
-    static double timeOf(const EndpointEntry &entry, const EndpointEntry *home, TimePoint now)
-    {
-        const double time = predictedMicros(entry, now);
-        return &entry == home ? time * (1 - prefixSaving) : time;
-    }
 };
 
 /// Baseline: each endpoint in turn.
--- a/test/sim/loadworld.h
+++ b/test/sim/loadworld.h
@@ -157,7 +157,7 @@
             add(pipeline);
         }
         for (const LoadPool &pool : m_setup.pools) {
-            add(PoolSpec{pool.name, "plain-service", 1});
+            add(PoolSpec{pool.name, "plain-service", 1, pool.keptPrompts > 0});
             for (int i = 0; i < pool.endpoints; ++i) {
                 EndpointSpec spec;
                 spec.name = fmt::format("{}-{}", pool.name, i);
--- /dev/null
+++ b/unittests/Kernel/routingtest.cpp
@@ -0,0 +1,121 @@
+//===- routingtest.cpp - Tests of the choice of an endpoint ---------------===//
+
+#include "kernelfixture.h"
+
+#include "harelink/Kernel/routing.h"
+#include "harelink/Support/hash.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace harelink;
+using namespace harelink::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::uint64_t manyPrefixes = 600;
+
+/// A pool that keeps prompts, with endpoints in two data centres.
+std::unique_ptr<const Snapshot> promptPool(int endpoints, const std::string &dataCentre)
+{
+    std::vector<Resource> resources;
+    resources.push_back(makeResource(PoolSpec{"engines", "model-engine", 1, true}));
+    for (int i = 0; i < endpoints; ++i) {
+        EndpointSpec endpoint;
+        endpoint.name = fmt::format("engine-{}", i);
+        endpoint.pool = "engines";
+        endpoint.dataCentre = i % 2 == 0 ? "dc1" : "dc2";
+        endpoint.slots = 4;
+        resources.push_back(makeResource(endpoint));
+    }
+    return buildSnapshot(resources, 1, dataCentre, nullptr);
+}
+
+std::string homeName(const Snapshot &snapshot, std::uint64_t prefix)
+{
+    return snapshot.pool("engines")->homeOf(hash64("prefix", prefix))->spec.name;
+}
+
+} // namespace
+
+TEST_GROUP(Routing)
+{
+    ManualClock clock;
+    Random random{1};
+    std::unique_ptr<RoutingPolicy> policy =
+        Registry<RoutingPolicy>::instance().make("power-of-two");
+
+    /// How often each endpoint is chosen in a hundred choices.
+    std::map<std::string, int> choices(const Snapshot &snapshot, const EndpointEntry *home)
+    {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 100; ++i) {
+            const RoutingQuery query{*snapshot.pool("engines"), clock.now(), home, nullptr};
+            ++counts[policy->choose(query, random)->spec.name];
+        }
+        return counts;
+    }
+};
+
+TEST(Routing, DaemonsOfAllDataCentresAgreeOnThePlaceOfAPrompt)
+{
+    const auto here = promptPool(6, "dc1");
+    const auto there = promptPool(6, "dc2");
+    std::map<std::string, int> counts;
+    for (std::uint64_t prefix = 0; prefix < manyPrefixes; ++prefix) {
+        STRCMP_EQUAL(homeName(*here, prefix).c_str(), homeName(*there, prefix).c_str());
+        ++counts[homeName(*here, prefix)];
+    }
+    CHECK_EQUAL(6u, counts.size());
+}
+
+TEST(Routing, ANewEndpointTakesFewPromptsFromTheOthers)
+{
+    const auto before = promptPool(6, "dc1");
+    const auto after = promptPool(7, "dc1");
+    std::uint64_t moved = 0;
+    for (std::uint64_t prefix = 0; prefix < manyPrefixes; ++prefix) {
+        const std::string now = homeName(*after, prefix);
+        if (now != homeName(*before, prefix)) {
+            STRCMP_EQUAL("engine-6", now.c_str());
+            ++moved;
+        }
+    }
+    CHECK(moved > 0);
+    CHECK(moved < manyPrefixes / 3);
+}
+
+TEST(Routing, APromptGoesHomeUntilThatIsMuchBusier)
+{
+    const auto snapshot = promptPool(6, "dc1");
+    const PoolEntry &pool = *snapshot->pool("engines");
+    for (const EndpointEntry &endpoint : pool.endpoints) {
+        endpoint.load->latencyMicros = 100'000;
+    }
+    const EndpointEntry *home = pool.find("engine-3");
+    CHECK_EQUAL(100, choices(*snapshot, home)["engine-3"]);
+    home->load->reportedActive = 20;
+    CHECK_EQUAL(0, choices(*snapshot, home)["engine-3"]);
+}
+
+TEST(Routing, ACrossingIsWorthItWhereTheOwnDataCentreIsSlow)
+{
+    const auto snapshot = promptPool(6, "dc1");
+    const PoolEntry &pool = *snapshot->pool("engines");
+    for (const EndpointEntry &endpoint : pool.endpoints) {
+        endpoint.load->latencyMicros = 50'000;
+    }
+    for (const auto &[name, count] : choices(*snapshot, nullptr)) {
+        STRCMP_EQUAL("dc1", pool.find(name)->spec.dataCentre.c_str());
+    }
+    for (std::size_t i = 0; i < pool.localCount; ++i) {
+        pool.endpoints[i].load->latencyMicros = 500'000;
+    }
+    int remote = 0;
+    for (const auto &[name, count] : choices(*snapshot, nullptr)) {
+        remote += pool.find(name)->spec.dataCentre == "dc2" ? count : 0;
+    }
+    CHECK(remote > 50);
+}
