--- a/include/harelink/Adapters/httpclient.h
+++ b/include/harelink/Adapters/httpclient.h
@@ -50,6 +50,8 @@
 {
 public:
     using Done = std::function<void(HttpResult)>;
+    /// Takes a part of the body as it comes; the headers so far are in the result.
+    using Part = std::function<void(const HttpResult &, const std::string &)>;
 
     HttpClient();
     ~HttpClient();
@@ -57,7 +59,10 @@
     HttpClient &operator=(const HttpClient &) = delete;
 
     /// Starts a call; \p done is called once from poll(), unless it is cancelled.
-    std::uint64_t send(const HttpCall &call, Done done);
+    ///
+    /// \param part is called from poll() with each part of the body, in order and
+    ///        before \p done, whose result then has no body; may be empty.
+    std::uint64_t send(const HttpCall &call, Done done, Part part = {});
     /// Stops a call; its \p done is not called.
     void cancel(std::uint64_t id);
     /// Moves calls on, waiting at most \p timeout for something to happen.
@@ -72,10 +77,12 @@
     class Transfer;
     struct Multi;
 
+    void deliverParts();
     void finishTransfers();
 
     std::unique_ptr<Multi> m_multi;
     std::map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
+    std::vector<std::uint64_t> m_withParts; // Calls of which something came in.
     std::uint64_t m_nextId = 1;
 };
 
--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -45,9 +45,15 @@
     std::string contentType = "application/json";
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /// More parts follow: the reply is sent in chunks, each with a call of the
+    /// responder. Only the first part's status and headers count.
+    bool more = false;
+    /// Called on a server's thread if this part cannot be sent; may be empty.
+    std::function<void()> onBroken;
 };
 
-/// Sends the reply; from any thread, once.
+/// Sends the reply; from any thread. Called once, or once for each part of a
+/// reply in parts, one after the other.
 using Responder = std::function<void(HttpReply)>;
 /// Takes a request in; called on the server's threads.
 using HttpHandler = std::function<void(HttpRequest, Responder)>;
--- a/include/harelink/Daemon/metrics.h
+++ b/include/harelink/Daemon/metrics.h
@@ -54,6 +54,7 @@
     std::map<std::string, double> m_cost;            // By stage and account.
     std::map<std::string, SecondsHistogram> m_stageSeconds;
     std::map<std::string, SecondsHistogram> m_requestSeconds;
+    std::map<std::string, SecondsHistogram> m_firstTokenSeconds; // Of streams only.
 };
 
 /// Appends one counter or gauge without labels.
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -23,6 +23,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <variant>
 
 namespace harelink {
 
@@ -67,6 +68,14 @@
     void stop();
 
 private:
+    /// Who waits for an answer.
+    struct Caller
+    {
+        Responder responder;
+        bool wantsStream = false;
+        bool streamBegan = false;
+    };
+
     template <typename Event>
     void feed(Event event);
     void refuseToken(const CallerRequest &request, const Responder &responder);
@@ -75,9 +84,13 @@
     void carryOut();
     void perform(SendStage action);
     void perform(const CancelStage &action);
+    void perform(const StreamPiece &action);
     void perform(const AnswerCaller &action);
     void perform(ClaimRequest action);
     void perform(ClaimFinish action);
+    void stream(const CallId &call, const HttpCall &http,
+                const std::shared_ptr<StageStream> &stream);
+    void feedAny(std::variant<StageAnswered, StageFailed> event);
     const StageProtocol &protocol(const std::string &name);
 
     const Settings &m_settings;
@@ -87,8 +100,8 @@
     EventLoop m_loop;
     RequestMachine m_machine;
     RequestMetrics m_metrics;
-    absl::flat_hash_map<std::uint64_t, Responder> m_responders; // By request sequence.
-    std::map<CallId, std::uint64_t> m_calls;                    // To HttpClient's ids.
+    absl::flat_hash_map<std::uint64_t, Caller> m_callers; // By request sequence.
+    std::map<CallId, std::uint64_t> m_calls;              // To HttpClient's ids.
     std::map<std::string, std::unique_ptr<StageProtocol>> m_protocols;
     std::thread m_thread;
 };
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -47,6 +47,7 @@
     std::string idempotencyKey;          ///< Empty where the caller gave none.
     std::optional<Duration> timeAllowed; ///< The pipeline's deadline where absent.
     std::string traceparent;             ///< W3C; empty where the caller gave none.
+    bool streams = false;                ///< Wants the last stage's answer as it comes.
 };
 
 /// Event: an endpoint answered a call.
@@ -59,6 +60,16 @@
     int reportedActive = -1; ///< Its load report; negative where it sent none.
 };
 
+/// Event: a part of the answer to a call that streams.
+struct StagePiece
+{
+    CallId call;                  ///< As in StageAnswered.
+    CallId echoed;                ///< As in StageAnswered.
+    std::uint64_t firstToken = 0; ///< Its place in the whole answer, over all attempts.
+    std::uint64_t tokens = 1;
+    std::string text;
+};
+
 /// Event: a call failed.
 struct StageFailed
 {
@@ -88,6 +99,18 @@
     bool refusesBeforeRunning = false; ///< The endpoint's 429 and 503 mean that nothing ran.
     std::string traceparent;
     Duration timeout{};
+    bool streams = false;           ///< The answer is wanted as it comes, if that can be had.
+    std::uint64_t tokensBefore = 0; ///< Already passed on to the caller, from a stream that
+    std::string textBefore;         ///< broke: the answer is to go on right behind them.
+};
+
+/// Action: pass a part of the answer on to the caller.
+struct StreamPiece
+{
+    RequestId id;
+    std::uint64_t firstToken = 0;
+    std::uint64_t tokens = 1;
+    std::string text;
 };
 
 /// Action: stop a call; its answer is no longer wanted.
@@ -110,11 +133,14 @@
     Duration retryAfter{}; ///< When to come back; zero where that is of no use.
     Duration elapsed{};
     Duration allowed{};
+    Duration firstPiece{};    ///< From the arrival to the first part of a stream, or zero.
+    std::uint64_t tokens = 0; ///< Passed on in parts.
     std::vector<StageCost> costs;
 };
 
 /// What a machine wants done.
-using RequestAction = std::variant<SendStage, CancelStage, AnswerCaller, ClaimRequest, ClaimFinish>;
+using RequestAction =
+    std::variant<SendStage, CancelStage, StreamPiece, AnswerCaller, ClaimRequest, ClaimFinish>;
 
 /// Counts of what a machine did.
 struct RequestCounters
@@ -124,6 +150,7 @@
     std::uint64_t staleAnswers = 0;      ///< For an attempt that is no longer current.
     std::uint64_t mismatchedAnswers = 0; ///< That carry another call's identity.
     std::uint64_t lateGrants = 0;        ///< For a request already given up on.
+    std::uint64_t resumedStreams = 0;    ///< Sent on behind what a broken stream had brought.
     std::array<std::uint64_t, reasonCount> reasons{};
 };
 
@@ -149,6 +176,7 @@
     /// The events. \p snapshot is the configuration now in force.
     void handle(RequestArrived event, const Snapshot &snapshot);
     void handle(StageAnswered event, const Snapshot &snapshot);
+    void handle(const StagePiece &event, const Snapshot &snapshot);
     void handle(const StageFailed &event, const Snapshot &snapshot);
     void handle(const ClaimDecision &event, const Snapshot &snapshot);
     void handle(const CallerGone &event, const Snapshot &snapshot);
@@ -196,6 +224,9 @@
     void rememberGivenUp(const Request &request);
     void finishClaim(const Request &request, Outcome outcome, const std::string &answer);
     void answer(Request &request, AnswerCaller &&action);
+    Request *findCurrent(const CallId &call);
+    void refuseAnswer(const Request &request, std::string_view message, const Snapshot &snapshot);
+    void withdraw(Request &request, const Snapshot &snapshot);
     void settleCall(Request &request, const Snapshot &snapshot);
     Outcome outcomeOfFailure(const Request &request) const;
     Duration remainingTime(const Request &request);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -78,6 +78,10 @@
     std::uint32_t demandFrom = 0;
     std::uint32_t refusals = 0; ///< Attempts that an endpoint refused before running them.
     bool holdsClaim = false;
+    bool streams = false;
+    std::uint64_t tokens = 0; ///< Passed on to the caller, with their text.
+    std::string text;
+    Duration firstPiece{};
     bool sentUnsettled = false; ///< A send of the current stage may have run.
     std::string previous;
     std::string endpoint; ///< Of the call in progress, or of the last one that failed.
@@ -244,6 +248,7 @@
     request.body = std::move(event.body);
     request.idempotencyKey = std::move(event.idempotencyKey);
     request.traceparent = std::move(event.traceparent);
+    request.streams = event.streams;
     request.arrivedAt = now;
     request.deadline = now + event.timeAllowed.value_or(request.pipeline.deadline);
     const bool added = m_requests.emplace(event.id.sequence, std::move(owned)).second;
@@ -579,6 +584,10 @@
     action.refusesBeforeRunning = endpoint.spec.refusesBeforeRunning;
     action.traceparent = request.traceparent;
     action.timeout = request.deadline - now;
+    action.streams = request.streams && request.stage + 1 == request.pipeline.stages.size();
+    action.tokensBefore = request.tokens;
+    action.textBefore = request.text;
+    m_counters.resumedStreams += request.tokens > 0 ? 1 : 0;
     m_actions.emplace_back(std::move(action));
 }
 
@@ -630,24 +639,73 @@
 
 // Answers ---------------------------------------------------------------------
 
+/// The request that now waits for an answer to \p call, or null.
 template <GuardPolicy G>
-void BasicRequestMachine<G>::handle(StageAnswered event, const Snapshot &snapshot)
+auto BasicRequestMachine<G>::findCurrent(const CallId &call) -> Request *
 {
-    noticePause();
-    Request *request = find(event.call.request);
+    Request *request = find(call.request);
     const bool running = request != nullptr && request->phase == Request::Phase::Running;
-    if (!running || (G::matchesAttempts && request->call() != event.call)) {
+    if (!running || (G::matchesAttempts && request->call() != call)) {
         ++m_counters.staleAnswers;
+        return nullptr;
+    }
+    return request;
+}
+
+/// Takes an answer that is not the request's own for a failure of its call.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::refuseAnswer(const Request &request, std::string_view message,
+                                          const Snapshot &snapshot)
+{
+    ++m_counters.mismatchedAnswers;
+    m_actions.emplace_back(CancelStage{request.call()});
+    StageFailed failure;
+    failure.call = request.call();
+    failure.status = makeError(absl::StatusCode::kInternal, "stage " + request.stageSpec().name,
+                               request.endpoint, message);
+    handle(failure, snapshot);
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(const StagePiece &event, const Snapshot &snapshot)
+{
+    noticePause();
+    Request *request = findCurrent(event.call);
+    if (request == nullptr) {
         return;
     }
     if (G::matchesAttempts && event.echoed != event.call) {
-        ++m_counters.mismatchedAnswers;
-        StageFailed failure;
-        failure.call = event.call;
-        failure.status =
-            makeError(absl::StatusCode::kInternal, "stage " + request->stageSpec().name,
-                      request->endpoint, "the answer carries another call's identity");
-        handle(failure, snapshot);
+        refuseAnswer(*request, "the stream carries another call's identity", snapshot);
+        return;
+    }
+    // A token is passed on once, and none before those that stand in front of it.
+    if (G::matchesAttempts && event.firstToken != request->tokens) {
+        refuseAnswer(*request, "the stream repeats or leaves out a token", snapshot);
+        return;
+    }
+    if (const PoolEntry *pool = snapshot.pool(request->stageSpec().pool)) {
+        if (const EndpointEntry *endpoint = pool->find(request->endpoint)) {
+            noteProgress(*endpoint, m_clock.now());
+        }
+    }
+    if (request->tokens == 0) {
+        request->firstPiece = m_clock.now() - request->arrivedAt;
+    }
+    request->tokens += event.tokens;
+    request->text += event.text;
+    m_actions.emplace_back(StreamPiece{request->id, event.firstToken, event.tokens, event.text});
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(StageAnswered event, const Snapshot &snapshot)
+{
+    noticePause();
+    Request *request = findCurrent(event.call);
+    if (request == nullptr) {
+        return;
+    }
+    if (G::matchesAttempts && event.echoed != event.call) {
+        refuseAnswer(*request, "the answer carries another call's identity", snapshot);
         return;
     }
     const Duration elapsed = m_clock.now() - request->sentAt;
@@ -709,10 +767,8 @@
 void BasicRequestMachine<G>::handle(const StageFailed &event, const Snapshot &snapshot)
 {
     noticePause();
-    Request *request = find(event.call.request);
-    const bool running = request != nullptr && request->phase == Request::Phase::Running;
-    if (!running || (G::matchesAttempts && request->call() != event.call)) {
-        ++m_counters.staleAnswers;
+    Request *request = findCurrent(event.call);
+    if (request == nullptr) {
         return;
     }
     const std::string poolName = request->stageSpec().pool;
@@ -802,6 +858,8 @@
     action.pipeline = request.pipeline.name;
     action.elapsed = m_clock.now() - request.arrivedAt;
     action.allowed = request.deadline - request.arrivedAt;
+    action.firstPiece = request.firstPiece;
+    action.tokens = request.tokens;
     action.costs = std::move(request.costs);
     countDemand(request, static_cast<std::uint32_t>(request.pipeline.stages.size()));
     ++m_counters.reasons[static_cast<std::size_t>(action.reason)];
@@ -883,19 +941,14 @@
     if (!due && (!queued || fitsDeadline(request, remainingTime(request)))) {
         return;
     }
-    const std::string poolName = request.stageSpec().pool;
     const std::string step = request.phase == Request::Phase::Claiming
                                  ? std::string("claim")
                                  : "stage " + request.stageSpec().name;
-    if (queued) {
-        poolState(poolName).queue.remove(placeOf(request));
-    }
     if (request.phase == Request::Phase::Running) {
-        m_actions.emplace_back(CancelStage{request.call()});
-        settleCall(request, snapshot);
         // It says the endpoint is slow, and the slowness is what must be learnt.
         learnFromGivenUp(request, snapshot);
     }
+    withdraw(request, snapshot);
     const std::string peer = queued ? std::string() : request.endpoint;
     fail(request, due ? Reason::DeadlineExceeded : Reason::CannotFinish,
          makeError(absl::StatusCode::kDeadlineExceeded, step, peer,
@@ -903,12 +956,31 @@
          snapshot);
 }
 
+/// Takes a request out of its queue, or stops its call.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::withdraw(Request &request, const Snapshot &snapshot)
+{
+    if (request.phase == Request::Phase::Queued) {
+        poolState(request.stageSpec().pool).queue.remove(placeOf(request));
+    }
+    if (request.phase == Request::Phase::Running) {
+        m_actions.emplace_back(CancelStage{request.call()});
+        settleCall(request, snapshot);
+    }
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::handle(const CallerGone &event, const Snapshot &snapshot)
 {
-    // Its work goes on: a result that may not be repeated is kept for a retry.
-    (void)event;
-    (void)snapshot;
+    Request *request = find(event.id);
+    // What may not be repeated goes on: its result is kept for a retry.
+    if (request == nullptr || !request->pipeline.repeatable) {
+        return;
+    }
+    withdraw(*request, snapshot);
+    fail(*request, Reason::CallerGone,
+         makeError(absl::StatusCode::kCancelled, "answering", "caller", "the caller went away"),
+         snapshot);
 }
 
 template <GuardPolicy G>
@@ -921,13 +993,7 @@
     std::sort(sequences.begin(), sequences.end());
     for (const std::uint64_t sequence : sequences) {
         Request &request = *m_requests.at(sequence);
-        if (request.phase == Request::Phase::Queued) {
-            poolState(request.stageSpec().pool).queue.remove(placeOf(request));
-        }
-        if (request.phase == Request::Phase::Running) {
-            m_actions.emplace_back(CancelStage{request.call()});
-            settleCall(request, snapshot);
-        }
+        withdraw(request, snapshot);
         fail(request, Reason::Draining,
              makeError(absl::StatusCode::kUnavailable, "stop", "", "this daemon stops now"),
              snapshot);
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -46,6 +46,8 @@
 [[nodiscard]] Duration expectedTime(const EndpointEntry &entry, TimePoint now);
 /// Takes in that a call is sent to \p entry.
 void noteSend(const EndpointEntry &entry, TimePoint now);
+/// Takes in that a part of an answer came from \p entry.
+void noteProgress(const EndpointEntry &entry, TimePoint now);
 /// Takes in that a call to \p entry was answered after \p elapsed.
 void noteSuccess(const EndpointEntry &entry, Duration elapsed, TimePoint now);
 /// Takes in that a call to \p entry failed.
--- a/include/harelink/Kernel/types.h
+++ b/include/harelink/Kernel/types.h
@@ -75,9 +75,10 @@
     MayHaveRun,       ///< The key was claimed and what became of it is not known.
     Draining,         ///< The daemon is stopping.
     NotReady,         ///< The daemon has no configuration yet.
+    CallerGone,       ///< The caller's connection broke; nobody hears this.
 };
 /// How many reasons there are.
-inline constexpr std::size_t reasonCount = static_cast<std::size_t>(Reason::NotReady) + 1;
+inline constexpr std::size_t reasonCount = static_cast<std::size_t>(Reason::CallerGone) + 1;
 
 /// A short name for metrics, as in "cannot-finish".
 [[nodiscard]] std::string_view toText(Reason reason);
--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <cassert>
 #include <cctype>
 #include <mutex>
+#include <utility>
 
 #include <curl/curl.h>
 
@@ -40,12 +41,6 @@
     return text;
 }
 
-std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *user)
-{
-    static_cast<HttpResult *>(user)->body.append(data, size * count);
-    return size * count;
-}
-
 std::size_t takeHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
     const std::string_view line(data, size * count);
@@ -69,11 +64,14 @@
 class HttpClient::Transfer
 {
 public:
-    Transfer(const HttpCall &call, std::uint64_t id, Done done)
+    Transfer(const HttpCall &call, std::uint64_t id, Done done, Part part,
+             std::vector<std::uint64_t> &withParts)
         : m_id(id)
         , m_easy(curl_easy_init())
         , m_body(call.body)
         , m_done(std::move(done))
+        , m_part(std::move(part))
+        , m_withParts(withParts)
     {
         assert(m_easy != nullptr && "libcurl has no handle left");
         curl_easy_setopt(m_easy, CURLOPT_URL, call.url.c_str());
@@ -98,7 +96,7 @@
         m_headers = curl_slist_append(m_headers, "Expect:");
         curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headers);
         curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, takeBody);
-        curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, &m_result);
+        curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
         curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, takeHeader);
         curl_easy_setopt(m_easy, CURLOPT_HEADERDATA, &m_result);
     }
@@ -128,10 +126,30 @@
         m_result.status = static_cast<int>(status);
     }
 
+    /// Hands out what of the body came in, where it is wanted in parts.
+    void deliverPart()
+    {
+        if (m_part && !m_result.body.empty()) {
+            // The callback may end this call: it gets copies.
+            const Part part = m_part;
+            const std::string body = std::exchange(m_result.body, {});
+            const HttpResult head = m_result;
+            part(head, body);
+        }
+    }
     HttpResult takeResult() { return std::move(m_result); }
     Done takeDone() { return std::move(m_done); }
 
 private:
+    static std::size_t takeBody(char *data, std::size_t size, std::size_t count, void *user)
+    {
+        auto *transfer = static_cast<Transfer *>(user);
+        if (transfer->m_part && transfer->m_result.body.empty()) {
+            transfer->m_withParts.push_back(transfer->m_id);
+        }
+        transfer->m_result.body.append(data, size * count);
+        return size * count;
+    }
     static long milliseconds(Duration time)
     {
         const auto count = std::chrono::ceil<std::chrono::milliseconds>(time).count();
@@ -145,6 +163,8 @@
     std::string m_body;
     HttpResult m_result;
     Done m_done;
+    Part m_part;
+    std::vector<std::uint64_t> &m_withParts;
 };
 
 /// libcurl's set of calls.
@@ -177,10 +197,11 @@
     m_transfers.clear();
 }
 
-std::uint64_t HttpClient::send(const HttpCall &call, Done done)
+std::uint64_t HttpClient::send(const HttpCall &call, Done done, Part part)
 {
     const std::uint64_t id = m_nextId++;
-    auto transfer = std::make_unique<Transfer>(call, id, std::move(done));
+    auto transfer =
+        std::make_unique<Transfer>(call, id, std::move(done), std::move(part), m_withParts);
     curl_multi_add_handle(m_multi->handle, transfer->easy());
     m_transfers.emplace(id, std::move(transfer));
     return id;
@@ -200,6 +221,7 @@
 {
     int running = 0;
     curl_multi_perform(m_multi->handle, &running);
+    deliverParts();
     finishTransfers();
     curl_waitfd extra{extraDescriptor, CURL_WAIT_POLLIN, 0};
     const unsigned extraCount = extraDescriptor < 0 ? 0 : 1;
@@ -208,9 +230,21 @@
     curl_multi_poll(m_multi->handle, &extra, extraCount,
                     static_cast<int>(std::max<std::int64_t>(0, wait)), &ready);
     curl_multi_perform(m_multi->handle, &running);
+    deliverParts();
     finishTransfers();
 }
 
+/// Not from libcurl's own callback, where no call may be started or ended.
+void HttpClient::deliverParts()
+{
+    for (const std::uint64_t id : std::exchange(m_withParts, {})) {
+        const auto found = m_transfers.find(id);
+        if (found != m_transfers.end()) {
+            found->second->deliverPart();
+        }
+    }
+}
+
 void HttpClient::finishTransfers()
 {
     int left = 0;
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <optional>
 
 #include <restinio/all.hpp>
 
@@ -57,19 +58,56 @@
     return request;
 }
 
-void sendReply(const restinio::request_handle_t &request, HttpReply reply)
+/// Sends the reply to one request, whole or in parts.
+class ReplySender
 {
-    const auto status = restinio::http_status_line_t{
-        restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)},
-        reply.status < 400 ? "OK" : "Error"};
-    auto response = request->create_response(status);
-    response.append_header(restinio::http_field::content_type, reply.contentType);
-    for (auto &[name, value] : reply.headers) {
-        response.append_header(name, value);
+public:
+    explicit ReplySender(restinio::request_handle_t request)
+        : m_request(std::move(request))
+    {
     }
-    response.set_body(std::move(reply.body));
-    response.done();
-}
+
+    void send(HttpReply reply)
+    {
+        if (!reply.more && !m_chunks) {
+            auto response = begin<restinio::restinio_controlled_output_t>(reply);
+            response.set_body(std::move(reply.body));
+            response.done();
+            return;
+        }
+        if (!m_chunks) {
+            m_chunks.emplace(begin<restinio::chunked_output_t>(reply));
+        }
+        m_chunks->append_chunk(std::move(reply.body));
+        if (!reply.more) {
+            m_chunks->done();
+            return;
+        }
+        m_chunks->flush([onBroken = std::move(reply.onBroken)](const std::error_code &error) {
+            if (error && onBroken) {
+                onBroken();
+            }
+        });
+    }
+
+private:
+    template <typename Output>
+    restinio::response_builder_t<Output> begin(const HttpReply &reply)
+    {
+        const auto status = restinio::http_status_line_t{
+            restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)},
+            reply.status < 400 ? "OK" : "Error"};
+        auto response = m_request->template create_response<Output>(status);
+        response.append_header(restinio::http_field::content_type, reply.contentType);
+        for (const auto &[name, value] : reply.headers) {
+            response.append_header(name, value);
+        }
+        return response;
+    }
+
+    restinio::request_handle_t m_request;
+    std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_chunks;
+};
 
 } // namespace
 
@@ -139,9 +177,9 @@
                             raw->port = acceptor.local_endpoint().port();
                         })
                         .request_handler([handler = std::move(handler)](const auto &request) {
-                            handler(readRequest(*request), [request](HttpReply reply) {
-                                sendReply(request, std::move(reply));
-                            });
+                            const auto sender = std::make_shared<ReplySender>(request);
+                            handler(readRequest(*request),
+                                    [sender](HttpReply reply) { sender->send(std::move(reply)); });
                             return restinio::request_accepted();
                         });
     try {
--- a/lib/Adapters/stageprotocol.cpp
+++ b/lib/Adapters/stageprotocol.cpp
@@ -49,6 +49,22 @@
     return event;
 }
 
+CallId callIdOf(const HttpResult &result)
+{
+    return parseCallId(result.header("x-request-id")).value_or(CallId{});
+}
+
+StageAnswered answered(const SendStage &stage, const HttpResult &result, std::string body)
+{
+    StageAnswered event;
+    event.call = stage.call;
+    event.echoed = callIdOf(result);
+    event.body = std::move(body);
+    event.busy = readServerTiming(result.header("server-timing"));
+    event.reportedActive = readActive(result.header("x-active-requests"));
+    return event;
+}
+
 } // namespace
 
 HttpCall encodeStage(const StageProtocol &protocol, const SendStage &stage)
@@ -88,13 +104,70 @@
     if (!body.ok()) {
         return failure(stage, SendEvidence::Sent, errorMessage(body.status()));
     }
-    StageAnswered event;
-    event.call = stage.call;
-    event.echoed = parseCallId(result.header("x-request-id")).value_or(CallId{});
-    event.body = *std::move(body);
-    event.busy = readServerTiming(result.header("server-timing"));
-    event.reportedActive = readActive(result.header("x-active-requests"));
-    return event;
+    return answered(stage, result, *std::move(body));
+}
+
+absl::StatusOr<StreamEvent> StageProtocol::decodeEvent(const std::string &) const
+{
+    return makeError(absl::StatusCode::kUnimplemented, "decoding", "",
+                     "this protocol has no streams");
+}
+
+StageStream::StageStream(const StageProtocol &protocol, const SendStage &stage)
+    : m_protocol(protocol)
+    , m_stage(stage)
+    , m_tokens(stage.tokensBefore)
+{
+}
+
+std::vector<StagePiece> StageStream::take(const HttpResult &head, const std::string &body)
+{
+    std::vector<StagePiece> pieces;
+    if (head.header("content-type").rfind(eventStreamType, 0) != 0) {
+        m_refusal += body;
+        return pieces;
+    }
+    m_reader.feed(body);
+    while (m_fault.empty() && !m_ended) {
+        const std::optional<std::string> data = m_reader.next();
+        if (!data) {
+            break;
+        }
+        const absl::StatusOr<StreamEvent> event = m_protocol.decodeEvent(*data);
+        if (!event.ok()) {
+            m_fault = errorMessage(event.status());
+            break;
+        }
+        m_ended = event->last;
+        if (event->text.empty()) {
+            continue;
+        }
+        StagePiece piece;
+        piece.call = m_stage.call;
+        piece.echoed = callIdOf(head);
+        piece.firstToken = m_tokens++;
+        piece.text = event->text;
+        m_text += event->text;
+        pieces.push_back(std::move(piece));
+    }
+    return pieces;
+}
+
+std::variant<StageAnswered, StageFailed> StageStream::finish(const HttpResult &result) const
+{
+    const bool isStream = result.header("content-type").rfind(eventStreamType, 0) == 0;
+    if (result.status != statusOk || !isStream) {
+        HttpResult refusal = result;
+        refusal.body = m_refusal;
+        return decodeStage(m_protocol, m_stage, refusal);
+    }
+    if (!m_fault.empty()) {
+        return failure(m_stage, SendEvidence::Sent, m_fault);
+    }
+    if (!m_ended) {
+        return failure(m_stage, SendEvidence::Sent, "the stream ended before its last event");
+    }
+    return answered(m_stage, result, m_protocol.wholeAnswer(m_stage.textBefore + m_text));
 }
 
 } // namespace harelink
--- a/lib/Daemon/callerapi.cpp
+++ b/lib/Daemon/callerapi.cpp
@@ -2,6 +2,7 @@
 
 #include "harelink/Daemon/callerapi.h"
 
+#include "harelink/Adapters/eventstream.h"
 #include "harelink/Support/error.h"
 
 #include <array>
@@ -77,6 +78,7 @@
     case Reason::NotReady:
         return answer.outcome == Outcome::NotRun ? 503 : 504;
     case Reason::DeadlineExceeded:
+    case Reason::CallerGone:
         return 504;
     case Reason::StageFailed:
         return answer.outcome == Outcome::NotRun ? 503 : 502;
@@ -88,6 +90,11 @@
     return 500;
 }
 
+std::string oneLine(const nlohmann::json &value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string describeCosts(const std::vector<StageCost> &costs)
 {
     std::string text;
@@ -136,6 +143,7 @@
     if (authorization.compare(0, bearerPrefix.size(), bearerPrefix) == 0) {
         read.token = authorization.substr(bearerPrefix.size());
     }
+    read.arrival.streams = request.header("accept").find(eventStreamType) != std::string::npos;
     read.arrival.traceparent = request.header("traceparent");
     read.arrival.body = std::move(request.body);
     return read;
@@ -153,7 +161,52 @@
     HttpReply reply;
     reply.status = status;
     reply.contentType = "application/problem+json";
-    reply.body = problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    reply.body = oneLine(problem);
+    return reply;
+}
+
+HttpReply makeStreamBegin(const StreamPiece &piece)
+{
+    HttpReply reply = makeStreamPart(piece);
+    reply.contentType = std::string(eventStreamType);
+    reply.headers.emplace_back("Cache-Control", "no-store");
+    reply.headers.emplace_back("Harelink-Request-Id", toText(piece.id));
+    return reply;
+}
+
+HttpReply makeStreamPart(const StreamPiece &piece)
+{
+    const nlohmann::json data = {{"token", piece.firstToken}, {"text", piece.text}};
+    HttpReply reply;
+    reply.body = formatEvent("token", oneLine(data));
+    reply.more = true;
+    return reply;
+}
+
+HttpReply makeStreamEnd(const AnswerCaller &answer)
+{
+    nlohmann::json data = {{"outcome", toText(answer.outcome)},
+                           {"requestId", toText(answer.id)},
+                           {"tokens", answer.tokens},
+                           {"stages", describeCosts(answer.costs)}};
+    if (answer.outcome != Outcome::Completed) {
+        data["reason"] = toText(answer.reason);
+        data["detail"] = errorMessage(answer.error);
+        data["step"] = errorStep(answer.error);
+        data["peer"] = errorPeer(answer.error);
+    }
+    HttpReply reply;
+    reply.body = formatEvent("outcome", oneLine(data));
+    return reply;
+}
+
+HttpReply makeStreamOfWhole(const AnswerCaller &answer)
+{
+    HttpReply reply = makeCallerReply(answer);
+    const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
+    const std::string whole = oneLine(body.is_discarded() ? nlohmann::json(answer.body) : body);
+    reply.contentType = std::string(eventStreamType);
+    reply.body = formatEvent("answer", whole) + makeStreamEnd(answer).body;
     return reply;
 }
 
--- a/lib/Daemon/metrics.cpp
+++ b/lib/Daemon/metrics.cpp
@@ -102,6 +102,9 @@
     const bool attained = answer.outcome == Outcome::Completed && answer.elapsed <= answer.allowed;
     m_attained[names] += attained ? 1 : 0;
     m_requestSeconds[names].add(answer.elapsed);
+    if (answer.tokens > 0) {
+        m_firstTokenSeconds[names].add(answer.firstPiece);
+    }
     for (const StageCost &cost : answer.costs) {
         const std::string stage = fmt::format("{},stage=\"{}\"", names, cost.stage);
         m_cost[stage] += cost.cost;
@@ -116,6 +119,7 @@
     addAll(m_cost, other.m_cost);
     mergeAll(m_stageSeconds, other.m_stageSeconds);
     mergeAll(m_requestSeconds, other.m_requestSeconds);
+    mergeAll(m_firstTokenSeconds, other.m_firstTokenSeconds);
 }
 
 void RequestMetrics::render(std::string &out) const
@@ -125,6 +129,7 @@
     renderFamily("harelink_stage_cost_total", m_cost, out);
     renderHistograms("harelink_stage_seconds", m_stageSeconds, out);
     renderHistograms("harelink_request_seconds", m_requestSeconds, out);
+    renderHistograms("harelink_first_token_seconds", m_firstTokenSeconds, out);
 }
 
 void renderValue(const std::string &name, std::string_view type, double value, std::string &out)
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -95,7 +95,8 @@
             return;
         }
     }
-    const bool added = m_responders.emplace(request.arrival.id.sequence, responder).second;
+    const Caller caller{responder, request.arrival.streams, false};
+    const bool added = m_callers.emplace(request.arrival.id.sequence, caller).second;
     assert(added && "a request is submitted once");
     (void)added;
     feed(std::move(request.arrival));
@@ -161,14 +162,37 @@
     const StageProtocol &translator = protocol(action.protocol);
     const HttpCall http = encodeStage(translator, action);
     logger.debug("Sending {} to {}.", toText(call), action.endpoint);
+    if (action.streams && translator.streams()) {
+        stream(call, http, std::make_shared<StageStream>(translator, action));
+        return;
+    }
     m_calls[call] = m_loop.http().send(
         http, [this, &translator, stage = std::move(action)](const HttpResult &result) {
             m_calls.erase(stage.call);
-            std::visit([this](auto &&event) { feed(std::forward<decltype(event)>(event)); },
-                       decodeStage(translator, stage, result));
+            feedAny(decodeStage(translator, stage, result));
         });
 }
 
+void Worker::stream(const CallId &call, const HttpCall &http,
+                    const std::shared_ptr<StageStream> &stream)
+{
+    const auto done = [this, call, stream](const HttpResult &result) {
+        m_calls.erase(call);
+        feedAny(stream->finish(result));
+    };
+    const auto part = [this, stream](const HttpResult &head, const std::string &body) {
+        for (StagePiece &piece : stream->take(head, body)) {
+            feed(std::move(piece));
+        }
+    };
+    m_calls[call] = m_loop.http().send(http, done, part);
+}
+
+void Worker::feedAny(std::variant<StageAnswered, StageFailed> event)
+{
+    std::visit([this](auto &&what) { feed(std::forward<decltype(what)>(what)); }, std::move(event));
+}
+
 void Worker::perform(const CancelStage &action)
 {
     const auto found = m_calls.find(action.call);
@@ -180,11 +204,29 @@
 
 void Worker::perform(const AnswerCaller &action)
 {
-    const auto found = m_responders.find(action.id.sequence);
-    assert(found != m_responders.end() && "a caller is answered exactly once");
+    const auto found = m_callers.find(action.id.sequence);
+    assert(found != m_callers.end() && "a caller is answered exactly once");
     m_metrics.observe(action);
-    found->second(makeCallerReply(action));
-    m_responders.erase(found);
+    const Caller &caller = found->second;
+    if (caller.streamBegan) {
+        caller.responder(makeStreamEnd(action));
+    } else if (caller.wantsStream && action.outcome == Outcome::Completed) {
+        caller.responder(makeStreamOfWhole(action));
+    } else {
+        caller.responder(makeCallerReply(action));
+    }
+    m_callers.erase(found);
+}
+
+void Worker::perform(const StreamPiece &action)
+{
+    const auto found = m_callers.find(action.id.sequence);
+    assert(found != m_callers.end() && "nothing is streamed after the answer's end");
+    Caller &caller = found->second;
+    HttpReply part = caller.streamBegan ? makeStreamPart(action) : makeStreamBegin(action);
+    caller.streamBegan = true;
+    part.onBroken = [this, id = action.id] { m_loop.post([this, id] { feed(CallerGone{id}); }); };
+    caller.responder(std::move(part));
 }
 
 void Worker::perform(ClaimRequest action)
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -117,11 +117,16 @@
     }
 }
 
+void noteProgress(const EndpointEntry &entry, TimePoint now)
+{
+    entry.load->progressAt.store(nanos(now), std::memory_order_relaxed);
+}
+
 void noteSuccess(const EndpointEntry &entry, Duration elapsed, TimePoint now)
 {
     EndpointLoad &load = *entry.load;
     addLatency(load, elapsed);
-    load.progressAt.store(nanos(now), std::memory_order_relaxed);
+    noteProgress(entry, now);
     load.failures.store(0, std::memory_order_relaxed);
     load.fullUntil.store(0, std::memory_order_relaxed);
     const int limit = load.limit.load(std::memory_order_relaxed);
--- a/lib/Kernel/types.cpp
+++ b/lib/Kernel/types.cpp
@@ -65,7 +65,8 @@
         "key-missing",   "body-too-large",    "too-many-requests",
         "cannot-finish", "no-endpoint",       "deadline-exceeded",
         "stage-failed",  "claim-unavailable", "key-reused",
-        "may-have-run",  "draining",          "not-ready"};
+        "may-have-run",  "draining",          "not-ready",
+        "caller-gone"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/lib/Plugins/stageprotocols.cpp
+++ b/lib/Plugins/stageprotocols.cpp
@@ -13,6 +13,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace harelink {
 namespace {
 
@@ -51,25 +53,65 @@
         if (request.is_object() && request.contains("maxTokens")) {
             body["max_tokens"] = request["maxTokens"];
         }
+        if (stage.streams) {
+            body["stream"] = true;
+            resume(stage, body);
+        }
         call.body = dump(body);
     }
-    absl::StatusOr<std::string> decode(const std::string &body) const override
+    [[nodiscard]] bool streams() const override { return true; }
+    absl::StatusOr<StreamEvent> decodeEvent(const std::string &data) const override
     {
-        const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
-        if (!answer.is_object() || !answer.contains("choices") || !answer["choices"].is_array()
-            || answer["choices"].empty()) {
+        StreamEvent event;
+        if (data == "[DONE]") {
+            event.last = true;
+            return event;
+        }
+        const nlohmann::json answer = nlohmann::json::parse(data, nullptr, false);
+        const nlohmann::json *choice = firstChoice(answer);
+        if (choice == nullptr || !choice->contains("text") || !(*choice)["text"].is_string()) {
             return unreadable();
         }
-        const nlohmann::json &choice = answer["choices"][0];
-        if (!choice.is_object() || !choice.contains("text") || !choice["text"].is_string()) {
+        event.text = (*choice)["text"].get<std::string>();
+        return event;
+    }
+    [[nodiscard]] std::string wholeAnswer(const std::string &text) const override
+    {
+        return dump(text);
+    }
+    absl::StatusOr<std::string> decode(const std::string &body) const override
+    {
+        const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+        const nlohmann::json *choice = firstChoice(answer);
+        if (choice == nullptr || !choice->contains("text") || !(*choice)["text"].is_string()) {
             return unreadable();
         }
         // A completion that ended for another reason is not whole.
-        const std::string reason = choice.value("finish_reason", "");
+        const std::string reason = choice->value("finish_reason", "");
         if (reason != "stop" && reason != "length") {
             return unreadable();
         }
-        return dump(choice["text"]);
+        return dump((*choice)["text"]);
+    }
+
+private:
+    /// Lets the completion go on behind the tokens that the caller already has: they
+    /// become part of the prompt, as any completions call allows.
+    static void resume(const SendStage &stage, nlohmann::json &body)
+    {
+        body["prompt"] = body["prompt"].get<std::string>() + stage.textBefore;
+        if (body["max_tokens"].is_number_integer()) {
+            const auto wanted = body["max_tokens"].get<std::int64_t>();
+            const auto before = static_cast<std::int64_t>(stage.tokensBefore);
+            body["max_tokens"] = std::max<std::int64_t>(0, wanted - before);
+        }
+    }
+
+    static const nlohmann::json *firstChoice(const nlohmann::json &answer)
+    {
+        const bool hasOne = answer.is_object() && answer.contains("choices")
+                            && answer["choices"].is_array() && !answer["choices"].empty();
+        return hasOne && answer["choices"][0].is_object() ? &answer["choices"][0] : nullptr;
     }
 };
 
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -52,6 +52,11 @@
         violation(fmt::format("request {} got {} for {}", toText(answer.id), answer.body,
                               rightAnswer(submission)));
     }
+    const bool whole = submission.streamed == rightAnswer(submission);
+    if (answer.outcome == Outcome::Completed && submission.streams && !whole) {
+        violation(fmt::format("request {} was streamed {} and called complete", toText(answer.id),
+                              submission.streamed));
+    }
     if (answer.outcome == Outcome::NotRun && m_ledger.callsByRequest.contains(answer.id)) {
         violation(
             fmt::format("request {} was said not to have run, but it did", toText(answer.id)));
@@ -61,6 +66,19 @@
     }
 }
 
+void Checks::streamed(const StreamPiece &piece)
+{
+    Submission &submission = m_submissions.at(piece.id);
+    if (submission.answered) {
+        violation(fmt::format("request {} got a part after its end", toText(piece.id)));
+    }
+    submission.streamed += piece.text;
+    if (rightAnswer(submission).rfind(submission.streamed, 0) != 0) {
+        violation(fmt::format("request {} was streamed {} for {}", toText(piece.id),
+                              submission.streamed, rightAnswer(submission)));
+    }
+}
+
 void Checks::arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
                                const SendStage &stage)
 {
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -24,6 +24,8 @@
     std::string pipeline;
     std::string body;
     std::string key; ///< Empty for repeatable pipelines.
+    bool streams = false;
+    std::string streamed; ///< What came in parts.
     bool answered = false;
     Outcome outcome = Outcome::Unknown;
     Reason reason = Reason::None;
@@ -45,6 +47,7 @@
     /// The events that are judged.
     void submitted(const Submission &submission);
     void answered(const AnswerCaller &answer);
+    void streamed(const StreamPiece &piece);
     void arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
                            const SendStage &stage);
     void ranAtEndpoint(const SendStage &stage);
--- a/test/sim/loadworld.h
+++ b/test/sim/loadworld.h
@@ -270,6 +270,7 @@
 
     void perform(Host &, const AnswerCaller &action) { m_report.answered(action); }
     void perform(Host &, const ClaimFinish &) {}
+    void perform(Host &, const StreamPiece &) {}
     void perform(Host &, const CancelStage &action)
     {
         const auto found = m_calls.find(action.call);
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -79,7 +79,8 @@
         event.body = body;
         event.idempotencyKey = key;
         event.timeAllowed = allowed;
-        m_checks.submitted({event.id, hostName, pipeline, body, key});
+        event.streams = key.empty() && m_random.chance(0.5);
+        m_checks.submitted({event.id, hostName, pipeline, body, key, event.streams});
         toRequests(hostName, host.incarnation, std::move(event));
         return true;
     }
@@ -262,6 +263,8 @@
     };
 
     static constexpr std::chrono::milliseconds tickInterval{5};
+    /// Letters of an answer that make a token.
+    static constexpr std::size_t tokenLength = 4;
 
     static void stopHost(Host &host)
     {
@@ -420,6 +423,7 @@
 
     void perform(Host &, const AnswerCaller &action) { m_checks.answered(action); }
     void perform(Host &, const CancelStage &) {}
+    void perform(Host &, const StreamPiece &action) { m_checks.streamed(action); }
 
     void perform(Host &host, const ClaimRequest &action)
     {
@@ -510,32 +514,75 @@
             std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(millis));
         const std::uint64_t generation = endpoint.generation;
         const bool breaks = m_random.chance(m_faults.brokenCall);
+        if (stage.streams) {
+            const auto breakAt = breaks ? stage.tokensBefore + m_random.below(4) : UINT64_MAX;
+            streamNext({name, start, stage, generation, time / 4, breakAt}, stage.tokensBefore);
+            return;
+        }
         m_queue.after(time + networkDelay(), [=, this] {
             const bool died = m_endpoints.at(stage.endpoint).generation != generation;
-            if (died || breaks) {
-                failStage(name, start, stage, SendEvidence::Sent);
-                misdeliver(name, start, stage);
-                return;
-            }
             StageAnswered event;
             event.call = stage.call;
             event.echoed = stage.call;
             event.body = answerTo(stage);
+            if (died || breaks) {
+                failStage(name, start, stage, SendEvidence::Sent);
+                misdeliver(name, start, event);
+                return;
+            }
             toRequests(name, start, event);
         });
     }
 
+    /// A call whose answer comes in parts.
+    struct Stream
+    {
+        std::string host;
+        Incarnation start = 0;
+        SendStage stage;
+        std::uint64_t generation = 0;
+        Duration pause{};
+        std::uint64_t breakAt = 0; ///< The token before which the connection breaks.
+    };
+
+    void streamNext(const Stream &stream, std::uint64_t token)
+    {
+        m_queue.after(stream.pause, [=, this] {
+            const std::string whole = answerTo(stream.stage);
+            const std::size_t at = token * tokenLength;
+            const bool died = m_endpoints.at(stream.stage.endpoint).generation != stream.generation;
+            StagePiece piece;
+            piece.call = stream.stage.call;
+            piece.echoed = stream.stage.call;
+            piece.firstToken = token;
+            if (died || token == stream.breakAt) {
+                failStage(stream.host, stream.start, stream.stage, SendEvidence::Sent);
+                piece.text = at < whole.size() ? whole.substr(at, tokenLength) : std::string();
+                misdeliver(stream.host, stream.start, piece);
+                return;
+            }
+            if (at >= whole.size()) {
+                StageAnswered event;
+                event.call = stream.stage.call;
+                event.echoed = stream.stage.call;
+                event.body = whole;
+                toRequests(stream.host, stream.start, event);
+                return;
+            }
+            piece.text = whole.substr(at, tokenLength);
+            toRequests(stream.host, stream.start, piece);
+            streamNext(stream, token + 1);
+        });
+    }
+
     /// The answer of a call that was given up on still arrives, on the call that
     /// is now current for the request, or long after.
-    void misdeliver(const std::string &name, Incarnation start, const SendStage &stage)
+    template <typename Event>
+    void misdeliver(const std::string &name, Incarnation start, Event event)
     {
         if (!m_random.chance(m_faults.lateAnswer)) {
             return;
         }
-        StageAnswered event;
-        event.call = stage.call;
-        event.echoed = stage.call;
-        event.body = answerTo(stage);
         if (m_random.chance(0.5)) {
             event.call.attempt += 1;
         }
--- a/tools/harelink/callcommand.cpp
+++ b/tools/harelink/callcommand.cpp
@@ -3,11 +3,16 @@
 #include "commands.h"
 #include "platform.h"
 
+#include "harelink/Adapters/eventstream.h"
 #include "harelink/Adapters/httpclient.h"
 #include "harelink/Support/error.h"
 
+#include <cstdio>
+#include <optional>
+
 #include <fmt/format.h>
 #include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
 
 DEFINE_string(daemon, "127.0.0.1:7000", "call: a daemon's address for callers.");
 DEFINE_string(account, "", "call: the client account.");
@@ -15,6 +20,7 @@
 DEFINE_string(key, "", "call: the idempotency key.");
 DEFINE_string(body, "{}", "call: the request's body, JSON.");
 DEFINE_int32(deadline_ms, 4000, "call: the deadline.");
+DEFINE_bool(stream, false, "call: print the answer as it comes.");
 
 namespace harelink::cli {
 namespace {
@@ -22,13 +28,100 @@
 /// How long after the deadline an answer is still waited for.
 constexpr std::chrono::seconds patience{2};
 
+/// Prints an answer that comes in parts.
+class StreamPrinter
+{
+public:
+    /// Takes in a part of the body.
+    void take(const std::string &body)
+    {
+        m_reader.feed(body);
+        while (const std::optional<std::string> data = m_reader.next()) {
+            const nlohmann::json event = nlohmann::json::parse(*data, nullptr, false);
+            if (event.is_object() && event.contains("outcome")) {
+                m_end = event;
+            } else if (event.is_object() && event.contains("text")) {
+                fmt::print("{}", event["text"].get<std::string>());
+                std::fflush(stdout);
+            } else {
+                fmt::print("{}", *data);
+            }
+        }
+    }
+    /// Prints what came of it; an answer without an end is not whole.
+    int conclude() const
+    {
+        fmt::print("\n");
+        if (m_end.is_null()) {
+            fmt::print(stderr, "harelink: the answer broke off and is not whole\n");
+            return ExitFailed;
+        }
+        fmt::print(stderr, "outcome {}, request {}, {} tokens, stages {}\n",
+                   m_end.value("outcome", ""), m_end.value("requestId", ""),
+                   m_end.value("tokens", 0), m_end.value("stages", ""));
+        return m_end.value("outcome", "") == "completed" ? ExitDone : ExitFailed;
+    }
+
+private:
+    EventReader m_reader;
+    nlohmann::json m_end;
+};
+
+int reportReply(const HttpResult &result)
+{
+    if (result.status == 0) {
+        return report(
+            makeError(absl::StatusCode::kUnavailable, "calling", FLAGS_daemon, result.error));
+    }
+    fmt::print("{}\n", result.body);
+    fmt::print(stderr, "outcome {}, status {}, request {}, stages {}\n",
+               result.header("harelink-outcome"), result.status,
+               result.header("harelink-request-id"), result.header("harelink-stages"));
+    return result.header("harelink-outcome") == "completed" ? ExitDone : ExitFailed;
+}
+
+bool isEventStream(const HttpResult &result)
+{
+    return result.header("content-type") == eventStreamType;
+}
+
+int callAndPrintStream(const HttpCall &call)
+{
+    HttpClient client;
+    StreamPrinter printer;
+    HttpResult result;
+    std::string other; // The body of a reply that is no stream.
+    bool done = false;
+    client.send(
+        call,
+        [&](HttpResult finished) {
+            result = std::move(finished);
+            done = true;
+        },
+        [&](const HttpResult &head, const std::string &body) {
+            if (isEventStream(head)) {
+                printer.take(body);
+            } else {
+                other += body;
+            }
+        });
+    while (!done) {
+        client.poll(std::chrono::seconds(1));
+    }
+    if (isEventStream(result)) {
+        return printer.conclude();
+    }
+    result.body = std::move(other);
+    return reportReply(result);
+}
+
 } // namespace
 
 int callCommand(const Words &words)
 {
     if (words.size() != 1 || FLAGS_account.empty()) {
         fmt::print(stderr, "harelink: usage: harelink call PIPELINE --account NAME "
-                           "[--body JSON] [--key KEY] [--token TOKEN]\n");
+                           "[--body JSON] [--key KEY] [--token TOKEN] [--stream]\n");
         return ExitUsage;
     }
     HttpCall call;
@@ -45,16 +138,11 @@
     if (!FLAGS_key.empty()) {
         call.headers.push_back("Idempotency-Key: " + FLAGS_key);
     }
-    const HttpResult result = callAndWait(call);
-    if (result.status == 0) {
-        return report(
-            makeError(absl::StatusCode::kUnavailable, "calling", FLAGS_daemon, result.error));
+    if (FLAGS_stream) {
+        call.headers.emplace_back("Accept: text/event-stream");
+        return callAndPrintStream(call);
     }
-    fmt::print("{}\n", result.body);
-    fmt::print(stderr, "outcome {}, status {}, request {}, stages {}\n",
-               result.header("harelink-outcome"), result.status,
-               result.header("harelink-request-id"), result.header("harelink-stages"));
-    return result.header("harelink-outcome") == "completed" ? ExitDone : ExitFailed;
+    return reportReply(callAndWait(call));
 }
 
 } // namespace harelink::cli
--- a/tools/harelink/harelink.cpp
+++ b/tools/harelink/harelink.cpp
@@ -43,7 +43,7 @@
     {"delete", "delete KIND NAME", "Deletes the version of a resource that it found.",
      deleteCommand},
     {"watch", "watch [KIND] [--changes N]", "Prints changes as they happen.", watchCommand},
-    {"call", "call PIPELINE --account NAME [--body JSON] [--key KEY] [--daemon ADDRESS]",
+    {"call", "call PIPELINE --account NAME [--body JSON] [--key KEY] [--daemon ADDRESS] [--stream]",
      "Sends one request; the answer goes to standard output.", callCommand},
     {"status", "status [--output json]",
      "Shows each listed daemon: ready, version in force, faults, platform, peers.", statusCommand},
--- a/unittests/Kernel/kernelfixture.h
+++ b/unittests/Kernel/kernelfixture.h
@@ -132,6 +132,7 @@
         };
         append(sends, only<SendStage>(actions));
         append(cancels, only<CancelStage>(actions));
+        append(pieces, only<StreamPiece>(actions));
         append(answers, only<AnswerCaller>(actions));
         append(claims, only<ClaimRequest>(actions));
         append(finishes, only<ClaimFinish>(actions));
@@ -143,6 +144,7 @@
     std::uint64_t lastSequence = 0;
     std::vector<SendStage> sends;
     std::vector<CancelStage> cancels;
+    std::vector<StreamPiece> pieces;
     std::vector<AnswerCaller> answers;
     std::vector<ClaimRequest> claims;
     std::vector<ClaimFinish> finishes;
--- a/utils/standin/endpoint.cpp
+++ b/utils/standin/endpoint.cpp
@@ -7,8 +7,12 @@
 /// mixed-up answer shows. Switches:
 ///
 ///   POST /control  {"slowFactor": F, "failing": bool, "hanging": bool,
-///                   "refusing": bool}
-///   GET  /counters  runs, runs per idempotency key, prefix hits
+///                   "refusing": bool, "breakAfterTokens": N}
+///   GET  /counters  runs, runs per idempotency key, prefix hits, broken streams
+///
+/// A model engine streams where it is asked to: token N of an answer is " wN-NONCE".
+/// Where the prompt ends in such tokens, the stream goes on behind the last of them,
+/// as a model goes on with any text.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -47,6 +51,7 @@
     bool failing = false;
     bool hanging = false;
     bool refusing = false;
+    int breakAfterTokens = 0; ///< Ends each stream early; 0 for never.
 };
 
 /// The prompt prefixes that were used last.
@@ -78,6 +83,38 @@
     Responder responder;
 };
 
+/// An answer that is sent token by token.
+struct Stream
+{
+    Responder responder;
+    HttpReply head;
+    std::string nonce;
+    int next = 0; ///< Token to send.
+    int end = 0;  ///< Token before which the stream ends.
+    bool whole = true;
+};
+
+/// The word in quotes behind the last \p mark in \p text.
+std::string quotedBehind(const std::string &text, std::string_view mark)
+{
+    const std::size_t at = text.rfind(mark);
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = at + mark.size();
+    return text.substr(begin, text.find('"', begin) - begin);
+}
+
+/// How many tokens of its answer a prompt already ends in.
+int tokensIn(const std::string &prompt, const std::string &nonce)
+{
+    int count = 0;
+    while (prompt.find(fmt::format(" w{}-{}", count, nonce)) != std::string::npos) {
+        ++count;
+    }
+    return count;
+}
+
 class Endpoint
 {
 public:
@@ -123,6 +160,7 @@
         m_switches.failing = body.value("failing", m_switches.failing);
         m_switches.hanging = body.value("hanging", m_switches.hanging);
         m_switches.refusing = body.value("refusing", m_switches.refusing);
+        m_switches.breakAfterTokens = body.value("breakAfterTokens", m_switches.breakAfterTokens);
         return reply(request, 200, {{"ok", true}});
     }
 
@@ -136,6 +174,7 @@
                                {"refused", m_refused},
                                {"prefixHits", m_prefixHits},
                                {"keys", m_runsByKey.size()},
+                               {"brokenStreams", m_brokenStreams},
                                {"mostRunsOfAKey", most}};
         HttpReply answer;
         answer.body = body.dump();
@@ -180,13 +219,19 @@
         const std::string prompt = body.value("prompt", "");
         const bool hit = m_prefixes.touch(hash64(prompt.substr(0, prefixBytes)));
         m_prefixHits += hit ? 1 : 0;
-        return FLAGS_base_ms * (hit ? 1 - prefixSaving : 1)
-               + FLAGS_token_ms * body.value("max_tokens", 0);
+        // The tokens of a stream take their time one by one.
+        const int tokens = body.value("stream", false) ? 0 : body.value("max_tokens", 0);
+        return FLAGS_base_ms * (hit ? 1 - prefixSaving : 1) + FLAGS_token_ms * tokens;
     }
 
     void finish(const Job &job, double millis)
     {
         const std::lock_guard<std::mutex> guard(m_mutex);
+        const nlohmann::json body = nlohmann::json::parse(job.request.body, nullptr, false);
+        if (FLAGS_kind == "model-engine" && body.value("stream", false)) {
+            beginStream(job, body);
+            return;
+        }
         --m_active;
         HttpReply answer = reply(job.request, 200, answerTo(job.request));
         answer.headers.emplace_back("Server-Timing", fmt::format("run;dur={:.3f}", millis));
@@ -194,6 +239,52 @@
         startNext();
     }
 
+    void beginStream(const Job &job, const nlohmann::json &body)
+    {
+        const std::string prompt = body.value("prompt", "");
+        auto stream = std::make_shared<Stream>();
+        stream->responder = job.responder;
+        stream->head = reply(job.request, 200, {});
+        stream->head.contentType = "text/event-stream";
+        stream->nonce = quotedBehind(prompt, "\"nonce\":\"");
+        stream->next = tokensIn(prompt, stream->nonce);
+        stream->end = stream->next + body.value("max_tokens", 0);
+        if (m_switches.breakAfterTokens > 0) {
+            const int breakAt = stream->next + m_switches.breakAfterTokens;
+            stream->whole = stream->end <= breakAt;
+            stream->end = std::min(stream->end, breakAt);
+        }
+        streamNext(stream);
+    }
+
+    void streamNext(const std::shared_ptr<Stream> &stream)
+    {
+        HttpReply part = stream->head;
+        part.more = stream->next < stream->end;
+        part.body = stream->whole ? "data: [DONE]\n\n" : "";
+        if (part.more) {
+            const std::string text = fmt::format(" w{}-{}", stream->next, stream->nonce);
+            const nlohmann::json choice = {{"text", text}, {"finish_reason", nullptr}};
+            const nlohmann::json event = {{"choices", nlohmann::json::array({choice})}};
+            part.body = "data: " + event.dump() + "\n\n";
+        } else {
+            --m_active;
+            m_brokenStreams += stream->whole ? 0 : 1;
+        }
+        stream->responder(part);
+        ++stream->next;
+        if (!part.more) {
+            startNext();
+            return;
+        }
+        const auto pause = std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(FLAGS_token_ms * m_switches.slowFactor));
+        m_server->runAfter(pause, [this, stream] {
+            const std::lock_guard<std::mutex> guard(m_mutex);
+            streamNext(stream);
+        });
+    }
+
     nlohmann::json answerTo(const HttpRequest &request) const
     {
         const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
@@ -219,6 +310,7 @@
     std::uint64_t m_runs = 0;
     std::uint64_t m_refused = 0;
     std::uint64_t m_prefixHits = 0;
+    std::uint64_t m_brokenStreams = 0;
     std::map<std::string, std::uint64_t> m_runsByKey;
 };
 
--- a/utils/standin/load.cpp
+++ b/utils/standin/load.cpp
@@ -10,6 +10,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "harelink/Adapters/eventstream.h"
 #include "harelink/Adapters/httpclient.h"
 
 #include <fmt/format.h>
@@ -27,6 +28,7 @@
 DEFINE_int32(count, 100, "Requests to send.");
 DEFINE_int32(per_second, 100, "Requests to send each second.");
 DEFINE_int32(deadline_ms, 4000, "The deadline of each.");
+DEFINE_bool(stream, false, "Ask for the answers to repeatable pipelines as they come.");
 DEFINE_string(run, "run", "Told apart from other runs by this, in keys and nonces.");
 
 namespace {
@@ -34,6 +36,7 @@
 using namespace harelink;
 
 constexpr int mostTries = 3;
+constexpr int tokensWanted = 32;
 /// How long after the deadline an answer still counts as an answer.
 constexpr std::chrono::milliseconds lateAnswerAllowance{2000};
 
@@ -59,6 +62,9 @@
     int unanswered = 0; ///< The connection broke: nothing was said.
     int mixedUp = 0;
     int refusedByRule = 0; ///< 4xx other than 409 and 429.
+    int streams = 0;       ///< Answers that came in parts.
+    int wrongTokens = 0;   ///< Streams with a token twice, missing or of another request.
+    int endless = 0;       ///< Streams without a closing event.
 };
 
 /// What one account's requests cost at one stage.
@@ -97,7 +103,10 @@
                               {"unknown", m_tally.unknown},
                               {"unanswered", m_tally.unanswered},
                               {"mixedUp", m_tally.mixedUp},
-                              {"refusedByRule", m_tally.refusedByRule}};
+                              {"refusedByRule", m_tally.refusedByRule},
+                              {"streams", m_tally.streams},
+                              {"wrongTokens", m_tally.wrongTokens},
+                              {"endless", m_tally.endless}};
         for (const auto &[where, total] : m_stages) {
             out["stages"][where.first][where.second] = {
                 {"cost", total.cost}, {"runs", total.runs}, {"ms", total.millis}};
@@ -132,7 +141,10 @@
         if (once) {
             call.headers.push_back("Idempotency-Key: " + nonce);
         }
-        call.body = nlohmann::json{{"nonce", nonce}, {"maxTokens", 32}}.dump();
+        if (FLAGS_stream && !once) {
+            call.headers.emplace_back("Accept: text/event-stream");
+        }
+        call.body = nlohmann::json{{"nonce", nonce}, {"maxTokens", tokensWanted}}.dump();
         call.timeout = std::chrono::milliseconds(FLAGS_deadline_ms) + lateAnswerAllowance;
         call.resendable = false;
         const TimePoint sentAt = m_clock.now();
@@ -150,6 +162,10 @@
     void judge(const HttpResult &result, const std::string &nonce, const std::string &account,
                Duration elapsed)
     {
+        if (result.status != 0 && result.header("content-type") == eventStreamType) {
+            judgeStream(result, nonce, elapsed);
+            return;
+        }
         const std::string outcome = result.header("harelink-outcome");
         if (result.status == 0 || outcome.empty()) {
             ++m_tally.unanswered;
@@ -168,6 +184,39 @@
         }
     }
 
+    /// Each token must come once, in order and for this request, and the last event
+    /// must say what came of it.
+    void judgeStream(const HttpResult &result, const std::string &nonce, Duration elapsed)
+    {
+        ++m_tally.streams;
+        EventReader reader;
+        reader.feed(result.body);
+        std::string outcome;
+        int tokens = 0;
+        bool right = true;
+        while (const std::optional<std::string> data = reader.next()) {
+            const nlohmann::json event = nlohmann::json::parse(*data, nullptr, false);
+            if (event.contains("outcome")) {
+                outcome = event["outcome"].get<std::string>();
+                continue;
+            }
+            const std::string expected = fmt::format(" w{}-{}", tokens, nonce);
+            right =
+                right && event.value("token", -1) == tokens && event.value("text", "") == expected;
+            ++tokens;
+        }
+        m_tally.endless += outcome.empty() ? 1 : 0;
+        m_tally.wrongTokens += right ? 0 : 1;
+        if (outcome == "completed") {
+            ++m_tally.completed;
+            m_tally.wrongTokens += tokens == tokensWanted ? 0 : 1;
+            const bool inTime = elapsed <= std::chrono::milliseconds(FLAGS_deadline_ms);
+            m_tally.attained += right && inTime ? 1 : 0;
+            return;
+        }
+        ++(outcome == "incomplete" ? m_tally.incomplete : m_tally.unknown);
+    }
+
     void judgeAnswer(const HttpResult &result, const std::string &nonce, Duration elapsed)
     {
         ++m_tally.completed;
