--- a/include/harelink/Daemon/daemon.h
+++ b/include/harelink/Daemon/daemon.h
@@ -13,6 +13,7 @@
 #include "harelink/Daemon/worker.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -22,7 +23,9 @@
 class Daemon
 {
 public:
-    explicit Daemon(Settings settings);
+    /// \param requestStop is called, on a thread of the operators' listener, when an
+    ///        operator asks for a planned stop; once.
+    Daemon(Settings settings, std::function<void()> requestStop);
     ~Daemon();
 
     /// Starts everything; an error names the address that cannot be had.
@@ -42,10 +45,13 @@
 private:
     void handleCaller(HttpRequest request, const Responder &responder);
     void handleOperator(const HttpRequest &request, const Responder &responder);
+    void handleDrain(const HttpRequest &request, const Responder &responder);
     void replyMetrics(const Responder &responder);
     Worker &workerOf(std::uint64_t sequence);
 
     Settings m_settings;
+    std::function<void()> m_requestStop;
+    std::atomic<bool> m_stopRequested{false};
     SystemClock m_clock;
     Incarnation m_incarnation;
     SnapshotCell m_snapshot;
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Logger logger("daemon");
+constexpr int statusAccepted = 202;
 constexpr int statusNotFound = 404;
 constexpr int statusBadRequest = 400;
 constexpr int statusMethodNotAllowed = 405;
@@ -113,8 +114,9 @@
 
 } // namespace
 
-Daemon::Daemon(Settings settings)
+Daemon::Daemon(Settings settings, std::function<void()> requestStop)
     : m_settings(std::move(settings))
+    , m_requestStop(std::move(requestStop))
     , m_incarnation(drawIncarnation())
 {
     m_control = std::make_unique<Control>(
@@ -210,6 +212,10 @@
         });
         return;
     }
+    if (request.path == "/v1/drain") {
+        handleDrain(request, responder);
+        return;
+    }
     if (request.path == "/metrics") {
         replyMetrics(responder);
         return;
@@ -217,6 +223,19 @@
     responder(plainReply(statusNotFound, "no such path\n"));
 }
 
+void Daemon::handleDrain(const HttpRequest &request, const Responder &responder)
+{
+    if (request.method != "POST") {
+        responder(plainReply(statusMethodNotAllowed, "only post is known here\n"));
+        return;
+    }
+    responder(plainReply(statusAccepted, "stopping\n"));
+    // Asked twice, it is still one planned stop.
+    if (!m_stopRequested.exchange(true)) {
+        m_requestStop();
+    }
+}
+
 void Daemon::replyMetrics(const Responder &responder)
 {
     auto gatherer = std::make_shared<MetricsGatherer>(m_workers.size() + 1, responder);
--- a/tools/harelink/commands.h
+++ b/tools/harelink/commands.h
@@ -27,6 +27,8 @@
 int watchCommand(const Words &words);
 /// Shows what each daemon has in force.
 int statusCommand(const Words &words);
+/// Tells a daemon to stop as planned.
+int drainCommand(const Words &words);
 /// Sends one request to a daemon and prints the answer.
 int callCommand(const Words &words);
 
--- /dev/null
+++ b/tools/harelink/draincommand.cpp
@@ -0,0 +1,66 @@
+//===- draincommand.cpp - Stops a daemon as planned -----------------------===//
+
+#include "commands.h"
+#include "daemons.h"
+#include "platform.h"
+
+#include "harelink/Support/clock.h"
+#include "harelink/Support/error.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <thread>
+
+DECLARE_bool(wait);
+DECLARE_int32(wait_seconds);
+
+namespace harelink::cli {
+namespace {
+
+constexpr std::chrono::milliseconds askInterval{100};
+
+int waitUntilGone(const ListedDaemon &daemon)
+{
+    const SystemClock clock;
+    const TimePoint limit = clock.now() + std::chrono::seconds(FLAGS_wait_seconds);
+    while (!askStatus(daemon).is_null()) {
+        if (clock.now() >= limit) {
+            fmt::print(stderr, "harelink: {} still has requests in progress\n", daemon.host);
+            return ExitFailed;
+        }
+        std::this_thread::sleep_for(askInterval);
+    }
+    fmt::print("{} has stopped\n", daemon.host);
+    return ExitDone;
+}
+
+} // namespace
+
+int drainCommand(const Words &words)
+{
+    if (words.size() != 1) {
+        fmt::print(stderr, "harelink: usage: harelink drain HOST [--wait]\n");
+        return ExitUsage;
+    }
+    const absl::StatusOr<std::vector<ListedDaemon>> daemons = listDaemons();
+    if (!daemons.ok()) {
+        return report(daemons.status());
+    }
+    const auto found =
+        std::find_if(daemons->begin(), daemons->end(),
+                     [&words](const ListedDaemon &daemon) { return daemon.host == words[0]; });
+    if (found == daemons->end()) {
+        return report(makeError(absl::StatusCode::kNotFound, "draining", words[0],
+                                "no daemon of that name is on the host list"));
+    }
+    if (!tellDrain(*found)) {
+        return report(
+            makeError(absl::StatusCode::kUnavailable, "draining", words[0], "it does not answer"));
+    }
+    fmt::print("{} finishes what is in progress and stops\n", words[0]);
+    return FLAGS_wait ? waitUntilGone(*found) : ExitDone;
+}
+
+} // namespace harelink::cli
--- a/tools/harelink/harelink.cpp
+++ b/tools/harelink/harelink.cpp
@@ -35,8 +35,10 @@
 }
 
 constexpr Command commands[] = {
-    {"apply", "apply -f FILE",
-     "Checks all resources of the file, then writes each over the version it found.", applyCommand},
+    {"apply", "apply -f FILE [--wait [--wait_seconds N]]",
+     "Checks all resources of the file, then writes each over the version it found.\n"
+     "      With --wait, returns when they are in force at every daemon.",
+     applyCommand},
     {"get", "get [KIND [NAME]] [--output json]", "Lists resources, or prints one with its version.",
      getCommand},
     {"describe", "describe KIND NAME", "Prints one resource.", describeCommand},
@@ -47,6 +49,8 @@
      "Sends one request; the answer goes to standard output.", callCommand},
     {"status", "status [--output json]",
      "Shows each listed daemon: ready, version in force, faults, platform, peers.", statusCommand},
+    {"drain", "drain HOST [--wait [--wait_seconds N]]",
+     "Lets a daemon finish what is in progress and stop; with --wait, until it has.", drainCommand},
     {"version", "version", "Prints the version.", versionCommand},
 };
 
@@ -57,7 +61,7 @@
         fmt::print("  harelink {}\n      {}\n", command.usage, command.help);
     }
     fmt::print("\nexit codes: 0 done, 1 refused, 2 usage, 3 invalid resource, 4 conflict,\n"
-               "            5 not found, 6 not reachable\n");
+               "            5 not found, 6 not reachable, 7 not in force everywhere\n");
 }
 
 const Command *findCommand(const std::string &name)
--- a/tools/harelink/objectcommands.cpp
+++ b/tools/harelink/objectcommands.cpp
@@ -2,6 +2,7 @@
 
 #include "commands.h"
 #include "platform.h"
+#include "waiting.h"
 
 #include "harelink/Config/resources.h"
 #include "harelink/Support/error.h"
@@ -15,6 +16,7 @@
 #include <sstream>
 
 DEFINE_string(f, "", "apply: the file of resources.");
+DEFINE_bool(wait, false, "apply, drain: return when it has come to pass.");
 DEFINE_string(output, "table", "table or json.");
 DEFINE_int32(changes, 0, "watch: end after so many changes; 0 goes on for ever.");
 
@@ -88,8 +90,10 @@
     return code;
 }
 
-int applyOne(const Resource &resource)
+/// Writes one resource, and notes in \p wanted the version to wait for.
+int applyOne(const Resource &resource, WantedVersions &wanted)
 {
+    const std::string place = fmt::format("{}/{}", resource.kind, resource.name);
     const PlatformResult found =
         callPlatform(objectCall(PlatformOperation::Get, resource.kind, resource.name));
     const bool exists = found.outcome == PlatformOutcome::Ok;
@@ -102,6 +106,7 @@
     }
     if (exists && nlohmann::json::parse(found.value, nullptr, false) == resource.document) {
         fmt::print("{}/{} unchanged, version {}\n", resource.kind, resource.name, current);
+        wanted[place] = current;
         return ExitDone;
     }
     PlatformCall put = objectCall(PlatformOperation::Put, resource.kind, resource.name);
@@ -118,6 +123,7 @@
     }
     fmt::print("{}/{} {}, version {}\n", resource.kind, resource.name,
                exists ? "changed" : "created", written.version);
+    wanted[place] = written.version;
     return ExitDone;
 }
 
@@ -175,7 +181,7 @@
 int applyCommand(const Words &words)
 {
     if (FLAGS_f.empty() || !words.empty()) {
-        return usage("apply -f FILE");
+        return usage("apply -f FILE [--wait]");
     }
     const absl::StatusOr<std::string> text = readFile(FLAGS_f);
     if (!text.ok()) {
@@ -186,13 +192,14 @@
     if (!resources.ok()) {
         return report(resources.status());
     }
+    WantedVersions wanted;
     for (const Resource &resource : *resources) {
-        const int code = applyOne(resource);
+        const int code = applyOne(resource, wanted);
         if (code != ExitDone) {
             return code;
         }
     }
-    return ExitDone;
+    return FLAGS_wait ? waitUntilInForce(wanted) : ExitDone;
 }
 
 int getCommand(const Words &words)
--- a/tools/harelink/platform.h
+++ b/tools/harelink/platform.h
@@ -25,6 +25,7 @@
     ExitConflict = 4,    ///< Somebody else changed the object meanwhile.
     ExitNotFound = 5,    ///< There is no such object.
     ExitUnreachable = 6, ///< The platform or daemon does not answer.
+    ExitNotInForce = 7,  ///< Written, but not in force everywhere in time.
 };
 
 /// Makes one call to the platform at --platform.
--- a/tools/harelink/statuscommand.cpp
+++ b/tools/harelink/statuscommand.cpp
@@ -1,10 +1,9 @@
 //===- statuscommand.cpp - What is in force where -------------------------===//
 
 #include "commands.h"
+#include "daemons.h"
 #include "platform.h"
 
-#include "harelink/Adapters/httpclient.h"
-
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
@@ -14,17 +13,6 @@
 namespace harelink::cli {
 namespace {
 
-constexpr std::chrono::seconds statusTimeout{2};
-
-/// What the daemon at \p operators says of itself, or null.
-nlohmann::json askDaemon(const std::string &operators)
-{
-    HttpCall call;
-    call.url = fmt::format("http://{}/v1/status", operators);
-    call.timeout = statusTimeout;
-    return nlohmann::json::parse(callAndWait(call).body, nullptr, false);
-}
-
 /// How many objects of a status are not in force as seen.
 int countFaults(const nlohmann::json &status)
 {
@@ -55,11 +43,9 @@
         fmt::print(stderr, "harelink: usage: harelink status [--output json]\n");
         return ExitUsage;
     }
-    PlatformCall call;
-    call.operation = PlatformOperation::Hosts;
-    const PlatformResult hosts = callPlatform(call);
-    if (hosts.outcome != PlatformOutcome::Ok) {
-        return reportUnreachable(hosts);
+    const absl::StatusOr<std::vector<ListedDaemon>> daemons = listDaemons();
+    if (!daemons.ok()) {
+        return report(daemons.status());
     }
     nlohmann::json all = nlohmann::json::array();
     int code = ExitDone;
@@ -67,19 +53,14 @@
         fmt::print("{:<16}{:<16}{:<8}{:>8}{:>8}{:>10}{:>7}\n", "HOST", "DATA CENTRE", "READY",
                    "VERSION", "FAULTS", "PLATFORM", "PEERS");
     }
-    for (const PlatformObject &host : hosts.objects) {
-        const nlohmann::json listed = nlohmann::json::parse(host.value, nullptr, false);
-        const std::string operators = listed.value("operators", "");
-        if (operators.empty()) {
-            continue;
-        }
-        const nlohmann::json status = askDaemon(operators);
+    for (const ListedDaemon &daemon : *daemons) {
+        const nlohmann::json status = askStatus(daemon);
         code = status.is_object() ? code : ExitUnreachable;
         if (FLAGS_output == "json") {
-            all.push_back({{"host", host.name}, {"status", status}});
+            all.push_back({{"host", daemon.host}, {"status", status}});
             continue;
         }
-        printRow(host.name, listed.value("dataCentre", ""), status);
+        printRow(daemon.host, daemon.dataCentre, status);
     }
     if (FLAGS_output == "json") {
         fmt::print("{}\n", all.dump(2, ' ', false, nlohmann::json::error_handler_t::replace));
--- /dev/null
+++ b/tools/harelink/waiting.cpp
@@ -0,0 +1,82 @@
+//===- waiting.cpp - Waiting for daemons ----------------------------------===//
+
+#include "waiting.h"
+
+#include "daemons.h"
+#include "platform.h"
+
+#include "harelink/Support/clock.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <thread>
+
+DEFINE_int32(wait_seconds, 30, "apply --wait, drain --wait: the longest wait.");
+
+namespace harelink::cli {
+namespace {
+
+constexpr std::chrono::milliseconds askInterval{200};
+
+/// What of \p wanted is not in force at a daemon with \p status, or empty.
+std::string missingAt(const nlohmann::json &status, const WantedVersions &wanted)
+{
+    if (!status.is_object()) {
+        return "does not answer";
+    }
+    const nlohmann::json objects = status.value("objects", nlohmann::json::object());
+    for (const auto &[object, version] : wanted) {
+        const nlohmann::json entry = objects.value(object, nlohmann::json::object());
+        const Version inForce = entry.value("inForce", Version(0));
+        if (inForce >= version) {
+            continue;
+        }
+        const std::string fault = entry.value("fault", "");
+        return fmt::format("has {} at version {}, not {}{}{}", object, inForce, version,
+                           fault.empty() ? "" : ": ", fault);
+    }
+    return {};
+}
+
+/// The daemons where something is missing, with what it is.
+std::map<std::string, std::string> laggards(const std::vector<ListedDaemon> &daemons,
+                                            const WantedVersions &wanted)
+{
+    std::map<std::string, std::string> missing;
+    for (const ListedDaemon &daemon : daemons) {
+        const std::string what = missingAt(askStatus(daemon), wanted);
+        if (!what.empty()) {
+            missing[daemon.host] = what;
+        }
+    }
+    return missing;
+}
+
+} // namespace
+
+int waitUntilInForce(const WantedVersions &wanted)
+{
+    const SystemClock clock;
+    const TimePoint limit = clock.now() + std::chrono::seconds(FLAGS_wait_seconds);
+    for (;;) {
+        const absl::StatusOr<std::vector<ListedDaemon>> daemons = listDaemons();
+        if (!daemons.ok()) {
+            return report(daemons.status());
+        }
+        const std::map<std::string, std::string> missing = laggards(*daemons, wanted);
+        if (missing.empty()) {
+            fmt::print("in force at all {} daemons\n", daemons->size());
+            return ExitDone;
+        }
+        if (clock.now() >= limit) {
+            for (const auto &[host, what] : missing) {
+                fmt::print(stderr, "harelink: {} {}\n", host, what);
+            }
+            return ExitNotInForce;
+        }
+        std::this_thread::sleep_for(askInterval);
+    }
+}
+
+} // namespace harelink::cli
--- a/tools/harelinkd/harelinkd.cpp
+++ b/tools/harelinkd/harelinkd.cpp
@@ -21,6 +21,8 @@
 #include <sstream>
 #include <thread>
 
+#include <unistd.h>
+
 DEFINE_string(config, "", "The settings file, JSON with comments.");
 DEFINE_bool(check_config, false, "Only check the settings file.");
 
@@ -115,7 +117,8 @@
     }
     applyLogLevel(settings->logLevel);
     const sigset_t signals = blockStopSignals();
-    Daemon daemon(*settings);
+    // An operator's word comes in as the signal does.
+    Daemon daemon(*settings, [] { ::kill(::getpid(), SIGTERM); });
     const absl::Status started = daemon.start();
     if (!started.ok()) {
         logger.error("Cannot start: {}.", describeError(started));
