[Adapters] Let daemons talk under CURVE, and refuse unknown keys

Cause: whoever reached a daemon's peer port could tell it of leaving endpoints, of configuration and of claims' ends.

Change: the setting peerTrust, without a default, is curve or network. Under curve all daemons of a fleet hold one pair of keys; a connection with another key is refused and counted, unless the settings accept it. harelink keys makes a pair.

Ruled out: a key for each host: hosts are replaced at any time, and a list of keys in every daemon's settings would have to follow.

While a pair is exchanged, old and new daemons do not hear each other.

--- a/include/harelink/Adapters/peerlink.h
+++ b/include/harelink/Adapters/peerlink.h
@@ -10,6 +10,7 @@
 #ifndef HARELINK_ADAPTERS_PEERLINK_H
 #define HARELINK_ADAPTERS_PEERLINK_H
 
+#include "harelink/Config/settings.h"
 #include "harelink/Kernel/peers.h"
 
 #include <absl/status/status.h>
@@ -37,6 +38,9 @@
     std::uint64_t sentBytes = 0;
 };
 
+/// A new pair of keys, which accepts no other.
+[[nodiscard]] PeerKeys makePeerKeys();
+
 /// The sockets of one daemon. Belongs to one thread after listen().
 class PeerLink
 {
@@ -46,6 +50,11 @@
     PeerLink(const PeerLink &) = delete;
     PeerLink &operator=(const PeerLink &) = delete;
 
+    /// From now on every connection is under CURVE. Before listen().
+    void secure(const PeerKeys &keys);
+    /// Expects receivers to hold the pair of \p publicKey instead of the own pair, as
+    /// while keys are exchanged. After secure().
+    void trustServer(const std::string &publicKey);
     /// Listens on \p address, an IP number and a port; port 0 takes a free one.
     absl::Status listen(const std::string &address);
     /// The port it listens on.
@@ -58,6 +67,8 @@
     /// The next message that came in.
     std::optional<PeerMessage> receive();
     [[nodiscard]] const PeerLinkCounters &counters() const { return m_counters; }
+    /// Connections refused for want of a known key.
+    [[nodiscard]] std::uint64_t refused() const;
 
 private:
     struct Sockets;
--- a/include/harelink/Config/jsonreader.h
+++ b/include/harelink/Config/jsonreader.h
@@ -46,6 +46,8 @@
     std::string text(const std::string &field);
     /// A text, or \p fallback where the field is absent.
     std::string text(const std::string &field, const std::string &fallback);
+    /// A list of texts; empty where the field is absent.
+    std::vector<std::string> texts(const std::string &field);
     /// A name: lower-case letters, digits and '-', at most 63.
     std::string name(const std::string &field);
     /// A whole number within [\p low, \p high], or \p fallback.
--- a/include/harelink/Config/settings.h
+++ b/include/harelink/Config/settings.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -24,6 +25,15 @@
     Balancer,    ///< The balancer in front sets the account's header.
 };
 
+/// The keys under which daemons talk to each other, in Z85. All daemons of a fleet
+/// have the same pair.
+struct PeerKeys
+{
+    std::string publicKey;
+    std::string secretKey;
+    std::vector<std::string> accepted; ///< Public keys of peers besides the own one.
+};
+
 /// Everything a daemon is told at start.
 struct Settings
 {
@@ -34,6 +44,7 @@
     std::string peerAddress;     ///< Listens for other daemons.
     std::string platformAddress; ///< The platform's object API.
     CallerTrust callerTrust = CallerTrust::BearerToken;
+    std::optional<PeerKeys> peerKeys;  ///< Nothing where the network is trusted.
     std::string routingPolicy;         ///< Name of a plug-in.
     std::string logLevel;              ///< debug, info, warning or error.
     int workers = 2;                   ///< Worker threads.
--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -4,8 +4,11 @@
 
 #include "harelink/Support/error.h"
 
+#include "curveauthenticator.h"
+
 #include <zmq.hpp>
 
+#include <array>
 #include <cstdlib>
 
 #include <fmt/format.h>
@@ -15,6 +18,8 @@
 
 /// Messages that wait for a peer that is slow; more are dropped.
 constexpr int sendQueue = 10'000;
+/// A key as text, with its end.
+constexpr std::size_t keyTextBytes = 41;
 /// The largest message that is taken in: a whole configuration fits.
 constexpr std::int64_t largestMessage = 16'000'000;
 
@@ -24,9 +29,23 @@
 struct PeerLink::Sockets
 {
     zmq::context_t context{1};
+    std::unique_ptr<CurveAuthenticator> authenticator;
+    std::optional<PeerKeys> keys;
+    std::string serverKey; ///< Of the receivers that are connected to.
     zmq::socket_t receiver{context, zmq::socket_type::pull};
     std::map<std::string, zmq::socket_t> senders; ///< By address.
 
+    Sockets() = default;
+    ~Sockets()
+    {
+        senders.clear();
+        receiver.close();
+        // Ends the authenticator's wait.
+        context.shutdown();
+    }
+    Sockets(const Sockets &) = delete;
+    Sockets &operator=(const Sockets &) = delete;
+
     zmq::socket_t &senderTo(const std::string &address)
     {
         const auto found = senders.find(address);
@@ -38,6 +57,11 @@
         socket.set(zmq::sockopt::sndhwm, sendQueue);
         // Nothing is kept for a peer that is not there: it would come late.
         socket.set(zmq::sockopt::immediate, true);
+        if (keys) {
+            socket.set(zmq::sockopt::curve_serverkey, serverKey);
+            socket.set(zmq::sockopt::curve_publickey, keys->publicKey);
+            socket.set(zmq::sockopt::curve_secretkey, keys->secretKey);
+        }
         socket.connect("tcp://" + address);
         return senders.emplace(address, std::move(socket)).first->second;
     }
@@ -50,6 +74,35 @@
 
 PeerLink::~PeerLink() = default;
 
+PeerKeys makePeerKeys()
+{
+    std::array<char, keyTextBytes> publicKey{};
+    std::array<char, keyTextBytes> secretKey{};
+    zmq_curve_keypair(publicKey.data(), secretKey.data());
+    return {publicKey.data(), secretKey.data(), {}};
+}
+
+void PeerLink::secure(const PeerKeys &keys)
+{
+    std::vector<std::string> accepted = keys.accepted;
+    accepted.push_back(keys.publicKey);
+    m_sockets->authenticator = std::make_unique<CurveAuthenticator>(m_sockets->context, accepted);
+    m_sockets->keys = keys;
+    m_sockets->serverKey = keys.publicKey;
+    m_sockets->receiver.set(zmq::sockopt::curve_server, true);
+    m_sockets->receiver.set(zmq::sockopt::curve_secretkey, keys.secretKey);
+}
+
+void PeerLink::trustServer(const std::string &publicKey)
+{
+    m_sockets->serverKey = publicKey;
+}
+
+std::uint64_t PeerLink::refused() const
+{
+    return m_sockets->authenticator == nullptr ? 0 : m_sockets->authenticator->refused();
+}
+
 absl::Status PeerLink::listen(const std::string &address)
 {
     try {
--- a/lib/Config/jsonreader.cpp
+++ b/lib/Config/jsonreader.cpp
@@ -126,6 +126,22 @@
     return value->get<std::string>();
 }
 
+std::vector<std::string> JsonReader::texts(const std::string &field)
+{
+    const nlohmann::json *value = find(field);
+    if (value == nullptr) {
+        return {};
+    }
+    const bool areTexts = value->is_array()
+                          && std::all_of(value->begin(), value->end(),
+                                         [](const auto &item) { return item.is_string(); });
+    if (!areTexts) {
+        fault(field, "must be a list of texts");
+        return {};
+    }
+    return value->get<std::vector<std::string>>();
+}
+
 std::string JsonReader::name(const std::string &field)
 {
     std::string value = text(field);
--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -39,6 +39,32 @@
     reader.finish();
 }
 
+/// Z85 writes 32 bytes as 40 characters without quotes or backslashes.
+constexpr std::size_t keyLength = 40;
+
+void checkKey(const std::string &key, const std::string &path, Faults &faults)
+{
+    if (key.size() != keyLength) {
+        // The key itself is never shown.
+        faults.push_back(path + ": must be a key of 40 characters, as harelink keys prints");
+    }
+}
+
+PeerKeys readPeerKeys(JsonReader reader, const std::string &path, Faults &faults)
+{
+    PeerKeys keys;
+    keys.publicKey = reader.text("public");
+    checkKey(keys.publicKey, path + ".public", faults);
+    keys.secretKey = reader.text("secret");
+    checkKey(keys.secretKey, path + ".secret", faults);
+    keys.accepted = reader.texts("accepted");
+    for (const std::string &key : keys.accepted) {
+        checkKey(key, path + ".accepted", faults);
+    }
+    reader.finish();
+    return keys;
+}
+
 } // namespace
 
 absl::StatusOr<Settings> readSettings(std::string_view text, std::string_view origin,
@@ -58,6 +84,10 @@
     // No default: an open door has to be chosen in so many words.
     const std::string trust = reader.choice("callerTrust", {"bearer-token", "balancer"});
     settings.callerTrust = trust == "balancer" ? CallerTrust::Balancer : CallerTrust::BearerToken;
+    const std::string peerTrust = reader.choice("peerTrust", {"curve", "network"});
+    if (peerTrust == "curve") {
+        settings.peerKeys = readPeerKeys(reader.object("peerKeys"), "peerKeys", faults);
+    }
     settings.routingPolicy = reader.choice("routing", routingPolicies, "power-of-two");
     settings.logLevel = reader.choice("logLevel", {"debug", "info", "warning", "error"}, "info");
     if (reader.has("limits")) {
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -65,6 +65,9 @@
 
 absl::Status Control::start()
 {
+    if (m_settings.peerKeys) {
+        m_peers.secure(*m_settings.peerKeys);
+    }
     absl::Status listening = m_peers.listen(m_settings.peerAddress);
     if (!listening.ok()) {
         return listening;
@@ -239,6 +242,7 @@
         counter("harelink_peer_bytes_sent_total", m_peers.counters().sentBytes);
         counter("harelink_peer_messages_dropped_total", m_peers.counters().dropped);
         counter("harelink_peer_messages_unreadable_total", m_peers.counters().unreadable);
+        counter("harelink_peer_connections_refused_total", m_peers.refused());
         gauge("harelink_config_version", static_cast<double>(m_machine.config().revision()));
         gauge("harelink_platform_connected", m_machine.connected() ? 1 : 0);
         gauge("harelink_watches_platform", m_machine.watches() ? 1 : 0);
--- /dev/null
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -0,0 +1,107 @@
+//===- peerlinktest.cpp - Tests of messages between daemons ---------------===//
+
+#include "harelink/Adapters/peerlink.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <fmt/format.h>
+
+#include <thread>
+
+using namespace harelink;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Turns of 10 ms until something that must happen has happened; the verdict does
+/// not hang on how many it takes.
+constexpr int mostTurns = 2000;
+
+/// A receiver under \p own keys, or none, and what reaches it of a sender's.
+struct Pair
+{
+    Pair(const std::optional<PeerKeys> &receiverKeys, const std::optional<PeerKeys> &senderKeys)
+    {
+        if (receiverKeys) {
+            receiver.secure(*receiverKeys);
+        }
+        if (senderKeys) {
+            sender.secure(*senderKeys);
+        }
+        CHECK(receiver.listen("127.0.0.1:0").ok());
+    }
+    void send()
+    {
+        Heartbeat heartbeat;
+        heartbeat.usage.push_back({"drivers", "engines", milliseconds(5), 3});
+        const std::string address = fmt::format("127.0.0.1:{}", receiver.port());
+        sender.send({"h2", address, {"h1", 7, heartbeat}});
+    }
+    /// Sends until something arrives.
+    std::optional<PeerMessage> sendUntilReceived()
+    {
+        for (int turn = 0; turn < mostTurns; ++turn) {
+            send();
+            if (std::optional<PeerMessage> message = receiver.receive()) {
+                return message;
+            }
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        return std::nullopt;
+    }
+
+    PeerLink receiver;
+    PeerLink sender;
+};
+
+} // namespace
+
+TEST_GROUP(PeerLink){};
+
+TEST(PeerLink, MessagesPassUnderTheSameKeys)
+{
+    const PeerKeys keys = makePeerKeys();
+    Pair pair(keys, keys);
+    const std::optional<PeerMessage> message = pair.sendUntilReceived();
+    CHECK(message.has_value());
+    const auto &heartbeat = std::get<Heartbeat>(message->content);
+    STRCMP_EQUAL("h1", message->host.c_str());
+    CHECK_EQUAL(3, heartbeat.usage.at(0).demand);
+    CHECK_EQUAL(0u, pair.receiver.refused());
+}
+
+TEST(PeerLink, APeerWithoutAKnownKeyIsRefusedAndCounted)
+{
+    const PeerKeys keys = makePeerKeys();
+    PeerKeys stranger = makePeerKeys();
+    // It knows the fleet's public key, which is no secret, but has another pair.
+    Pair pair(keys, keys);
+    PeerLink intruder;
+    const std::string address = fmt::format("127.0.0.1:{}", pair.receiver.port());
+    intruder.secure(stranger);
+    intruder.trustServer(keys.publicKey);
+    for (int turn = 0; turn < mostTurns && pair.receiver.refused() == 0; ++turn) {
+        intruder.send({"h2", address, {"intruder", 8, Heartbeat{}}});
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(pair.receiver.refused() > 0);
+    CHECK(!pair.receiver.receive().has_value());
+    // The control: the fleet's own still get through.
+    CHECK(pair.sendUntilReceived()->host == "h1");
+}
+
+TEST(PeerLink, AKeyThatTheSettingsAcceptGetsIn)
+{
+    PeerKeys keys = makePeerKeys();
+    const PeerKeys other = makePeerKeys();
+    keys.accepted = {other.publicKey};
+    Pair pair(keys, other);
+    pair.sender.trustServer(keys.publicKey);
+    CHECK(pair.sendUntilReceived().has_value());
+}
+
+TEST(PeerLink, WithoutKeysNothingIsSecured)
+{
+    Pair pair(std::nullopt, std::nullopt);
+    CHECK(pair.sendUntilReceived().has_value());
+}
--- a/unittests/Config/settingstest.cpp
+++ b/unittests/Config/settingstest.cpp
@@ -12,7 +12,7 @@
 constexpr const char *good = R"({
     "host": "h1", "dataCentre": "porto", // Where it stands.
     "listen": {"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},
-    "platform": "127.0.0.1:4", "callerTrust": "balancer"})";
+    "platform": "127.0.0.1:4", "callerTrust": "balancer", "peerTrust": "network"})";
 
 absl::StatusOr<Settings> read(const std::string &text)
 {
@@ -52,3 +52,22 @@
         STRCMP_CONTAINS(expected, fault.c_str());
     }
 }
+
+TEST(Settings, PeersAreTrustedOnlyInSoManyWords)
+{
+    std::string text = good;
+    text.erase(text.find(", \"peerTrust\": \"network\""), 24);
+    STRCMP_CONTAINS("peerTrust: is missing", errorMessage(read(text).status()).c_str());
+}
+
+TEST(Settings, CurveNeedsKeysAndShowsNone)
+{
+    std::string text = good;
+    const std::string trust = "\"peerTrust\": \"network\"";
+    text.replace(text.find(trust), trust.size(),
+                 R"("peerTrust": "curve", "peerKeys": {"public": "short", "secret": "hidden"})");
+    const std::string message = errorMessage(read(text).status());
+    STRCMP_CONTAINS("peerKeys.public: must be a key", message.c_str());
+    STRCMP_CONTAINS("peerKeys.secret: must be a key", message.c_str());
+    CHECK(message.find("hidden") == std::string::npos);
+}
--- a/utils/local-fleet.sh
+++ b/utils/local-fleet.sh
@@ -1,6 +1,8 @@
 # Functions that start stand-ins and daemons on the loopback addresses, each on
 # a port that the system chose, and end just these. To be sourced.
 #
+# Daemons talk under fleet_keys, made anew where none are set.
+#
 # Needs: bin (folder of the programs) and work (a scratch folder).
 
 declare -A fleet_pid fleet_address fleet_operators fleet_peers
@@ -32,6 +34,7 @@
 # fleet_daemon NAME DATA_CENTRE [TRUST]: starts a daemon against the platform.
 fleet_daemon() {
     local name=$1
+    fleet_keys=${fleet_keys:-$("$bin/harelink" keys --output json)}
     cat >"$work/$name.jsonc" <<SETTINGS
 {
     // Written by local-fleet.sh; port 0 lets the system choose.
@@ -44,6 +47,8 @@
     },
     "platform": "${fleet_address[platform]}",
     "callerTrust": "${3:-balancer}",
+    "peerTrust": "curve",
+    "peerKeys": $fleet_keys,
     "limits": { "workers": 2, "platformTimeoutMs": 300 ${fleet_limits:-} }
 }
 SETTINGS
