--- a/utils/bench/kernel.cpp
+++ b/utils/bench/kernel.cpp
@@ -1,8 +1,8 @@
 //===- kernel.cpp - Cost of a request's decisions -------------------------===//
 ///
 /// \file
-/// The kernel's time for one whole request of two stages, by the number of
-/// endpoints in its pools and of client accounts.
+/// The kernel's time for one whole request of two stages, and for one division of
+/// a pool's slots, by the number of endpoints in its pools and of client accounts.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -83,6 +83,24 @@
     }
 }
 
+/// Dividing a pool's slots anew, as a worker does at most every 10 ms while
+/// requests wait, with demand of every account.
+void divideSlots(benchmark::State &state)
+{
+    const auto snapshot =
+        buildSnapshot(configuration(state.range(0), state.range(1)), 1, "dc1", nullptr);
+    for (const auto &[name, account] : snapshot->accounts) {
+        account.loads.at("engines")->demand = 10'000;
+    }
+    const ManualClock clock;
+    for (auto _ : state) {
+        SlotShares shares;
+        shares.update(*snapshot, *snapshot->pool("engines"), clock.now());
+        benchmark::DoNotOptimize(shares);
+    }
+}
+
+BENCHMARK(divideSlots)->ArgsProduct({{36, 1000, 12000}, {5, 320}});
 BENCHMARK(wholeRequest)->ArgsProduct({{36, 1000, 12000}, {5, 320}});
 
 } // namespace
--- a/utils/local-fleet.sh
+++ b/utils/local-fleet.sh
@@ -49,7 +49,7 @@
     "callerTrust": "${3:-balancer}",
     "peerTrust": "curve",
     "peerKeys": $fleet_keys,
-    "limits": { "workers": 2, "platformTimeoutMs": 300 ${fleet_limits:-} }
+    "limits": { ${fleet_limits:-"\"workers\": 2"}, "platformTimeoutMs": 300 }
 }
 SETTINGS
     "$bin/harelinkd" --config "$work/$name.jsonc" 2>"$work/$name.log" &
