[Kernel] Wait for an unreachable pool as long as a restart takes

Cause: while a pool could not be reached, admission took its standing queue for a slow one, and the time between probes for the interval at which the queue moves.

Change: a pool of which no endpoint answers a connection is taken to be restarting for 5 s; its queue is expected to move on as before. After that a request is refused at once if any other is ahead of it. Probes teach nothing about the queue.

A unit test: none refused at once in the fourth second, at least 30 of 40 in the eighth.

--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -41,6 +41,9 @@
 inline constexpr std::chrono::minutes lateGrantMemory{10};
 /// A machine has a turn more often than this, unless its process stands still.
 inline constexpr std::chrono::milliseconds longestTurnGap{750};
+/// So long a pool of which nobody can be reached is taken to be restarting: its queue
+/// is expected to move on as before. Later it is taken to stand still.
+inline constexpr std::chrono::seconds restartAllowance{5};
 /// Share by which one dispatch moves the smoothed interval between dispatches.
 inline constexpr double intervalSmoothing = 0.2;
 
@@ -106,6 +109,7 @@
     LatencyModel latency;
     Duration dispatchInterval{}; ///< Smoothed, while requests waited.
     TimePoint lastDispatch;
+    std::optional<TimePoint> unreachableSince; ///< No endpoint answers a connection.
 };
 
 template <GuardPolicy G>
@@ -431,7 +435,10 @@
     const Duration atBest =
         state.latency.typical(m_clock.now(), request.bytes()) * m_limits.workers / slots;
     Duration interval = std::max(state.dispatchInterval, atBest);
-    if (state.queue.size() > 0) {
+    if (state.unreachableSince) {
+        const Duration down = m_clock.now() - *state.unreachableSince;
+        interval = down < requestmachine::restartAllowance ? interval : std::max(interval, down);
+    } else if (state.queue.size() > 0) {
         interval = std::max(interval, m_clock.now() - state.lastDispatch);
     }
     const double ahead = state.demand.ahead(snapshot, request.account);
@@ -520,13 +527,20 @@
             m_policy->choose({*pool, now, homeOf(request, *pool), avoid}, m_random);
         if (endpoint == nullptr) {
             state.queue.push(placeOf(request));
+            if (state.shares.usableSlots() == 0 && !state.unreachableSince) {
+                state.unreachableSince = now;
+            }
             return;
         }
-        const double before = requestmachine::seconds(state.dispatchInterval);
-        const double gap = requestmachine::seconds(now - state.lastDispatch);
-        state.dispatchInterval = requestmachine::fromSeconds(
-            before + (gap - before) * requestmachine::intervalSmoothing);
-        state.lastDispatch = now;
+        // A probe says nothing of how fast the queue moves.
+        if (!isOnProbation(*endpoint)) {
+            const double before = requestmachine::seconds(state.dispatchInterval);
+            const double gap = requestmachine::seconds(now - state.lastDispatch);
+            state.dispatchInterval = requestmachine::fromSeconds(
+                before + (gap - before) * requestmachine::intervalSmoothing);
+            state.lastDispatch = now;
+            state.unreachableSince.reset();
+        }
         send(request, *pool, *endpoint, snapshot);
     }
 }
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -29,6 +29,8 @@
 
 /// Whether \p entry is neither leaving nor ejected.
 [[nodiscard]] bool isUsable(const EndpointEntry &entry, TimePoint now);
+/// Whether \p entry has been ejected and has not yet shown that it is back.
+[[nodiscard]] bool isOnProbation(const EndpointEntry &entry);
 /// Whether \p entry may get one more call now.
 [[nodiscard]] bool isEligible(const EndpointEntry &entry, TimePoint now);
 
--- a/include/harelink/Kernel/slotshares.h
+++ b/include/harelink/Kernel/slotshares.h
@@ -32,10 +32,15 @@
     /// Whether \p account may have one more call in flight from this daemon.
     [[nodiscard]] bool mayGo(const Snapshot &snapshot, const std::string &account) const;
 
+    /// The slots of endpoints that are neither leaving, ejected nor on probation, as
+    /// last seen.
+    [[nodiscard]] int usableSlots() const { return m_usableSlots; }
+
 private:
     std::string m_pool;
     TimePoint m_updatedAt = TimePoint::min();
-    double m_level = 0;    ///< Slots for a unit of weight.
+    double m_level = 0; ///< Slots for a unit of weight.
+    int m_usableSlots = 0;
     bool m_limits = false; ///< The demand is above the slots.
 };
 
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -85,6 +85,11 @@
     return !entry.load->leaving.load(std::memory_order_relaxed) && !isEjected(entry, now);
 }
 
+bool isOnProbation(const EndpointEntry &entry)
+{
+    return entry.load->failures.load(std::memory_order_relaxed) >= failuresToEject;
+}
+
 bool isEligible(const EndpointEntry &entry, TimePoint now)
 {
     const EndpointLoad &load = *entry.load;
@@ -93,7 +98,7 @@
     }
     const int inFlight = load.inFlight.load(std::memory_order_relaxed);
     // After an ejection one call at a time probes whether the endpoint is back.
-    if (load.failures.load(std::memory_order_relaxed) >= failuresToEject) {
+    if (isOnProbation(entry)) {
         return inFlight == 0;
     }
     return inFlight < load.limit.load(std::memory_order_relaxed);
--- a/lib/Kernel/slotshares.cpp
+++ b/lib/Kernel/slotshares.cpp
@@ -50,11 +50,12 @@
     return demands;
 }
 
-double usableSlots(const PoolEntry &pool, TimePoint now)
+int countUsableSlots(const PoolEntry &pool, TimePoint now)
 {
     int slots = 0;
     for (const EndpointEntry &endpoint : pool.endpoints) {
-        slots += isUsable(endpoint, now) ? endpoint.spec.slots : 0;
+        const bool works = isUsable(endpoint, now) && !isOnProbation(endpoint);
+        slots += works ? endpoint.spec.slots : 0;
     }
     return slots;
 }
@@ -73,7 +74,8 @@
     std::sort(demands.begin(), demands.end(), [](const Demand &a, const Demand &b) {
         return std::pair(a.perWeight(), a.weight) < std::pair(b.perWeight(), b.weight);
     });
-    double slotsLeft = usableSlots(pool, now) * callsPerSlot;
+    m_usableSlots = countUsableSlots(pool, now);
+    double slotsLeft = m_usableSlots * callsPerSlot;
     double weightsLeft = 0;
     for (const Demand &demand : demands) {
         weightsLeft += demand.weight;
--- a/unittests/Kernel/overloadtest.cpp
+++ b/unittests/Kernel/overloadtest.cpp
@@ -160,3 +160,26 @@
     CHECK(giveUpThrice(pool.endpoints[0], milliseconds(150)));
     CHECK(!giveUpThrice(pool.endpoints[1], milliseconds(250)));
 }
+
+TEST(Overload, APoolThatStaysUnreachableIsWaitedForOnlySoLong)
+{
+    Bench bench(2, 4);
+    std::size_t failed = 0;
+    // Forty requests a second for eight seconds, of which none can be served.
+    std::vector<std::size_t> refusedBySecond(8);
+    for (int turn = 0; turn < 320; ++turn) {
+        bench.arrive("answer");
+        const std::size_t before = bench.answers.size();
+        while (failed < bench.sends.size()) {
+            bench.failCall(bench.sends[failed++].call, SendEvidence::NothingSent);
+        }
+        bench.advance(milliseconds(25));
+        for (std::size_t i = before; i < bench.answers.size(); ++i) {
+            CHECK(bench.answers[i].outcome == Outcome::NotRun);
+        }
+        const bool atOnce = !bench.answers.empty() && bench.answers.back().elapsed == Duration{};
+        refusedBySecond[static_cast<std::size_t>(turn) / 40] += atOnce ? 1 : 0;
+    }
+    CHECK_EQUAL(0u, refusedBySecond[3]);
+    CHECK(refusedBySecond[7] >= 30);
+}
--- a/utils/bench/policies.cpp
+++ b/utils/bench/policies.cpp
@@ -94,7 +94,7 @@
 
 // Admission -------------------------------------------------------------------
 
-enum class Trouble { None, Burst, SlowStage, DeadStage };
+enum class Trouble { None, Burst, SlowStage, DeadStage, LongDeadStage };
 
 template <typename World>
 void addTrouble(World &world, Trouble trouble)
@@ -110,8 +110,10 @@
         world.changeAt(seconds(8), "rerankers", 5, [](auto &at) { at.setSlowFactor(1); });
         return;
     case Trouble::DeadStage:
+    case Trouble::LongDeadStage:
+        const seconds end(trouble == Trouble::DeadStage ? 7 : 12);
         world.changeAt(seconds(5), "rerankers", 5, [](auto &at) { at.kill(); });
-        world.changeAt(seconds(7), "rerankers", 5, [](auto &at) { at.start(); });
+        world.changeAt(end, "rerankers", 5, [](auto &at) { at.start(); });
         return;
     }
 }
@@ -159,7 +161,8 @@
         {"steady, 60% of capacity", Trouble::None},
         {"a burst of three times the capacity on top for 1 s", Trouble::Burst},
         {"90%, rerank tenfold slow for 3 s", Trouble::SlowStage},
-        {"rerank down for 2 s", Trouble::DeadStage}};
+        {"rerank down for 2 s", Trouble::DeadStage},
+        {"rerank down for 7 s", Trouble::LongDeadStage}};
     for (const auto &[name, trouble] : troubles) {
         fmt::print("admission: {}\n", name);
         const std::size_t unlimited = RequestLimits{}.mostRequests;
