[Kernel] Give up a waiting request in time also where its estimate fell

Cause: a waiting request was looked at once, when by the estimate of its arrival it could no longer finish. Where the estimate had fallen by then, it was next looked at when its deadline had come, and was often sent just before, for nothing.

Change: it is looked at again when by the newer estimate it can no longer finish.

--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -224,7 +224,15 @@
     const TimePoint now = m_clock.now();
     const bool due = now >= request.deadline - requestmachine::answerMargin;
     const bool queued = request.phase == Request::Phase::Queued;
-    if (!due && (!queued || fitsDeadline(request, remainingTime(request)))) {
+    if (!due && !queued) {
+        return;
+    }
+    const Duration needed = remainingTime(request);
+    if (!due && fitsDeadline(request, needed)) {
+        // The estimate fell since it was queued: there is more time to wait.
+        if (G::admitsByPrediction) {
+            schedule(request, request.deadline - needed);
+        }
         return;
     }
     const std::string step = request.phase == Request::Phase::Claiming
--- a/unittests/Kernel/overloadtest.cpp
+++ b/unittests/Kernel/overloadtest.cpp
@@ -6,6 +6,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace harelink;
@@ -183,3 +184,25 @@
     CHECK_EQUAL(0u, refusedBySecond[3]);
     CHECK(refusedBySecond[7] >= 30);
 }
+
+TEST(Overload, ARequestWhoseEstimateFellIsStillGivenUpInTime)
+{
+    Bench bench(1, 1);
+    bench.arrive("answer");
+    for (const std::size_t stage : {0u, 1u}) {
+        bench.advance(milliseconds(200));
+        bench.answer(bench.sends.at(stage).call);
+    }
+    // The only endpoint hangs; while the second request waits, the estimates fade.
+    bench.advance(milliseconds(1000));
+    bench.arrive("answer");
+    const RequestId waiting = bench.arrive("answer");
+    for (int turn = 0; turn < 100; ++turn) {
+        bench.advance(milliseconds(10));
+    }
+    const auto given = std::find_if(bench.answers.begin(), bench.answers.end(),
+                                    [&](const auto &answer) { return answer.id == waiting; });
+    CHECK(given != bench.answers.end());
+    CHECK(given->reason == Reason::CannotFinish);
+    CHECK(given->elapsed < milliseconds(990));
+}
