--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -91,12 +91,9 @@
 template <GuardPolicy G>
 void BasicControlMachine<G>::sendTo(const std::string &host, decltype(PeerMessage::content) content)
 {
-    const std::string address = m_membership.addressOf(host);
-    if (address.empty()) {
-        return;
+    if (std::optional<PeerSend> message = m_membership.messageTo(host, std::move(content))) {
+        m_output.sends.push_back(*std::move(message));
     }
-    m_output.sends.push_back(
-        {host, address, {m_membership.host(), m_membership.incarnation(), std::move(content)}});
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -54,6 +54,9 @@
     [[nodiscard]] std::vector<std::string> candidates() const;
     /// The host that was heard of lately under \p incarnation; empty for this host.
     [[nodiscard]] std::optional<std::string> hostOf(Incarnation incarnation) const;
+    /// A message to \p host; nothing where its address is not known.
+    [[nodiscard]] std::optional<PeerSend> messageTo(const std::string &host,
+                                                    decltype(PeerMessage::content) content) const;
     /// The address of \p host, or an empty text.
     [[nodiscard]] std::string addressOf(const std::string &host) const;
     /// The living hosts of the own data centre that stay, this one among them.
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -162,6 +162,16 @@
     return hosts;
 }
 
+std::optional<PeerSend> Membership::messageTo(const std::string &host,
+                                              decltype(PeerMessage::content) content) const
+{
+    const std::string address = addressOf(host);
+    if (address.empty()) {
+        return std::nullopt;
+    }
+    return PeerSend{host, address, {m_host, m_incarnation, std::move(content)}};
+}
+
 std::string Membership::addressOf(const std::string &host) const
 {
     const auto found = m_peers.find(host);
