[Adapters] Let a signal only interrupt the wait for new peers

Cause: a read of the change. The thread that answers whether a peer may connect took any error for the context's end, an interrupted wait too; after that no peer could connect any more, and nobody would have been told.

Change: an interrupted wait goes on.

Exchanging keys without a cut between old and new daemons is open.

--- a/lib/Adapters/curveauthenticator.cpp
+++ b/lib/Adapters/curveauthenticator.cpp
@@ -3,6 +3,7 @@
 #include "curveauthenticator.h"
 
 #include <array>
+#include <cerrno>
 
 #include <zmq_addon.hpp>
 
@@ -17,7 +18,6 @@
 constexpr std::size_t mechanismFrame = 5;
 constexpr std::size_t keyFrame = 6;
 constexpr std::size_t keyBytes = 32;
-constexpr std::size_t keyTextBytes = 41; // With the end of the text.
 
 std::string keyText(const zmq::message_t &frame)
 {
@@ -45,11 +45,14 @@
 
 void CurveAuthenticator::run()
 {
-    try {
-        while (answerOne()) {
+    bool goesOn = true;
+    while (goesOn) {
+        try {
+            goesOn = answerOne();
+        } catch (const zmq::error_t &error) {
+            // A signal only interrupts the wait; anything else is the context's end.
+            goesOn = error.num() == EINTR;
         }
-    } catch (const zmq::error_t &) {
-        // The context was shut down.
     }
     m_socket.close();
 }
--- a/lib/Adapters/curveauthenticator.h
+++ b/lib/Adapters/curveauthenticator.h
@@ -12,6 +12,7 @@
 #include <zmq.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -20,6 +21,9 @@
 
 namespace harelink {
 
+/// Bytes of a key in Z85, with the end of the text.
+inline constexpr std::size_t keyTextBytes = 41;
+
 /// Answers on a thread of its own, until the context is shut down.
 class CurveAuthenticator
 {
--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -18,8 +18,6 @@
 
 /// Messages that wait for a peer that is slow; more are dropped.
 constexpr int sendQueue = 10'000;
-/// A key as text, with its end.
-constexpr std::size_t keyTextBytes = 41;
 /// The largest message that is taken in: a whole configuration fits.
 constexpr std::int64_t largestMessage = 16'000'000;
 
