[Kernel] Look up a call's endpoint in one place

Cause: settling a call and noting progress each looked up pool and endpoint by hand.

Change: endpointOf().

Conclusion: the three places that need the pool as well keep their own look-up.

--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -62,10 +62,8 @@
         refuseAnswer(*request, "the stream repeats or leaves out a token", snapshot);
         return;
     }
-    if (const PoolEntry *pool = snapshot.pool(request->stageSpec().pool)) {
-        if (const EndpointEntry *endpoint = pool->find(request->endpoint)) {
-            noteProgress(*endpoint, m_clock.now());
-        }
+    if (const EndpointEntry *endpoint = endpointOf(*request, snapshot)) {
+        noteProgress(*endpoint, m_clock.now());
     }
     if (request->tokens == 0) {
         request->firstPiece = m_clock.now() - request->arrivedAt;
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -91,6 +91,15 @@
     }
 }
 
+/// The endpoint of the call in progress; null for one that is no longer declared.
+template <GuardPolicy G>
+const EndpointEntry *BasicRequestMachine<G>::endpointOf(const Request &request,
+                                                        const Snapshot &snapshot)
+{
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    return pool == nullptr ? nullptr : pool->find(request.endpoint);
+}
+
 /// The endpoint that is likely to have the request's prompt still at hand.
 template <GuardPolicy G>
 const EndpointEntry *BasicRequestMachine<G>::homeOf(const Request &request, const PoolEntry &pool)
@@ -184,11 +193,7 @@
     cost.elapsed += now - request.sentAt;
     request.demand = {};
     request.inFlight = {};
-    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
-    if (pool == nullptr) {
-        return;
-    }
-    if (const EndpointEntry *endpoint = pool->find(request.endpoint)) {
+    if (const EndpointEntry *endpoint = endpointOf(request, snapshot)) {
         const int before = endpoint->load->inFlight.fetch_sub(1, std::memory_order_relaxed);
         // An endpoint declared anew under the same name starts from zero.
         if (before <= 0) {
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -210,6 +210,7 @@
     static FairQueue::Place placeOf(const Request &request);
     void enqueue(Request &request, const Snapshot &snapshot);
     void dispatch(const std::string &pool, const Snapshot &snapshot);
+    static const EndpointEntry *endpointOf(const Request &request, const Snapshot &snapshot);
     static const EndpointEntry *homeOf(const Request &request, const PoolEntry &pool);
     void send(Request &request, const PoolEntry &pool, const EndpointEntry &endpoint,
               const Snapshot &snapshot);
