--- a/include/harelink/Adapters/httpclient.h
+++ b/include/harelink/Adapters/httpclient.h
@@ -27,6 +27,11 @@
     std::vector<std::string> headers; ///< Whole lines, as in "Accept: text/html".
     std::string body;
     Duration timeout{};
+    Duration connectTimeout{}; ///< For the connection alone; zero for the same as timeout.
+    /// The path and query to send, unchanged, in place of the url's; may be empty.
+    std::string target;
+    /// Sends no header field but those given and those that frame the body.
+    bool onlyOwnHeaders = false;
     /// Whether the library may send it again when a kept connection breaks. Off,
     /// the call gets a connection of its own, which is never tried twice.
     bool resendable = true;
@@ -39,7 +44,10 @@
     bool sent = false; ///< Whether any byte of the request may have left.
     std::string error; ///< Where status is 0.
     std::string body;
-    std::map<std::string, std::string> headers; ///< Names in lower case.
+    std::map<std::string, std::string> headers; ///< Names in lower case; the last of each.
+    /// All header fields in order, names as sent.
+    std::vector<std::pair<std::string, std::string>> fields;
+    int headStatus = 0; ///< Of the status line, also where no whole answer came.
 
     /// The header called \p name, or an empty text.
     [[nodiscard]] std::string header(const std::string &name) const;
--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -21,14 +21,20 @@
 
 namespace harelink {
 
+/// Header fields in the order in which they stand in a message.
+using HttpFields = std::vector<std::pair<std::string, std::string>>;
+
 /// A request that came in.
 struct HttpRequest
 {
     std::string method;
-    std::string path; ///< Without the query, as sent.
+    std::string target; ///< Path and query, as sent.
+    std::string path;   ///< Without the query, as sent.
     std::map<std::string, std::string> query;
-    std::map<std::string, std::string> headers; ///< Names in lower case.
+    std::map<std::string, std::string> headers; ///< Names in lower case; the last of each.
+    HttpFields fields;                          ///< All of them, names as sent.
     std::string body;
+    std::uint64_t connection = 0; ///< The same for all requests of a connection.
 
     /// The header called \p name (lower case), or an empty text.
     [[nodiscard]] std::string header(const std::string &name) const;
@@ -42,9 +48,12 @@
 struct HttpReply
 {
     int status = 200;
-    std::string contentType = "application/json";
-    std::vector<std::pair<std::string, std::string>> headers;
+    std::string contentType = "application/json"; ///< Empty: the headers say it, or nobody.
+    HttpFields headers;
     std::string body;
+    bool close = false; ///< The connection ends after this reply.
+    /// The connection is cut: what was sent of the reply so far must not look whole.
+    bool abort = false;
     /// More parts follow: the reply is sent in chunks, each with a call of the
     /// responder. Only the first part's status and headers count.
     bool more = false;
@@ -64,6 +73,10 @@
     std::string address; ///< IP number and port; port 0 takes a free one.
     int threads = 1;
     std::size_t largestBody = 1'100'000; ///< Larger ones end the connection.
+    /// A connection may be silent so long between two requests.
+    std::chrono::milliseconds idleLimit{120'000};
+    /// Told of each connection that ended, on a thread of the server; may be empty.
+    std::function<void(std::uint64_t connection)> onClosed;
 };
 
 /// A running server; stops when destroyed.
--- a/include/harelink/Config/jsonreader.h
+++ b/include/harelink/Config/jsonreader.h
@@ -48,6 +48,9 @@
     std::string text(const std::string &field, const std::string &fallback);
     /// A list of texts; empty where the field is absent.
     std::vector<std::string> texts(const std::string &field);
+    /// A list of whole numbers within [\p low, \p high]; empty where the field is absent.
+    std::vector<std::int64_t> integers(const std::string &field, std::int64_t low,
+                                       std::int64_t high);
     /// A name: lower-case letters, digits and '-', at most 63.
     std::string name(const std::string &field);
     /// A whole number within [\p low, \p high], or \p fallback.
--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -34,6 +34,39 @@
     std::string pool; ///< The pool whose endpoints run it.
 };
 
+/// Work in pieces that is done before a carried request is sent to its endpoint. How
+/// many pieces there are, the request says.
+struct PieceStageSpec
+{
+    std::string pool;
+    std::vector<std::uint32_t> after; ///< Earlier stages whose results every piece needs.
+    std::uint64_t resultBytes = 0;    ///< About how large the result of a piece is.
+};
+
+/// A pool and its share of the requests, against the other shares of a list.
+struct WeightedPool
+{
+    std::string pool;
+    double weight = 1;
+};
+
+/// How the requests of a host and a path prefix are carried to a plain endpoint: method,
+/// path, headers and body stay as the caller sent them.
+struct RouteSpec
+{
+    std::string host;
+    std::string pathPrefix; ///< Begins and ends with a slash.
+    std::vector<WeightedPool> split;
+    std::vector<PieceStageSpec> pieceStages;
+    bool streams = false;            ///< Answers are events, passed on one by one.
+    bool resumable = false;          ///< A broken stream may go on elsewhere at its next event.
+    bool isPublic = false;           ///< No API key is asked for.
+    std::uint32_t mostEndpoints = 1; ///< That one request may be sent to.
+    int priority = 0;                ///< 0 is the most urgent.
+    std::chrono::milliseconds objective{1000}; ///< Wanted until the answer, or its first event.
+    std::chrono::milliseconds longestPause{0}; ///< Wanted between two events; 0 for none.
+};
+
 /// A pipeline: stages that run one after the other for each request.
 struct PipelineSpec
 {
@@ -42,14 +75,19 @@
     bool repeatable = true;                   ///< False: runs at most once per idempotency key.
     std::chrono::milliseconds deadline{4000}; ///< Where the caller names none.
     std::size_t largestBody = 65536;          ///< Of a caller's body, in bytes.
+    /// Its requests are carried unchanged; stages then is empty until a pool is drawn
+    /// from the split.
+    std::optional<RouteSpec> route;
 };
 
 /// A client account.
 struct ClientAccountSpec
 {
     std::string name;
-    double weight = 1;       ///< Its share of capacity in a burst, against the others'.
-    std::string tokenSha256; ///< Of the bearer token, in hexadecimal; may be empty.
+    double weight = 1;                ///< Its share of capacity in a burst, against the others'.
+    std::string tokenSha256;          ///< Of the bearer token, in hexadecimal; may be empty.
+    std::vector<std::string> apiKeys; ///< Of carried requests; any one of them will do.
+    std::optional<int> priority;      ///< Goes before the routes' own.
 };
 
 /// A version of a model that endpoints are to serve.
@@ -61,6 +99,23 @@
     std::string pool; ///< Whose endpoints serve it.
 };
 
+/// How the endpoints of a pool work on pieces: several in one call.
+struct PieceWorkSpec
+{
+    std::uint32_t batch = 1;                 ///< Most pieces in a call.
+    std::uint32_t queue = 0;                 ///< Calls that an endpoint lets wait.
+    std::chrono::microseconds callTime{0};   ///< Of a call, whatever is in it.
+    std::chrono::microseconds pieceTime{0};  ///< About, for each piece besides.
+    std::uint64_t roomBytes = 0;             ///< For results at one endpoint.
+    std::chrono::milliseconds resultLife{0}; ///< A result is kept so long if not freed.
+};
+
+/// What one model engine of a pool holds.
+struct ModelEngineSpec
+{
+    std::uint64_t cacheTokens = 0; ///< Shared by running requests and cached prompts.
+};
+
 /// A pool of endpoints that can stand for one another.
 struct PoolSpec
 {
@@ -68,6 +123,8 @@
     std::string protocol;      ///< Name of a stage protocol plug-in.
     double costPerSecond = 1;  ///< Price of a second of an endpoint's time.
     bool keepsPrompts = false; ///< Its endpoints are faster on a prompt they saw lately.
+    std::optional<PieceWorkSpec> pieces;
+    std::optional<ModelEngineSpec> engine;
 };
 
 /// An endpoint.
@@ -80,6 +137,7 @@
     int slots = 1;                     ///< Calls it works on at the same time.
     bool refusesBeforeRunning = false; ///< Its 429 and 503 mean that nothing ran.
     bool checksFencing = false;        ///< It refuses an order with an old fencing number.
+    bool leaving = false;              ///< It said itself that it is to get no new work.
 };
 
 /// What a resource holds, by kind.
@@ -108,6 +166,10 @@
 [[nodiscard]] absl::StatusOr<Resource> readResource(const nlohmann::json &document,
                                                     std::string_view origin);
 
+/// Checks that whatever a pipeline of \p resources refers to is among them; for a whole
+/// configuration that comes as one. An error names each missing pool.
+[[nodiscard]] absl::Status checkReferences(const std::vector<Resource> &resources);
+
 /// Reads a file of one resource or of an array of them.
 [[nodiscard]] absl::StatusOr<std::vector<Resource>> readResources(std::string_view text,
                                                                   std::string_view origin);
--- a/include/harelink/Config/settings.h
+++ b/include/harelink/Config/settings.h
@@ -46,21 +46,33 @@
     CallerTrust callerTrust = CallerTrust::BearerToken;
     std::optional<PeerKeys> peerKeys;  ///< Nothing where the network is trusted.
     std::string routingPolicy;         ///< Name of a plug-in.
-    std::string logLevel;              ///< debug, info, warning or error.
-    int workers = 2;                   ///< Worker threads.
-    int listenerThreads = 2;           ///< Threads that read callers' connections.
-    std::size_t mostRequests = 10'000; ///< In progress on one worker; more are refused.
+    std::string dialect = "harelink";  ///< Name of the plug-in that speaks to the platform.
+    std::string readyPath = "/readyz"; ///< Where the balancer asks operatorAddress.
+    int watchers = 2;                  ///< Daemons of a data centre that watch the platform.
+    double retryRatio = 0.1;           ///< Repeats of carried requests, for each request.
+    double retryAllowance = 200;       ///< Repeats besides, of all daemons together.
+    std::chrono::milliseconds retryWindow{10'000}; ///< In any window of this length.
+    std::string logLevel;                          ///< debug, info, warning or error.
+    int workers = 2;                               ///< Worker threads.
+    int listenerThreads = 2;                       ///< Threads that read callers' connections.
+    std::size_t mostRequests = 10'000;             ///< In progress on one worker; more are refused.
     std::chrono::milliseconds platformTimeout{1000};    ///< After it a call counts as silent.
     std::chrono::milliseconds drainLimit{10'000};       ///< A planned stop takes no longer.
     std::chrono::milliseconds keyRetention{86'400'000}; ///< An idempotency key is remembered.
+    /// A caller's connection may be silent so long between two requests.
+    std::chrono::milliseconds idleLimit{120'000};
+    /// For so long after "not ready" new requests on open connections are still served.
+    std::chrono::milliseconds balancerGrace{500};
 };
 
 /// Reads settings; an error lists every fault with its path.
 ///
 /// \param routingPolicies the names that are registered, for the check.
-[[nodiscard]] absl::StatusOr<Settings>
-readSettings(std::string_view text, std::string_view origin,
-             const std::vector<std::string> &routingPolicies);
+/// \param dialects the same of dialects.
+[[nodiscard]] absl::StatusOr<Settings> readSettings(std::string_view text, std::string_view origin,
+                                                    const std::vector<std::string> &routingPolicies,
+                                                    const std::vector<std::string> &dialects = {
+                                                        "harelink"});
 
 } // namespace harelink
 
--- a/include/harelink/Daemon/callerapi.h
+++ b/include/harelink/Daemon/callerapi.h
@@ -25,8 +25,9 @@
 /// A caller's request as it was read.
 struct CallerRequest
 {
-    RequestArrived arrival; ///< Without its id.
-    std::string token;      ///< The bearer token; empty where none came.
+    RequestArrived arrival;       ///< Without its id.
+    std::string token;            ///< The bearer token; empty where none came.
+    std::uint64_t connection = 0; ///< On which it came.
 };
 
 /// Reads a caller's request; an error names the fault.
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -9,11 +9,14 @@
 #ifndef HARELINK_DAEMON_CONTROL_H
 #define HARELINK_DAEMON_CONTROL_H
 
+#include "harelink/Adapters/dialect.h"
 #include "harelink/Adapters/eventloop.h"
 #include "harelink/Adapters/peerlink.h"
 #include "harelink/Adapters/snapshotcell.h"
 #include "harelink/Config/settings.h"
 #include "harelink/Kernel/controlmachine.h"
+#include "harelink/Kernel/piecebatcher.h"
+#include "harelink/Kernel/piecerouter.h"
 
 #include <atomic>
 #include <functional>
@@ -26,11 +29,19 @@
 class Control
 {
 public:
-    using DecisionSink = std::function<void(ClaimDecision)>;
+    /// Where what concerns a request goes; called on the control's thread.
+    struct WorkerSink
+    {
+        std::function<void(ClaimDecision)> decided;
+        std::function<void(PieceEnded)> pieceEnded;
+    };
 
     /// All references outlive the control.
+    ///
+    /// \param daemons where the number of live daemons is told.
     Control(const Settings &settings, const Clock &clock, SnapshotCell &snapshot,
-            Incarnation incarnation, DecisionSink decisions);
+            const Dialect &dialect, Incarnation incarnation, std::atomic<int> &daemons,
+            WorkerSink workers);
     ~Control();
 
     /// Listens for peers and starts the thread.
@@ -40,6 +51,12 @@
     void request(const ClaimRequest &request);
     /// Takes in how a claimant ended; from any thread.
     void finish(const ClaimFinish &finish);
+    /// Takes in a worker's wishes as to pieces; from any thread.
+    void order(const OrderPieces &order);
+    void withdraw(const WithdrawPieces &withdrawal);
+    void free(const FreeResults &results);
+    /// Another endpoint answered at the address of this one; from any thread.
+    void replaced(const EndpointReplaced &replaced);
     /// A planned stop begins; from any thread.
     void leave();
     /// Calls \p take with whether nothing waits any more, on the control's thread
@@ -59,6 +76,15 @@
     void carryOut();
     void call(const PlatformCall &call);
     void publish();
+    void carryOutPieces();
+    void takePieceMessage(const PeerMessage &message);
+    void sendTo(const std::string &host, decltype(PeerMessage::content) content);
+    void callPieces(const PieceCall &call);
+    void flushFreed();
+    void noteReplaced(const std::string &endpoint);
+    static void logCall(const PlatformCall &call, const PlatformResult &result,
+                        const HttpResult &http);
+    void logPeers();
     void logConnection();
     void addPeerUsage(const std::vector<UsageReport> &reports);
     std::vector<UsageReport> takeOwnUsage();
@@ -66,12 +92,19 @@
     const Settings &m_settings;
     const Clock &m_clock;
     SnapshotCell &m_snapshot;
-    DecisionSink m_decisions;
+    const Dialect &m_dialect;
+    std::atomic<int> &m_daemons;
+    WorkerSink m_workers;
     EventLoop m_loop;
     PeerLink m_peers;
     ControlMachine m_machine;
+    PieceRouter m_pieceRouter;
+    PieceBatcher m_pieceBatcher;
+    std::vector<std::string> m_freed; ///< Results that wait to be freed together.
+    TimePoint m_flushFreedAt = TimePoint::max();
     std::uint64_t m_platformCalls = 0;
     bool m_wasConnected = false;
+    std::vector<std::string> m_peersBefore; ///< Live at the last heartbeat.
     std::atomic<bool> m_ready{false};
     std::thread m_thread;
 };
--- a/include/harelink/Daemon/daemon.h
+++ b/include/harelink/Daemon/daemon.h
@@ -8,6 +8,7 @@
 #ifndef HARELINK_DAEMON_DAEMON_H
 #define HARELINK_DAEMON_DAEMON_H
 
+#include "harelink/Adapters/dialect.h"
 #include "harelink/Adapters/httpserver.h"
 #include "harelink/Daemon/control.h"
 #include "harelink/Daemon/worker.h"
@@ -31,7 +32,7 @@
     /// Starts everything; an error names the address that cannot be had.
     absl::Status start();
     /// Begins a planned stop: not ready any more, but still serving.
-    void announceStop() { m_draining = true; }
+    void announceStop();
     /// Goes on with it: new requests are refused.
     void drain();
     /// Whether nothing is in progress any more; asks the workers.
@@ -47,6 +48,7 @@
     void handleOperator(const HttpRequest &request, const Responder &responder);
     void handleDrain(const HttpRequest &request, const Responder &responder);
     void replyMetrics(const Responder &responder);
+    void handleCarried(HttpRequest request, const Responder &responder);
     Worker &workerOf(std::uint64_t sequence);
 
     Settings m_settings;
@@ -54,6 +56,8 @@
     std::atomic<bool> m_stopRequested{false};
     SystemClock m_clock;
     Incarnation m_incarnation;
+    std::unique_ptr<const Dialect> m_dialect;
+    std::atomic<int> m_liveDaemons{1};
     SnapshotCell m_snapshot;
     std::atomic<std::uint64_t> m_nextSequence{1};
     std::atomic<bool> m_draining{false};
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -8,6 +8,7 @@
 #ifndef HARELINK_DAEMON_WORKER_H
 #define HARELINK_DAEMON_WORKER_H
 
+#include "harelink/Adapters/dialect.h"
 #include "harelink/Adapters/eventloop.h"
 #include "harelink/Adapters/snapshotcell.h"
 #include "harelink/Adapters/stageprotocol.h"
@@ -40,16 +41,21 @@
 class Worker
 {
 public:
-    /// Where claim messages go; called on the worker's thread.
-    struct ClaimSink
+    /// Where what concerns the control goes; called on the worker's thread.
+    struct ControlSink
     {
         std::function<void(ClaimRequest)> request;
         std::function<void(ClaimFinish)> finish;
+        std::function<void(OrderPieces)> order;
+        std::function<void(WithdrawPieces)> withdraw;
+        std::function<void(FreeResults)> free;
+        std::function<void(EndpointReplaced)> replaced;
     };
 
     /// All references outlive the worker.
     Worker(const Settings &settings, const Clock &clock, const SnapshotCell &snapshot,
-           std::uint64_t seed, ClaimSink claims);
+           const Dialect &dialect, std::uint64_t seed, const std::atomic<int> &daemons,
+           ControlSink control);
     ~Worker();
 
     /// Starts the thread.
@@ -58,6 +64,12 @@
     void submit(CallerRequest request, const Responder &responder);
     /// Takes in the decision on a claim; from any thread.
     void decide(ClaimDecision decision);
+    /// Takes in what became of a piece; from any thread.
+    void pieceEnded(PieceEnded event);
+    /// The callers' connection \p connection ended; from any thread.
+    void connectionClosed(std::uint64_t connection);
+    /// From now on replies ask callers to open another connection; from any thread.
+    void closeConnections();
     /// Refuses new requests from now on; from any thread.
     void drain();
     /// Answers all that is in progress at once; from any thread.
@@ -74,6 +86,8 @@
         Responder responder;
         bool wantsStream = false;
         bool streamBegan = false;
+        bool carried = false;
+        std::uint64_t connection = 0;
     };
 
     template <typename Event>
@@ -88,6 +102,15 @@
     void perform(const AnswerCaller &action);
     void perform(ClaimRequest action);
     void perform(ClaimFinish action);
+    void perform(OrderPieces action);
+    void perform(const WithdrawPieces &action);
+    void perform(FreeResults action);
+    void perform(const StreamEvents &action);
+    void perform(const EndpointReplaced &action);
+    void carry(const SendStage &action);
+    void answerCarried(const Caller &caller, const AnswerCaller &action);
+    void forget(std::uint64_t sequence);
+    void logAnswer(const AnswerCaller &action) const;
     void stream(const CallId &call, const HttpCall &http,
                 const std::shared_ptr<StageStream> &stream);
     void feedAny(std::variant<StageAnswered, StageFailed> event);
@@ -96,12 +119,15 @@
     const Settings &m_settings;
     const Clock &m_clock;
     const SnapshotCell &m_snapshot;
-    ClaimSink m_claims;
+    const Dialect &m_dialect;
+    ControlSink m_control;
+    bool m_closesConnections = false;
     EventLoop m_loop;
     RequestMachine m_machine;
     RequestMetrics m_metrics;
     absl::flat_hash_map<std::uint64_t, Caller> m_callers; // By request sequence.
-    std::map<CallId, std::uint64_t> m_calls;              // To HttpClient's ids.
+    absl::flat_hash_map<std::uint64_t, std::vector<RequestId>> m_byConnection;
+    std::map<CallId, std::uint64_t> m_calls; // To HttpClient's ids.
     std::map<std::string, std::unique_ptr<StageProtocol>> m_protocols;
     std::thread m_thread;
 };
--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -28,7 +28,9 @@
 {
 public:
     /// All references outlive the gossip.
-    BasicConfigGossip(const Clock &clock, const Membership &membership, BasicConfigTable<G> &table);
+    /// \param watchers how many daemons of a data centre watch the platform.
+    BasicConfigGossip(const Clock &clock, const Membership &membership, BasicConfigTable<G> &table,
+                      std::size_t watchers);
 
     /// Whether this daemon is to watch the platform now.
     [[nodiscard]] bool shouldWatch() const;
@@ -51,6 +53,7 @@
     const Clock &m_clock;
     const Membership &m_membership;
     BasicConfigTable<G> &m_table;
+    std::size_t m_watchers;
     TimePoint m_nextDigest;
     TimePoint m_watcherHeard;
     std::uint64_t m_round = 0;
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -20,7 +20,6 @@
 
 namespace configgossip {
 
-inline constexpr std::size_t watchersPerDataCentre = 2;
 inline constexpr std::chrono::milliseconds digestInterval{1000};
 /// Without a word of a watcher for this long a daemon watches for itself.
 inline constexpr std::chrono::milliseconds watcherSilence{2500};
@@ -31,10 +30,11 @@
 
 template <GuardPolicy G>
 BasicConfigGossip<G>::BasicConfigGossip(const Clock &clock, const Membership &membership,
-                                        BasicConfigTable<G> &table)
+                                        BasicConfigTable<G> &table, std::size_t watchers)
     : m_clock(clock)
     , m_membership(membership)
     , m_table(table)
+    , m_watchers(watchers)
     , m_nextDigest(clock.now())
     , m_watcherHeard(TimePoint::min())
 {
@@ -48,7 +48,7 @@
         scores.emplace_back(hash64("watch/" + host), host);
     }
     std::sort(scores.rbegin(), scores.rend());
-    scores.resize(std::min(scores.size(), configgossip::watchersPerDataCentre));
+    scores.resize(std::min(scores.size(), m_watchers));
     return std::any_of(scores.begin(), scores.end(),
                        [this](const auto &score) { return score.second == m_membership.host(); });
 }
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -8,6 +8,7 @@
 #ifndef HARELINK_KERNEL_CONFIGMACHINE_H
 #define HARELINK_KERNEL_CONFIGMACHINE_H
 
+#include "harelink/Config/objectreader.h"
 #include "harelink/Config/resources.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/platform.h"
@@ -25,10 +26,10 @@
 {
     Version seen = 0; ///< The highest version of which there was news.
     bool deleted = false;
-    std::string value;                ///< Of the version seen.
-    Version inForce = 0;              ///< The version that is applied; 0 for none.
-    std::optional<Resource> resource; ///< As applied: the last good one.
-    std::string fault;                ///< Why the version seen is not in force; empty where it is.
+    std::string value;               ///< Of the version seen.
+    Version inForce = 0;             ///< The version that is applied; 0 for none.
+    std::vector<Resource> resources; ///< As applied: the last good ones.
+    std::string fault;               ///< Why the version seen is not in force; empty where it is.
 };
 
 /// The declared objects of one daemon. Versions only rise.
@@ -38,10 +39,23 @@
 public:
     using Key = std::pair<std::string, std::string>; // Kind and name.
 
+    /// \param reader reads the objects; outlives the table.
+    explicit BasicConfigTable(const ObjectReader &reader = ownObjectReader())
+        : m_reader(reader)
+    {
+    }
     /// Takes in news; true where what is in force changed.
     bool apply(const PlatformObject &news);
-    /// Takes in a whole listing as of \p revision: what it lacks was deleted.
-    bool applyListing(const std::vector<PlatformObject> &objects, Version revision);
+    /// Takes in a whole listing of \p kinds as of \p revision: what it lacks was deleted.
+    bool applyListing(const std::vector<PlatformObject> &objects, Version revision,
+                      const std::vector<std::string> &kinds = resourceKinds());
+    /// The deletions that a listing of \p kinds as of \p revision brings by what it lacks.
+    [[nodiscard]] std::vector<PlatformObject>
+    deletionsBy(const std::vector<PlatformObject> &objects, Version revision,
+                const std::vector<std::string> &kinds) const;
+    /// What is held of the endpoint called \p name; null where it was never declared.
+    [[nodiscard]] const ConfigEntry *endpoint(const std::string &name) const;
+    [[nodiscard]] const ObjectReader &reader() const { return m_reader; }
     /// The resources in force.
     [[nodiscard]] std::vector<Resource> resources() const;
     /// The highest version in force.
@@ -55,6 +69,7 @@
     [[nodiscard]] std::uint64_t droppedNews() const { return m_droppedNews; }
 
 private:
+    const ObjectReader &m_reader;
     std::map<Key, ConfigEntry> m_entries;
     std::vector<PlatformObject> m_news;
     std::uint64_t m_droppedNews = 0;
@@ -69,7 +84,9 @@
 {
 public:
     /// \param clock outlives the watcher.
-    BasicConfigWatcher(const Clock &clock, BasicConfigTable<G> &table);
+    /// \param kinds what it follows.
+    BasicConfigWatcher(const Clock &clock, BasicConfigTable<G> &table,
+                       std::vector<std::string> kinds = resourceKinds());
     /// Makes the next call where it is due.
     void tick(std::vector<PlatformCall> &calls, std::uint64_t &nextCallId);
     /// Takes in a result; true where what is in force changed.
@@ -81,12 +98,24 @@
     /// Whether a whole listing has been seen.
     [[nodiscard]] bool synced() const { return m_synced; }
     [[nodiscard]] TimePoint nextTick() const;
+    /// Applies the deletions that were held back long enough; true where what is in
+    /// force changed.
+    bool applyHeld();
 
 private:
     void backOff();
+    bool takeListing(const PlatformResult &result);
+    bool take(const PlatformObject &news);
+    [[nodiscard]] bool holdsBack(const PlatformObject &news) const;
 
     const Clock &m_clock;
     BasicConfigTable<G> &m_table;
+    std::vector<std::string> m_kinds;
+    std::vector<PlatformObject> m_listed; ///< Of a listing that comes in several answers.
+    std::string m_continueAfter;          ///< Its last name so far.
+    /// Deletions of endpoints that may only have lapsed while the platform was away.
+    std::map<std::string, PlatformObject> m_held;
+    TimePoint m_lastFailure;
     Version m_since = 0;
     bool m_listNext = true;
     bool m_synced = false;
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -9,7 +9,6 @@
 #ifndef HARELINK_KERNEL_CONFIGMACHINEIMPL_H
 #define HARELINK_KERNEL_CONFIGMACHINEIMPL_H
 
-#include "harelink/Config/jsonreader.h"
 #include "harelink/Kernel/configmachine.h"
 #include "harelink/Support/error.h"
 #include "harelink/Support/hash.h"
@@ -33,10 +32,9 @@
 /// Between a watch without news and the next one.
 inline constexpr std::chrono::milliseconds emptyWatchPause{50};
 
-inline std::string allKinds()
-{
-    return fmt::format("{}", fmt::join(resourceKinds(), ","));
-}
+/// After the platform was out of reach, an endpoint that is missing is waited for this
+/// long: those that live declare themselves anew within two seconds.
+inline constexpr std::chrono::milliseconds lapseAllowance{2500};
 
 } // namespace configwatcher
 
@@ -54,41 +52,36 @@
     entry.fault.clear();
     m_news.push_back(news);
     if (news.deleted) {
-        const bool changed = entry.resource.has_value();
-        entry.resource.reset();
+        const bool changed = !entry.resources.empty();
+        entry.resources.clear();
         entry.inForce = news.version;
         return changed;
     }
-    const std::string origin = fmt::format("{}/{}", news.kind, news.name);
-    const absl::StatusOr<nlohmann::json> document = parseJson(news.value, origin);
-    absl::StatusOr<Resource> resource =
-        document.ok() ? readResource(*document, origin) : document.status();
-    if (resource.ok() && (resource->kind != news.kind || resource->name != news.name)) {
-        resource = makeError(absl::StatusCode::kInvalidArgument, "checking", origin,
-                             "the declaration names another object");
-    }
-    if (!resource.ok()) {
+    absl::StatusOr<std::vector<Resource>> read = m_reader.read(news.kind, news.name, news.value);
+    if (!read.ok()) {
         // The last good one stays in force.
-        entry.fault = errorMessage(resource.status());
+        entry.fault = errorMessage(read.status());
         return false;
     }
     assert((!G::dropsOlderNews || news.version > entry.inForce) && "a version in force only rises");
-    entry.resource = *std::move(resource);
+    entry.resources = *std::move(read);
     entry.inForce = news.version;
     return true;
 }
 
 template <GuardPolicy G>
-bool BasicConfigTable<G>::applyListing(const std::vector<PlatformObject> &objects, Version revision)
+std::vector<PlatformObject>
+BasicConfigTable<G>::deletionsBy(const std::vector<PlatformObject> &objects, Version revision,
+                                 const std::vector<std::string> &kinds) const
 {
-    bool changed = false;
     std::set<Key> listed;
     for (const PlatformObject &object : objects) {
         listed.insert({object.kind, object.name});
-        changed = apply(object) || changed;
     }
-    for (auto &[key, entry] : m_entries) {
-        if (listed.contains(key) || entry.deleted || entry.seen > revision) {
+    std::vector<PlatformObject> deletions;
+    for (const auto &[key, entry] : m_entries) {
+        const bool isOfKinds = std::find(kinds.begin(), kinds.end(), key.first) != kinds.end();
+        if (!isOfKinds || listed.contains(key) || entry.deleted || entry.seen > revision) {
             continue;
         }
         PlatformObject deletion;
@@ -96,11 +89,32 @@
         deletion.name = key.second;
         deletion.version = std::max(revision, entry.seen + 1);
         deletion.deleted = true;
+        deletions.push_back(std::move(deletion));
+    }
+    return deletions;
+}
+
+template <GuardPolicy G>
+bool BasicConfigTable<G>::applyListing(const std::vector<PlatformObject> &objects, Version revision,
+                                       const std::vector<std::string> &kinds)
+{
+    bool changed = false;
+    for (const PlatformObject &object : objects) {
+        changed = apply(object) || changed;
+    }
+    for (const PlatformObject &deletion : deletionsBy(objects, revision, kinds)) {
         changed = apply(deletion) || changed;
     }
     return changed;
 }
 
+template <GuardPolicy G>
+const ConfigEntry *BasicConfigTable<G>::endpoint(const std::string &name) const
+{
+    const auto found = m_entries.find({m_reader.endpointKind(), name});
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
 template <GuardPolicy G>
 std::uint64_t BasicConfigTable<G>::summary() const
 {
@@ -117,9 +131,7 @@
 {
     std::vector<Resource> resources;
     for (const auto &[key, entry] : m_entries) {
-        if (entry.resource) {
-            resources.push_back(*entry.resource);
-        }
+        resources.insert(resources.end(), entry.resources.begin(), entry.resources.end());
     }
     return resources;
 }
@@ -137,9 +149,12 @@
 // The watcher -----------------------------------------------------------------
 
 template <GuardPolicy G>
-BasicConfigWatcher<G>::BasicConfigWatcher(const Clock &clock, BasicConfigTable<G> &table)
+BasicConfigWatcher<G>::BasicConfigWatcher(const Clock &clock, BasicConfigTable<G> &table,
+                                          std::vector<std::string> kinds)
     : m_clock(clock)
     , m_table(table)
+    , m_kinds(std::move(kinds))
+    , m_lastFailure(TimePoint::min())
     , m_notBefore(clock.now())
     , m_backOff(configwatcher::firstBackOff)
 {
@@ -148,7 +163,8 @@
 template <GuardPolicy G>
 TimePoint BasicConfigWatcher<G>::nextTick() const
 {
-    return m_callId == 0 ? m_notBefore : TimePoint::max();
+    const TimePoint call = m_callId == 0 ? m_notBefore : TimePoint::max();
+    return m_held.empty() ? call : std::min(call, m_lastFailure + configwatcher::lapseAllowance);
 }
 
 template <GuardPolicy G>
@@ -162,7 +178,8 @@
     PlatformCall call;
     call.id = m_callId;
     call.operation = m_listing ? PlatformOperation::List : PlatformOperation::Watch;
-    call.kind = configwatcher::allKinds();
+    call.kind = fmt::format("{}", fmt::join(m_kinds, ","));
+    call.name = m_listing ? m_continueAfter : std::string();
     call.since = m_since;
     call.wait = configwatcher::watchWait;
     calls.push_back(std::move(call));
@@ -179,16 +196,19 @@
         return false;
     }
     if (result.outcome != PlatformOutcome::Ok) {
+        m_lastFailure = m_clock.now();
         backOff();
         return false;
     }
     m_backOff = configwatcher::firstBackOff;
+    if (m_listing && result.more) {
+        m_listed.insert(m_listed.end(), result.objects.begin(), result.objects.end());
+        m_continueAfter = result.objects.empty() ? std::string() : result.objects.back().name;
+        return false;
+    }
     bool changed = false;
     if (m_listing) {
-        changed = m_table.applyListing(result.objects, result.version);
-        // An empty listing is a configuration too: the daemon becomes ready with it.
-        changed = changed || !m_synced;
-        m_synced = true;
+        changed = takeListing(result);
     } else {
         // Each watch is a call that the platform counts: one that ends early and
         // without news must not turn into a storm of them.
@@ -196,7 +216,7 @@
             m_notBefore = m_clock.now() + configwatcher::emptyWatchPause;
         }
         for (const PlatformObject &object : result.objects) {
-            changed = m_table.apply(object) || changed;
+            changed = take(object) || changed;
         }
     }
     m_listNext = false;
@@ -204,6 +224,58 @@
     return changed;
 }
 
+template <GuardPolicy G>
+bool BasicConfigWatcher<G>::takeListing(const PlatformResult &result)
+{
+    m_listed.insert(m_listed.end(), result.objects.begin(), result.objects.end());
+    const std::vector<PlatformObject> objects = std::exchange(m_listed, {});
+    m_continueAfter.clear();
+    // An empty listing is a configuration too: the daemon becomes ready with it.
+    bool changed = !m_synced;
+    m_synced = true;
+    for (const PlatformObject &object : objects) {
+        changed = m_table.apply(object) || changed;
+    }
+    for (const PlatformObject &deletion : m_table.deletionsBy(objects, result.version, m_kinds)) {
+        changed = take(deletion) || changed;
+    }
+    return changed;
+}
+
+template <GuardPolicy G>
+bool BasicConfigWatcher<G>::take(const PlatformObject &news)
+{
+    if (holdsBack(news)) {
+        m_held[news.name] = news;
+        return false;
+    }
+    return m_table.apply(news);
+}
+
+template <GuardPolicy G>
+bool BasicConfigWatcher<G>::holdsBack(const PlatformObject &news) const
+{
+    const ObjectReader &reader = m_table.reader();
+    const bool mayHaveLapsed =
+        news.deleted && reader.endpointsLapse() && news.kind == reader.endpointKind();
+    return mayHaveLapsed && m_lastFailure != TimePoint::min()
+           && m_clock.now() - m_lastFailure < configwatcher::lapseAllowance;
+}
+
+template <GuardPolicy G>
+bool BasicConfigWatcher<G>::applyHeld()
+{
+    if (m_held.empty() || m_clock.now() - m_lastFailure < configwatcher::lapseAllowance) {
+        return false;
+    }
+    bool changed = false;
+    for (const auto &[name, deletion] : std::exchange(m_held, {})) {
+        // One that was declared anew has a higher version by now and stays.
+        changed = m_table.apply(deletion) || changed;
+    }
+    return changed;
+}
+
 template <GuardPolicy G>
 void BasicConfigWatcher<G>::backOff()
 {
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -33,6 +33,8 @@
     std::vector<DemandTotal> demands;          ///< Of peers, where they have changed.
     std::vector<std::string> leavingEndpoints; ///< Newly known to leave.
     bool configChanged = false;                ///< Another configuration is in force.
+    std::vector<PeerMessage> pieceMessages;    ///< For the router and the batcher.
+    std::vector<PieceBacklog> backlogs;        ///< As peers told.
 };
 
 /// What a control is told at start.
@@ -43,6 +45,12 @@
     std::string dataCentre;
     Incarnation incarnation = 0;
     ClaimLedgerOptions claims;
+    bool keepsClaims = true; ///< Whether requests with idempotency keys may come.
+    const ObjectReader *objects = &ownObjectReader(); ///< Outlives the machine.
+    std::size_t watchersPerDataCentre = 2;            ///< Daemons that watch the platform.
+    /// The kind of object in which this daemon declares itself to its peers; empty where
+    /// the platform knows its hosts by itself.
+    std::string hostKind;
 };
 
 /// The control of one daemon. \p G is AllGuards in the product.
@@ -60,6 +68,8 @@
     void handle(const PlatformResult &result);
     /// Own use since the last call, for the next heartbeats.
     void noteUsage(std::vector<UsageReport> usage) { m_ownUsage = std::move(usage); }
+    /// The endpoints that this daemon batches for, for the next heartbeats.
+    void noteBacklogs(std::vector<PieceBacklog> backlogs) { m_backlogs = std::move(backlogs); }
     /// Where this daemon listens for peers, once that is known.
     void setPeerAddress(const std::string &address) { m_membership.setAddress(address); }
     /// An endpoint itself said that it is leaving.
@@ -84,8 +94,8 @@
     [[nodiscard]] const Membership &membership() const { return m_membership; }
     [[nodiscard]] const ClaimLedgerCounters &claimCounters() const { return m_ledger.counters(); }
     [[nodiscard]] std::uint64_t claimDetours() const { return m_router.detours(); }
-    [[nodiscard]] bool connected() const { return m_watcher.connected(); }
-    [[nodiscard]] bool synced() const { return m_watcher.synced(); }
+    [[nodiscard]] bool connected() const;
+    [[nodiscard]] bool synced() const;
     /// Whether this daemon watches the platform.
     [[nodiscard]] bool watches() const { return m_gossip.shouldWatch(); }
 
@@ -97,6 +107,11 @@
     void handle(const PeerMessage &message, const ClaimFinished &content);
     void handle(const PeerMessage &message, const ConfigPush &content);
     void handle(const PeerMessage &message, const ConfigDigest &content);
+    void handle(const PeerMessage &message, const PieceOrders &content);
+    void handle(const PeerMessage &message, const PieceOutcomes &content);
+    void handle(const PeerMessage &message, const PieceWithdrawal &content);
+    bool takeAnnouncement(const PlatformResult &result);
+    void announce();
     void forwardLedgerReplies();
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
     void pollHostList();
@@ -106,7 +121,7 @@
 
     const Clock &m_clock;
     BasicConfigTable<G> m_config;
-    BasicConfigWatcher<G> m_watcher;
+    std::vector<BasicConfigWatcher<G>> m_watchers;
     Membership m_membership;
     BasicConfigGossip<G> m_gossip;
     BasicClaimLedger<G> m_ledger;
@@ -115,6 +130,13 @@
     std::uint64_t m_hostListCall = 0;
     TimePoint m_startedAt;
     TimePoint m_nextHostList;
+    bool m_keepsClaims;
+    std::string m_hostKind;
+    bool m_announced = false;
+    std::uint64_t m_announceCall = 0;
+    Version m_announcedOver = 0; ///< The version of an earlier life's declaration.
+    TimePoint m_nextAnnounce;
+    std::vector<PieceBacklog> m_backlogs;
     std::vector<UsageReport> m_ownUsage;
     PeerDemand m_peerDemand;
     /// Heard of before they were declared here, as happens just after a start.
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -45,6 +45,8 @@
     void heard(const PeerMessage &message);
     /// The heartbeats that are due, without their usage reports.
     std::vector<PeerSend> dueHeartbeats();
+    /// What takeHostList() of a peer reads, for this host.
+    [[nodiscard]] std::string ownDeclaration() const;
     /// Where this daemon listens for peers.
     void setAddress(const std::string &address) { m_address = address; }
     /// This host is leaving; the next heartbeats say so, at once.
@@ -61,6 +63,12 @@
     [[nodiscard]] std::string addressOf(const std::string &host) const;
     /// The living hosts of the own data centre that stay, this one among them.
     [[nodiscard]] std::vector<std::string> localCandidates() const;
+    /// The hosts that stay and were heard of within \p silence, this one among them where
+    /// it stays. \param dataCentre only those that stand there; empty for all.
+    [[nodiscard]] std::vector<std::string> heardWithin(Duration silence,
+                                                       const std::string &dataCentre) const;
+    /// Whether \p host was heard of within \p silence.
+    [[nodiscard]] bool heardWithin(const std::string &host, Duration silence) const;
     /// Whether \p host stands in the own data centre.
     [[nodiscard]] bool isLocal(const std::string &host) const;
     /// The live hosts other than this one.
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -10,6 +10,7 @@
 #define HARELINK_KERNEL_PEERS_H
 
 #include "harelink/Kernel/claims.h"
+#include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/platform.h"
 #include "harelink/Kernel/types.h"
 
@@ -37,6 +38,7 @@
     std::vector<UsageReport> usage;
     std::vector<std::string> leavingEndpoints; ///< As far as the sender knows.
     bool leavingKnown = false;                 ///< The sender has learnt of them itself.
+    std::vector<PieceBacklog> backlogs;        ///< Of the endpoints that it batches for.
 };
 
 /// The end of a claimant is written.
@@ -74,7 +76,7 @@
     std::string host;            ///< The sender's.
     Incarnation incarnation = 0; ///< The sender's.
     std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
-                 ConfigDigest>
+                 ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal>
         content;
 };
 
--- /dev/null
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -0,0 +1,139 @@
+//===- harelink/Kernel/piecebatcher.h - Calls of many pieces ----*- C++ -*-===//
+///
+/// \file
+/// Forms the calls to the endpoints whose batcher this daemon is. The next call is
+/// formed when the current one is about to end: what comes until then rides along,
+/// and the endpoint never waits. Belongs to the control thread.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_PIECEBATCHER_H
+#define HARELINK_KERNEL_PIECEBATCHER_H
+
+#include "harelink/Kernel/pieces.h"
+#include "harelink/Kernel/snapshot.h"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace harelink {
+
+/// Action: call an endpoint.
+struct PieceCall
+{
+    std::uint64_t id = 0; ///< Comes back in the event.
+    std::string endpoint;
+    std::string address;
+    std::vector<PieceOrder> orders; ///< Of any requests.
+    Duration timeout{};
+};
+
+/// What an endpoint says of one piece of a call.
+struct PieceResult
+{
+    std::string handle;
+    PieceFault fault = PieceFault::None;
+};
+
+/// Event: a call ended.
+struct PieceCallEnded
+{
+    std::uint64_t id = 0;
+    bool answered = false;            ///< The results are there, in the order of the call.
+    std::vector<PieceResult> results; ///< Where it was answered.
+    SendEvidence evidence = SendEvidence::Sent; ///< Where it was not.
+    bool isOtherEndpoint = false;               ///< Another endpoint has taken over the address.
+    absl::Status status;
+};
+
+/// Outcomes for the daemon \p host; empty for this one.
+struct PieceOutcomesTo
+{
+    std::string host;
+    PieceOutcomes outcomes;
+};
+
+/// The batcher.
+class PieceBatcher
+{
+public:
+    /// \param clock outlives the batcher.
+    explicit PieceBatcher(const Clock &clock);
+
+    /// Takes in orders of the daemon \p host; empty for this one.
+    void take(const std::string &host, const PieceOrders &orders, const Snapshot &snapshot);
+    /// Takes in that \p host wants nothing more for some requests.
+    void withdraw(const std::string &host, const PieceWithdrawal &withdrawal);
+    void handle(const PieceCallEnded &event, const Snapshot &snapshot);
+    /// Forms the calls that are due.
+    void tick(const Snapshot &snapshot);
+    [[nodiscard]] TimePoint nextTick() const;
+
+    /// What came up since the last call.
+    [[nodiscard]] std::vector<PieceCall> takeCalls() { return std::exchange(m_calls, {}); }
+    [[nodiscard]] std::vector<PieceOutcomesTo> takeOutcomes();
+    /// Endpoints whose address another one answered at.
+    [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange(m_replaced, {}); }
+    /// How busy each endpoint is that this daemon calls.
+    [[nodiscard]] std::vector<PieceBacklog> backlogs() const;
+    /// Calls made and the pieces in them.
+    [[nodiscard]] std::uint64_t callCount() const { return m_callCount; }
+    [[nodiscard]] std::uint64_t pieceCount() const { return m_pieceCount; }
+
+private:
+    struct Item
+    {
+        std::string host;
+        PieceOrder order;
+        TimePoint wanted;
+        TimePoint due;
+        std::uint32_t refusals = 0;
+    };
+    struct Flight
+    {
+        std::uint64_t id = 0;
+        std::vector<Item> items;
+        TimePoint sentAt;
+        TimePoint expectedEnd;
+        Duration declared{}; ///< The time that the pool's declaration gives for it.
+    };
+    /// What is kept of one endpoint.
+    struct Line
+    {
+        std::string pool;
+        std::vector<Item> waiting;
+        std::vector<Flight> flights;
+        double slowness = 1;
+        TimePoint blockedUntil;
+    };
+
+    void pump(const std::string &endpoint, Line &line, const Snapshot &snapshot);
+    void dropLate(const std::string &endpoint, Line &line, const PieceWorkSpec &work);
+    void form(const EndpointEntry &endpoint, Line &line, const PieceWorkSpec &work);
+    [[nodiscard]] static TimePoint nextCallAt(const Line &line, TimePoint now);
+    void giveBack(const std::string &endpoint, Line &line, PieceFault fault);
+    void settle(const std::string &endpoint, const Item &item, const std::string &handle,
+                PieceFault fault);
+    void learn(const std::string &endpoint, Line &line, const Flight &flight,
+               const PieceCallEnded &event, const Snapshot &snapshot);
+    [[nodiscard]] PieceBacklog backlogOf(const std::string &endpoint, const Line &line) const;
+
+    const Clock &m_clock;
+    std::map<std::string, Line> m_lines; ///< By endpoint.
+    std::uint64_t m_nextCallId = 1;
+    std::vector<PieceCall> m_calls;
+    /// By host and endpoint.
+    std::map<std::pair<std::string, std::string>, std::vector<PieceOutcome>> m_outcomes;
+    std::vector<std::string> m_replaced;
+    std::uint64_t m_callCount = 0;
+    std::uint64_t m_pieceCount = 0;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_PIECEBATCHER_H
--- /dev/null
+++ b/include/harelink/Kernel/piecegraph.h
@@ -0,0 +1,87 @@
+//===- harelink/Kernel/piecegraph.h - A request's pieces --------*- C++ -*-===//
+///
+/// \file
+/// Which pieces of a request are made, which can be made now, and which results
+/// each of them needs.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_PIECEGRAPH_H
+#define HARELINK_KERNEL_PIECEGRAPH_H
+
+#include "harelink/Config/resources.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace harelink {
+
+/// A piece within its request.
+struct PiecePlace
+{
+    std::uint32_t stage = 0;
+    std::uint32_t piece = 0;
+};
+
+/// The pieces of one request. A stage with no pieces is left out: whatever comes
+/// after it does not wait for it.
+class PieceGraph
+{
+public:
+    /// \param counts of pieces by stage; stages beyond its end have none.
+    PieceGraph(const std::vector<PieceStageSpec> &stages, const std::vector<std::uint32_t> &counts);
+
+    /// The pieces that can be made now and were not given out before.
+    std::vector<PiecePlace> takeReady();
+    /// A piece was made; false where it was made already.
+    bool made(PiecePlace place, const std::string &handle);
+    /// A piece that was given out is to be given out again.
+    void returned(PiecePlace place);
+    /// The results that \p stage needs are no longer kept: they are made again.
+    void inputsLost(std::uint32_t stage);
+    /// The results that the request itself needs are no longer kept.
+    void finalResultsLost();
+
+    /// Whether every piece is made.
+    [[nodiscard]] bool isComplete() const;
+    /// The results that each piece of \p stage needs, in order.
+    [[nodiscard]] std::vector<std::string> inputsOf(std::uint32_t stage) const;
+    /// The results that the request itself needs: of stages that none comes after.
+    [[nodiscard]] std::vector<std::string> finalResults() const;
+    /// The results of which nobody has need any more and that were not told before.
+    std::vector<std::string> takeUnneeded();
+    /// All results that are kept somewhere for this request; they are forgotten.
+    std::vector<std::string> takeAll();
+    /// The pool that makes the pieces of \p stage.
+    [[nodiscard]] const std::string &poolOf(std::uint32_t stage) const;
+    /// The stages whose pieces are not all made, and how many pieces each still needs.
+    [[nodiscard]] std::uint32_t missing(std::uint32_t stage) const;
+    [[nodiscard]] std::size_t stageCount() const { return m_stages.size(); }
+    /// The earlier stages that \p stage waits for.
+    [[nodiscard]] const std::vector<std::uint32_t> &after(std::uint32_t stage) const;
+
+private:
+    enum class State { Waiting, GivenOut, Made };
+    struct Piece
+    {
+        State state = State::Waiting;
+        std::string handle;
+    };
+    struct Stage
+    {
+        PieceStageSpec spec;
+        std::vector<Piece> pieces;
+        bool isFinal = true; ///< No stage with pieces comes after it.
+        bool released = false;
+    };
+
+    [[nodiscard]] bool isMade(std::uint32_t stage) const;
+    void remake(std::uint32_t stage);
+
+    std::vector<Stage> m_stages;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_PIECEGRAPH_H
--- /dev/null
+++ b/include/harelink/Kernel/piecerouter.h
@@ -0,0 +1,120 @@
+//===- harelink/Kernel/piecerouter.h - Where pieces are made ----*- C++ -*-===//
+///
+/// \file
+/// Orders the pieces of this daemon's requests at the batchers of their endpoints,
+/// and orders them again where nothing comes of it. Belongs to the control thread.
+///
+/// Options weighed for who forms the calls: each daemon alone (a daemon sees too few
+/// pieces to fill a call in time), one batcher a pool (its loss stops the pool), one
+/// batcher an endpoint, by rendezvous hashing over the live daemons of the endpoint's
+/// data centre. The last is what stands here.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_PIECEROUTER_H
+#define HARELINK_KERNEL_PIECEROUTER_H
+
+#include "harelink/Kernel/membership.h"
+#include "harelink/Kernel/pieces.h"
+#include "harelink/Kernel/retrybudget.h"
+#include "harelink/Kernel/snapshot.h"
+#include "harelink/Support/random.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace harelink {
+
+/// Orders for the batcher \p host, which may be this daemon itself.
+struct PieceOrdersTo
+{
+    std::string host;
+    PieceOrders orders;
+};
+
+/// The router.
+class PieceRouter
+{
+public:
+    /// \param clock and \p membership outlive the router.
+    PieceRouter(const Clock &clock, const Membership &membership, std::uint64_t seed,
+                const RetryBudgetOptions &budget);
+
+    /// Orders pieces of one request at \p pool.
+    void order(const std::string &pool, const std::vector<PieceOrder> &orders,
+               const Snapshot &snapshot);
+    /// The pieces of \p request are no longer wanted.
+    void withdraw(const RequestId &request);
+    /// Takes in what became of orders.
+    void take(const PieceOutcomes &outcomes, const Snapshot &snapshot);
+    /// Takes in how busy an endpoint is.
+    void take(const PieceBacklog &backlog);
+    /// Orders again what has waited too long.
+    void tick(const Snapshot &snapshot);
+    [[nodiscard]] TimePoint nextTick() const;
+
+    /// What came up since the last call.
+    [[nodiscard]] std::vector<PieceOrdersTo> takeOrders() { return std::exchange(m_sends, {}); }
+    [[nodiscard]] std::vector<PieceOutcome> takeOutcomes() { return std::exchange(m_done, {}); }
+    /// Withdrawals by host.
+    [[nodiscard]] std::map<std::string, PieceWithdrawal> takeWithdrawals()
+    {
+        return std::exchange(m_withdrawals, {});
+    }
+    /// The predicted time until \p pieces more pieces of \p pool would be made.
+    [[nodiscard]] Duration predictedTime(const PoolEntry &pool, std::uint32_t pieces) const;
+    /// How often a piece was ordered again.
+    [[nodiscard]] std::uint64_t reorders() const { return m_reorders; }
+
+private:
+    struct Pending
+    {
+        std::string pool;
+        PieceOrder order;
+        TimePoint wanted;
+        TimePoint due;
+        std::string endpoint;
+        std::string batcher;
+        TimePoint orderedAt;
+        TimePoint checkAt;
+        std::uint32_t attempts = 0;
+        std::set<std::string> avoid; ///< Endpoints that failed it.
+    };
+    struct Known
+    {
+        PieceBacklog backlog;
+        TimePoint heardAt;
+        std::uint32_t orderedSince = 0; ///< Own pieces since it was heard.
+    };
+
+    [[nodiscard]] Duration predict(const PoolEntry &pool, const EndpointEntry &endpoint,
+                                   std::uint32_t pieces) const;
+    const EndpointEntry *choose(const PoolEntry &pool, std::uint32_t pieces,
+                                const std::set<std::string> &avoid);
+    [[nodiscard]] std::string batcherOf(const EndpointSpec &endpoint) const;
+    void place(std::vector<Pending> group, const Snapshot &snapshot);
+    void send(const std::vector<PieceId> &ids, const EndpointEntry &endpoint);
+    void reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
+    void finish(const PieceId &id, PieceFault fault);
+    RetryBudget &budgetOf(const std::string &pool);
+
+    const Clock &m_clock;
+    const Membership &m_membership;
+    Random m_random;
+    RetryBudgetOptions m_budgetOptions;
+    std::map<std::string, RetryBudget> m_budgets; ///< By pool.
+    std::map<PieceId, Pending> m_pending;
+    std::map<std::string, Known> m_backlogs; ///< By endpoint.
+    std::vector<PieceOrdersTo> m_sends;
+    std::vector<PieceOutcome> m_done;
+    std::map<std::string, PieceWithdrawal> m_withdrawals;
+    std::uint64_t m_reorders = 0;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_PIECEROUTER_H
--- /dev/null
+++ b/include/harelink/Kernel/pieces.h
@@ -0,0 +1,101 @@
+//===- harelink/Kernel/pieces.h - Work in pieces ----------------*- C++ -*-===//
+///
+/// \file
+/// The pieces of work that some requests need before they can be sent, and what
+/// daemons tell each other of them. An endpoint works on many pieces in one call,
+/// so the pieces for one endpoint meet at one daemon, its batcher, which forms the
+/// calls; the daemon that holds the request orders pieces there.
+///
+/// A piece may be made again, so every message may be lost, late or doubled.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_PIECES_H
+#define HARELINK_KERNEL_PIECES_H
+
+#include "harelink/Kernel/types.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace harelink {
+
+/// One piece of one request.
+struct PieceId
+{
+    RequestId request;
+    std::uint32_t stage = 0;
+    std::uint32_t piece = 0;
+    auto operator<=>(const PieceId &) const = default;
+};
+
+/// What is to be made.
+struct PieceOrder
+{
+    PieceId id;
+    std::string callerId;            ///< The caller's name for the request.
+    std::string key;                 ///< What it is made from, where there are no inputs.
+    std::vector<std::string> inputs; ///< Results of earlier pieces.
+    int priority = 0;                ///< 0 is the most urgent.
+    Duration wantedIn{};             ///< Until the request's objective, as of the sending.
+    Duration dueIn{};                ///< Until it is of no use any more, as of the sending.
+};
+
+/// Why a piece was not made.
+enum class PieceFault {
+    None,
+    Late,      ///< Its time was over before its turn.
+    InputGone, ///< A result that it needs is no longer kept.
+    NoRoom,    ///< The endpoint has no room for its result.
+    Refused,   ///< The endpoint did not take the call, or gets no new work.
+    Failed,    ///< The call failed, or the endpoint could not make it.
+};
+/// How many faults there are.
+inline constexpr std::size_t pieceFaultCount = static_cast<std::size_t>(PieceFault::Failed) + 1;
+
+/// A short name, as in "input-gone".
+[[nodiscard]] std::string_view toText(PieceFault fault);
+
+/// What became of a piece.
+struct PieceOutcome
+{
+    PieceId id;
+    std::string endpoint;
+    std::string handle; ///< Names the result; empty with a fault.
+    PieceFault fault = PieceFault::None;
+};
+
+/// How long an endpoint will be busy, as its batcher sees it.
+struct PieceBacklog
+{
+    std::string endpoint;
+    Duration busy{};           ///< Until the calls in flight end.
+    std::uint32_t waiting = 0; ///< Pieces that are in no call yet.
+    double slowness = 1;       ///< Its time for a call against the declared one.
+};
+
+/// Message: make these at \p endpoint. From the daemon of the requests to the batcher.
+struct PieceOrders
+{
+    std::string endpoint;
+    std::vector<PieceOrder> orders;
+};
+
+/// Message: what became of orders. From the batcher to the daemon of the requests.
+struct PieceOutcomes
+{
+    std::vector<PieceOutcome> outcomes;
+    PieceBacklog backlog; ///< Of their endpoint.
+};
+
+/// Message: the pieces of these requests are no longer wanted.
+struct PieceWithdrawal
+{
+    std::vector<RequestId> requests;
+};
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_PIECES_H
--- a/include/harelink/Kernel/platform.h
+++ b/include/harelink/Kernel/platform.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace harelink {
@@ -46,8 +47,8 @@
 {
     std::uint64_t id = 0; ///< Comes back in the result.
     PlatformOperation operation = PlatformOperation::Get;
-    std::string kind; ///< For List and Watch several, with commas between.
-    std::string name;
+    std::string kind;           ///< For List and Watch several, with commas between.
+    std::string name;           ///< List: only what comes after it.
     Version ifVersion = 0;      ///< Put and Delete: only over this version; 0 creates.
     bool unconditional = false; ///< Put: over whatever is there. Tests only.
     std::string value;
@@ -65,6 +66,11 @@
     Silent,  ///< No answer: it may have been carried out, or may still be.
 };
 
+/// A short name, as in "watch".
+[[nodiscard]] std::string_view toText(PlatformOperation operation);
+/// A short name, as in "silent".
+[[nodiscard]] std::string_view toText(PlatformOutcome outcome);
+
 /// Event: a call ended.
 struct PlatformResult
 {
@@ -74,6 +80,7 @@
         0;             ///< Put: of what was written. Get: of the object. List, Watch: of the store.
     std::string value; ///< Get.
     std::vector<PlatformObject> objects; ///< List, Watch.
+    bool more = false;                   ///< List: ask again for what comes after the last name.
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -103,7 +103,14 @@
         }
         charge(*request, busy - request->charged, snapshot);
     }
-    advance(*request, std::move(event.body), snapshot);
+    if (event.carried) {
+        AnswerCaller action;
+        action.outcome = Outcome::Completed;
+        action.carried = std::move(event.carried);
+        answer(*request, std::move(action));
+    } else {
+        advance(*request, std::move(event.body), snapshot);
+    }
     dispatch(poolName, snapshot);
 }
 
@@ -159,10 +166,22 @@
     }
     if (event.evidence == SendEvidence::Sent) {
         request->sentUnsettled = true;
+        ++request->mayHaveRun;
+    }
+    if (event.evidence != SendEvidence::NothingSent) {
+        ++request->arrivals;
     }
     if (event.evidence == SendEvidence::RefusedBeforeRun) {
         ++request->refusals;
     }
+    if (event.isOtherEndpoint) {
+        m_actions.emplace_back(EndpointReplaced{request->endpoint});
+    }
+    if (event.inputsGone && request->pieces) {
+        piecesLost(*request, snapshot);
+        dispatch(poolName, snapshot);
+        return;
+    }
     retryOrFail(*request, event, snapshot);
     dispatch(poolName, snapshot);
 }
@@ -176,12 +195,25 @@
         enqueue(request, snapshot);
         return;
     }
+    if (event.carried && !request.headPassedOn) {
+        // The endpoint's own failure says more to its caller than one of ours.
+        AnswerCaller action;
+        action.outcome = outcomeOfFailure(request);
+        action.reason = Reason::StageFailed;
+        action.error = event.status;
+        action.carried = event.carried;
+        answer(request, std::move(action));
+        return;
+    }
     fail(request, Reason::StageFailed, event.status, snapshot);
 }
 
 template <GuardPolicy G>
 bool BasicRequestMachine<G>::mayRetry(const Request &request, SendEvidence evidence)
 {
+    if (request.carried) {
+        return mayRetryCarried(request, evidence);
+    }
     const bool mayHaveRun = evidence == SendEvidence::Sent;
     if (mayHaveRun && !request.pipeline.repeatable && G::retriesOnlyRepeatable) {
         return false;
@@ -230,6 +262,7 @@
 template <GuardPolicy G>
 void BasicRequestMachine<G>::answer(Request &request, AnswerCaller &&action)
 {
+    dropPieces(request);
     action.id = request.id;
     action.account = request.account;
     action.pipeline = request.pipeline.name;
@@ -238,9 +271,12 @@
     action.firstPiece = request.firstPiece;
     action.tokens = request.tokens;
     action.costs = std::move(request.costs);
+    action.callerId = request.carried ? request.carried->callerId : std::string();
+    action.endpoint = request.endpoint;
+    action.sends = request.attempt;
     countDemand(request, static_cast<std::uint32_t>(request.pipeline.stages.size()));
     ++m_counters.reasons[static_cast<std::size_t>(action.reason)];
-    if (!action.replayed && action.reason != Reason::MayHaveRun
+    if (!request.carried && !action.replayed && action.reason != Reason::MayHaveRun
         && action.reason != Reason::KeyReused && action.reason != Reason::ClaimUnavailable) {
         finishClaim(request, action.outcome, action.body);
     }
--- /dev/null
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -0,0 +1,299 @@
+//===- harelink/Kernel/requestcarriedimpl.h - Carried requests --*- C++ -*-===//
+///
+/// \file
+/// What is special to a request that is passed on unchanged: its route, the
+/// pieces that it needs first, the events of its answer, and its retries.
+/// Included only by requestmachineimpl.h.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef HARELINK_KERNEL_REQUESTCARRIEDIMPL_H
+#define HARELINK_KERNEL_REQUESTCARRIEDIMPL_H
+
+#include "harelink/Kernel/requestmachinestate.h"
+
+#include "harelink/Support/error.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace harelink {
+
+/// Finds the pipeline by the route and the account by its key.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::resolveRoute(RequestArrived &event, const Snapshot &snapshot)
+{
+    if (!event.carried) {
+        return;
+    }
+    if (const PipelineSpec *pipeline = snapshot.route(event.carried->host, event.carried->path)) {
+        event.pipeline = pipeline->name;
+        if (pipeline->route->isPublic) {
+            return;
+        }
+    }
+    const auto account = snapshot.accountsByKey.find(event.carried->apiKey);
+    if (account != snapshot.accountsByKey.end()) {
+        event.account = account->second;
+    }
+}
+
+/// Draws the pool by the weights of the route, and takes over its limits.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::takeRoute(Request &request, const Snapshot &snapshot)
+{
+    const RouteSpec &route = *request.pipeline.route;
+    const TimePoint now = request.arrivedAt;
+    double weights = 0;
+    for (const WeightedPool &share : route.split) {
+        weights += share.weight;
+    }
+    double drawn = m_random.unit() * weights;
+    std::string pool = route.split.back().pool;
+    for (const WeightedPool &share : route.split) {
+        drawn -= share.weight;
+        if (drawn < 0) {
+            pool = share.pool;
+            break;
+        }
+    }
+    request.pipeline.stages = {{"serve", pool}};
+    request.deadline = std::min<TimePoint>(request.deadline, now + request.pipeline.deadline);
+    request.wanted = std::min<TimePoint>(request.deadline, now + route.objective);
+    request.streams = route.streams;
+    request.lastEvent = request.carried->lastEventSeen;
+    const AccountEntry *account = snapshot.account(request.account);
+    const bool ofAccount = account != nullptr && account->spec.priority;
+    request.priority = ofAccount ? *account->spec.priority : route.priority;
+    budgetOf(pool).noteRequest(now);
+}
+
+// Pieces ----------------------------------------------------------------------
+
+/// Orders the first pieces; false where the request needs none.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::beginPieces(Request &request, const Snapshot &snapshot)
+{
+    (void)snapshot;
+    if (!request.carried || request.pipeline.route->pieceStages.empty()) {
+        return false;
+    }
+    request.pieces = std::make_unique<PieceGraph>(request.pipeline.route->pieceStages,
+                                                  request.carried->pieceCounts);
+    if (request.pieces->isComplete()) {
+        return false;
+    }
+    request.phase = Request::Phase::Preparing;
+    orderPieces(request);
+    return true;
+}
+
+/// Orders all pieces that can be made now.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::orderPieces(Request &request)
+{
+    const TimePoint now = m_clock.now();
+    std::map<std::uint32_t, OrderPieces> byStage;
+    for (const PiecePlace place : request.pieces->takeReady()) {
+        PieceOrder order;
+        order.id = {request.id, place.stage, place.piece};
+        order.callerId = request.carried->callerId;
+        order.inputs = request.pieces->inputsOf(place.stage);
+        if (order.inputs.empty()) {
+            order.key = request.carried->pieceKey;
+        }
+        order.priority = request.priority;
+        order.wantedIn = request.wanted - now;
+        order.dueIn = request.deadline - now;
+        OrderPieces &action = byStage[place.stage];
+        action.pool = request.pieces->poolOf(place.stage);
+        action.orders.push_back(std::move(order));
+    }
+    for (auto &[stage, action] : byStage) {
+        m_actions.emplace_back(std::move(action));
+    }
+    std::vector<std::string> unneeded = request.pieces->takeUnneeded();
+    if (!unneeded.empty()) {
+        m_actions.emplace_back(FreeResults{std::move(unneeded)});
+    }
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(const PieceEnded &event, const Snapshot &snapshot)
+{
+    const PieceOutcome &outcome = event.outcome;
+    Request *request = find(outcome.id.request);
+    const bool wanted = request != nullptr && request->phase == Request::Phase::Preparing;
+    if (!wanted) {
+        ++m_counters.staleAnswers;
+        if (!outcome.handle.empty()) {
+            m_actions.emplace_back(FreeResults{{outcome.handle}});
+        }
+        return;
+    }
+    const PiecePlace place{outcome.id.stage, outcome.id.piece};
+    switch (outcome.fault) {
+    case PieceFault::None:
+        if (!request->pieces->made(place, outcome.handle)) {
+            m_actions.emplace_back(FreeResults{{outcome.handle}});
+            return;
+        }
+        break;
+    case PieceFault::InputGone:
+        if (request->remakes < requestmachine::mostRemakes) {
+            ++request->remakes;
+            request->pieces->returned(place);
+            request->pieces->inputsLost(place.stage);
+            break;
+        }
+        [[fallthrough]];
+    case PieceFault::Late:
+    case PieceFault::NoRoom:
+    case PieceFault::Refused:
+    case PieceFault::Failed:
+        withdraw(*request, snapshot);
+        fail(*request,
+             outcome.fault == PieceFault::Late ? Reason::CannotFinish : Reason::StageFailed,
+             makeError(absl::StatusCode::kUnavailable, "pieces", outcome.endpoint,
+                       toText(outcome.fault)),
+             snapshot);
+        return;
+    }
+    if (!request->pieces->isComplete()) {
+        orderPieces(*request);
+        return;
+    }
+    if (!fitsDeadline(*request, remainingTime(*request))) {
+        withdraw(*request, snapshot);
+        fail(*request, Reason::CannotFinish,
+             makeError(absl::StatusCode::kDeadlineExceeded, "pieces", "",
+                       "the time left is too short"),
+             snapshot);
+        return;
+    }
+    enqueue(*request, snapshot);
+    dispatch(request->stageSpec().pool, snapshot);
+}
+
+/// Gives up what is ordered and frees what is made.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::dropPieces(Request &request)
+{
+    if (!request.pieces) {
+        return;
+    }
+    if (!request.pieces->isComplete()) {
+        m_actions.emplace_back(WithdrawPieces{request.id});
+    }
+    std::vector<std::string> handles = request.pieces->takeAll();
+    if (!handles.empty()) {
+        m_actions.emplace_back(FreeResults{std::move(handles)});
+    }
+    request.pieces.reset();
+}
+
+/// The endpoint did not find the results that the request named: they are made again.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::piecesLost(Request &request, const Snapshot &snapshot)
+{
+    if (request.remakes >= requestmachine::mostRemakes) {
+        fail(request, Reason::StageFailed,
+             makeError(absl::StatusCode::kUnavailable, "pieces", request.endpoint,
+                       "the results were lost again"),
+             snapshot);
+        return;
+    }
+    ++request.remakes;
+    request.pieces->finalResultsLost();
+    request.phase = Request::Phase::Preparing;
+    orderPieces(request);
+}
+
+// Events ----------------------------------------------------------------------
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(const StageEvent &event, const Snapshot &snapshot)
+{
+    noticePause();
+    Request *request = findCurrent(event.call);
+    if (request == nullptr) {
+        return;
+    }
+    if (G::matchesAttempts && event.echoed != event.call) {
+        refuseAnswer(*request, "the stream carries another request's identity", snapshot);
+        return;
+    }
+    // An event is passed on once, and none before those that stand in front of it.
+    if (G::matchesAttempts && event.eventId && request->lastEvent
+        && *event.eventId != *request->lastEvent + 1) {
+        refuseAnswer(*request, "the stream repeats or leaves out an event", snapshot);
+        return;
+    }
+    if (const EndpointEntry *endpoint = endpointOf(*request, snapshot)) {
+        noteProgress(*endpoint, m_clock.now());
+    }
+    if (request->firstPiece == Duration{}) {
+        request->firstPiece = m_clock.now() - request->arrivedAt;
+    }
+    StreamEvents action;
+    action.id = request->id;
+    action.bytes = event.bytes;
+    if (!request->headPassedOn) {
+        request->headPassedOn = true;
+        action.head = event.head;
+        // They were read before the first event. One that may go on elsewhere will need
+        // them there.
+        if (!request->pipeline.repeatable) {
+            dropPieces(*request);
+        }
+    }
+    if (event.eventId) {
+        request->lastEvent = event.eventId;
+    }
+    ++request->tokens;
+    m_actions.emplace_back(std::move(action));
+}
+
+// Retries ---------------------------------------------------------------------
+
+template <GuardPolicy G>
+RetryBudget &BasicRequestMachine<G>::budgetOf(const std::string &pool)
+{
+    return m_budgets.try_emplace(pool, m_limits.retries).first->second;
+}
+
+template <GuardPolicy G>
+int BasicRequestMachine<G>::daemons() const
+{
+    const int known =
+        m_limits.daemons == nullptr ? 1 : m_limits.daemons->load(std::memory_order_relaxed);
+    return std::max(known, requestmachine::leastDaemons) * m_limits.workers;
+}
+
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::mayRetryCarried(const Request &request, SendEvidence evidence)
+{
+    const bool mayHaveRun = evidence == SendEvidence::Sent;
+    if (mayHaveRun && !request.pipeline.repeatable && G::retriesOnlyRepeatable) {
+        return false;
+    }
+    const std::uint32_t mostRuns = request.pipeline.route->mostEndpoints;
+    if (mayHaveRun && request.mayHaveRun >= mostRuns) {
+        return false;
+    }
+    if (request.attempt >= requestmachine::mostCarriedSends) {
+        return false;
+    }
+    if (!fitsDeadline(request, remainingTime(request))) {
+        return false;
+    }
+    if (request.arrivals == 0) {
+        return true;
+    }
+    return budgetOf(request.stageSpec().pool).allows(m_clock.now(), daemons());
+}
+
+} // namespace harelink
+
+#endif // HARELINK_KERNEL_REQUESTCARRIEDIMPL_H
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -10,11 +10,14 @@
 #ifndef HARELINK_KERNEL_REQUESTMACHINE_H
 #define HARELINK_KERNEL_REQUESTMACHINE_H
 
+#include "harelink/Kernel/carried.h"
 #include "harelink/Kernel/claims.h"
 #include "harelink/Kernel/fairqueue.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/latency.h"
+#include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/pooldemand.h"
+#include "harelink/Kernel/retrybudget.h"
 #include "harelink/Kernel/routing.h"
 #include "harelink/Kernel/slotshares.h"
 #include "harelink/Kernel/snapshot.h"
@@ -26,6 +29,7 @@
 #include <absl/status/status.h>
 
 #include <array>
+#include <atomic>
 #include <deque>
 #include <map>
 #include <memory>
@@ -48,6 +52,9 @@
     std::optional<Duration> timeAllowed; ///< The pipeline's deadline where absent.
     std::string traceparent;             ///< W3C; empty where the caller gave none.
     bool streams = false;                ///< Wants the last stage's answer as it comes.
+    /// Where it is to be passed on unchanged: its route then gives the pipeline, and its
+    /// API key the account. Shared with the calls that carry it.
+    std::shared_ptr<const CarriedRequest> carried;
 };
 
 /// Event: an endpoint answered a call.
@@ -56,8 +63,25 @@
     CallId call;   ///< The call on whose connection the answer came.
     CallId echoed; ///< The identity that the answer itself carries.
     std::string body;
-    Duration busy{};         ///< The endpoint's own time; zero where it tells none.
-    int reportedActive = -1; ///< Its load report; negative where it sent none.
+    Duration busy{};                      ///< The endpoint's own time; zero where it tells none.
+    int reportedActive = -1;              ///< Its load report; negative where it sent none.
+    std::optional<CarriedAnswer> carried; ///< The whole answer to a carried request.
+};
+
+/// Event: an event of the answer to a carried request that streams.
+struct StageEvent
+{
+    CallId call;        ///< As in StageAnswered.
+    CallId echoed;      ///< As in StageAnswered.
+    CarriedAnswer head; ///< Of the answer that it is part of.
+    std::optional<std::uint64_t> eventId;
+    std::string bytes; ///< The whole event, as it came.
+};
+
+/// Event: a piece was made, or not.
+struct PieceEnded
+{
+    PieceOutcome outcome;
 };
 
 /// Event: a part of the answer to a call that streams.
@@ -76,6 +100,10 @@
     CallId call;
     SendEvidence evidence = SendEvidence::Sent;
     absl::Status status;
+    /// The endpoint's own answer, where it failed by one.
+    std::optional<CarriedAnswer> carried;
+    bool isOtherEndpoint = false; ///< Another endpoint has taken over the address.
+    bool inputsGone = false;      ///< Results that the request names are no longer kept.
 };
 
 /// Event: the caller went away.
@@ -102,6 +130,45 @@
     bool streams = false;           ///< The answer is wanted as it comes, if that can be had.
     std::uint64_t tokensBefore = 0; ///< Already passed on to the caller, from a stream that
     std::string textBefore;         ///< broke: the answer is to go on right behind them.
+    std::string account;
+    int priority = 0; ///< 0 is the most urgent.
+    std::shared_ptr<const CarriedRequest> carried;
+    std::vector<std::string> inputs; ///< Results of the pieces.
+    /// The event behind which a stream is to go on.
+    std::optional<std::uint64_t> resumeAfter;
+};
+
+/// Action: have pieces of one request made at \p pool.
+struct OrderPieces
+{
+    std::string pool;
+    std::vector<PieceOrder> orders;
+};
+
+/// Action: the pieces of a request that are not made yet are no longer wanted.
+struct WithdrawPieces
+{
+    RequestId id;
+};
+
+/// Action: these results are no longer needed.
+struct FreeResults
+{
+    std::vector<std::string> handles;
+};
+
+/// Action: pass an event of a carried answer on to the caller.
+struct StreamEvents
+{
+    RequestId id;
+    std::optional<CarriedAnswer> head; ///< With the first event only.
+    std::string bytes;
+};
+
+/// Action: an endpoint is no longer where it was declared.
+struct EndpointReplaced
+{
+    std::string endpoint;
 };
 
 /// Action: pass a part of the answer on to the caller.
@@ -136,11 +203,17 @@
     Duration firstPiece{};    ///< From the arrival to the first part of a stream, or zero.
     std::uint64_t tokens = 0; ///< Passed on in parts.
     std::vector<StageCost> costs;
+    /// The endpoint's answer, also a failure of its own, where the request was carried.
+    std::optional<CarriedAnswer> carried;
+    std::string callerId; ///< Of a carried request.
+    std::string endpoint; ///< Where it was sent last.
+    std::uint32_t sends = 0;
 };
 
 /// What a machine wants done.
 using RequestAction =
-    std::variant<SendStage, CancelStage, StreamPiece, AnswerCaller, ClaimRequest, ClaimFinish>;
+    std::variant<SendStage, CancelStage, StreamPiece, AnswerCaller, ClaimRequest, ClaimFinish,
+                 OrderPieces, WithdrawPieces, FreeResults, StreamEvents, EndpointReplaced>;
 
 /// Counts of what a machine did.
 struct RequestCounters
@@ -159,6 +232,9 @@
 {
     std::size_t mostRequests = 10'000; ///< In progress; more are refused.
     int workers = 1;                   ///< Machines that share the endpoints.
+    RetryBudgetOptions retries;        ///< Of carried requests.
+    /// How many daemons are alive, for shares that need no talk; null for this one alone.
+    const std::atomic<int> *daemons = nullptr;
 };
 
 /// The machine. \p G is AllGuards in the product.
@@ -177,6 +253,8 @@
     void handle(RequestArrived event, const Snapshot &snapshot);
     void handle(StageAnswered event, const Snapshot &snapshot);
     void handle(const StagePiece &event, const Snapshot &snapshot);
+    void handle(const StageEvent &event, const Snapshot &snapshot);
+    void handle(const PieceEnded &event, const Snapshot &snapshot);
     void handle(const StageFailed &event, const Snapshot &snapshot);
     void handle(const ClaimDecision &event, const Snapshot &snapshot);
     void handle(const CallerGone &event, const Snapshot &snapshot);
@@ -206,6 +284,15 @@
     std::optional<AnswerCaller> refuseAtOnce(const RequestArrived &event,
                                              const Snapshot &snapshot) const;
     void claim(Request &request);
+    static void resolveRoute(RequestArrived &event, const Snapshot &snapshot);
+    void takeRoute(Request &request, const Snapshot &snapshot);
+    bool beginPieces(Request &request, const Snapshot &snapshot);
+    void orderPieces(Request &request);
+    void dropPieces(Request &request);
+    void piecesLost(Request &request, const Snapshot &snapshot);
+    bool mayRetryCarried(const Request &request, SendEvidence evidence);
+    RetryBudget &budgetOf(const std::string &pool);
+    [[nodiscard]] int daemons() const;
     bool fitsDeadline(const Request &request, Duration needed);
     static FairQueue::Place placeOf(const Request &request);
     void enqueue(Request &request, const Snapshot &snapshot);
@@ -249,6 +336,7 @@
     TimePoint m_lastTurn;  ///< Of the last tick, answer or failure.
     TimePoint m_resumedAt; ///< When this process last woke from a long pause.
     double m_retryTokens;
+    std::map<std::string, RetryBudget> m_budgets; ///< By pool.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
     // Ordered, so that the same events always give the same actions.
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -12,6 +12,7 @@
 
 #include "harelink/Kernel/requestadmissionimpl.h"
 #include "harelink/Kernel/requestanswersimpl.h"
+#include "harelink/Kernel/requestcarriedimpl.h"
 #include "harelink/Kernel/requestclaimsimpl.h"
 #include "harelink/Kernel/requestdispatchimpl.h"
 #include "harelink/Kernel/requestmachinestate.h"
@@ -127,15 +128,17 @@
         return refusal(Reason::UnknownPipeline, absl::StatusCode::kNotFound, "admission", "",
                        "there is no such pipeline");
     }
-    if (snapshot.account(event.account) == nullptr) {
+    const bool isPublic = pipeline->route && pipeline->route->isPublic;
+    if (!isPublic && snapshot.account(event.account) == nullptr) {
         return refusal(Reason::UnknownAccount, absl::StatusCode::kPermissionDenied, "admission", "",
                        "there is no such client account");
     }
-    if (event.body.size() > pipeline->largestBody) {
+    const std::size_t bytes = event.carried ? event.carried->body.size() : event.body.size();
+    if (bytes > pipeline->largestBody) {
         return refusal(Reason::BodyTooLarge, absl::StatusCode::kInvalidArgument, "admission", "",
                        fmt::format("the body is larger than {} bytes", pipeline->largestBody));
     }
-    if (!pipeline->repeatable && event.idempotencyKey.empty()) {
+    if (!event.carried && !pipeline->repeatable && event.idempotencyKey.empty()) {
         return refusal(Reason::KeyMissing, absl::StatusCode::kInvalidArgument, "admission", "",
                        "this pipeline may not be repeated and needs an idempotency key");
     }
@@ -149,9 +152,11 @@
 template <GuardPolicy G>
 void BasicRequestMachine<G>::handle(RequestArrived event, const Snapshot &snapshot)
 {
+    resolveRoute(event, snapshot);
     if (std::optional<AnswerCaller> refusal = refuseAtOnce(event, snapshot)) {
         refusal->account = event.account;
         refusal->pipeline = event.pipeline;
+        refusal->callerId = event.carried ? event.carried->callerId : std::string();
         refusal->retryAfter = requestmachine::leastRetryAfter;
         ++m_counters.reasons[static_cast<std::size_t>(refusal->reason)];
         m_actions.emplace_back(*std::move(refusal));
@@ -169,6 +174,10 @@
     request.streams = event.streams;
     request.arrivedAt = now;
     request.deadline = now + event.timeAllowed.value_or(request.pipeline.deadline);
+    request.carried = std::move(event.carried);
+    if (request.carried) {
+        takeRoute(request, snapshot);
+    }
     const bool added = m_requests.emplace(event.id.sequence, std::move(owned)).second;
     assert(added && "a request arrives once");
     (void)added;
@@ -183,10 +192,15 @@
     }
     countDemand(request, 0);
     schedule(request, request.deadline - requestmachine::answerMargin);
-    if (!request.pipeline.repeatable && G::claimsBeforeSending) {
+    // A carried request has an id of its own and is this daemon's alone: it is sent once
+    // and needs no claim.
+    if (!request.carried && !request.pipeline.repeatable && G::claimsBeforeSending) {
         claim(request);
         return;
     }
+    if (beginPieces(request, snapshot)) {
+        return;
+    }
     enqueue(request, snapshot);
     dispatch(request.stageSpec().pool, snapshot);
 }
@@ -235,9 +249,12 @@
         }
         return;
     }
-    const std::string step = request.phase == Request::Phase::Claiming
-                                 ? std::string("claim")
-                                 : "stage " + request.stageSpec().name;
+    std::string step = "stage " + request.stageSpec().name;
+    if (request.phase == Request::Phase::Claiming) {
+        step = "claim";
+    } else if (request.phase == Request::Phase::Preparing) {
+        step = "pieces";
+    }
     if (request.phase == Request::Phase::Running) {
         // It says the endpoint is slow, and the slowness is what must be learnt.
         learnFromGivenUp(request, snapshot);
@@ -267,8 +284,12 @@
 void BasicRequestMachine<G>::handle(const CallerGone &event, const Snapshot &snapshot)
 {
     Request *request = find(event.id);
-    // What may not be repeated goes on: its result is kept for a retry.
-    if (request == nullptr || !request->pipeline.repeatable) {
+    if (request == nullptr) {
+        return;
+    }
+    // What may not be repeated goes on: its result is kept for a retry. Of a carried
+    // request nothing is kept, and nobody is left to want it.
+    if (!request->carried && !request->pipeline.repeatable) {
         return;
     }
     withdraw(*request, snapshot);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -9,6 +9,7 @@
 #ifndef HARELINK_KERNEL_REQUESTMACHINESTATE_H
 #define HARELINK_KERNEL_REQUESTMACHINESTATE_H
 
+#include "harelink/Kernel/piecegraph.h"
 #include "harelink/Kernel/requestmachine.h"
 
 #include <chrono>
@@ -45,6 +46,14 @@
 /// Share by which one dispatch moves the smoothed interval between dispatches.
 inline constexpr double intervalSmoothing = 0.2;
 
+/// Sends of one carried request, those refused before running among them: each costs a
+/// connection and a part of the budget that all daemons share.
+inline constexpr std::uint32_t mostCarriedSends = 4;
+/// Daemons that the retry budget is divided among while fewer are known.
+inline constexpr int leastDaemons = 3;
+/// How often lost results of one request are made again.
+inline constexpr std::uint32_t mostRemakes = 2;
+
 inline double seconds(Duration time)
 {
     return std::chrono::duration<double>(time).count();
@@ -61,7 +70,7 @@
 template <GuardPolicy G>
 struct BasicRequestMachine<G>::Request
 {
-    enum class Phase { Claiming, Queued, Running };
+    enum class Phase { Claiming, Preparing, Queued, Running };
 
     RequestId id;
     std::string account;
@@ -92,6 +101,16 @@
     CountHold inFlight; ///< While it is in flight.
     std::vector<StageCost> costs;
 
+    std::shared_ptr<const CarriedRequest> carried; ///< Null for the product's own requests.
+    int priority = 0;
+    TimePoint wanted; ///< Its objective, as a time.
+    std::unique_ptr<PieceGraph> pieces;
+    std::uint32_t remakes = 0;
+    bool headPassedOn = false;              ///< The caller has got the beginning of a stream.
+    std::optional<std::uint64_t> lastEvent; ///< Passed on, or seen by the caller before.
+    std::uint32_t mayHaveRun = 0;           ///< Sends that an endpoint may have begun to work on.
+    std::uint32_t arrivals = 0;             ///< Sends that reached an endpoint.
+
     [[nodiscard]] const StageSpec &stageSpec() const { return pipeline.stages[stage]; }
     [[nodiscard]] CallId call() const { return {id, stage, attempt}; }
     [[nodiscard]] std::size_t bytes() const { return body.size() + previous.size(); }
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -65,7 +65,17 @@
     absl::flat_hash_map<std::string, AccountEntry> accounts;
     absl::flat_hash_map<std::string, PoolEntry> pools;
     std::vector<ModelVersionSpec> modelVersions;
+    /// By host, the path prefixes with their pipelines, longest first.
+    absl::flat_hash_map<std::string, std::vector<std::pair<std::string, std::string>>> routes;
+    absl::flat_hash_map<std::string, std::string> accountsByKey; ///< By API key.
+    absl::flat_hash_map<std::string, std::string> poolsByEndpoint;
 
+    /// The pipeline of the longest path prefix of \p host that begins \p path, or null.
+    [[nodiscard]] const PipelineSpec *route(const std::string &host, const std::string &path) const;
+    /// The pool of the endpoint called \p name, or null.
+    [[nodiscard]] const PoolEntry *poolOfEndpoint(const std::string &name) const;
+    /// The endpoint called \p name of any pool, or null.
+    [[nodiscard]] const EndpointEntry *endpoint(const std::string &name) const;
     [[nodiscard]] const PipelineSpec *pipeline(const std::string &name) const;
     [[nodiscard]] const AccountEntry *account(const std::string &name) const;
     [[nodiscard]] const PoolEntry *pool(const std::string &name) const;
--- a/include/harelink/Support/log.h
+++ b/include/harelink/Support/log.h
@@ -1,8 +1,12 @@
-//===- harelink/Support/log.h - Logs to standard error ----------*- C++ -*-===//
+//===- harelink/Support/log.h - Structured logs -----------------*- C++ -*-===//
 ///
 /// \file
-/// Short sentences to standard error, each behind its level and the fixed
-/// prefix of the part that speaks. A request's content is never logged.
+/// Lines of "name=value" fields on standard output, one for each event, behind the
+/// fixed prefix of the part that speaks. A request's content is never logged.
+///
+/// Writing never blocks: where the reader of a pipe is slow, lines are dropped, and
+/// where they come faster than mostLinesPerSecond, as under a burst of refusals, the
+/// rest is dropped too. A later line tells how many.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -11,6 +15,7 @@
 
 #include <fmt/format.h>
 
+#include <string>
 #include <string_view>
 
 namespace harelink {
@@ -18,12 +23,66 @@
 /// How urgent a line is.
 enum class LogLevel { Debug, Info, Warning, Error };
 
+/// Lines of one process within a second; warnings and errors may take twice as many.
+/// At 250 bytes a line it bounds the volume to 75 kB a second.
+inline constexpr int mostLinesPerSecond = 300;
+
 /// Lines below \p level are dropped from now on; the default is Info.
 void setLogLevel(LogLevel level);
 /// Whether lines of \p level are written.
 [[nodiscard]] bool logEnabled(LogLevel level);
-/// Writes one finished line; prefer Logger.
-void writeLogLine(LogLevel level, std::string_view part, std::string_view text);
+/// Writes one finished line of fields; prefer Logger.
+void writeLogLine(LogLevel level, std::string_view part, std::string_view fields);
+/// How many lines were dropped since the start.
+[[nodiscard]] std::uint64_t droppedLogLines();
+/// \p value as a field's value: in quotes where it holds a space, a quote or a control
+/// character, which are escaped.
+[[nodiscard]] std::string logValue(std::string_view value);
+
+/// One line in the making; written when it goes out of scope.
+class LogRecord
+{
+public:
+    LogRecord(LogLevel level, std::string_view part, std::string_view event)
+        : m_level(level)
+        , m_part(part)
+        , m_enabled(logEnabled(level))
+    {
+        field("event", event);
+    }
+    ~LogRecord()
+    {
+        if (m_enabled) {
+            writeLogLine(m_level, m_part, m_fields);
+        }
+    }
+    LogRecord(const LogRecord &) = delete;
+    LogRecord &operator=(const LogRecord &) = delete;
+
+    /// Adds a field; one with an empty text is left out.
+    template <typename Value>
+    LogRecord &field(std::string_view name, const Value &value)
+    {
+        if (m_enabled) {
+            add(name, fmt::format("{}", value));
+        }
+        return *this;
+    }
+
+private:
+    void add(std::string_view name, const std::string &value)
+    {
+        if (!value.empty()) {
+            fmt::format_to(std::back_inserter(m_fields), "{}{}={}", m_fields.empty() ? "" : " ",
+                           name, logValue(value));
+        }
+    }
+
+    LogLevel m_level;
+    std::string_view m_part;
+    bool m_enabled;
+    std::string m_fields;
+};
 
 /// Writes lines for one part of the program.
 class Logger
@@ -35,6 +94,12 @@
     {
     }
 
+    /// Begins a line about \p event, a short name as in "request-answered".
+    [[nodiscard]] LogRecord record(LogLevel level, std::string_view event) const
+    {
+        return {level, m_part, event};
+    }
+
     template <typename... Args>
     void debug(fmt::format_string<Args...> format, Args &&...args) const
     {
@@ -61,7 +126,8 @@
     void write(LogLevel level, fmt::format_string<Args...> format, Args &&...args) const
     {
         if (logEnabled(level)) {
-            writeLogLine(level, m_part, fmt::format(format, std::forward<Args>(args)...));
+            const std::string text = fmt::format(format, std::forward<Args>(args)...);
+            writeLogLine(level, m_part, "message=" + logValue(text));
         }
     }
 
--- /dev/null
+++ b/lib/Adapters/dialect.cpp
@@ -0,0 +1,75 @@
+//===- dialect.cpp - A platform's way to speak ----------------------------===//
+
+#include "harelink/Adapters/dialect.h"
+
+#include "harelink/Adapters/eventstream.h"
+#include "harelink/Support/error.h"
+
+#include <utility>
+
+namespace harelink {
+namespace {
+
+StageFailed brokenOff(const SendStage &stage, std::string_view message)
+{
+    StageFailed failure;
+    failure.call = stage.call;
+    failure.evidence = SendEvidence::Sent;
+    failure.status =
+        makeError(absl::StatusCode::kUnavailable, "stage " + stage.stage, stage.endpoint, message);
+    return failure;
+}
+
+/// Whether the end of the connection is not the only sign of the answer's end.
+bool isFramed(const HttpResult &result)
+{
+    return !result.header("content-length").empty()
+           || result.header("transfer-encoding").find("chunked") != std::string::npos;
+}
+
+} // namespace
+
+CarriedStream::CarriedStream(const CarriedDialect &dialect, const SendStage &stage)
+    : m_dialect(dialect)
+    , m_stage(stage)
+{
+}
+
+std::vector<StageEvent> CarriedStream::take(const HttpResult &head, const std::string &bytes)
+{
+    m_rest += bytes;
+    m_streams = m_streams || m_dialect.isStream(head);
+    std::vector<StageEvent> events;
+    if (!m_streams) {
+        return events;
+    }
+    std::size_t begin = 0;
+    for (std::size_t end = endOfEvent(m_rest, begin); end != std::string::npos;
+         end = endOfEvent(m_rest, begin)) {
+        const std::string_view event = std::string_view(m_rest).substr(begin, end - begin);
+        events.push_back(m_dialect.decodeEvent(m_stage, head, event));
+        begin = end;
+    }
+    m_rest.erase(0, begin);
+    return events;
+}
+
+std::variant<StageAnswered, StageFailed> CarriedStream::finish(HttpResult result) const
+{
+    if (!m_streams) {
+        result.body = m_rest;
+        return m_dialect.decode(m_stage, result);
+    }
+    if (result.status == 0) {
+        return brokenOff(m_stage, result.error);
+    }
+    if (!m_rest.empty()) {
+        return brokenOff(m_stage, "the stream ended within an event");
+    }
+    if (!isFramed(result)) {
+        return brokenOff(m_stage, "the end of the stream cannot be told from a break");
+    }
+    return m_dialect.decode(m_stage, result);
+}
+
+} // namespace harelink
--- a/lib/Adapters/eventstream.cpp
+++ b/lib/Adapters/eventstream.cpp
@@ -2,6 +2,7 @@
 
 #include "harelink/Adapters/eventstream.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -14,6 +15,43 @@
 
 } // namespace
 
+std::size_t endOfEvent(std::string_view bytes, std::size_t from)
+{
+    for (std::size_t at = bytes.find('\n', from); at != std::string_view::npos;
+         at = bytes.find('\n', at + 1)) {
+        std::size_t next = at + 1;
+        next += next < bytes.size() && bytes[next] == '\r' ? 1 : 0;
+        if (next < bytes.size() && bytes[next] == '\n') {
+            return next + 1;
+        }
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::string_view> eventField(std::string_view event, std::string_view name)
+{
+    std::size_t begin = 0;
+    while (begin < event.size()) {
+        const std::size_t end = std::min(event.find('\n', begin), event.size());
+        std::string_view line = event.substr(begin, end - begin);
+        begin = end + 1;
+        const bool isField =
+            line.starts_with(name) && line.size() > name.size() && line[name.size()] == ':';
+        if (!isField) {
+            continue;
+        }
+        line.remove_prefix(name.size() + 1);
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        while (!line.empty() && (line.back() == '\r' || line.back() == ' ')) {
+            line.remove_suffix(1);
+        }
+        return line;
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> EventReader::nextLine()
 {
     const std::size_t end = m_buffer.find('\n');
--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -5,10 +5,14 @@
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <charconv>
 #include <mutex>
 #include <utility>
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace harelink {
 namespace {
@@ -41,17 +45,64 @@
     return text;
 }
 
+int statusOfLine(std::string_view line)
+{
+    const std::size_t space = line.find(' ');
+    int status = 0;
+    if (space != std::string_view::npos) {
+        (void)std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
+    }
+    return status;
+}
+
 std::size_t takeHeader(char *data, std::size_t size, std::size_t count, void *user)
 {
     const std::string_view line(data, size * count);
+    auto &result = *static_cast<HttpResult *>(user);
+    if (line.starts_with("HTTP/")) {
+        // Each answer begins anew, as the final one after an interim one does.
+        result.headers.clear();
+        result.fields.clear();
+        result.headStatus = statusOfLine(line);
+        return size * count;
+    }
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
-        const std::string name = lowerCase(trimmed(line.substr(0, colon)));
-        static_cast<HttpResult *>(user)->headers[name] = trimmed(line.substr(colon + 1));
+        const std::string name = trimmed(line.substr(0, colon));
+        const std::string value = trimmed(line.substr(colon + 1));
+        result.headers[lowerCase(name)] = value;
+        result.fields.emplace_back(name, value);
     }
     return size * count;
 }
 
+/// Keep-alive probes tell of a connection that went silent for good: dead after some
+/// three seconds, at no cost to whoever answers calls.
+constexpr int probeIdleSeconds = 1;
+constexpr int probeIntervalSeconds = 1;
+constexpr int probeCount = 2;
+/// Bytes that nobody acknowledges for so long end the connection.
+constexpr unsigned unacknowledgedMs = 3000;
+
+int prepareSocket(void *, curl_socket_t socket, curlsocktype)
+{
+    const int on = 1;
+    (void)setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    (void)setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &probeIdleSeconds, sizeof(int));
+    (void)setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &probeIntervalSeconds, sizeof(int));
+    (void)setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probeCount, sizeof(int));
+    (void)setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof(unsigned));
+    return CURL_SOCKOPT_OK;
+}
+
+bool hasField(const std::vector<std::string> &lines, std::string_view name)
+{
+    return std::any_of(lines.begin(), lines.end(), [name](const std::string &line) {
+        const std::size_t end = line.find_first_of(":;");
+        return end == name.size() && lowerCase(line.substr(0, end)) == name;
+    });
+}
+
 } // namespace
 
 std::string HttpResult::header(const std::string &name) const
@@ -81,7 +132,16 @@
         curl_easy_setopt(m_easy, CURLOPT_PRIVATE, this);
         curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, milliseconds(call.timeout));
         curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http");
-        if (!call.body.empty() || call.method != "GET") {
+        curl_easy_setopt(m_easy, CURLOPT_SOCKOPTFUNCTION, prepareSocket);
+        if (call.connectTimeout > Duration::zero()) {
+            curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS, milliseconds(call.connectTimeout));
+        }
+        if (!call.target.empty()) {
+            curl_easy_setopt(m_easy, CURLOPT_REQUEST_TARGET, call.target.c_str());
+        }
+        if (call.method == "HEAD") {
+            curl_easy_setopt(m_easy, CURLOPT_NOBODY, 1L);
+        } else if (!call.body.empty() || call.method != "GET") {
             curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_body.data());
             curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(m_body.size()));
         }
@@ -94,6 +154,11 @@
             m_headers = curl_slist_append(m_headers, header.c_str());
         }
         m_headers = curl_slist_append(m_headers, "Expect:");
+        for (const char *added : {"accept", "content-type"}) {
+            if (call.onlyOwnHeaders && !hasField(call.headers, added)) {
+                m_headers = curl_slist_append(m_headers, (std::string(added) + ":").c_str());
+            }
+        }
         curl_easy_setopt(m_easy, CURLOPT_HTTPHEADER, m_headers);
         curl_easy_setopt(m_easy, CURLOPT_WRITEFUNCTION, takeBody);
         curl_easy_setopt(m_easy, CURLOPT_WRITEDATA, this);
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -7,18 +7,120 @@
 #include <algorithm>
 #include <atomic>
 #include <cctype>
+#include <mutex>
 #include <optional>
+#include <set>
 
 #include <restinio/all.hpp>
 
 namespace harelink {
 namespace {
 
-using Traits = restinio::default_traits_t;
+/// The sockets of accepted connections, so that one can be cut from outside: RESTinio
+/// itself has no way to end a reply in parts other than as complete.
+class SocketRegister
+{
+public:
+    static SocketRegister &instance()
+    {
+        static SocketRegister sockets;
+        return sockets;
+    }
+    void add(asio::ip::tcp::socket *socket)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        m_sockets.insert(socket);
+    }
+    void remove(asio::ip::tcp::socket *socket)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        m_sockets.erase(socket);
+    }
+    /// Shuts down the connection from \p peer to the local port \p port; RESTinio then
+    /// sees its end and cleans up.
+    void cut(const asio::ip::tcp::endpoint &peer, std::uint16_t port)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        for (asio::ip::tcp::socket *socket : m_sockets) {
+            std::error_code error;
+            const bool found = socket->is_open() && socket->remote_endpoint(error) == peer && !error
+                               && socket->local_endpoint(error).port() == port && !error;
+            if (found) {
+                socket->shutdown(asio::ip::tcp::socket::shutdown_both, error);
+                return;
+            }
+        }
+    }
+
+private:
+    std::mutex m_mutex;
+    std::set<asio::ip::tcp::socket *> m_sockets;
+};
+
+/// A socket that is in the register for as long as it lives.
+class RegisteredSocket : public asio::ip::tcp::socket
+{
+public:
+    template <typename Context>
+    explicit RegisteredSocket(Context &context)
+        : asio::ip::tcp::socket(context)
+    {
+        SocketRegister::instance().add(this);
+    }
+    RegisteredSocket(RegisteredSocket &&other) noexcept
+        : asio::ip::tcp::socket(std::move(other))
+    {
+        SocketRegister::instance().add(this);
+    }
+    RegisteredSocket &operator=(RegisteredSocket &&other) noexcept
+    {
+        asio::ip::tcp::socket::operator=(std::move(other));
+        return *this;
+    }
+    RegisteredSocket(const RegisteredSocket &) = delete;
+    RegisteredSocket &operator=(const RegisteredSocket &) = delete;
+    ~RegisteredSocket() { SocketRegister::instance().remove(this); }
+};
+
+/// Tells of connections that ended.
+class ClosedListener
+{
+public:
+    explicit ClosedListener(std::function<void(std::uint64_t)> onClosed)
+        : m_onClosed(std::move(onClosed))
+    {
+    }
+    // RESTinio looks for this very name.
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept
+    {
+        const bool closed =
+            restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause());
+        if (closed && m_onClosed) {
+            m_onClosed(notice.connection_id());
+        }
+    }
+
+private:
+    std::function<void(std::uint64_t)> m_onClosed;
+};
+
+struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
+                                          restinio::default_request_handler_t,
+                                          restinio::default_strand_t, RegisteredSocket>
+{
+    // RESTinio looks for this very name.
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using connection_state_listener_t = ClosedListener;
+};
 
 /// Longer than any deadline that a pipeline may have.
 constexpr std::chrono::minutes handlingLimit{11};
-constexpr std::chrono::minutes idleLimit{2};
+/// While a request is handled its connection is read on, or a caller that leaves would
+/// go unnoticed; what comes then waits here.
+constexpr std::size_t pipelinedRequests = 2;
+/// How often RESTinio looks at its time limits, which are all of seconds.
+constexpr std::chrono::milliseconds timerInterval{1000};
 constexpr std::size_t largestHeaderField = 16'384;
 
 std::string lowerCase(std::string text)
@@ -50,9 +152,12 @@
     request.method = header.method().c_str();
     const auto path = header.path();
     request.path = std::string(path.data(), path.size());
+    request.target = header.request_target();
+    request.connection = from.connection_id();
     request.query = readQuery(header.query());
     header.for_each_field([&request](const restinio::http_header_field_t &field) {
         request.headers[lowerCase(field.name())] = field.value();
+        request.fields.emplace_back(field.name(), field.value());
     });
     request.body = from.body();
     return request;
@@ -62,13 +167,18 @@
 class ReplySender
 {
 public:
-    explicit ReplySender(restinio::request_handle_t request)
+    ReplySender(restinio::request_handle_t request, std::uint16_t port)
         : m_request(std::move(request))
+        , m_port(port)
     {
     }
 
     void send(HttpReply reply)
     {
+        if (reply.abort) {
+            SocketRegister::instance().cut(m_request->remote_endpoint(), m_port);
+            return;
+        }
         if (!reply.more && !m_chunks) {
             auto response = begin<restinio::restinio_controlled_output_t>(reply);
             response.set_body(std::move(reply.body));
@@ -98,7 +208,12 @@
             restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)},
             reply.status < 400 ? "OK" : "Error"};
         auto response = m_request->template create_response<Output>(status);
-        response.append_header(restinio::http_field::content_type, reply.contentType);
+        if (reply.close) {
+            response.connection_close();
+        }
+        if (!reply.contentType.empty()) {
+            response.append_header(restinio::http_field::content_type, reply.contentType);
+        }
         for (const auto &[name, value] : reply.headers) {
             response.append_header(name, value);
         }
@@ -106,6 +221,7 @@
     }
 
     restinio::request_handle_t m_request;
+    std::uint16_t m_port;
     std::optional<restinio::response_builder_t<restinio::chunked_output_t>> m_chunks;
 };
 
@@ -163,25 +279,29 @@
     const auto port = static_cast<std::uint16_t>(std::stoul(options.address.substr(colon + 1)));
     auto state = std::make_unique<State>();
     State *raw = state.get();
-    auto settings = restinio::server_settings_t<Traits>()
-                        .address(ip)
-                        .port(port)
-                        .handle_request_timeout(handlingLimit)
-                        .read_next_http_message_timelimit(idleLimit)
-                        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                                      .max_field_value_size(largestHeaderField)
-                                                      .max_body_size(options.largestBody))
-                        .socket_options_setter(
-                            [](auto &socket) { socket.set_option(asio::ip::tcp::no_delay{true}); })
-                        .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor &acceptor) {
-                            raw->port = acceptor.local_endpoint().port();
-                        })
-                        .request_handler([handler = std::move(handler)](const auto &request) {
-                            const auto sender = std::make_shared<ReplySender>(request);
-                            handler(readRequest(*request),
-                                    [sender](HttpReply reply) { sender->send(std::move(reply)); });
-                            return restinio::request_accepted();
-                        });
+    auto settings =
+        restinio::server_settings_t<Traits>()
+            .address(ip)
+            .port(port)
+            .handle_request_timeout(handlingLimit)
+            .read_next_http_message_timelimit(options.idleLimit)
+            .max_pipelined_requests(pipelinedRequests)
+            .timer_manager(timerInterval)
+            .connection_state_listener(std::make_shared<ClosedListener>(options.onClosed))
+            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                          .max_field_value_size(largestHeaderField)
+                                          .max_body_size(options.largestBody))
+            .socket_options_setter(
+                [](auto &socket) { socket.set_option(asio::ip::tcp::no_delay{true}); })
+            .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor &acceptor) {
+                raw->port = acceptor.local_endpoint().port();
+            })
+            .request_handler([handler = std::move(handler), raw](const auto &request) {
+                const auto sender = std::make_shared<ReplySender>(request, raw->port);
+                handler(readRequest(*request),
+                        [sender](HttpReply reply) { sender->send(std::move(reply)); });
+                return restinio::request_accepted();
+            });
     try {
         state->server = restinio::run_async<Traits>(restinio::external_io_context(state->context),
                                                     std::move(settings),
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -36,6 +36,31 @@
     return {from.high(), from.low()};
 }
 
+void write(const PieceId &from, wire::PieceId &to)
+{
+    write(from.request, *to.mutable_request());
+    to.set_stage(from.stage);
+    to.set_piece(from.piece);
+}
+
+PieceId read(const wire::PieceId &from)
+{
+    return {read(from.request()), from.stage(), from.piece()};
+}
+
+void write(const PieceBacklog &from, wire::PieceBacklog &to)
+{
+    to.set_endpoint(from.endpoint);
+    to.set_busy_micros(toMicros(from.busy));
+    to.set_waiting(from.waiting);
+    to.set_slowness(static_cast<float>(from.slowness));
+}
+
+PieceBacklog read(const wire::PieceBacklog &from)
+{
+    return {from.endpoint(), microseconds(from.busy_micros()), from.waiting(), from.slowness()};
+}
+
 /// Writes each kind of content into its field.
 class Writer
 {
@@ -62,6 +87,45 @@
         for (const std::string &endpoint : from.leavingEndpoints) {
             to.add_leaving_endpoints(endpoint);
         }
+        for (const PieceBacklog &backlog : from.backlogs) {
+            write(backlog, *to.add_backlogs());
+        }
+    }
+    void operator()(const PieceOrders &from) const
+    {
+        wire::PieceOrders &to = *m_message.mutable_piece_orders();
+        to.set_endpoint(from.endpoint);
+        for (const PieceOrder &order : from.orders) {
+            wire::PieceOrder &item = *to.add_orders();
+            write(order.id, *item.mutable_id());
+            item.set_caller_id(order.callerId);
+            item.set_key(order.key);
+            for (const std::string &input : order.inputs) {
+                item.add_inputs(input);
+            }
+            item.set_priority(order.priority);
+            item.set_wanted_in_micros(toMicros(order.wantedIn));
+            item.set_due_in_micros(toMicros(order.dueIn));
+        }
+    }
+    void operator()(const PieceOutcomes &from) const
+    {
+        wire::PieceOutcomes &to = *m_message.mutable_piece_outcomes();
+        write(from.backlog, *to.mutable_backlog());
+        for (const PieceOutcome &outcome : from.outcomes) {
+            to.set_endpoint(outcome.endpoint);
+            wire::PieceOutcome &item = *to.add_outcomes();
+            write(outcome.id, *item.mutable_id());
+            item.set_handle(outcome.handle);
+            item.set_fault(static_cast<std::uint32_t>(outcome.fault));
+        }
+    }
+    void operator()(const PieceWithdrawal &from) const
+    {
+        wire::PieceWithdrawal &to = *m_message.mutable_piece_withdrawal();
+        for (const RequestId &request : from.requests) {
+            write(request, *to.add_requests());
+        }
     }
     void operator()(const ClaimRequest &from) const
     {
@@ -134,6 +198,51 @@
             {usage.account(), usage.pool(), microseconds(usage.micros()), usage.demand()});
     }
     to.leavingEndpoints.assign(from.leaving_endpoints().begin(), from.leaving_endpoints().end());
+    for (const wire::PieceBacklog &backlog : from.backlogs()) {
+        to.backlogs.push_back(read(backlog));
+    }
+    return to;
+}
+
+PieceOrders read(const wire::PieceOrders &from)
+{
+    PieceOrders to;
+    to.endpoint = from.endpoint();
+    for (const wire::PieceOrder &item : from.orders()) {
+        PieceOrder order;
+        order.id = read(item.id());
+        order.callerId = item.caller_id();
+        order.key = item.key();
+        order.inputs.assign(item.inputs().begin(), item.inputs().end());
+        order.priority = item.priority();
+        order.wantedIn = microseconds(item.wanted_in_micros());
+        order.dueIn = microseconds(item.due_in_micros());
+        to.orders.push_back(std::move(order));
+    }
+    return to;
+}
+
+/// Nothing where an outcome is of no known kind.
+std::optional<PieceOutcomes> read(const wire::PieceOutcomes &from)
+{
+    PieceOutcomes to;
+    to.backlog = read(from.backlog());
+    for (const wire::PieceOutcome &item : from.outcomes()) {
+        if (item.fault() >= pieceFaultCount) {
+            return std::nullopt;
+        }
+        to.outcomes.push_back({read(item.id()), from.endpoint(), item.handle(),
+                               static_cast<PieceFault>(item.fault())});
+    }
+    return to;
+}
+
+PieceWithdrawal read(const wire::PieceWithdrawal &from)
+{
+    PieceWithdrawal to;
+    for (const wire::RequestId &request : from.requests()) {
+        to.requests.push_back(read(request));
+    }
     return to;
 }
 
@@ -201,6 +310,20 @@
     case wire::PeerMessage::kConfigDigest:
         to.content = read(from.config_digest());
         return true;
+    case wire::PeerMessage::kPieceOrders:
+        to.content = read(from.piece_orders());
+        return true;
+    case wire::PeerMessage::kPieceOutcomes: {
+        std::optional<PieceOutcomes> outcomes = read(from.piece_outcomes());
+        if (!outcomes) {
+            return false;
+        }
+        to.content = *std::move(outcomes);
+        return true;
+    }
+    case wire::PeerMessage::kPieceWithdrawal:
+        to.content = read(from.piece_withdrawal());
+        return true;
     case wire::PeerMessage::CONTENT_NOT_SET:
         return false;
     }
--- a/lib/Config/jsonreader.cpp
+++ b/lib/Config/jsonreader.cpp
@@ -142,6 +142,24 @@
     return value->get<std::vector<std::string>>();
 }
 
+std::vector<std::int64_t> JsonReader::integers(const std::string &field, std::int64_t low,
+                                               std::int64_t high)
+{
+    const nlohmann::json *value = find(field);
+    if (value == nullptr) {
+        return {};
+    }
+    const auto isWithin = [low, high](const nlohmann::json &item) {
+        return item.is_number_integer() && item.get<std::int64_t>() >= low
+               && item.get<std::int64_t>() <= high;
+    };
+    if (!value->is_array() || !std::all_of(value->begin(), value->end(), isWithin)) {
+        fault(field, fmt::format("must be a list of whole numbers from {} to {}", low, high));
+        return {};
+    }
+    return value->get<std::vector<std::int64_t>>();
+}
+
 std::string JsonReader::name(const std::string &field)
 {
     std::string value = text(field);
--- /dev/null
+++ b/lib/Config/objectreader.cpp
@@ -0,0 +1,55 @@
+//===- objectreader.cpp - Stored declarations -----------------------------===//
+
+#include "harelink/Config/objectreader.h"
+
+#include "harelink/Config/jsonreader.h"
+#include "harelink/Support/error.h"
+
+#include <fmt/format.h>
+
+namespace harelink {
+namespace {
+
+class OwnObjectReader final : public ObjectReader
+{
+public:
+    [[nodiscard]] const std::vector<std::vector<std::string>> &kindGroups() const override
+    {
+        static const std::vector<std::vector<std::string>> groups = {resourceKinds()};
+        return groups;
+    }
+    [[nodiscard]] const std::string &endpointKind() const override
+    {
+        static const std::string kind = "Endpoint";
+        return kind;
+    }
+    [[nodiscard]] bool endpointsLapse() const override { return false; }
+    [[nodiscard]] absl::StatusOr<std::vector<Resource>>
+    read(const std::string &kind, const std::string &name, const std::string &value) const override
+    {
+        const std::string origin = fmt::format("{}/{}", kind, name);
+        const absl::StatusOr<nlohmann::json> document = parseJson(value, origin);
+        if (!document.ok()) {
+            return document.status();
+        }
+        absl::StatusOr<Resource> resource = readResource(*document, origin);
+        if (!resource.ok()) {
+            return resource.status();
+        }
+        if (resource->kind != kind || resource->name != name) {
+            return makeError(absl::StatusCode::kInvalidArgument, "checking", origin,
+                             "the declaration names another object");
+        }
+        return std::vector<Resource>{*std::move(resource)};
+    }
+};
+
+} // namespace
+
+const ObjectReader &ownObjectReader()
+{
+    static const OwnObjectReader reader;
+    return reader;
+}
+
+} // namespace harelink
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -21,12 +21,71 @@
 constexpr double heaviestWeight = 1e6;
 constexpr std::size_t sha256Digits = 64;
 
+constexpr std::int64_t mostPriority = 9;
+constexpr std::int64_t mostEndpointsTried = 16;
+constexpr std::int64_t largestBatch = 4096;
+constexpr std::int64_t largestRoom = std::int64_t{1} << 40;
+constexpr std::size_t mostSplits = 16;
+constexpr milliseconds longestTime{600'000};
+
+std::vector<PieceStageSpec> readPieceStages(JsonReader &reader)
+{
+    std::vector<PieceStageSpec> stages;
+    for (JsonReader &stage : reader.objects("pieceStages", 0, mostStages)) {
+        PieceStageSpec next;
+        next.pool = stage.name("pool");
+        for (const std::int64_t before : stage.integers("after", 0, std::int64_t(mostStages))) {
+            if (static_cast<std::size_t>(before) >= stages.size()) {
+                stage.fault("after", "may name earlier stages only");
+            }
+            next.after.push_back(static_cast<std::uint32_t>(before));
+        }
+        next.resultBytes =
+            static_cast<std::uint64_t>(stage.integer("resultBytes", 0, largestRoom, 0));
+        stage.finish();
+        stages.push_back(std::move(next));
+    }
+    return stages;
+}
+
+RouteSpec readRoute(JsonReader reader)
+{
+    RouteSpec spec;
+    spec.host = reader.text("host");
+    spec.pathPrefix = reader.text("pathPrefix");
+    if (spec.pathPrefix.empty() || spec.pathPrefix.front() != '/'
+        || spec.pathPrefix.back() != '/') {
+        reader.fault("pathPrefix", "must begin and end with a slash");
+    }
+    for (JsonReader &share : reader.objects("split", 1, mostSplits)) {
+        spec.split.push_back({share.name("pool"), share.number("weight", 0, heaviestWeight, 1)});
+        share.finish();
+    }
+    spec.pieceStages = readPieceStages(reader);
+    spec.streams = reader.boolean("streams", false);
+    spec.resumable = reader.boolean("resumable", false);
+    spec.isPublic = reader.boolean("public", false);
+    spec.mostEndpoints =
+        static_cast<std::uint32_t>(reader.integer("mostEndpoints", 1, mostEndpointsTried, 1));
+    spec.priority = static_cast<int>(reader.integer("priority", 0, mostPriority, 0));
+    spec.objective =
+        reader.milliseconds("objectiveMs", shortestDeadline, longestDeadline, spec.objective);
+    spec.longestPause =
+        reader.milliseconds("longestPauseMs", milliseconds(0), longestTime, spec.longestPause);
+    reader.finish();
+    return spec;
+}
+
 ResourceSpec readPipeline(const std::string &name, JsonReader &reader)
 {
     PipelineSpec spec;
     spec.name = name;
+    if (reader.has("route")) {
+        spec.route = readRoute(reader.object("route"));
+    }
     std::set<std::string> seen;
-    for (JsonReader &stage : reader.objects("stages", 1, mostStages)) {
+    const std::size_t leastStages = spec.route ? 0 : 1;
+    for (JsonReader &stage : reader.objects("stages", leastStages, spec.route ? 0 : mostStages)) {
         StageSpec next{stage.name("name"), stage.name("pool")};
         if (!seen.insert(next.name).second) {
             stage.fault("name", "stands twice in this pipeline");
@@ -53,6 +112,10 @@
             || spec.tokenSha256.find_first_not_of("0123456789abcdef") != std::string::npos)) {
         reader.fault("tokenSha256", "must be 64 lower-case hexadecimal digits");
     }
+    spec.apiKeys = reader.texts("apiKeys");
+    if (reader.has("priority")) {
+        spec.priority = static_cast<int>(reader.integer("priority", 0, mostPriority));
+    }
     return spec;
 }
 
@@ -62,13 +125,44 @@
                             reader.name("pool")};
 }
 
+PieceWorkSpec readPieceWork(JsonReader reader)
+{
+    PieceWorkSpec spec;
+    spec.batch = static_cast<std::uint32_t>(reader.integer("batch", 1, largestBatch, 1));
+    spec.queue = static_cast<std::uint32_t>(reader.integer("queue", 0, largestBatch, 0));
+    spec.callTime = reader.milliseconds("callMs", milliseconds(0), longestTime, milliseconds(0));
+    const double pieceMs = reader.number("pieceMs", 0, static_cast<double>(longestTime.count()), 0);
+    spec.pieceTime = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::duration<double, std::milli>(pieceMs));
+    spec.roomBytes = static_cast<std::uint64_t>(reader.integer("roomBytes", 0, largestRoom, 0));
+    spec.resultLife =
+        reader.milliseconds("resultLifeMs", milliseconds(0), longestTime, milliseconds(0));
+    reader.finish();
+    return spec;
+}
+
+ModelEngineSpec readModelEngine(JsonReader reader)
+{
+    ModelEngineSpec spec;
+    spec.cacheTokens = static_cast<std::uint64_t>(reader.integer("cacheTokens", 0, largestRoom, 0));
+    reader.finish();
+    return spec;
+}
+
 ResourceSpec readPool(const std::string &name, JsonReader &reader)
 {
     PoolSpec spec;
     spec.name = name;
-    spec.protocol = reader.choice("protocol", {"model-engine", "stage-pool", "plain-service"});
+    spec.protocol = reader.choice(
+        "protocol", {"model-engine", "stage-pool", "plain-service", "carried", "pieces"});
     spec.costPerSecond = reader.number("costPerSecond", 0, heaviestWeight, 1);
     spec.keepsPrompts = reader.boolean("keepsPrompts", false);
+    if (reader.has("pieces")) {
+        spec.pieces = readPieceWork(reader.object("pieces"));
+    }
+    if (reader.has("engine")) {
+        spec.engine = readModelEngine(reader.object("engine"));
+    }
     return spec;
 }
 
@@ -82,6 +176,7 @@
     spec.slots = static_cast<int>(reader.integer("slots", 1, mostSlots, 1));
     spec.refusesBeforeRunning = reader.boolean("refusesBeforeRunning", false);
     spec.checksFencing = reader.boolean("checksFencing", false);
+    spec.leaving = reader.boolean("leaving", false);
     return spec;
 }
 
@@ -140,6 +235,51 @@
     return resource;
 }
 
+absl::Status checkReferences(const std::vector<Resource> &resources)
+{
+    std::set<std::string> pools;
+    for (const Resource &resource : resources) {
+        if (const auto *pool = std::get_if<PoolSpec>(&resource.spec)) {
+            pools.insert(pool->name);
+        }
+    }
+    Faults faults;
+    const auto check = [&](const std::string &pipeline, const std::string &pool) {
+        if (!pools.contains(pool)) {
+            faults.push_back(fmt::format("pipeline {}: there is no pool {}", pipeline, pool));
+        }
+    };
+    for (const Resource &resource : resources) {
+        const auto *pipeline = std::get_if<PipelineSpec>(&resource.spec);
+        if (pipeline == nullptr) {
+            continue;
+        }
+        for (const StageSpec &stage : pipeline->stages) {
+            check(pipeline->name, stage.pool);
+        }
+        if (!pipeline->route) {
+            continue;
+        }
+        for (const WeightedPool &share : pipeline->route->split) {
+            check(pipeline->name, share.pool);
+        }
+        const std::vector<PieceStageSpec> &stages = pipeline->route->pieceStages;
+        for (std::size_t i = 0; i < stages.size(); ++i) {
+            check(pipeline->name, stages[i].pool);
+            for (const std::uint32_t before : stages[i].after) {
+                if (before >= i) {
+                    faults.push_back(fmt::format("pipeline {}: stage {} comes after stage {}",
+                                                 pipeline->name, i, before));
+                }
+            }
+        }
+    }
+    if (!faults.empty()) {
+        return makeError(absl::StatusCode::kInvalidArgument, "checking", "", joinFaults(faults));
+    }
+    return absl::OkStatus();
+}
+
 absl::StatusOr<std::vector<Resource>> readResources(std::string_view text, std::string_view origin)
 {
     const absl::StatusOr<nlohmann::json> parsed = parseJson(text, origin);
--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -36,9 +36,26 @@
         reader.milliseconds("drainLimitMs", milliseconds(0), oneMinute * 10, settings.drainLimit);
     settings.keyRetention =
         reader.milliseconds("keyRetentionMs", milliseconds(1000), oneMonth, settings.keyRetention);
+    settings.idleLimit =
+        reader.milliseconds("idleLimitMs", milliseconds(100), oneMinute * 60, settings.idleLimit);
+    settings.balancerGrace =
+        reader.milliseconds("balancerGraceMs", milliseconds(0), oneMinute, settings.balancerGrace);
     reader.finish();
 }
 
+constexpr double mostRetries = 1e9;
+
+void readRetries(JsonReader reader, Settings &settings)
+{
+    settings.retryRatio = reader.number("ratio", 0, 1, settings.retryRatio);
+    settings.retryAllowance = reader.number("allowance", 0, mostRetries, settings.retryAllowance);
+    settings.retryWindow =
+        reader.milliseconds("windowMs", milliseconds(100), oneMinute * 10, settings.retryWindow);
+    reader.finish();
+}
+
+constexpr std::int64_t mostWatchers = 1'000;
+
 /// Z85 writes 32 bytes as 40 characters without quotes or backslashes.
 constexpr std::size_t keyLength = 40;
 
@@ -68,7 +85,8 @@
 } // namespace
 
 absl::StatusOr<Settings> readSettings(std::string_view text, std::string_view origin,
-                                      const std::vector<std::string> &routingPolicies)
+                                      const std::vector<std::string> &routingPolicies,
+                                      const std::vector<std::string> &dialects)
 {
     const absl::StatusOr<nlohmann::json> parsed = parseJson(text, origin);
     if (!parsed.ok()) {
@@ -90,6 +108,13 @@
     }
     settings.routingPolicy = reader.choice("routing", routingPolicies, "power-of-two");
     settings.logLevel = reader.choice("logLevel", {"debug", "info", "warning", "error"}, "info");
+    settings.dialect = reader.choice("dialect", dialects, settings.dialect);
+    settings.readyPath = reader.text("readyPath", settings.readyPath);
+    settings.watchers =
+        static_cast<int>(reader.integer("watchers", 1, mostWatchers, settings.watchers));
+    if (reader.has("retries")) {
+        readRetries(reader.object("retries"), settings);
+    }
     if (reader.has("limits")) {
         readLimits(reader.object("limits"), settings);
     }
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -2,10 +2,12 @@
 
 #include "harelink/Daemon/control.h"
 
-#include "harelink/Adapters/platformclient.h"
 #include "harelink/Daemon/metrics.h"
+#include "harelink/Support/error.h"
 #include "harelink/Support/log.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 namespace harelink {
@@ -13,7 +15,10 @@
 
 constexpr Logger logger("control");
 
-ControlOptions optionsOf(const Settings &settings, Incarnation incarnation)
+/// Results are freed together: a call for some is no dearer than one for one.
+constexpr std::chrono::milliseconds freeInterval{30};
+
+ControlOptions optionsOf(const Settings &settings, const Dialect &dialect, Incarnation incarnation)
 {
     ControlOptions options;
     options.host = settings.host;
@@ -21,6 +26,11 @@
     options.dataCentre = settings.dataCentre;
     options.incarnation = incarnation;
     options.claims.retention = settings.keyRetention;
+    // A carried request belongs to one daemon alone, so nobody ever claims its key.
+    options.keepsClaims = dialect.carried() == nullptr;
+    options.objects = &dialect.platform().objects();
+    options.watchersPerDataCentre = static_cast<std::size_t>(settings.watchers);
+    options.hostKind = dialect.platform().hostKind();
     return options;
 }
 
@@ -49,12 +59,18 @@
 } // namespace
 
 Control::Control(const Settings &settings, const Clock &clock, SnapshotCell &snapshot,
-                 Incarnation incarnation, DecisionSink decisions)
+                 const Dialect &dialect, Incarnation incarnation, std::atomic<int> &daemons,
+                 WorkerSink workers)
     : m_settings(settings)
     , m_clock(clock)
     , m_snapshot(snapshot)
-    , m_decisions(std::move(decisions))
-    , m_machine(clock, optionsOf(settings, incarnation))
+    , m_dialect(dialect)
+    , m_daemons(daemons)
+    , m_workers(std::move(workers))
+    , m_machine(clock, optionsOf(settings, dialect, incarnation))
+    , m_pieceRouter(clock, m_machine.membership(), incarnation,
+                    {settings.retryRatio, settings.retryAllowance, settings.retryWindow})
+    , m_pieceBatcher(clock)
 {
 }
 
@@ -106,6 +122,46 @@
     });
 }
 
+void Control::order(const OrderPieces &order)
+{
+    m_loop.post([this, order] {
+        m_pieceRouter.order(order.pool, order.orders, m_snapshot.current());
+        carryOut();
+    });
+}
+
+void Control::withdraw(const WithdrawPieces &withdrawal)
+{
+    m_loop.post([this, withdrawal] {
+        m_pieceRouter.withdraw(withdrawal.id);
+        carryOut();
+    });
+}
+
+void Control::free(const FreeResults &results)
+{
+    m_loop.post([this, results] {
+        m_freed.insert(m_freed.end(), results.handles.begin(), results.handles.end());
+        if (m_flushFreedAt == TimePoint::max()) {
+            m_flushFreedAt = m_clock.now() + freeInterval;
+        }
+    });
+}
+
+void Control::replaced(const EndpointReplaced &replaced)
+{
+    m_loop.post([this, replaced] {
+        noteReplaced(replaced.endpoint);
+        carryOut();
+    });
+}
+
+void Control::noteReplaced(const std::string &endpoint)
+{
+    logger.record(LogLevel::Warning, "endpoint-replaced").field("endpoint", endpoint);
+    m_machine.endpointLeaving(endpoint);
+}
+
 void Control::leave()
 {
     m_loop.post([this] { m_machine.leave(); });
@@ -123,14 +179,128 @@
     }
     if (m_machine.heartbeatsDue()) {
         m_machine.noteUsage(takeOwnUsage());
+        m_machine.noteBacklogs(m_pieceBatcher.backlogs());
+        logPeers();
+        m_daemons.store(static_cast<int>(m_machine.membership().livePeers().size()) + 1,
+                        std::memory_order_relaxed);
     }
     m_machine.tick();
+    m_pieceRouter.tick(m_snapshot.current());
+    m_pieceBatcher.tick(m_snapshot.current());
+    flushFreed();
     carryOut();
-    return m_machine.nextTick();
+    return std::min({m_machine.nextTick(), m_pieceRouter.nextTick(), m_pieceBatcher.nextTick(),
+                     m_flushFreedAt});
+}
+
+void Control::flushFreed()
+{
+    if (m_clock.now() < m_flushFreedAt) {
+        return;
+    }
+    m_flushFreedAt = TimePoint::max();
+    for (const HttpCall &call : m_dialect.pieces()->encodeFree(std::exchange(m_freed, {}))) {
+        m_loop.http().send(call, [url = call.url](const HttpResult &result) {
+            if (result.status == 0) {
+                // Nothing is lost by it: results end by themselves.
+                logger.record(LogLevel::Info, "results-not-freed")
+                    .field("url", url)
+                    .field("detail", result.error);
+            }
+        });
+    }
+}
+
+void Control::sendTo(const std::string &host, decltype(PeerMessage::content) content)
+{
+    if (std::optional<PeerSend> send = m_machine.membership().messageTo(host, std::move(content))) {
+        m_peers.send(*send);
+    }
+}
+
+void Control::takePieceMessage(const PeerMessage &message)
+{
+    const Snapshot &snapshot = m_snapshot.current();
+    if (const auto *orders = std::get_if<PieceOrders>(&message.content)) {
+        m_pieceBatcher.take(message.host, *orders, snapshot);
+    } else if (const auto *outcomes = std::get_if<PieceOutcomes>(&message.content)) {
+        m_pieceRouter.take(*outcomes, snapshot);
+    } else if (const auto *withdrawal = std::get_if<PieceWithdrawal>(&message.content)) {
+        m_pieceBatcher.withdraw(message.host, *withdrawal);
+    }
+}
+
+/// Carries out what the router and the batcher want, until neither wants more.
+void Control::carryOutPieces()
+{
+    const Snapshot &snapshot = m_snapshot.current();
+    const std::string &self = m_machine.membership().host();
+    bool more = true;
+    while (more) {
+        more = false;
+        for (PieceOrdersTo &send : m_pieceRouter.takeOrders()) {
+            more = true;
+            logger.record(LogLevel::Info, "pieces-ordered")
+                .field("request", send.orders.orders.front().callerId)
+                .field("stage", send.orders.orders.front().id.stage)
+                .field("pieces", send.orders.orders.size())
+                .field("endpoint", send.orders.endpoint)
+                .field("batcher", send.host)
+                .field("dueMs",
+                       fmt::format("{:.0f}", toMilliseconds(send.orders.orders.front().dueIn)));
+            if (send.host == self) {
+                m_pieceBatcher.take("", send.orders, snapshot);
+            } else {
+                sendTo(send.host, std::move(send.orders));
+            }
+        }
+        for (auto &[host, withdrawal] : m_pieceRouter.takeWithdrawals()) {
+            if (host == self) {
+                m_pieceBatcher.withdraw("", withdrawal);
+            } else {
+                sendTo(host, withdrawal);
+            }
+        }
+        for (PieceOutcomesTo &send : m_pieceBatcher.takeOutcomes()) {
+            more = true;
+            if (send.host.empty()) {
+                m_pieceRouter.take(send.outcomes, snapshot);
+            } else {
+                sendTo(send.host, std::move(send.outcomes));
+            }
+        }
+        for (const PieceCall &call : m_pieceBatcher.takeCalls()) {
+            callPieces(call);
+        }
+        for (const std::string &endpoint : m_pieceBatcher.takeReplaced()) {
+            noteReplaced(endpoint);
+        }
+    }
+    for (PieceOutcome &outcome : m_pieceRouter.takeOutcomes()) {
+        m_workers.pieceEnded(PieceEnded{std::move(outcome)});
+    }
+}
+
+void Control::callPieces(const PieceCall &call)
+{
+    const PieceDialect &dialect = *m_dialect.pieces();
+    m_loop.http().send(dialect.encode(call), [this, &dialect, call](const HttpResult &result) {
+        const PieceCallEnded ended = dialect.decode(call, result);
+        if (!ended.answered) {
+            logger.record(LogLevel::Warning, "piece-call-failed")
+                .field("endpoint", call.endpoint)
+                .field("pieces", call.orders.size())
+                .field("request", call.orders.front().callerId)
+                .field("detail", errorMessage(ended.status));
+        }
+        m_pieceBatcher.handle(ended, m_snapshot.current());
+        carryOut();
+    });
 }
 
 void Control::carryOut()
 {
+    carryOutPieces();
     ControlOutput output = m_machine.takeOutput();
     for (const PlatformCall &next : output.calls) {
         call(next);
@@ -139,7 +309,13 @@
         m_peers.send(send);
     }
     for (ClaimDecision &decision : output.decisions) {
-        m_decisions(std::move(decision));
+        m_workers.decided(std::move(decision));
+    }
+    for (const PieceBacklog &backlog : output.backlogs) {
+        m_pieceRouter.take(backlog);
+    }
+    for (const PeerMessage &message : output.pieceMessages) {
+        takePieceMessage(message);
     }
     if (output.configChanged) {
         publish();
@@ -154,20 +330,62 @@
             load->demandOfPeers.store(total.calls, std::memory_order_relaxed);
         }
     }
+    if (!output.pieceMessages.empty()) {
+        carryOutPieces();
+    }
 }
 
 void Control::call(const PlatformCall &call)
 {
     ++m_platformCalls;
+    const PlatformDialect &dialect = m_dialect.platform();
     const HttpCall http =
-        encodePlatformCall(call, m_settings.platformAddress, m_settings.platformTimeout);
-    m_loop.http().send(http, [this, id = call.id](const HttpResult &result) {
-        m_machine.handle(decodePlatformResult(id, result));
+        dialect.encode(call, m_settings.platformAddress, m_settings.platformTimeout);
+    m_loop.http().send(http, [this, &dialect, call](const HttpResult &result) {
+        const PlatformResult decoded = dialect.decode(call, result);
+        logCall(call, decoded, result);
+        m_machine.handle(decoded);
         logConnection();
         carryOut();
     });
 }
 
+/// Tells of calls that the platform did not answer, or only by sending the caller away.
+void Control::logCall(const PlatformCall &call, const PlatformResult &result,
+                      const HttpResult &http)
+{
+    const bool isTrouble = result.outcome == PlatformOutcome::Refused
+                           || result.outcome == PlatformOutcome::Silent
+                           || result.outcome == PlatformOutcome::Gone;
+    if (!isTrouble) {
+        return;
+    }
+    logger.record(LogLevel::Warning, "platform-call-failed")
+        .field("operation", toText(call.operation))
+        .field("kind", call.kind)
+        .field("name", call.name)
+        .field("outcome", toText(result.outcome))
+        .field("status", http.status)
+        .field("detail", http.error);
+}
+
+/// Tells of peers that were heard of or fell silent since the last call.
+void Control::logPeers()
+{
+    const std::vector<std::string> now = m_machine.membership().livePeers();
+    for (const std::string &host : now) {
+        if (std::find(m_peersBefore.begin(), m_peersBefore.end(), host) == m_peersBefore.end()) {
+            logger.record(LogLevel::Info, "peer-heard").field("host", host);
+        }
+    }
+    for (const std::string &host : m_peersBefore) {
+        if (std::find(now.begin(), now.end(), host) == now.end()) {
+            logger.record(LogLevel::Warning, "peer-silent").field("host", host);
+        }
+    }
+    m_peersBefore = now;
+}
+
 void Control::logConnection()
 {
     if (m_machine.connected() != m_wasConnected) {
@@ -187,7 +405,9 @@
         markLeaving(*next, endpoint);
     }
     m_snapshot.publish(std::move(next));
-    logger.info("Configuration {} is in force, with {} resources.", revision, resources.size());
+    logger.record(LogLevel::Info, "configuration-in-force")
+        .field("version", revision)
+        .field("resources", resources.size());
     for (const auto &[key, entry] : m_machine.config().entries()) {
         if (!entry.fault.empty()) {
             logger.warning("{}/{} version {} is not in force: {}.", key.first, key.second,
@@ -231,6 +451,10 @@
         };
         const ClaimLedgerCounters &claims = m_machine.claimCounters();
         counter("harelink_platform_calls_total", m_platformCalls);
+        counter("harelink_piece_calls_total", m_pieceBatcher.callCount());
+        counter("harelink_pieces_called_total", m_pieceBatcher.pieceCount());
+        counter("harelink_piece_reorders_total", m_pieceRouter.reorders());
+        counter("harelink_log_lines_dropped_total", droppedLogLines());
         counter("harelink_claim_operations_total", claims.operations);
         counter("harelink_claim_updates_total", claims.updates);
         counter("harelink_claim_reads_total", claims.reads);
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -2,11 +2,13 @@
 
 #include "harelink/Daemon/daemon.h"
 
+#include "harelink/Kernel/registry.h"
 #include "harelink/Support/error.h"
 #include "harelink/Support/log.h"
 
 #include <fmt/format.h>
 
+#include <cassert>
 #include <future>
 #include <mutex>
 #include <random>
@@ -20,6 +22,8 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusMethodNotAllowed = 405;
 constexpr int statusUnavailable = 503;
+/// Whatever a pipeline allows, a daemon of few megabytes takes in no more.
+constexpr std::size_t largestCallerBody = 8'000'000;
 
 Incarnation drawIncarnation()
 {
@@ -118,17 +122,31 @@
     : m_settings(std::move(settings))
     , m_requestStop(std::move(requestStop))
     , m_incarnation(drawIncarnation())
+    , m_dialect(Registry<Dialect>::instance().make(m_settings.dialect))
 {
-    m_control = std::make_unique<Control>(
-        m_settings, m_clock, m_snapshot, m_incarnation, [this](ClaimDecision decision) {
-            const std::uint64_t sequence = decision.claimant.sequence;
-            workerOf(sequence).decide(std::move(decision));
-        });
+    assert(m_dialect != nullptr && "the settings were checked against the known dialects");
+    Control::WorkerSink workers;
+    workers.decided = [this](ClaimDecision decision) {
+        const std::uint64_t sequence = decision.claimant.sequence;
+        workerOf(sequence).decide(std::move(decision));
+    };
+    workers.pieceEnded = [this](PieceEnded event) {
+        const std::uint64_t sequence = event.outcome.id.request.sequence;
+        workerOf(sequence).pieceEnded(std::move(event));
+    };
+    m_control = std::make_unique<Control>(m_settings, m_clock, m_snapshot, *m_dialect,
+                                          m_incarnation, m_liveDaemons, std::move(workers));
+    Worker::ControlSink control;
+    control.request = [this](const ClaimRequest &request) { m_control->request(request); };
+    control.finish = [this](const ClaimFinish &finish) { m_control->finish(finish); };
+    control.order = [this](const OrderPieces &order) { m_control->order(order); };
+    control.withdraw = [this](const WithdrawPieces &pieces) { m_control->withdraw(pieces); };
+    control.free = [this](const FreeResults &results) { m_control->free(results); };
+    control.replaced = [this](const EndpointReplaced &endpoint) { m_control->replaced(endpoint); };
     for (int i = 0; i < m_settings.workers; ++i) {
-        m_workers.push_back(std::make_unique<Worker>(
-            m_settings, m_clock, m_snapshot, m_incarnation + static_cast<std::uint64_t>(i),
-            Worker::ClaimSink{[this](const ClaimRequest &request) { m_control->request(request); },
-                              [this](const ClaimFinish &finish) { m_control->finish(finish); }}));
+        m_workers.push_back(std::make_unique<Worker>(m_settings, m_clock, m_snapshot, *m_dialect,
+                                                     m_incarnation + static_cast<std::uint64_t>(i),
+                                                     m_liveDaemons, control));
     }
 }
 
@@ -163,6 +181,13 @@
     m_operators = *std::move(operators);
     options.address = m_settings.callerAddress;
     options.threads = m_settings.listenerThreads;
+    options.idleLimit = m_settings.idleLimit;
+    options.largestBody = largestCallerBody;
+    options.onClosed = [this](std::uint64_t connection) {
+        for (const auto &worker : m_workers) {
+            worker->connectionClosed(connection);
+        }
+    };
     absl::StatusOr<std::unique_ptr<HttpServer>> callers =
         HttpServer::start(options, [this](HttpRequest request, const Responder &responder) {
             handleCaller(std::move(request), responder);
@@ -178,8 +203,37 @@
     return absl::OkStatus();
 }
 
+void Daemon::announceStop()
+{
+    m_draining = true;
+    for (const auto &worker : m_workers) {
+        worker->closeConnections();
+    }
+}
+
+void Daemon::handleCarried(HttpRequest request, const Responder &responder)
+{
+    const std::uint64_t connection = request.connection;
+    absl::StatusOr<RequestArrived> read = m_dialect->carried()->read(request);
+    if (!read.ok()) {
+        logger.record(LogLevel::Info, "request-unreadable")
+            .field("target", request.target)
+            .field("detail", errorMessage(read.status()));
+        responder(m_dialect->carried()->makeBadRequest(request, read.status()));
+        return;
+    }
+    const std::uint64_t sequence = m_nextSequence++;
+    read->id = {m_incarnation, sequence};
+    workerOf(sequence).submit({*std::move(read), {}, connection}, responder);
+}
+
 void Daemon::handleCaller(HttpRequest request, const Responder &responder)
 {
+    if (m_dialect->carried() != nullptr) {
+        handleCarried(std::move(request), responder);
+        return;
+    }
+    const std::uint64_t connection = request.connection;
     absl::StatusOr<CallerRequest> read = readCallerRequest(std::move(request));
     if (!read.ok()) {
         HttpReply reply =
@@ -190,6 +244,7 @@
     }
     const std::uint64_t sequence = m_nextSequence++;
     read->arrival.id = {m_incarnation, sequence};
+    read->connection = connection;
     workerOf(sequence).submit(*std::move(read), responder);
 }
 
@@ -199,7 +254,7 @@
         responder(plainReply(200, "ok\n"));
         return;
     }
-    if (request.path == "/readyz") {
+    if (request.path == m_settings.readyPath) {
         const bool ready = m_control->ready() && !m_draining;
         responder(plainReply(ready ? 200 : statusUnavailable, ready ? "ready\n" : "not ready\n"));
         return;
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -13,16 +13,28 @@
 
 constexpr Logger logger("worker");
 
+RequestLimits limitsOf(const Settings &settings, const std::atomic<int> &daemons)
+{
+    RequestLimits limits;
+    limits.mostRequests = settings.mostRequests;
+    limits.workers = settings.workers;
+    limits.retries = {settings.retryRatio, settings.retryAllowance, settings.retryWindow};
+    limits.daemons = &daemons;
+    return limits;
+}
+
 } // namespace
 
 Worker::Worker(const Settings &settings, const Clock &clock, const SnapshotCell &snapshot,
-               std::uint64_t seed, ClaimSink claims)
+               const Dialect &dialect, std::uint64_t seed, const std::atomic<int> &daemons,
+               ControlSink control)
     : m_settings(settings)
     , m_clock(clock)
     , m_snapshot(snapshot)
-    , m_claims(std::move(claims))
+    , m_dialect(dialect)
+    , m_control(std::move(control))
     , m_machine(clock, Registry<RoutingPolicy>::instance().make(settings.routingPolicy), seed,
-                {settings.mostRequests, settings.workers})
+                limitsOf(settings, daemons))
 {
     for (const std::string &name : Registry<StageProtocol>::instance().names()) {
         m_protocols[name] = Registry<StageProtocol>::instance().make(name);
@@ -80,7 +92,9 @@
 
 void Worker::accept(CallerRequest request, const Responder &responder)
 {
-    if (m_settings.callerTrust == CallerTrust::BearerToken) {
+    const bool carried = request.arrival.carried != nullptr;
+    // The API key of a carried request is checked with its route.
+    if (!carried && m_settings.callerTrust == CallerTrust::BearerToken) {
         std::string expected;
         bool ready = false;
         {
@@ -95,7 +109,8 @@
             return;
         }
     }
-    const Caller caller{responder, request.arrival.streams, false};
+    const Caller caller{responder, request.arrival.streams, false, carried, request.connection};
+    m_byConnection[request.connection].push_back(request.arrival.id);
     const bool added = m_callers.emplace(request.arrival.id.sequence, caller).second;
     assert(added && "a request is submitted once");
     (void)added;
@@ -118,6 +133,44 @@
     m_loop.post([this, decision = std::move(decision)] { feed(decision); });
 }
 
+void Worker::pieceEnded(PieceEnded event)
+{
+    m_loop.post([this, event = std::move(event)] { feed(event); });
+}
+
+void Worker::connectionClosed(std::uint64_t connection)
+{
+    m_loop.post([this, connection] {
+        const auto found = m_byConnection.find(connection);
+        if (found == m_byConnection.end()) {
+            return;
+        }
+        const std::vector<RequestId> requests = found->second;
+        for (const RequestId &id : requests) {
+            feed(CallerGone{id});
+        }
+    });
+}
+
+void Worker::closeConnections()
+{
+    m_loop.post([this] { m_closesConnections = true; });
+}
+
+void Worker::forget(std::uint64_t sequence)
+{
+    const auto caller = m_callers.find(sequence);
+    const auto requests = m_byConnection.find(caller->second.connection);
+    if (requests != m_byConnection.end()) {
+        std::erase_if(requests->second,
+                      [sequence](const RequestId &id) { return id.sequence == sequence; });
+        if (requests->second.empty()) {
+            m_byConnection.erase(requests);
+        }
+    }
+    m_callers.erase(caller);
+}
+
 void Worker::drain()
 {
     m_loop.post([this] { m_machine.drain(); });
@@ -158,7 +211,21 @@
 
 void Worker::perform(SendStage action)
 {
+    if (action.carried != nullptr) {
+        carry(action);
+        return;
+    }
     const CallId call = action.call;
+    if (!m_protocols.contains(action.protocol)) {
+        StageFailed failure;
+        failure.call = call;
+        failure.evidence = SendEvidence::NothingSent;
+        failure.status = makeError(
+            absl::StatusCode::kFailedPrecondition, "stage " + action.stage, action.endpoint,
+            "endpoints of protocol " + action.protocol + " take carried requests only");
+        feed(std::move(failure));
+        return;
+    }
     const StageProtocol &translator = protocol(action.protocol);
     const HttpCall http = encodeStage(translator, action);
     logger.debug("Sending {} to {}.", toText(call), action.endpoint);
@@ -173,6 +240,24 @@
         });
 }
 
+/// Passes a request on unchanged, and its answer back as it comes.
+void Worker::carry(const SendStage &action)
+{
+    const CallId call = action.call;
+    const CarriedDialect &dialect = *m_dialect.carried();
+    const auto stream = std::make_shared<CarriedStream>(dialect, action);
+    const auto done = [this, call, stream](HttpResult result) {
+        m_calls.erase(call);
+        feedAny(stream->finish(std::move(result)));
+    };
+    const auto part = [this, stream](const HttpResult &head, const std::string &body) {
+        for (StageEvent &event : stream->take(head, body)) {
+            feed(std::move(event));
+        }
+    };
+    m_calls[call] = m_loop.http().send(dialect.encode(action), done, part);
+}
+
 void Worker::stream(const CallId &call, const HttpCall &http,
                     const std::shared_ptr<StageStream> &stream)
 {
@@ -207,15 +292,89 @@
     const auto found = m_callers.find(action.id.sequence);
     assert(found != m_callers.end() && "a caller is answered exactly once");
     m_metrics.observe(action);
+    logAnswer(action);
     const Caller &caller = found->second;
-    if (caller.streamBegan) {
+    if (caller.carried) {
+        answerCarried(caller, action);
+    } else if (caller.streamBegan) {
         caller.responder(makeStreamEnd(action));
     } else if (caller.wantsStream && action.outcome == Outcome::Completed) {
         caller.responder(makeStreamOfWhole(action));
     } else {
         caller.responder(makeCallerReply(action));
     }
-    m_callers.erase(found);
+    forget(action.id.sequence);
+}
+
+void Worker::answerCarried(const Caller &caller, const AnswerCaller &action)
+{
+    HttpReply reply;
+    if (!caller.streamBegan) {
+        reply = m_dialect.carried()->makeReply(action);
+        reply.close = m_closesConnections;
+    } else if (action.outcome != Outcome::Completed) {
+        reply.abort = true;
+    }
+    caller.responder(std::move(reply));
+}
+
+void Worker::logAnswer(const AnswerCaller &action) const
+{
+    const bool served = action.outcome == Outcome::Completed;
+    logger.record(LogLevel::Info, "request-answered")
+        .field("request", action.callerId.empty() ? toText(action.id) : action.callerId)
+        .field("pipeline", action.pipeline)
+        .field("account", action.account)
+        .field("outcome", toText(action.outcome))
+        .field("status", action.carried ? fmt::format("{}", action.carried->status) : "")
+        .field("reason", served ? std::string_view() : toText(action.reason))
+        .field("step", served ? std::string() : errorStep(action.error))
+        .field("peer", served ? action.endpoint : errorPeer(action.error))
+        .field("detail", served ? std::string() : errorMessage(action.error))
+        .field("sends", action.sends)
+        .field("elapsedMs", fmt::format("{:.1f}", toMilliseconds(action.elapsed)))
+        .field("allowedMs", fmt::format("{:.0f}", toMilliseconds(action.allowed)))
+        .field("firstEventMs", fmt::format("{:.1f}", toMilliseconds(action.firstPiece)))
+        .field("events", action.tokens)
+        .field("retryAfterMs",
+               served ? std::string() : fmt::format("{:.0f}", toMilliseconds(action.retryAfter)));
+}
+
+void Worker::perform(const StreamEvents &action)
+{
+    const auto found = m_callers.find(action.id.sequence);
+    assert(found != m_callers.end() && "nothing is streamed after the answer's end");
+    Caller &caller = found->second;
+    HttpReply part;
+    if (action.head) {
+        part = m_dialect.carried()->makeHead(*action.head);
+        part.close = m_closesConnections;
+        caller.streamBegan = true;
+    }
+    part.body = action.bytes;
+    part.more = true;
+    part.onBroken = [this, id = action.id] { m_loop.post([this, id] { feed(CallerGone{id}); }); };
+    caller.responder(std::move(part));
+}
+
+void Worker::perform(OrderPieces action)
+{
+    m_control.order(std::move(action));
+}
+
+void Worker::perform(const WithdrawPieces &action)
+{
+    m_control.withdraw(action);
+}
+
+void Worker::perform(FreeResults action)
+{
+    m_control.free(std::move(action));
+}
+
+void Worker::perform(const EndpointReplaced &action)
+{
+    m_control.replaced(action);
 }
 
 void Worker::perform(const StreamPiece &action)
@@ -231,12 +390,12 @@
 
 void Worker::perform(ClaimRequest action)
 {
-    m_claims.request(std::move(action));
+    m_control.request(std::move(action));
 }
 
 void Worker::perform(ClaimFinish action)
 {
-    m_claims.finish(std::move(action));
+    m_control.finish(std::move(action));
 }
 
 } // namespace harelink
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -55,6 +55,16 @@
     });
 }
 
+std::string Membership::ownDeclaration() const
+{
+    const nlohmann::json value = {{"host", m_host},
+                                  {"dataCentre", m_dataCentre},
+                                  {"peers", m_address},
+                                  {"incarnation", m_incarnation},
+                                  {"state", "serving"}};
+    return value.dump();
+}
+
 void Membership::heard(const PeerMessage &message)
 {
     if (message.host == m_host || message.host.empty()) {
@@ -138,6 +148,32 @@
     return hosts;
 }
 
+std::vector<std::string> Membership::heardWithin(Duration silence,
+                                                 const std::string &dataCentre) const
+{
+    const auto stands = [&dataCentre](const std::string &where) {
+        return dataCentre.empty() || dataCentre == where;
+    };
+    std::vector<std::string> hosts;
+    for (const auto &[name, peer] : m_peers) {
+        const bool stays = !peer.leaving && !peer.address.empty() && heardWithin(name, silence);
+        if (stays && stands(peer.dataCentre)) {
+            hosts.push_back(name);
+        }
+    }
+    if (!m_leaving && stands(m_dataCentre)) {
+        hosts.push_back(m_host);
+    }
+    return hosts;
+}
+
+bool Membership::heardWithin(const std::string &host, Duration silence) const
+{
+    const auto found = m_peers.find(host);
+    return found != m_peers.end() && found->second.incarnation != 0
+           && m_clock.now() - found->second.lastHeard <= silence;
+}
+
 bool Membership::isLocal(const std::string &host) const
 {
     const auto found = m_peers.find(host);
--- /dev/null
+++ b/lib/Kernel/piecegraph.cpp
@@ -0,0 +1,196 @@
+//===- piecegraph.cpp - A request's pieces --------------------------------===//
+
+#include "harelink/Kernel/piecegraph.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace harelink {
+
+PieceGraph::PieceGraph(const std::vector<PieceStageSpec> &stages,
+                       const std::vector<std::uint32_t> &counts)
+{
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        Stage stage;
+        stage.spec = stages[i];
+        stage.pieces.resize(i < counts.size() ? counts[i] : 0);
+        m_stages.push_back(std::move(stage));
+    }
+    for (const Stage &stage : m_stages) {
+        if (stage.pieces.empty()) {
+            continue;
+        }
+        for (const std::uint32_t before : stage.spec.after) {
+            assert(before < m_stages.size() && "a stage comes after earlier ones");
+            m_stages[before].isFinal = false;
+        }
+    }
+}
+
+std::vector<PiecePlace> PieceGraph::takeReady()
+{
+    std::vector<PiecePlace> ready;
+    for (std::uint32_t i = 0; i < m_stages.size(); ++i) {
+        Stage &stage = m_stages[i];
+        const bool inputsThere =
+            std::all_of(stage.spec.after.begin(), stage.spec.after.end(),
+                        [this](std::uint32_t before) { return isMade(before); });
+        for (std::uint32_t p = 0; inputsThere && p < stage.pieces.size(); ++p) {
+            if (stage.pieces[p].state == State::Waiting) {
+                stage.pieces[p].state = State::GivenOut;
+                ready.push_back({i, p});
+            }
+        }
+    }
+    return ready;
+}
+
+bool PieceGraph::made(PiecePlace place, const std::string &handle)
+{
+    Piece &piece = m_stages.at(place.stage).pieces.at(place.piece);
+    if (piece.state == State::Made) {
+        return false;
+    }
+    piece.state = State::Made;
+    piece.handle = handle;
+    return true;
+}
+
+void PieceGraph::returned(PiecePlace place)
+{
+    Piece &piece = m_stages.at(place.stage).pieces.at(place.piece);
+    if (piece.state == State::GivenOut) {
+        piece.state = State::Waiting;
+    }
+}
+
+void PieceGraph::remake(std::uint32_t stage)
+{
+    m_stages[stage].released = false;
+    for (Piece &piece : m_stages[stage].pieces) {
+        piece = {};
+    }
+    // What they were made from may be gone too, and certainly is where it was freed.
+    for (const std::uint32_t before : m_stages[stage].spec.after) {
+        remake(before);
+    }
+}
+
+void PieceGraph::inputsLost(std::uint32_t stage)
+{
+    for (const std::uint32_t before : m_stages.at(stage).spec.after) {
+        remake(before);
+    }
+}
+
+void PieceGraph::finalResultsLost()
+{
+    for (std::uint32_t i = 0; i < m_stages.size(); ++i) {
+        if (m_stages[i].isFinal) {
+            remake(i);
+        }
+    }
+}
+
+bool PieceGraph::isMade(std::uint32_t stage) const
+{
+    const std::vector<Piece> &pieces = m_stages[stage].pieces;
+    return std::all_of(pieces.begin(), pieces.end(),
+                       [](const Piece &piece) { return piece.state == State::Made; });
+}
+
+bool PieceGraph::isComplete() const
+{
+    for (std::uint32_t i = 0; i < m_stages.size(); ++i) {
+        if (!isMade(i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<std::string> PieceGraph::inputsOf(std::uint32_t stage) const
+{
+    std::vector<std::string> handles;
+    for (const std::uint32_t before : m_stages.at(stage).spec.after) {
+        for (const Piece &piece : m_stages[before].pieces) {
+            handles.push_back(piece.handle);
+        }
+    }
+    return handles;
+}
+
+std::vector<std::string> PieceGraph::finalResults() const
+{
+    std::vector<std::string> handles;
+    for (const Stage &stage : m_stages) {
+        for (const Piece &piece : stage.pieces) {
+            if (stage.isFinal) {
+                handles.push_back(piece.handle);
+            }
+        }
+    }
+    return handles;
+}
+
+std::vector<std::string> PieceGraph::takeUnneeded()
+{
+    std::vector<std::string> handles;
+    for (std::uint32_t i = 0; i < m_stages.size(); ++i) {
+        Stage &stage = m_stages[i];
+        if (stage.isFinal || stage.released || stage.pieces.empty() || !isMade(i)) {
+            continue;
+        }
+        const auto needs = [this, i](std::uint32_t other) {
+            const std::vector<std::uint32_t> &after = m_stages[other].spec.after;
+            return !isMade(other) && std::find(after.begin(), after.end(), i) != after.end();
+        };
+        bool needed = false;
+        for (std::uint32_t other = 0; other < m_stages.size(); ++other) {
+            needed = needed || needs(other);
+        }
+        if (needed) {
+            continue;
+        }
+        stage.released = true;
+        for (const Piece &piece : stage.pieces) {
+            handles.push_back(piece.handle);
+        }
+    }
+    return handles;
+}
+
+std::vector<std::string> PieceGraph::takeAll()
+{
+    std::vector<std::string> handles;
+    for (Stage &stage : m_stages) {
+        for (Piece &piece : stage.pieces) {
+            if (piece.state == State::Made && !stage.released) {
+                handles.push_back(std::exchange(piece.handle, {}));
+            }
+        }
+        stage.released = true;
+    }
+    return handles;
+}
+
+const std::string &PieceGraph::poolOf(std::uint32_t stage) const
+{
+    return m_stages.at(stage).spec.pool;
+}
+
+std::uint32_t PieceGraph::missing(std::uint32_t stage) const
+{
+    const std::vector<Piece> &pieces = m_stages.at(stage).pieces;
+    return static_cast<std::uint32_t>(
+        std::count_if(pieces.begin(), pieces.end(),
+                      [](const Piece &piece) { return piece.state != State::Made; }));
+}
+
+const std::vector<std::uint32_t> &PieceGraph::after(std::uint32_t stage) const
+{
+    return m_stages.at(stage).spec.after;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Kernel/piecerouter.cpp
@@ -0,0 +1,298 @@
+//===- piecerouter.cpp - Where pieces are made ----------------------------===//
+
+#include "harelink/Kernel/piecerouter.h"
+
+#include "harelink/Kernel/routing.h"
+#include "harelink/Support/hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+#include <fmt/format.h>
+
+namespace harelink {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A batcher without a word for this long is passed over: two heartbeats and a half.
+constexpr milliseconds batcherSilence{600};
+/// What work in another data centre counts as more, in time. A result that crosses is
+/// paid for by its size, and its input has to cross as well.
+constexpr milliseconds crossing{60};
+/// Daemons with the same view must not all choose the same endpoint.
+constexpr milliseconds spread{15};
+/// An order is given up on after so many times what was predicted, and this much.
+constexpr int patienceFactor = 2;
+constexpr milliseconds patience{500};
+/// How often one piece is ordered at most.
+constexpr std::uint32_t mostAttempts = 3;
+/// How often pending orders are looked at.
+constexpr milliseconds checkInterval{50};
+
+Duration positive(Duration time)
+{
+    return std::max(time, Duration::zero());
+}
+
+} // namespace
+
+PieceRouter::PieceRouter(const Clock &clock, const Membership &membership, std::uint64_t seed,
+                         const RetryBudgetOptions &budget)
+    : m_clock(clock)
+    , m_membership(membership)
+    , m_random(seed)
+    , m_budgetOptions(budget)
+{
+}
+
+RetryBudget &PieceRouter::budgetOf(const std::string &pool)
+{
+    return m_budgets.try_emplace(pool, m_budgetOptions).first->second;
+}
+
+void PieceRouter::order(const std::string &pool, const std::vector<PieceOrder> &orders,
+                        const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    budgetOf(pool).noteRequest(now);
+    std::vector<Pending> group;
+    for (const PieceOrder &order : orders) {
+        Pending pending;
+        pending.pool = pool;
+        pending.order = order;
+        pending.wanted = now + order.wantedIn;
+        pending.due = now + order.dueIn;
+        group.push_back(std::move(pending));
+    }
+    place(std::move(group), snapshot);
+}
+
+/// Chooses an endpoint for a group of pieces, which are best made in one call.
+void PieceRouter::place(std::vector<Pending> group, const Snapshot &snapshot)
+{
+    if (group.empty()) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    const PoolEntry *pool = snapshot.pool(group.front().pool);
+    const auto count = static_cast<std::uint32_t>(group.size());
+    const EndpointEntry *endpoint =
+        pool == nullptr ? nullptr : choose(*pool, count, group.front().avoid);
+    std::vector<PieceId> ids;
+    for (Pending &pending : group) {
+        const PieceId id = pending.order.id;
+        ids.push_back(id);
+        ++pending.attempts;
+        if (endpoint != nullptr) {
+            const Duration predicted = predict(*pool, *endpoint, count);
+            pending.endpoint = endpoint->spec.name;
+            pending.batcher = batcherOf(endpoint->spec);
+            pending.orderedAt = now;
+            pending.checkAt = now + predicted * patienceFactor + patience;
+        }
+        m_pending[id] = std::move(pending);
+    }
+    if (endpoint == nullptr) {
+        for (const PieceId &id : ids) {
+            finish(id, PieceFault::Refused);
+        }
+        return;
+    }
+    send(ids, *endpoint);
+}
+
+void PieceRouter::send(const std::vector<PieceId> &ids, const EndpointEntry &endpoint)
+{
+    const TimePoint now = m_clock.now();
+    PieceOrdersTo send;
+    send.host = m_pending.at(ids.front()).batcher;
+    send.orders.endpoint = endpoint.spec.name;
+    for (const PieceId &id : ids) {
+        Pending &pending = m_pending.at(id);
+        pending.order.wantedIn = pending.wanted - now;
+        pending.order.dueIn = pending.due - now;
+        send.orders.orders.push_back(pending.order);
+    }
+    m_backlogs[endpoint.spec.name].orderedSince += static_cast<std::uint32_t>(ids.size());
+    m_sends.push_back(std::move(send));
+}
+
+Duration PieceRouter::predict(const PoolEntry &pool, const EndpointEntry &endpoint,
+                              std::uint32_t pieces) const
+{
+    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
+    Duration busy{};
+    std::uint32_t ahead = 0;
+    double slowness = 1;
+    const auto known = m_backlogs.find(endpoint.spec.name);
+    if (known != m_backlogs.end()) {
+        const Known &heard = known->second;
+        const Duration age = m_clock.now() - heard.heardAt;
+        busy = positive(heard.backlog.busy - age);
+        ahead = heard.backlog.waiting + heard.orderedSince;
+        slowness = heard.backlog.slowness;
+    }
+    const std::uint32_t all = ahead + pieces;
+    const std::uint32_t calls = (all + work.batch - 1) / work.batch;
+    const Duration making = work.callTime * calls + work.pieceTime * all;
+    return busy + std::chrono::duration_cast<Duration>(making * slowness);
+}
+
+Duration PieceRouter::predictedTime(const PoolEntry &pool, std::uint32_t pieces) const
+{
+    std::optional<Duration> best;
+    for (const EndpointEntry &endpoint : pool.endpoints) {
+        if (isUsable(endpoint, m_clock.now())) {
+            const Duration time = predict(pool, endpoint, pieces);
+            best = best ? std::min(*best, time) : time;
+        }
+    }
+    return best.value_or(Duration::max());
+}
+
+const EndpointEntry *PieceRouter::choose(const PoolEntry &pool, std::uint32_t pieces,
+                                         const std::set<std::string> &avoid)
+{
+    const EndpointEntry *best = nullptr;
+    Duration bestTime{};
+    for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
+        const EndpointEntry &endpoint = pool.endpoints[i];
+        if (!isUsable(endpoint, m_clock.now()) || avoid.contains(endpoint.spec.name)) {
+            continue;
+        }
+        const auto jitter = std::chrono::duration_cast<Duration>(spread * m_random.unit());
+        Duration time = predict(pool, endpoint, pieces) + jitter;
+        time += i < pool.localCount ? Duration::zero() : Duration(crossing);
+        if (best == nullptr || time < bestTime) {
+            best = &endpoint;
+            bestTime = time;
+        }
+    }
+    return best;
+}
+
+std::string PieceRouter::batcherOf(const EndpointSpec &endpoint) const
+{
+    std::vector<std::string> hosts = m_membership.heardWithin(batcherSilence, endpoint.dataCentre);
+    if (hosts.empty()) {
+        hosts = m_membership.heardWithin(batcherSilence, {});
+    }
+    std::string best = m_membership.host();
+    std::uint64_t bestScore = 0;
+    for (const std::string &host : hosts) {
+        const std::uint64_t score = hash64(fmt::format("pieces/{}/{}", endpoint.name, host));
+        if (score >= bestScore) {
+            best = host;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void PieceRouter::withdraw(const RequestId &request)
+{
+    auto at = m_pending.lower_bound(PieceId{request, 0, 0});
+    std::set<std::string> batchers;
+    while (at != m_pending.end() && at->first.request == request) {
+        batchers.insert(at->second.batcher);
+        at = m_pending.erase(at);
+    }
+    for (const std::string &batcher : batchers) {
+        m_withdrawals[batcher].requests.push_back(request);
+    }
+}
+
+void PieceRouter::take(const PieceBacklog &backlog)
+{
+    if (!backlog.endpoint.empty()) {
+        m_backlogs[backlog.endpoint] = {backlog, m_clock.now(), 0};
+    }
+}
+
+void PieceRouter::take(const PieceOutcomes &outcomes, const Snapshot &snapshot)
+{
+    take(outcomes.backlog);
+    for (const PieceOutcome &outcome : outcomes.outcomes) {
+        const auto found = m_pending.find(outcome.id);
+        if (found == m_pending.end()) {
+            continue; // Made twice, or no longer wanted.
+        }
+        const bool isRequests = outcome.fault == PieceFault::None
+                                || outcome.fault == PieceFault::Late
+                                || outcome.fault == PieceFault::InputGone;
+        if (isRequests) {
+            m_done.push_back(outcome);
+            m_pending.erase(found);
+            continue;
+        }
+        // Another order for it may be under way elsewhere.
+        if (found->second.endpoint == outcome.endpoint) {
+            reorder(outcome.id, outcome.fault, snapshot);
+        }
+    }
+}
+
+void PieceRouter::reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    const auto found = m_pending.find(id);
+    Pending pending = std::move(found->second);
+    m_pending.erase(found);
+    RetryBudget &budget = budgetOf(pending.pool);
+    const int daemons = static_cast<int>(m_membership.livePeers().size()) + 1;
+    const bool mayGo =
+        pending.attempts < mostAttempts && now < pending.due && budget.allows(now, daemons);
+    if (!mayGo) {
+        m_pending[id] = std::move(pending);
+        finish(id, fault);
+        return;
+    }
+    budget.noteRepeat(now);
+    ++m_reorders;
+    pending.avoid.insert(pending.endpoint);
+    std::vector<Pending> group;
+    group.push_back(std::move(pending));
+    place(std::move(group), snapshot);
+}
+
+void PieceRouter::finish(const PieceId &id, PieceFault fault)
+{
+    const auto found = m_pending.find(id);
+    PieceOutcome outcome;
+    outcome.id = id;
+    outcome.endpoint = found->second.endpoint;
+    outcome.fault = fault;
+    m_done.push_back(std::move(outcome));
+    m_pending.erase(found);
+}
+
+void PieceRouter::tick(const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    std::vector<PieceId> overdue;
+    for (const auto &[id, pending] : m_pending) {
+        const bool silent = pending.batcher != m_membership.host()
+                            && now - pending.orderedAt > batcherSilence
+                            && !m_membership.heardWithin(pending.batcher, batcherSilence);
+        if (now >= pending.checkAt || now >= pending.due || silent) {
+            overdue.push_back(id);
+        }
+    }
+    for (const PieceId &id : overdue) {
+        const bool late = now >= m_pending.at(id).due;
+        if (late) {
+            finish(id, PieceFault::Late);
+        } else {
+            reorder(id, PieceFault::Failed, snapshot);
+        }
+    }
+}
+
+TimePoint PieceRouter::nextTick() const
+{
+    return m_pending.empty() ? TimePoint::max() : m_clock.now() + checkInterval;
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Kernel/pieces.cpp
@@ -0,0 +1,16 @@
+//===- pieces.cpp - Work in pieces ----------------------------------------===//
+
+#include "harelink/Kernel/pieces.h"
+
+#include <array>
+
+namespace harelink {
+
+std::string_view toText(PieceFault fault)
+{
+    static constexpr std::array<std::string_view, pieceFaultCount> names = {
+        "none", "late", "input-gone", "no-room", "refused", "failed"};
+    return names.at(static_cast<std::size_t>(fault));
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Kernel/retrybudget.cpp
@@ -0,0 +1,57 @@
+//===- retrybudget.cpp - Repeated sends -----------------------------------===//
+
+#include "harelink/Kernel/retrybudget.h"
+
+#include <algorithm>
+
+namespace harelink {
+namespace {
+
+/// The part of the bound that is used: daemons divide it by what they know of each
+/// other, and calls arrive later than they were counted here.
+constexpr double usedPart = 0.75;
+
+} // namespace
+
+RetryBudget::RetryBudget(const RetryBudgetOptions &options)
+    : m_options(options)
+{
+}
+
+RetryBudget::Slot &RetryBudget::slotAt(TimePoint now)
+{
+    const Duration step = m_options.window / static_cast<int>(slotCount - 1);
+    const std::int64_t number = now.time_since_epoch() / step;
+    const std::int64_t passed =
+        std::min<std::int64_t>(number - m_current, static_cast<std::int64_t>(slotCount));
+    for (std::int64_t i = 1; i <= passed; ++i) {
+        m_slots[static_cast<std::size_t>(number - passed + i) % slotCount] = {};
+    }
+    m_current = std::max(m_current, number);
+    return m_slots[static_cast<std::size_t>(m_current) % slotCount];
+}
+
+void RetryBudget::noteRequest(TimePoint now)
+{
+    ++slotAt(now).requests;
+}
+
+void RetryBudget::noteRepeat(TimePoint now)
+{
+    ++slotAt(now).repeats;
+}
+
+bool RetryBudget::allows(TimePoint now, int daemons)
+{
+    (void)slotAt(now);
+    double requests = 0;
+    double repeats = 0;
+    for (const Slot &slot : m_slots) {
+        requests += slot.requests;
+        repeats += slot.repeats;
+    }
+    const double allowance = m_options.allowance / std::max(1, daemons);
+    return repeats + 1 <= (m_options.ratio * requests + allowance) * usedPart;
+}
+
+} // namespace harelink
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -29,8 +29,20 @@
     {
     }
 
-    void operator()(const PipelineSpec &spec) { m_snapshot.pipelines[spec.name] = spec; }
-    void operator()(const ClientAccountSpec &spec) { m_snapshot.accounts[spec.name].spec = spec; }
+    void operator()(const PipelineSpec &spec)
+    {
+        m_snapshot.pipelines[spec.name] = spec;
+        if (spec.route) {
+            m_snapshot.routes[spec.route->host].emplace_back(spec.route->pathPrefix, spec.name);
+        }
+    }
+    void operator()(const ClientAccountSpec &spec)
+    {
+        m_snapshot.accounts[spec.name].spec = spec;
+        for (const std::string &key : spec.apiKeys) {
+            m_snapshot.accountsByKey[key] = spec.name;
+        }
+    }
     void operator()(const ModelVersionSpec &spec) { m_snapshot.modelVersions.push_back(spec); }
 
     void operator()(const PoolSpec &spec) { m_snapshot.pools[spec.name].spec = spec; }
@@ -40,6 +52,10 @@
     void finish(const std::string &dataCentre)
     {
         placeEndpoints(dataCentre);
+        for (auto &[host, prefixes] : m_snapshot.routes) {
+            std::sort(prefixes.begin(), prefixes.end(),
+                      [](const auto &a, const auto &b) { return a.first.size() > b.first.size(); });
+        }
         for (auto &[name, account] : m_snapshot.accounts) {
             placeLoads(name, account);
         }
@@ -62,6 +78,10 @@
             pool->second.endpoints.push_back({spec, loadOf(spec)});
             pool->second.localCount += isLocal(spec) ? 1 : 0;
             pool->second.totalSlots += spec.slots;
+            m_snapshot.poolsByEndpoint[spec.name] = spec.pool;
+            if (spec.leaving) {
+                pool->second.endpoints.back().load->leaving.store(true, std::memory_order_relaxed);
+            }
         }
         for (auto &[name, pool] : m_snapshot.pools) {
             if (pool.spec.keepsPrompts) {
@@ -151,6 +171,32 @@
     return findIn(pools, name);
 }
 
+const PipelineSpec *Snapshot::route(const std::string &host, const std::string &path) const
+{
+    const auto *prefixes = findIn(routes, host);
+    if (prefixes == nullptr) {
+        return nullptr;
+    }
+    for (const auto &[prefix, name] : *prefixes) {
+        if (path.starts_with(prefix)) {
+            return pipeline(name);
+        }
+    }
+    return nullptr;
+}
+
+const PoolEntry *Snapshot::poolOfEndpoint(const std::string &name) const
+{
+    const std::string *pool = findIn(poolsByEndpoint, name);
+    return pool == nullptr ? nullptr : this->pool(*pool);
+}
+
+const EndpointEntry *Snapshot::endpoint(const std::string &name) const
+{
+    const PoolEntry *pool = poolOfEndpoint(name);
+    return pool == nullptr ? nullptr : pool->find(name);
+}
+
 void markLeaving(const Snapshot &snapshot, const std::string &name)
 {
     for (const auto &[poolName, pool] : snapshot.pools) {
--- /dev/null
+++ b/lib/Plugins/owndialect.cpp
@@ -0,0 +1,44 @@
+//===- owndialect.cpp - The product's own dialect -------------------------===//
+///
+/// \file
+/// "harelink": the object API and the callers' interface that the product defines
+/// itself, as its stand-ins speak them.
+///
+//===----------------------------------------------------------------------===//
+
+#include "harelink/Adapters/dialect.h"
+#include "harelink/Adapters/platformclient.h"
+#include "harelink/Kernel/registry.h"
+
+namespace harelink {
+namespace {
+
+class OwnPlatformDialect final : public PlatformDialect
+{
+public:
+    [[nodiscard]] HttpCall encode(const PlatformCall &call, const std::string &address,
+                                  Duration timeout) const override
+    {
+        return encodePlatformCall(call, address, timeout);
+    }
+    [[nodiscard]] PlatformResult decode(const PlatformCall &call,
+                                        const HttpResult &result) const override
+    {
+        return decodePlatformResult(call.id, result);
+    }
+    [[nodiscard]] const ObjectReader &objects() const override { return ownObjectReader(); }
+};
+
+class OwnDialect final : public Dialect
+{
+public:
+    [[nodiscard]] const PlatformDialect &platform() const override { return m_platform; }
+
+private:
+    OwnPlatformDialect m_platform;
+};
+
+const Registration<Dialect, OwnDialect> ownDialect(ownDialectName);
+
+} // namespace
+} // namespace harelink
--- a/test/sim/loadworld.h
+++ b/test/sim/loadworld.h
@@ -271,6 +271,12 @@
     void perform(Host &, const AnswerCaller &action) { m_report.answered(action); }
     void perform(Host &, const ClaimFinish &) {}
     void perform(Host &, const StreamPiece &) {}
+    /// Only carried requests bring the other actions, and none is sent here.
+    template <typename Action>
+    void perform(Host &, const Action &)
+    {
+        assert(false && "an action that only carried requests bring");
+    }
     void perform(Host &, const CancelStage &action)
     {
         const auto found = m_calls.find(action.call);
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -424,6 +424,12 @@
     void perform(Host &, const AnswerCaller &action) { m_checks.answered(action); }
     void perform(Host &, const CancelStage &) {}
     void perform(Host &, const StreamPiece &action) { m_checks.streamed(action); }
+    /// Only carried requests bring the other actions, and none is sent here.
+    template <typename Action>
+    void perform(Host &, const Action &)
+    {
+        assert(false && "an action that only carried requests bring");
+    }
 
     void perform(Host &host, const ClaimRequest &action)
     {
--- a/tools/harelinkd/harelinkd.cpp
+++ b/tools/harelinkd/harelinkd.cpp
@@ -8,6 +8,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include "harelink/Adapters/dialect.h"
 #include "harelink/Config/settings.h"
 #include "harelink/Daemon/daemon.h"
 #include "harelink/Kernel/registry.h"
@@ -37,8 +38,6 @@
 constexpr std::chrono::milliseconds drainPoll{20};
 /// Left after the last answer, so that it reaches its caller.
 constexpr std::chrono::milliseconds lastAnswerGrace{100};
-/// Between "not ready" and the first refusal, so that the balancer notices.
-constexpr std::chrono::milliseconds balancerGrace{500};
 
 absl::StatusOr<Settings> loadSettings(const std::string &path)
 {
@@ -48,7 +47,8 @@
     }
     std::stringstream text;
     text << file.rdbuf();
-    return readSettings(text.str(), path, Registry<RoutingPolicy>::instance().names());
+    return readSettings(text.str(), path, Registry<RoutingPolicy>::instance().names(),
+                        Registry<Dialect>::instance().names());
 }
 
 void applyLogLevel(const std::string &level)
@@ -88,7 +88,7 @@
     const TimePoint limit = clock.now() + daemon.settings().drainLimit;
     daemon.announceStop();
     logger.info("Stopping: the balancer is told, then requests in progress are finished.");
-    bool atOnce = waitForSignal(signals, balancerGrace);
+    bool atOnce = waitForSignal(signals, daemon.settings().balancerGrace);
     daemon.drain();
     while (!atOnce && !daemon.idle() && clock.now() < limit) {
         atOnce = waitForSignal(signals, drainPoll);
