--- /dev/null
+++ b/unittests/Kernel/piecebatchertest.cpp
@@ -0,0 +1,195 @@
+//===- piecebatchertest.cpp - Tests of calls of many pieces ---------------===//
+
+#include "piecefixture.h"
+
+#include "harelink/Kernel/piecebatcher.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace harelink;
+using namespace harelink::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Bench
+{
+    explicit Bench(std::uint32_t batch = 4)
+        : snapshot(buildSnapshot(pieceConfiguration(1, batch), 1, "dc1", nullptr))
+    {
+    }
+    void order(std::uint64_t sequence, const std::string &host = "", int priority = 0)
+    {
+        batcher.take(host, {"maker-0", {pieceOrder(sequence, 0, priority)}}, *snapshot);
+        collect();
+    }
+    void advance(Duration step)
+    {
+        clock.advance(step);
+        batcher.tick(*snapshot);
+        collect();
+    }
+    void answer(const PieceCall &call)
+    {
+        PieceCallEnded ended;
+        ended.id = call.id;
+        ended.answered = true;
+        for (const PieceOrder &order : call.orders) {
+            ended.results.push_back({"handle-" + order.callerId, PieceFault::None});
+        }
+        batcher.handle(ended, *snapshot);
+        collect();
+    }
+    void fail(const PieceCall &call, SendEvidence evidence)
+    {
+        PieceCallEnded ended;
+        ended.id = call.id;
+        ended.evidence = evidence;
+        batcher.handle(ended, *snapshot);
+        collect();
+    }
+    void collect()
+    {
+        for (PieceCall &call : batcher.takeCalls()) {
+            calls.push_back(std::move(call));
+        }
+        for (PieceOutcomesTo &send : batcher.takeOutcomes()) {
+            for (PieceOutcome &outcome : send.outcomes.outcomes) {
+                outcomes.emplace_back(send.host, std::move(outcome));
+            }
+        }
+    }
+
+    ManualClock clock;
+    std::unique_ptr<const Snapshot> snapshot;
+    PieceBatcher batcher{clock};
+    std::vector<PieceCall> calls;
+    std::vector<std::pair<std::string, PieceOutcome>> outcomes;
+};
+
+} // namespace
+
+TEST_GROUP(PieceBatcher){};
+
+TEST(PieceBatcher, AnIdleEndpointIsCalledAtOnce)
+{
+    Bench bench;
+    bench.order(1);
+    LONGS_EQUAL(1, bench.calls.size());
+    LONGS_EQUAL(1, bench.calls[0].orders.size());
+}
+
+TEST(PieceBatcher, WhatComesDuringACallSharesTheNextOne)
+{
+    Bench bench;
+    bench.order(1);
+    bench.order(2, "h2");
+    bench.order(3, "h3");
+    LONGS_EQUAL(1, bench.calls.size());
+    bench.advance(milliseconds(140));
+    LONGS_EQUAL(2, bench.calls.size());
+    LONGS_EQUAL(2, bench.calls[1].orders.size());
+}
+
+TEST(PieceBatcher, EachPieceGoesBackToItsOwnDaemon)
+{
+    Bench bench;
+    bench.order(1);
+    bench.order(2, "h2");
+    bench.order(3, "h3");
+    bench.answer(bench.calls[0]);
+    bench.answer(bench.calls[1]);
+    LONGS_EQUAL(3, bench.outcomes.size());
+    for (const auto &[host, outcome] : bench.outcomes) {
+        const std::uint64_t sequence = outcome.id.request.sequence;
+        STRCMP_EQUAL(fmt::format("handle-caller-{}", sequence).c_str(), outcome.handle.c_str());
+        STRCMP_EQUAL(sequence == 1 ? "" : fmt::format("h{}", sequence).c_str(), host.c_str());
+    }
+}
+
+TEST(PieceBatcher, ACallHoldsNoMoreThanTheBatchAndTheMostUrgentGoFirst)
+{
+    Bench bench(2);
+    bench.order(1);
+    bench.order(2, "", 2);
+    bench.order(3, "", 1);
+    bench.order(4, "", 0);
+    bench.answer(bench.calls[0]);
+    LONGS_EQUAL(2, bench.calls[1].orders.size());
+    STRCMP_EQUAL("caller-4", bench.calls[1].orders[0].callerId.c_str());
+    STRCMP_EQUAL("caller-3", bench.calls[1].orders[1].callerId.c_str());
+}
+
+TEST(PieceBatcher, ARefusedCallIsTriedOnceMoreAndThenGivenBack)
+{
+    Bench bench;
+    bench.order(1);
+    bench.fail(bench.calls[0], SendEvidence::RefusedBeforeRun);
+    CHECK(bench.outcomes.empty());
+    bench.advance(milliseconds(50));
+    LONGS_EQUAL(2, bench.calls.size());
+    bench.fail(bench.calls[1], SendEvidence::RefusedBeforeRun);
+    LONGS_EQUAL(1, bench.outcomes.size());
+    CHECK(bench.outcomes[0].second.fault == PieceFault::Refused);
+}
+
+TEST(PieceBatcher, ALeavingEndpointGetsNoCall)
+{
+    Bench bench;
+    markLeaving(*bench.snapshot, "maker-0");
+    bench.order(1);
+    CHECK(bench.calls.empty());
+    LONGS_EQUAL(1, bench.outcomes.size());
+    CHECK(bench.outcomes[0].second.fault == PieceFault::Refused);
+}
+
+TEST(PieceBatcher, WhatIsWithdrawnIsNotCalled)
+{
+    Bench bench;
+    bench.order(1);
+    bench.order(2, "h2");
+    bench.batcher.withdraw("h2", {{{7, 2}}});
+    bench.answer(bench.calls[0]);
+    LONGS_EQUAL(1, bench.calls.size());
+}
+
+TEST(PieceBatcher, WhatWouldBeLateTakesNoPlace)
+{
+    Bench bench;
+    bench.order(1);
+    PieceOrder hasty = pieceOrder(2);
+    hasty.dueIn = milliseconds(100);
+    bench.batcher.take("", {"maker-0", {hasty}}, *bench.snapshot);
+    bench.collect();
+    LONGS_EQUAL(1, bench.outcomes.size());
+    CHECK(bench.outcomes[0].second.fault == PieceFault::Late);
+}
+
+namespace {
+
+/// Moves on with every reading, as a real clock does.
+class RestlessClock final : public Clock
+{
+public:
+    [[nodiscard]] TimePoint now() const override
+    {
+        m_now += std::chrono::nanoseconds(160);
+        return m_now;
+    }
+    [[nodiscard]] WallTime wallNow() const override { return {}; }
+
+private:
+    mutable TimePoint m_now{std::chrono::hours(1)};
+};
+
+} // namespace
+
+TEST(PieceBatcher, AClockThatMovesBetweenTwoReadingsHoldsNoCallBack)
+{
+    const RestlessClock clock;
+    const std::unique_ptr<const Snapshot> snapshot =
+        buildSnapshot(pieceConfiguration(1, 4), 1, "dc1", nullptr);
+    PieceBatcher batcher(clock);
+    batcher.take("", {"maker-0", {pieceOrder(1)}}, *snapshot);
+    LONGS_EQUAL(1, batcher.takeCalls().size());
+}
--- /dev/null
+++ b/unittests/Kernel/piecefixture.h
@@ -0,0 +1,52 @@
+//===- piecefixture.h - Pools that work in pieces ---------------*- C++ -*-===//
+
+#ifndef HARELINK_UNITTESTS_KERNEL_PIECEFIXTURE_H
+#define HARELINK_UNITTESTS_KERNEL_PIECEFIXTURE_H
+
+#include "kernelfixture.h"
+
+#include "harelink/Kernel/pieces.h"
+
+namespace harelink::testing {
+
+/// A pool "pieces" of \p endpoints endpoints in "dc1" that take \p batch pieces a call,
+/// at 150 ms a call and 10 ms a piece.
+inline std::vector<Resource> pieceConfiguration(int endpoints, std::uint32_t batch)
+{
+    PoolSpec pool;
+    pool.name = "pieces";
+    pool.protocol = "pieces";
+    PieceWorkSpec work;
+    work.batch = batch;
+    work.queue = 2;
+    work.callTime = std::chrono::milliseconds(150);
+    work.pieceTime = std::chrono::milliseconds(10);
+    pool.pieces = work;
+    std::vector<Resource> resources = {makeResource(pool)};
+    for (int i = 0; i < endpoints; ++i) {
+        EndpointSpec endpoint;
+        endpoint.name = fmt::format("maker-{}", i);
+        endpoint.pool = "pieces";
+        endpoint.address = "127.0.0.1:1";
+        endpoint.dataCentre = "dc1";
+        resources.push_back(makeResource(endpoint));
+    }
+    return resources;
+}
+
+/// An order for one piece of request \p sequence.
+inline PieceOrder pieceOrder(std::uint64_t sequence, std::uint32_t piece = 0, int priority = 0)
+{
+    PieceOrder order;
+    order.id = {{7, sequence}, 0, piece};
+    order.callerId = fmt::format("caller-{}", sequence);
+    order.key = "key";
+    order.priority = priority;
+    order.wantedIn = std::chrono::milliseconds(1000);
+    order.dueIn = std::chrono::milliseconds(4000);
+    return order;
+}
+
+} // namespace harelink::testing
+
+#endif // HARELINK_UNITTESTS_KERNEL_PIECEFIXTURE_H
--- a/utils/local-fleet.sh
+++ b/utils/local-fleet.sh
@@ -52,7 +52,7 @@
     "limits": { ${fleet_limits:-"\"workers\": 2"}, "platformTimeoutMs": 300 }
 }
 SETTINGS
-    "$bin/harelinkd" --config "$work/$name.jsonc" 2>"$work/$name.log" &
+    "$bin/harelinkd" --config "$work/$name.jsonc" >"$work/$name.log" 2>&1 &
     fleet_pid[$name]=$!
     local line
     line=$(fleet_wait_for "$work/$name.log" 'listens for callers on port')
