--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -80,7 +80,8 @@
     void takePieceMessage(const PeerMessage &message);
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
     void callPieces(const PieceCall &call);
-    void flushFreed();
+    void freeResults(const std::vector<std::string> &handles);
+    std::vector<PromptBacklog> ownPrompts();
     void noteReplaced(const std::string &endpoint);
     static void logCall(const PlatformCall &call, const PlatformResult &result,
                         const HttpResult &http);
@@ -100,8 +101,6 @@
     ControlMachine m_machine;
     PieceRouter m_pieceRouter;
     PieceBatcher m_pieceBatcher;
-    std::vector<std::string> m_freed; ///< Results that wait to be freed together.
-    TimePoint m_flushFreedAt = TimePoint::max();
     std::uint64_t m_platformCalls = 0;
     bool m_wasConnected = false;
     std::vector<std::string> m_peersBefore; ///< Live at the last heartbeat.
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -26,8 +26,11 @@
 
 inline constexpr std::chrono::milliseconds firstBackOff{100};
 inline constexpr std::chrono::milliseconds longestBackOff{2000};
-/// How long the platform may hold a watch open.
-inline constexpr std::chrono::milliseconds watchWait{10'000};
+/// How long the platform may hold a watch open. A watch may have gone silent while news
+/// came, when the platform forgets its history; it is noticed when this is over. At
+/// 10 s a daemon acted on a key taken away 4.6 s before; configuration is to be in force
+/// everywhere within 2 s.
+inline constexpr std::chrono::milliseconds watchWait{1000};
 
 /// Between a watch without news and the next one.
 inline constexpr std::chrono::milliseconds emptyWatchPause{50};
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -35,6 +35,8 @@
     bool configChanged = false;                ///< Another configuration is in force.
     std::vector<PeerMessage> pieceMessages;    ///< For the router and the batcher.
     std::vector<PieceBacklog> backlogs;        ///< As peers told.
+    /// Tokens that peers have sent to model engines, where the sum has changed.
+    std::vector<PromptBacklog> prompts;
 };
 
 /// What a control is told at start.
@@ -70,6 +72,8 @@
     void noteUsage(std::vector<UsageReport> usage) { m_ownUsage = std::move(usage); }
     /// The endpoints that this daemon batches for, for the next heartbeats.
     void noteBacklogs(std::vector<PieceBacklog> backlogs) { m_backlogs = std::move(backlogs); }
+    /// What this daemon has sent to model engines, for the next heartbeats.
+    void notePrompts(std::vector<PromptBacklog> prompts) { m_prompts = std::move(prompts); }
     /// Where this daemon listens for peers, once that is known.
     void setPeerAddress(const std::string &address) { m_membership.setAddress(address); }
     /// An endpoint itself said that it is leaving.
@@ -110,6 +114,7 @@
     void handle(const PeerMessage &message, const PieceOrders &content);
     void handle(const PeerMessage &message, const PieceOutcomes &content);
     void handle(const PeerMessage &message, const PieceWithdrawal &content);
+    void handle(const PeerMessage &message, const PieceFrees &content);
     bool takeAnnouncement(const PlatformResult &result);
     void announce();
     void forwardLedgerReplies();
@@ -137,6 +142,8 @@
     Version m_announcedOver = 0; ///< The version of an earlier life's declaration.
     TimePoint m_nextAnnounce;
     std::vector<PieceBacklog> m_backlogs;
+    std::vector<PromptBacklog> m_prompts;
+    PeerTotals<std::string> m_peerPrompts;
     std::vector<UsageReport> m_ownUsage;
     PeerDemand m_peerDemand;
     /// Heard of before they were declared here, as happens just after a start.
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -49,6 +49,7 @@
     , m_keepsClaims(options.keepsClaims)
     , m_hostKind(options.hostKind)
     , m_nextAnnounce(clock.now())
+    , m_peerPrompts(clock)
     , m_peerDemand(clock)
 {
     for (const std::vector<std::string> &kinds : options.objects->kindGroups()) {
@@ -172,9 +173,13 @@
         content.leavingEndpoints = leavingEndpoints();
         content.leavingKnown = m_leavingKnown;
         content.backlogs = m_backlogs;
+        content.prompts = m_prompts;
         m_output.sends.push_back(std::move(heartbeat));
     }
     m_output.demands = m_peerDemand.changes();
+    for (const auto &[endpoint, tokens] : m_peerPrompts.changes()) {
+        m_output.prompts.push_back({endpoint, tokens});
+    }
     const std::vector<std::string> hosts = m_membership.candidates();
     for (std::size_t i = 0; m_keepsClaims && i < claimBucketCount; ++i) {
         m_ledger.own(i, softOwner(i, hosts) == m_membership.host());
@@ -256,6 +261,11 @@
 void BasicControlMachine<G>::handle(const PeerMessage &message, const Heartbeat &content)
 {
     m_peerDemand.take(message.host, content.usage);
+    PeerTotals<std::string>::Figures prompts;
+    for (const PromptBacklog &prompt : content.prompts) {
+        prompts[prompt.endpoint] = prompt.tokens;
+    }
+    m_peerPrompts.take(message.host, std::move(prompts));
     m_leavingKnown = m_leavingKnown || content.leavingKnown;
     m_output.usage.insert(m_output.usage.end(), content.usage.begin(), content.usage.end());
     m_output.backlogs.insert(m_output.backlogs.end(), content.backlogs.begin(),
@@ -328,6 +338,13 @@
     m_output.pieceMessages.push_back(message);
 }
 
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const PieceFrees &content)
+{
+    (void)content;
+    m_output.pieceMessages.push_back(message);
+}
+
 template <GuardPolicy G>
 void BasicControlMachine<G>::takeHostList(const std::vector<PlatformObject> &hosts)
 {
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -9,6 +9,7 @@
 #ifndef HARELINK_KERNEL_LOAD_H
 #define HARELINK_KERNEL_LOAD_H
 
+#include "harelink/Kernel/pieces.h"
 #include "harelink/Support/clock.h"
 
 #include <array>
@@ -56,6 +57,16 @@
     std::atomic<std::int64_t> fullUntil{0};     ///< After a refusal; nanoseconds as above.
     std::atomic<std::int64_t> progressAt{0};    ///< Last answer, or first send of those open.
     std::atomic<bool> leaving{false};           ///< Never goes back to false.
+
+    /// Of model engines: tokens of prompts that were sent and of which no answer came yet.
+    std::atomic<std::int64_t> tokensToRead{0};        ///< Sent by this daemon.
+    std::atomic<std::int64_t> tokensToReadOfPeers{0}; ///< As the peers last told.
+
+    /// Of endpoints that work in pieces, as their batcher last told.
+    std::atomic<std::int64_t> busyUntil{0}; ///< Nanoseconds of the steady clock.
+    /// In no call yet, own orders since included; by class of urgency.
+    std::array<std::atomic<int>, urgencyClassCount> piecesWaiting{};
+    std::atomic<int> slownessPercent{100}; ///< Its time for a call against the declared one.
 };
 
 /// What one client account has of one pool and wants of it.
--- a/include/harelink/Kernel/peerdemand.h
+++ b/include/harelink/Kernel/peerdemand.h
@@ -10,9 +10,8 @@
 #define HARELINK_KERNEL_PEERDEMAND_H
 
 #include "harelink/Kernel/peers.h"
-#include "harelink/Support/clock.h"
+#include "harelink/Kernel/peertotals.h"
 
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,7 +32,7 @@
 public:
     /// \param clock outlives this.
     explicit PeerDemand(const Clock &clock)
-        : m_clock(clock)
+        : m_totals(clock)
     {
     }
 
@@ -45,16 +44,7 @@
 private:
     using Key = std::pair<std::string, std::string>; // Account and pool.
 
-    struct Told
-    {
-        TimePoint at;
-        std::map<Key, int> calls;
-    };
-
-    const Clock &m_clock;
-    TimePoint m_nextLook = TimePoint::min();
-    std::map<std::string, Told> m_hosts;
-    std::map<Key, int> m_totals; // As given out; without zeros.
+    PeerTotals<Key> m_totals;
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -29,6 +29,13 @@
     int demand = 0;  ///< Calls now in flight and waiting.
 };
 
+/// What a daemon has sent to a model engine that is not read yet.
+struct PromptBacklog
+{
+    std::string endpoint;
+    std::int64_t tokens = 0;
+};
+
 /// A daemon lives.
 struct Heartbeat
 {
@@ -39,6 +46,7 @@
     std::vector<std::string> leavingEndpoints; ///< As far as the sender knows.
     bool leavingKnown = false;                 ///< The sender has learnt of them itself.
     std::vector<PieceBacklog> backlogs;        ///< Of the endpoints that it batches for.
+    std::vector<PromptBacklog> prompts;        ///< Of the model engines that it sends to.
 };
 
 /// The end of a claimant is written.
@@ -76,7 +84,7 @@
     std::string host;            ///< The sender's.
     Incarnation incarnation = 0; ///< The sender's.
     std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
-                 ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal>
+                 ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees>
         content;
 };
 
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -69,6 +69,8 @@
     void take(const std::string &host, const PieceOrders &orders, const Snapshot &snapshot);
     /// Takes in that \p host wants nothing more for some requests.
     void withdraw(const std::string &host, const PieceWithdrawal &withdrawal);
+    /// Takes in that results are no longer needed.
+    void take(const PieceFrees &frees, const Snapshot &snapshot);
     void handle(const PieceCallEnded &event, const Snapshot &snapshot);
     /// Forms the calls that are due.
     void tick(const Snapshot &snapshot);
@@ -77,6 +79,8 @@
     /// What came up since the last call.
     [[nodiscard]] std::vector<PieceCall> takeCalls() { return std::exchange(m_calls, {}); }
     [[nodiscard]] std::vector<PieceOutcomesTo> takeOutcomes();
+    /// Results that are to be freed now.
+    [[nodiscard]] std::vector<std::string> takeFreed();
     /// Endpoints whose address another one answered at.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange(m_replaced, {}); }
     /// How busy each endpoint is that this daemon calls.
@@ -102,6 +106,12 @@
         TimePoint expectedEnd;
         Duration declared{}; ///< The time that the pool's declaration gives for it.
     };
+    /// A result that takes room at its endpoint.
+    struct Kept
+    {
+        std::uint64_t bytes = 0;
+        TimePoint until;
+    };
     /// What is kept of one endpoint.
     struct Line
     {
@@ -110,11 +120,17 @@
         std::vector<Flight> flights;
         double slowness = 1;
         TimePoint blockedUntil;
+        std::map<std::string, Kept> kept; ///< By handle.
+        std::uint64_t keptBytes = 0;
     };
 
     void pump(const std::string &endpoint, Line &line, const Snapshot &snapshot);
     void dropLate(const std::string &endpoint, Line &line, const PieceWorkSpec &work);
-    void form(const EndpointEntry &endpoint, Line &line, const PieceWorkSpec &work);
+    bool form(const EndpointEntry &endpoint, Line &line, const PieceWorkSpec &work);
+    [[nodiscard]] std::size_t fitting(Line &line, const PieceWorkSpec &work) const;
+    void keep(Line &line, const Flight &flight, const PieceCallEnded &event,
+              const Snapshot &snapshot) const;
+    static void drop(Line &line, const std::string &handle);
     [[nodiscard]] static TimePoint nextCallAt(const Line &line, TimePoint now);
     void giveBack(const std::string &endpoint, Line &line, PieceFault fault);
     void settle(const std::string &endpoint, const Item &item, const std::string &handle,
@@ -130,6 +146,8 @@
     /// By host and endpoint.
     std::map<std::pair<std::string, std::string>, std::vector<PieceOutcome>> m_outcomes;
     std::vector<std::string> m_replaced;
+    std::vector<std::string> m_freed;
+    TimePoint m_freeAt = TimePoint::max();
     std::uint64_t m_callCount = 0;
     std::uint64_t m_pieceCount = 0;
 };
--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -45,14 +45,18 @@
                 const RetryBudgetOptions &budget);
 
     /// Orders pieces of one request at \p pool.
+    ///
+    /// \param dataCentre where the results will be needed; empty for anywhere.
     void order(const std::string &pool, const std::vector<PieceOrder> &orders,
-               const Snapshot &snapshot);
+               const std::string &dataCentre, const Snapshot &snapshot);
+    /// These results are no longer needed.
+    void free(const std::vector<std::string> &handles, const Snapshot &snapshot);
     /// The pieces of \p request are no longer wanted.
     void withdraw(const RequestId &request);
     /// Takes in what became of orders.
     void take(const PieceOutcomes &outcomes, const Snapshot &snapshot);
     /// Takes in how busy an endpoint is.
-    void take(const PieceBacklog &backlog);
+    static void take(const PieceBacklog &backlog, const Snapshot &snapshot, TimePoint now);
     /// Orders again what has waited too long.
     void tick(const Snapshot &snapshot);
     [[nodiscard]] TimePoint nextTick() const;
@@ -65,8 +69,11 @@
     {
         return std::exchange(m_withdrawals, {});
     }
-    /// The predicted time until \p pieces more pieces of \p pool would be made.
-    [[nodiscard]] Duration predictedTime(const PoolEntry &pool, std::uint32_t pieces) const;
+    /// Results to be freed, by host.
+    [[nodiscard]] std::vector<std::pair<std::string, PieceFrees>> takeFrees()
+    {
+        return std::exchange(m_frees, {});
+    }
     /// How often a piece was ordered again.
     [[nodiscard]] std::uint64_t reorders() const { return m_reorders; }
 
@@ -74,6 +81,7 @@
     struct Pending
     {
         std::string pool;
+        std::string dataCentre;
         PieceOrder order;
         TimePoint wanted;
         TimePoint due;
@@ -84,23 +92,20 @@
         std::uint32_t attempts = 0;
         std::set<std::string> avoid; ///< Endpoints that failed it.
     };
-    struct Known
+    /// A result that some request of this daemon has.
+    struct Result
     {
-        PieceBacklog backlog;
-        TimePoint heardAt;
-        std::uint32_t orderedSince = 0; ///< Own pieces since it was heard.
+        std::string endpoint;
+        TimePoint madeAt;
     };
 
-    [[nodiscard]] Duration predict(const PoolEntry &pool, const EndpointEntry &endpoint,
-                                   std::uint32_t pieces) const;
-    const EndpointEntry *choose(const PoolEntry &pool, std::uint32_t pieces,
-                                const std::set<std::string> &avoid);
     [[nodiscard]] std::string batcherOf(const EndpointSpec &endpoint) const;
     void place(std::vector<Pending> group, const Snapshot &snapshot);
     void send(const std::vector<PieceId> &ids, const EndpointEntry &endpoint);
     void reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
     void finish(const PieceId &id, PieceFault fault);
     RetryBudget &budgetOf(const std::string &pool);
+    void forgetOldResults();
 
     const Clock &m_clock;
     const Membership &m_membership;
@@ -108,10 +113,12 @@
     RetryBudgetOptions m_budgetOptions;
     std::map<std::string, RetryBudget> m_budgets; ///< By pool.
     std::map<PieceId, Pending> m_pending;
-    std::map<std::string, Known> m_backlogs; ///< By endpoint.
+    std::map<std::string, Result> m_results; ///< By handle.
     std::vector<PieceOrdersTo> m_sends;
     std::vector<PieceOutcome> m_done;
     std::map<std::string, PieceWithdrawal> m_withdrawals;
+    std::vector<std::pair<std::string, PieceFrees>> m_frees;
+    TimePoint m_nextSweep = TimePoint::min();
     std::uint64_t m_reorders = 0;
 };
 
--- a/include/harelink/Kernel/pieces.h
+++ b/include/harelink/Kernel/pieces.h
@@ -15,6 +15,7 @@
 
 #include "harelink/Kernel/types.h"
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -41,6 +42,7 @@
     int priority = 0;                ///< 0 is the most urgent.
     Duration wantedIn{};             ///< Until the request's objective, as of the sending.
     Duration dueIn{};                ///< Until it is of no use any more, as of the sending.
+    std::uint64_t resultBytes = 0;   ///< About how large its result is.
 };
 
 /// Why a piece was not made.
@@ -67,13 +69,23 @@
     PieceFault fault = PieceFault::None;
 };
 
+/// Pieces wait in classes: those of priority 0, 1 and 2, and all that are less urgent.
+inline constexpr std::size_t urgencyClassCount = 4;
+/// The class of \p priority.
+[[nodiscard]] constexpr std::size_t urgencyClass(int priority)
+{
+    const auto last = static_cast<int>(urgencyClassCount) - 1;
+    return static_cast<std::size_t>(priority < 0 ? 0 : (priority > last ? last : priority));
+}
+
 /// How long an endpoint will be busy, as its batcher sees it.
 struct PieceBacklog
 {
     std::string endpoint;
-    Duration busy{};           ///< Until the calls in flight end.
-    std::uint32_t waiting = 0; ///< Pieces that are in no call yet.
-    double slowness = 1;       ///< Its time for a call against the declared one.
+    Duration busy{}; ///< Until the calls in flight end.
+    /// Pieces that are in no call yet, by class.
+    std::array<std::uint32_t, urgencyClassCount> waiting{};
+    double slowness = 1; ///< Its time for a call against the declared one.
 };
 
 /// Message: make these at \p endpoint. From the daemon of the requests to the batcher.
@@ -90,6 +102,14 @@
     PieceBacklog backlog; ///< Of their endpoint.
 };
 
+/// Message: these results of \p endpoint are no longer needed. To its batcher, which
+/// has them freed and so knows how much room the endpoint has.
+struct PieceFrees
+{
+    std::string endpoint;
+    std::vector<std::string> handles;
+};
+
 /// Message: the pieces of these requests are no longer wanted.
 struct PieceWithdrawal
 {
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -263,6 +263,7 @@
 void BasicRequestMachine<G>::answer(Request &request, AnswerCaller &&action)
 {
     dropPieces(request);
+    m_lateRequests -= request.isLate ? 1 : 0;
     action.id = request.id;
     action.account = request.account;
     action.pipeline = request.pipeline.name;
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -10,6 +10,7 @@
 #ifndef HARELINK_KERNEL_REQUESTCARRIEDIMPL_H
 #define HARELINK_KERNEL_REQUESTCARRIEDIMPL_H
 
+#include "harelink/Kernel/pieceforecast.h"
 #include "harelink/Kernel/requestmachinestate.h"
 
 #include "harelink/Support/error.h"
@@ -69,13 +70,182 @@
     budgetOf(pool).noteRequest(now);
 }
 
+// Admission -------------------------------------------------------------------
+
+/// What the request's prompt asks of a model engine.
+template <GuardPolicy G>
+PromptNeed BasicRequestMachine<G>::promptOf(const Request &request)
+{
+    PromptNeed need;
+    if (!request.carried) {
+        return need;
+    }
+    need.tokens = request.carried->promptTokens;
+    const std::vector<PromptPart> &parts = request.carried->prompt;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+        need.sharedTokens += parts[i].tokens;
+    }
+    need.tokensPerSecond = poolState(request.stageSpec().pool).tokensPerSecond;
+    need.slack = request.wanted - m_clock.now() - requestmachine::firstEventOverhead;
+    return need;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::bookPrompt(Request &request, const PoolEntry &pool,
+                                        const EndpointEntry &endpoint)
+{
+    if (!pool.spec.engine || !request.carried) {
+        return;
+    }
+    const bool isHome = homeOf(request, pool) == &endpoint;
+    request.bookedTokens = static_cast<std::int64_t>(tokensToRead(promptOf(request), isHome));
+    request.bookedAhead = static_cast<std::size_t>(std::max<std::int64_t>(
+        0, endpoint.load->tokensToRead.fetch_add(request.bookedTokens, std::memory_order_relaxed)
+               + endpoint.load->tokensToReadOfPeers.load(std::memory_order_relaxed)));
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::unbookPrompt(Request &request, const Snapshot &snapshot)
+{
+    const std::int64_t tokens = std::exchange(request.bookedTokens, 0);
+    if (tokens == 0) {
+        return;
+    }
+    if (const EndpointEntry *endpoint = endpointOf(request, snapshot)) {
+        endpoint->load->tokensToRead.fetch_sub(tokens, std::memory_order_relaxed);
+    }
+}
+
+/// The time until the pieces of a new request would all be made.
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::forecastPieces(const Request &request,
+                                                const Snapshot &snapshot) const
+{
+    const std::vector<PieceStageSpec> &stages = request.pipeline.route->pieceStages;
+    const std::vector<std::uint32_t> &counts = request.carried->pieceCounts;
+    std::vector<Duration> doneAt(stages.size(), Duration::zero());
+    Duration last{};
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        const std::uint32_t count = i < counts.size() ? counts[i] : 0;
+        Duration begin{};
+        for (const std::uint32_t before : stages[i].after) {
+            begin = std::max(begin, doneAt[before]);
+        }
+        doneAt[i] = begin;
+        const PoolEntry *pool = snapshot.pool(stages[i].pool);
+        if (count == 0 || pool == nullptr) {
+            continue;
+        }
+        const PieceWish wish{count, request.priority, stages[i].resultBytes, {}, {}};
+        const PieceForecast forecast = choosePieceEndpoint(*pool, wish, m_clock.now(), nullptr);
+        if (forecast.endpoint == nullptr) {
+            return Duration::max() / 4;
+        }
+        // While the request is at earlier stages, the queue of this one moves on.
+        const PieceWorkSpec work = pool->spec.pieces.value_or(PieceWorkSpec{});
+        const Duration making = work.callTime + work.pieceTime * count;
+        doneAt[i] = std::max(begin + making, forecast.time);
+        last = std::max(last, doneAt[i]);
+    }
+    return last;
+}
+
+/// The time from the sending of the request itself to its answer or its first event.
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::forecastFirstEvent(const Request &request,
+                                                    const Snapshot &snapshot)
+{
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    if (pool == nullptr) {
+        return Duration::zero();
+    }
+    if (!pool->spec.engine) {
+        return poolState(pool->spec.name).latency.typical(m_clock.now(), request.bytes());
+    }
+    const PromptNeed prompt = promptOf(request);
+    const EndpointEntry *home = homeOf(request, *pool);
+    Duration best = Duration::max() / 4;
+    for (const EndpointEntry &endpoint : pool->endpoints) {
+        if (isUsable(endpoint, m_clock.now())) {
+            best = std::min(best, readingTime(endpoint, prompt, &endpoint == home));
+        }
+    }
+    return best + requestmachine::firstEventOverhead;
+}
+
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::forecast(const Request &request, const Snapshot &snapshot)
+{
+    const Duration pieces = forecastPieces(request, snapshot);
+    const Duration first = forecastFirstEvent(request, snapshot);
+    const auto bias = m_forecastBias.find(request.pipeline.name);
+    const double factor = bias == m_forecastBias.end() ? 1 : bias->second;
+    return std::chrono::duration_cast<Duration>((pieces + first) * factor);
+}
+
+/// Whether the request is taken in: in time for its objective, or late in places that
+/// nobody else wants. The rest is refused before anything is spent on it.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::admit(Request &request, const Snapshot &snapshot)
+{
+    if (!G::admitsByPrediction) {
+        return true;
+    }
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    const bool isForecast = pool != nullptr && pool->spec.engine;
+    if (!isForecast) {
+        return true;
+    }
+    request.predicted = forecast(request, snapshot);
+    const TimePoint now = request.arrivedAt;
+    if (now + request.predicted <= request.wanted) {
+        return true;
+    }
+    const auto left =
+        std::chrono::duration_cast<Duration>((request.deadline - now) * requestmachine::latePart);
+    if (request.predicted > left || m_lateRequests >= requestmachine::mostLateRequests) {
+        return false;
+    }
+    ++m_lateRequests;
+    request.isLate = true;
+    request.priority += requestmachine::latePriority;
+    request.wanted = request.deadline;
+    return true;
+}
+
+/// Compares the forecast with what came of it.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::learnForecast(const Request &request)
+{
+    if (request.predicted <= Duration::zero() || request.isLate
+        || request.arrivedAt < m_resumedAt) {
+        return;
+    }
+    double &bias = m_forecastBias.try_emplace(request.pipeline.name, 1.0).first->second;
+    const double real = requestmachine::seconds(m_clock.now() - request.arrivedAt);
+    const double sample = bias * real / requestmachine::seconds(request.predicted);
+    bias += (sample - bias) * requestmachine::forecastSmoothing;
+    bias = std::clamp(bias, requestmachine::leastForecastBias, requestmachine::mostForecastBias);
+
+    const double reading = requestmachine::seconds(m_clock.now() - request.sentAt
+                                                   - requestmachine::firstEventOverhead);
+    const double tokens =
+        static_cast<double>(request.bookedTokens) + static_cast<double>(request.bookedAhead);
+    const bool isTelling =
+        static_cast<std::uint64_t>(request.bookedTokens) >= requestmachine::leastTellingTokens
+        && request.bookedAhead == 0 && reading > 0;
+    if (isTelling) {
+        double &rate = poolState(request.stageSpec().pool).tokensPerSecond;
+        rate += (tokens / reading - rate) * requestmachine::forecastSmoothing;
+    }
+}
+
 // Pieces ----------------------------------------------------------------------
 
 /// Orders the first pieces; false where the request needs none.
 template <GuardPolicy G>
 bool BasicRequestMachine<G>::beginPieces(Request &request, const Snapshot &snapshot)
 {
-    (void)snapshot;
     if (!request.carried || request.pipeline.route->pieceStages.empty()) {
         return false;
     }
@@ -85,15 +255,18 @@
         return false;
     }
     request.phase = Request::Phase::Preparing;
-    orderPieces(request);
+    orderPieces(request, snapshot);
     return true;
 }
 
 /// Orders all pieces that can be made now.
 template <GuardPolicy G>
-void BasicRequestMachine<G>::orderPieces(Request &request)
+void BasicRequestMachine<G>::orderPieces(Request &request, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
+    const PoolEntry *serving = snapshot.pool(request.stageSpec().pool);
+    const EndpointEntry *home = serving == nullptr ? nullptr : homeOf(request, *serving);
+    const std::string dataCentre = home == nullptr ? std::string() : home->spec.dataCentre;
     std::map<std::uint32_t, OrderPieces> byStage;
     for (const PiecePlace place : request.pieces->takeReady()) {
         PieceOrder order;
@@ -106,7 +279,9 @@
         order.priority = request.priority;
         order.wantedIn = request.wanted - now;
         order.dueIn = request.deadline - now;
+        order.resultBytes = request.pipeline.route->pieceStages[place.stage].resultBytes;
         OrderPieces &action = byStage[place.stage];
+        action.dataCentre = dataCentre;
         action.pool = request.pieces->poolOf(place.stage);
         action.orders.push_back(std::move(order));
     }
@@ -161,7 +336,7 @@
         return;
     }
     if (!request->pieces->isComplete()) {
-        orderPieces(*request);
+        orderPieces(*request, snapshot);
         return;
     }
     if (!fitsDeadline(*request, remainingTime(*request))) {
@@ -207,7 +382,7 @@
     ++request.remakes;
     request.pieces->finalResultsLost();
     request.phase = Request::Phase::Preparing;
-    orderPieces(request);
+    orderPieces(request, snapshot);
 }
 
 // Events ----------------------------------------------------------------------
@@ -235,6 +410,8 @@
     }
     if (request->firstPiece == Duration{}) {
         request->firstPiece = m_clock.now() - request->arrivedAt;
+        learnForecast(*request);
+        unbookPrompt(*request, snapshot);
     }
     StreamEvents action;
     action.id = request->id;
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -70,8 +70,10 @@
         }
         const EndpointEntry *avoid =
             request.endpoint.empty() ? nullptr : pool->find(request.endpoint);
+        const PromptNeed prompt = promptOf(request);
+        const PromptNeed *need = pool->spec.engine && prompt.tokens > 0 ? &prompt : nullptr;
         const EndpointEntry *endpoint =
-            m_policy->choose({*pool, now, homeOf(request, *pool), avoid}, m_random);
+            m_policy->choose({*pool, now, homeOf(request, *pool), avoid, need}, m_random);
         if (endpoint == nullptr) {
             state.queue.push(placeOf(request));
             if (state.shares.usableSlots() == 0 && !state.unreachableSince) {
@@ -109,8 +111,11 @@
         return nullptr;
     }
     if (request.carried) {
-        return request.carried->prompt.empty() ? nullptr
-                                               : pool.homeOf(hash64(request.carried->prompt[0].id));
+        // The last part is the request's own; the one before it is the longest beginning
+        // that others have too.
+        const std::vector<PromptPart> &parts = request.carried->prompt;
+        const std::size_t last = parts.size() < 2 ? 0 : parts.size() - 2;
+        return parts.empty() ? nullptr : pool.homeOf(hash64(parts[last].id));
     }
     const std::string prefix =
         request.account + request.body.substr(0, requestmachine::prefixBytes);
@@ -138,6 +143,7 @@
     ++request.costs[request.stage].sends;
     ++m_counters.sends;
     noteSend(endpoint, now);
+    bookPrompt(request, pool, endpoint);
     if (const std::shared_ptr<AccountLoad> load = accountLoad(request, snapshot)) {
         request.inFlight = CountHold({load, &load->inFlight});
     }
@@ -211,6 +217,7 @@
     cost.elapsed += now - request.sentAt;
     request.demand = {};
     request.inFlight = {};
+    unbookPrompt(request, snapshot);
     if (const EndpointEntry *endpoint = endpointOf(request, snapshot)) {
         const int before = endpoint->load->inFlight.fetch_sub(1, std::memory_order_relaxed);
         // An endpoint declared anew under the same name starts from zero.
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -142,6 +142,7 @@
 struct OrderPieces
 {
     std::string pool;
+    std::string dataCentre; ///< Where the results will be needed; empty for anywhere.
     std::vector<PieceOrder> orders;
 };
 
@@ -287,7 +288,15 @@
     static void resolveRoute(RequestArrived &event, const Snapshot &snapshot);
     void takeRoute(Request &request, const Snapshot &snapshot);
     bool beginPieces(Request &request, const Snapshot &snapshot);
-    void orderPieces(Request &request);
+    void orderPieces(Request &request, const Snapshot &snapshot);
+    Duration forecast(const Request &request, const Snapshot &snapshot);
+    Duration forecastPieces(const Request &request, const Snapshot &snapshot) const;
+    Duration forecastFirstEvent(const Request &request, const Snapshot &snapshot);
+    bool admit(Request &request, const Snapshot &snapshot);
+    void learnForecast(const Request &request);
+    void bookPrompt(Request &request, const PoolEntry &pool, const EndpointEntry &endpoint);
+    void unbookPrompt(Request &request, const Snapshot &snapshot);
+    PromptNeed promptOf(const Request &request);
     void dropPieces(Request &request);
     void piecesLost(Request &request, const Snapshot &snapshot);
     bool mayRetryCarried(const Request &request, SendEvidence evidence);
@@ -337,6 +346,8 @@
     TimePoint m_resumedAt; ///< When this process last woke from a long pause.
     double m_retryTokens;
     std::map<std::string, RetryBudget> m_budgets; ///< By pool.
+    std::map<std::string, double> m_forecastBias; ///< By pipeline: real against predicted time.
+    std::size_t m_lateRequests = 0;               ///< In progress that were taken in to be late.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
     // Ordered, so that the same events always give the same actions.
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -183,6 +183,15 @@
     (void)added;
 
     request.demandFrom = static_cast<std::uint32_t>(request.pipeline.stages.size());
+    if (request.carried && !admit(request, snapshot)) {
+        fail(request, Reason::CannotFinish,
+             makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
+                       fmt::format("predicted to take {:.0f} ms, wanted in {:.0f} ms",
+                                   toMilliseconds(request.predicted),
+                                   toMilliseconds(request.wanted - now))),
+             snapshot);
+        return;
+    }
     if (!fitsDeadline(request, timeWithWaits(request, snapshot))) {
         fail(request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -51,6 +51,23 @@
 inline constexpr std::uint32_t mostCarriedSends = 4;
 /// Daemons that the retry budget is divided among while fewer are known.
 inline constexpr int leastDaemons = 3;
+/// Tokens of prompts that a model engine reads in a second, until it is learnt.
+inline constexpr double unknownReadingRate = 50'000;
+/// Prompts of fewer tokens say little of that rate: a step of the engine takes as long.
+inline constexpr std::uint64_t leastTellingTokens = 4'000;
+/// Share by which one sample moves the learnt rate, or the learnt error of forecasts.
+inline constexpr double forecastSmoothing = 0.05;
+inline constexpr double leastForecastBias = 0.7;
+inline constexpr double mostForecastBias = 2;
+/// What a model engine needs besides reading: its first step and the hops.
+inline constexpr std::chrono::milliseconds firstEventOverhead{25};
+/// Requests that are taken in although they will miss their objective: so many at once,
+/// and only where they are predicted to be done in this part of the time left. They fill
+/// places that nobody else wants.
+inline constexpr std::size_t mostLateRequests = 12;
+inline constexpr double latePart = 0.5;
+/// Added to the priority of a request that will miss its objective.
+inline constexpr int latePriority = 100;
 /// How often lost results of one request are made again.
 inline constexpr std::uint32_t mostRemakes = 2;
 
@@ -106,6 +123,10 @@
     TimePoint wanted; ///< Its objective, as a time.
     std::unique_ptr<PieceGraph> pieces;
     std::uint32_t remakes = 0;
+    bool isLate = false;                    ///< Was taken in although it will miss its objective.
+    Duration predicted{};                   ///< From the arrival to the answer or its first event.
+    std::int64_t bookedTokens = 0;          ///< That its endpoint has to read for it.
+    std::size_t bookedAhead = 0;            ///< That were to be read there before it.
     bool headPassedOn = false;              ///< The caller has got the beginning of a stream.
     std::optional<std::uint64_t> lastEvent; ///< Passed on, or seen by the caller before.
     std::uint32_t mayHaveRun = 0;           ///< Sends that an endpoint may have begun to work on.
@@ -124,6 +145,7 @@
     PoolDemand demand;
     SlotShares shares;
     LatencyModel latency;
+    double tokensPerSecond = requestmachine::unknownReadingRate; ///< That an engine reads.
     Duration dispatchInterval{}; ///< Smoothed, while requests waited.
     TimePoint lastDispatch;
     std::optional<TimePoint> unreachableSince; ///< No endpoint answers a connection.
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -18,6 +18,17 @@
 
 namespace harelink {
 
+/// What a model engine has to read before it answers.
+struct PromptNeed
+{
+    std::uint64_t tokens = 0;       ///< Of the whole prompt.
+    std::uint64_t sharedTokens = 0; ///< Of these, what the home has likely read before.
+    double tokensPerSecond = 1;     ///< That an engine reads.
+    Duration slack{};               ///< Until the first event is wanted.
+    std::string dataCentre;         ///< Where its inputs are; empty for anywhere.
+    std::uint64_t inputBytes = 0;
+};
+
 /// What a choice may look at.
 struct RoutingQuery
 {
@@ -25,6 +36,7 @@
     TimePoint now;
     const EndpointEntry *home = nullptr;  ///< Likely has the prompt at hand; null where unknown.
     const EndpointEntry *avoid = nullptr; ///< Failed this request just now; last resort only.
+    const PromptNeed *prompt = nullptr;   ///< Null where nothing is known of one.
 };
 
 /// Whether \p entry is neither leaving nor ejected.
@@ -46,6 +58,11 @@
 /// The time that a call to \p entry takes lately; longer where its calls in flight
 /// have all been silent for longer.
 [[nodiscard]] Duration expectedTime(const EndpointEntry &entry, TimePoint now);
+/// The tokens that \p entry would have to read for \p prompt, where it is the home or not.
+[[nodiscard]] std::uint64_t tokensToRead(const PromptNeed &prompt, bool isHome);
+/// The time until \p entry would have read \p prompt, behind what it was sent before.
+[[nodiscard]] Duration readingTime(const EndpointEntry &entry, const PromptNeed &prompt,
+                                   bool isHome);
 /// Takes in that a call is sent to \p entry.
 void noteSend(const EndpointEntry &entry, TimePoint now);
 /// Takes in that a part of an answer came from \p entry.
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -4,6 +4,8 @@
 
 #include "harelink.pb.h"
 
+#include <algorithm>
+
 namespace harelink {
 namespace {
 
@@ -52,13 +54,21 @@
 {
     to.set_endpoint(from.endpoint);
     to.set_busy_micros(toMicros(from.busy));
-    to.set_waiting(from.waiting);
+    for (const std::uint32_t waiting : from.waiting) {
+        to.add_waiting(waiting);
+    }
     to.set_slowness(static_cast<float>(from.slowness));
 }
 
 PieceBacklog read(const wire::PieceBacklog &from)
 {
-    return {from.endpoint(), microseconds(from.busy_micros()), from.waiting(), from.slowness()};
+    PieceBacklog to;
+    to.endpoint = from.endpoint();
+    to.busy = microseconds(from.busy_micros());
+    to.slowness = from.slowness();
+    const auto count = std::min<std::size_t>(to.waiting.size(), from.waiting_size());
+    std::copy_n(from.waiting().begin(), count, to.waiting.begin());
+    return to;
 }
 
 /// Writes each kind of content into its field.
@@ -90,6 +100,11 @@
         for (const PieceBacklog &backlog : from.backlogs) {
             write(backlog, *to.add_backlogs());
         }
+        for (const PromptBacklog &prompt : from.prompts) {
+            wire::PromptBacklog &item = *to.add_prompts();
+            item.set_endpoint(prompt.endpoint);
+            item.set_tokens(prompt.tokens);
+        }
     }
     void operator()(const PieceOrders &from) const
     {
@@ -106,6 +121,7 @@
             item.set_priority(order.priority);
             item.set_wanted_in_micros(toMicros(order.wantedIn));
             item.set_due_in_micros(toMicros(order.dueIn));
+            item.set_result_bytes(order.resultBytes);
         }
     }
     void operator()(const PieceOutcomes &from) const
@@ -120,6 +136,14 @@
             item.set_fault(static_cast<std::uint32_t>(outcome.fault));
         }
     }
+    void operator()(const PieceFrees &from) const
+    {
+        wire::PieceFrees &to = *m_message.mutable_piece_frees();
+        to.set_endpoint(from.endpoint);
+        for (const std::string &handle : from.handles) {
+            to.add_handles(handle);
+        }
+    }
     void operator()(const PieceWithdrawal &from) const
     {
         wire::PieceWithdrawal &to = *m_message.mutable_piece_withdrawal();
@@ -201,6 +225,9 @@
     for (const wire::PieceBacklog &backlog : from.backlogs()) {
         to.backlogs.push_back(read(backlog));
     }
+    for (const wire::PromptBacklog &prompt : from.prompts()) {
+        to.prompts.push_back({prompt.endpoint(), prompt.tokens()});
+    }
     return to;
 }
 
@@ -217,6 +244,7 @@
         order.priority = item.priority();
         order.wantedIn = microseconds(item.wanted_in_micros());
         order.dueIn = microseconds(item.due_in_micros());
+        order.resultBytes = item.result_bytes();
         to.orders.push_back(std::move(order));
     }
     return to;
@@ -321,6 +349,11 @@
         to.content = *std::move(outcomes);
         return true;
     }
+    case wire::PeerMessage::kPieceFrees: {
+        const wire::PieceFrees &frees = from.piece_frees();
+        to.content = PieceFrees{frees.endpoint(), {frees.handles().begin(), frees.handles().end()}};
+        return true;
+    }
     case wire::PeerMessage::kPieceWithdrawal:
         to.content = read(from.piece_withdrawal());
         return true;
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -15,9 +15,6 @@
 
 constexpr Logger logger("control");
 
-/// Results are freed together: a call for some is no dearer than one for one.
-constexpr std::chrono::milliseconds freeInterval{30};
-
 ControlOptions optionsOf(const Settings &settings, const Dialect &dialect, Incarnation incarnation)
 {
     ControlOptions options;
@@ -125,7 +122,7 @@
 void Control::order(const OrderPieces &order)
 {
     m_loop.post([this, order] {
-        m_pieceRouter.order(order.pool, order.orders, m_snapshot.current());
+        m_pieceRouter.order(order.pool, order.orders, order.dataCentre, m_snapshot.current());
         carryOut();
     });
 }
@@ -141,10 +138,8 @@
 void Control::free(const FreeResults &results)
 {
     m_loop.post([this, results] {
-        m_freed.insert(m_freed.end(), results.handles.begin(), results.handles.end());
-        if (m_flushFreedAt == TimePoint::max()) {
-            m_flushFreedAt = m_clock.now() + freeInterval;
-        }
+        m_pieceRouter.free(results.handles, m_snapshot.current());
+        carryOut();
     });
 }
 
@@ -180,6 +175,7 @@
     if (m_machine.heartbeatsDue()) {
         m_machine.noteUsage(takeOwnUsage());
         m_machine.noteBacklogs(m_pieceBatcher.backlogs());
+        m_machine.notePrompts(ownPrompts());
         logPeers();
         m_daemons.store(static_cast<int>(m_machine.membership().livePeers().size()) + 1,
                         std::memory_order_relaxed);
@@ -187,19 +183,16 @@
     m_machine.tick();
     m_pieceRouter.tick(m_snapshot.current());
     m_pieceBatcher.tick(m_snapshot.current());
-    flushFreed();
     carryOut();
-    return std::min({m_machine.nextTick(), m_pieceRouter.nextTick(), m_pieceBatcher.nextTick(),
-                     m_flushFreedAt});
+    return std::min({m_machine.nextTick(), m_pieceRouter.nextTick(), m_pieceBatcher.nextTick()});
 }
 
-void Control::flushFreed()
+void Control::freeResults(const std::vector<std::string> &handles)
 {
-    if (m_clock.now() < m_flushFreedAt) {
+    if (handles.empty()) {
         return;
     }
-    m_flushFreedAt = TimePoint::max();
-    for (const HttpCall &call : m_dialect.pieces()->encodeFree(std::exchange(m_freed, {}))) {
+    for (const HttpCall &call : m_dialect.pieces()->encodeFree(handles)) {
         m_loop.http().send(call, [url = call.url](const HttpResult &result) {
             if (result.status == 0) {
                 // Nothing is lost by it: results end by themselves.
@@ -225,6 +218,8 @@
         m_pieceBatcher.take(message.host, *orders, snapshot);
     } else if (const auto *outcomes = std::get_if<PieceOutcomes>(&message.content)) {
         m_pieceRouter.take(*outcomes, snapshot);
+    } else if (const auto *frees = std::get_if<PieceFrees>(&message.content)) {
+        m_pieceBatcher.take(*frees, snapshot);
     } else if (const auto *withdrawal = std::get_if<PieceWithdrawal>(&message.content)) {
         m_pieceBatcher.withdraw(message.host, *withdrawal);
     }
@@ -261,6 +256,13 @@
                 sendTo(host, withdrawal);
             }
         }
+        for (auto &[host, frees] : m_pieceRouter.takeFrees()) {
+            if (host == self) {
+                m_pieceBatcher.take(frees, snapshot);
+            } else {
+                sendTo(host, std::move(frees));
+            }
+        }
         for (PieceOutcomesTo &send : m_pieceBatcher.takeOutcomes()) {
             more = true;
             if (send.host.empty()) {
@@ -276,6 +278,7 @@
             noteReplaced(endpoint);
         }
     }
+    freeResults(m_pieceBatcher.takeFreed());
     for (PieceOutcome &outcome : m_pieceRouter.takeOutcomes()) {
         m_workers.pieceEnded(PieceEnded{std::move(outcome)});
     }
@@ -312,7 +315,12 @@
         m_workers.decided(std::move(decision));
     }
     for (const PieceBacklog &backlog : output.backlogs) {
-        m_pieceRouter.take(backlog);
+        PieceRouter::take(backlog, m_snapshot.current(), m_clock.now());
+    }
+    for (const PromptBacklog &prompt : output.prompts) {
+        if (const EndpointEntry *endpoint = m_snapshot.current().endpoint(prompt.endpoint)) {
+            endpoint->load->tokensToReadOfPeers.store(prompt.tokens, std::memory_order_relaxed);
+        }
     }
     for (const PeerMessage &message : output.pieceMessages) {
         takePieceMessage(message);
@@ -430,6 +438,20 @@
     return reports;
 }
 
+std::vector<PromptBacklog> Control::ownPrompts()
+{
+    std::vector<PromptBacklog> prompts;
+    for (const auto &[name, pool] : m_snapshot.current().pools) {
+        for (const EndpointEntry &endpoint : pool.endpoints) {
+            const std::int64_t tokens = endpoint.load->tokensToRead.load(std::memory_order_relaxed);
+            if (tokens > 0) {
+                prompts.push_back({endpoint.spec.name, tokens});
+            }
+        }
+    }
+    return prompts;
+}
+
 void Control::addPeerUsage(const std::vector<UsageReport> &reports)
 {
     for (const UsageReport &report : reports) {
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -32,10 +32,11 @@
 /// A call that failed counts as one that took so many times its time.
 constexpr double failureSlowness = 4;
 
-bool isMoreUrgent(int priority, TimePoint wanted, int otherPriority, TimePoint otherWanted)
-{
-    return std::tie(priority, wanted) < std::tie(otherPriority, otherWanted);
-}
+/// Where the room of an endpoint is full, it is looked at again after this long; results
+/// that are freed bring it forward.
+constexpr milliseconds roomPause{20};
+/// Results are freed together: a call for some is no dearer than one for one.
+constexpr milliseconds freeInterval{30};
 
 } // namespace
 
@@ -97,9 +98,36 @@
     line.pool = pool->spec.name;
     dropLate(endpoint, line, work);
     const TimePoint now = m_clock.now();
-    while (nextCallAt(line, now) <= now) {
-        form(*entry, line, work);
+    while (nextCallAt(line, now) <= now && form(*entry, line, work)) {
+    }
+}
+
+/// How many of the waiting pieces, from the front, go into the next call: a batch of them,
+/// and none whose result would find no room.
+std::size_t PieceBatcher::fitting(Line &line, const PieceWorkSpec &work) const
+{
+    const TimePoint now = m_clock.now();
+    std::erase_if(line.kept, [&line, now](const auto &entry) {
+        const bool ended = entry.second.until <= now;
+        line.keptBytes -= ended ? entry.second.bytes : 0;
+        return ended;
+    });
+    std::uint64_t taken = line.keptBytes;
+    for (const Flight &flight : line.flights) {
+        for (const Item &item : flight.items) {
+            taken += item.order.resultBytes;
+        }
+    }
+    const std::size_t most = std::min<std::size_t>(line.waiting.size(), work.batch);
+    std::size_t count = 0;
+    while (count < most) {
+        taken += line.waiting[count].order.resultBytes;
+        if (work.roomBytes > 0 && taken > work.roomBytes) {
+            break;
+        }
+        ++count;
     }
+    return count;
 }
 
 /// A piece that would be too late takes no place from one that is not.
@@ -115,13 +143,22 @@
     std::erase_if(line.waiting, isLate);
 }
 
-void PieceBatcher::form(const EndpointEntry &endpoint, Line &line, const PieceWorkSpec &work)
+/// Forms a call; false where there is no room for the result of even one piece.
+bool PieceBatcher::form(const EndpointEntry &endpoint, Line &line, const PieceWorkSpec &work)
 {
     const TimePoint now = m_clock.now();
-    std::stable_sort(line.waiting.begin(), line.waiting.end(), [](const Item &a, const Item &b) {
-        return isMoreUrgent(a.order.priority, a.wanted, b.order.priority, b.wanted);
-    });
-    const std::size_t count = std::min<std::size_t>(line.waiting.size(), work.batch);
+    // What would miss its objective anyway lets those go first that can still make it.
+    const TimePoint earliest = now + work.callTime;
+    const auto rank = [earliest](const Item &item) {
+        return std::tuple(item.wanted < earliest, item.order.priority, item.wanted);
+    };
+    std::stable_sort(line.waiting.begin(), line.waiting.end(),
+                     [&rank](const Item &a, const Item &b) { return rank(a) < rank(b); });
+    const std::size_t count = fitting(line, work);
+    if (count == 0) {
+        line.blockedUntil = now + roomPause;
+        return false;
+    }
     Flight flight;
     flight.id = m_nextCallId++;
     flight.sentAt = now;
@@ -151,6 +188,59 @@
     ++m_callCount;
     m_pieceCount += count;
     m_calls.push_back(std::move(call));
+    return true;
+}
+
+/// Books the results of a call as kept at their endpoint.
+void PieceBatcher::keep(Line &line, const Flight &flight, const PieceCallEnded &event,
+                        const Snapshot &snapshot) const
+{
+    const PoolEntry *pool = snapshot.pool(line.pool);
+    if (pool == nullptr || !pool->spec.pieces) {
+        return;
+    }
+    const TimePoint until = m_clock.now() + pool->spec.pieces->resultLife;
+    for (std::size_t i = 0; i < flight.items.size() && i < event.results.size(); ++i) {
+        if (event.results[i].fault == PieceFault::None) {
+            const std::uint64_t bytes = flight.items[i].order.resultBytes;
+            line.kept[event.results[i].handle] = {bytes, until};
+            line.keptBytes += bytes;
+        }
+    }
+}
+
+void PieceBatcher::drop(Line &line, const std::string &handle)
+{
+    const auto kept = line.kept.find(handle);
+    if (kept != line.kept.end()) {
+        line.keptBytes -= kept->second.bytes;
+        line.kept.erase(kept);
+    }
+}
+
+void PieceBatcher::take(const PieceFrees &frees, const Snapshot &snapshot)
+{
+    m_freed.insert(m_freed.end(), frees.handles.begin(), frees.handles.end());
+    if (m_freeAt == TimePoint::max()) {
+        m_freeAt = m_clock.now() + freeInterval;
+    }
+    const auto found = m_lines.find(frees.endpoint);
+    if (found == m_lines.end()) {
+        return;
+    }
+    for (const std::string &handle : frees.handles) {
+        drop(found->second, handle);
+    }
+    pump(frees.endpoint, found->second, snapshot);
+}
+
+std::vector<std::string> PieceBatcher::takeFreed()
+{
+    if (m_clock.now() < m_freeAt) {
+        return {};
+    }
+    m_freeAt = TimePoint::max();
+    return std::exchange(m_freed, {});
 }
 
 void PieceBatcher::giveBack(const std::string &endpoint, Line &line, PieceFault fault)
@@ -179,6 +269,7 @@
         Flight ended = std::move(*flight);
         line.flights.erase(flight);
         learn(endpoint, line, ended, event, snapshot);
+        keep(line, ended, event, snapshot);
         for (std::size_t i = 0; i < ended.items.size(); ++i) {
             Item &item = ended.items[i];
             if (event.answered) {
@@ -254,7 +345,7 @@
 
 TimePoint PieceBatcher::nextTick() const
 {
-    TimePoint next = TimePoint::max();
+    TimePoint next = m_freeAt;
     for (const auto &[endpoint, line] : m_lines) {
         next = std::min(next, nextCallAt(line, m_clock.now()));
     }
@@ -269,7 +360,9 @@
         backlog.busy =
             std::max<Duration>(line.flights.back().expectedEnd - m_clock.now(), Duration::zero());
     }
-    backlog.waiting = static_cast<std::uint32_t>(line.waiting.size());
+    for (const Item &item : line.waiting) {
+        ++backlog.waiting[urgencyClass(item.order.priority)];
+    }
     backlog.slowness = line.slowness;
     return backlog;
 }
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -2,7 +2,7 @@
 
 #include "harelink/Kernel/piecerouter.h"
 
-#include "harelink/Kernel/routing.h"
+#include "harelink/Kernel/pieceforecast.h"
 #include "harelink/Support/hash.h"
 
 #include <algorithm>
@@ -18,11 +18,6 @@
 
 /// A batcher without a word for this long is passed over: two heartbeats and a half.
 constexpr milliseconds batcherSilence{600};
-/// What work in another data centre counts as more, in time. A result that crosses is
-/// paid for by its size, and its input has to cross as well.
-constexpr milliseconds crossing{60};
-/// Daemons with the same view must not all choose the same endpoint.
-constexpr milliseconds spread{15};
 /// An order is given up on after so many times what was predicted, and this much.
 constexpr int patienceFactor = 2;
 constexpr milliseconds patience{500};
@@ -30,11 +25,9 @@
 constexpr std::uint32_t mostAttempts = 3;
 /// How often pending orders are looked at.
 constexpr milliseconds checkInterval{50};
-
-Duration positive(Duration time)
-{
-    return std::max(time, Duration::zero());
-}
+/// Longer than any endpoint keeps a result: what nobody freed until then is forgotten.
+constexpr milliseconds resultMemory{20'000};
+constexpr milliseconds sweepInterval{1000};
 
 } // namespace
 
@@ -53,7 +46,7 @@
 }
 
 void PieceRouter::order(const std::string &pool, const std::vector<PieceOrder> &orders,
-                        const Snapshot &snapshot)
+                        const std::string &dataCentre, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
     budgetOf(pool).noteRequest(now);
@@ -61,6 +54,7 @@
     for (const PieceOrder &order : orders) {
         Pending pending;
         pending.pool = pool;
+        pending.dataCentre = dataCentre;
         pending.order = order;
         pending.wanted = now + order.wantedIn;
         pending.due = now + order.dueIn;
@@ -78,19 +72,24 @@
     const TimePoint now = m_clock.now();
     const PoolEntry *pool = snapshot.pool(group.front().pool);
     const auto count = static_cast<std::uint32_t>(group.size());
-    const EndpointEntry *endpoint =
-        pool == nullptr ? nullptr : choose(*pool, count, group.front().avoid);
+    PieceForecast forecast;
+    if (pool != nullptr) {
+        const Pending &first = group.front();
+        const PieceWish wish{count, first.order.priority, first.order.resultBytes, first.dataCentre,
+                             first.avoid};
+        forecast = choosePieceEndpoint(*pool, wish, now, &m_random);
+    }
+    const EndpointEntry *endpoint = forecast.endpoint;
     std::vector<PieceId> ids;
     for (Pending &pending : group) {
         const PieceId id = pending.order.id;
         ids.push_back(id);
         ++pending.attempts;
         if (endpoint != nullptr) {
-            const Duration predicted = predict(*pool, *endpoint, count);
             pending.endpoint = endpoint->spec.name;
             pending.batcher = batcherOf(endpoint->spec);
             pending.orderedAt = now;
-            pending.checkAt = now + predicted * patienceFactor + patience;
+            pending.checkAt = now + forecast.time * patienceFactor + patience;
         }
         m_pending[id] = std::move(pending);
     }
@@ -115,64 +114,11 @@
         pending.order.dueIn = pending.due - now;
         send.orders.orders.push_back(pending.order);
     }
-    m_backlogs[endpoint.spec.name].orderedSince += static_cast<std::uint32_t>(ids.size());
+    noteOrdered(endpoint, static_cast<std::uint32_t>(ids.size()),
+                send.orders.orders.front().priority);
     m_sends.push_back(std::move(send));
 }
 
-Duration PieceRouter::predict(const PoolEntry &pool, const EndpointEntry &endpoint,
-                              std::uint32_t pieces) const
-{
-    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
-    Duration busy{};
-    std::uint32_t ahead = 0;
-    double slowness = 1;
-    const auto known = m_backlogs.find(endpoint.spec.name);
-    if (known != m_backlogs.end()) {
-        const Known &heard = known->second;
-        const Duration age = m_clock.now() - heard.heardAt;
-        busy = positive(heard.backlog.busy - age);
-        ahead = heard.backlog.waiting + heard.orderedSince;
-        slowness = heard.backlog.slowness;
-    }
-    const std::uint32_t all = ahead + pieces;
-    const std::uint32_t calls = (all + work.batch - 1) / work.batch;
-    const Duration making = work.callTime * calls + work.pieceTime * all;
-    return busy + std::chrono::duration_cast<Duration>(making * slowness);
-}
-
-Duration PieceRouter::predictedTime(const PoolEntry &pool, std::uint32_t pieces) const
-{
-    std::optional<Duration> best;
-    for (const EndpointEntry &endpoint : pool.endpoints) {
-        if (isUsable(endpoint, m_clock.now())) {
-            const Duration time = predict(pool, endpoint, pieces);
-            best = best ? std::min(*best, time) : time;
-        }
-    }
-    return best.value_or(Duration::max());
-}
-
-const EndpointEntry *PieceRouter::choose(const PoolEntry &pool, std::uint32_t pieces,
-                                         const std::set<std::string> &avoid)
-{
-    const EndpointEntry *best = nullptr;
-    Duration bestTime{};
-    for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
-        const EndpointEntry &endpoint = pool.endpoints[i];
-        if (!isUsable(endpoint, m_clock.now()) || avoid.contains(endpoint.spec.name)) {
-            continue;
-        }
-        const auto jitter = std::chrono::duration_cast<Duration>(spread * m_random.unit());
-        Duration time = predict(pool, endpoint, pieces) + jitter;
-        time += i < pool.localCount ? Duration::zero() : Duration(crossing);
-        if (best == nullptr || time < bestTime) {
-            best = &endpoint;
-            bestTime = time;
-        }
-    }
-    return best;
-}
-
 std::string PieceRouter::batcherOf(const EndpointSpec &endpoint) const
 {
     std::vector<std::string> hosts = m_membership.heardWithin(batcherSilence, endpoint.dataCentre);
@@ -204,20 +150,57 @@
     }
 }
 
-void PieceRouter::take(const PieceBacklog &backlog)
+void PieceRouter::take(const PieceBacklog &backlog, const Snapshot &snapshot, TimePoint now)
+{
+    if (const EndpointEntry *endpoint = snapshot.endpoint(backlog.endpoint)) {
+        noteBacklog(*endpoint, backlog, now);
+    }
+}
+
+void PieceRouter::free(const std::vector<std::string> &handles, const Snapshot &snapshot)
+{
+    std::map<std::string, PieceFrees> byEndpoint;
+    for (const std::string &handle : handles) {
+        const auto result = m_results.find(handle);
+        if (result == m_results.end()) {
+            continue; // So old that its endpoint has dropped it by itself.
+        }
+        PieceFrees &frees = byEndpoint[result->second.endpoint];
+        frees.endpoint = result->second.endpoint;
+        frees.handles.push_back(handle);
+        m_results.erase(result);
+    }
+    for (auto &[name, frees] : byEndpoint) {
+        const EndpointEntry *endpoint = snapshot.endpoint(name);
+        if (endpoint != nullptr) {
+            m_frees.emplace_back(batcherOf(endpoint->spec), std::move(frees));
+        }
+    }
+}
+
+void PieceRouter::forgetOldResults()
 {
-    if (!backlog.endpoint.empty()) {
-        m_backlogs[backlog.endpoint] = {backlog, m_clock.now(), 0};
+    const TimePoint now = m_clock.now();
+    if (now < m_nextSweep) {
+        return;
     }
+    m_nextSweep = now + sweepInterval;
+    std::erase_if(m_results,
+                  [now](const auto &entry) { return now - entry.second.madeAt > resultMemory; });
 }
 
 void PieceRouter::take(const PieceOutcomes &outcomes, const Snapshot &snapshot)
 {
-    take(outcomes.backlog);
+    take(outcomes.backlog, snapshot, m_clock.now());
     for (const PieceOutcome &outcome : outcomes.outcomes) {
+        if (outcome.fault == PieceFault::None) {
+            m_results[outcome.handle] = {outcome.endpoint, m_clock.now()};
+        }
         const auto found = m_pending.find(outcome.id);
         if (found == m_pending.end()) {
-            continue; // Made twice, or no longer wanted.
+            // Made twice, or no longer wanted.
+            free({outcome.handle}, snapshot);
+            continue;
         }
         const bool isRequests = outcome.fault == PieceFault::None
                                 || outcome.fault == PieceFault::Late
@@ -271,6 +254,7 @@
 void PieceRouter::tick(const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
+    forgetOldResults();
     std::vector<PieceId> overdue;
     for (const auto &[id, pending] : m_pending) {
         const bool silent = pending.batcher != m_membership.host()
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -115,6 +115,22 @@
     return std::max<Duration>(usual, std::chrono::nanoseconds(silent));
 }
 
+std::uint64_t tokensToRead(const PromptNeed &prompt, bool isHome)
+{
+    return isHome ? prompt.tokens - std::min(prompt.tokens, prompt.sharedTokens) : prompt.tokens;
+}
+
+Duration readingTime(const EndpointEntry &entry, const PromptNeed &prompt, bool isHome)
+{
+    const EndpointLoad &load = *entry.load;
+    const std::int64_t ahead = load.tokensToRead.load(std::memory_order_relaxed)
+                               + load.tokensToReadOfPeers.load(std::memory_order_relaxed);
+    const double tokens = static_cast<double>(std::max<std::int64_t>(0, ahead))
+                          + static_cast<double>(tokensToRead(prompt, isHome));
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(tokens / std::max(1.0, prompt.tokensPerSecond)));
+}
+
 void noteSend(const EndpointEntry &entry, TimePoint now)
 {
     if (entry.load->inFlight.fetch_add(1, std::memory_order_relaxed) == 0) {
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// An endpoint's points on the ring of prompts: more spread them more evenly.
-constexpr std::uint64_t ringPoints = 16;
+constexpr std::uint64_t ringPoints = 64;
 
 template <typename Map>
 const typename Map::mapped_type *findIn(const Map &map, const std::string &name)
--- a/lib/Plugins/routingpolicies.cpp
+++ b/lib/Plugins/routingpolicies.cpp
@@ -131,6 +131,51 @@
     }
 };
 
+/// Sends a prompt to the one engine that has likely read its shared parts before, unless
+/// that would miss its objective and another would not. Whatever is no prompt goes by
+/// PowerOfTwo.
+///
+/// One home for all data centres: three homes, one in each, would read each shared part
+/// three times, which users pay for, and spread too few prompts over too many caches.
+class PromptHome final : public RoutingPolicy
+{
+public:
+    const EndpointEntry *choose(const RoutingQuery &query, Random &random) override
+    {
+        if (query.prompt == nullptr) {
+            return m_others.choose(query, random);
+        }
+        const PromptNeed &prompt = *query.prompt;
+        const bool homeCan = query.home != nullptr && query.home != query.avoid
+                             && isEligible(*query.home, query.now);
+        if (homeCan && readingTime(*query.home, prompt, true) < prompt.slack * homePatience) {
+            return query.home;
+        }
+        const EndpointEntry *best = homeCan ? query.home : nullptr;
+        Duration bestTime = homeCan ? readingTime(*query.home, prompt, true) : Duration::max();
+        for (const EndpointEntry &entry : query.pool.endpoints) {
+            if (&entry == query.home || &entry == query.avoid || !isEligible(entry, query.now)) {
+                continue;
+            }
+            const Duration time = readingTime(entry, prompt, false)
+                                  + std::chrono::duration_cast<Duration>(spread * random.unit());
+            if (time < bestTime) {
+                best = &entry;
+                bestTime = time;
+            }
+        }
+        return best != nullptr ? best : lastResort(query);
+    }
+
+private:
+    /// The part of the time until the objective that waiting at the home may take.
+    static constexpr double homePatience = 0.7;
+    /// Daemons with the same view must not all choose the same engine.
+    static constexpr std::chrono::milliseconds spread{20};
+
+    PowerOfTwo m_others;
+};
+
 /// Baseline: each endpoint in turn.
 class RoundRobin final : public RoutingPolicy
 {
@@ -174,6 +219,7 @@
 };
 
 const Registration<RoutingPolicy, PowerOfTwo> powerOfTwo("power-of-two");
+const Registration<RoutingPolicy, PromptHome> promptHome("prompt-home");
 const Registration<RoutingPolicy, RoundRobin> roundRobin("round-robin");
 const Registration<RoutingPolicy, LeastInFlight> leastInFlight("least-in-flight");
 
--- /dev/null
+++ b/unittests/Kernel/carriedfixture.h
@@ -0,0 +1,175 @@
+//===- carriedfixture.h - Carried requests for kernel tests -----*- C++ -*-===//
+
+#ifndef HARELINK_UNITTESTS_KERNEL_CARRIEDFIXTURE_H
+#define HARELINK_UNITTESTS_KERNEL_CARRIEDFIXTURE_H
+
+#include "piecefixture.h"
+
+namespace harelink::testing {
+
+inline PipelineSpec route(const std::string &name, const std::string &prefix, bool repeatable)
+{
+    PipelineSpec pipeline;
+    pipeline.name = name;
+    pipeline.repeatable = repeatable;
+    pipeline.deadline = std::chrono::milliseconds(4000);
+    RouteSpec route;
+    route.host = "api.example";
+    route.pathPrefix = prefix;
+    route.split = {{"engines", 1}};
+    route.mostEndpoints = 2;
+    route.objective = std::chrono::milliseconds(1000);
+    pipeline.route = route;
+    return pipeline;
+}
+
+/// Routes of host "api.example": /record/ may not be repeated; /read/ may; /read/deep/
+/// is public; /brief/ needs two pieces and then one made from them; /talk/ is a stream
+/// that may be resumed, /say/ one that may not.
+inline std::vector<Resource> carriedConfiguration(int engines = 3)
+{
+    std::vector<Resource> resources = pieceConfiguration(2, 4);
+    ClientAccountSpec account{"drivers", 1, ""};
+    account.apiKeys = {"key-1", "key-2"};
+    resources.push_back(makeResource(account));
+    PoolSpec pool{"engines", "carried", 1};
+    pool.engine = ModelEngineSpec{100'000};
+    pool.keepsPrompts = true;
+    resources.push_back(makeResource(pool));
+    for (int i = 0; i < engines; ++i) {
+        EndpointSpec endpoint;
+        endpoint.name = fmt::format("engine-{}", i);
+        endpoint.pool = "engines";
+        endpoint.address = "127.0.0.1:1";
+        endpoint.dataCentre = i % 2 == 0 ? "dc1" : "dc2";
+        endpoint.slots = 8;
+        endpoint.refusesBeforeRunning = true;
+        resources.push_back(makeResource(endpoint));
+    }
+    resources.push_back(makeResource(route("record", "/record/", false)));
+    resources.push_back(makeResource(route("read", "/read/", true)));
+    PipelineSpec deep = route("deep", "/read/deep/", true);
+    deep.route->isPublic = true;
+    resources.push_back(makeResource(deep));
+    PipelineSpec brief = route("brief", "/brief/", false);
+    brief.route->pieceStages = {{"pieces", {}, 1000}, {"pieces", {0}, 10}};
+    resources.push_back(makeResource(brief));
+    for (const bool resumable : {true, false}) {
+        PipelineSpec stream =
+            route(resumable ? "talk" : "say", resumable ? "/talk/" : "/say/", resumable);
+        stream.route->streams = true;
+        stream.route->resumable = resumable;
+        resources.push_back(makeResource(stream));
+    }
+    return resources;
+}
+
+/// A machine with carried requests.
+struct CarriedBench
+{
+    explicit CarriedBench(int engines = 3)
+        : snapshot(buildSnapshot(carriedConfiguration(engines), 1, "dc1", nullptr))
+        , machine(clock, Registry<RoutingPolicy>::instance().make("prompt-home"), 1, {})
+    {
+    }
+
+    RequestId arrive(const std::string &path, const std::string &key = "key-1",
+                     std::vector<std::uint32_t> pieces = {}, std::uint64_t tokens = 0)
+    {
+        auto carried = std::make_shared<CarriedRequest>();
+        carried->callerId = fmt::format("caller-{}", ++lastSequence);
+        carried->method = "POST";
+        carried->target = path;
+        carried->host = "api.example";
+        carried->path = path;
+        carried->apiKey = key;
+        carried->pieceCounts = std::move(pieces);
+        carried->pieceKey = "piece-key";
+        carried->promptTokens = tokens;
+        if (tokens > 0) {
+            carried->prompt = {{"shared", tokens / 2}, {"own", tokens - tokens / 2}};
+        }
+        RequestArrived event;
+        event.id = {9, lastSequence};
+        event.carried = std::move(carried);
+        const RequestId id = event.id;
+        machine.handle(std::move(event), *snapshot);
+        collect();
+        return id;
+    }
+    void answer(const SendStage &stage, int status = 200)
+    {
+        StageAnswered event;
+        event.call = stage.call;
+        event.echoed = stage.call;
+        event.carried = CarriedAnswer{status, {}, "body"};
+        machine.handle(std::move(event), *snapshot);
+        collect();
+    }
+    void fail(const SendStage &stage, SendEvidence evidence,
+              std::optional<CarriedAnswer> own = std::nullopt)
+    {
+        StageFailed event;
+        event.call = stage.call;
+        event.evidence = evidence;
+        event.status = absl::UnavailableError("test");
+        event.carried = std::move(own);
+        machine.handle(event, *snapshot);
+        collect();
+    }
+    void event(const SendStage &stage, std::uint64_t id)
+    {
+        StageEvent event;
+        event.call = stage.call;
+        event.echoed = stage.call;
+        event.head.status = 200;
+        event.eventId = id;
+        event.bytes = fmt::format("id: {}\n\n", id);
+        machine.handle(event, *snapshot);
+        collect();
+    }
+    void pieceEnded(const PieceId &id, const std::string &handle,
+                    PieceFault fault = PieceFault::None)
+    {
+        machine.handle(PieceEnded{{id, "maker-0", handle, fault}}, *snapshot);
+        collect();
+    }
+    void advance(Duration step)
+    {
+        clock.advance(step);
+        machine.tick(*snapshot);
+        collect();
+    }
+    void collect()
+    {
+        const std::vector<RequestAction> actions = machine.takeActions();
+        const auto append = [](auto &to, auto from) {
+            to.insert(to.end(), from.begin(), from.end());
+        };
+        append(sends, only<SendStage>(actions));
+        append(cancels, only<CancelStage>(actions));
+        append(events, only<StreamEvents>(actions));
+        append(answers, only<AnswerCaller>(actions));
+        append(orders, only<OrderPieces>(actions));
+        append(withdrawals, only<WithdrawPieces>(actions));
+        append(frees, only<FreeResults>(actions));
+        append(replaced, only<EndpointReplaced>(actions));
+    }
+
+    ManualClock clock;
+    std::unique_ptr<const Snapshot> snapshot;
+    RequestMachine machine;
+    std::uint64_t lastSequence = 0;
+    std::vector<SendStage> sends;
+    std::vector<CancelStage> cancels;
+    std::vector<StreamEvents> events;
+    std::vector<AnswerCaller> answers;
+    std::vector<OrderPieces> orders;
+    std::vector<WithdrawPieces> withdrawals;
+    std::vector<FreeResults> frees;
+    std::vector<EndpointReplaced> replaced;
+};
+
+} // namespace harelink::testing
+
+#endif // HARELINK_UNITTESTS_KERNEL_CARRIEDFIXTURE_H
--- /dev/null
+++ b/unittests/Kernel/carriedtest.cpp
@@ -0,0 +1,267 @@
+//===- carriedtest.cpp - Tests of carried requests ------------------------===//
+
+#include "carriedfixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace harelink;
+using namespace harelink::testing;
+using std::chrono::milliseconds;
+
+TEST_GROUP(Carried){};
+
+TEST(Carried, TheLongestPrefixOfTheHostGivesTheRoute)
+{
+    CarriedBench bench;
+    bench.arrive("/read/deep/er", "");
+    bench.arrive("/read/er");
+    LONGS_EQUAL(2, bench.sends.size());
+    STRCMP_EQUAL("", bench.sends[0].account.c_str());
+    STRCMP_EQUAL("drivers", bench.sends[1].account.c_str());
+}
+
+TEST(Carried, WithoutARouteOrAKeyNothingIsSent)
+{
+    CarriedBench bench;
+    bench.arrive("/nowhere/");
+    bench.arrive("/read/er", "key-3");
+    CHECK(bench.sends.empty());
+    CHECK(bench.answers[0].reason == Reason::UnknownPipeline);
+    CHECK(bench.answers[1].reason == Reason::UnknownAccount);
+    CHECK(bench.answers[1].outcome == Outcome::NotRun);
+}
+
+TEST(Carried, TheAnswerGoesBackUnchanged)
+{
+    CarriedBench bench;
+    bench.arrive("/record/1");
+    bench.answer(bench.sends[0], 201);
+    CHECK(bench.answers[0].outcome == Outcome::Completed);
+    LONGS_EQUAL(201, bench.answers[0].carried->status);
+    STRCMP_EQUAL("body", bench.answers[0].carried->body.c_str());
+}
+
+TEST(Carried, WhatMayHaveRunIsNotSentAgainWhereItMayNotBeRepeated)
+{
+    CarriedBench bench;
+    bench.arrive("/record/1");
+    bench.fail(bench.sends[0], SendEvidence::Sent);
+    LONGS_EQUAL(1, bench.sends.size());
+    CHECK(bench.answers[0].outcome == Outcome::Unknown);
+}
+
+TEST(Carried, WhatSurelyDidNotRunIsSentElsewhere)
+{
+    CarriedBench bench;
+    bench.arrive("/record/1");
+    bench.fail(bench.sends[0], SendEvidence::RefusedBeforeRun);
+    LONGS_EQUAL(2, bench.sends.size());
+    CHECK(bench.sends[0].endpoint != bench.sends[1].endpoint);
+    bench.answer(bench.sends[1]);
+    CHECK(bench.answers[0].outcome == Outcome::Completed);
+}
+
+TEST(Carried, ARepeatableRequestRunsOnNoMoreEndpointsThanItsRouteAllows)
+{
+    CarriedBench bench;
+    bench.arrive("/read/1");
+    bench.fail(bench.sends[0], SendEvidence::Sent);
+    bench.fail(bench.sends[1], SendEvidence::Sent, CarriedAnswer{500, {}, "own failure"});
+    LONGS_EQUAL(2, bench.sends.size());
+    CHECK(bench.answers[0].outcome == Outcome::Unknown);
+    LONGS_EQUAL(500, bench.answers[0].carried->status);
+}
+
+TEST(Carried, RepeatsStayWithinTheBudget)
+{
+    // 60 requests of which every endpoint fails each: 60 x 0.1 + 200 / 3 repeats, of which
+    // three quarters are used.
+    CarriedBench bench;
+    for (int i = 0; i < 300; ++i) {
+        bench.arrive("/read/1");
+        const std::size_t first = bench.sends.size() - 1;
+        bench.fail(bench.sends[first], SendEvidence::RefusedBeforeRun);
+        while (bench.answers.size() <= static_cast<std::size_t>(i)) {
+            bench.answer(bench.sends.back());
+        }
+        bench.advance(milliseconds(10));
+    }
+    const std::size_t repeats = bench.sends.size() - 300;
+    CHECK(repeats > 0);
+    CHECK(repeats <= 300 * 0.1 + 200 / 3.0);
+}
+
+TEST(Carried, ACallerThatLeavesEndsTheCall)
+{
+    CarriedBench bench;
+    const RequestId id = bench.arrive("/record/1");
+    bench.machine.handle(CallerGone{id}, *bench.snapshot);
+    bench.collect();
+    LONGS_EQUAL(1, bench.cancels.size());
+    LONGS_EQUAL(0, bench.machine.inProgress());
+}
+
+TEST(Carried, AnAddressTakenOverIsTold)
+{
+    CarriedBench bench;
+    bench.arrive("/record/1");
+    StageFailed event;
+    event.call = bench.sends[0].call;
+    event.evidence = SendEvidence::RefusedBeforeRun;
+    event.isOtherEndpoint = true;
+    bench.machine.handle(event, *bench.snapshot);
+    bench.collect();
+    LONGS_EQUAL(1, bench.replaced.size());
+    CHECK(bench.replaced[0].endpoint == bench.sends[0].endpoint);
+}
+
+// Events ----------------------------------------------------------------------
+
+TEST(Carried, EachEventIsPassedOnOnceAndInOrder)
+{
+    CarriedBench bench;
+    bench.arrive("/say/1");
+    bench.event(bench.sends[0], 1);
+    bench.event(bench.sends[0], 2);
+    LONGS_EQUAL(2, bench.events.size());
+    CHECK(bench.events[0].head.has_value());
+    CHECK_FALSE(bench.events[1].head.has_value());
+    // One that stands twice, or behind a gap, ends the stream.
+    bench.event(bench.sends[0], 2);
+    LONGS_EQUAL(2, bench.events.size());
+    LONGS_EQUAL(1, bench.cancels.size());
+    CHECK(bench.answers[0].outcome == Outcome::Unknown);
+}
+
+TEST(Carried, ABrokenStreamGoesOnBehindItsLastEventWhereItMay)
+{
+    CarriedBench bench;
+    bench.arrive("/talk/1");
+    bench.event(bench.sends[0], 1);
+    bench.event(bench.sends[0], 2);
+    bench.fail(bench.sends[0], SendEvidence::Sent);
+    LONGS_EQUAL(2, bench.sends.size());
+    LONGS_EQUAL(2, bench.sends[1].resumeAfter.value());
+    bench.event(bench.sends[1], 3);
+    // The caller keeps the head that it has.
+    CHECK_FALSE(bench.events.back().head.has_value());
+    bench.answer(bench.sends[1]);
+    CHECK(bench.answers[0].outcome == Outcome::Completed);
+}
+
+TEST(Carried, ABrokenStreamEndsWhereItMayNotGoOn)
+{
+    CarriedBench bench;
+    bench.arrive("/say/1");
+    bench.event(bench.sends[0], 1);
+    bench.fail(bench.sends[0], SendEvidence::Sent);
+    LONGS_EQUAL(1, bench.sends.size());
+    CHECK(bench.answers[0].outcome == Outcome::Unknown);
+}
+
+// Pieces ----------------------------------------------------------------------
+
+TEST(Carried, TheRequestIsSentWithTheResultsOfItsPieces)
+{
+    CarriedBench bench;
+    bench.arrive("/brief/1", "key-1", {2, 1});
+    CHECK(bench.sends.empty());
+    LONGS_EQUAL(1, bench.orders.size());
+    LONGS_EQUAL(2, bench.orders[0].orders.size());
+    STRCMP_EQUAL("piece-key", bench.orders[0].orders[0].key.c_str());
+    bench.pieceEnded(bench.orders[0].orders[0].id, "a");
+    bench.pieceEnded(bench.orders[0].orders[1].id, "b");
+    LONGS_EQUAL(2, bench.orders.size());
+    const PieceOrder &second = bench.orders[1].orders[0];
+    LONGS_EQUAL(2, second.inputs.size());
+    STRCMP_EQUAL("", second.key.c_str());
+    bench.pieceEnded(second.id, "c");
+    // What only the second stage needed is freed.
+    LONGS_EQUAL(0, bench.frees.size());
+    LONGS_EQUAL(1, bench.sends.size());
+    LONGS_EQUAL(1, bench.sends[0].inputs.size());
+    STRCMP_EQUAL("c", bench.sends[0].inputs[0].c_str());
+    bench.answer(bench.sends[0]);
+    LONGS_EQUAL(1, bench.frees.size());
+    LONGS_EQUAL(3, bench.frees[0].handles.size());
+}
+
+TEST(Carried, AStageWithoutPiecesIsLeftOut)
+{
+    CarriedBench bench;
+    bench.arrive("/brief/1", "key-1", {0, 0});
+    LONGS_EQUAL(1, bench.sends.size());
+    CHECK(bench.sends[0].inputs.empty());
+}
+
+TEST(Carried, LostInputsAreMadeAgain)
+{
+    CarriedBench bench;
+    bench.arrive("/brief/1", "key-1", {2, 1});
+    bench.pieceEnded(bench.orders[0].orders[0].id, "a");
+    bench.pieceEnded(bench.orders[0].orders[1].id, "b");
+    bench.pieceEnded(bench.orders[1].orders[0].id, "", PieceFault::InputGone);
+    LONGS_EQUAL(3, bench.orders.size());
+    LONGS_EQUAL(2, bench.orders[2].orders.size());
+    CHECK(bench.answers.empty());
+}
+
+TEST(Carried, APieceThatCannotBeMadeEndsItsRequestUnrun)
+{
+    CarriedBench bench;
+    bench.arrive("/brief/1", "key-1", {2, 1});
+    bench.pieceEnded(bench.orders[0].orders[0].id, "a");
+    bench.pieceEnded(bench.orders[0].orders[1].id, "", PieceFault::Failed);
+    CHECK(bench.answers[0].outcome == Outcome::NotRun);
+    LONGS_EQUAL(1, bench.withdrawals.size());
+    STRCMP_EQUAL("a", bench.frees[0].handles[0].c_str());
+}
+
+TEST(Carried, AResultThatComesTooLateIsFreed)
+{
+    CarriedBench bench;
+    const RequestId id = bench.arrive("/brief/1", "key-1", {1, 0});
+    bench.machine.handle(CallerGone{id}, *bench.snapshot);
+    bench.collect();
+    bench.pieceEnded(bench.orders[0].orders[0].id, "a");
+    LONGS_EQUAL(1, bench.frees.size());
+    STRCMP_EQUAL("a", bench.frees[0].handles[0].c_str());
+}
+
+// Admission -------------------------------------------------------------------
+
+TEST(Carried, WhatCannotMakeItsDeadlineIsRefusedBeforeAnythingIsSpent)
+{
+    CarriedBench bench;
+    for (const EndpointEntry &endpoint : bench.snapshot->pool("pieces")->endpoints) {
+        endpoint.load->piecesWaiting[0] = 200;
+    }
+    bench.arrive("/brief/1", "key-1", {2, 1});
+    CHECK(bench.orders.empty());
+    CHECK(bench.answers[0].reason == Reason::CannotFinish);
+    CHECK(bench.answers[0].outcome == Outcome::NotRun);
+    CHECK(bench.answers[0].retryAfter > Duration::zero());
+}
+
+TEST(Carried, PromptsOfOneBeginningGoToOneEngine)
+{
+    CarriedBench bench;
+    for (int i = 0; i < 6; ++i) {
+        bench.arrive("/say/1", "key-1", {}, 2000);
+        bench.event(bench.sends.back(), 1);
+        bench.answer(bench.sends.back());
+    }
+    for (const SendStage &send : bench.sends) {
+        CHECK(send.endpoint == bench.sends[0].endpoint);
+    }
+}
+
+TEST(Carried, APromptLeavesItsHomeWhereThatIsBusyForTooLong)
+{
+    CarriedBench bench;
+    bench.arrive("/say/1", "key-1", {}, 2000);
+    const std::string home = bench.sends[0].endpoint;
+    bench.snapshot->endpoint(home)->load->tokensToReadOfPeers = 45'000;
+    bench.arrive("/say/1", "key-1", {}, 2000);
+    CHECK(bench.sends[1].endpoint != home);
+}
--- /dev/null
+++ b/unittests/Kernel/piecegraphtest.cpp
@@ -0,0 +1,79 @@
+//===- piecegraphtest.cpp - Tests of a request's pieces -------------------===//
+
+#include "harelink/Kernel/piecegraph.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace harelink;
+
+namespace {
+
+const std::vector<PieceStageSpec> sequence = {{"a", {}, 1}, {"b", {0}, 1}, {"c", {1}, 1}};
+const std::vector<PieceStageSpec> branches = {{"a", {}, 1}, {"a", {}, 1}, {"b", {1}, 1}};
+
+void makeAll(PieceGraph &graph, const std::string &prefix)
+{
+    for (const PiecePlace place : graph.takeReady()) {
+        graph.made(place, prefix + std::to_string(place.stage) + std::to_string(place.piece));
+    }
+}
+
+} // namespace
+
+TEST_GROUP(PieceGraph){};
+
+TEST(PieceGraph, AStageIsReadyWhenThoseBeforeItAreMade)
+{
+    PieceGraph graph(sequence, {2, 1, 1});
+    const std::vector<PiecePlace> first = graph.takeReady();
+    LONGS_EQUAL(2, first.size());
+    LONGS_EQUAL(0, graph.takeReady().size());
+    graph.made(first[0], "x");
+    LONGS_EQUAL(0, graph.takeReady().size());
+    graph.made(first[1], "y");
+    LONGS_EQUAL(1, graph.takeReady().size());
+    LONGS_EQUAL(2, graph.inputsOf(1).size());
+}
+
+TEST(PieceGraph, StagesThatDoNotDependRunAtOnceAndBothEndsAreResults)
+{
+    PieceGraph graph(branches, {1, 1, 1});
+    LONGS_EQUAL(2, graph.takeReady().size());
+    graph.made({0, 0}, "x");
+    graph.made({1, 0}, "y");
+    makeAll(graph, "z");
+    CHECK(graph.isComplete());
+    const std::vector<std::string> results = graph.finalResults();
+    LONGS_EQUAL(2, results.size());
+    STRCMP_EQUAL("x", results[0].c_str());
+    STRCMP_EQUAL("z20", results[1].c_str());
+}
+
+TEST(PieceGraph, ResultsThatNobodyNeedsAnyMoreAreToldOnce)
+{
+    PieceGraph graph(sequence, {2, 1, 1});
+    makeAll(graph, "r");
+    LONGS_EQUAL(0, graph.takeUnneeded().size());
+    makeAll(graph, "r");
+    LONGS_EQUAL(2, graph.takeUnneeded().size());
+    LONGS_EQUAL(0, graph.takeUnneeded().size());
+    makeAll(graph, "r");
+    LONGS_EQUAL(2, graph.takeAll().size());
+    LONGS_EQUAL(0, graph.takeAll().size());
+}
+
+TEST(PieceGraph, LostResultsAreMadeAgainWithAllThatTheyCameFrom)
+{
+    PieceGraph graph(sequence, {1, 1, 1});
+    makeAll(graph, "r");
+    makeAll(graph, "r");
+    makeAll(graph, "r");
+    CHECK(graph.isComplete());
+    graph.finalResultsLost();
+    CHECK_FALSE(graph.isComplete());
+    makeAll(graph, "s");
+    makeAll(graph, "s");
+    makeAll(graph, "s");
+    CHECK(graph.isComplete());
+    STRCMP_EQUAL("s20", graph.finalResults()[0].c_str());
+}
--- /dev/null
+++ b/unittests/Kernel/pieceroutertest.cpp
@@ -0,0 +1,136 @@
+//===- pieceroutertest.cpp - Tests of where pieces are made ---------------===//
+
+#include "piecefixture.h"
+
+#include "harelink/Kernel/piecerouter.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace harelink;
+using namespace harelink::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+struct Bench
+{
+    Bench()
+        : snapshot(buildSnapshot(pieceConfiguration(2, 4), 1, "dc1", nullptr))
+    {
+    }
+    void hear(const std::string &host)
+    {
+        PeerMessage message;
+        message.host = host;
+        message.incarnation = 5;
+        Heartbeat heartbeat;
+        heartbeat.dataCentre = "dc1";
+        heartbeat.address = "127.0.0.1:2";
+        message.content = heartbeat;
+        membership.heard(message);
+    }
+    void collect()
+    {
+        for (PieceOrdersTo &send : router.takeOrders()) {
+            orders.push_back(std::move(send));
+        }
+        for (PieceOutcome &outcome : router.takeOutcomes()) {
+            outcomes.push_back(std::move(outcome));
+        }
+    }
+    void order(std::uint64_t sequence)
+    {
+        router.order("pieces", {pieceOrder(sequence)}, "", *snapshot);
+        collect();
+    }
+    void settle(const PieceOrdersTo &send, const std::string &handle, PieceFault fault)
+    {
+        PieceOutcomes message;
+        message.backlog.endpoint = send.orders.endpoint;
+        message.outcomes.push_back({send.orders.orders[0].id, send.orders.endpoint, handle, fault});
+        router.take(message, *snapshot);
+        collect();
+    }
+    void advance(Duration step)
+    {
+        clock.advance(step);
+        router.tick(*snapshot);
+        collect();
+    }
+
+    ManualClock clock;
+    Membership membership{clock, "h1", "127.0.0.1:1", "dc1", 4};
+    std::unique_ptr<const Snapshot> snapshot;
+    PieceRouter router{clock, membership, 1, {}};
+    std::vector<PieceOrdersTo> orders;
+    std::vector<PieceOutcome> outcomes;
+};
+
+} // namespace
+
+TEST_GROUP(PieceRouter){};
+
+TEST(PieceRouter, AMadePieceIsToldOnceHoweverOftenItIsMade)
+{
+    Bench bench;
+    bench.order(1);
+    bench.settle(bench.orders[0], "a", PieceFault::None);
+    bench.settle(bench.orders[0], "b", PieceFault::None);
+    LONGS_EQUAL(1, bench.outcomes.size());
+    STRCMP_EQUAL("a", bench.outcomes[0].handle.c_str());
+    // The second result is nobody's and is freed.
+    const auto frees = bench.router.takeFrees();
+    LONGS_EQUAL(1, frees.size());
+    STRCMP_EQUAL("b", frees[0].second.handles[0].c_str());
+}
+
+TEST(PieceRouter, AFailedPieceIsOrderedElsewhere)
+{
+    Bench bench;
+    bench.order(1);
+    bench.settle(bench.orders[0], "", PieceFault::Failed);
+    LONGS_EQUAL(2, bench.orders.size());
+    CHECK(bench.orders[0].orders.endpoint != bench.orders[1].orders.endpoint);
+}
+
+TEST(PieceRouter, ALateAnswerOfTheFirstOrderStillServes)
+{
+    Bench bench;
+    bench.order(1);
+    bench.advance(milliseconds(2500));
+    LONGS_EQUAL(2, bench.orders.size());
+    bench.settle(bench.orders[0], "a", PieceFault::None);
+    LONGS_EQUAL(1, bench.outcomes.size());
+}
+
+TEST(PieceRouter, ABatcherThatFellSilentIsPassedOver)
+{
+    Bench bench;
+    for (const char *host : {"h2", "h3", "h4"}) {
+        bench.hear(host);
+    }
+    std::size_t others = 0;
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        bench.order(i);
+        others += bench.orders.back().host != "h1" ? 1 : 0;
+    }
+    CHECK(others > 0);
+    // Nobody is heard any more: all that was ordered at others is ordered again, here.
+    const std::size_t before = bench.orders.size();
+    bench.advance(milliseconds(700));
+    LONGS_EQUAL(before + others, bench.orders.size());
+    for (std::size_t i = before; i < bench.orders.size(); ++i) {
+        STRCMP_EQUAL("h1", bench.orders[i].host.c_str());
+    }
+}
+
+TEST(PieceRouter, TheLessBusyEndpointIsChosen)
+{
+    Bench bench;
+    PieceBacklog backlog;
+    backlog.endpoint = "maker-0";
+    backlog.busy = milliseconds(300);
+    PieceRouter::take(backlog, *bench.snapshot, bench.clock.now());
+    bench.order(1);
+    STRCMP_EQUAL("maker-1", bench.orders[0].orders.endpoint.c_str());
+}
