--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -61,12 +61,16 @@
     /// Of model engines: tokens of prompts that were sent and of which no answer came yet.
     std::atomic<std::int64_t> tokensToRead{0};        ///< Sent by this daemon.
     std::atomic<std::int64_t> tokensToReadOfPeers{0}; ///< As the peers last told.
+};
 
-    /// Of endpoints that work in pieces, as their batcher last told.
-    std::atomic<std::int64_t> busyUntil{0}; ///< Nanoseconds of the steady clock.
-    /// In no call yet, own orders since included; by class of urgency.
-    std::array<std::atomic<int>, urgencyClassCount> piecesWaiting{};
-    std::atomic<int> slownessPercent{100}; ///< Its time for a call against the declared one.
+/// How busy the endpoints of a pool that works in pieces are, as its batcher last told.
+struct PieceLoad
+{
+    std::atomic<std::int64_t> freeAt{0}; ///< When the first can take a call; steady nanoseconds.
+    std::atomic<int> endpoints{0};       ///< That take calls; 0 where nothing is known.
+    /// Pieces in no call yet, own orders since included; by class of urgency.
+    std::array<std::atomic<int>, urgencyClassCount> waiting{};
+    std::atomic<int> slownessPercent{100}; ///< The time of calls against the declared one.
 };
 
 /// What one client account has of one pool and wants of it.
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -45,7 +45,7 @@
     std::vector<UsageReport> usage;
     std::vector<std::string> leavingEndpoints; ///< As far as the sender knows.
     bool leavingKnown = false;                 ///< The sender has learnt of them itself.
-    std::vector<PieceBacklog> backlogs;        ///< Of the endpoints that it batches for.
+    std::vector<PieceBacklog> backlogs;        ///< Of the pools that it batches for.
     std::vector<PromptBacklog> prompts;        ///< Of the model engines that it sends to.
 };
 
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -1,9 +1,10 @@
 //===- harelink/Kernel/piecebatcher.h - Calls of many pieces ----*- C++ -*-===//
 ///
 /// \file
-/// Forms the calls to the endpoints whose batcher this daemon is. The next call is
-/// formed when the current one is about to end: what comes until then rides along,
-/// and the endpoint never waits. Belongs to the control thread.
+/// Forms the calls to the endpoints of the pools whose batcher this daemon is. Pieces
+/// wait in one queue a pool; a call is formed when an endpoint is free, or about to be:
+/// what comes until then rides along, and the endpoint never waits. Belongs to the
+/// control thread.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -78,13 +79,13 @@
 
     /// What came up since the last call.
     [[nodiscard]] std::vector<PieceCall> takeCalls() { return std::exchange(m_calls, {}); }
-    [[nodiscard]] std::vector<PieceOutcomesTo> takeOutcomes();
+    [[nodiscard]] std::vector<PieceOutcomesTo> takeOutcomes(const Snapshot &snapshot);
     /// Results that are to be freed now.
     [[nodiscard]] std::vector<std::string> takeFreed();
     /// Endpoints whose address another one answered at.
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange(m_replaced, {}); }
-    /// How busy each endpoint is that this daemon calls.
-    [[nodiscard]] std::vector<PieceBacklog> backlogs() const;
+    /// How busy each pool is that this daemon has calls or orders of.
+    [[nodiscard]] std::vector<PieceBacklog> backlogs(const Snapshot &snapshot) const;
     /// Calls made and the pieces in them.
     [[nodiscard]] std::uint64_t callCount() const { return m_callCount; }
     [[nodiscard]] std::uint64_t pieceCount() const { return m_pieceCount; }
@@ -106,44 +107,68 @@
         TimePoint expectedEnd;
         Duration declared{}; ///< The time that the pool's declaration gives for it.
     };
+    /// What is kept of one endpoint.
+    struct Maker
+    {
+        std::vector<Flight> flights;
+        double slowness = 1;
+        TimePoint blockedUntil;
+        std::uint64_t keptBytes = 0; ///< Of results that are not freed.
+    };
     /// A result that takes room at its endpoint.
     struct Kept
     {
+        std::string endpoint;
         std::uint64_t bytes = 0;
         TimePoint until;
     };
-    /// What is kept of one endpoint.
+    /// What is kept of one pool.
     struct Line
     {
-        std::string pool;
         std::vector<Item> waiting;
-        std::vector<Flight> flights;
-        double slowness = 1;
-        TimePoint blockedUntil;
-        std::map<std::string, Kept> kept; ///< By handle.
-        std::uint64_t keptBytes = 0;
+        std::map<std::string, Maker> makers; ///< By endpoint.
+        std::map<std::string, Kept> kept;    ///< By handle.
+        TimePoint nextLook = TimePoint::max();
+    };
+    /// A choice of waiting pieces for one call.
+    struct Choice
+    {
+        std::vector<std::size_t> places; ///< In the line's queue, rising.
+        bool lacksRoom = false;          ///< A piece was left out for want of room.
     };
 
-    void pump(const std::string &endpoint, Line &line, const Snapshot &snapshot);
-    void dropLate(const std::string &endpoint, Line &line, const PieceWorkSpec &work);
-    bool form(const EndpointEntry &endpoint, Line &line, const PieceWorkSpec &work);
-    [[nodiscard]] std::size_t fitting(Line &line, const PieceWorkSpec &work) const;
-    void keep(Line &line, const Flight &flight, const PieceCallEnded &event,
-              const Snapshot &snapshot) const;
-    static void drop(Line &line, const std::string &handle);
-    [[nodiscard]] static TimePoint nextCallAt(const Line &line, TimePoint now);
-    void giveBack(const std::string &endpoint, Line &line, PieceFault fault);
-    void settle(const std::string &endpoint, const Item &item, const std::string &handle,
-                PieceFault fault);
+    void pump(const std::string &poolName, Line &line, const Snapshot &snapshot);
+    void dropLate(Line &line, const std::string &pool, const PieceWorkSpec &work);
+    static void sortByUrgency(Line &line, TimePoint now, const PieceWorkSpec &work);
+    bool form(const EndpointEntry &endpoint, Line &line, const PoolEntry &pool);
+    [[nodiscard]] Choice choose(const EndpointEntry &endpoint, const Line &line,
+                                const PoolEntry &pool) const;
+    [[nodiscard]] bool waitsForOwn(const Item &item, const EndpointEntry &endpoint,
+                                   const Line &line, const PoolEntry &pool) const;
+    void send(const EndpointEntry &endpoint, Maker &maker, std::vector<Item> items,
+              const PieceWorkSpec &work);
+    [[nodiscard]] const EndpointEntry *nextFree(const Line &line, const PoolEntry &pool,
+                                                const std::vector<std::string> &passed) const;
+    [[nodiscard]] static TimePoint freeAt(const Line &line, const EndpointEntry &endpoint,
+                                          TimePoint now);
+    void dropExpired(Line &line) const;
+    void settle(const std::string &pool, const Item &item, const std::string &endpoint,
+                const std::string &handle, PieceFault fault);
+    void end(const std::string &pool, Line &line, const std::string &endpoint, Flight flight,
+             const PieceCallEnded &event, const Snapshot &snapshot);
     void learn(const std::string &endpoint, Line &line, const Flight &flight,
-               const PieceCallEnded &event, const Snapshot &snapshot);
-    [[nodiscard]] PieceBacklog backlogOf(const std::string &endpoint, const Line &line) const;
+               const PieceCallEnded &event, const PoolEntry &pool);
+    static void keep(Line &line, const std::string &endpoint, const Flight &flight,
+                     const PieceCallEnded &event, TimePoint until);
+    static void drop(Line &line, const std::string &handle);
+    [[nodiscard]] PieceBacklog backlogOf(const std::string &pool, const Line &line,
+                                         const Snapshot &snapshot) const;
 
     const Clock &m_clock;
-    std::map<std::string, Line> m_lines; ///< By endpoint.
+    std::map<std::string, Line> m_lines; ///< By pool.
     std::uint64_t m_nextCallId = 1;
     std::vector<PieceCall> m_calls;
-    /// By host and endpoint.
+    /// By host and pool.
     std::map<std::pair<std::string, std::string>, std::vector<PieceOutcome>> m_outcomes;
     std::vector<std::string> m_replaced;
     std::vector<std::string> m_freed;
--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -1,13 +1,15 @@
 //===- harelink/Kernel/piecerouter.h - Where pieces are made ----*- C++ -*-===//
 ///
 /// \file
-/// Orders the pieces of this daemon's requests at the batchers of their endpoints,
-/// and orders them again where nothing comes of it. Belongs to the control thread.
+/// Orders the pieces of this daemon's requests at the batchers of their pools, and
+/// orders them again where nothing comes of it. Belongs to the control thread.
 ///
 /// Options weighed for who forms the calls: each daemon alone (a daemon sees too few
-/// pieces to fill a call in time), one batcher a pool (its loss stops the pool), one
-/// batcher an endpoint, by rendezvous hashing over the live daemons of the endpoint's
-/// data centre. The last is what stands here.
+/// pieces to fill a call in time); one batcher an endpoint (daemons choose the endpoint
+/// by what they heard up to 250 ms ago, and a piece waits at a busy one while another
+/// is free: docs/DESIGN.md has the figures); one batcher a pool, by rendezvous hashing
+/// over the live daemons, which gives a piece to whichever endpoint is free first. The
+/// last is what stands here. Its loss holds a pool up for batcherSilence.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -18,7 +20,6 @@
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/retrybudget.h"
 #include "harelink/Kernel/snapshot.h"
-#include "harelink/Support/random.h"
 
 #include <cstdint>
 #include <map>
@@ -41,21 +42,18 @@
 {
 public:
     /// \param clock and \p membership outlive the router.
-    PieceRouter(const Clock &clock, const Membership &membership, std::uint64_t seed,
-                const RetryBudgetOptions &budget);
+    PieceRouter(const Clock &clock, const Membership &membership, const RetryBudgetOptions &budget);
 
     /// Orders pieces of one request at \p pool.
-    ///
-    /// \param dataCentre where the results will be needed; empty for anywhere.
     void order(const std::string &pool, const std::vector<PieceOrder> &orders,
-               const std::string &dataCentre, const Snapshot &snapshot);
+               const Snapshot &snapshot);
     /// These results are no longer needed.
-    void free(const std::vector<std::string> &handles, const Snapshot &snapshot);
+    void free(const std::vector<std::string> &handles);
     /// The pieces of \p request are no longer wanted.
     void withdraw(const RequestId &request);
     /// Takes in what became of orders.
     void take(const PieceOutcomes &outcomes, const Snapshot &snapshot);
-    /// Takes in how busy an endpoint is.
+    /// Takes in how busy a pool is.
     static void take(const PieceBacklog &backlog, const Snapshot &snapshot, TimePoint now);
     /// Orders again what has waited too long.
     void tick(const Snapshot &snapshot);
@@ -81,27 +79,23 @@
     struct Pending
     {
         std::string pool;
-        std::string dataCentre;
         PieceOrder order;
         TimePoint wanted;
         TimePoint due;
-        std::string endpoint;
         std::string batcher;
         TimePoint orderedAt;
         TimePoint checkAt;
         std::uint32_t attempts = 0;
-        std::set<std::string> avoid; ///< Endpoints that failed it.
     };
     /// A result that some request of this daemon has.
     struct Result
     {
-        std::string endpoint;
+        std::string pool;
         TimePoint madeAt;
     };
 
-    [[nodiscard]] std::string batcherOf(const EndpointSpec &endpoint) const;
+    [[nodiscard]] std::string batcherOf(const std::string &pool) const;
     void place(std::vector<Pending> group, const Snapshot &snapshot);
-    void send(const std::vector<PieceId> &ids, const EndpointEntry &endpoint);
     void reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
     void finish(const PieceId &id, PieceFault fault);
     RetryBudget &budgetOf(const std::string &pool);
@@ -109,7 +103,6 @@
 
     const Clock &m_clock;
     const Membership &m_membership;
-    Random m_random;
     RetryBudgetOptions m_budgetOptions;
     std::map<std::string, RetryBudget> m_budgets; ///< By pool.
     std::map<PieceId, Pending> m_pending;
--- a/include/harelink/Kernel/pieces.h
+++ b/include/harelink/Kernel/pieces.h
@@ -3,8 +3,8 @@
 /// \file
 /// The pieces of work that some requests need before they can be sent, and what
 /// daemons tell each other of them. An endpoint works on many pieces in one call,
-/// so the pieces for one endpoint meet at one daemon, its batcher, which forms the
-/// calls; the daemon that holds the request orders pieces there.
+/// so the pieces for a pool meet at one daemon, its batcher, which forms the calls;
+/// the daemon that holds the request orders pieces there.
 ///
 /// A piece may be made again, so every message may be lost, late or doubled.
 ///
@@ -43,6 +43,8 @@
     Duration wantedIn{};             ///< Until the request's objective, as of the sending.
     Duration dueIn{};                ///< Until it is of no use any more, as of the sending.
     std::uint64_t resultBytes = 0;   ///< About how large its result is.
+    std::string dataCentre;          ///< Where the result will be needed; empty for anywhere.
+    std::string avoid;               ///< An endpoint that failed it.
 };
 
 /// Why a piece was not made.
@@ -78,20 +80,21 @@
     return static_cast<std::size_t>(priority < 0 ? 0 : (priority > last ? last : priority));
 }
 
-/// How long an endpoint will be busy, as its batcher sees it.
+/// How busy the endpoints of a pool are, as its batcher sees it.
 struct PieceBacklog
 {
-    std::string endpoint;
-    Duration busy{}; ///< Until the calls in flight end.
+    std::string pool;
+    Duration freeIn{};           ///< Until the first endpoint can take a call.
+    std::uint32_t endpoints = 0; ///< That take calls.
     /// Pieces that are in no call yet, by class.
     std::array<std::uint32_t, urgencyClassCount> waiting{};
-    double slowness = 1; ///< Its time for a call against the declared one.
+    double slowness = 1; ///< The time of calls against the declared one.
 };
 
-/// Message: make these at \p endpoint. From the daemon of the requests to the batcher.
+/// Message: make these at \p pool. From the daemon of the requests to the batcher.
 struct PieceOrders
 {
-    std::string endpoint;
+    std::string pool;
     std::vector<PieceOrder> orders;
 };
 
@@ -99,14 +102,14 @@
 struct PieceOutcomes
 {
     std::vector<PieceOutcome> outcomes;
-    PieceBacklog backlog; ///< Of their endpoint.
+    PieceBacklog backlog; ///< Of their pool.
 };
 
-/// Message: these results of \p endpoint are no longer needed. To its batcher, which
-/// has them freed and so knows how much room the endpoint has.
+/// Message: these results of \p pool are no longer needed. To its batcher, which has
+/// them freed and so knows how much room its endpoints have.
 struct PieceFrees
 {
-    std::string endpoint;
+    std::string pool;
     std::vector<std::string> handles;
 };
 
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -275,6 +275,9 @@
     action.callerId = request.carried ? request.carried->callerId : std::string();
     action.endpoint = request.endpoint;
     action.sends = request.attempt;
+    action.predicted = request.predicted;
+    action.takenLate = request.isLate;
+    action.prepared = request.prepared;
     countDemand(request, static_cast<std::uint32_t>(request.pipeline.stages.size()));
     ++m_counters.reasons[static_cast<std::size_t>(action.reason)];
     if (!request.carried && !action.replayed && action.reason != Reason::MayHaveRun
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -136,15 +136,9 @@
         if (count == 0 || pool == nullptr) {
             continue;
         }
-        const PieceWish wish{count, request.priority, stages[i].resultBytes, {}, {}};
-        const PieceForecast forecast = choosePieceEndpoint(*pool, wish, m_clock.now(), nullptr);
-        if (forecast.endpoint == nullptr) {
-            return Duration::max() / 4;
-        }
-        // While the request is at earlier stages, the queue of this one moves on.
-        const PieceWorkSpec work = pool->spec.pieces.value_or(PieceWorkSpec{});
-        const Duration making = work.callTime + work.pieceTime * count;
-        doneAt[i] = std::max(begin + making, forecast.time);
+        // The queue of a later stage is taken to be then as long as it is now: what leaves
+        // it until then is replaced, as long as the load stays the same.
+        doneAt[i] = begin + predictPieces(*pool, count, request.priority, m_clock.now());
         last = std::max(last, doneAt[i]);
     }
     return last;
@@ -279,9 +273,9 @@
         order.priority = request.priority;
         order.wantedIn = request.wanted - now;
         order.dueIn = request.deadline - now;
+        order.dataCentre = dataCentre;
         order.resultBytes = request.pipeline.route->pieceStages[place.stage].resultBytes;
         OrderPieces &action = byStage[place.stage];
-        action.dataCentre = dataCentre;
         action.pool = request.pieces->poolOf(place.stage);
         action.orders.push_back(std::move(order));
     }
@@ -347,6 +341,7 @@
              snapshot);
         return;
     }
+    request->prepared = m_clock.now() - request->arrivedAt;
     enqueue(*request, snapshot);
     dispatch(request->stageSpec().pool, snapshot);
 }
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -142,7 +142,6 @@
 struct OrderPieces
 {
     std::string pool;
-    std::string dataCentre; ///< Where the results will be needed; empty for anywhere.
     std::vector<PieceOrder> orders;
 };
 
@@ -209,6 +208,9 @@
     std::string callerId; ///< Of a carried request.
     std::string endpoint; ///< Where it was sent last.
     std::uint32_t sends = 0;
+    Duration predicted{};   ///< At its admission, to the answer or its first event.
+    bool takenLate = false; ///< Was taken in although it would miss its objective.
+    Duration prepared{};    ///< From the arrival until all pieces were made; zero without.
 };
 
 /// What a machine wants done.
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -124,6 +124,7 @@
     std::unique_ptr<PieceGraph> pieces;
     std::uint32_t remakes = 0;
     bool isLate = false;                    ///< Was taken in although it will miss its objective.
+    Duration prepared{};                    ///< From the arrival until all pieces were made.
     Duration predicted{};                   ///< From the arrival to the answer or its first event.
     std::int64_t bookedTokens = 0;          ///< That its endpoint has to read for it.
     std::size_t bookedAhead = 0;            ///< That were to be read there before it.
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -45,6 +45,9 @@
     std::vector<EndpointEntry> endpoints;
     std::size_t localCount = 0; ///< How many at the front are of the own data centre.
     int totalSlots = 0;
+    /// Shared with the snapshots before and after this one; null where the pool does not
+    /// work in pieces.
+    std::shared_ptr<PieceLoad> pieceLoad;
     /// Points on a ring, each an endpoint's index; empty where prompts are not kept.
     std::vector<std::pair<std::uint64_t, std::size_t>> promptRing;
 
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -52,8 +52,9 @@
 
 void write(const PieceBacklog &from, wire::PieceBacklog &to)
 {
-    to.set_endpoint(from.endpoint);
-    to.set_busy_micros(toMicros(from.busy));
+    to.set_pool(from.pool);
+    to.set_free_in_micros(toMicros(from.freeIn));
+    to.set_endpoints(from.endpoints);
     for (const std::uint32_t waiting : from.waiting) {
         to.add_waiting(waiting);
     }
@@ -63,11 +64,12 @@
 PieceBacklog read(const wire::PieceBacklog &from)
 {
     PieceBacklog to;
-    to.endpoint = from.endpoint();
-    to.busy = microseconds(from.busy_micros());
+    to.pool = from.pool();
+    to.freeIn = microseconds(from.free_in_micros());
+    to.endpoints = from.endpoints();
     to.slowness = from.slowness();
-    const auto count = std::min<std::size_t>(to.waiting.size(), from.waiting_size());
-    std::copy_n(from.waiting().begin(), count, to.waiting.begin());
+    const auto told = static_cast<std::size_t>(from.waiting_size());
+    std::copy_n(from.waiting().begin(), std::min(to.waiting.size(), told), to.waiting.begin());
     return to;
 }
 
@@ -109,7 +111,7 @@
     void operator()(const PieceOrders &from) const
     {
         wire::PieceOrders &to = *m_message.mutable_piece_orders();
-        to.set_endpoint(from.endpoint);
+        to.set_pool(from.pool);
         for (const PieceOrder &order : from.orders) {
             wire::PieceOrder &item = *to.add_orders();
             write(order.id, *item.mutable_id());
@@ -122,6 +124,8 @@
             item.set_wanted_in_micros(toMicros(order.wantedIn));
             item.set_due_in_micros(toMicros(order.dueIn));
             item.set_result_bytes(order.resultBytes);
+            item.set_data_centre(order.dataCentre);
+            item.set_avoid(order.avoid);
         }
     }
     void operator()(const PieceOutcomes &from) const
@@ -129,8 +133,8 @@
         wire::PieceOutcomes &to = *m_message.mutable_piece_outcomes();
         write(from.backlog, *to.mutable_backlog());
         for (const PieceOutcome &outcome : from.outcomes) {
-            to.set_endpoint(outcome.endpoint);
             wire::PieceOutcome &item = *to.add_outcomes();
+            item.set_endpoint(outcome.endpoint);
             write(outcome.id, *item.mutable_id());
             item.set_handle(outcome.handle);
             item.set_fault(static_cast<std::uint32_t>(outcome.fault));
@@ -139,7 +143,7 @@
     void operator()(const PieceFrees &from) const
     {
         wire::PieceFrees &to = *m_message.mutable_piece_frees();
-        to.set_endpoint(from.endpoint);
+        to.set_pool(from.pool);
         for (const std::string &handle : from.handles) {
             to.add_handles(handle);
         }
@@ -234,7 +238,7 @@
 PieceOrders read(const wire::PieceOrders &from)
 {
     PieceOrders to;
-    to.endpoint = from.endpoint();
+    to.pool = from.pool();
     for (const wire::PieceOrder &item : from.orders()) {
         PieceOrder order;
         order.id = read(item.id());
@@ -245,6 +249,8 @@
         order.wantedIn = microseconds(item.wanted_in_micros());
         order.dueIn = microseconds(item.due_in_micros());
         order.resultBytes = item.result_bytes();
+        order.dataCentre = item.data_centre();
+        order.avoid = item.avoid();
         to.orders.push_back(std::move(order));
     }
     return to;
@@ -259,7 +265,7 @@
         if (item.fault() >= pieceFaultCount) {
             return std::nullopt;
         }
-        to.outcomes.push_back({read(item.id()), from.endpoint(), item.handle(),
+        to.outcomes.push_back({read(item.id()), item.endpoint(), item.handle(),
                                static_cast<PieceFault>(item.fault())});
     }
     return to;
@@ -351,7 +357,7 @@
     }
     case wire::PeerMessage::kPieceFrees: {
         const wire::PieceFrees &frees = from.piece_frees();
-        to.content = PieceFrees{frees.endpoint(), {frees.handles().begin(), frees.handles().end()}};
+        to.content = PieceFrees{frees.pool(), {frees.handles().begin(), frees.handles().end()}};
         return true;
     }
     case wire::PeerMessage::kPieceWithdrawal:
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -65,7 +65,7 @@
     , m_daemons(daemons)
     , m_workers(std::move(workers))
     , m_machine(clock, optionsOf(settings, dialect, incarnation))
-    , m_pieceRouter(clock, m_machine.membership(), incarnation,
+    , m_pieceRouter(clock, m_machine.membership(),
                     {settings.retryRatio, settings.retryAllowance, settings.retryWindow})
     , m_pieceBatcher(clock)
 {
@@ -122,7 +122,7 @@
 void Control::order(const OrderPieces &order)
 {
     m_loop.post([this, order] {
-        m_pieceRouter.order(order.pool, order.orders, order.dataCentre, m_snapshot.current());
+        m_pieceRouter.order(order.pool, order.orders, m_snapshot.current());
         carryOut();
     });
 }
@@ -138,7 +138,7 @@
 void Control::free(const FreeResults &results)
 {
     m_loop.post([this, results] {
-        m_pieceRouter.free(results.handles, m_snapshot.current());
+        m_pieceRouter.free(results.handles);
         carryOut();
     });
 }
@@ -174,7 +174,7 @@
     }
     if (m_machine.heartbeatsDue()) {
         m_machine.noteUsage(takeOwnUsage());
-        m_machine.noteBacklogs(m_pieceBatcher.backlogs());
+        m_machine.noteBacklogs(m_pieceBatcher.backlogs(m_snapshot.current()));
         m_machine.notePrompts(ownPrompts());
         logPeers();
         m_daemons.store(static_cast<int>(m_machine.membership().livePeers().size()) + 1,
@@ -239,7 +239,7 @@
                 .field("request", send.orders.orders.front().callerId)
                 .field("stage", send.orders.orders.front().id.stage)
                 .field("pieces", send.orders.orders.size())
-                .field("endpoint", send.orders.endpoint)
+                .field("pool", send.orders.pool)
                 .field("batcher", send.host)
                 .field("dueMs",
                        fmt::format("{:.0f}", toMilliseconds(send.orders.orders.front().dueIn)));
@@ -263,7 +263,7 @@
                 sendTo(host, std::move(frees));
             }
         }
-        for (PieceOutcomesTo &send : m_pieceBatcher.takeOutcomes()) {
+        for (PieceOutcomesTo &send : m_pieceBatcher.takeOutcomes(snapshot)) {
             more = true;
             if (send.host.empty()) {
                 m_pieceRouter.take(send.outcomes, snapshot);
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -334,6 +334,9 @@
         .field("sends", action.sends)
         .field("elapsedMs", fmt::format("{:.1f}", toMilliseconds(action.elapsed)))
         .field("allowedMs", fmt::format("{:.0f}", toMilliseconds(action.allowed)))
+        .field("predictedMs", fmt::format("{:.0f}", toMilliseconds(action.predicted)))
+        .field("takenLate", action.takenLate ? "yes" : "")
+        .field("preparedMs", fmt::format("{:.1f}", toMilliseconds(action.prepared)))
         .field("firstEventMs", fmt::format("{:.1f}", toMilliseconds(action.firstPiece)))
         .field("events", action.tokens)
         .field("retryAfterMs",
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -15,15 +15,15 @@
 
 /// The next call is sent this long before the current one is expected to end: a hop
 /// and the endpoint's own queue, so that the endpoint never idles.
-constexpr milliseconds lead{25};
+constexpr milliseconds lead{15};
 /// Calls in flight at one endpoint: the current one and the next.
 constexpr std::size_t mostFlights = 2;
 /// After a refusal the endpoint is left alone for this long.
 constexpr milliseconds refusalPause{40};
-/// Refusals after which a piece goes back to its daemon, to be made elsewhere.
-constexpr std::uint32_t mostRefusals = 2;
+/// Refusals after which a piece goes back to its daemon.
+constexpr std::uint32_t mostRefusals = 3;
 /// A call is given up after so many times what it should take, and this much.
-constexpr double timeoutFactor = 4;
+constexpr double timeoutFactor = 2;
 constexpr milliseconds timeoutSlack{600};
 /// The learnt slowness moves by this part of a difference.
 constexpr double smoothing = 0.4;
@@ -31,12 +31,27 @@
 constexpr double mostSlowness = 20;
 /// A call that failed counts as one that took so many times its time.
 constexpr double failureSlowness = 4;
-
-/// Where the room of an endpoint is full, it is looked at again after this long; results
-/// that are freed bring it forward.
-constexpr milliseconds roomPause{20};
+/// Where pieces wait that no free endpoint may take, they are looked at again after this.
+constexpr milliseconds lookInterval{15};
 /// Results are freed together: a call for some is no dearer than one for one.
 constexpr milliseconds freeInterval{30};
+/// What a megabyte of results that crosses data centres counts as, in time: users pay for
+/// it, and a share of a request's worth weighs about as much as its share of its time.
+constexpr std::chrono::microseconds crossingPerMegabyte{20'000};
+constexpr double bytesPerMegabyte = 1e6;
+/// From so many batches waiting on, the pieces of one request are spread over several
+/// calls rather than leave places empty: more is served then, each somewhat later.
+constexpr std::size_t splittingBatches = 2;
+
+Duration scaled(Duration time, double factor)
+{
+    return std::chrono::duration_cast<Duration>(time * factor);
+}
+
+Duration crossingCost(std::uint64_t bytes)
+{
+    return scaled(crossingPerMegabyte, static_cast<double>(bytes) / bytesPerMegabyte);
+}
 
 } // namespace
 
@@ -49,7 +64,7 @@
                         const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
-    Line &line = m_lines[orders.endpoint];
+    Line &line = m_lines[orders.pool];
     for (const PieceOrder &order : orders.orders) {
         Item item;
         item.host = host;
@@ -58,7 +73,7 @@
         item.due = now + order.dueIn;
         line.waiting.push_back(std::move(item));
     }
-    pump(orders.endpoint, line, snapshot);
+    pump(orders.pool, line, snapshot);
 }
 
 void PieceBatcher::withdraw(const std::string &host, const PieceWithdrawal &withdrawal)
@@ -69,239 +84,301 @@
                             item.order.id.request)
                       != withdrawal.requests.end();
     };
-    for (auto &[endpoint, line] : m_lines) {
+    for (auto &[pool, line] : m_lines) {
         std::erase_if(line.waiting, isWithdrawn);
     }
 }
 
-/// When the next call may be formed; \p now where nothing holds it back, so that two
-/// readings of the clock can never keep it waiting.
-TimePoint PieceBatcher::nextCallAt(const Line &line, TimePoint now)
-{
-    if (line.waiting.empty() || line.flights.size() >= mostFlights) {
-        return TimePoint::max();
-    }
-    const TimePoint free = line.flights.empty() ? now : line.flights.back().expectedEnd - lead;
-    return std::max({free, line.blockedUntil, now});
-}
+// Forming calls ---------------------------------------------------------------
 
-void PieceBatcher::pump(const std::string &endpoint, Line &line, const Snapshot &snapshot)
+/// When the endpoint can take its next call; \p now where nothing holds it back, so that
+/// two readings of the clock can never keep it waiting.
+TimePoint PieceBatcher::freeAt(const Line &line, const EndpointEntry &endpoint, TimePoint now)
 {
-    const PoolEntry *pool = snapshot.poolOfEndpoint(endpoint);
-    const EndpointEntry *entry = pool == nullptr ? nullptr : pool->find(endpoint);
-    const bool mayBeCalled = entry != nullptr && isUsable(*entry, m_clock.now());
-    if (!mayBeCalled) {
-        giveBack(endpoint, line, PieceFault::Refused);
-        return;
+    const auto found = line.makers.find(endpoint.spec.name);
+    if (found == line.makers.end()) {
+        return now;
     }
-    const PieceWorkSpec work = pool->spec.pieces.value_or(PieceWorkSpec{});
-    line.pool = pool->spec.name;
-    dropLate(endpoint, line, work);
-    const TimePoint now = m_clock.now();
-    while (nextCallAt(line, now) <= now && form(*entry, line, work)) {
+    const Maker &maker = found->second;
+    if (maker.flights.size() >= mostFlights) {
+        return std::max(now, maker.flights.back().expectedEnd);
     }
+    const TimePoint free =
+        maker.flights.empty() ? now : TimePoint(maker.flights.back().expectedEnd - lead);
+    return std::max({now, free, maker.blockedUntil});
 }
 
-/// How many of the waiting pieces, from the front, go into the next call: a batch of them,
-/// and none whose result would find no room.
-std::size_t PieceBatcher::fitting(Line &line, const PieceWorkSpec &work) const
+void PieceBatcher::pump(const std::string &poolName, Line &line, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
-    std::erase_if(line.kept, [&line, now](const auto &entry) {
-        const bool ended = entry.second.until <= now;
-        line.keptBytes -= ended ? entry.second.bytes : 0;
-        return ended;
-    });
-    std::uint64_t taken = line.keptBytes;
-    for (const Flight &flight : line.flights) {
-        for (const Item &item : flight.items) {
-            taken += item.order.resultBytes;
+    line.nextLook = TimePoint::max();
+    dropExpired(line);
+    if (line.waiting.empty()) {
+        return;
+    }
+    const PoolEntry *pool = snapshot.pool(poolName);
+    const auto takesCalls = [now](const EndpointEntry &entry) { return isUsable(entry, now); };
+    if (pool == nullptr
+        || std::none_of(pool->endpoints.begin(), pool->endpoints.end(), takesCalls)) {
+        for (const Item &item : std::exchange(line.waiting, {})) {
+            settle(poolName, item, {}, {}, PieceFault::Refused);
         }
+        return;
     }
-    const std::size_t most = std::min<std::size_t>(line.waiting.size(), work.batch);
-    std::size_t count = 0;
-    while (count < most) {
-        taken += line.waiting[count].order.resultBytes;
-        if (work.roomBytes > 0 && taken > work.roomBytes) {
+    const PieceWorkSpec work = pool->spec.pieces.value_or(PieceWorkSpec{});
+    dropLate(line, poolName, work);
+    sortByUrgency(line, now, work);
+    std::vector<std::string> passed; // Free, but with nothing to do.
+    while (!line.waiting.empty()) {
+        const EndpointEntry *endpoint = nextFree(line, *pool, passed);
+        if (endpoint == nullptr) {
             break;
         }
-        ++count;
+        if (!form(*endpoint, line, *pool)) {
+            passed.push_back(endpoint->spec.name);
+        }
+    }
+    if (line.waiting.empty()) {
+        return;
+    }
+    line.nextLook = passed.empty() ? TimePoint::max() : TimePoint(now + lookInterval);
+    for (const EndpointEntry &endpoint : pool->endpoints) {
+        const TimePoint free = freeAt(line, endpoint, now);
+        if (takesCalls(endpoint) && free > now) {
+            line.nextLook = std::min(line.nextLook, free);
+        }
     }
-    return count;
 }
 
 /// A piece that would be too late takes no place from one that is not.
-void PieceBatcher::dropLate(const std::string &endpoint, Line &line, const PieceWorkSpec &work)
+void PieceBatcher::dropLate(Line &line, const std::string &pool, const PieceWorkSpec &work)
 {
     const TimePoint earliest = m_clock.now() + work.callTime;
     const auto isLate = [earliest](const Item &item) { return item.due < earliest; };
     for (const Item &item : line.waiting) {
         if (isLate(item)) {
-            settle(endpoint, item, {}, PieceFault::Late);
+            settle(pool, item, {}, {}, PieceFault::Late);
         }
     }
     std::erase_if(line.waiting, isLate);
 }
 
-/// Forms a call; false where there is no room for the result of even one piece.
-bool PieceBatcher::form(const EndpointEntry &endpoint, Line &line, const PieceWorkSpec &work)
+/// What would miss its objective anyway lets those go first that can still make it.
+void PieceBatcher::sortByUrgency(Line &line, TimePoint now, const PieceWorkSpec &work)
 {
-    const TimePoint now = m_clock.now();
-    // What would miss its objective anyway lets those go first that can still make it.
     const TimePoint earliest = now + work.callTime;
     const auto rank = [earliest](const Item &item) {
-        return std::tuple(item.wanted < earliest, item.order.priority, item.wanted);
+        return std::tuple(item.wanted < earliest, item.order.priority, item.wanted,
+                          item.order.id.request, item.order.id.stage);
     };
     std::stable_sort(line.waiting.begin(), line.waiting.end(),
                      [&rank](const Item &a, const Item &b) { return rank(a) < rank(b); });
-    const std::size_t count = fitting(line, work);
-    if (count == 0) {
-        line.blockedUntil = now + roomPause;
-        return false;
-    }
-    Flight flight;
-    flight.id = m_nextCallId++;
-    flight.sentAt = now;
-    flight.declared = work.callTime + work.pieceTime * static_cast<int>(count);
-    const auto expected = std::chrono::duration_cast<Duration>(flight.declared * line.slowness);
-    const TimePoint begin = line.flights.empty() ? now : line.flights.back().expectedEnd;
-    flight.expectedEnd = std::max(begin, now) + expected;
-
-    PieceCall call;
-    call.id = flight.id;
-    call.endpoint = endpoint.spec.name;
-    call.address = endpoint.spec.address;
-    const auto patience = std::chrono::duration_cast<Duration>(
-        (flight.expectedEnd - now + flight.declared) * timeoutFactor / 2);
-    call.timeout = patience + timeoutSlack;
-    for (std::size_t i = 0; i < count; ++i) {
-        Item &item = line.waiting[i];
-        item.order.wantedIn = item.wanted - now;
-        item.order.dueIn = item.due - now;
-        call.orders.push_back(item.order);
-        flight.items.push_back(std::move(item));
-    }
-    line.waiting.erase(line.waiting.begin(),
-                       line.waiting.begin() + static_cast<std::ptrdiff_t>(count));
-    line.flights.push_back(std::move(flight));
-    noteSend(endpoint, now);
-    ++m_callCount;
-    m_pieceCount += count;
-    m_calls.push_back(std::move(call));
-    return true;
 }
 
-/// Books the results of a call as kept at their endpoint.
-void PieceBatcher::keep(Line &line, const Flight &flight, const PieceCallEnded &event,
-                        const Snapshot &snapshot) const
+/// The endpoint that is free now and would end a call soonest; null where none is, or
+/// where to wait for one that is busy now would be quicker.
+const EndpointEntry *PieceBatcher::nextFree(const Line &line, const PoolEntry &pool,
+                                            const std::vector<std::string> &passed) const
 {
-    const PoolEntry *pool = snapshot.pool(line.pool);
-    if (pool == nullptr || !pool->spec.pieces) {
-        return;
-    }
-    const TimePoint until = m_clock.now() + pool->spec.pieces->resultLife;
-    for (std::size_t i = 0; i < flight.items.size() && i < event.results.size(); ++i) {
-        if (event.results[i].fault == PieceFault::None) {
-            const std::uint64_t bytes = flight.items[i].order.resultBytes;
-            line.kept[event.results[i].handle] = {bytes, until};
-            line.keptBytes += bytes;
+    const TimePoint now = m_clock.now();
+    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
+    const EndpointEntry *best = nullptr;
+    TimePoint bestEnd = TimePoint::max();
+    bool bestIsFree = false;
+    for (const EndpointEntry &endpoint : pool.endpoints) {
+        const bool isPassed =
+            std::find(passed.begin(), passed.end(), endpoint.spec.name) != passed.end();
+        if (isPassed || !isUsable(endpoint, now)) {
+            continue;
+        }
+        const auto maker = line.makers.find(endpoint.spec.name);
+        const double slowness = maker == line.makers.end() ? 1 : maker->second.slowness;
+        const TimePoint free = freeAt(line, endpoint, now);
+        const TimePoint end = free + scaled(work.callTime, slowness);
+        if (best == nullptr || end < bestEnd) {
+            best = &endpoint;
+            bestEnd = end;
+            bestIsFree = free <= now;
         }
     }
+    return bestIsFree ? best : nullptr;
 }
 
-void PieceBatcher::drop(Line &line, const std::string &handle)
+/// Whether \p item should wait for an endpoint of the data centre where its result is
+/// needed, for one is free sooner than the crossing is worth.
+bool PieceBatcher::waitsForOwn(const Item &item, const EndpointEntry &endpoint, const Line &line,
+                               const PoolEntry &pool) const
 {
-    const auto kept = line.kept.find(handle);
-    if (kept != line.kept.end()) {
-        line.keptBytes -= kept->second.bytes;
-        line.kept.erase(kept);
+    const std::string &wanted = item.order.dataCentre;
+    if (wanted.empty() || wanted == endpoint.spec.dataCentre) {
+        return false;
     }
+    const TimePoint now = m_clock.now();
+    const TimePoint limit = now + crossingCost(item.order.resultBytes);
+    return std::any_of(
+        pool.endpoints.begin(), pool.endpoints.end(), [&](const EndpointEntry &other) {
+            return other.spec.dataCentre == wanted && isUsable(other, now)
+                   && other.spec.name != item.order.avoid && freeAt(line, other, now) < limit;
+        });
 }
 
-void PieceBatcher::take(const PieceFrees &frees, const Snapshot &snapshot)
+/// Chooses from the queue, the most urgent first. The pieces of one request go into one
+/// call where they fit, so that none of them waits for another call.
+PieceBatcher::Choice PieceBatcher::choose(const EndpointEntry &endpoint, const Line &line,
+                                          const PoolEntry &pool) const
 {
-    m_freed.insert(m_freed.end(), frees.handles.begin(), frees.handles.end());
-    if (m_freeAt == TimePoint::max()) {
-        m_freeAt = m_clock.now() + freeInterval;
-    }
-    const auto found = m_lines.find(frees.endpoint);
-    if (found == m_lines.end()) {
-        return;
+    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
+    const auto maker = line.makers.find(endpoint.spec.name);
+    std::uint64_t taken = maker == line.makers.end() ? 0 : maker->second.keptBytes;
+    if (maker != line.makers.end()) {
+        for (const Flight &flight : maker->second.flights) {
+            for (const Item &item : flight.items) {
+                taken += item.order.resultBytes;
+            }
+        }
     }
-    for (const std::string &handle : frees.handles) {
-        drop(found->second, handle);
+    const bool splits = line.waiting.size() >= work.batch * splittingBatches;
+    const bool isOnlyOne = pool.endpoints.size() == 1;
+    Choice choice;
+    std::size_t begin = 0;
+    while (begin < line.waiting.size() && choice.places.size() < work.batch) {
+        const Item &first = line.waiting[begin];
+        std::size_t end = begin + 1;
+        while (end < line.waiting.size()
+               && line.waiting[end].order.id.request == first.order.id.request
+               && line.waiting[end].order.id.stage == first.order.id.stage) {
+            ++end;
+        }
+        const std::size_t group = end - begin;
+        const std::size_t places = work.batch - choice.places.size();
+        const bool fits = group <= places || splits || (choice.places.empty() && group > places);
+        const bool isAvoided = first.order.avoid == endpoint.spec.name && !isOnlyOne;
+        if (fits && !isAvoided && !waitsForOwn(first, endpoint, line, pool)) {
+            for (std::size_t i = begin; i < std::min(end, begin + places); ++i) {
+                const std::uint64_t bytes = line.waiting[i].order.resultBytes;
+                if (work.roomBytes > 0 && taken + bytes > work.roomBytes) {
+                    choice.lacksRoom = true;
+                    break;
+                }
+                taken += bytes;
+                choice.places.push_back(i);
+            }
+        }
+        begin = end;
     }
-    pump(frees.endpoint, found->second, snapshot);
+    return choice;
 }
 
-std::vector<std::string> PieceBatcher::takeFreed()
+/// Forms a call; false where there is nothing that this endpoint may take.
+bool PieceBatcher::form(const EndpointEntry &endpoint, Line &line, const PoolEntry &pool)
 {
-    if (m_clock.now() < m_freeAt) {
-        return {};
+    const Choice choice = choose(endpoint, line, pool);
+    if (choice.places.empty()) {
+        return false;
     }
-    m_freeAt = TimePoint::max();
-    return std::exchange(m_freed, {});
+    std::vector<Item> items;
+    for (const std::size_t place : choice.places) {
+        items.push_back(std::move(line.waiting[place]));
+    }
+    for (auto place = choice.places.rbegin(); place != choice.places.rend(); ++place) {
+        line.waiting.erase(line.waiting.begin() + static_cast<std::ptrdiff_t>(*place));
+    }
+    send(endpoint, line.makers[endpoint.spec.name], std::move(items),
+         pool.spec.pieces.value_or(PieceWorkSpec{}));
+    return true;
 }
 
-void PieceBatcher::giveBack(const std::string &endpoint, Line &line, PieceFault fault)
+void PieceBatcher::send(const EndpointEntry &endpoint, Maker &maker, std::vector<Item> items,
+                        const PieceWorkSpec &work)
 {
-    for (const Item &item : line.waiting) {
-        settle(endpoint, item, {}, fault);
+    const TimePoint now = m_clock.now();
+    Flight flight;
+    flight.id = m_nextCallId++;
+    flight.sentAt = now;
+    flight.declared = work.callTime + work.pieceTime * static_cast<int>(items.size());
+    const TimePoint begin = maker.flights.empty() ? now : maker.flights.back().expectedEnd;
+    flight.expectedEnd = std::max(begin, now) + scaled(flight.declared, maker.slowness);
+
+    PieceCall call;
+    call.id = flight.id;
+    call.endpoint = endpoint.spec.name;
+    call.address = endpoint.spec.address;
+    call.timeout = scaled(flight.expectedEnd - now + flight.declared, timeoutFactor) + timeoutSlack;
+    for (Item &item : items) {
+        item.order.wantedIn = item.wanted - now;
+        item.order.dueIn = item.due - now;
+        call.orders.push_back(item.order);
     }
-    line.waiting.clear();
+    m_pieceCount += items.size();
+    ++m_callCount;
+    flight.items = std::move(items);
+    maker.flights.push_back(std::move(flight));
+    noteSend(endpoint, now);
+    m_calls.push_back(std::move(call));
 }
 
-void PieceBatcher::settle(const std::string &endpoint, const Item &item, const std::string &handle,
-                          PieceFault fault)
+// Ends of calls ---------------------------------------------------------------
+
+void PieceBatcher::settle(const std::string &pool, const Item &item, const std::string &endpoint,
+                          const std::string &handle, PieceFault fault)
 {
-    m_outcomes[{item.host, endpoint}].push_back({item.order.id, endpoint, handle, fault});
+    m_outcomes[{item.host, pool}].push_back({item.order.id, endpoint, handle, fault});
 }
 
 void PieceBatcher::handle(const PieceCallEnded &event, const Snapshot &snapshot)
 {
-    for (auto &[endpoint, line] : m_lines) {
-        const auto flight =
-            std::find_if(line.flights.begin(), line.flights.end(),
-                         [&event](const Flight &candidate) { return candidate.id == event.id; });
-        if (flight == line.flights.end()) {
-            continue;
-        }
-        Flight ended = std::move(*flight);
-        line.flights.erase(flight);
-        learn(endpoint, line, ended, event, snapshot);
-        keep(line, ended, event, snapshot);
-        for (std::size_t i = 0; i < ended.items.size(); ++i) {
-            Item &item = ended.items[i];
-            if (event.answered) {
-                settle(endpoint, item, event.results[i].handle, event.results[i].fault);
-                continue;
-            }
-            const bool refused =
-                event.evidence == SendEvidence::RefusedBeforeRun && !event.isOtherEndpoint;
-            if (refused && ++item.refusals < mostRefusals) {
-                line.waiting.push_back(std::move(item));
+    for (auto &[pool, line] : m_lines) {
+        for (auto &[endpoint, maker] : line.makers) {
+            const auto flight = std::find_if(
+                maker.flights.begin(), maker.flights.end(),
+                [&event](const Flight &candidate) { return candidate.id == event.id; });
+            if (flight == maker.flights.end()) {
                 continue;
             }
-            settle(endpoint, item, {}, refused ? PieceFault::Refused : PieceFault::Failed);
+            Flight ended = std::move(*flight);
+            maker.flights.erase(flight);
+            end(pool, line, endpoint, std::move(ended), event, snapshot);
+            pump(pool, line, snapshot);
+            return;
         }
-        if (event.isOtherEndpoint) {
-            m_replaced.push_back(endpoint);
+    }
+}
+
+void PieceBatcher::end(const std::string &pool, Line &line, const std::string &endpoint,
+                       Flight flight, const PieceCallEnded &event, const Snapshot &snapshot)
+{
+    if (const PoolEntry *entry = snapshot.pool(pool)) {
+        learn(endpoint, line, flight, event, *entry);
+        if (entry->spec.pieces) {
+            keep(line, endpoint, flight, event, m_clock.now() + entry->spec.pieces->resultLife);
         }
-        pump(endpoint, line, snapshot);
-        return;
+    }
+    const bool refused = event.evidence == SendEvidence::RefusedBeforeRun && !event.isOtherEndpoint;
+    for (std::size_t i = 0; i < flight.items.size(); ++i) {
+        Item &item = flight.items[i];
+        if (event.answered) {
+            settle(pool, item, endpoint, event.results[i].handle, event.results[i].fault);
+            continue;
+        }
+        if (refused && ++item.refusals < mostRefusals) {
+            line.waiting.push_back(std::move(item));
+            continue;
+        }
+        settle(pool, item, endpoint, {}, refused ? PieceFault::Refused : PieceFault::Failed);
+    }
+    if (event.isOtherEndpoint) {
+        m_replaced.push_back(endpoint);
     }
 }
 
 /// Learns how slow the endpoint is, and of its health.
 void PieceBatcher::learn(const std::string &endpoint, Line &line, const Flight &flight,
-                         const PieceCallEnded &event, const Snapshot &snapshot)
+                         const PieceCallEnded &event, const PoolEntry &pool)
 {
     const TimePoint now = m_clock.now();
-    const PoolEntry *pool = snapshot.pool(line.pool);
-    const EndpointEntry *entry = pool == nullptr ? nullptr : pool->find(endpoint);
+    Maker &maker = line.makers.at(endpoint);
     // A call that waited behind another began when that one ended.
-    const TimePoint begin =
-        flight.expectedEnd - std::chrono::duration_cast<Duration>(flight.declared * line.slowness);
+    const TimePoint begin = flight.expectedEnd - scaled(flight.declared, maker.slowness);
     const Duration taken = now - std::max(flight.sentAt, std::min(begin, now));
     double sample =
         flight.declared > Duration::zero()
@@ -312,15 +389,15 @@
         sample = std::max(sample, failureSlowness);
     }
     if (event.answered || failed) {
-        line.slowness += (sample - line.slowness) * smoothing;
-        line.slowness = std::clamp(line.slowness, leastSlowness, mostSlowness);
+        maker.slowness += (sample - maker.slowness) * smoothing;
+        maker.slowness = std::clamp(maker.slowness, leastSlowness, mostSlowness);
     } else {
-        line.blockedUntil = now + refusalPause;
+        maker.blockedUntil = now + refusalPause;
     }
-    for (Flight &next : line.flights) {
-        next.expectedEnd =
-            now + std::chrono::duration_cast<Duration>(next.declared * line.slowness);
+    for (Flight &next : maker.flights) {
+        next.expectedEnd = now + scaled(next.declared, maker.slowness);
     }
+    const EndpointEntry *entry = pool.find(endpoint);
     if (entry == nullptr) {
         return;
     }
@@ -328,66 +405,153 @@
     if (event.answered) {
         noteSuccess(*entry, taken, now);
     } else {
-        noteFailure(*pool, *entry, event.evidence, now);
+        noteFailure(pool, *entry, event.evidence, now);
+    }
+}
+
+// Room ------------------------------------------------------------------------
+
+/// Books the results of a call as kept at their endpoint.
+void PieceBatcher::keep(Line &line, const std::string &endpoint, const Flight &flight,
+                        const PieceCallEnded &event, TimePoint until)
+{
+    for (std::size_t i = 0; i < flight.items.size() && i < event.results.size(); ++i) {
+        if (event.results[i].fault == PieceFault::None) {
+            const std::uint64_t bytes = flight.items[i].order.resultBytes;
+            line.kept[event.results[i].handle] = {endpoint, bytes, until};
+            line.makers[endpoint].keptBytes += bytes;
+        }
+    }
+}
+
+void PieceBatcher::drop(Line &line, const std::string &handle)
+{
+    const auto kept = line.kept.find(handle);
+    if (kept != line.kept.end()) {
+        line.makers[kept->second.endpoint].keptBytes -= kept->second.bytes;
+        line.kept.erase(kept);
     }
 }
 
+void PieceBatcher::dropExpired(Line &line) const
+{
+    const TimePoint now = m_clock.now();
+    std::erase_if(line.kept, [&line, now](const auto &entry) {
+        const bool ended = entry.second.until <= now;
+        line.makers[entry.second.endpoint].keptBytes -= ended ? entry.second.bytes : 0;
+        return ended;
+    });
+}
+
+void PieceBatcher::take(const PieceFrees &frees, const Snapshot &snapshot)
+{
+    m_freed.insert(m_freed.end(), frees.handles.begin(), frees.handles.end());
+    if (m_freeAt == TimePoint::max()) {
+        m_freeAt = m_clock.now() + freeInterval;
+    }
+    const auto found = m_lines.find(frees.pool);
+    if (found == m_lines.end()) {
+        return;
+    }
+    for (const std::string &handle : frees.handles) {
+        drop(found->second, handle);
+    }
+    pump(frees.pool, found->second, snapshot);
+}
+
+std::vector<std::string> PieceBatcher::takeFreed()
+{
+    if (m_clock.now() < m_freeAt) {
+        return {};
+    }
+    m_freeAt = TimePoint::max();
+    return std::exchange(m_freed, {});
+}
+
+// Time and tellings -----------------------------------------------------------
+
 void PieceBatcher::tick(const Snapshot &snapshot)
 {
-    for (auto at = m_lines.begin(); at != m_lines.end();) {
-        auto &[endpoint, line] = *at;
-        pump(endpoint, line, snapshot);
-        const bool isIdle = line.waiting.empty() && line.flights.empty();
-        const bool isGone = isIdle && snapshot.endpoint(endpoint) == nullptr;
-        at = isGone ? m_lines.erase(at) : std::next(at);
+    const TimePoint now = m_clock.now();
+    for (auto &[pool, line] : m_lines) {
+        if (line.nextLook <= now) {
+            pump(pool, line, snapshot);
+        }
+        std::erase_if(line.makers, [&snapshot](const auto &entry) {
+            const Maker &maker = entry.second;
+            return maker.flights.empty() && maker.keptBytes == 0
+                   && snapshot.endpoint(entry.first) == nullptr;
+        });
     }
 }
 
 TimePoint PieceBatcher::nextTick() const
 {
     TimePoint next = m_freeAt;
-    for (const auto &[endpoint, line] : m_lines) {
-        next = std::min(next, nextCallAt(line, m_clock.now()));
+    for (const auto &[pool, line] : m_lines) {
+        next = std::min(next, line.nextLook);
     }
     return next;
 }
 
-PieceBacklog PieceBatcher::backlogOf(const std::string &endpoint, const Line &line) const
+PieceBacklog PieceBatcher::backlogOf(const std::string &pool, const Line &line,
+                                     const Snapshot &snapshot) const
 {
+    const TimePoint now = m_clock.now();
     PieceBacklog backlog;
-    backlog.endpoint = endpoint;
-    if (!line.flights.empty()) {
-        backlog.busy =
-            std::max<Duration>(line.flights.back().expectedEnd - m_clock.now(), Duration::zero());
-    }
+    backlog.pool = pool;
     for (const Item &item : line.waiting) {
         ++backlog.waiting[urgencyClass(item.order.priority)];
     }
-    backlog.slowness = line.slowness;
+    const PoolEntry *entry = snapshot.pool(pool);
+    if (entry == nullptr) {
+        return backlog;
+    }
+    std::vector<double> slowness;
+    TimePoint first = TimePoint::max();
+    for (const EndpointEntry &endpoint : entry->endpoints) {
+        if (!isUsable(endpoint, now)) {
+            continue;
+        }
+        const auto maker = line.makers.find(endpoint.spec.name);
+        slowness.push_back(maker == line.makers.end() ? 1 : maker->second.slowness);
+        first = std::min(first, freeAt(line, endpoint, now));
+    }
+    if (slowness.empty()) {
+        return backlog;
+    }
+    const auto middle = slowness.begin() + static_cast<std::ptrdiff_t>(slowness.size() / 2);
+    std::nth_element(slowness.begin(), middle, slowness.end());
+    backlog.slowness = *middle;
+    backlog.endpoints = static_cast<std::uint32_t>(slowness.size());
+    backlog.freeIn = first - now;
     return backlog;
 }
 
-std::vector<PieceBacklog> PieceBatcher::backlogs() const
+std::vector<PieceBacklog> PieceBatcher::backlogs(const Snapshot &snapshot) const
 {
     std::vector<PieceBacklog> backlogs;
-    for (const auto &[endpoint, line] : m_lines) {
-        backlogs.push_back(backlogOf(endpoint, line));
+    for (const auto &[pool, line] : m_lines) {
+        const bool isBusy =
+            !line.waiting.empty()
+            || std::any_of(line.makers.begin(), line.makers.end(),
+                           [](const auto &entry) { return !entry.second.flights.empty(); });
+        if (isBusy) {
+            backlogs.push_back(backlogOf(pool, line, snapshot));
+        }
     }
     return backlogs;
 }
 
-std::vector<PieceOutcomesTo> PieceBatcher::takeOutcomes()
+std::vector<PieceOutcomesTo> PieceBatcher::takeOutcomes(const Snapshot &snapshot)
 {
     std::vector<PieceOutcomesTo> sends;
     for (auto &[where, outcomes] : std::exchange(m_outcomes, {})) {
-        const auto &[host, endpoint] = where;
+        const auto &[host, pool] = where;
         PieceOutcomesTo send;
         send.host = host;
         send.outcomes.outcomes = std::move(outcomes);
-        const auto line = m_lines.find(endpoint);
-        if (line != m_lines.end()) {
-            send.outcomes.backlog = backlogOf(endpoint, line->second);
-        }
+        send.outcomes.backlog = backlogOf(pool, m_lines[pool], snapshot);
         sends.push_back(std::move(send));
     }
     return sends;
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -31,11 +31,10 @@
 
 } // namespace
 
-PieceRouter::PieceRouter(const Clock &clock, const Membership &membership, std::uint64_t seed,
+PieceRouter::PieceRouter(const Clock &clock, const Membership &membership,
                          const RetryBudgetOptions &budget)
     : m_clock(clock)
     , m_membership(membership)
-    , m_random(seed)
     , m_budgetOptions(budget)
 {
 }
@@ -46,7 +45,7 @@
 }
 
 void PieceRouter::order(const std::string &pool, const std::vector<PieceOrder> &orders,
-                        const std::string &dataCentre, const Snapshot &snapshot)
+                        const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
     budgetOf(pool).noteRequest(now);
@@ -54,7 +53,6 @@
     for (const PieceOrder &order : orders) {
         Pending pending;
         pending.pool = pool;
-        pending.dataCentre = dataCentre;
         pending.order = order;
         pending.wanted = now + order.wantedIn;
         pending.due = now + order.dueIn;
@@ -63,72 +61,43 @@
     place(std::move(group), snapshot);
 }
 
-/// Chooses an endpoint for a group of pieces, which are best made in one call.
+/// Orders a group of pieces of one pool at its batcher.
 void PieceRouter::place(std::vector<Pending> group, const Snapshot &snapshot)
 {
     if (group.empty()) {
         return;
     }
     const TimePoint now = m_clock.now();
-    const PoolEntry *pool = snapshot.pool(group.front().pool);
     const auto count = static_cast<std::uint32_t>(group.size());
-    PieceForecast forecast;
-    if (pool != nullptr) {
-        const Pending &first = group.front();
-        const PieceWish wish{count, first.order.priority, first.order.resultBytes, first.dataCentre,
-                             first.avoid};
-        forecast = choosePieceEndpoint(*pool, wish, now, &m_random);
+    const int priority = group.front().order.priority;
+    PieceOrdersTo send;
+    send.orders.pool = group.front().pool;
+    send.host = batcherOf(send.orders.pool);
+    Duration predicted{};
+    if (const PoolEntry *pool = snapshot.pool(send.orders.pool)) {
+        predicted = predictPieces(*pool, count, priority, now);
+        noteOrdered(*pool, count, priority);
     }
-    const EndpointEntry *endpoint = forecast.endpoint;
-    std::vector<PieceId> ids;
     for (Pending &pending : group) {
-        const PieceId id = pending.order.id;
-        ids.push_back(id);
         ++pending.attempts;
-        if (endpoint != nullptr) {
-            pending.endpoint = endpoint->spec.name;
-            pending.batcher = batcherOf(endpoint->spec);
-            pending.orderedAt = now;
-            pending.checkAt = now + forecast.time * patienceFactor + patience;
-        }
-        m_pending[id] = std::move(pending);
-    }
-    if (endpoint == nullptr) {
-        for (const PieceId &id : ids) {
-            finish(id, PieceFault::Refused);
-        }
-        return;
-    }
-    send(ids, *endpoint);
-}
-
-void PieceRouter::send(const std::vector<PieceId> &ids, const EndpointEntry &endpoint)
-{
-    const TimePoint now = m_clock.now();
-    PieceOrdersTo send;
-    send.host = m_pending.at(ids.front()).batcher;
-    send.orders.endpoint = endpoint.spec.name;
-    for (const PieceId &id : ids) {
-        Pending &pending = m_pending.at(id);
+        pending.batcher = send.host;
+        pending.orderedAt = now;
+        pending.checkAt = now + predicted * patienceFactor + patience;
         pending.order.wantedIn = pending.wanted - now;
         pending.order.dueIn = pending.due - now;
         send.orders.orders.push_back(pending.order);
+        const PieceId id = pending.order.id;
+        m_pending[id] = std::move(pending);
     }
-    noteOrdered(endpoint, static_cast<std::uint32_t>(ids.size()),
-                send.orders.orders.front().priority);
     m_sends.push_back(std::move(send));
 }
 
-std::string PieceRouter::batcherOf(const EndpointSpec &endpoint) const
+std::string PieceRouter::batcherOf(const std::string &pool) const
 {
-    std::vector<std::string> hosts = m_membership.heardWithin(batcherSilence, endpoint.dataCentre);
-    if (hosts.empty()) {
-        hosts = m_membership.heardWithin(batcherSilence, {});
-    }
     std::string best = m_membership.host();
     std::uint64_t bestScore = 0;
-    for (const std::string &host : hosts) {
-        const std::uint64_t score = hash64(fmt::format("pieces/{}/{}", endpoint.name, host));
+    for (const std::string &host : m_membership.heardWithin(batcherSilence, {})) {
+        const std::uint64_t score = hash64(fmt::format("pieces/{}/{}", pool, host));
         if (score >= bestScore) {
             best = host;
             bestScore = score;
@@ -152,29 +121,26 @@
 
 void PieceRouter::take(const PieceBacklog &backlog, const Snapshot &snapshot, TimePoint now)
 {
-    if (const EndpointEntry *endpoint = snapshot.endpoint(backlog.endpoint)) {
-        noteBacklog(*endpoint, backlog, now);
+    if (const PoolEntry *pool = snapshot.pool(backlog.pool)) {
+        noteBacklog(*pool, backlog, now);
     }
 }
 
-void PieceRouter::free(const std::vector<std::string> &handles, const Snapshot &snapshot)
+void PieceRouter::free(const std::vector<std::string> &handles)
 {
-    std::map<std::string, PieceFrees> byEndpoint;
+    std::map<std::string, PieceFrees> byPool;
     for (const std::string &handle : handles) {
         const auto result = m_results.find(handle);
         if (result == m_results.end()) {
             continue; // So old that its endpoint has dropped it by itself.
         }
-        PieceFrees &frees = byEndpoint[result->second.endpoint];
-        frees.endpoint = result->second.endpoint;
+        PieceFrees &frees = byPool[result->second.pool];
+        frees.pool = result->second.pool;
         frees.handles.push_back(handle);
         m_results.erase(result);
     }
-    for (auto &[name, frees] : byEndpoint) {
-        const EndpointEntry *endpoint = snapshot.endpoint(name);
-        if (endpoint != nullptr) {
-            m_frees.emplace_back(batcherOf(endpoint->spec), std::move(frees));
-        }
+    for (auto &[pool, frees] : byPool) {
+        m_frees.emplace_back(batcherOf(pool), std::move(frees));
     }
 }
 
@@ -194,12 +160,12 @@
     take(outcomes.backlog, snapshot, m_clock.now());
     for (const PieceOutcome &outcome : outcomes.outcomes) {
         if (outcome.fault == PieceFault::None) {
-            m_results[outcome.handle] = {outcome.endpoint, m_clock.now()};
+            m_results[outcome.handle] = {outcomes.backlog.pool, m_clock.now()};
         }
         const auto found = m_pending.find(outcome.id);
         if (found == m_pending.end()) {
             // Made twice, or no longer wanted.
-            free({outcome.handle}, snapshot);
+            free({outcome.handle});
             continue;
         }
         const bool isRequests = outcome.fault == PieceFault::None
@@ -210,10 +176,10 @@
             m_pending.erase(found);
             continue;
         }
-        // Another order for it may be under way elsewhere.
-        if (found->second.endpoint == outcome.endpoint) {
-            reorder(outcome.id, outcome.fault, snapshot);
+        if (!outcome.endpoint.empty()) {
+            found->second.order.avoid = outcome.endpoint;
         }
+        reorder(outcome.id, outcome.fault, snapshot);
     }
 }
 
@@ -234,7 +200,6 @@
     }
     budget.noteRepeat(now);
     ++m_reorders;
-    pending.avoid.insert(pending.endpoint);
     std::vector<Pending> group;
     group.push_back(std::move(pending));
     place(std::move(group), snapshot);
@@ -245,7 +210,7 @@
     const auto found = m_pending.find(id);
     PieceOutcome outcome;
     outcome.id = id;
-    outcome.endpoint = found->second.endpoint;
+    outcome.endpoint = found->second.order.avoid;
     outcome.fault = fault;
     m_done.push_back(std::move(outcome));
     m_pending.erase(found);
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -87,6 +87,11 @@
             if (pool.spec.keepsPrompts) {
                 placeRing(pool);
             }
+            if (pool.spec.pieces) {
+                const PoolEntry *before = m_previous == nullptr ? nullptr : m_previous->pool(name);
+                const bool isKept = before != nullptr && before->pieceLoad != nullptr;
+                pool.pieceLoad = isKept ? before->pieceLoad : std::make_shared<PieceLoad>();
+            }
         }
     }
 
--- a/unittests/Kernel/carriedtest.cpp
+++ b/unittests/Kernel/carriedtest.cpp
@@ -233,9 +233,7 @@
 TEST(Carried, WhatCannotMakeItsDeadlineIsRefusedBeforeAnythingIsSpent)
 {
     CarriedBench bench;
-    for (const EndpointEntry &endpoint : bench.snapshot->pool("pieces")->endpoints) {
-        endpoint.load->piecesWaiting[0] = 200;
-    }
+    bench.snapshot->pool("pieces")->pieceLoad->waiting[0] = 200;
     bench.arrive("/brief/1", "key-1", {2, 1});
     CHECK(bench.orders.empty());
     CHECK(bench.answers[0].reason == Reason::CannotFinish);
