[Kernel] Give up early what is late already; re-read settings at SIGHUP

SIGHUP ended the daemon.

Change: a request is given up 1.5 objectives after its arrival, or after 0.7 of its caller's patience, if its pieces are not made; four late ones a daemon, not twelve. NoRoom and unreachable endpoints are tried again by the batcher itself, and an endpoint that cannot be reached is left alone for 0.25 to 4 s. A prompt with fewer than 1,500 shared tokens goes where its results are. Watches wait 2.2 s. SIGHUP has the settings read again and checked; SIGPIPE is blocked.

--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -65,6 +65,8 @@
     int priority = 0;                ///< 0 is the most urgent.
     std::chrono::milliseconds objective{1000}; ///< Wanted until the answer, or its first event.
     std::chrono::milliseconds longestPause{0}; ///< Wanted between two events; 0 for none.
+    /// A caller to whom nothing came for so long leaves; 0 where it waits for its deadline.
+    std::chrono::milliseconds patience{0};
 };
 
 /// A pipeline: stages that run one after the other for each request.
--- a/include/harelink/Config/settings.h
+++ b/include/harelink/Config/settings.h
@@ -32,6 +32,7 @@
     std::string publicKey;
     std::string secretKey;
     std::vector<std::string> accepted; ///< Public keys of peers besides the own one.
+    bool operator==(const PeerKeys &) const = default;
 };
 
 /// Everything a daemon is told at start.
@@ -63,6 +64,7 @@
     std::chrono::milliseconds idleLimit{120'000};
     /// For so long after "not ready" new requests on open connections are still served.
     std::chrono::milliseconds balancerGrace{500};
+    bool operator==(const Settings &) const = default;
 };
 
 /// Reads settings; an error lists every fault with its path.
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -27,10 +27,10 @@
 inline constexpr std::chrono::milliseconds firstBackOff{100};
 inline constexpr std::chrono::milliseconds longestBackOff{2000};
 /// How long the platform may hold a watch open. A watch may have gone silent while news
-/// came, when the platform forgets its history; it is noticed when this is over. At
-/// 10 s a daemon acted on a key taken away 4.6 s before; configuration is to be in force
-/// everywhere within 2 s.
-inline constexpr std::chrono::milliseconds watchWait{1000};
+/// came, as when the platform forgets its history; that is noticed when this is over. At
+/// 10 s a daemon used a key 4.6 s after it was taken away; at 1 s, nine daemons made 18
+/// calls a second for nothing else.
+inline constexpr std::chrono::milliseconds watchWait{2200};
 
 /// Between a watch without news and the next one.
 inline constexpr std::chrono::milliseconds emptyWatchPause{50};
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -86,6 +86,8 @@
     [[nodiscard]] std::vector<std::string> takeReplaced() { return std::exchange(m_replaced, {}); }
     /// How busy each pool is that this daemon has calls or orders of.
     [[nodiscard]] std::vector<PieceBacklog> backlogs(const Snapshot &snapshot) const;
+    /// Whether no call is in flight and no order waits.
+    [[nodiscard]] bool idle() const;
     /// Calls made and the pieces in them.
     [[nodiscard]] std::uint64_t callCount() const { return m_callCount; }
     [[nodiscard]] std::uint64_t pieceCount() const { return m_pieceCount; }
@@ -113,7 +115,9 @@
         std::vector<Flight> flights;
         double slowness = 1;
         TimePoint blockedUntil;
-        std::uint64_t keptBytes = 0; ///< Of results that are not freed.
+        std::uint64_t keptBytes = 0;   ///< Of results that are not freed.
+        TimePoint fullUntil;           ///< It had no room although some was booked.
+        std::uint32_t unreachable = 0; ///< Connections in a row that were not made.
     };
     /// A result that takes room at its endpoint.
     struct Kept
@@ -159,8 +163,9 @@
     void learn(const std::string &endpoint, Line &line, const Flight &flight,
                const PieceCallEnded &event, const PoolEntry &pool);
     static void keep(Line &line, const std::string &endpoint, const Flight &flight,
-                     const PieceCallEnded &event, TimePoint until);
+                     const PieceCallEnded &event, TimePoint now, Duration life);
     static void drop(Line &line, const std::string &handle);
+    [[nodiscard]] static bool isBusy(const Line &line);
     [[nodiscard]] PieceBacklog backlogOf(const std::string &pool, const Line &line,
                                          const Snapshot &snapshot) const;
 
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -62,6 +62,14 @@
     request.pipeline.stages = {{"serve", pool}};
     request.deadline = std::min<TimePoint>(request.deadline, now + request.pipeline.deadline);
     request.wanted = std::min<TimePoint>(request.deadline, now + route.objective);
+    Duration patience = request.deadline - now;
+    if (route.patience > Duration::zero()) {
+        patience = std::min<Duration>(patience, route.patience);
+    }
+    const auto preparing = std::min<std::chrono::duration<double>>(
+        patience * requestmachine::preparingPart,
+        route.objective * requestmachine::preparingObjectives);
+    request.preparedBy = now + std::chrono::duration_cast<Duration>(preparing);
     request.streams = route.streams;
     request.lastEvent = request.carried->lastEventSeen;
     const AccountEntry *account = snapshot.account(request.account);
@@ -86,6 +94,12 @@
         need.sharedTokens += parts[i].tokens;
     }
     need.tokensPerSecond = poolState(request.stageSpec().pool).tokensPerSecond;
+    for (const auto &[dataCentre, bytes] : request.resultBytes) {
+        if (bytes > need.inputBytes) {
+            need.inputBytes = bytes;
+            need.dataCentre = dataCentre;
+        }
+    }
     need.slack = request.wanted - m_clock.now() - requestmachine::firstEventOverhead;
     return need;
 }
@@ -195,15 +209,14 @@
     if (now + request.predicted <= request.wanted) {
         return true;
     }
-    const auto left =
-        std::chrono::duration_cast<Duration>((request.deadline - now) * requestmachine::latePart);
+    const Duration left = request.preparedBy - now;
     if (request.predicted > left || m_lateRequests >= requestmachine::mostLateRequests) {
         return false;
     }
     ++m_lateRequests;
     request.isLate = true;
     request.priority += requestmachine::latePriority;
-    request.wanted = request.deadline;
+    request.wanted = request.preparedBy;
     return true;
 }
 
@@ -249,6 +262,7 @@
         return false;
     }
     request.phase = Request::Phase::Preparing;
+    schedule(request, request.preparedBy);
     orderPieces(request, snapshot);
     return true;
 }
@@ -272,7 +286,7 @@
         }
         order.priority = request.priority;
         order.wantedIn = request.wanted - now;
-        order.dueIn = request.deadline - now;
+        order.dueIn = request.preparedBy - now;
         order.dataCentre = dataCentre;
         order.resultBytes = request.pipeline.route->pieceStages[place.stage].resultBytes;
         OrderPieces &action = byStage[place.stage];
@@ -308,6 +322,10 @@
             m_actions.emplace_back(FreeResults{{outcome.handle}});
             return;
         }
+        if (const EndpointEntry *maker = snapshot.endpoint(outcome.endpoint)) {
+            request->resultBytes[maker->spec.dataCentre] +=
+                request->pipeline.route->pieceStages[place.stage].resultBytes;
+        }
         break;
     case PieceFault::InputGone:
         if (request->remakes < requestmachine::mostRemakes) {
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -114,8 +114,14 @@
         // The last part is the request's own; the one before it is the longest beginning
         // that others have too.
         const std::vector<PromptPart> &parts = request.carried->prompt;
-        const std::size_t last = parts.size() < 2 ? 0 : parts.size() - 2;
-        return parts.empty() ? nullptr : pool.homeOf(hash64(parts[last].id));
+        std::uint64_t shared = 0;
+        for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+            shared += parts[i].tokens;
+        }
+        if (parts.size() < 2 || shared < requestmachine::leastHomeTokens) {
+            return nullptr;
+        }
+        return pool.homeOf(hash64(parts[parts.size() - 2].id));
     }
     const std::string prefix =
         request.account + request.body.substr(0, requestmachine::prefixBytes);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -245,6 +245,14 @@
 void BasicRequestMachine<G>::expire(Request &request, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
+    const bool unprepared = request.phase == Request::Phase::Preparing && now >= request.preparedBy;
+    if (unprepared) {
+        fail(request, Reason::CannotFinish,
+             makeError(absl::StatusCode::kDeadlineExceeded, "pieces", "",
+                       "were not made within the caller's patience"),
+             snapshot);
+        return;
+    }
     const bool due = now >= request.deadline - requestmachine::answerMargin;
     const bool queued = request.phase == Request::Phase::Queued;
     if (!due && !queued) {
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -13,6 +13,7 @@
 #include "harelink/Kernel/requestmachine.h"
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -59,13 +60,19 @@
 inline constexpr double forecastSmoothing = 0.05;
 inline constexpr double leastForecastBias = 0.7;
 inline constexpr double mostForecastBias = 2;
+/// A prompt with fewer shared tokens has no home: to read them again costs users less than
+/// results of pieces that cross data centres.
+inline constexpr std::uint64_t leastHomeTokens = 1'500;
 /// What a model engine needs besides reading: its first step and the hops.
 inline constexpr std::chrono::milliseconds firstEventOverhead{25};
 /// Requests that are taken in although they will miss their objective: so many at once,
-/// and only where they are predicted to be done in this part of the time left. They fill
+/// and only where they are predicted to be done within their caller's patience. They fill
 /// places that nobody else wants.
-inline constexpr std::size_t mostLateRequests = 12;
-inline constexpr double latePart = 0.5;
+inline constexpr std::size_t mostLateRequests = 4;
+/// A request whose pieces are not made in so many times its objective, or in this part of
+/// its caller's patience, is given up: it is late already, and holds up those that are not.
+inline constexpr double preparingObjectives = 1.5;
+inline constexpr double preparingPart = 0.7;
 /// Added to the priority of a request that will miss its objective.
 inline constexpr int latePriority = 100;
 /// How often lost results of one request are made again.
@@ -123,11 +130,13 @@
     TimePoint wanted; ///< Its objective, as a time.
     std::unique_ptr<PieceGraph> pieces;
     std::uint32_t remakes = 0;
-    bool isLate = false;                    ///< Was taken in although it will miss its objective.
-    Duration prepared{};                    ///< From the arrival until all pieces were made.
-    Duration predicted{};                   ///< From the arrival to the answer or its first event.
-    std::int64_t bookedTokens = 0;          ///< That its endpoint has to read for it.
-    std::size_t bookedAhead = 0;            ///< That were to be read there before it.
+    TimePoint preparedBy;          ///< When it is given up if its pieces are not made.
+    bool isLate = false;           ///< Was taken in although it will miss its objective.
+    Duration prepared{};           ///< From the arrival until all pieces were made.
+    Duration predicted{};          ///< From the arrival to the answer or its first event.
+    std::int64_t bookedTokens = 0; ///< That its endpoint has to read for it.
+    std::size_t bookedAhead = 0;   ///< That were to be read there before it.
+    std::map<std::string, std::uint64_t> resultBytes; ///< Made, by data centre.
     bool headPassedOn = false;              ///< The caller has got the beginning of a stream.
     std::optional<std::uint64_t> lastEvent; ///< Passed on, or seen by the caller before.
     std::uint32_t mayHaveRun = 0;           ///< Sends that an endpoint may have begun to work on.
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -72,6 +72,7 @@
         reader.milliseconds("objectiveMs", shortestDeadline, longestDeadline, spec.objective);
     spec.longestPause =
         reader.milliseconds("longestPauseMs", milliseconds(0), longestTime, spec.longestPause);
+    spec.patience = reader.milliseconds("patienceMs", milliseconds(0), longestTime, spec.patience);
     reader.finish();
     return spec;
 }
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -164,7 +164,8 @@
 
 void Control::askIdle(std::function<void(bool)> take)
 {
-    m_loop.post([this, take = std::move(take)] { take(m_machine.idle()); });
+    m_loop.post(
+        [this, take = std::move(take)] { take(m_machine.idle() && m_pieceBatcher.idle()); });
 }
 
 std::optional<TimePoint> Control::turn()
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -206,12 +206,14 @@
 void Daemon::announceStop()
 {
     m_draining = true;
+    // Peers take over what this daemon forms calls for while it still serves.
+    m_control->leave();
     for (const auto &worker : m_workers) {
         worker->closeConnections();
     }
 }
 
-void Daemon::handleCarried(HttpRequest request, const Responder &responder)
+void Daemon::handleCarried(const HttpRequest &request, const Responder &responder)
 {
     const std::uint64_t connection = request.connection;
     absl::StatusOr<RequestArrived> read = m_dialect->carried()->read(request);
@@ -230,7 +232,7 @@
 void Daemon::handleCaller(HttpRequest request, const Responder &responder)
 {
     if (m_dialect->carried() != nullptr) {
-        handleCarried(std::move(request), responder);
+        handleCarried(request, responder);
         return;
     }
     const std::uint64_t connection = request.connection;
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -20,8 +20,14 @@
 constexpr std::size_t mostFlights = 2;
 /// After a refusal the endpoint is left alone for this long.
 constexpr milliseconds refusalPause{40};
+/// An endpoint that cannot be reached is left alone for this long, twice as long each time.
+constexpr milliseconds unreachablePause{250};
+constexpr milliseconds longestUnreachablePause{4000};
+/// After an endpoint had no room although there should be some, its room is taken to be
+/// full for this long: another daemon that batched for it before may have used it.
+constexpr milliseconds noRoomPause{150};
 /// Refusals after which a piece goes back to its daemon.
-constexpr std::uint32_t mostRefusals = 3;
+constexpr std::uint32_t mostRefusals = 4;
 /// A call is given up after so many times what it should take, and this much.
 constexpr double timeoutFactor = 2;
 constexpr milliseconds timeoutSlack{600};
@@ -237,6 +243,9 @@
             }
         }
     }
+    if (maker != line.makers.end() && m_clock.now() < maker->second.fullUntil) {
+        taken = std::max(taken, work.roomBytes);
+    }
     const bool splits = line.waiting.size() >= work.batch * splittingBatches;
     const bool isOnlyOne = pool.endpoints.size() == 1;
     Choice choice;
@@ -350,21 +359,22 @@
     if (const PoolEntry *entry = snapshot.pool(pool)) {
         learn(endpoint, line, flight, event, *entry);
         if (entry->spec.pieces) {
-            keep(line, endpoint, flight, event, m_clock.now() + entry->spec.pieces->resultLife);
+            keep(line, endpoint, flight, event, m_clock.now(), entry->spec.pieces->resultLife);
         }
     }
     const bool refused = event.evidence == SendEvidence::RefusedBeforeRun && !event.isOtherEndpoint;
+    // Nothing was begun, so it costs nothing to send it to another endpoint from here.
+    const bool untouched =
+        !event.answered && (refused || event.evidence == SendEvidence::NothingSent);
     for (std::size_t i = 0; i < flight.items.size(); ++i) {
         Item &item = flight.items[i];
-        if (event.answered) {
-            settle(pool, item, endpoint, event.results[i].handle, event.results[i].fault);
-            continue;
-        }
-        if (refused && ++item.refusals < mostRefusals) {
+        const PieceFault fault = event.answered ? event.results[i].fault : PieceFault::Failed;
+        if ((untouched || fault == PieceFault::NoRoom) && ++item.refusals < mostRefusals) {
             line.waiting.push_back(std::move(item));
             continue;
         }
-        settle(pool, item, endpoint, {}, refused ? PieceFault::Refused : PieceFault::Failed);
+        const std::string handle = event.answered ? event.results[i].handle : std::string();
+        settle(pool, item, endpoint, handle, refused ? PieceFault::Refused : fault);
     }
     if (event.isOtherEndpoint) {
         m_replaced.push_back(endpoint);
@@ -394,6 +404,14 @@
     } else {
         maker.blockedUntil = now + refusalPause;
     }
+    const bool unreachable = !event.answered && event.evidence == SendEvidence::NothingSent;
+    maker.unreachable = unreachable ? maker.unreachable + 1 : 0;
+    if (unreachable) {
+        const auto doublings = std::min<std::uint32_t>(maker.unreachable - 1, 4);
+        maker.blockedUntil =
+            now
+            + std::min<milliseconds>(unreachablePause * (1 << doublings), longestUnreachablePause);
+    }
     for (Flight &next : maker.flights) {
         next.expectedEnd = now + scaled(next.declared, maker.slowness);
     }
@@ -413,12 +431,15 @@
 
 /// Books the results of a call as kept at their endpoint.
 void PieceBatcher::keep(Line &line, const std::string &endpoint, const Flight &flight,
-                        const PieceCallEnded &event, TimePoint until)
+                        const PieceCallEnded &event, TimePoint now, Duration life)
 {
     for (std::size_t i = 0; i < flight.items.size() && i < event.results.size(); ++i) {
+        if (event.results[i].fault == PieceFault::NoRoom) {
+            line.makers[endpoint].fullUntil = now + noRoomPause;
+        }
         if (event.results[i].fault == PieceFault::None) {
             const std::uint64_t bytes = flight.items[i].order.resultBytes;
-            line.kept[event.results[i].handle] = {endpoint, bytes, until};
+            line.kept[event.results[i].handle] = {endpoint, bytes, now + life};
             line.makers[endpoint].keptBytes += bytes;
         }
     }
@@ -528,15 +549,24 @@
     return backlog;
 }
 
+bool PieceBatcher::isBusy(const Line &line)
+{
+    return !line.waiting.empty()
+           || std::any_of(line.makers.begin(), line.makers.end(),
+                          [](const auto &entry) { return !entry.second.flights.empty(); });
+}
+
+bool PieceBatcher::idle() const
+{
+    return std::none_of(m_lines.begin(), m_lines.end(),
+                        [](const auto &entry) { return isBusy(entry.second); });
+}
+
 std::vector<PieceBacklog> PieceBatcher::backlogs(const Snapshot &snapshot) const
 {
     std::vector<PieceBacklog> backlogs;
     for (const auto &[pool, line] : m_lines) {
-        const bool isBusy =
-            !line.waiting.empty()
-            || std::any_of(line.makers.begin(), line.makers.end(),
-                           [](const auto &entry) { return !entry.second.flights.empty(); });
-        if (isBusy) {
+        if (isBusy(line)) {
             backlogs.push_back(backlogOf(pool, line, snapshot));
         }
     }
--- a/lib/Plugins/routingpolicies.cpp
+++ b/lib/Plugins/routingpolicies.cpp
@@ -157,8 +157,13 @@
             if (&entry == query.home || &entry == query.avoid || !isEligible(entry, query.now)) {
                 continue;
             }
+            const bool crosses =
+                !prompt.dataCentre.empty() && prompt.dataCentre != entry.spec.dataCentre;
+            const double megabytes = static_cast<double>(prompt.inputBytes) / bytesPerMegabyte;
             const Duration time = readingTime(entry, prompt, false)
-                                  + std::chrono::duration_cast<Duration>(spread * random.unit());
+                                  + std::chrono::duration_cast<Duration>(spread * random.unit())
+                                  + std::chrono::duration_cast<Duration>(
+                                      crossingPerMegabyte * (crosses ? megabytes : 0));
             if (time < bestTime) {
                 best = &entry;
                 bestTime = time;
@@ -172,6 +177,10 @@
     static constexpr double homePatience = 0.7;
     /// Daemons with the same view must not all choose the same engine.
     static constexpr std::chrono::milliseconds spread{20};
+    /// What a megabyte of inputs from another data centre counts as, in time; as where
+    /// their pieces are placed.
+    static constexpr std::chrono::microseconds crossingPerMegabyte{33'000};
+    static constexpr double bytesPerMegabyte = 1e6;
 
     PowerOfTwo m_others;
 };
--- a/tools/harelinkd/harelinkd.cpp
+++ b/tools/harelinkd/harelinkd.cpp
@@ -55,6 +55,8 @@
 {
     if (level == "debug") {
         setLogLevel(LogLevel::Debug);
+    } else if (level == "info") {
+        setLogLevel(LogLevel::Info);
     } else if (level == "warning") {
         setLogLevel(LogLevel::Warning);
     } else if (level == "error") {
@@ -62,17 +64,56 @@
     }
 }
 
-/// Blocks the stop signals in this and all later threads.
-sigset_t blockStopSignals()
+/// The signals that end the daemon.
+sigset_t stopSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return signals;
 }
 
+/// Blocks these in this and all later threads. A write to a connection that its peer has
+/// closed must end the connection, not the process.
+void blockSignals()
+{
+    sigset_t signals = stopSignals();
+    sigaddset(&signals, SIGHUP);
+    sigaddset(&signals, SIGPIPE);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+/// Reads the settings file again. What may change in a running daemon takes effect, and
+/// whatever else differs is told; a file with faults changes nothing.
+void reloadSettings(Settings &inForce)
+{
+    const absl::StatusOr<Settings> settings = loadSettings(FLAGS_config);
+    if (!settings.ok()) {
+        logger.record(LogLevel::Error, "settings-not-reloaded")
+            .field("detail", describeError(settings.status()));
+        return;
+    }
+    applyLogLevel(settings->logLevel);
+    inForce.logLevel = settings->logLevel;
+    logger.record(LogLevel::Info, "settings-reloaded")
+        .field("logLevel", settings->logLevel)
+        .field("needsRestart", *settings == inForce ? "no" : "yes");
+}
+
+/// Waits for a signal that ends the daemon.
+void serveUntilStopped(Settings settings)
+{
+    sigset_t signals = stopSignals();
+    sigaddset(&signals, SIGHUP);
+    int signal = 0;
+    while (sigwait(&signals, &signal) != 0 || signal == SIGHUP) {
+        if (signal == SIGHUP) {
+            reloadSettings(settings);
+        }
+    }
+}
+
 /// Waits up to \p time for a stop signal.
 bool waitForSignal(const sigset_t &signals, std::chrono::milliseconds time)
 {
@@ -116,7 +157,7 @@
         return 0;
     }
     applyLogLevel(settings->logLevel);
-    const sigset_t signals = blockStopSignals();
+    blockSignals();
     // An operator's word comes in as the signal does.
     Daemon daemon(*settings, [] { ::kill(::getpid(), SIGTERM); });
     const absl::Status started = daemon.start();
@@ -124,8 +165,7 @@
         logger.error("Cannot start: {}.", describeError(started));
         return 1;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
-    stopAsPlanned(daemon, signals);
+    serveUntilStopped(*settings);
+    stopAsPlanned(daemon, stopSignals());
     return 0;
 }
--- a/unittests/Kernel/carriedtest.cpp
+++ b/unittests/Kernel/carriedtest.cpp
@@ -241,11 +241,40 @@
     CHECK(bench.answers[0].retryAfter > Duration::zero());
 }
 
+TEST(Carried, WhatIsNotPreparedInTimeIsGivenUpEarly)
+{
+    // Objective 1000 ms, deadline 4000 ms: nothing came of its pieces, so it is refused
+    // long before its deadline, and what was ordered is withdrawn.
+    CarriedBench bench;
+    bench.arrive("/brief/1", "key-1", {2, 1});
+    bench.advance(milliseconds(1400));
+    CHECK(bench.answers.empty());
+    bench.advance(milliseconds(200));
+    LONGS_EQUAL(1, bench.answers.size());
+    CHECK(bench.answers[0].outcome == Outcome::NotRun);
+    LONGS_EQUAL(1, bench.withdrawals.size());
+}
+
+TEST(Carried, AFewThatWillBeLateAreTakenInBehindAllOthers)
+{
+    CarriedBench bench;
+    bench.snapshot->pool("pieces")->pieceLoad->waiting[0] = 40;
+    bench.snapshot->pool("pieces")->pieceLoad->endpoints = 2;
+    for (int i = 0; i < 10; ++i) {
+        bench.arrive("/brief/1", "key-1", {1, 0});
+    }
+    CHECK(!bench.orders.empty());
+    CHECK(!bench.answers.empty());
+    for (const OrderPieces &order : bench.orders) {
+        LONGS_EQUAL(urgencyClassCount - 1, urgencyClass(order.orders[0].priority));
+    }
+}
+
 TEST(Carried, PromptsOfOneBeginningGoToOneEngine)
 {
     CarriedBench bench;
     for (int i = 0; i < 6; ++i) {
-        bench.arrive("/say/1", "key-1", {}, 2000);
+        bench.arrive("/say/1", "key-1", {}, 4000);
         bench.event(bench.sends.back(), 1);
         bench.answer(bench.sends.back());
     }
@@ -257,9 +286,9 @@
 TEST(Carried, APromptLeavesItsHomeWhereThatIsBusyForTooLong)
 {
     CarriedBench bench;
-    bench.arrive("/say/1", "key-1", {}, 2000);
+    bench.arrive("/say/1", "key-1", {}, 4000);
     const std::string home = bench.sends[0].endpoint;
     bench.snapshot->endpoint(home)->load->tokensToReadOfPeers = 45'000;
-    bench.arrive("/say/1", "key-1", {}, 2000);
+    bench.arrive("/say/1", "key-1", {}, 4000);
     CHECK(bench.sends[1].endpoint != home);
 }
--- a/unittests/Kernel/piecebatchertest.cpp
+++ b/unittests/Kernel/piecebatchertest.cpp
@@ -126,7 +126,7 @@
     bench.order(1);
     bench.fail(bench.calls[0], SendEvidence::RefusedBeforeRun);
     CHECK(bench.outcomes.empty());
-    for (std::size_t i = 1; i <= 2; ++i) {
+    for (std::size_t i = 1; i <= 3; ++i) {
         bench.advance(milliseconds(50));
         LONGS_EQUAL(i + 1, bench.calls.size());
         bench.fail(bench.calls[i], SendEvidence::RefusedBeforeRun);
@@ -222,6 +222,41 @@
     LONGS_EQUAL(1, bench.batcher.takeFreed().size());
 }
 
+TEST(PieceBatcher, WhatTheFirstEndpointCouldNotBeginGoesToAnother)
+{
+    Bench bench(4, 2);
+    bench.order(1);
+    bench.fail(bench.calls[0], SendEvidence::NothingSent);
+    LONGS_EQUAL(2, bench.calls.size());
+    CHECK(bench.calls[0].endpoint != bench.calls[1].endpoint);
+    CHECK(bench.outcomes.empty());
+}
+
+TEST(PieceBatcher, APieceWithoutRoomWaitsForSome)
+{
+    Bench bench;
+    bench.order(1);
+    PieceCallEnded ended;
+    ended.id = bench.calls[0].id;
+    ended.answered = true;
+    ended.results.push_back({"", PieceFault::NoRoom});
+    bench.batcher.handle(ended, *bench.snapshot);
+    bench.collect();
+    CHECK(bench.outcomes.empty());
+    bench.advance(milliseconds(200));
+    LONGS_EQUAL(2, bench.calls.size());
+}
+
+TEST(PieceBatcher, ADaemonIsIdleWhenNoCallIsInFlight)
+{
+    Bench bench;
+    CHECK(bench.batcher.idle());
+    bench.order(1);
+    CHECK_FALSE(bench.batcher.idle());
+    bench.answer(bench.calls[0]);
+    CHECK(bench.batcher.idle());
+}
+
 TEST(PieceBatcher, AnEndpointThatFailedAPieceDoesNotGetItAgain)
 {
     Bench bench(4, 2);
