--- a/tools/harelink/commands.h
+++ b/tools/harelink/commands.h
@@ -29,6 +29,8 @@
 int statusCommand(const Words &words);
 /// Tells a daemon to stop as planned.
 int drainCommand(const Words &words);
+/// Prints what the logs of several daemons say of one request.
+int explainCommand(const Words &words);
 /// Prints a new pair of keys for daemons.
 int keysCommand(const Words &words);
 /// Sends one request to a daemon and prints the answer.
--- a/tools/harelink/harelink.cpp
+++ b/tools/harelink/harelink.cpp
@@ -51,6 +51,10 @@
      "Shows each listed daemon: ready, version in force, faults, platform, peers.", statusCommand},
     {"drain", "drain HOST [--wait [--wait_seconds N]]",
      "Lets a daemon finish what is in progress and stop; with --wait, until it has.", drainCommand},
+    {"explain", "explain ID LOGFILE...",
+     "Gathers from the daemons' logs what concerns one request, by time. Its own lines are\n"
+     "      marked; between them stand what those daemons came to believe meanwhile.",
+     explainCommand},
     {"keys", "keys [--output json]",
      "Makes a pair of keys under which the daemons of a fleet talk: their peerKeys.", keysCommand},
     {"version", "version", "Prints the version.", versionCommand},
--- /dev/null
+++ b/unittests/Adapters/httpservertest.cpp
@@ -0,0 +1,185 @@
+//===- httpservertest.cpp - Tests of incoming HTTP ------------------------===//
+
+#include "harelink/Adapters/httpserver.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace harelink;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A caller with a bare socket.
+class Caller
+{
+public:
+    explicit Caller(std::uint16_t port)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(port);
+        (void)connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address);
+    }
+    ~Caller() { leave(); }
+    Caller(const Caller &) = delete;
+    Caller &operator=(const Caller &) = delete;
+
+    void say(const std::string &bytes) const
+    {
+        (void)send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    /// All bytes until the connection ends, or nothing comes for two seconds.
+    [[nodiscard]] std::string hearAll() const
+    {
+        std::string heard;
+        char buffer[4096];
+        pollfd ready{m_socket, POLLIN, 0};
+        while (poll(&ready, 1, 2000) > 0) {
+            const ssize_t count = recv(m_socket, buffer, sizeof buffer, 0);
+            if (count <= 0) {
+                break;
+            }
+            heard.append(buffer, static_cast<std::size_t>(count));
+        }
+        return heard;
+    }
+    void leave()
+    {
+        if (m_socket >= 0) {
+            close(m_socket);
+        }
+        m_socket = -1;
+    }
+
+private:
+    int m_socket;
+};
+
+template <typename Condition>
+bool comesTrue(const Condition &condition)
+{
+    for (int i = 0; i < 400 && !condition(); ++i) {
+        std::this_thread::sleep_for(5ms);
+    }
+    return condition();
+}
+
+constexpr const char *get = "GET /a?b=c HTTP/1.1\r\nHost: x\r\nX-One: 1\r\nX-One: 2\r\n\r\n";
+
+/// A server that keeps what came and answers when it is told to.
+struct Server
+{
+    Server()
+    {
+        HttpServerOptions options;
+        options.address = "127.0.0.1:0";
+        options.onClosed = [this](std::uint64_t connection) { closed = connection; };
+        server = *HttpServer::start(options, [this](HttpRequest request, Responder respond) {
+            const std::lock_guard<std::mutex> guard(mutex);
+            requests.push_back(std::move(request));
+            responder = std::move(respond);
+        });
+    }
+    ~Server()
+    {
+        // It refers to a connection, which ends with the server.
+        responder = {};
+    }
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    bool waitForRequest()
+    {
+        return comesTrue([this] {
+            const std::lock_guard<std::mutex> guard(mutex);
+            return !requests.empty();
+        });
+    }
+
+    std::mutex mutex;
+    std::vector<HttpRequest> requests;
+    Responder responder;
+    std::atomic<std::uint64_t> closed{0};
+    std::unique_ptr<HttpServer> server;
+};
+
+HttpReply part(const std::string &body, bool more)
+{
+    HttpReply reply;
+    reply.body = body;
+    reply.more = more;
+    return reply;
+}
+
+} // namespace
+
+TEST_GROUP(HttpServer){};
+
+TEST(HttpServer, AllFieldsAndTheTargetAreKeptAsSent)
+{
+    Server server;
+    const Caller caller(server.server->port());
+    caller.say(get);
+    CHECK(server.waitForRequest());
+    STRCMP_EQUAL("/a?b=c", server.requests[0].target.c_str());
+    LONGS_EQUAL(3, server.requests[0].fields.size());
+    STRCMP_EQUAL("X-One", server.requests[0].fields[1].first.c_str());
+    STRCMP_EQUAL("1", server.requests[0].fields[1].second.c_str());
+    STRCMP_EQUAL("2", server.requests[0].fields[2].second.c_str());
+    server.responder(part("done", false));
+}
+
+TEST(HttpServer, ACallerThatLeavesIsNoticedWhileItsRequestIsHandled)
+{
+    Server server;
+    Caller caller(server.server->port());
+    caller.say(get);
+    CHECK(server.waitForRequest());
+    caller.leave();
+    CHECK(comesTrue([&] { return server.closed != 0; }));
+    LONGS_EQUAL(server.requests[0].connection, server.closed.load());
+}
+
+TEST(HttpServer, AReplyThatIsCutDoesNotLookWhole)
+{
+    Server server;
+    const Caller caller(server.server->port());
+    caller.say(get);
+    CHECK(server.waitForRequest());
+    server.responder(part("first", true));
+    std::this_thread::sleep_for(50ms);
+    HttpReply cut;
+    cut.abort = true;
+    server.responder(cut);
+    const std::string heard = caller.hearAll();
+    CHECK(heard.find("first") != std::string::npos);
+    // The last chunk is what would make it whole.
+    CHECK(heard.find("\r\n0\r\n") == std::string::npos);
+}
+
+TEST(HttpServer, AReplyInPartsThatEndsLooksWhole)
+{
+    Server server;
+    const Caller caller(server.server->port());
+    caller.say(get);
+    CHECK(server.waitForRequest());
+    server.responder(part("first", true));
+    HttpReply last = part("", false);
+    last.close = true;
+    server.responder(last);
+    CHECK(caller.hearAll().find("\r\n0\r\n") != std::string::npos);
+}
--- /dev/null
+++ b/unittests/Platform/manifesttest.cpp
@@ -0,0 +1,120 @@
+//===- manifesttest.cpp - Tests of the platform's declarations ------------===//
+
+#include "manifest.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace harelink;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char *manifest = R"({
+  "version": 7, "of-later": true,
+  "routes": [
+    {"name": "r1", "host": "a.example", "path-prefix": "/x/", "kind": "stream",
+     "timeout-ms": 8000, "slo-ms": 1000, "priority": 1, "attempts": 2, "public": false,
+     "can-resume": true, "itl-target-ms": 200,
+     "split": [{"service": "m1", "weight": 90}, {"service": "m2", "weight": 10}],
+     "stages": [{"service": "p1", "since-rev": [], "bytes": 3000000},
+                {"service": "p1", "since-rev": [0], "bytes": 10}]},
+    {"name": "r2", "host": "a.example", "path-prefix": "/y/", "kind": "unsafe",
+     "timeout-ms": 1500, "slo-ms": 300, "priority": 2, "attempts": 1, "public": true,
+     "service": "m2"}],
+  "services": [
+    {"name": "m1", "engine": {"kv-capacity": 614608}},
+    {"name": "m2"},
+    {"name": "p1", "pieces": {"slots": 1, "queue": 2, "batch": 8, "call-ms": 150.0,
+     "item-ms": 2.1, "headroom-mb": 39.0, "handle-s": 4.0}}],
+  "limits": {"max-body-bytes": 4194304},
+  "tenants": [{"name": "t1", "api-keys": ["k1", "k2"], "priority": 1}]})";
+
+template <typename Spec>
+const Spec &specOf(const std::vector<Resource> &resources, const std::string &name)
+{
+    for (const Resource &resource : resources) {
+        if (resource.name == name) {
+            return std::get<Spec>(resource.spec);
+        }
+    }
+    FAIL("no resource of this name");
+    return std::get<Spec>(resources.front().spec);
+}
+
+std::string with(const std::string &from, const std::string &to)
+{
+    std::string text = manifest;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST_GROUP(Manifest)
+{
+    fleet::ManifestReader reader;
+};
+
+TEST(Manifest, RoutesBecomePipelines)
+{
+    const auto resources = reader.read("config", "main", manifest);
+    CHECK(resources.ok());
+    const auto &stream = specOf<PipelineSpec>(*resources, "r1");
+    CHECK(stream.repeatable);
+    CHECK(stream.route->streams);
+    LONGS_EQUAL(2, stream.route->split.size());
+    DOUBLES_EQUAL(90, stream.route->split[0].weight, 0);
+    LONGS_EQUAL(2, stream.route->mostEndpoints);
+    CHECK(stream.deadline == milliseconds(8000));
+    CHECK(stream.route->objective == milliseconds(1000));
+    CHECK(stream.route->patience == milliseconds(4000));
+    LONGS_EQUAL(4194304, stream.largestBody);
+    LONGS_EQUAL(1, stream.route->pieceStages[1].after.size());
+    LONGS_EQUAL(3000000, stream.route->pieceStages[0].resultBytes);
+    const auto &record = specOf<PipelineSpec>(*resources, "r2");
+    CHECK_FALSE(record.repeatable);
+    CHECK(record.route->isPublic);
+    STRCMP_EQUAL("m2", record.route->split[0].pool.c_str());
+}
+
+TEST(Manifest, ServicesBecomePoolsAndTenantsAccounts)
+{
+    const auto resources = reader.read("config", "main", manifest);
+    CHECK(specOf<PoolSpec>(*resources, "m1").keepsPrompts);
+    const PieceWorkSpec &work = *specOf<PoolSpec>(*resources, "p1").pieces;
+    LONGS_EQUAL(8, work.batch);
+    CHECK(work.pieceTime == std::chrono::microseconds(2100));
+    LONGS_EQUAL(39'000'000, work.roomBytes);
+    CHECK(work.resultLife == milliseconds(4000));
+    const auto &account = specOf<ClientAccountSpec>(*resources, "t1");
+    LONGS_EQUAL(2, account.apiKeys.size());
+    LONGS_EQUAL(1, account.priority.value());
+}
+
+TEST(Manifest, AnEndpointThatDrainsIsLeaving)
+{
+    const char *server = R"({"service": "m1", "addr": "10.0.0.1:80", "zone": "z", "slots": 64,
+                             "state": "draining", "seq": 4})";
+    const auto resources = reader.read("servers", "i-1", server);
+    const auto &endpoint = std::get<EndpointSpec>(resources->front().spec);
+    CHECK(endpoint.leaving);
+    CHECK(endpoint.refusesBeforeRunning);
+    STRCMP_EQUAL("i-1", endpoint.name.c_str());
+    STRCMP_EQUAL("z", endpoint.dataCentre.c_str());
+}
+
+TEST(Manifest, WhatDoesNotFitTogetherIsRefusedWhole)
+{
+    CHECK_FALSE(reader.read("config", "main", "{}").ok());
+    CHECK_FALSE(reader.read("config", "main", "no json").ok());
+    CHECK_FALSE(
+        reader
+            .read("config", "main",
+                  with("\"service\": \"m1\", \"weight\"", "\"service\": \"gone\", \"weight\""))
+            .ok());
+    CHECK_FALSE(
+        reader.read("config", "main", with("\"since-rev\": [0]", "\"since-rev\": [1]")).ok());
+    CHECK_FALSE(
+        reader.read("config", "main", with("\"timeout-ms\": 8000", "\"timeout-ms\": \"x\"")).ok());
+    CHECK_FALSE(reader.read("servers", "i-1", R"({"service": "m1"})").ok());
+}
--- /dev/null
+++ b/unittests/Platform/requeststest.cpp
@@ -0,0 +1,212 @@
+//===- requeststest.cpp - Tests of the platform's requests ----------------===//
+
+#include "requests.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+using namespace harelink;
+using std::chrono::milliseconds;
+
+namespace {
+
+HttpRequest request()
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/x/1?q=a%20b";
+    request.path = "/x/1";
+    request.body = "body";
+    request.fields = {{"Host", "A.Example:80"},
+                      {"X-Request-Id", "r-1"},
+                      {"X-Deadline-Ms", "800"},
+                      {"Authorization", "Token k1"},
+                      {"X-Tenant", "forged"},
+                      {"X-Token-Count", "1460,80"},
+                      {"X-Prompt-Prefix", "5c:800,91:410,e4:250"},
+                      {"X-Pieces", "1,0,16"},
+                      {"X-Piece-Key", "pk"},
+                      {"Connection", "keep-alive, x-hop"},
+                      {"X-Hop", "1"},
+                      {"X-Own", "1"},
+                      {"X-Own", "2"},
+                      {"Content-Length", "4"}};
+    for (const auto &[name, value] : request.fields) {
+        std::string lower = name;
+        std::transform(lower.begin(), lower.end(), lower.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        request.headers[lower] = value;
+    }
+    return request;
+}
+
+SendStage stage(const fleet::RequestDialect &dialect)
+{
+    SendStage stage;
+    stage.call = {{1, 2}, 0, 1};
+    stage.endpoint = "i-7";
+    stage.address = "10.0.0.1:80";
+    stage.account = "t1";
+    stage.timeout = milliseconds(750);
+    stage.inputs = {"10.0.0.2:80/a", "10.0.0.2:80/b"};
+    stage.carried = dialect.read(request())->carried;
+    return stage;
+}
+
+bool has(const HttpCall &call, const std::string &line)
+{
+    return std::find(call.headers.begin(), call.headers.end(), line) != call.headers.end();
+}
+
+HttpResult result(int status, std::vector<std::pair<std::string, std::string>> fields)
+{
+    HttpResult result;
+    result.status = status;
+    result.headStatus = status;
+    result.sent = true;
+    result.body = "answer";
+    result.fields = std::move(fields);
+    for (const auto &[name, value] : result.fields) {
+        std::string lower = name;
+        std::transform(lower.begin(), lower.end(), lower.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        result.headers[lower] = value;
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(Requests)
+{
+    fleet::RequestDialect dialect;
+};
+
+TEST(Requests, HintsAreReadAndTheRestIsKept)
+{
+    const auto arrival = dialect.read(request());
+    CHECK(arrival.ok());
+    const CarriedRequest &carried = *arrival->carried;
+    CHECK(*arrival->timeAllowed == milliseconds(800));
+    STRCMP_EQUAL("a.example", carried.host.c_str());
+    STRCMP_EQUAL("k1", carried.apiKey.c_str());
+    LONGS_EQUAL(1460, carried.promptTokens);
+    LONGS_EQUAL(3, carried.prompt.size());
+    LONGS_EQUAL(410, carried.prompt[1].tokens);
+    LONGS_EQUAL(3, carried.pieceCounts.size());
+    LONGS_EQUAL(16, carried.pieceCounts[2]);
+}
+
+TEST(Requests, ABrokenRequestIsAnErrorThatNamesTheFault)
+{
+    HttpRequest broken = request();
+    broken.headers["x-deadline-ms"] = "soon";
+    const auto arrival = dialect.read(broken);
+    CHECK_FALSE(arrival.ok());
+    LONGS_EQUAL(400, dialect.makeBadRequest(broken, arrival.status()).status);
+    broken = request();
+    broken.headers.erase("x-request-id");
+    CHECK_FALSE(dialect.read(broken).ok());
+}
+
+TEST(Requests, TheEndpointGetsTheRequestUnchangedAndNoKey)
+{
+    const HttpCall call = dialect.encode(stage(dialect));
+    STRCMP_EQUAL("/x/1?q=a%20b", call.target.c_str());
+    STRCMP_EQUAL("body", call.body.c_str());
+    CHECK(has(call, "X-Request-Id: r-1"));
+    CHECK(has(call, "X-Own: 1"));
+    CHECK(has(call, "X-Own: 2"));
+    CHECK(has(call, "X-Tenant: t1"));
+    CHECK(has(call, "X-Expect-Instance: i-7"));
+    CHECK(has(call, "X-Deadline-Ms: 750"));
+    CHECK(has(call, "X-Inputs: 10.0.0.2:80/a,10.0.0.2:80/b"));
+    CHECK_FALSE(has(call, "X-Tenant: forged"));
+    CHECK_FALSE(has(call, "Authorization: Token k1"));
+    CHECK_FALSE(has(call, "X-Hop: 1"));
+    CHECK_FALSE(call.resendable);
+}
+
+TEST(Requests, AnAnswerCountsOnlySignedAndForItsOwnRequest)
+{
+    const SendStage sent = stage(dialect);
+    const auto whole =
+        dialect.decode(sent, result(200, {{"X-Request-Id", "r-1"}, {"X-Server-Seal", "s"}}));
+    CHECK(std::get<StageAnswered>(whole).echoed == sent.call);
+    const auto other =
+        dialect.decode(sent, result(200, {{"X-Request-Id", "r-2"}, {"X-Server-Seal", "s"}}));
+    CHECK(std::get<StageAnswered>(other).echoed != sent.call);
+    const auto unsealed = dialect.decode(sent, result(200, {{"X-Request-Id", "r-1"}}));
+    CHECK(std::get<StageAnswered>(unsealed).echoed != sent.call);
+    const auto encoded = dialect.decode(sent, result(200, {{"X-Request-Id", "r-1"},
+                                                           {"X-Server-Seal", "s"},
+                                                           {"Content-Encoding", "gzip"}}));
+    CHECK(std::get<StageAnswered>(encoded).echoed != sent.call);
+}
+
+TEST(Requests, OnlyTheEndpointsOwnWordProvesThatNothingRan)
+{
+    const SendStage sent = stage(dialect);
+    const auto refused = dialect.decode(sent, result(503, {{"X-Not-Run", "1"}}));
+    CHECK(std::get<StageFailed>(refused).evidence == SendEvidence::RefusedBeforeRun);
+    const auto failed = dialect.decode(sent, result(503, {{"X-Request-Id", "r-1"}}));
+    CHECK(std::get<StageFailed>(failed).evidence == SendEvidence::Sent);
+    const auto other = dialect.decode(sent, result(421, {}));
+    CHECK(std::get<StageFailed>(other).isOtherEndpoint);
+    HttpResult silent;
+    silent.sent = true;
+    CHECK(std::get<StageFailed>(dialect.decode(sent, silent)).evidence == SendEvidence::Sent);
+    silent.sent = false;
+    CHECK(std::get<StageFailed>(dialect.decode(sent, silent)).evidence
+          == SendEvidence::NothingSent);
+}
+
+TEST(Requests, ARefusalPromisesOnlyWhatIsTrue)
+{
+    AnswerCaller answer;
+    answer.callerId = "r-1";
+    answer.outcome = Outcome::NotRun;
+    answer.reason = Reason::CannotFinish;
+    answer.retryAfter = milliseconds(250);
+    const HttpReply refusal = dialect.makeReply(answer);
+    LONGS_EQUAL(503, refusal.status);
+    CHECK(std::find(refusal.headers.begin(), refusal.headers.end(),
+                    std::pair<std::string, std::string>("Retry-After", "0.250"))
+          != refusal.headers.end());
+    answer.outcome = Outcome::Unknown;
+    LONGS_EQUAL(502, dialect.makeReply(answer).status);
+    answer.reason = Reason::DeadlineExceeded;
+    LONGS_EQUAL(504, dialect.makeReply(answer).status);
+    answer.outcome = Outcome::NotRun;
+    answer.reason = Reason::UnknownAccount;
+    LONGS_EQUAL(401, dialect.makeReply(answer).status);
+}
+
+TEST(Requests, AStreamIsPassedOnInWholeEventsOnly)
+{
+    const SendStage sent = stage(dialect);
+    CarriedStream stream(dialect, sent);
+    HttpResult head = result(200, {{"X-Request-Id", "r-1"},
+                                   {"X-Server-Seal", "s"},
+                                   {"Content-Type", "text/event-stream"},
+                                   {"Transfer-Encoding", "chunked"}});
+    LONGS_EQUAL(0, stream.take(head, "id: 1\ndata: a").size());
+    const std::vector<StageEvent> events = stream.take(head, "\n\nid: 2\ndata: b\n\nid: 3");
+    LONGS_EQUAL(2, events.size());
+    STRCMP_EQUAL("id: 1\ndata: a\n\n", events[0].bytes.c_str());
+    LONGS_EQUAL(2, events[1].eventId.value());
+    // It ended within an event: that is no whole answer.
+    CHECK(std::holds_alternative<StageFailed>(stream.finish(head)));
+}
+
+TEST(Requests, AStreamWithoutFramingNeverLooksWhole)
+{
+    const SendStage sent = stage(dialect);
+    CarriedStream stream(dialect, sent);
+    const HttpResult head = result(
+        200,
+        {{"X-Request-Id", "r-1"}, {"X-Server-Seal", "s"}, {"Content-Type", "text/event-stream"}});
+    LONGS_EQUAL(1, stream.take(head, "id: 1\ndata: a\n\n").size());
+    CHECK(std::holds_alternative<StageFailed>(stream.finish(head)));
+}
--- /dev/null
+++ b/unittests/Platform/storetest.cpp
@@ -0,0 +1,155 @@
+//===- storetest.cpp - Tests of the platform's store and stages -----------===//
+
+#include "store.h"
+#include "pieces.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace harelink;
+using std::chrono::milliseconds;
+
+namespace {
+
+HttpResult ok(const std::string &body)
+{
+    HttpResult result;
+    result.status = 200;
+    result.headStatus = 200;
+    result.sent = true;
+    result.body = body;
+    return result;
+}
+
+PieceCall pieceCall()
+{
+    PieceCall call;
+    call.id = 3;
+    call.endpoint = "i-9";
+    call.address = "10.0.0.9:80";
+    PieceOrder first;
+    first.id = {{1, 2}, 0, 4};
+    first.callerId = "r-1";
+    first.key = "pk";
+    first.dueIn = milliseconds(900);
+    PieceOrder second = first;
+    second.id.stage = 2;
+    second.inputs = {"10.0.0.1:80/a"};
+    call.orders = {first, second};
+    return call;
+}
+
+} // namespace
+
+TEST_GROUP(Store)
+{
+    fleet::StoreDialect store;
+    fleet::StageDialect stages;
+};
+
+TEST(Store, AListingComesInPages)
+{
+    PlatformCall call;
+    call.operation = PlatformOperation::List;
+    call.kind = "servers";
+    call.name = "i-1";
+    const HttpCall http = store.encode(call, "10.0.0.1:80", milliseconds(500));
+    STRCMP_EQUAL("http://10.0.0.1:80/objects/servers?since-rev=i-1", http.url.c_str());
+    const PlatformResult result =
+        store.decode(call, ok(
+                               R"({"items": [{"meta": {"name": "i-2", "rev": 5}, "spec": {"a": 1}}],
+            "truncated": true, "store-revision": 9})"));
+    CHECK(result.more);
+    LONGS_EQUAL(9, result.version);
+    LONGS_EQUAL(5, result.objects[0].version);
+    STRCMP_EQUAL("{\"a\":1}", result.objects[0].value.c_str());
+}
+
+TEST(Store, AWatchTellsOfChangesAndRemovals)
+{
+    PlatformCall call;
+    call.operation = PlatformOperation::Watch;
+    call.kind = "servers";
+    call.since = 9;
+    call.wait = milliseconds(2000);
+    const HttpCall http = store.encode(call, "10.0.0.1:80", milliseconds(500));
+    STRCMP_EQUAL("http://10.0.0.1:80/objects/servers?watch=9&wait-ms=2000", http.url.c_str());
+    CHECK(http.timeout == milliseconds(2500));
+    const PlatformResult result = store.decode(
+        call, ok(
+                  R"({"events": [{"removed": true, "object": {"meta": {"name": "i-2", "rev": 10}}}],
+            "store-revision": 10})"));
+    CHECK(result.objects[0].deleted);
+    HttpResult forgotten = ok("{}");
+    forgotten.status = 410;
+    CHECK(store.decode(call, forgotten).outcome == PlatformOutcome::Gone);
+}
+
+TEST(Store, AWriteIsConditionalAndAConflictTellsTheVersion)
+{
+    PlatformCall call;
+    call.operation = PlatformOperation::Put;
+    call.kind = "k";
+    call.name = "n";
+    call.value = R"({"a":1})";
+    const HttpCall creation = store.encode(call, "10.0.0.1:80", milliseconds(500));
+    STRCMP_EQUAL("POST", creation.method.c_str());
+    CHECK_FALSE(creation.resendable);
+    call.ifVersion = 4;
+    const HttpCall update = store.encode(call, "10.0.0.1:80", milliseconds(500));
+    STRCMP_EQUAL("PUT", update.method.c_str());
+    LONGS_EQUAL(4, nlohmann::json::parse(update.body)["meta"]["rev"].get<int>());
+    HttpResult conflict = ok(R"({"meta": {"name": "n", "rev": 6}, "spec": {}})");
+    conflict.status = 409;
+    const PlatformResult result = store.decode(call, conflict);
+    CHECK(result.outcome == PlatformOutcome::Conflict);
+    LONGS_EQUAL(6, result.version);
+}
+
+TEST(Store, AnAnswerThatCannotBeReadIsAsGoodAsNone)
+{
+    PlatformCall call;
+    call.operation = PlatformOperation::List;
+    CHECK(store.decode(call, ok("{]")).outcome == PlatformOutcome::Silent);
+    HttpResult refused;
+    refused.status = 429;
+    CHECK(store.decode(call, refused).outcome == PlatformOutcome::Refused);
+}
+
+TEST(Store, APieceHasAKeyOrInputs)
+{
+    const HttpCall http = stages.encode(pieceCall());
+    const nlohmann::json items = nlohmann::json::parse(http.body)["items"];
+    STRCMP_EQUAL("pk", items[0]["key"].get<std::string>().c_str());
+    CHECK_FALSE(items[0].contains("inputs"));
+    LONGS_EQUAL(900, items[0]["left-ms"].get<int>());
+    CHECK_FALSE(items[1].contains("key"));
+    LONGS_EQUAL(1, items[1]["inputs"].size());
+}
+
+TEST(Store, ResultsComeInTheOrderOfTheCall)
+{
+    const PieceCallEnded ended = stages.decode(
+        pieceCall(), ok(R"({"items": [{"handle": "10.0.0.9:80/x"}, {"reason": "gone"}]})"));
+    CHECK(ended.answered);
+    STRCMP_EQUAL("10.0.0.9:80/x", ended.results[0].handle.c_str());
+    CHECK(ended.results[1].fault == PieceFault::InputGone);
+}
+
+TEST(Store, AnAnswerToAnotherCallIsNone)
+{
+    CHECK_FALSE(stages.decode(pieceCall(), ok(R"({"items": [{"handle": "x"}]})")).answered);
+    CHECK_FALSE(stages.decode(pieceCall(), ok("no json")).answered);
+    HttpResult other = ok(R"({"items": [{"handle": "x"}, {"handle": "y"}]})");
+    other.headers["x-request-id"] = "another";
+    CHECK_FALSE(stages.decode(pieceCall(), other).answered);
+}
+
+TEST(Store, ResultsAreFreedWithOneCallForEachEndpoint)
+{
+    const std::vector<HttpCall> calls =
+        stages.encodeFree({"10.0.0.1:80/a", "10.0.0.2:80/b", "10.0.0.1:80/c"});
+    LONGS_EQUAL(2, calls.size());
+    LONGS_EQUAL(2, nlohmann::json::parse(calls[0].body)["handles"].size());
+}
