[Kernel] Wait for a piece that may not be ordered again

Change: an overdue order that may not be repeated is waited for until it is of no use any more. An order that surely failed ends the request as before.

--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -96,6 +96,7 @@
 
     [[nodiscard]] std::string batcherOf(const std::string &pool) const;
     void place(std::vector<Pending> group, const Snapshot &snapshot);
+    [[nodiscard]] bool mayReorder(const Pending &pending);
     void reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
     void finish(const PieceId &id, PieceFault fault);
     RetryBudget &budgetOf(const std::string &pool);
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -183,22 +183,26 @@
     }
 }
 
+bool PieceRouter::mayReorder(const Pending &pending)
+{
+    const TimePoint now = m_clock.now();
+    const int daemons = static_cast<int>(m_membership.livePeers().size()) + 1;
+    return pending.attempts < mostAttempts && now < pending.due
+           && budgetOf(pending.pool).allows(now, daemons);
+}
+
 void PieceRouter::reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
     const auto found = m_pending.find(id);
     Pending pending = std::move(found->second);
     m_pending.erase(found);
-    RetryBudget &budget = budgetOf(pending.pool);
-    const int daemons = static_cast<int>(m_membership.livePeers().size()) + 1;
-    const bool mayGo =
-        pending.attempts < mostAttempts && now < pending.due && budget.allows(now, daemons);
-    if (!mayGo) {
+    if (!mayReorder(pending)) {
         m_pending[id] = std::move(pending);
         finish(id, fault);
         return;
     }
-    budget.noteRepeat(now);
+    budgetOf(pending.pool).noteRepeat(now);
     ++m_reorders;
     std::vector<Pending> group;
     group.push_back(std::move(pending));
@@ -230,11 +234,15 @@
         }
     }
     for (const PieceId &id : overdue) {
-        const bool late = now >= m_pending.at(id).due;
-        if (late) {
+        Pending &pending = m_pending.at(id);
+        if (now >= pending.due) {
             finish(id, PieceFault::Late);
-        } else {
+        } else if (mayReorder(pending)) {
             reorder(id, PieceFault::Failed, snapshot);
+        } else {
+            // Its endpoint may only be slow: nothing says yet that it will not be made.
+            pending.checkAt = now + patience;
+            pending.orderedAt = now;
         }
     }
 }
--- a/unittests/Kernel/pieceroutertest.cpp
+++ b/unittests/Kernel/pieceroutertest.cpp
@@ -135,3 +135,20 @@
     router.order("pieces", {pieceOrder(2)}, *bench.snapshot);
     CHECK(router.takeOrders()[0].host == bench.orders[0].host);
 }
+
+TEST(PieceRouter, WhatMayNotBeOrderedAgainIsWaitedFor)
+{
+    // No repeat is allowed: the one order under way is all there is, and may only be slow.
+    Bench bench;
+    PieceRouter router(bench.clock, bench.membership, {0, 0, milliseconds(10'000)});
+    router.order("pieces", {pieceOrder(1)}, *bench.snapshot);
+    const PieceOrdersTo order = router.takeOrders()[0];
+    bench.clock.advance(milliseconds(2500));
+    router.tick(*bench.snapshot);
+    CHECK(router.takeOrders().empty());
+    CHECK(router.takeOutcomes().empty());
+    PieceOutcomes message;
+    message.outcomes.push_back({order.orders.orders[0].id, "maker-0", "a", PieceFault::None});
+    router.take(message, *bench.snapshot);
+    LONGS_EQUAL(1, router.takeOutcomes().size());
+}
