--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -206,7 +206,8 @@
     }
     request.predicted = forecast(request, snapshot);
     const TimePoint now = request.arrivedAt;
-    if (now + request.predicted <= request.wanted) {
+    const auto cautious = std::chrono::duration_cast<Duration>(request.predicted * requestmachine::admissionMargin);
+    if (now + cautious <= request.wanted) {
         return true;
     }
     const Duration left = request.preparedBy - now;
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -65,6 +65,8 @@
 inline constexpr std::uint64_t leastHomeTokens = 1'500;
 /// What a model engine needs besides reading: its first step and the hops.
 inline constexpr std::chrono::milliseconds firstEventOverhead{25};
+/// A forecast is taken to be this many times as long: half of them are too short.
+inline constexpr double admissionMargin = 1.12;
 /// Requests that are taken in although they will miss their objective: so many at once,
 /// and only where they are predicted to be done within their caller's patience. They fill
 /// places that nobody else wants.
