[Kernel] Hold vanished endpoints from when the platform answers again

Cause: after an outage of the store, removals were held for 2.5 s from the last failed call; a call that hangs through the outage comes back later than that and brought them all at once. Failures of other calls (the host list) did not count.

Change: any call tells whether the platform answers; removals are held while it does not and 2.3 s from the first answer on. Watches back off for 1 s at most. What a status of a store means stands once (platformclient).

Two tests that failed before.

--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -98,6 +98,8 @@
     /// Whether a whole listing has been seen.
     [[nodiscard]] bool synced() const { return m_synced; }
     [[nodiscard]] TimePoint nextTick() const;
+    /// Takes in whether the platform answered any call, of this watcher or not.
+    void notePlatform(bool answered);
     /// Applies the deletions that were held back long enough; true where what is in
     /// force changed.
     bool applyHeld();
@@ -115,7 +117,8 @@
     std::string m_continueAfter;          ///< Its last name so far.
     /// Deletions of endpoints that may only have lapsed while the platform was away.
     std::map<std::string, PlatformObject> m_held;
-    TimePoint m_lastFailure;
+    bool m_away = false;    ///< The last call to the platform failed.
+    TimePoint m_regainedAt; ///< When it answered again after that.
     Version m_since = 0;
     bool m_listNext = true;
     bool m_synced = false;
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -25,7 +25,7 @@
 namespace configwatcher {
 
 inline constexpr std::chrono::milliseconds firstBackOff{100};
-inline constexpr std::chrono::milliseconds longestBackOff{2000};
+inline constexpr std::chrono::milliseconds longestBackOff{1000};
 /// How long the platform may hold a watch open. A watch may have gone silent while news
 /// came, as when the platform forgets its history; that is noticed when this is over. At
 /// 10 s a daemon used a key 4.6 s after it was taken away; at 1 s, nine daemons made 18
@@ -35,9 +35,10 @@
 /// Between a watch without news and the next one.
 inline constexpr std::chrono::milliseconds emptyWatchPause{50};
 
-/// After the platform was out of reach, an endpoint that is missing is waited for this
-/// long: those that live declare themselves anew within two seconds.
-inline constexpr std::chrono::milliseconds lapseAllowance{2500};
+/// From when the platform answers again, an endpoint that is missing is waited for this
+/// long: those that live declare themselves anew within two seconds. It is counted from the
+/// first answer and not from the last failure, for a call may hang through the outage.
+inline constexpr std::chrono::milliseconds lapseAllowance{2300};
 
 } // namespace configwatcher
 
@@ -157,7 +158,7 @@
     : m_clock(clock)
     , m_table(table)
     , m_kinds(std::move(kinds))
-    , m_lastFailure(TimePoint::min())
+    , m_regainedAt(TimePoint::min())
     , m_notBefore(clock.now())
     , m_backOff(configwatcher::firstBackOff)
 {
@@ -167,7 +168,8 @@
 TimePoint BasicConfigWatcher<G>::nextTick() const
 {
     const TimePoint call = m_callId == 0 ? m_notBefore : TimePoint::max();
-    return m_held.empty() ? call : std::min(call, m_lastFailure + configwatcher::lapseAllowance);
+    const bool waits = !m_held.empty() && !m_away;
+    return waits ? std::min(call, m_regainedAt + configwatcher::lapseAllowance) : call;
 }
 
 template <GuardPolicy G>
@@ -199,10 +201,11 @@
         return false;
     }
     if (result.outcome != PlatformOutcome::Ok) {
-        m_lastFailure = m_clock.now();
+        notePlatform(false);
         backOff();
         return false;
     }
+    notePlatform(true);
     m_backOff = configwatcher::firstBackOff;
     if (m_listing && result.more) {
         m_listed.insert(m_listed.end(), result.objects.begin(), result.objects.end());
@@ -261,14 +264,24 @@
     const ObjectReader &reader = m_table.reader();
     const bool mayHaveLapsed =
         news.deleted && reader.endpointsLapse() && news.kind == reader.endpointKind();
-    return mayHaveLapsed && m_lastFailure != TimePoint::min()
-           && m_clock.now() - m_lastFailure < configwatcher::lapseAllowance;
+    const bool justRegained = m_regainedAt != TimePoint::min()
+                              && m_clock.now() - m_regainedAt < configwatcher::lapseAllowance;
+    return mayHaveLapsed && (m_away || justRegained);
+}
+
+template <GuardPolicy G>
+void BasicConfigWatcher<G>::notePlatform(bool answered)
+{
+    if (answered && m_away) {
+        m_regainedAt = m_clock.now();
+    }
+    m_away = !answered;
 }
 
 template <GuardPolicy G>
 bool BasicConfigWatcher<G>::applyHeld()
 {
-    if (m_held.empty() || m_clock.now() - m_lastFailure < configwatcher::lapseAllowance) {
+    if (m_held.empty() || m_away || m_clock.now() - m_regainedAt < configwatcher::lapseAllowance) {
         return false;
     }
     bool changed = false;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -225,6 +225,11 @@
 template <GuardPolicy G>
 void BasicControlMachine<G>::handle(const PlatformResult &result)
 {
+    const bool answered =
+        result.outcome != PlatformOutcome::Refused && result.outcome != PlatformOutcome::Silent;
+    for (BasicConfigWatcher<G> &watcher : m_watchers) {
+        watcher.notePlatform(answered);
+    }
     for (BasicConfigWatcher<G> &watcher : m_watchers) {
         if (watcher.owns(result.id)) {
             m_configPending = watcher.handle(result) || m_configPending;
--- a/lib/Adapters/platformclient.cpp
+++ b/lib/Adapters/platformclient.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int statusOk = 200;
+constexpr int statusCreated = 201;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 409;
 constexpr int statusGone = 410;
@@ -20,28 +21,6 @@
     return fmt::format("http://{}/v1/objects/{}/{}", address, call.kind, call.name);
 }
 
-PlatformOutcome outcomeOf(const HttpResult &result)
-{
-    switch (result.status) {
-    case statusOk:
-        return PlatformOutcome::Ok;
-    case statusNotFound:
-        return PlatformOutcome::NotFound;
-    case statusConflict:
-        return PlatformOutcome::Conflict;
-    case statusGone:
-        return PlatformOutcome::Gone;
-    case statusTooManyRequests:
-    case statusUnavailable:
-        return PlatformOutcome::Refused;
-    case 0:
-        return result.sent ? PlatformOutcome::Silent : PlatformOutcome::Refused;
-    default:
-        // A server's fault leaves open whether the call took effect.
-        return PlatformOutcome::Silent;
-    }
-}
-
 PlatformObject readObject(const nlohmann::json &from)
 {
     PlatformObject object;
@@ -70,6 +49,29 @@
 
 } // namespace
 
+PlatformOutcome outcomeOfStoreCall(const HttpResult &result)
+{
+    switch (result.status) {
+    case statusOk:
+    case statusCreated:
+        return PlatformOutcome::Ok;
+    case statusNotFound:
+        return PlatformOutcome::NotFound;
+    case statusConflict:
+        return PlatformOutcome::Conflict;
+    case statusGone:
+        return PlatformOutcome::Gone;
+    case statusTooManyRequests:
+    case statusUnavailable:
+        return PlatformOutcome::Refused;
+    case 0:
+        return result.sent ? PlatformOutcome::Silent : PlatformOutcome::Refused;
+    default:
+        // A server's fault leaves open whether the call took effect.
+        return PlatformOutcome::Silent;
+    }
+}
+
 HttpCall encodePlatformCall(const PlatformCall &call, const std::string &address, Duration timeout)
 {
     HttpCall http;
@@ -111,7 +113,7 @@
 {
     PlatformResult result;
     result.id = id;
-    result.outcome = outcomeOf(http);
+    result.outcome = outcomeOfStoreCall(http);
     if (result.outcome != PlatformOutcome::Ok && result.outcome != PlatformOutcome::Conflict) {
         return result;
     }
--- a/unittests/Kernel/configwatchertest.cpp
+++ b/unittests/Kernel/configwatchertest.cpp
@@ -88,11 +88,37 @@
     LONGS_EQUAL(2, bench.endpoints());
     // One declares itself anew; the other is taken to be gone.
     bench.answer(PlatformOutcome::Ok, {Bench::object("i-2", 11)}, 11);
+    bench.clock.advance(milliseconds(300));
     CHECK(bench.watcher.applyHeld());
     LONGS_EQUAL(1, bench.endpoints());
     CHECK(bench.table.endpoint("i-2")->resources.size() == 1);
 }
 
+TEST(ConfigWatcher, ACallThatHungThroughTheOutageRemovesNobodyAtOnce)
+{
+    // The call after the failure is only answered long after, when the platform is back.
+    Bench bench;
+    bench.answer(PlatformOutcome::Ok, {Bench::object("i-1", 5)}, 7);
+    bench.answer(PlatformOutcome::Refused);
+    bench.clock.advance(milliseconds(4000));
+    bench.answer(PlatformOutcome::Ok, {Bench::object("i-1", 9, true)}, 9);
+    LONGS_EQUAL(1, bench.endpoints());
+    bench.clock.advance(milliseconds(2200));
+    CHECK_FALSE(bench.watcher.applyHeld());
+    bench.clock.advance(milliseconds(200));
+    CHECK(bench.watcher.applyHeld());
+    LONGS_EQUAL(0, bench.endpoints());
+}
+
+TEST(ConfigWatcher, AFailureOfAnotherCallCountsToo)
+{
+    Bench bench;
+    bench.answer(PlatformOutcome::Ok, {Bench::object("i-1", 5)}, 7);
+    bench.watcher.notePlatform(false);
+    bench.answer(PlatformOutcome::Ok, {Bench::object("i-1", 9, true)}, 9);
+    LONGS_EQUAL(1, bench.endpoints());
+}
+
 TEST(ConfigWatcher, AListingInPagesIsTakenWhole)
 {
     Bench bench;
