[Support] Keep one copy of what the platform's path wrote again

PieceGraph had three members that nobody called, and a request that prepares was withdrawn from queues that it is in none of.

Change: stageFailure(), Support/text.h, CarriedRequest::sharedTokens(), one handler for a concept PieceContent; the dead members and calls are gone. No behaviour and no test changes.

--- a/include/harelink/Adapters/stageprotocol.h
+++ b/include/harelink/Adapters/stageprotocol.h
@@ -48,6 +48,9 @@
     [[nodiscard]] virtual std::string wholeAnswer(const std::string &text) const { return text; }
 };
 
+/// That \p stage failed, with what is known of whether its endpoint saw it.
+[[nodiscard]] StageFailed stageFailure(const SendStage &stage, SendEvidence evidence,
+                                       std::string_view message);
 /// The HTTP call that carries \p stage.
 [[nodiscard]] HttpCall encodeStage(const StageProtocol &protocol, const SendStage &stage);
 
--- a/include/harelink/Kernel/carried.h
+++ b/include/harelink/Kernel/carried.h
@@ -52,6 +52,16 @@
 
     /// The event that the caller saw last of a stream that broke.
     std::optional<std::uint64_t> lastEventSeen;
+
+    /// The tokens of all parts of the prompt but its own.
+    [[nodiscard]] std::uint64_t sharedTokens() const
+    {
+        std::uint64_t tokens = 0;
+        for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+            tokens += prompt[i].tokens;
+        }
+        return tokens;
+    }
 };
 
 /// An endpoint's answer that is passed back unchanged.
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -111,10 +111,8 @@
     void handle(const PeerMessage &message, const ClaimFinished &content);
     void handle(const PeerMessage &message, const ConfigPush &content);
     void handle(const PeerMessage &message, const ConfigDigest &content);
-    void handle(const PeerMessage &message, const PieceOrders &content);
-    void handle(const PeerMessage &message, const PieceOutcomes &content);
-    void handle(const PeerMessage &message, const PieceWithdrawal &content);
-    void handle(const PeerMessage &message, const PieceFrees &content);
+    template <PieceContent Content>
+    void handle(const PeerMessage &message, const Content &content);
     bool takeAnnouncement(const PlatformResult &result);
     void announce();
     void forwardLedgerReplies();
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -323,28 +323,8 @@
 }
 
 template <GuardPolicy G>
-void BasicControlMachine<G>::handle(const PeerMessage &message, const PieceOrders &content)
-{
-    (void)content;
-    m_output.pieceMessages.push_back(message);
-}
-
-template <GuardPolicy G>
-void BasicControlMachine<G>::handle(const PeerMessage &message, const PieceOutcomes &content)
-{
-    (void)content;
-    m_output.pieceMessages.push_back(message);
-}
-
-template <GuardPolicy G>
-void BasicControlMachine<G>::handle(const PeerMessage &message, const PieceWithdrawal &content)
-{
-    (void)content;
-    m_output.pieceMessages.push_back(message);
-}
-
-template <GuardPolicy G>
-void BasicControlMachine<G>::handle(const PeerMessage &message, const PieceFrees &content)
+template <PieceContent Content>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const Content &content)
 {
     (void)content;
     m_output.pieceMessages.push_back(message);
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -14,6 +14,7 @@
 #include "harelink/Kernel/platform.h"
 #include "harelink/Kernel/types.h"
 
+#include <concepts>
 #include <string>
 #include <variant>
 #include <vector>
@@ -78,6 +79,12 @@
     std::vector<Entry> entries;
 };
 
+/// Messages that concern pieces; the control only hands them on.
+template <typename Content>
+concept PieceContent =
+    std::same_as<Content, PieceOrders> || std::same_as<Content, PieceOutcomes> || std::same_as<
+        Content, PieceWithdrawal> || std::same_as<Content, PieceFrees>;
+
 /// One message.
 struct PeerMessage
 {
--- a/include/harelink/Kernel/piecegraph.h
+++ b/include/harelink/Kernel/piecegraph.h
@@ -55,11 +55,6 @@
     std::vector<std::string> takeAll();
     /// The pool that makes the pieces of \p stage.
     [[nodiscard]] const std::string &poolOf(std::uint32_t stage) const;
-    /// The stages whose pieces are not all made, and how many pieces each still needs.
-    [[nodiscard]] std::uint32_t missing(std::uint32_t stage) const;
-    [[nodiscard]] std::size_t stageCount() const { return m_stages.size(); }
-    /// The earlier stages that \p stage waits for.
-    [[nodiscard]] const std::vector<std::uint32_t> &after(std::uint32_t stage) const;
 
 private:
     enum class State { Waiting, GivenOut, Made };
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -89,10 +89,7 @@
         return need;
     }
     need.tokens = request.carried->promptTokens;
-    const std::vector<PromptPart> &parts = request.carried->prompt;
-    for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-        need.sharedTokens += parts[i].tokens;
-    }
+    need.sharedTokens = request.carried->sharedTokens();
     need.tokensPerSecond = poolState(request.stageSpec().pool).tokensPerSecond;
     for (const auto &[dataCentre, bytes] : request.resultBytes) {
         if (bytes > need.inputBytes) {
@@ -341,7 +338,6 @@
     case PieceFault::NoRoom:
     case PieceFault::Refused:
     case PieceFault::Failed:
-        withdraw(*request, snapshot);
         fail(*request,
              outcome.fault == PieceFault::Late ? Reason::CannotFinish : Reason::StageFailed,
              makeError(absl::StatusCode::kUnavailable, "pieces", outcome.endpoint,
@@ -354,7 +350,6 @@
         return;
     }
     if (!fitsDeadline(*request, remainingTime(*request))) {
-        withdraw(*request, snapshot);
         fail(*request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "pieces", "",
                        "the time left is too short"),
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -114,11 +114,9 @@
         // The last part is the request's own; the one before it is the longest beginning
         // that others have too.
         const std::vector<PromptPart> &parts = request.carried->prompt;
-        std::uint64_t shared = 0;
-        for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-            shared += parts[i].tokens;
-        }
-        if (parts.size() < 2 || shared < requestmachine::leastHomeTokens) {
+        const bool hasHome =
+            parts.size() >= 2 && request.carried->sharedTokens() >= requestmachine::leastHomeTokens;
+        if (!hasHome) {
             return nullptr;
         }
         return pool.homeOf(hash64(parts[parts.size() - 2].id));
--- a/lib/Adapters/dialect.cpp
+++ b/lib/Adapters/dialect.cpp
@@ -3,23 +3,13 @@
 #include "harelink/Adapters/dialect.h"
 
 #include "harelink/Adapters/eventstream.h"
-#include "harelink/Support/error.h"
+#include "harelink/Adapters/stageprotocol.h"
 
 #include <utility>
 
 namespace harelink {
 namespace {
 
-StageFailed brokenOff(const SendStage &stage, std::string_view message)
-{
-    StageFailed failure;
-    failure.call = stage.call;
-    failure.evidence = SendEvidence::Sent;
-    failure.status =
-        makeError(absl::StatusCode::kUnavailable, "stage " + stage.stage, stage.endpoint, message);
-    return failure;
-}
-
 /// Whether the end of the connection is not the only sign of the answer's end.
 bool isFramed(const HttpResult &result)
 {
@@ -61,13 +51,14 @@
         return m_dialect.decode(m_stage, result);
     }
     if (result.status == 0) {
-        return brokenOff(m_stage, result.error);
+        return stageFailure(m_stage, SendEvidence::Sent, result.error);
     }
     if (!m_rest.empty()) {
-        return brokenOff(m_stage, "the stream ended within an event");
+        return stageFailure(m_stage, SendEvidence::Sent, "the stream ended within an event");
     }
     if (!isFramed(result)) {
-        return brokenOff(m_stage, "the end of the stream cannot be told from a break");
+        return stageFailure(m_stage, SendEvidence::Sent,
+                            "the end of the stream cannot be told from a break");
     }
     return m_dialect.decode(m_stage, result);
 }
--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include "harelink/Adapters/httpclient.h"
 
+#include "harelink/Support/text.h"
+
 #include <algorithm>
 #include <cassert>
 #include <cctype>
@@ -38,13 +40,6 @@
     return std::string(text);
 }
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 int statusOfLine(std::string_view line)
 {
     const std::size_t space = line.find(' ');
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "harelink/Adapters/httpserver.h"
 
 #include "harelink/Support/error.h"
+#include "harelink/Support/text.h"
 
 #include <algorithm>
 #include <atomic>
@@ -123,13 +124,6 @@
 constexpr std::chrono::milliseconds timerInterval{1000};
 constexpr std::size_t largestHeaderField = 16'384;
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 std::map<std::string, std::string> readQuery(restinio::string_view_t text)
 {
     std::map<std::string, std::string> values;
--- a/lib/Adapters/stageprotocol.cpp
+++ b/lib/Adapters/stageprotocol.cpp
@@ -39,16 +39,6 @@
     return active;
 }
 
-StageFailed failure(const SendStage &stage, SendEvidence evidence, std::string_view message)
-{
-    StageFailed event;
-    event.call = stage.call;
-    event.evidence = evidence;
-    event.status =
-        makeError(absl::StatusCode::kUnavailable, "stage " + stage.stage, stage.endpoint, message);
-    return event;
-}
-
 CallId callIdOf(const HttpResult &result)
 {
     return parseCallId(result.header("x-request-id")).value_or(CallId{});
@@ -67,6 +57,16 @@
 
 } // namespace
 
+StageFailed stageFailure(const SendStage &stage, SendEvidence evidence, std::string_view message)
+{
+    StageFailed event;
+    event.call = stage.call;
+    event.evidence = evidence;
+    event.status =
+        makeError(absl::StatusCode::kUnavailable, "stage " + stage.stage, stage.endpoint, message);
+    return event;
+}
+
 HttpCall encodeStage(const StageProtocol &protocol, const SendStage &stage)
 {
     HttpCall call;
@@ -91,18 +91,18 @@
 {
     if (result.status == 0) {
         const auto evidence = result.sent ? SendEvidence::Sent : SendEvidence::NothingSent;
-        return failure(stage, evidence, result.error);
+        return stageFailure(stage, evidence, result.error);
     }
     if (result.status != statusOk) {
         const bool refusal =
             result.status == statusTooManyRequests || result.status == statusUnavailable;
         const auto evidence = refusal && stage.refusesBeforeRunning ? SendEvidence::RefusedBeforeRun
                                                                     : SendEvidence::Sent;
-        return failure(stage, evidence, fmt::format("answered with status {}", result.status));
+        return stageFailure(stage, evidence, fmt::format("answered with status {}", result.status));
     }
     absl::StatusOr<std::string> body = protocol.decode(result.body);
     if (!body.ok()) {
-        return failure(stage, SendEvidence::Sent, errorMessage(body.status()));
+        return stageFailure(stage, SendEvidence::Sent, errorMessage(body.status()));
     }
     return answered(stage, result, *std::move(body));
 }
@@ -162,10 +162,10 @@
         return decodeStage(m_protocol, m_stage, refusal);
     }
     if (!m_fault.empty()) {
-        return failure(m_stage, SendEvidence::Sent, m_fault);
+        return stageFailure(m_stage, SendEvidence::Sent, m_fault);
     }
     if (!m_ended) {
-        return failure(m_stage, SendEvidence::Sent, "the stream ended before its last event");
+        return stageFailure(m_stage, SendEvidence::Sent, "the stream ended before its last event");
     }
     return answered(m_stage, result, m_protocol.wholeAnswer(m_stage.textBefore + m_text));
 }
--- a/lib/Kernel/piecegraph.cpp
+++ b/lib/Kernel/piecegraph.cpp
@@ -180,17 +180,4 @@
     return m_stages.at(stage).spec.pool;
 }
 
-std::uint32_t PieceGraph::missing(std::uint32_t stage) const
-{
-    const std::vector<Piece> &pieces = m_stages.at(stage).pieces;
-    return static_cast<std::uint32_t>(
-        std::count_if(pieces.begin(), pieces.end(),
-                      [](const Piece &piece) { return piece.state != State::Made; }));
-}
-
-const std::vector<std::uint32_t> &PieceGraph::after(std::uint32_t stage) const
-{
-    return m_stages.at(stage).spec.after;
-}
-
 } // namespace harelink
