--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -40,6 +40,10 @@
         reader.milliseconds("idleLimitMs", milliseconds(100), oneMinute * 60, settings.idleLimit);
     settings.balancerGrace =
         reader.milliseconds("balancerGraceMs", milliseconds(0), oneMinute, settings.balancerGrace);
+    // What is taken in last is cut at the limit: a stream taken in 2.1 s before it was.
+    if (settings.balancerGrace * 2 > settings.drainLimit) {
+        reader.fault("balancerGraceMs", "must leave half of drainLimitMs or more");
+    }
     reader.finish();
 }
 
--- a/unittests/Config/settingstest.cpp
+++ b/unittests/Config/settingstest.cpp
@@ -71,3 +71,14 @@
     STRCMP_CONTAINS("peerKeys.secret: must be a key", message.c_str());
     CHECK(message.find("hidden") == std::string::npos);
 }
+
+TEST(Settings, WhatAStoppingDaemonTakesInLastHasTimeToEnd)
+{
+    const auto with = [](const std::string &limits) {
+        std::string text = good;
+        text.insert(text.rfind('}'), ", \"limits\": {" + limits + "}");
+        return read(text);
+    };
+    CHECK(with("\"balancerGraceMs\": 2900, \"drainLimitMs\": 7300").ok());
+    CHECK_FALSE(with("\"balancerGraceMs\": 5500, \"drainLimitMs\": 7300").ok());
+}
