--- a/include/harelink/Config/settings.h
+++ b/include/harelink/Config/settings.h
@@ -44,6 +44,7 @@
     std::string operatorAddress; ///< Listens for operators: health, metrics.
     std::string peerAddress;     ///< Listens for other daemons.
     std::string platformAddress; ///< The platform's object API.
+    double capacity = 1;         ///< Of this host, in cores; peers give it work by that.
     CallerTrust callerTrust = CallerTrust::BearerToken;
     std::optional<PeerKeys> peerKeys;  ///< Nothing where the network is trusted.
     std::string routingPolicy;         ///< Name of a plug-in.
--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -3,10 +3,11 @@
 /// \file
 /// Decides who watches the platform and passes news on to the others.
 ///
-/// In each data centre two daemons watch. They push what changes to the others
-/// of their data centre; besides, every daemon compares a hash over its versions
-/// with one peer each second and both make up for what they lack. A daemon that
-/// hears of no watcher watches for itself.
+/// In each data centre a few daemons watch, able hosts first. The first two of them push
+/// what changes to the others of their data centre; besides, every daemon compares a hash
+/// over its versions with one peer each second, a watcher with all of its data centre,
+/// and both make up for what they lack. A daemon that hears of no watcher to which the
+/// platform answers watches for itself.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -16,6 +17,7 @@
 #include "harelink/Kernel/configmachine.h"
 #include "harelink/Kernel/membership.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,6 +36,8 @@
 
     /// Whether this daemon is to watch the platform now.
     [[nodiscard]] bool shouldWatch() const;
+    /// Takes in whether the platform answers this daemon.
+    void noteConnected(bool connected) { m_connected = connected; }
     /// Pushes what the table learnt from the platform.
     void pushNews();
     /// Takes in a peer's news; true where what is in force changed.
@@ -48,7 +52,8 @@
 private:
     void send(const std::string &host, decltype(PeerMessage::content) content);
     [[nodiscard]] ConfigDigest digest(bool detailed, bool reply) const;
-    [[nodiscard]] bool isChosenWatcher() const;
+    [[nodiscard]] std::size_t watcherRank() const;
+    [[nodiscard]] bool shouldAsk();
 
     const Clock &m_clock;
     const Membership &m_membership;
@@ -56,6 +61,8 @@
     std::size_t m_watchers;
     TimePoint m_nextDigest;
     TimePoint m_watcherHeard;
+    bool m_connected = false;
+    std::optional<TimePoint> m_differsSince; ///< From peers, without a break.
     std::uint64_t m_round = 0;
     std::vector<PeerSend> m_sends;
 };
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -25,6 +25,11 @@
 inline constexpr std::chrono::milliseconds watcherSilence{2500};
 /// Every so many rounds the digest goes to another data centre.
 inline constexpr std::uint64_t remoteRound = 3;
+/// Watchers of a data centre that push; the others' digests make up for a loss of both.
+inline constexpr std::size_t pushers = 2;
+/// A difference is asked about when it has lasted for this long: until then the pushes
+/// are on their way, and a whole configuration takes a slow link 0.3 s.
+inline constexpr std::chrono::milliseconds differencePatience{500};
 
 } // namespace configgossip
 
@@ -40,17 +45,19 @@
 {
 }
 
+/// This daemon's place among those that may watch, from 0; able hosts come first.
 template <GuardPolicy G>
-bool BasicConfigGossip<G>::isChosenWatcher() const
+std::size_t BasicConfigGossip<G>::watcherRank() const
 {
-    std::vector<std::pair<std::uint64_t, std::string>> scores;
-    for (const std::string &host : m_membership.localCandidates()) {
-        scores.emplace_back(hash64("watch/" + host), host);
-    }
-    std::sort(scores.rbegin(), scores.rend());
-    scores.resize(std::min(scores.size(), m_watchers));
-    return std::any_of(scores.begin(), scores.end(),
-                       [this](const auto &score) { return score.second == m_membership.host(); });
+    const std::vector<std::string> hosts = m_membership.localCandidates();
+    const std::vector<std::string> able = m_membership.ableHosts(hosts);
+    const std::set<std::string> first(able.begin(), able.end());
+    const auto rank = [&first](const std::string &host) {
+        return std::pair(first.contains(host), hash64("watch/" + host));
+    };
+    const auto own = rank(m_membership.host());
+    return static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(), [&](const std::string &host) { return rank(host) > own; }));
 }
 
 template <GuardPolicy G>
@@ -58,7 +65,7 @@
 {
     const bool heard = m_watcherHeard != TimePoint::min()
                        && m_clock.now() - m_watcherHeard <= configgossip::watcherSilence;
-    return !heard || isChosenWatcher();
+    return !heard || watcherRank() < m_watchers;
 }
 
 template <GuardPolicy G>
@@ -74,7 +81,7 @@
 {
     ConfigPush push;
     push.objects = m_table.takeNews();
-    if (push.objects.empty()) {
+    if (push.objects.empty() || watcherRank() >= configgossip::pushers) {
         return;
     }
     for (const std::string &host : m_membership.livePeers()) {
@@ -101,7 +108,7 @@
 {
     ConfigDigest digest;
     digest.summary = m_table.summary();
-    digest.watches = shouldWatch();
+    digest.watches = m_connected && shouldWatch();
     digest.detailed = detailed;
     digest.reply = reply;
     if (detailed) {
@@ -119,7 +126,9 @@
         m_watcherHeard = m_clock.now();
     }
     if (!from.detailed) {
-        if (from.summary != m_table.summary()) {
+        if (from.summary == m_table.summary()) {
+            m_differsSince.reset();
+        } else if (shouldAsk()) {
             send(host, digest(true, false));
         }
         return;
@@ -147,6 +156,18 @@
     }
 }
 
+/// Whether a difference has lasted for long enough. Without any object at all there is
+/// nothing to wait for.
+template <GuardPolicy G>
+bool BasicConfigGossip<G>::shouldAsk()
+{
+    const TimePoint now = m_clock.now();
+    if (!m_differsSince) {
+        m_differsSince = now;
+    }
+    return m_table.entries().empty() || now - *m_differsSince >= configgossip::differencePatience;
+}
+
 template <GuardPolicy G>
 void BasicConfigGossip<G>::tick()
 {
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -15,6 +15,7 @@
 #include "harelink/Kernel/configmachine.h"
 #include "harelink/Kernel/membership.h"
 #include "harelink/Kernel/peerdemand.h"
+#include "harelink/Kernel/peerrelay.h"
 
 #include <map>
 #include <set>
@@ -53,6 +54,8 @@
     /// The kind of object in which this daemon declares itself to its peers; empty where
     /// the platform knows its hosts by itself.
     std::string hostKind;
+    double capacity = 1;            ///< Of this host, in cores of a processor.
+    std::size_t mostMeshPeers = 16; ///< With more peers heartbeats go through relays.
 };
 
 /// The control of one daemon. \p G is AllGuards in the product.
@@ -105,6 +108,7 @@
 
 private:
     void handle(const PeerMessage &message, const Heartbeat &content);
+    void handle(const PeerMessage &message, const PeerSummary &content);
     void handle(const PeerMessage &message, const ClaimRequest &content);
     void handle(const PeerMessage &message, const ClaimDecision &content);
     void handle(const PeerMessage &message, const ClaimFinish &content);
@@ -117,7 +121,11 @@
     void announce();
     void forwardLedgerReplies();
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
+    void sendHeartbeats();
+    template <typename Content>
+    void takeFigures(const std::string &source, const Content &content);
     void pollHostList();
+    void takeHostListResult(const PlatformResult &result);
     void takeHostList(const std::vector<PlatformObject> &hosts);
     void noteLeaving(const std::string &endpoint);
     void giveOutConfig();
@@ -126,6 +134,7 @@
     BasicConfigTable<G> m_config;
     std::vector<BasicConfigWatcher<G>> m_watchers;
     Membership m_membership;
+    PeerRelay m_relay;
     BasicConfigGossip<G> m_gossip;
     BasicClaimLedger<G> m_ledger;
     BasicClaimRouter<G> m_router;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -22,8 +22,13 @@
 
 namespace controlmachine {
 
-/// How often the platform's host list is read.
+/// How often the platform's host list is read by a daemon that has just started: hosts
+/// that start together may each have read it before the others stood in it.
 inline constexpr std::chrono::milliseconds hostListInterval{2000};
+inline constexpr std::chrono::milliseconds startingTime{6000};
+/// The same later: heartbeats tell of hosts that come. With 86 daemons the list was 2,500
+/// of 6,200 calls to the platform in 58 s at the shorter interval.
+inline constexpr std::chrono::milliseconds settledHostListInterval{8000};
 /// The same after a failure, and while not a single peer is known.
 inline constexpr std::chrono::milliseconds firstHostListInterval{500};
 /// Between two attempts to declare oneself.
@@ -39,6 +44,7 @@
     , m_config(*options.objects)
     , m_membership(clock, options.host, options.peerAddress, options.dataCentre,
                    options.incarnation)
+    , m_relay(clock, m_membership, options.mostMeshPeers)
     , m_gossip(clock, m_membership, m_config, options.watchersPerDataCentre)
     , m_ledger(
           clock, [this](Incarnation incarnation) { return m_membership.hostOf(incarnation); },
@@ -52,6 +58,7 @@
     , m_peerPrompts(clock)
     , m_peerDemand(clock)
 {
+    m_membership.setCapacity(options.capacity);
     for (const std::vector<std::string> &kinds : options.objects->kindGroups()) {
         m_watchers.emplace_back(clock, m_config, kinds);
     }
@@ -165,16 +172,11 @@
         }
     }
     announce();
+    m_gossip.noteConnected(connected());
     m_gossip.tick();
     pollHostList();
-    for (PeerSend &heartbeat : m_membership.dueHeartbeats()) {
-        auto &content = std::get<Heartbeat>(heartbeat.message.content);
-        content.usage = m_ownUsage;
-        content.leavingEndpoints = leavingEndpoints();
-        content.leavingKnown = m_leavingKnown;
-        content.backlogs = m_backlogs;
-        content.prompts = m_prompts;
-        m_output.sends.push_back(std::move(heartbeat));
+    if (m_membership.heartbeatsDue()) {
+        sendHeartbeats();
     }
     m_output.demands = m_peerDemand.changes();
     for (const auto &[endpoint, tokens] : m_peerPrompts.changes()) {
@@ -188,6 +190,29 @@
     m_ledger.tick(m_output.calls, m_nextCallId);
 }
 
+template <GuardPolicy G>
+void BasicControlMachine<G>::sendHeartbeats()
+{
+    Heartbeat own;
+    own.usage = m_ownUsage;
+    own.leavingEndpoints = leavingEndpoints();
+    own.leavingKnown = m_leavingKnown;
+    own.backlogs = m_backlogs;
+    own.prompts = m_prompts;
+    for (PeerSend &send : m_membership.dueHeartbeats(m_relay.targets())) {
+        auto &content = std::get<Heartbeat>(send.message.content);
+        content.usage = own.usage;
+        content.leavingEndpoints = own.leavingEndpoints;
+        content.leavingKnown = own.leavingKnown;
+        content.backlogs = own.backlogs;
+        content.prompts = own.prompts;
+        m_output.sends.push_back(std::move(send));
+    }
+    for (PeerSend &send : m_relay.summaries(own)) {
+        m_output.sends.push_back(std::move(send));
+    }
+}
+
 template <GuardPolicy G>
 bool BasicControlMachine<G>::heartbeatsDue() const
 {
@@ -242,19 +267,34 @@
     }
     if (result.id == m_hostListCall) {
         m_hostListCall = 0;
-        const bool listed = result.outcome == PlatformOutcome::Ok;
-        if (listed) {
-            takeHostList(result.objects);
-        }
-        m_nextHostList =
-            m_clock.now()
-            + (listed && !m_membership.peers().empty() ? controlmachine::hostListInterval
-                                                       : controlmachine::firstHostListInterval);
+        takeHostListResult(result);
         return;
     }
     m_ledger.handle(result);
 }
 
+template <GuardPolicy G>
+void BasicControlMachine<G>::takeHostListResult(const PlatformResult &result)
+{
+    m_hostListCall = 0;
+    const bool listed = result.outcome == PlatformOutcome::Ok;
+    if (listed) {
+        takeHostList(result.objects);
+    }
+    const TimePoint now = m_clock.now();
+    // Only where it names the daemons is the list a matter of their meeting; elsewhere it
+    // also says which endpoints are leaving.
+    const bool settled = !m_hostKind.empty() && now - m_startedAt > controlmachine::startingTime
+                         && !m_membership.livePeers().empty();
+    Duration interval = controlmachine::hostListInterval;
+    if (!listed || m_membership.peers().empty()) {
+        interval = controlmachine::firstHostListInterval;
+    } else if (settled) {
+        interval = controlmachine::settledHostListInterval;
+    }
+    m_nextHostList = now + interval;
+}
+
 template <GuardPolicy G>
 void BasicControlMachine<G>::handle(const PeerMessage &message)
 {
@@ -262,19 +302,56 @@
     std::visit([&](const auto &content) { handle(message, content); }, message.content);
 }
 
+/// Takes in what \p source, a daemon or a data centre, told of loads.
 template <GuardPolicy G>
-void BasicControlMachine<G>::handle(const PeerMessage &message, const Heartbeat &content)
+template <typename Content>
+void BasicControlMachine<G>::takeFigures(const std::string &source, const Content &content)
 {
-    m_peerDemand.take(message.host, content.usage);
     PeerTotals<std::string>::Figures prompts;
     for (const PromptBacklog &prompt : content.prompts) {
         prompts[prompt.endpoint] = prompt.tokens;
     }
-    m_peerPrompts.take(message.host, std::move(prompts));
-    m_leavingKnown = m_leavingKnown || content.leavingKnown;
+    m_peerPrompts.take(source, std::move(prompts));
     m_output.usage.insert(m_output.usage.end(), content.usage.begin(), content.usage.end());
     m_output.backlogs.insert(m_output.backlogs.end(), content.backlogs.begin(),
                              content.backlogs.end());
+}
+
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const Heartbeat &content)
+{
+    m_relay.take(message.host, content);
+    if (m_relay.countsHeartbeatOf(content.dataCentre)) {
+        m_peerDemand.take(message.host, content.usage);
+        takeFigures(message.host, content);
+    }
+    m_leavingKnown = m_leavingKnown || content.leavingKnown;
+    for (const std::string &endpoint : content.leavingEndpoints) {
+        noteLeaving(endpoint);
+    }
+}
+
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const PeerSummary &content)
+{
+    const auto sender = m_membership.peers().find(message.host);
+    if (sender == m_membership.peers().end()) {
+        return; // A relay that was asked is known.
+    }
+    const std::string dataCentre = sender->second.dataCentre;
+    const bool isLocal = dataCentre == m_membership.dataCentre();
+    m_relay.take(dataCentre, content);
+    if (content.isWhole) {
+        m_membership.reported(content.hosts, isLocal ? std::string() : dataCentre);
+    }
+    if (m_relay.countsSummaryOf(dataCentre)) {
+        const std::string source = "summary of " + dataCentre;
+        takeFigures(source, content);
+        if (content.isWhole) {
+            m_peerDemand.takeSummary(source, content.usage);
+        }
+    }
+    m_leavingKnown = m_leavingKnown || content.leavingKnown;
     for (const std::string &endpoint : content.leavingEndpoints) {
         noteLeaving(endpoint);
     }
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -25,9 +25,18 @@
 {
     std::string address; ///< For peers; from the host list or its own word.
     std::string dataCentre;
-    Incarnation incarnation = 0; ///< Of its last heartbeat; 0 before the first.
-    bool leaving = false;        ///< Of this incarnation; never goes back to false.
-    TimePoint lastHeard;
+    Incarnation incarnation = 0;             ///< Of its last heartbeat; 0 before the first.
+    bool leaving = false;                    ///< Of this incarnation; never goes back to false.
+    double capacity = 1;                     ///< In cores of a processor.
+    TimePoint lastHeard;                     ///< From itself.
+    TimePoint reportedAt = TimePoint::min(); ///< Last reported to live by a relay.
+};
+
+/// To whom a heartbeat goes.
+struct HeartbeatTarget
+{
+    std::string host;
+    bool wantsSummary = false; ///< It is to answer with a summary.
 };
 
 /// The hosts as one daemon sees them.
@@ -43,12 +52,20 @@
     void takeHostList(const std::vector<PlatformObject> &hosts);
     /// Takes in that a message came from \p message's host.
     void heard(const PeerMessage &message);
-    /// The heartbeats that are due, without their usage reports.
-    std::vector<PeerSend> dueHeartbeats();
+    /// Takes in a relay's whole list of live hosts of \p dataCentre, or of all where that
+    /// is empty: those that it lacks are not reported to live any more.
+    void reported(const std::vector<HostReport> &hosts, const std::string &dataCentre);
+    /// Whether heartbeats are due; dueHeartbeats() is then to be called.
+    [[nodiscard]] bool heartbeatsDue() const { return m_clock.now() >= m_nextHeartbeat; }
+    /// The heartbeats to \p targets, without what they tell.
+    std::vector<PeerSend> dueHeartbeats(const std::vector<HeartbeatTarget> &targets);
     /// What takeHostList() of a peer reads, for this host.
     [[nodiscard]] std::string ownDeclaration() const;
     /// Where this daemon listens for peers.
     void setAddress(const std::string &address) { m_address = address; }
+    /// The capacity of this host, in cores of a processor.
+    void setCapacity(double capacity) { m_capacity = capacity; }
+    [[nodiscard]] double capacity() const { return m_capacity; }
     /// This host is leaving; the next heartbeats say so, at once.
     void leave();
 
@@ -67,7 +84,15 @@
     /// it stays. \param dataCentre only those that stand there; empty for all.
     [[nodiscard]] std::vector<std::string> heardWithin(Duration silence,
                                                        const std::string &dataCentre) const;
-    /// Whether \p host was heard of within \p silence.
+    /// Of \p hosts those that have at least half of the capacity of the largest: what is
+    /// done for many others is done there.
+    [[nodiscard]] std::vector<std::string> ableHosts(std::vector<std::string> hosts) const;
+    /// How many hosts were heard of lately, this one among them; rises at once, falls late.
+    [[nodiscard]] int countedHosts() const;
+    /// What this daemon knows of live hosts, itself among them.
+    /// \param dataCentre only those that stand there; empty for all.
+    [[nodiscard]] std::vector<HostReport> hostReports(const std::string &dataCentre) const;
+    /// Whether \p host was heard of within \p silence, or is reported to live.
     [[nodiscard]] bool heardWithin(const std::string &host, Duration silence) const;
     /// Whether \p host stands in the own data centre.
     [[nodiscard]] bool isLocal(const std::string &host) const;
@@ -75,12 +100,14 @@
     [[nodiscard]] std::vector<std::string> livePeers() const;
     [[nodiscard]] const std::map<std::string, PeerHost> &peers() const { return m_peers; }
     [[nodiscard]] const std::string &host() const { return m_host; }
+    [[nodiscard]] const std::string &dataCentre() const { return m_dataCentre; }
     [[nodiscard]] Incarnation incarnation() const { return m_incarnation; }
     [[nodiscard]] bool leaving() const { return m_leaving; }
     [[nodiscard]] TimePoint nextTick() const { return m_nextHeartbeat; }
 
 private:
     [[nodiscard]] bool isLive(const PeerHost &peer) const;
+    [[nodiscard]] bool isReported(const PeerHost &peer) const;
 
     const Clock &m_clock;
     std::string m_host;
@@ -88,6 +115,7 @@
     std::string m_dataCentre;
     Incarnation m_incarnation;
     bool m_leaving = false;
+    double m_capacity = 1;
     TimePoint m_nextHeartbeat;
     std::map<std::string, PeerHost> m_peers;
 };
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -43,6 +43,8 @@
     std::string dataCentre;
     std::string address; ///< Where the sender listens for peers.
     bool leaving = false;
+    double capacity = 1;       ///< Of the sender's host, in cores of a processor.
+    bool wantsSummary = false; ///< The receiver is to be its relay.
     std::vector<UsageReport> usage;
     std::vector<std::string> leavingEndpoints; ///< As far as the sender knows.
     bool leavingKnown = false;                 ///< The sender has learnt of them itself.
@@ -50,6 +52,30 @@
     std::vector<PromptBacklog> prompts;        ///< Of the model engines that it sends to.
 };
 
+/// What a relay knows of one live host.
+struct HostReport
+{
+    std::string host;
+    std::string dataCentre;
+    std::string address;
+    Incarnation incarnation = 0;
+    bool leaving = false;
+    double capacity = 1; ///< In cores of a processor.
+};
+
+/// What a relay has heard, summed up without the receiver's own part: of all data
+/// centres for a daemon of its own, of its own data centre for a relay elsewhere.
+struct PeerSummary
+{
+    std::vector<PieceBacklog> backlogs;
+    std::vector<PromptBacklog> prompts;
+    std::vector<std::string> leavingEndpoints;
+    bool leavingKnown = false;
+    bool isWhole = false;           ///< The lists below are there, and complete.
+    std::vector<UsageReport> usage; ///< Time: spent since the last whole summary.
+    std::vector<HostReport> hosts;
+};
+
 /// The end of a claimant is written.
 struct ClaimFinished
 {
@@ -91,7 +117,7 @@
     std::string host;            ///< The sender's.
     Incarnation incarnation = 0; ///< The sender's.
     std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
-                 ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees>
+                 ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees, PeerSummary>
         content;
 };
 
--- a/include/harelink/Kernel/peertotals.h
+++ b/include/harelink/Kernel/peertotals.h
@@ -33,10 +33,12 @@
     }
 
     /// Takes in what \p host told; it replaces what that host told before.
-    void take(const std::string &host, Figures figures)
+    ///
+    /// \param life how long it counts: four heartbeats, or more where it comes less often.
+    void take(const std::string &host, Figures figures, Duration life = tellingLife)
     {
         std::erase_if(figures, [](const auto &figure) { return figure.second == 0; });
-        m_hosts[host] = {m_clock.now(), std::move(figures)};
+        m_hosts[host] = {m_clock.now() + life, std::move(figures)};
     }
 
     /// The sums that have changed since the last call; looks not too often.
@@ -48,8 +50,7 @@
             return changed;
         }
         m_nextLook = now + lookInterval;
-        std::erase_if(m_hosts,
-                      [now](const auto &entry) { return now - entry.second.at > tellingLife; });
+        std::erase_if(m_hosts, [now](const auto &entry) { return now > entry.second.until; });
         Figures totals;
         for (const auto &[host, told] : m_hosts) {
             for (const auto &[key, figure] : told.figures) {
@@ -78,7 +79,7 @@
 
     struct Told
     {
-        TimePoint at;
+        TimePoint until;
         Figures figures;
     };
 
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -133,6 +133,7 @@
         std::map<std::string, Maker> makers; ///< By endpoint.
         std::map<std::string, Kept> kept;    ///< By handle.
         TimePoint nextLook = TimePoint::max();
+        TimePoint lastBusy; ///< When an order came or a call ended last.
     };
     /// A choice of waiting pieces for one call.
     struct Choice
@@ -170,7 +171,7 @@
                                          const Snapshot &snapshot) const;
 
     const Clock &m_clock;
-    std::map<std::string, Line> m_lines; ///< By pool.
+    std::map<std::string, Line> m_lines; ///< By pool, or by its part where it is divided.
     std::uint64_t m_nextCallId = 1;
     std::vector<PieceCall> m_calls;
     /// By host and pool.
--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -8,8 +8,9 @@
 /// pieces to fill a call in time); one batcher an endpoint (daemons choose the endpoint
 /// by what they heard up to 250 ms ago, and a piece waits at a busy one while another
 /// is free: docs/DESIGN.md has the figures); one batcher a pool, by rendezvous hashing
-/// over the live daemons, which gives a piece to whichever endpoint is free first. The
-/// last is what stands here. Its loss holds a pool up for batcherSilence.
+/// over the live able daemons, which gives a piece to whichever endpoint is free first. The
+/// last is what stands here; a large pool has one in each data centre. Its loss holds a
+/// pool up for batcherSilence.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -48,7 +49,7 @@
     void order(const std::string &pool, const std::vector<PieceOrder> &orders,
                const Snapshot &snapshot);
     /// These results are no longer needed.
-    void free(const std::vector<std::string> &handles);
+    void free(const std::vector<std::string> &handles, const Snapshot &snapshot);
     /// The pieces of \p request are no longer wanted.
     void withdraw(const RequestId &request);
     /// Takes in what became of orders.
@@ -79,6 +80,7 @@
     struct Pending
     {
         std::string pool;
+        std::string part; ///< Where it is ordered: the pool, or its part.
         PieceOrder order;
         TimePoint wanted;
         TimePoint due;
@@ -90,11 +92,11 @@
     /// A result that some request of this daemon has.
     struct Result
     {
-        std::string pool;
+        std::string part; ///< As in Pending.
         TimePoint madeAt;
     };
 
-    [[nodiscard]] std::string batcherOf(const std::string &pool) const;
+    [[nodiscard]] std::string batcherOf(const std::string &part, const Snapshot &snapshot) const;
     void place(std::vector<Pending> group, const Snapshot &snapshot);
     [[nodiscard]] bool mayReorder(const Pending &pending);
     void reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
--- a/include/harelink/Kernel/pieces.h
+++ b/include/harelink/Kernel/pieces.h
@@ -91,7 +91,8 @@
     double slowness = 1; ///< The time of calls against the declared one.
 };
 
-/// Message: make these at \p pool. From the daemon of the requests to the batcher.
+/// Message: make these at \p pool, or at that part of a divided one. From the daemon of the
+/// requests to the batcher.
 struct PieceOrders
 {
     std::string pool;
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -134,6 +134,7 @@
 {
     const std::vector<PieceStageSpec> &stages = request.pipeline.route->pieceStages;
     const std::vector<std::uint32_t> &counts = request.carried->pieceCounts;
+    const std::string wantedAt = resultsWantedAt(request, snapshot);
     std::vector<Duration> doneAt(stages.size(), Duration::zero());
     Duration last{};
     for (std::size_t i = 0; i < stages.size(); ++i) {
@@ -149,7 +150,10 @@
         }
         // The queue of a later stage is taken to be then as long as it is now: what leaves
         // it until then is replaced, as long as the load stays the same.
-        doneAt[i] = begin + predictPieces(*pool, count, request.priority, m_clock.now());
+        const PieceGroup group{
+            count, request.priority, stages[i].resultBytes * count, wantedAt, {}};
+        const PoolEntry &part = choosePart(snapshot, *pool, group, m_clock.now());
+        doneAt[i] = begin + predictPieces(part, count, request.priority, m_clock.now());
         last = std::max(last, doneAt[i]);
     }
     return last;
@@ -266,14 +270,34 @@
     return true;
 }
 
+/// The data centre where the results of pieces are needed: that of the prompt's home; of
+/// the results that are there; or, with neither, the own one.
+template <GuardPolicy G>
+std::string BasicRequestMachine<G>::resultsWantedAt(const Request &request,
+                                                    const Snapshot &snapshot) const
+{
+    const PoolEntry *serving = snapshot.pool(request.stageSpec().pool);
+    const EndpointEntry *home = serving == nullptr ? nullptr : homeOf(request, *serving);
+    if (home != nullptr) {
+        return home->spec.dataCentre;
+    }
+    std::string dataCentre = snapshot.dataCentre;
+    std::uint64_t most = 0;
+    for (const auto &[where, bytes] : request.resultBytes) {
+        if (bytes > most) {
+            dataCentre = where;
+            most = bytes;
+        }
+    }
+    return dataCentre;
+}
+
 /// Orders all pieces that can be made now.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::orderPieces(Request &request, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
-    const PoolEntry *serving = snapshot.pool(request.stageSpec().pool);
-    const EndpointEntry *home = serving == nullptr ? nullptr : homeOf(request, *serving);
-    const std::string dataCentre = home == nullptr ? std::string() : home->spec.dataCentre;
+    const std::string dataCentre = resultsWantedAt(request, snapshot);
     std::map<std::uint32_t, OrderPieces> byStage;
     for (const PiecePlace place : request.pieces->takeReady()) {
         PieceOrder order;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -291,6 +291,8 @@
     void takeRoute(Request &request, const Snapshot &snapshot);
     bool beginPieces(Request &request, const Snapshot &snapshot);
     void orderPieces(Request &request, const Snapshot &snapshot);
+    [[nodiscard]] std::string resultsWantedAt(const Request &request,
+                                              const Snapshot &snapshot) const;
     Duration forecast(const Request &request, const Snapshot &snapshot);
     Duration forecastPieces(const Request &request, const Snapshot &snapshot) const;
     Duration forecastFirstEvent(const Request &request, const Snapshot &snapshot);
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -48,6 +48,10 @@
     /// Shared with the snapshots before and after this one; null where the pool does not
     /// work in pieces.
     std::shared_ptr<PieceLoad> pieceLoad;
+    /// Of a large pool that works in pieces: the names of its parts, one for each data
+    /// centre, each with a batcher and a load of its own. Empty where it is not divided.
+    std::vector<std::string> parts;
+    std::string dataCentre; ///< Of such a part, where all its endpoints stand; else empty.
     /// Points on a ring, each an endpoint's index; empty where prompts are not kept.
     std::vector<std::pair<std::uint64_t, std::size_t>> promptRing;
 
@@ -67,6 +71,8 @@
     absl::flat_hash_map<std::string, PipelineSpec> pipelines;
     absl::flat_hash_map<std::string, AccountEntry> accounts;
     absl::flat_hash_map<std::string, PoolEntry> pools;
+    absl::flat_hash_map<std::string, PoolEntry> poolParts; ///< See PoolEntry::parts.
+    std::string dataCentre;                                ///< Of this daemon.
     std::vector<ModelVersionSpec> modelVersions;
     /// By host, the path prefixes with their pipelines, longest first.
     absl::flat_hash_map<std::string, std::vector<std::pair<std::string, std::string>>> routes;
@@ -82,6 +88,8 @@
     [[nodiscard]] const PipelineSpec *pipeline(const std::string &name) const;
     [[nodiscard]] const AccountEntry *account(const std::string &name) const;
     [[nodiscard]] const PoolEntry *pool(const std::string &name) const;
+    /// The pool or the part of a pool called \p name, or null.
+    [[nodiscard]] const PoolEntry *poolOrPart(const std::string &name) const;
 };
 
 /// Marks the endpoint called \p name as leaving, where it is declared.
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -73,6 +73,54 @@
     return to;
 }
 
+/// Writes and reads the lists that heartbeats and summaries have in common.
+template <typename Content, typename Wire>
+void writeFigures(const Content &from, Wire &to)
+{
+    to.set_leaving_known(from.leavingKnown);
+    for (const UsageReport &report : from.usage) {
+        wire::Usage &usage = *to.add_usage();
+        usage.set_account(report.account);
+        usage.set_pool(report.pool);
+        usage.set_micros(toMicros(report.time));
+        usage.set_demand(report.demand);
+    }
+    for (const std::string &endpoint : from.leavingEndpoints) {
+        to.add_leaving_endpoints(endpoint);
+    }
+    for (const PieceBacklog &backlog : from.backlogs) {
+        write(backlog, *to.add_backlogs());
+    }
+    for (const PromptBacklog &prompt : from.prompts) {
+        wire::PromptBacklog &item = *to.add_prompts();
+        item.set_endpoint(prompt.endpoint);
+        item.set_tokens(prompt.tokens);
+    }
+}
+
+template <typename Content, typename Wire>
+void readFigures(const Wire &from, Content &to)
+{
+    to.leavingKnown = from.leaving_known();
+    for (const wire::Usage &usage : from.usage()) {
+        to.usage.push_back(
+            {usage.account(), usage.pool(), microseconds(usage.micros()), usage.demand()});
+    }
+    to.leavingEndpoints.assign(from.leaving_endpoints().begin(), from.leaving_endpoints().end());
+    for (const wire::PieceBacklog &backlog : from.backlogs()) {
+        to.backlogs.push_back(read(backlog));
+    }
+    for (const wire::PromptBacklog &prompt : from.prompts()) {
+        to.prompts.push_back({prompt.endpoint(), prompt.tokens()});
+    }
+}
+
+/// A daemon of an older version tells none.
+double capacityOf(float told)
+{
+    return told > 0 ? static_cast<double>(told) : 1.0;
+}
+
 /// Writes each kind of content into its field.
 class Writer
 {
@@ -88,24 +136,23 @@
         to.set_data_centre(from.dataCentre);
         to.set_address(from.address);
         to.set_leaving(from.leaving);
-        to.set_leaving_known(from.leavingKnown);
-        for (const UsageReport &report : from.usage) {
-            wire::Usage &usage = *to.add_usage();
-            usage.set_account(report.account);
-            usage.set_pool(report.pool);
-            usage.set_micros(toMicros(report.time));
-            usage.set_demand(report.demand);
-        }
-        for (const std::string &endpoint : from.leavingEndpoints) {
-            to.add_leaving_endpoints(endpoint);
-        }
-        for (const PieceBacklog &backlog : from.backlogs) {
-            write(backlog, *to.add_backlogs());
-        }
-        for (const PromptBacklog &prompt : from.prompts) {
-            wire::PromptBacklog &item = *to.add_prompts();
-            item.set_endpoint(prompt.endpoint);
-            item.set_tokens(prompt.tokens);
+        to.set_capacity(static_cast<float>(from.capacity));
+        to.set_wants_summary(from.wantsSummary);
+        writeFigures(from, to);
+    }
+    void operator()(const PeerSummary &from) const
+    {
+        wire::PeerSummary &to = *m_message.mutable_peer_summary();
+        to.set_is_whole(from.isWhole);
+        writeFigures(from, to);
+        for (const HostReport &host : from.hosts) {
+            wire::HostReport &item = *to.add_hosts();
+            item.set_host(host.host);
+            item.set_data_centre(host.dataCentre);
+            item.set_address(host.address);
+            item.set_incarnation(host.incarnation);
+            item.set_leaving(host.leaving);
+            item.set_capacity(static_cast<float>(host.capacity));
         }
     }
     void operator()(const PieceOrders &from) const
@@ -220,17 +267,20 @@
     to.dataCentre = from.data_centre();
     to.address = from.address();
     to.leaving = from.leaving();
-    to.leavingKnown = from.leaving_known();
-    for (const wire::Usage &usage : from.usage()) {
-        to.usage.push_back(
-            {usage.account(), usage.pool(), microseconds(usage.micros()), usage.demand()});
-    }
-    to.leavingEndpoints.assign(from.leaving_endpoints().begin(), from.leaving_endpoints().end());
-    for (const wire::PieceBacklog &backlog : from.backlogs()) {
-        to.backlogs.push_back(read(backlog));
-    }
-    for (const wire::PromptBacklog &prompt : from.prompts()) {
-        to.prompts.push_back({prompt.endpoint(), prompt.tokens()});
+    to.capacity = capacityOf(from.capacity());
+    to.wantsSummary = from.wants_summary();
+    readFigures(from, to);
+    return to;
+}
+
+PeerSummary read(const wire::PeerSummary &from)
+{
+    PeerSummary to;
+    to.isWhole = from.is_whole();
+    readFigures(from, to);
+    for (const wire::HostReport &item : from.hosts()) {
+        to.hosts.push_back({item.host(), item.data_centre(), item.address(), item.incarnation(),
+                            item.leaving(), capacityOf(item.capacity())});
     }
     return to;
 }
@@ -363,6 +413,9 @@
     case wire::PeerMessage::kPieceWithdrawal:
         to.content = read(from.piece_withdrawal());
         return true;
+    case wire::PeerMessage::kPeerSummary:
+        to.content = read(from.peer_summary());
+        return true;
     case wire::PeerMessage::CONTENT_NOT_SET:
         return false;
     }
--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -60,6 +60,10 @@
 
 constexpr std::int64_t mostWatchers = 1'000;
 
+/// Cores of a processor.
+constexpr double leastCapacity = 0.001;
+constexpr double mostCapacity = 10'000;
+
 /// Z85 writes 32 bytes as 40 characters without quotes or backslashes.
 constexpr std::size_t keyLength = 40;
 
@@ -103,6 +107,7 @@
     settings.dataCentre = reader.name("dataCentre");
     readListeners(reader.object("listen"), settings);
     settings.platformAddress = reader.endpointAddress("platform");
+    settings.capacity = reader.number("capacity", leastCapacity, mostCapacity, settings.capacity);
     // No default: an open door has to be chosen in so many words.
     const std::string trust = reader.choice("callerTrust", {"bearer-token", "balancer"});
     settings.callerTrust = trust == "balancer" ? CallerTrust::Balancer : CallerTrust::BearerToken;
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -22,6 +22,7 @@
     options.peerAddress = settings.peerAddress;
     options.dataCentre = settings.dataCentre;
     options.incarnation = incarnation;
+    options.capacity = settings.capacity;
     options.claims.retention = settings.keyRetention;
     // A carried request belongs to one daemon alone, so nobody ever claims its key.
     options.keepsClaims = dialect.carried() == nullptr;
@@ -138,7 +139,7 @@
 void Control::free(const FreeResults &results)
 {
     m_loop.post([this, results] {
-        m_pieceRouter.free(results.handles);
+        m_pieceRouter.free(results.handles, m_snapshot.current());
         carryOut();
     });
 }
@@ -178,8 +179,7 @@
         m_machine.noteBacklogs(m_pieceBatcher.backlogs(m_snapshot.current()));
         m_machine.notePrompts(ownPrompts());
         logPeers();
-        m_daemons.store(static_cast<int>(m_machine.membership().livePeers().size()) + 1,
-                        std::memory_order_relaxed);
+        m_daemons.store(m_machine.membership().countedHosts(), std::memory_order_relaxed);
     }
     m_machine.tick();
     m_pieceRouter.tick(m_snapshot.current());
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -18,6 +18,12 @@
 constexpr milliseconds heartbeatInterval{250};
 /// A host is taken to live this long after its last word.
 constexpr milliseconds livenessLimit{1000};
+/// The same after a relay's report, which comes once a second and at each change.
+constexpr milliseconds reportLife{2500};
+/// A host counts this long in what is divided among all: the window of a retry budget.
+constexpr milliseconds countedLife{10'000};
+/// A host is able to serve many others with this part of the largest one's capacity.
+constexpr double ablePart = 0.5;
 
 } // namespace
 
@@ -45,6 +51,7 @@
         PeerHost &peer = m_peers[host.name];
         peer.address = value.value("peers", "");
         peer.dataCentre = value.value("dataCentre", "");
+        peer.capacity = value.value("capacity", 1.0);
         if (peer.incarnation == 0) {
             peer.lastHeard = TimePoint::min();
         }
@@ -57,11 +64,9 @@
 
 std::string Membership::ownDeclaration() const
 {
-    const nlohmann::json value = {{"host", m_host},
-                                  {"dataCentre", m_dataCentre},
-                                  {"peers", m_address},
-                                  {"incarnation", m_incarnation},
-                                  {"state", "serving"}};
+    const nlohmann::json value = {{"host", m_host},         {"dataCentre", m_dataCentre},
+                                  {"peers", m_address},     {"incarnation", m_incarnation},
+                                  {"capacity", m_capacity}, {"state", "serving"}};
     return value.dump();
 }
 
@@ -84,27 +89,57 @@
         peer.address = heartbeat->address;
         peer.dataCentre = heartbeat->dataCentre;
         peer.leaving = peer.leaving || heartbeat->leaving;
+        peer.capacity = heartbeat->capacity;
     }
 }
 
-std::vector<PeerSend> Membership::dueHeartbeats()
+void Membership::reported(const std::vector<HostReport> &hosts, const std::string &dataCentre)
 {
-    std::vector<PeerSend> sends;
-    if (m_clock.now() < m_nextHeartbeat) {
-        return sends;
+    const auto isMeant = [&dataCentre](const std::string &where) {
+        return dataCentre.empty() || where == dataCentre;
+    };
+    for (auto &[name, peer] : m_peers) {
+        if (isMeant(peer.dataCentre)) {
+            peer.reportedAt = TimePoint::min();
+        }
     }
-    m_nextHeartbeat = m_clock.now() + heartbeatInterval;
-    for (const auto &[name, peer] : m_peers) {
-        if (peer.address.empty()) {
+    for (const HostReport &report : hosts) {
+        if (report.host == m_host || !isMeant(report.dataCentre)) {
             continue;
         }
-        PeerSend send{name, peer.address, {m_host, m_incarnation, {}}};
+        PeerHost &peer = m_peers[report.host];
+        if (peer.incarnation == 0) {
+            peer.lastHeard = TimePoint::min();
+        }
+        // What it said itself a moment ago goes before what others say of it.
+        const bool spoke = peer.incarnation != 0 && peer.lastHeard != TimePoint::min()
+                           && m_clock.now() - peer.lastHeard <= heartbeatInterval;
+        if (!spoke && peer.incarnation != report.incarnation) {
+            peer.incarnation = report.incarnation;
+            peer.leaving = false;
+        }
+        peer.address = report.address;
+        peer.dataCentre = report.dataCentre;
+        peer.capacity = report.capacity;
+        peer.leaving = peer.leaving || (report.leaving && peer.incarnation == report.incarnation);
+        peer.reportedAt = m_clock.now();
+    }
+}
+
+std::vector<PeerSend> Membership::dueHeartbeats(const std::vector<HeartbeatTarget> &targets)
+{
+    m_nextHeartbeat = m_clock.now() + heartbeatInterval;
+    std::vector<PeerSend> sends;
+    for (const HeartbeatTarget &target : targets) {
         Heartbeat heartbeat;
         heartbeat.dataCentre = m_dataCentre;
         heartbeat.address = m_address;
         heartbeat.leaving = m_leaving;
-        send.message.content = std::move(heartbeat);
-        sends.push_back(std::move(send));
+        heartbeat.capacity = m_capacity;
+        heartbeat.wantsSummary = target.wantsSummary;
+        if (std::optional<PeerSend> send = messageTo(target.host, std::move(heartbeat))) {
+            sends.push_back(*std::move(send));
+        }
     }
     return sends;
 }
@@ -117,7 +152,14 @@
 
 bool Membership::isLive(const PeerHost &peer) const
 {
-    return peer.incarnation != 0 && m_clock.now() - peer.lastHeard <= livenessLimit;
+    return isReported(peer)
+           || (peer.incarnation != 0 && peer.lastHeard != TimePoint::min()
+               && m_clock.now() - peer.lastHeard <= livenessLimit);
+}
+
+bool Membership::isReported(const PeerHost &peer) const
+{
+    return peer.reportedAt != TimePoint::min() && m_clock.now() - peer.reportedAt <= reportLife;
 }
 
 std::optional<std::string> Membership::hostOf(Incarnation incarnation) const
@@ -170,8 +212,52 @@
 bool Membership::heardWithin(const std::string &host, Duration silence) const
 {
     const auto found = m_peers.find(host);
-    return found != m_peers.end() && found->second.incarnation != 0
-           && m_clock.now() - found->second.lastHeard <= silence;
+    if (found == m_peers.end() || found->second.incarnation == 0) {
+        return false;
+    }
+    const PeerHost &peer = found->second;
+    return isReported(peer)
+           || (peer.lastHeard != TimePoint::min() && m_clock.now() - peer.lastHeard <= silence);
+}
+
+std::vector<std::string> Membership::ableHosts(std::vector<std::string> hosts) const
+{
+    const auto capacityOf = [this](const std::string &host) {
+        const auto found = m_peers.find(host);
+        return found == m_peers.end() ? m_capacity : found->second.capacity;
+    };
+    double largest = 0;
+    for (const std::string &host : hosts) {
+        largest = std::max(largest, capacityOf(host));
+    }
+    std::erase_if(hosts,
+                  [&](const std::string &host) { return capacityOf(host) < largest * ablePart; });
+    return hosts;
+}
+
+int Membership::countedHosts() const
+{
+    const TimePoint now = m_clock.now();
+    const auto counts = [now](const auto &entry) {
+        const PeerHost &peer = entry.second;
+        const TimePoint last = std::max(peer.lastHeard, peer.reportedAt);
+        return peer.incarnation != 0 && last != TimePoint::min() && now - last <= countedLife;
+    };
+    return 1 + static_cast<int>(std::count_if(m_peers.begin(), m_peers.end(), counts));
+}
+
+std::vector<HostReport> Membership::hostReports(const std::string &dataCentre) const
+{
+    std::vector<HostReport> reports;
+    for (const auto &[name, peer] : m_peers) {
+        const bool isMeant = dataCentre.empty() || peer.dataCentre == dataCentre;
+        if (isMeant && isLive(peer) && !peer.address.empty()) {
+            reports.push_back({name, peer.dataCentre, peer.address, peer.incarnation, peer.leaving,
+                               peer.capacity});
+        }
+    }
+    reports.push_back({m_host, m_dataCentre, m_address, m_incarnation, m_leaving, m_capacity});
+    return reports;
 }
 
 bool Membership::isLocal(const std::string &host) const
--- a/lib/Kernel/peerdemand.cpp
+++ b/lib/Kernel/peerdemand.cpp
@@ -3,14 +3,30 @@
 #include "harelink/Kernel/peerdemand.h"
 
 namespace harelink {
+namespace {
 
-void PeerDemand::take(const std::string &host, const std::vector<UsageReport> &reports)
+/// Usage comes with every fourth summary, one a second; one of them may be lost.
+constexpr std::chrono::milliseconds summaryLife{2500};
+
+} // namespace
+
+auto PeerDemand::callsOf(const std::vector<UsageReport> &reports) -> PeerTotals<Key>::Figures
 {
     PeerTotals<Key>::Figures calls;
     for (const UsageReport &report : reports) {
         calls[{report.account, report.pool}] += report.demand;
     }
-    m_totals.take(host, std::move(calls));
+    return calls;
+}
+
+void PeerDemand::take(const std::string &host, const std::vector<UsageReport> &reports)
+{
+    m_totals.take(host, callsOf(reports));
+}
+
+void PeerDemand::takeSummary(const std::string &host, const std::vector<UsageReport> &reports)
+{
+    m_totals.take(host, callsOf(reports), summaryLife);
 }
 
 std::vector<DemandTotal> PeerDemand::changes()
--- /dev/null
+++ b/lib/Kernel/peerrelay.cpp
@@ -0,0 +1,318 @@
+//===- peerrelay.cpp - Heartbeats through relays --------------------------===//
+
+#include "harelink/Kernel/peerrelay.h"
+
+#include "harelink/Support/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace harelink {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Relays of a data centre: when one dies, the other has heard everybody already.
+constexpr std::size_t relayCount = 2;
+/// A relay that was asked and says nothing for this long is passed over: two heartbeats
+/// and a half.
+constexpr milliseconds relaySilence{600};
+/// How long it is passed over before it is asked again.
+constexpr milliseconds silencePause{3000};
+/// What a daemon told counts for four heartbeats, as does its wish for summaries.
+constexpr milliseconds tellingLife{1000};
+/// Every so many heartbeats a summary is whole: the list of hosts is most of its bytes
+/// (some 55 a host), and who lives is told at once where it changes.
+constexpr std::uint32_t wholeRound = 4;
+/// A host that leaves says so to everybody this many times: messages may be lost.
+constexpr std::uint32_t mostFarewells = 2;
+
+} // namespace
+
+PeerRelay::PeerRelay(const Clock &clock, const Membership &membership, std::size_t mostMeshPeers)
+    : m_clock(clock)
+    , m_membership(membership)
+    , m_mostMeshPeers(mostMeshPeers)
+{
+}
+
+bool PeerRelay::isRelayed() const
+{
+    return m_membership.peers().size() > m_mostMeshPeers;
+}
+
+bool PeerRelay::isSilent(const std::string &host) const
+{
+    const auto found = m_silentUntil.find(host);
+    return found != m_silentUntil.end() && m_clock.now() < found->second;
+}
+
+/// The hosts of \p dataCentre in the order in which they are asked: able ones first,
+/// then by hash. While none is known to live, any that was ever declared may.
+std::vector<std::string> PeerRelay::ranked(const std::string &dataCentre) const
+{
+    std::vector<std::string> live;
+    std::vector<std::string> declared;
+    for (const auto &[name, peer] : m_membership.peers()) {
+        const bool stays = peer.dataCentre == dataCentre && !peer.leaving && !peer.address.empty();
+        if (!stays || isSilent(name)) {
+            continue;
+        }
+        declared.push_back(name);
+        if (m_membership.heardWithin(name, tellingLife)) {
+            live.push_back(name);
+        }
+    }
+    std::vector<std::string> hosts = live.empty() ? std::move(declared) : std::move(live);
+    if (dataCentre == m_membership.dataCentre() && !m_membership.leaving()) {
+        hosts.push_back(m_membership.host());
+    }
+    const std::vector<std::string> able = m_membership.ableHosts(hosts);
+    const std::set<std::string> first(able.begin(), able.end());
+    const auto rank = [&first](const std::string &host) {
+        return std::pair(first.contains(host), hash64("relay/" + host));
+    };
+    std::sort(hosts.begin(), hosts.end(),
+              [&rank](const std::string &a, const std::string &b) { return rank(a) > rank(b); });
+    return hosts;
+}
+
+/// Passes over those that were asked and did not answer.
+void PeerRelay::noticeSilence()
+{
+    const TimePoint now = m_clock.now();
+    std::erase_if(m_askedSince, [&](const auto &asked) {
+        const auto peer = m_membership.peers().find(asked.first);
+        const TimePoint heard =
+            peer == m_membership.peers().end() ? asked.second : peer->second.lastHeard;
+        const bool silent = now - std::max(asked.second, heard) > relaySilence;
+        if (silent) {
+            m_silentUntil[asked.first] = now + silencePause;
+        }
+        return silent;
+    });
+    std::erase_if(m_silentUntil, [now](const auto &silent) { return silent.second <= now; });
+}
+
+void PeerRelay::ask(const std::string &host, std::vector<HeartbeatTarget> &targets)
+{
+    m_askedSince.try_emplace(host, m_clock.now());
+    targets.push_back({host, true});
+}
+
+/// Asks one relay of each other data centre.
+void PeerRelay::askElsewhere(std::vector<HeartbeatTarget> &targets)
+{
+    std::set<std::string> dataCentres;
+    for (const auto &[name, peer] : m_membership.peers()) {
+        dataCentres.insert(peer.dataCentre);
+    }
+    dataCentres.erase(m_membership.dataCentre());
+    for (const std::string &dataCentre : dataCentres) {
+        const std::vector<std::string> hosts = ranked(dataCentre);
+        if (!hosts.empty()) {
+            ask(hosts.front(), targets);
+        }
+    }
+}
+
+std::vector<HeartbeatTarget> PeerRelay::targets()
+{
+    std::vector<HeartbeatTarget> targets;
+    const bool saysFarewell = m_membership.leaving() && m_farewells++ < mostFarewells;
+    if (!isRelayed() || saysFarewell) {
+        m_isRelay = false;
+        for (const auto &[name, peer] : m_membership.peers()) {
+            targets.push_back({name, false});
+        }
+        return targets;
+    }
+    noticeSilence();
+    std::vector<std::string> hosts = ranked(m_membership.dataCentre());
+    hosts.resize(std::min(hosts.size(), relayCount));
+    m_isRelay = std::find(hosts.begin(), hosts.end(), m_membership.host()) != hosts.end();
+    if (m_isRelay) {
+        askElsewhere(targets);
+    }
+    // The second relay asks the first one too: it would not hear of a host that comes back
+    // and takes its place.
+    for (const std::string &host : hosts) {
+        if (host == m_membership.host()) {
+            continue;
+        }
+        if (host == hosts.front()) {
+            ask(host, targets);
+        } else {
+            targets.push_back({host, false});
+        }
+    }
+    std::erase_if(m_askedSince, [&targets](const auto &asked) {
+        return std::none_of(targets.begin(), targets.end(), [&asked](const auto &target) {
+            return target.wantsSummary && target.host == asked.first;
+        });
+    });
+    return targets;
+}
+
+bool PeerRelay::countsHeartbeatOf(const std::string &dataCentre) const
+{
+    return !isRelayed() || (m_isRelay && dataCentre == m_membership.dataCentre());
+}
+
+bool PeerRelay::countsSummaryOf(const std::string &dataCentre) const
+{
+    return isRelayed() && m_isRelay == (dataCentre != m_membership.dataCentre());
+}
+
+// What is told ----------------------------------------------------------------
+
+void PeerRelay::update(Told &told, const std::vector<PromptBacklog> &prompts,
+                       const std::vector<PieceBacklog> &backlogs, TimePoint now)
+{
+    told.at = now;
+    told.prompts.clear();
+    for (const PromptBacklog &prompt : prompts) {
+        told.prompts[prompt.endpoint] += prompt.tokens;
+    }
+    told.backlogs = backlogs;
+}
+
+void PeerRelay::update(Told &told, const std::vector<UsageReport> &usage)
+{
+    for (auto &[key, use] : told.usage) {
+        use.demand = 0;
+    }
+    for (const UsageReport &report : usage) {
+        Use &use = told.usage[{report.account, report.pool}];
+        use.time += report.time;
+        use.demand = report.demand;
+    }
+}
+
+void PeerRelay::take(const std::string &host, const Heartbeat &heartbeat)
+{
+    if (heartbeat.wantsSummary) {
+        m_subscribers[host] = m_clock.now();
+    }
+    // A relay of another data centre tells its own figures in its summaries.
+    if (heartbeat.dataCentre == m_membership.dataCentre()) {
+        Told &told = m_local[host];
+        update(told, heartbeat.prompts, heartbeat.backlogs, m_clock.now());
+        update(told, heartbeat.usage);
+    }
+}
+
+void PeerRelay::take(const std::string &dataCentre, const PeerSummary &summary)
+{
+    if (dataCentre == m_membership.dataCentre()) {
+        return;
+    }
+    Told &told = m_elsewhere[dataCentre];
+    update(told, summary.prompts, summary.backlogs, m_clock.now());
+    if (summary.isWhole) {
+        update(told, summary.usage);
+    }
+}
+
+void PeerRelay::forgetOld()
+{
+    const TimePoint now = m_clock.now();
+    const auto isOld = [now](const auto &entry) { return now - entry.second.at > tellingLife; };
+    std::erase_if(m_local, isOld);
+    std::erase_if(m_elsewhere, isOld);
+    std::erase_if(m_subscribers,
+                  [now](const auto &entry) { return now - entry.second > tellingLife; });
+}
+
+/// Whether other hosts live than at the last call.
+bool PeerRelay::hostsChanged()
+{
+    std::vector<std::pair<std::string, Incarnation>> hosts;
+    for (const HostReport &report : m_membership.hostReports({})) {
+        // One that begins to leave counts as another one.
+        hosts.emplace_back(report.host, report.leaving ? 0 : report.incarnation);
+    }
+    const bool changed = hosts != m_hostsBefore;
+    m_hostsBefore = std::move(hosts);
+    return changed;
+}
+
+void PeerRelay::add(const Told &told, Told &total) const
+{
+    for (const auto &[endpoint, tokens] : told.prompts) {
+        total.prompts[endpoint] += tokens;
+    }
+    for (const auto &[key, use] : told.usage) {
+        Use &sum = total.usage[key];
+        sum.time += use.time;
+        sum.demand += use.demand;
+    }
+    const Duration age = m_clock.now() - told.at;
+    for (PieceBacklog backlog : told.backlogs) {
+        backlog.freeIn = std::max<Duration>(Duration::zero(), backlog.freeIn - age);
+        total.backlogs.push_back(std::move(backlog));
+    }
+}
+
+PeerSummary PeerRelay::sum(const Told &own, const std::string &without, bool isLocal,
+                           bool isWhole) const
+{
+    Told total;
+    add(own, total);
+    for (const auto &[host, told] : m_local) {
+        if (host != without) {
+            add(told, total);
+        }
+    }
+    for (const auto &[dataCentre, told] : m_elsewhere) {
+        if (isLocal) {
+            add(told, total);
+        }
+    }
+    PeerSummary summary;
+    summary.backlogs = std::move(total.backlogs);
+    for (const auto &[endpoint, tokens] : total.prompts) {
+        summary.prompts.push_back({endpoint, tokens});
+    }
+    summary.isWhole = isWhole;
+    if (isWhole) {
+        for (const auto &[key, use] : total.usage) {
+            if (use.time != Duration{} || use.demand > 0) {
+                summary.usage.push_back({key.first, key.second, use.time, use.demand});
+            }
+        }
+        summary.hosts =
+            m_membership.hostReports(isLocal ? std::string() : m_membership.dataCentre());
+    }
+    return summary;
+}
+
+std::vector<PeerSend> PeerRelay::summaries(const Heartbeat &own)
+{
+    forgetOld();
+    update(m_own, own.prompts, own.backlogs, m_clock.now());
+    update(m_own, own.usage);
+    std::vector<PeerSend> sends;
+    const bool isWhole = hostsChanged() || ++m_round % wholeRound == 0;
+    for (const auto &[host, askedAt] : m_subscribers) {
+        PeerSummary summary = sum(m_own, host, m_membership.isLocal(host), isWhole);
+        summary.leavingEndpoints = own.leavingEndpoints;
+        summary.leavingKnown = own.leavingKnown;
+        if (std::optional<PeerSend> send = m_membership.messageTo(host, std::move(summary))) {
+            sends.push_back(*std::move(send));
+        }
+    }
+    if (isWhole) {
+        m_own.usage.clear();
+        for (ToldBySource *sources : {&m_local, &m_elsewhere}) {
+            for (auto &[source, told] : *sources) {
+                for (auto &[key, use] : told.usage) {
+                    use.time = {};
+                }
+            }
+        }
+    }
+    return sends;
+}
+
+} // namespace harelink
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "harelink/Kernel/piecebatcher.h"
 
+#include "harelink/Kernel/pieceforecast.h"
 #include "harelink/Kernel/routing.h"
 
 #include <algorithm>
@@ -41,24 +42,18 @@
 constexpr milliseconds lookInterval{15};
 /// Results are freed together: a call for some is no dearer than one for one.
 constexpr milliseconds freeInterval{30};
-/// What a megabyte of results that crosses data centres counts as, in time: users pay for
-/// it, and a share of a request's worth weighs about as much as its share of its time.
-constexpr std::chrono::microseconds crossingPerMegabyte{20'000};
-constexpr double bytesPerMegabyte = 1e6;
 /// From so many batches waiting on, the pieces of one request are spread over several
 /// calls rather than leave places empty: more is served then, each somewhat later.
 constexpr std::size_t splittingBatches = 2;
+/// A pool that has become idle is told of for so long: daemons that heard it busy before
+/// would go on to take it for busy. Eight heartbeats, one of which gets through.
+constexpr milliseconds idleTelling{2000};
 
 Duration scaled(Duration time, double factor)
 {
     return std::chrono::duration_cast<Duration>(time * factor);
 }
 
-Duration crossingCost(std::uint64_t bytes)
-{
-    return scaled(crossingPerMegabyte, static_cast<double>(bytes) / bytesPerMegabyte);
-}
-
 } // namespace
 
 PieceBatcher::PieceBatcher(const Clock &clock)
@@ -71,6 +66,7 @@
 {
     const TimePoint now = m_clock.now();
     Line &line = m_lines[orders.pool];
+    line.lastBusy = now;
     for (const PieceOrder &order : orders.orders) {
         Item item;
         item.host = host;
@@ -122,7 +118,7 @@
     if (line.waiting.empty()) {
         return;
     }
-    const PoolEntry *pool = snapshot.pool(poolName);
+    const PoolEntry *pool = snapshot.poolOrPart(poolName);
     const auto takesCalls = [now](const EndpointEntry &entry) { return isUsable(entry, now); };
     if (pool == nullptr
         || std::none_of(pool->endpoints.begin(), pool->endpoints.end(), takesCalls)) {
@@ -344,6 +340,7 @@
             if (flight == maker.flights.end()) {
                 continue;
             }
+            line.lastBusy = m_clock.now();
             Flight ended = std::move(*flight);
             maker.flights.erase(flight);
             end(pool, line, endpoint, std::move(ended), event, snapshot);
@@ -356,7 +353,7 @@
 void PieceBatcher::end(const std::string &pool, Line &line, const std::string &endpoint,
                        Flight flight, const PieceCallEnded &event, const Snapshot &snapshot)
 {
-    if (const PoolEntry *entry = snapshot.pool(pool)) {
+    if (const PoolEntry *entry = snapshot.poolOrPart(pool)) {
         learn(endpoint, line, flight, event, *entry);
         if (entry->spec.pieces) {
             keep(line, endpoint, flight, event, m_clock.now(), entry->spec.pieces->resultLife);
@@ -524,7 +521,7 @@
     for (const Item &item : line.waiting) {
         ++backlog.waiting[urgencyClass(item.order.priority)];
     }
-    const PoolEntry *entry = snapshot.pool(pool);
+    const PoolEntry *entry = snapshot.poolOrPart(pool);
     if (entry == nullptr) {
         return backlog;
     }
@@ -566,7 +563,7 @@
 {
     std::vector<PieceBacklog> backlogs;
     for (const auto &[pool, line] : m_lines) {
-        if (isBusy(line)) {
+        if (isBusy(line) || m_clock.now() - line.lastBusy <= idleTelling) {
             backlogs.push_back(backlogOf(pool, line, snapshot));
         }
     }
--- a/lib/Kernel/pieceforecast.cpp
+++ b/lib/Kernel/pieceforecast.cpp
@@ -2,12 +2,20 @@
 
 #include "harelink/Kernel/pieceforecast.h"
 
+#include "harelink/Kernel/routing.h"
+
 #include <algorithm>
 
 namespace harelink {
 namespace {
 
 constexpr double percent = 100;
+/// What a megabyte of results that crosses data centres counts as, in time: users pay for
+/// it, and a share of a request's worth weighs about as much as its share of its time.
+constexpr std::chrono::microseconds crossingPerMegabyte{20'000};
+constexpr double bytesPerMegabyte = 1e6;
+/// Another data centre has to promise to be sooner by this: forecasts are no better.
+constexpr std::chrono::milliseconds crossingReserve{20};
 
 std::int64_t nanos(TimePoint time)
 {
@@ -16,6 +24,37 @@
 
 } // namespace
 
+Duration crossingCost(std::uint64_t bytes)
+{
+    return std::chrono::duration_cast<Duration>(crossingPerMegabyte
+                                                * (static_cast<double>(bytes) / bytesPerMegabyte));
+}
+
+const PoolEntry &choosePart(const Snapshot &snapshot, const PoolEntry &pool,
+                            const PieceGroup &group, TimePoint now)
+{
+    const PoolEntry *best = nullptr;
+    Duration bestTime = Duration::max();
+    for (const std::string &name : pool.parts) {
+        const PoolEntry *part = snapshot.poolOrPart(name);
+        const bool works =
+            std::any_of(part->endpoints.begin(), part->endpoints.end(),
+                        [now](const EndpointEntry &entry) { return isUsable(entry, now); });
+        if (!works || (name == group.avoid && pool.parts.size() > 1)) {
+            continue;
+        }
+        Duration time = predictPieces(*part, group.count, group.priority, now);
+        if (!group.dataCentre.empty() && part->dataCentre != group.dataCentre) {
+            time += crossingCost(group.resultBytes) + crossingReserve;
+        }
+        if (best == nullptr || time < bestTime) {
+            best = part;
+            bestTime = time;
+        }
+    }
+    return best == nullptr ? pool : *best;
+}
+
 Duration predictPieces(const PoolEntry &pool, std::uint32_t pieces, int priority, TimePoint now)
 {
     const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
@@ -31,7 +70,8 @@
     const std::uint32_t callsBefore = (all - 1) / work.batch;
     const Duration fullCall = work.callTime + work.pieceTime * work.batch;
     // Calls of several endpoints end one after the other.
-    const int endpoints = std::max(1, load.endpoints.load(std::memory_order_relaxed));
+    const int told = load.endpoints.load(std::memory_order_relaxed);
+    const int endpoints = told > 0 ? told : std::max(1, static_cast<int>(pool.endpoints.size()));
     const Duration before = fullCall * callsBefore / endpoints;
     const Duration own = work.callTime + work.pieceTime * std::min(all, work.batch);
     const double slowness = load.slownessPercent.load(std::memory_order_relaxed) / percent;
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -61,7 +61,8 @@
     place(std::move(group), snapshot);
 }
 
-/// Orders a group of pieces of one pool at its batcher.
+/// Orders a group of pieces of one pool at its batcher, or at that of a part which did
+/// not fail it before.
 void PieceRouter::place(std::vector<Pending> group, const Snapshot &snapshot)
 {
     if (group.empty()) {
@@ -72,15 +73,22 @@
     const int priority = group.front().order.priority;
     PieceOrdersTo send;
     send.orders.pool = group.front().pool;
-    send.host = batcherOf(send.orders.pool);
     Duration predicted{};
-    if (const PoolEntry *pool = snapshot.pool(send.orders.pool)) {
-        predicted = predictPieces(*pool, count, priority, now);
-        noteOrdered(*pool, count, priority);
+    if (const PoolEntry *pool = snapshot.pool(group.front().pool)) {
+        const PieceOrder &first = group.front().order;
+        const PoolEntry &part = choosePart(
+            snapshot, *pool,
+            {count, priority, first.resultBytes * count, first.dataCentre, group.front().part},
+            now);
+        send.orders.pool += part.dataCentre.empty() ? "" : "/" + part.dataCentre;
+        predicted = predictPieces(part, count, priority, now);
+        noteOrdered(part, count, priority);
     }
+    send.host = batcherOf(send.orders.pool, snapshot);
     for (Pending &pending : group) {
         ++pending.attempts;
         pending.batcher = send.host;
+        pending.part = send.orders.pool;
         pending.orderedAt = now;
         pending.checkAt = now + predicted * patienceFactor + patience;
         pending.order.wantedIn = pending.wanted - now;
@@ -92,12 +100,20 @@
     m_sends.push_back(std::move(send));
 }
 
-std::string PieceRouter::batcherOf(const std::string &pool) const
+std::string PieceRouter::batcherOf(const std::string &part, const Snapshot &snapshot) const
 {
     std::string best = m_membership.host();
     std::uint64_t bestScore = 0;
-    for (const std::string &host : m_membership.heardWithin(batcherSilence, {})) {
-        const std::uint64_t score = hash64(fmt::format("pieces/{}/{}", pool, host));
+    const PoolEntry *entry = snapshot.poolOrPart(part);
+    std::vector<std::string> hosts;
+    if (entry != nullptr && !entry->dataCentre.empty()) {
+        hosts = m_membership.heardWithin(batcherSilence, entry->dataCentre);
+    }
+    if (hosts.empty()) {
+        hosts = m_membership.heardWithin(batcherSilence, {});
+    }
+    for (const std::string &host : m_membership.ableHosts(hosts)) {
+        const std::uint64_t score = hash64(fmt::format("pieces/{}/{}", part, host));
         if (score >= bestScore) {
             best = host;
             bestScore = score;
@@ -121,26 +137,26 @@
 
 void PieceRouter::take(const PieceBacklog &backlog, const Snapshot &snapshot, TimePoint now)
 {
-    if (const PoolEntry *pool = snapshot.pool(backlog.pool)) {
+    if (const PoolEntry *pool = snapshot.poolOrPart(backlog.pool)) {
         noteBacklog(*pool, backlog, now);
     }
 }
 
-void PieceRouter::free(const std::vector<std::string> &handles)
+void PieceRouter::free(const std::vector<std::string> &handles, const Snapshot &snapshot)
 {
-    std::map<std::string, PieceFrees> byPool;
+    std::map<std::string, PieceFrees> byPart;
     for (const std::string &handle : handles) {
         const auto result = m_results.find(handle);
         if (result == m_results.end()) {
             continue; // So old that its endpoint has dropped it by itself.
         }
-        PieceFrees &frees = byPool[result->second.pool];
-        frees.pool = result->second.pool;
+        PieceFrees &frees = byPart[result->second.part];
+        frees.pool = result->second.part;
         frees.handles.push_back(handle);
         m_results.erase(result);
     }
-    for (auto &[pool, frees] : byPool) {
-        m_frees.emplace_back(batcherOf(pool), std::move(frees));
+    for (auto &[part, frees] : byPart) {
+        m_frees.emplace_back(batcherOf(part, snapshot), std::move(frees));
     }
 }
 
@@ -165,7 +181,7 @@
         const auto found = m_pending.find(outcome.id);
         if (found == m_pending.end()) {
             // Made twice, or no longer wanted.
-            free({outcome.handle});
+            free({outcome.handle}, snapshot);
             continue;
         }
         const bool isRequests = outcome.fault == PieceFault::None
@@ -186,9 +202,8 @@
 bool PieceRouter::mayReorder(const Pending &pending)
 {
     const TimePoint now = m_clock.now();
-    const int daemons = static_cast<int>(m_membership.livePeers().size()) + 1;
     return pending.attempts < mostAttempts && now < pending.due
-           && budgetOf(pending.pool).allows(now, daemons);
+           && budgetOf(pending.pool).allows(now, m_membership.countedHosts());
 }
 
 void PieceRouter::reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot)
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -5,12 +5,17 @@
 #include "harelink/Support/hash.h"
 
 #include <algorithm>
+#include <map>
 
 namespace harelink {
 namespace {
 
 /// An endpoint's points on the ring of prompts: more spread them more evenly.
 constexpr std::uint64_t ringPoints = 64;
+/// A pool that works in pieces is divided by data centre from so many endpoints on: one
+/// batcher for all of them would have more than a small host's processor takes, and of
+/// fewer endpoints the parts would be too uneven. docs/DESIGN.md has the figures.
+constexpr std::size_t leastDividedEndpoints = 9;
 
 template <typename Map>
 const typename Map::mapped_type *findIn(const Map &map, const std::string &name)
@@ -51,6 +56,7 @@
 
     void finish(const std::string &dataCentre)
     {
+        m_snapshot.dataCentre = dataCentre;
         placeEndpoints(dataCentre);
         for (auto &[host, prefixes] : m_snapshot.routes) {
             std::sort(prefixes.begin(), prefixes.end(),
@@ -88,13 +94,45 @@
                 placeRing(pool);
             }
             if (pool.spec.pieces) {
-                const PoolEntry *before = m_previous == nullptr ? nullptr : m_previous->pool(name);
-                const bool isKept = before != nullptr && before->pieceLoad != nullptr;
-                pool.pieceLoad = isKept ? before->pieceLoad : std::make_shared<PieceLoad>();
+                placePieceLoad(name, pool);
+                divide(name, pool);
             }
         }
     }
 
+    void placePieceLoad(const std::string &name, PoolEntry &pool) const
+    {
+        const PoolEntry *before = m_previous == nullptr ? nullptr : m_previous->poolOrPart(name);
+        const bool isKept = before != nullptr && before->pieceLoad != nullptr;
+        pool.pieceLoad = isKept ? before->pieceLoad : std::make_shared<PieceLoad>();
+    }
+
+    /// Makes the parts of a large pool.
+    void divide(const std::string &name, PoolEntry &pool)
+    {
+        if (pool.endpoints.size() < leastDividedEndpoints) {
+            return;
+        }
+        std::map<std::string, PoolEntry> parts;
+        for (const EndpointEntry &endpoint : pool.endpoints) {
+            PoolEntry &part = parts[endpoint.spec.dataCentre];
+            part.endpoints.push_back(endpoint);
+            part.totalSlots += endpoint.spec.slots;
+        }
+        if (parts.size() < 2) {
+            return;
+        }
+        for (auto &[dataCentre, part] : parts) {
+            const std::string partName = name + "/" + dataCentre;
+            part.spec = pool.spec;
+            part.dataCentre = dataCentre;
+            part.localCount = dataCentre == m_snapshot.dataCentre ? part.endpoints.size() : 0;
+            placePieceLoad(partName, part);
+            pool.parts.push_back(partName);
+            m_snapshot.poolParts[partName] = std::move(part);
+        }
+    }
+
     static void placeRing(PoolEntry &pool)
     {
         for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
@@ -176,6 +214,12 @@
     return findIn(pools, name);
 }
 
+const PoolEntry *Snapshot::poolOrPart(const std::string &name) const
+{
+    const PoolEntry *part = findIn(poolParts, name);
+    return part != nullptr ? part : pool(name);
+}
+
 const PipelineSpec *Snapshot::route(const std::string &host, const std::string &path) const
 {
     const auto *prefixes = findIn(routes, host);
--- a/unittests/Config/settingstest.cpp
+++ b/unittests/Config/settingstest.cpp
@@ -82,3 +82,18 @@
     CHECK(with("\"balancerGraceMs\": 2900, \"drainLimitMs\": 7300").ok());
     CHECK_FALSE(with("\"balancerGraceMs\": 5500, \"drainLimitMs\": 7300").ok());
 }
+
+TEST(Settings, TheCapacityOfAHostIsANumberOfCores)
+{
+    const std::string text = R"({"host": "h1", "dataCentre": "dc1", "capacity": CAPACITY,
+        "listen": {"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+        "platform": "127.0.0.1:4", "callerTrust": "balancer", "peerTrust": "network"})";
+    const auto with = [&text](const std::string &capacity) {
+        std::string filled = text;
+        filled.replace(filled.find("CAPACITY"), 8, capacity);
+        return readSettings(filled, "h1.jsonc", {"power-of-two"});
+    };
+    DOUBLES_EQUAL(0.12, with("0.12")->capacity, 1e-9);
+    CHECK(!with("0").ok());
+    CHECK(!with("\"much\"").ok());
+}
