[Kernel] Make pieces where what they read stands; bound late ones over all daemons

Cause: each piece reads all results of the stages before it: sixteen pieces that read eight results of 60 kB move 7.7 MB, and batchers looked only at where the pieces' own small results are needed. Four requests a daemon were taken in to be late, of 86 daemons 344 at once. Change: a piece's order tells how much it reads and where that stands; parts of pools and endpoints are chosen by all crossings. 36 late ones are taken in over all daemons. A model engine is chosen by the results that it reads itself, not by all that were made. Conclusion: PieceParts.InputsThat... and Carried.ManyDaemons... show both.

--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -153,8 +153,9 @@
     bool form(const EndpointEntry &endpoint, Line &line, const PoolEntry &pool);
     [[nodiscard]] Choice choose(const EndpointEntry &endpoint, const Line &line,
                                 const PoolEntry &pool) const;
-    [[nodiscard]] bool waitsForOwn(const Item &item, const EndpointEntry &endpoint,
-                                   const Line &line, const PoolEntry &pool) const;
+    [[nodiscard]] bool waitsForNearer(const Item &item, std::size_t count,
+                                      const EndpointEntry &endpoint, const Line &line,
+                                      const PoolEntry &pool) const;
     void send(const EndpointEntry &endpoint, Maker &maker, std::vector<Item> items,
               const PieceWorkSpec &work);
     [[nodiscard]] const EndpointEntry *nextFree(const Line &line, const PoolEntry &pool,
--- a/include/harelink/Kernel/pieceforecast.h
+++ b/include/harelink/Kernel/pieceforecast.h
@@ -20,26 +20,22 @@
 /// less urgent does not stand in their way.
 [[nodiscard]] Duration predictPieces(const PoolEntry &pool, std::uint32_t pieces, int priority,
                                      TimePoint now);
-/// What results of \p bytes that cross data centres count as, in time.
-[[nodiscard]] Duration crossingCost(std::uint64_t bytes);
-
 /// Pieces of one stage of one request, as far as their place goes.
 struct PieceGroup
 {
     std::uint32_t count = 1;
     int priority = 0;
-    std::uint64_t resultBytes = 0; ///< Of all together.
-    std::string dataCentre;        ///< Where the results are needed; empty for anywhere.
-    std::string avoid;             ///< The part of the pool that failed them, if any.
-    std::uint64_t draw = 0;        ///< Decides which other part is compared with.
+    PieceFlows flows;
+    std::string avoid;      ///< The part of the pool that failed them, if any.
+    std::uint64_t draw = 0; ///< Decides which other part is compared with.
 
     /// The draw for \p stage of \p request, the same in each forecast and for the order.
     [[nodiscard]] static std::uint64_t drawOf(const RequestId &request, std::uint32_t stage);
 };
 
-/// The part of \p pool where \p group is to be made: the one where it is needed, unless
-/// one other, drawn for this group, is predicted to be sooner by far, with a crossing
-/// counted as time. The pool itself where it is not divided.
+/// The part of \p pool where \p group is to be made: the one with the least crossings,
+/// unless one other, drawn for this group, is predicted to be sooner by far, with
+/// crossings counted as time. The pool itself where it is not divided.
 ///
 /// Forecasts are half a second old and the same at all daemons. Were each to take the part
 /// that looks best, all would go to the same one: 72 in 100 groups changed their data
--- a/include/harelink/Kernel/piecegraph.h
+++ b/include/harelink/Kernel/piecegraph.h
@@ -12,7 +12,9 @@
 #include "harelink/Config/resources.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace harelink {
@@ -34,8 +36,8 @@
 
     /// The pieces that can be made now and were not given out before.
     std::vector<PiecePlace> takeReady();
-    /// A piece was made; false where it was made already.
-    bool made(PiecePlace place, const std::string &handle);
+    /// A piece was made in \p dataCentre; false where it was made already.
+    bool made(PiecePlace place, const std::string &handle, const std::string &dataCentre = {});
     /// A piece that was given out is to be given out again.
     void returned(PiecePlace place);
     /// The results that \p stage needs are no longer kept: they are made again.
@@ -49,6 +51,11 @@
     [[nodiscard]] std::vector<std::string> inputsOf(std::uint32_t stage) const;
     /// The results that the request itself needs: of stages that none comes after.
     [[nodiscard]] std::vector<std::string> finalResults() const;
+    /// The data centre where most bytes stand that each piece of \p stage reads, and how
+    /// many; empty without any.
+    [[nodiscard]] std::pair<std::string, std::uint64_t> mostInputBytes(std::uint32_t stage) const;
+    /// The same of the results that the request itself needs, as far as they are made.
+    [[nodiscard]] std::pair<std::string, std::uint64_t> mostFinalBytes() const;
     /// The results of which nobody has need any more and that were not told before.
     std::vector<std::string> takeUnneeded();
     /// All results that are kept somewhere for this request; they are forgotten.
@@ -62,6 +69,7 @@
     {
         State state = State::Waiting;
         std::string handle;
+        std::string dataCentre; ///< Where it was made.
     };
     struct Stage
     {
@@ -71,6 +79,10 @@
         bool released = false;
     };
 
+    using BytesByDataCentre = std::map<std::string, std::uint64_t>;
+
+    static void addBytes(const Stage &stage, BytesByDataCentre &bytes);
+    static std::pair<std::string, std::uint64_t> most(const BytesByDataCentre &bytes);
     [[nodiscard]] bool isMade(std::uint32_t stage) const;
     void remake(std::uint32_t stage);
 
--- a/include/harelink/Kernel/pieces.h
+++ b/include/harelink/Kernel/pieces.h
@@ -44,9 +44,26 @@
     Duration dueIn{};                ///< Until it is of no use any more, as of the sending.
     std::uint64_t resultBytes = 0;   ///< About how large its result is.
     std::string dataCentre;          ///< Where the result will be needed; empty for anywhere.
+    std::uint64_t inputBytes = 0;    ///< About how much it reads of earlier results.
+    std::string inputsAt;            ///< The data centre where most of that stands.
     std::string avoid;               ///< An endpoint that failed it.
 };
 
+/// What moves for pieces of one stage of one request. Each of them reads all its inputs:
+/// sixteen pieces that read half a megabyte each move eight.
+struct PieceFlows
+{
+    std::uint64_t inputBytes = 0;  ///< Read by all of them.
+    std::string inputsAt;          ///< The data centre of these; empty for none.
+    std::uint64_t resultBytes = 0; ///< Made by all of them.
+    std::string resultsTo;         ///< The data centre that needs these; empty for any.
+};
+
+/// The flows of \p count pieces like \p order.
+[[nodiscard]] PieceFlows flowsOf(const PieceOrder &order, std::size_t count);
+/// What the crossings count as, in time, if the pieces are made in \p dataCentre.
+[[nodiscard]] Duration crossingCost(const PieceFlows &flows, const std::string &dataCentre);
+
 /// Why a piece was not made.
 enum class PieceFault {
     None,
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -17,6 +17,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace harelink {
@@ -91,11 +92,8 @@
     need.tokens = request.carried->promptTokens;
     need.sharedTokens = request.carried->sharedTokens();
     need.tokensPerSecond = poolState(request.stageSpec().pool).tokensPerSecond;
-    for (const auto &[dataCentre, bytes] : request.resultBytes) {
-        if (bytes > need.inputBytes) {
-            need.inputBytes = bytes;
-            need.dataCentre = dataCentre;
-        }
+    if (request.pieces) {
+        std::tie(need.dataCentre, need.inputBytes) = request.pieces->mostFinalBytes();
     }
     need.slack = request.wanted - m_clock.now() - requestmachine::firstEventOverhead;
     return need;
@@ -150,12 +148,11 @@
         }
         // The queue of a later stage is taken to be then as long as it is now: what leaves
         // it until then is replaced, as long as the load stays the same.
-        const PieceGroup group{count,
-                               request.priority,
-                               stages[i].resultBytes * count,
-                               wantedAt,
-                               {},
-                               PieceGroup::drawOf(request.id, static_cast<std::uint32_t>(i))};
+        PieceGroup group;
+        group.count = count;
+        group.priority = request.priority;
+        group.flows.resultsTo = wantedAt;
+        group.draw = PieceGroup::drawOf(request.id, static_cast<std::uint32_t>(i));
         const PoolEntry &part = choosePart(snapshot, *pool, group, m_clock.now());
         doneAt[i] = begin + predictPieces(part, count, request.priority, m_clock.now());
         last = std::max(last, doneAt[i]);
@@ -196,6 +193,18 @@
     return std::chrono::duration_cast<Duration>((pieces + first) * factor);
 }
 
+/// Whether this daemon may take one more request in to be late. Where its part of all
+/// daemons' is less than one, it takes one so much less often.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::mayTakeLate()
+{
+    const double part = requestmachine::mostLateRequests / daemons();
+    if (part >= 1) {
+        return static_cast<double>(m_lateRequests + 1) <= part;
+    }
+    return m_lateRequests == 0 && m_random.unit() < part;
+}
+
 /// Whether the request is taken in: in time for its objective, or late in places that
 /// nobody else wants. The rest is refused before anything is spent on it.
 template <GuardPolicy G>
@@ -217,7 +226,7 @@
         return true;
     }
     const Duration left = request.preparedBy - now;
-    if (request.predicted > left || m_lateRequests >= requestmachine::mostLateRequests) {
+    if (request.predicted > left || !mayTakeLate()) {
         return false;
     }
     ++m_lateRequests;
@@ -285,15 +294,8 @@
     if (home != nullptr) {
         return home->spec.dataCentre;
     }
-    std::string dataCentre = snapshot.dataCentre;
-    std::uint64_t most = 0;
-    for (const auto &[where, bytes] : request.resultBytes) {
-        if (bytes > most) {
-            dataCentre = where;
-            most = bytes;
-        }
-    }
-    return dataCentre;
+    const std::string made = request.pieces ? request.pieces->mostFinalBytes().first : "";
+    return made.empty() ? snapshot.dataCentre : made;
 }
 
 /// Orders all pieces that can be made now.
@@ -311,6 +313,7 @@
         if (order.inputs.empty()) {
             order.key = request.carried->pieceKey;
         }
+        std::tie(order.inputsAt, order.inputBytes) = request.pieces->mostInputBytes(place.stage);
         order.priority = request.priority;
         order.wantedIn = request.wanted - now;
         order.dueIn = request.preparedBy - now;
@@ -329,6 +332,14 @@
     }
 }
 
+/// Where the endpoint called \p name stands; empty for one that is no longer declared.
+template <GuardPolicy G>
+std::string BasicRequestMachine<G>::dataCentreOf(const std::string &name, const Snapshot &snapshot)
+{
+    const EndpointEntry *entry = snapshot.endpoint(name);
+    return entry == nullptr ? std::string() : entry->spec.dataCentre;
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::handle(const PieceEnded &event, const Snapshot &snapshot)
 {
@@ -345,14 +356,11 @@
     const PiecePlace place{outcome.id.stage, outcome.id.piece};
     switch (outcome.fault) {
     case PieceFault::None:
-        if (!request->pieces->made(place, outcome.handle)) {
+        if (!request->pieces->made(place, outcome.handle,
+                                   dataCentreOf(outcome.endpoint, snapshot))) {
             m_actions.emplace_back(FreeResults{{outcome.handle}});
             return;
         }
-        if (const EndpointEntry *maker = snapshot.endpoint(outcome.endpoint)) {
-            request->resultBytes[maker->spec.dataCentre] +=
-                request->pipeline.route->pieceStages[place.stage].resultBytes;
-        }
         break;
     case PieceFault::InputGone:
         if (request->remakes < requestmachine::mostRemakes) {
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -296,10 +296,12 @@
     Duration forecast(const Request &request, const Snapshot &snapshot);
     Duration forecastPieces(const Request &request, const Snapshot &snapshot) const;
     Duration forecastFirstEvent(const Request &request, const Snapshot &snapshot);
+    bool mayTakeLate();
     bool admit(Request &request, const Snapshot &snapshot);
     void learnForecast(const Request &request);
     void bookPrompt(Request &request, const PoolEntry &pool, const EndpointEntry &endpoint);
     void unbookPrompt(Request &request, const Snapshot &snapshot);
+    static std::string dataCentreOf(const std::string &endpoint, const Snapshot &snapshot);
     PromptNeed promptOf(const Request &request);
     void dropPieces(Request &request);
     void piecesLost(Request &request, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -69,10 +69,11 @@
 inline constexpr std::chrono::milliseconds firstEventOverhead{25};
 /// A forecast is taken to be this many times as long: half of them are too short.
 inline constexpr double admissionMargin = 1.12;
-/// Requests that are taken in although they will miss their objective: so many at once,
-/// and only where they are predicted to be done within their caller's patience. They fill
-/// places that nobody else wants.
-inline constexpr std::size_t mostLateRequests = 4;
+/// Requests that are taken in although they will miss their objective: so many at once at
+/// all daemons together, and only where they are predicted to be done within their caller's
+/// patience. They fill places that nobody else wants. Four at each of nine daemons served
+/// most; four at each of 86 would be more than all engines of a stage have places for.
+inline constexpr double mostLateRequests = 36;
 /// A request whose pieces are not made in so many times its objective, or in this part of
 /// its caller's patience, is given up: it is late already, and holds up those that are not.
 inline constexpr double preparingObjectives = 1.5;
@@ -134,13 +135,12 @@
     TimePoint wanted; ///< Its objective, as a time.
     std::unique_ptr<PieceGraph> pieces;
     std::uint32_t remakes = 0;
-    TimePoint preparedBy;          ///< When it is given up if its pieces are not made.
-    bool isLate = false;           ///< Was taken in although it will miss its objective.
-    Duration prepared{};           ///< From the arrival until all pieces were made.
-    Duration predicted{};          ///< From the arrival to the answer or its first event.
-    std::int64_t bookedTokens = 0; ///< That its endpoint has to read for it.
-    std::size_t bookedAhead = 0;   ///< That were to be read there before it.
-    std::map<std::string, std::uint64_t> resultBytes; ///< Made, by data centre.
+    TimePoint preparedBy;                   ///< When it is given up if its pieces are not made.
+    bool isLate = false;                    ///< Was taken in although it will miss its objective.
+    Duration prepared{};                    ///< From the arrival until all pieces were made.
+    Duration predicted{};                   ///< From the arrival to the answer or its first event.
+    std::int64_t bookedTokens = 0;          ///< That its endpoint has to read for it.
+    std::size_t bookedAhead = 0;            ///< That were to be read there before it.
     bool headPassedOn = false;              ///< The caller has got the beginning of a stream.
     std::optional<std::uint64_t> lastEvent; ///< Passed on, or seen by the caller before.
     std::uint32_t mayHaveRun = 0;           ///< Sends that an endpoint may have begun to work on.
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -175,6 +175,8 @@
             item.set_result_bytes(order.resultBytes);
             item.set_data_centre(order.dataCentre);
             item.set_avoid(order.avoid);
+            item.set_input_bytes(order.inputBytes);
+            item.set_inputs_at(order.inputsAt);
         }
     }
     void operator()(const PieceOutcomes &from) const
@@ -303,6 +305,8 @@
         order.resultBytes = item.result_bytes();
         order.dataCentre = item.data_centre();
         order.avoid = item.avoid();
+        order.inputBytes = item.input_bytes();
+        order.inputsAt = item.inputs_at();
         to.orders.push_back(std::move(order));
     }
     return to;
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -246,21 +246,23 @@
     return bestIsFree ? best : nullptr;
 }
 
-/// Whether \p item should wait for an endpoint of the data centre where its result is
-/// needed, for one is free sooner than the crossing is worth.
-bool PieceBatcher::waitsForOwn(const Item &item, const EndpointEntry &endpoint, const Line &line,
-                               const PoolEntry &pool) const
+/// Whether \p count pieces like \p item should wait for an endpoint with fewer crossings,
+/// for one is free sooner than these are worth.
+bool PieceBatcher::waitsForNearer(const Item &item, std::size_t count,
+                                  const EndpointEntry &endpoint, const Line &line,
+                                  const PoolEntry &pool) const
 {
-    const std::string &wanted = item.order.dataCentre;
-    if (wanted.empty() || wanted == endpoint.spec.dataCentre) {
+    const PieceFlows flows = flowsOf(item.order, count);
+    const Duration here = crossingCost(flows, endpoint.spec.dataCentre);
+    if (here == Duration::zero()) {
         return false;
     }
     const TimePoint now = m_clock.now();
-    const TimePoint limit = now + crossingCost(item.order.resultBytes);
     return std::any_of(
         pool.endpoints.begin(), pool.endpoints.end(), [&](const EndpointEntry &other) {
-            return other.spec.dataCentre == wanted && isUsable(other, now)
-                   && other.spec.name != item.order.avoid && freeAt(line, other, now) < limit;
+            const Duration saved = here - crossingCost(flows, other.spec.dataCentre);
+            return saved > Duration::zero() && isUsable(other, now)
+                   && other.spec.name != item.order.avoid && freeAt(line, other, now) < now + saved;
         });
 }
 
@@ -298,7 +300,7 @@
         const std::size_t places = work.batch - choice.places.size();
         const bool fits = group <= places || splits || (choice.places.empty() && group > places);
         const bool isAvoided = first.order.avoid == endpoint.spec.name && !isOnlyOne;
-        if (fits && !isAvoided && !waitsForOwn(first, endpoint, line, pool)) {
+        if (fits && !isAvoided && !waitsForNearer(first, group, endpoint, line, pool)) {
             for (std::size_t i = begin; i < std::min(end, begin + places); ++i) {
                 const std::uint64_t bytes = line.waiting[i].order.resultBytes;
                 if (work.roomBytes > 0 && taken + bytes > work.roomBytes) {
--- a/lib/Kernel/pieceforecast.cpp
+++ b/lib/Kernel/pieceforecast.cpp
@@ -13,10 +13,6 @@
 namespace {
 
 constexpr double percent = 100;
-/// What a megabyte of results that crosses data centres counts as, in time: users pay for
-/// it, and a share of a request's worth weighs about as much as its share of its time.
-constexpr std::chrono::microseconds crossingPerMegabyte{20'000};
-constexpr double bytesPerMegabyte = 1e6;
 /// Another data centre has to promise to be sooner by this: about the length of a call, by
 /// which forecasts of that age are off.
 constexpr std::chrono::milliseconds crossingReserve{150};
@@ -28,12 +24,6 @@
 
 } // namespace
 
-Duration crossingCost(std::uint64_t bytes)
-{
-    return std::chrono::duration_cast<Duration>(crossingPerMegabyte
-                                                * (static_cast<double>(bytes) / bytesPerMegabyte));
-}
-
 std::uint64_t PieceGroup::drawOf(const RequestId &request, std::uint32_t stage)
 {
     return hash64(fmt::format("{}/{}/{}", request.incarnation, request.sequence, stage));
@@ -42,13 +32,12 @@
 const PoolEntry &choosePart(const Snapshot &snapshot, const PoolEntry &pool,
                             const PieceGroup &group, TimePoint now)
 {
-    const auto isUsablePart = [&](const PoolEntry &part) {
+    const auto isUsablePart = [now](const PoolEntry &part) {
         return std::any_of(part.endpoints.begin(), part.endpoints.end(),
                            [now](const EndpointEntry &entry) { return isUsable(entry, now); });
     };
-    const PoolEntry *own = nullptr;
     const PoolEntry *avoided = nullptr; // Failed them; the last resort.
-    std::vector<const PoolEntry *> others;
+    std::vector<const PoolEntry *> parts;
     for (const std::string &name : pool.parts) {
         const PoolEntry *part = snapshot.poolOrPart(name);
         if (!isUsablePart(*part)) {
@@ -56,22 +45,29 @@
         }
         if (name == group.avoid) {
             avoided = part;
-        } else if (part->dataCentre == group.dataCentre) {
-            own = part;
         } else {
-            others.push_back(part);
+            parts.push_back(part);
         }
     }
-    const PoolEntry *other = others.empty() ? nullptr : others[group.draw % others.size()];
-    if (own == nullptr || other == nullptr) {
-        const PoolEntry *only = own == nullptr ? other : own;
-        only = only == nullptr ? avoided : only;
-        return only == nullptr ? pool : *only;
+    if (parts.empty()) {
+        return avoided == nullptr ? pool : *avoided;
     }
-    const Duration here = predictPieces(*own, group.count, group.priority, now);
-    const Duration there = predictPieces(*other, group.count, group.priority, now)
-                           + crossingCost(group.resultBytes) + crossingReserve;
-    return there < here ? *other : *own;
+    const auto nearest = std::min_element(parts.begin(), parts.end(),
+                                          [&group](const PoolEntry *a, const PoolEntry *b) {
+                                              return crossingCost(group.flows, a->dataCentre)
+                                                     < crossingCost(group.flows, b->dataCentre);
+                                          });
+    const PoolEntry *own = *nearest;
+    parts.erase(nearest);
+    if (parts.empty()) {
+        return *own;
+    }
+    const PoolEntry *other = parts[group.draw % parts.size()];
+    const auto predicted = [&](const PoolEntry &part) {
+        return predictPieces(part, group.count, group.priority, now)
+               + crossingCost(group.flows, part.dataCentre);
+    };
+    return predicted(*other) + crossingReserve < predicted(*own) ? *other : *own;
 }
 
 Duration predictPieces(const PoolEntry &pool, std::uint32_t pieces, int priority, TimePoint now)
--- a/lib/Kernel/piecegraph.cpp
+++ b/lib/Kernel/piecegraph.cpp
@@ -46,7 +46,7 @@
     return ready;
 }
 
-bool PieceGraph::made(PiecePlace place, const std::string &handle)
+bool PieceGraph::made(PiecePlace place, const std::string &handle, const std::string &dataCentre)
 {
     Piece &piece = m_stages.at(place.stage).pieces.at(place.piece);
     if (piece.state == State::Made) {
@@ -54,6 +54,7 @@
     }
     piece.state = State::Made;
     piece.handle = handle;
+    piece.dataCentre = dataCentre;
     return true;
 }
 
@@ -134,6 +135,46 @@
     return handles;
 }
 
+void PieceGraph::addBytes(const Stage &stage, BytesByDataCentre &bytes)
+{
+    for (const Piece &piece : stage.pieces) {
+        if (piece.state == State::Made && !piece.dataCentre.empty()) {
+            bytes[piece.dataCentre] += stage.spec.resultBytes;
+        }
+    }
+}
+
+std::pair<std::string, std::uint64_t> PieceGraph::most(const BytesByDataCentre &bytes)
+{
+    std::pair<std::string, std::uint64_t> most;
+    for (const auto &[dataCentre, count] : bytes) {
+        if (count > most.second) {
+            most = {dataCentre, count};
+        }
+    }
+    return most;
+}
+
+std::pair<std::string, std::uint64_t> PieceGraph::mostInputBytes(std::uint32_t stage) const
+{
+    BytesByDataCentre bytes;
+    for (const std::uint32_t before : m_stages.at(stage).spec.after) {
+        addBytes(m_stages[before], bytes);
+    }
+    return most(bytes);
+}
+
+std::pair<std::string, std::uint64_t> PieceGraph::mostFinalBytes() const
+{
+    BytesByDataCentre bytes;
+    for (const Stage &stage : m_stages) {
+        if (stage.isFinal) {
+            addBytes(stage, bytes);
+        }
+    }
+    return most(bytes);
+}
+
 std::vector<std::string> PieceGraph::takeUnneeded()
 {
     std::vector<std::string> handles;
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -78,8 +78,8 @@
         const PieceOrder &first = group.front().order;
         const PoolEntry &part =
             choosePart(snapshot, *pool,
-                       {count, priority, first.resultBytes * count, first.dataCentre,
-                        group.front().part, PieceGroup::drawOf(first.id.request, first.id.stage)},
+                       {count, priority, flowsOf(first, count), group.front().part,
+                        PieceGroup::drawOf(first.id.request, first.id.stage)},
                        now);
         send.orders.pool += part.dataCentre.empty() ? "" : "/" + part.dataCentre;
         predicted = predictPieces(part, count, priority, now);
--- a/unittests/Kernel/carriedfixture.h
+++ b/unittests/Kernel/carriedfixture.h
@@ -67,11 +67,18 @@
 /// A machine with carried requests.
 struct CarriedBench
 {
-    explicit CarriedBench(int engines = 3)
-        : snapshot(buildSnapshot(carriedConfiguration(engines), 1, "dc1", nullptr))
-        , machine(clock, Registry<RoutingPolicy>::instance().make("prompt-home"), 1, {})
+    explicit CarriedBench(int engines = 3, int daemonCount = 9, std::uint64_t seed = 1)
+        : daemons(daemonCount)
+        , snapshot(buildSnapshot(carriedConfiguration(engines), 1, "dc1", nullptr))
+        , machine(clock, Registry<RoutingPolicy>::instance().make("prompt-home"), seed, limits())
     {
     }
+    RequestLimits limits()
+    {
+        RequestLimits limits;
+        limits.daemons = &daemons;
+        return limits;
+    }
 
     RequestId arrive(const std::string &path, const std::string &key = "key-1",
                      std::vector<std::uint32_t> pieces = {}, std::uint64_t tokens = 0)
@@ -157,6 +164,7 @@
     }
 
     ManualClock clock;
+    std::atomic<int> daemons; ///< That are known to live.
     std::unique_ptr<const Snapshot> snapshot;
     RequestMachine machine;
     std::uint64_t lastSequence = 0;
--- a/unittests/Kernel/carriedtest.cpp
+++ b/unittests/Kernel/carriedtest.cpp
@@ -272,6 +272,26 @@
     }
 }
 
+TEST(Carried, ManyDaemonsTakeNoMoreLateOnesInThanFew)
+{
+    // A tenth of the daemons take one in at a time, ten times as seldom.
+    const auto takenLate = [](int daemons) {
+        int taken = 0;
+        for (int daemon = 0; daemon < 40; ++daemon) {
+            CarriedBench bench(3, daemons, static_cast<std::uint64_t>(daemon));
+            bench.snapshot->pool("pieces")->pieceLoad->waiting[0] = 40;
+            bench.snapshot->pool("pieces")->pieceLoad->endpoints = 2;
+            bench.arrive("/brief/1", "key-1", {1, 0});
+            taken += bench.orders.empty() ? 0 : 1;
+        }
+        return taken;
+    };
+    LONGS_EQUAL(40, takenLate(9));
+    const int ofMany = takenLate(360);
+    CHECK(ofMany > 0);
+    CHECK(ofMany < 12);
+}
+
 TEST(Carried, PromptsOfOneBeginningGoToOneEngine)
 {
     CarriedBench bench;
--- a/unittests/Kernel/piecepartstest.cpp
+++ b/unittests/Kernel/piecepartstest.cpp
@@ -42,7 +42,8 @@
         std::map<std::string, int> counts;
         for (std::uint64_t i = 0; i < 300; ++i) {
             PieceGroup group;
-            group.dataCentre = wanted;
+            group.flows.resultsTo = wanted;
+            group.flows.resultBytes = 1000;
             group.draw = PieceGroup::drawOf({7, i}, 0);
             ++counts[choosePart(*snapshot, pool(), group, now).dataCentre];
         }
@@ -91,7 +92,8 @@
 {
     const Bench bench;
     PieceGroup group;
-    group.dataCentre = "dc2";
+    group.flows.resultsTo = "dc2";
+    group.flows.resultBytes = 1000;
     group.avoid = "pieces/dc2";
     CHECK(choosePart(*bench.snapshot, bench.pool(), group, bench.now).dataCentre != "dc2");
     group.avoid.clear();
@@ -100,3 +102,19 @@
     }
     CHECK(choosePart(*bench.snapshot, bench.pool(), group, bench.now).dataCentre != "dc2");
 }
+
+TEST(PieceParts, InputsThatEachPieceReadsWeighMoreThanTheResults)
+{
+    const Bench bench;
+    PieceOrder order = pieceOrder(1);
+    order.resultBytes = 6'000;
+    order.dataCentre = "dc1";
+    order.inputBytes = 480'000;
+    order.inputsAt = "dc3";
+    PieceGroup group;
+    group.count = 16;
+    group.flows = flowsOf(order, 16);
+    STRCMP_EQUAL("dc3",
+                 choosePart(*bench.snapshot, bench.pool(), group, bench.now).dataCentre.c_str());
+    CHECK(crossingCost(group.flows, "dc1") > crossingCost(group.flows, "dc3") * 50);
+}
