[Kernel] Let every watcher tell at once what it has

Change: a watcher that does not push tells its hash at once; a daemon keeps the hash of each peer that differs, and asks that peer when it still differs half a second later. Ruled out: all watchers push: a small host would send 350 kB 28 times over 10 Mbit/s.

--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -4,9 +4,10 @@
 /// Decides who watches the platform and passes news on to the others.
 ///
 /// In each data centre a few daemons watch, able hosts first. The first two of them push
-/// what changes to the others of their data centre; besides, every daemon compares a hash
-/// over its versions with one peer each second, a watcher with all of its data centre,
-/// and both make up for what they lack. A daemon that hears of no watcher to which the
+/// what changes to the others of their data centre; the rest tell at once a hash over
+/// their versions, by which a daemon notices that a push did not come. Besides, every
+/// daemon compares hashes with one peer each second, a watcher with all of its data
+/// centre, and both make up for what they lack. A daemon that hears of no watcher to which the
 /// platform answers watches for itself.
 ///
 //===----------------------------------------------------------------------===//
@@ -17,7 +18,7 @@
 #include "harelink/Kernel/configmachine.h"
 #include "harelink/Kernel/membership.h"
 
-#include <optional>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -47,13 +48,17 @@
     /// Sends the digests that are due.
     void tick();
     [[nodiscard]] std::vector<PeerSend> takeSends() { return std::exchange(m_sends, {}); }
-    [[nodiscard]] TimePoint nextTick() const { return m_nextDigest; }
+    [[nodiscard]] TimePoint nextTick() const;
 
 private:
     void send(const std::string &host, decltype(PeerMessage::content) content);
     [[nodiscard]] ConfigDigest digest(bool detailed, bool reply) const;
     [[nodiscard]] std::size_t watcherRank() const;
-    [[nodiscard]] bool shouldAsk();
+    void noteSummary(const std::string &host, std::uint64_t summary);
+    void forgetMatching();
+    void askWhereDue();
+    void sendDigestToAll(const std::vector<std::string> &hosts);
+    [[nodiscard]] std::vector<std::string> localPeers() const;
 
     const Clock &m_clock;
     const Membership &m_membership;
@@ -62,7 +67,13 @@
     TimePoint m_nextDigest;
     TimePoint m_watcherHeard;
     bool m_connected = false;
-    std::optional<TimePoint> m_differsSince; ///< From peers, without a break.
+    /// A peer's hash that differs from the own one.
+    struct Difference
+    {
+        std::uint64_t summary = 0;
+        TimePoint askAt;
+    };
+    std::map<std::string, Difference> m_differing; ///< By host.
     std::uint64_t m_round = 0;
     std::vector<PeerSend> m_sends;
 };
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -81,13 +81,16 @@
 {
     ConfigPush push;
     push.objects = m_table.takeNews();
-    if (push.objects.empty() || watcherRank() >= configgossip::pushers) {
+    if (push.objects.empty()) {
         return;
     }
-    for (const std::string &host : m_membership.livePeers()) {
-        if (m_membership.isLocal(host)) {
-            send(host, push);
-        }
+    forgetMatching();
+    if (watcherRank() >= configgossip::pushers) {
+        sendDigestToAll(localPeers());
+        return;
+    }
+    for (const std::string &host : localPeers()) {
+        send(host, push);
     }
 }
 
@@ -100,6 +103,7 @@
     }
     // What came from a peer is not pushed again: digests carry it further.
     (void)m_table.takeNews();
+    forgetMatching();
     return changed;
 }
 
@@ -126,11 +130,7 @@
         m_watcherHeard = m_clock.now();
     }
     if (!from.detailed) {
-        if (from.summary == m_table.summary()) {
-            m_differsSince.reset();
-        } else if (shouldAsk()) {
-            send(host, digest(true, false));
-        }
+        noteSummary(host, from.summary);
         return;
     }
     std::map<typename BasicConfigTable<G>::Key, Version> theirs;
@@ -156,21 +156,73 @@
     }
 }
 
-/// Whether a difference has lasted for long enough. Without any object at all there is
-/// nothing to wait for.
 template <GuardPolicy G>
-bool BasicConfigGossip<G>::shouldAsk()
+TimePoint BasicConfigGossip<G>::nextTick() const
+{
+    TimePoint next = m_nextDigest;
+    for (const auto &[host, difference] : m_differing) {
+        next = std::min(next, difference.askAt);
+    }
+    return next;
+}
+
+/// Remembers the hash of a peer where it differs. Each peer's is kept apart: one that lost
+/// the platform agrees with all that hear of nothing, and must not calm them. At the first
+/// object there is nothing to wait for.
+template <GuardPolicy G>
+void BasicConfigGossip<G>::noteSummary(const std::string &host, std::uint64_t summary)
+{
+    const TimePoint now = m_clock.now();
+    const Duration patience =
+        m_table.entries().empty() ? Duration::zero() : Duration(configgossip::differencePatience);
+    m_differing.try_emplace(host, Difference{summary, now + patience}).first->second.summary =
+        summary;
+    forgetMatching();
+    askWhereDue();
+}
+
+template <GuardPolicy G>
+void BasicConfigGossip<G>::forgetMatching()
+{
+    const std::uint64_t own = m_table.summary();
+    std::erase_if(m_differing, [own](const auto &entry) { return entry.second.summary == own; });
+}
+
+/// Asks those that have differed for long enough what they have.
+template <GuardPolicy G>
+void BasicConfigGossip<G>::askWhereDue()
 {
     const TimePoint now = m_clock.now();
-    if (!m_differsSince) {
-        m_differsSince = now;
+    std::erase_if(m_differing, [&](const auto &entry) {
+        const bool due = entry.second.askAt <= now;
+        if (due) {
+            send(entry.first, digest(true, false));
+        }
+        return due;
+    });
+}
+
+template <GuardPolicy G>
+void BasicConfigGossip<G>::sendDigestToAll(const std::vector<std::string> &hosts)
+{
+    const ConfigDigest content = digest(false, false);
+    for (const std::string &host : hosts) {
+        send(host, content);
     }
-    return m_table.entries().empty() || now - *m_differsSince >= configgossip::differencePatience;
+}
+
+template <GuardPolicy G>
+std::vector<std::string> BasicConfigGossip<G>::localPeers() const
+{
+    std::vector<std::string> hosts = m_membership.livePeers();
+    std::erase_if(hosts, [this](const auto &host) { return !m_membership.isLocal(host); });
+    return hosts;
 }
 
 template <GuardPolicy G>
 void BasicConfigGossip<G>::tick()
 {
+    askWhereDue();
     if (m_clock.now() < m_nextDigest) {
         return;
     }
@@ -183,9 +235,7 @@
     }
     // A watcher's word goes to all of its data centre: they rely on it.
     if (shouldWatch()) {
-        for (const std::string &host : local) {
-            send(host, digest(false, false));
-        }
+        sendDigestToAll(local);
     } else if (!local.empty()) {
         send(local[m_round % local.size()], digest(false, false));
     }
