--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -45,6 +45,7 @@
         , m_platform(m_queue, m_random)
         , m_checks(m_queue, m_trace)
         , m_dataCentres(dataCentres)
+        , m_mostMeshPeers(seed % 2 == 0 ? 0 : ControlOptions{}.mostMeshPeers)
     {
         declareResources();
         for (int i = 0; i < hosts; ++i) {
@@ -115,6 +116,7 @@
         options.peerAddress = name;
         options.dataCentre = host.dataCentre;
         options.incarnation = host.incarnation;
+        options.mostMeshPeers = m_mostMeshPeers;
         host.control = std::make_unique<BasicControlMachine<G>>(m_queue.clock(), options);
         host.requests = std::make_unique<BasicRequestMachine<G>>(
             m_queue.clock(), Registry<RoutingPolicy>::instance().make("power-of-two"),
@@ -603,6 +605,7 @@
     Checks m_checks;
     Cuts m_cuts;
     WorldFaults m_faults;
+    std::size_t m_mostMeshPeers; ///< With every other seed, heartbeats go through relays.
     int m_dataCentres;
     std::map<std::string, Host> m_hosts;
     std::map<std::string, FakeEndpoint> m_endpoints;
