--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -13,6 +13,7 @@
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/platform.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -95,6 +96,11 @@
     [[nodiscard]] bool owns(std::uint64_t callId) const { return m_callId == callId; }
     /// Whether the platform answered the last call.
     [[nodiscard]] bool connected() const { return m_connected; }
+    /// Whether it follows objects of \p kind.
+    [[nodiscard]] bool follows(const std::string &kind) const
+    {
+        return std::find(m_kinds.begin(), m_kinds.end(), kind) != m_kinds.end();
+    }
     /// Whether a whole listing has been seen.
     [[nodiscard]] bool synced() const { return m_synced; }
     [[nodiscard]] TimePoint nextTick() const;
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -128,6 +128,7 @@
     void takeHostListResult(const PlatformResult &result);
     void takeHostList(const std::vector<PlatformObject> &hosts);
     void noteLeaving(const std::string &endpoint);
+    [[nodiscard]] bool knowsAllKinds() const;
     void giveOutConfig();
 
     const Clock &m_clock;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -443,13 +443,29 @@
     m_output.leavingEndpoints.push_back(endpoint);
 }
 
+/// Whether every group of kinds has been listed, or peers have told of it. The endpoints
+/// alone are no configuration: with only them a daemon that had just started answered
+/// requests that every version allows with 404.
+template <GuardPolicy G>
+bool BasicControlMachine<G>::knowsAllKinds() const
+{
+    const auto isKnown = [this](const BasicConfigWatcher<G> &watcher) {
+        const auto &entries = m_config.entries();
+        return watcher.synced()
+               || std::any_of(entries.begin(), entries.end(), [&watcher](const auto &entry) {
+                      return watcher.follows(entry.first.first);
+                  });
+    };
+    return std::all_of(m_watchers.begin(), m_watchers.end(), isKnown);
+}
+
 /// Puts the configuration in force. A daemon that just started first learns
 /// which endpoints are leaving, or it would send them work.
 template <GuardPolicy G>
 void BasicControlMachine<G>::giveOutConfig()
 {
     const bool waited = m_clock.now() - m_startedAt > controlmachine::longestLeavingWait;
-    if (!m_configPending || (!m_leavingKnown && !waited)) {
+    if (!m_configPending || !knowsAllKinds() || (!m_leavingKnown && !waited)) {
         return;
     }
     m_configPending = false;
--- a/unittests/Kernel/piecebatchertest.cpp
+++ b/unittests/Kernel/piecebatchertest.cpp
@@ -354,3 +354,37 @@
     CHECK(predicted() > before * 2);
     CHECK(predicted() < before * 5);
 }
+
+TEST(PieceBatcher, PiecesWaitForTheDataCentreOfWhatTheyRead)
+{
+    std::vector<Resource> resources = pieceConfiguration(2, 16);
+    std::get<EndpointSpec>(resources[2].spec).dataCentre = "dc2";
+    Bench bench;
+    bench.snapshot = buildSnapshot(resources, 2, "dc1", nullptr);
+    const auto orderGroup = [&bench](std::uint64_t sequence) {
+        PieceOrders orders{"pieces", {}};
+        for (std::uint32_t piece = 0; piece < 16; ++piece) {
+            PieceOrder order = pieceOrder(sequence, piece);
+            order.inputBytes = 480'000;
+            order.inputsAt = "dc2";
+            // The small results are needed elsewhere.
+            order.dataCentre = "dc1";
+            order.resultBytes = 6'000;
+            orders.orders.push_back(order);
+        }
+        bench.batcher.take("", orders, *bench.snapshot);
+        bench.collect();
+    };
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        orderGroup(i);
+    }
+    // 7.7 MB count as 154 ms, a call takes 310 ms: the second group would wait for longer
+    // than that, and the endpoint of the other data centre is free.
+    LONGS_EQUAL(2, bench.calls.size());
+    STRCMP_EQUAL("maker-1", bench.calls[0].endpoint.c_str());
+    STRCMP_EQUAL("maker-0", bench.calls[1].endpoint.c_str());
+    // When it is nearly free, the third one waits for it.
+    bench.advance(milliseconds(296));
+    LONGS_EQUAL(3, bench.calls.size());
+    STRCMP_EQUAL("maker-1", bench.calls[2].endpoint.c_str());
+}
