--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <map>
 
+#include <fmt/format.h>
+
 namespace harelink {
 namespace {
 
@@ -123,7 +125,7 @@
             return;
         }
         for (auto &[dataCentre, part] : parts) {
-            const std::string partName = name + "/" + dataCentre;
+            const std::string partName = fmt::format("{}/{}", name, dataCentre);
             part.spec = pool.spec;
             part.dataCentre = dataCentre;
             part.localCount = dataCentre == m_snapshot.dataCentre ? part.endpoints.size() : 0;
