--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -128,6 +128,37 @@
     CHECK_FALSE(call.resendable);
 }
 
+TEST(Requests, FieldsOfTheDaemonAreKeptBackWhateverCallersSend)
+{
+    const std::vector<std::string> ofDaemon = {
+        "X-Deadline-Ms",    "Authorization", "X-Tenant", "X-Expect-Instance",
+        "X-Expect-Version", "X-Inputs",      "X-Hold",   "X-Urgency-Class",
+        "X-Pin-Ms",         "X-Kv-Backup",   "Kv-Fetch", "Kv-From"};
+    const std::vector<std::string> ofCaller = {"X-Model",       "X-Token-Count", "X-Prompt-Prefix",
+                                               "X-Pieces",      "X-Piece-Key",   "X-Length-Hint",
+                                               "Last-Event-Id", "X-Unknown"};
+    HttpRequest forged = request();
+    std::erase_if(forged.fields, [](const auto &field) { return field.first.starts_with("X-"); });
+    for (const std::vector<std::string> *names : {&ofDaemon, &ofCaller}) {
+        for (const std::string &name : *names) {
+            forged.fields.emplace_back(name, "forged");
+        }
+    }
+    SendStage sent = stage(dialect);
+    sent.carried = dialect.read(forged)->carried;
+    const HttpCall call = dialect.encode(sent);
+    for (const std::string &name : ofDaemon) {
+        CHECK_FALSE_TEXT(has(call, name + ": forged"), name.c_str());
+    }
+    for (const std::string &name : ofCaller) {
+        CHECK_TEXT(has(call, name + ": forged"), name.c_str());
+    }
+    sent.resumeAfter = 4;
+    const HttpCall resumed = dialect.encode(sent);
+    CHECK_FALSE(has(resumed, "Last-Event-Id: forged"));
+    CHECK(has(resumed, "Last-Event-Id: 4"));
+}
+
 TEST(Requests, AnAnswerCountsOnlySignedAndForItsOwnRequest)
 {
     const SendStage sent = stage(dialect);
