[Kernel] Free results at the first event of every stream

Cause: results of a stream that may be resumed were kept until its end, for a second endpoint to read. Answers last for seconds, results of the first stage are 1.5 MB and an endpoint has room for 12: the room of a stage was held by requests that needed it no more, and pieces met no room. Change: they are freed when the first event is passed on, for whatever kind of stream. One that breaks and may go on has its pieces made again first, within the caller's deadline.

--- a/include/harelink/Kernel/piecegraph.h
+++ b/include/harelink/Kernel/piecegraph.h
@@ -60,6 +60,8 @@
     std::vector<std::string> takeUnneeded();
     /// All results that are kept somewhere for this request; they are forgotten.
     std::vector<std::string> takeAll();
+    /// Whether the results that the request itself needs were taken by takeAll().
+    [[nodiscard]] bool finalResultsTaken() const;
     /// The pool that makes the pieces of \p stage.
     [[nodiscard]] const std::string &poolOf(std::uint32_t stage) const;
 
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -192,6 +192,10 @@
 {
     if (mayRetry(request, event.evidence)) {
         ++m_counters.retries;
+        if (request.pieces && request.pieces->finalResultsTaken()) {
+            piecesLost(request, snapshot);
+            return;
+        }
         enqueue(request, snapshot);
         return;
     }
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -407,14 +407,21 @@
     if (!request.pieces->isComplete()) {
         m_actions.emplace_back(WithdrawPieces{request.id});
     }
+    releaseResults(request);
+    request.pieces.reset();
+}
+
+/// Frees what is made.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::releaseResults(Request &request)
+{
     std::vector<std::string> handles = request.pieces->takeAll();
     if (!handles.empty()) {
         m_actions.emplace_back(FreeResults{std::move(handles)});
     }
-    request.pieces.reset();
 }
 
-/// The endpoint did not find the results that the request named: they are made again.
+/// The results that the request needs are gone or were freed: they are made again.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::piecesLost(Request &request, const Snapshot &snapshot)
 {
@@ -428,6 +435,10 @@
     ++request.remakes;
     request.pieces->finalResultsLost();
     request.phase = Request::Phase::Preparing;
+    if (request.headPassedOn) {
+        // Its objective was met or missed with the first event; what is left is its end.
+        request.preparedBy = request.deadline;
+    }
     orderPieces(request, snapshot);
 }
 
@@ -465,10 +476,12 @@
     if (!request->headPassedOn) {
         request->headPassedOn = true;
         action.head = event.head;
-        // They were read before the first event. One that may go on elsewhere will need
-        // them there.
-        if (!request->pipeline.repeatable) {
-            dropPieces(*request);
+        // They were read before the first event. Kept for the case that the stream breaks
+        // and goes on elsewhere, results of 1.5 MB held all room of a stage for as long as
+        // answers lasted: freed here, requests served at four endpoints with room for 48
+        // rose by a fifth. A stream that does break has them made again.
+        if (request->pieces) {
+            releaseResults(*request);
         }
     }
     if (event.eventId) {
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -304,6 +304,7 @@
     static std::string dataCentreOf(const std::string &endpoint, const Snapshot &snapshot);
     PromptNeed promptOf(const Request &request);
     void dropPieces(Request &request);
+    void releaseResults(Request &request);
     void piecesLost(Request &request, const Snapshot &snapshot);
     bool mayRetryCarried(const Request &request, SendEvidence evidence);
     RetryBudget &budgetOf(const std::string &pool);
--- a/lib/Kernel/piecegraph.cpp
+++ b/lib/Kernel/piecegraph.cpp
@@ -216,6 +216,13 @@
     return handles;
 }
 
+bool PieceGraph::finalResultsTaken() const
+{
+    return std::any_of(m_stages.begin(), m_stages.end(), [](const Stage &stage) {
+        return stage.isFinal && stage.released && !stage.pieces.empty();
+    });
+}
+
 const std::string &PieceGraph::poolOf(std::uint32_t stage) const
 {
     return m_stages.at(stage).spec.pool;
--- a/unittests/Kernel/carriedfixture.h
+++ b/unittests/Kernel/carriedfixture.h
@@ -25,7 +25,7 @@
 
 /// Routes of host "api.example": /record/ may not be repeated; /read/ may; /read/deep/
 /// is public; /brief/ needs two pieces and then one made from them; /talk/ is a stream
-/// that may be resumed, /say/ one that may not.
+/// that may be resumed, /say/ one that may not; /talk/pieces/ may be and needs pieces.
 inline std::vector<Resource> carriedConfiguration(int engines = 3)
 {
     std::vector<Resource> resources = pieceConfiguration(2, 4);
@@ -61,6 +61,11 @@
         stream.route->resumable = resumable;
         resources.push_back(makeResource(stream));
     }
+    PipelineSpec prepared = route("talk-pieces", "/talk/pieces/", true);
+    prepared.route->streams = true;
+    prepared.route->resumable = true;
+    prepared.route->pieceStages = {{"pieces", {}, 1000}};
+    resources.push_back(makeResource(prepared));
     return resources;
 }
 
--- a/unittests/Kernel/carriedtest.cpp
+++ b/unittests/Kernel/carriedtest.cpp
@@ -228,6 +228,43 @@
     STRCMP_EQUAL("a", bench.frees[0].handles[0].c_str());
 }
 
+TEST(Carried, ResultsAreFreedAtTheFirstEventAlsoWhereTheStreamMayBeResumed)
+{
+    CarriedBench bench;
+    bench.arrive("/talk/pieces/1", "key-1", {1});
+    bench.pieceEnded(bench.orders[0].orders[0].id, "a");
+    bench.event(bench.sends[0], 1);
+    LONGS_EQUAL(1, bench.frees.size());
+    STRCMP_EQUAL("a", bench.frees[0].handles[0].c_str());
+    bench.answer(bench.sends[0]);
+    LONGS_EQUAL(1, bench.frees.size());
+    CHECK(bench.answers[0].outcome == Outcome::Completed);
+}
+
+TEST(Carried, AStreamThatGoesOnElsewhereHasItsResultsMadeAgain)
+{
+    // Its stream breaks after the time within which its pieces had to be made at first.
+    CarriedBench bench;
+    bench.arrive("/talk/pieces/1", "key-1", {1});
+    bench.pieceEnded(bench.orders[0].orders[0].id, "a");
+    bench.event(bench.sends[0], 1);
+    bench.advance(milliseconds(2000));
+    bench.fail(bench.sends[0], SendEvidence::Sent);
+    LONGS_EQUAL(1, bench.sends.size());
+    LONGS_EQUAL(2, bench.orders.size());
+    CHECK(bench.orders[1].orders[0].dueIn > milliseconds(1000));
+    bench.advance(milliseconds(200));
+    CHECK(bench.answers.empty());
+    bench.pieceEnded(bench.orders[1].orders[0].id, "b");
+    LONGS_EQUAL(2, bench.sends.size());
+    STRCMP_EQUAL("b", bench.sends[1].inputs[0].c_str());
+    LONGS_EQUAL(1, bench.sends[1].resumeAfter.value());
+    bench.event(bench.sends[1], 2);
+    bench.answer(bench.sends[1]);
+    CHECK(bench.answers[0].outcome == Outcome::Completed);
+    LONGS_EQUAL(2, bench.frees.size());
+}
+
 // Admission -------------------------------------------------------------------
 
 TEST(Carried, WhatCannotMakeItsDeadlineIsRefusedBeforeAnythingIsSpent)
