[Kernel] Order pieces that only the request reads when the rest is nearly made

Cause: a piece that needs nothing and that no other piece reads was ordered at once, and its result took room for the second that a chain of three stages needs beside it. Hypothesis: ordered so that it is done with the chain, it takes room for a third of that time. Change: such a stage is held back while others wait for their inputs and take as long, by the forecasts of the pools. Those follow the load: behind a long queue it is ordered earlier.

--- a/include/harelink/Kernel/piecegraph.h
+++ b/include/harelink/Kernel/piecegraph.h
@@ -10,6 +10,7 @@
 #define HARELINK_KERNEL_PIECEGRAPH_H
 
 #include "harelink/Config/resources.h"
+#include "harelink/Support/clock.h"
 
 #include <cstdint>
 #include <map>
@@ -34,8 +35,14 @@
     /// \param counts of pieces by stage; stages beyond its end have none.
     PieceGraph(const std::vector<PieceStageSpec> &stages, const std::vector<std::uint32_t> &counts);
 
-    /// The pieces that can be made now and were not given out before.
-    std::vector<PiecePlace> takeReady();
+    /// The pieces that are to be made now and were not given out before.
+    ///
+    /// A stage that needs no inputs and whose results only the request itself reads is held
+    /// back as long as stages remain that wait for their inputs and take as long: its
+    /// results would take room at their endpoints until these are made.
+    /// \param times from the order of a stage until it is made, by stage; a stage without
+    ///        one takes no time.
+    std::vector<PiecePlace> takeReady(const std::vector<Duration> &times = {});
     /// A piece was made in \p dataCentre; false where it was made already.
     bool made(PiecePlace place, const std::string &handle, const std::string &dataCentre = {});
     /// A piece that was given out is to be given out again.
@@ -86,6 +93,9 @@
     static void addBytes(const Stage &stage, BytesByDataCentre &bytes);
     static std::pair<std::string, std::uint64_t> most(const BytesByDataCentre &bytes);
     [[nodiscard]] bool isMade(std::uint32_t stage) const;
+    [[nodiscard]] bool hasInputs(std::uint32_t stage) const;
+    [[nodiscard]] bool mayBeHeldBack(std::uint32_t stage) const;
+    [[nodiscard]] Duration longestWaitingChain(const std::vector<Duration> &times) const;
     void remake(std::uint32_t stage);
 
     std::vector<Stage> m_stages;
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -125,36 +125,49 @@
     }
 }
 
-/// The time until the pieces of a new request would all be made.
+/// The time that the pieces of each stage would take if they were ordered now. The queue
+/// of a later stage is taken to be then as long as it is now: what leaves it until then is
+/// replaced, as long as the load stays the same.
 template <GuardPolicy G>
-Duration BasicRequestMachine<G>::forecastPieces(const Request &request,
-                                                const Snapshot &snapshot) const
+std::vector<Duration> BasicRequestMachine<G>::stageTimes(const Request &request,
+                                                         const Snapshot &snapshot) const
 {
     const std::vector<PieceStageSpec> &stages = request.pipeline.route->pieceStages;
     const std::vector<std::uint32_t> &counts = request.carried->pieceCounts;
     const std::string wantedAt = resultsWantedAt(request, snapshot);
-    std::vector<Duration> doneAt(stages.size(), Duration::zero());
-    Duration last{};
+    std::vector<Duration> times(stages.size(), Duration::zero());
     for (std::size_t i = 0; i < stages.size(); ++i) {
         const std::uint32_t count = i < counts.size() ? counts[i] : 0;
-        Duration begin{};
-        for (const std::uint32_t before : stages[i].after) {
-            begin = std::max(begin, doneAt[before]);
-        }
-        doneAt[i] = begin;
         const PoolEntry *pool = snapshot.pool(stages[i].pool);
         if (count == 0 || pool == nullptr) {
             continue;
         }
-        // The queue of a later stage is taken to be then as long as it is now: what leaves
-        // it until then is replaced, as long as the load stays the same.
         PieceGroup group;
         group.count = count;
         group.priority = request.priority;
         group.flows.resultsTo = wantedAt;
         group.draw = PieceGroup::drawOf(request.id, static_cast<std::uint32_t>(i));
         const PoolEntry &part = choosePart(snapshot, *pool, group, m_clock.now());
-        doneAt[i] = begin + predictPieces(part, count, request.priority, m_clock.now());
+        times[i] = predictPieces(part, count, request.priority, m_clock.now());
+    }
+    return times;
+}
+
+/// The time until the pieces of a new request would all be made.
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::forecastPieces(const Request &request,
+                                                const Snapshot &snapshot) const
+{
+    const std::vector<PieceStageSpec> &stages = request.pipeline.route->pieceStages;
+    const std::vector<Duration> times = stageTimes(request, snapshot);
+    std::vector<Duration> doneAt(stages.size(), Duration::zero());
+    Duration last{};
+    for (std::size_t i = 0; i < stages.size(); ++i) {
+        Duration begin{};
+        for (const std::uint32_t before : stages[i].after) {
+            begin = std::max(begin, doneAt[before]);
+        }
+        doneAt[i] = begin + times[i];
         last = std::max(last, doneAt[i]);
     }
     return last;
@@ -305,7 +318,7 @@
     const TimePoint now = m_clock.now();
     const std::string dataCentre = resultsWantedAt(request, snapshot);
     std::map<std::uint32_t, OrderPieces> byStage;
-    for (const PiecePlace place : request.pieces->takeReady()) {
+    for (const PiecePlace place : request.pieces->takeReady(stageTimes(request, snapshot))) {
         PieceOrder order;
         order.id = {request.id, place.stage, place.piece};
         order.callerId = request.carried->callerId;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -294,6 +294,7 @@
     [[nodiscard]] std::string resultsWantedAt(const Request &request,
                                               const Snapshot &snapshot) const;
     Duration forecast(const Request &request, const Snapshot &snapshot);
+    std::vector<Duration> stageTimes(const Request &request, const Snapshot &snapshot) const;
     Duration forecastPieces(const Request &request, const Snapshot &snapshot) const;
     Duration forecastFirstEvent(const Request &request, const Snapshot &snapshot);
     bool mayTakeLate();
--- a/lib/Kernel/piecegraph.cpp
+++ b/lib/Kernel/piecegraph.cpp
@@ -28,15 +28,51 @@
     }
 }
 
-std::vector<PiecePlace> PieceGraph::takeReady()
+/// Whether the results are made that each piece of \p stage reads.
+bool PieceGraph::hasInputs(std::uint32_t stage) const
 {
+    const std::vector<std::uint32_t> &after = m_stages[stage].spec.after;
+    return std::all_of(after.begin(), after.end(),
+                       [this](std::uint32_t before) { return isMade(before); });
+}
+
+bool PieceGraph::mayBeHeldBack(std::uint32_t stage) const
+{
+    return m_stages[stage].isFinal && m_stages[stage].spec.after.empty();
+}
+
+/// The time that the longest chain of stages takes which still waits for inputs.
+Duration PieceGraph::longestWaitingChain(const std::vector<Duration> &times) const
+{
+    std::vector<Duration> chains(m_stages.size(), Duration::zero());
+    Duration longest{};
+    // A stage comes after earlier ones only: from the end, each chain is known when needed.
+    for (std::uint32_t i = static_cast<std::uint32_t>(m_stages.size()); i-- > 0;) {
+        const Stage &stage = m_stages[i];
+        const bool isLeftOut = stage.pieces.empty();
+        if (!isLeftOut) {
+            chains[i] += i < times.size() ? times[i] : Duration::zero();
+        }
+        for (const std::uint32_t before : stage.spec.after) {
+            chains[before] = std::max(chains[before], chains[i]);
+        }
+        if (!isLeftOut && !hasInputs(i)) {
+            longest = std::max(longest, chains[i]);
+        }
+    }
+    return longest;
+}
+
+std::vector<PiecePlace> PieceGraph::takeReady(const std::vector<Duration> &times)
+{
+    const Duration waiting = longestWaitingChain(times);
     std::vector<PiecePlace> ready;
     for (std::uint32_t i = 0; i < m_stages.size(); ++i) {
         Stage &stage = m_stages[i];
-        const bool inputsThere =
-            std::all_of(stage.spec.after.begin(), stage.spec.after.end(),
-                        [this](std::uint32_t before) { return isMade(before); });
-        for (std::uint32_t p = 0; inputsThere && p < stage.pieces.size(); ++p) {
+        const Duration own = i < times.size() ? times[i] : Duration::zero();
+        const bool isHeldBack = mayBeHeldBack(i) && waiting > Duration::zero() && own <= waiting;
+        const bool isReady = hasInputs(i) && !isHeldBack;
+        for (std::uint32_t p = 0; isReady && p < stage.pieces.size(); ++p) {
             if (stage.pieces[p].state == State::Waiting) {
                 stage.pieces[p].state = State::GivenOut;
                 ready.push_back({i, p});
--- a/unittests/Kernel/piecegraphtest.cpp
+++ b/unittests/Kernel/piecegraphtest.cpp
@@ -35,6 +35,35 @@
     LONGS_EQUAL(2, graph.inputsOf(1).size());
 }
 
+TEST(PieceGraph, WhatOnlyTheRequestReadsWaitsUntilTheRestIsNearlyMade)
+{
+    // The first stage needs nothing, and no other reads it; three others form a chain.
+    const std::vector<PieceStageSpec> stages = {
+        {"a", {}, 1}, {"a", {}, 1}, {"b", {1}, 1}, {"c", {2}, 1}};
+    const auto stagesTaken = [](PieceGraph &graph, int ofFirst) {
+        using std::chrono::milliseconds;
+        std::vector<std::uint32_t> taken;
+        for (const PiecePlace place : graph.takeReady({milliseconds(ofFirst), milliseconds(300),
+                                                       milliseconds(300), milliseconds(300)})) {
+            taken.push_back(place.stage);
+            graph.made(place, "r");
+        }
+        return taken;
+    };
+    PieceGraph quick(stages, {1, 1, 1, 1});
+    CHECK(stagesTaken(quick, 250) == std::vector<std::uint32_t>{1});
+    CHECK(stagesTaken(quick, 250) == std::vector<std::uint32_t>{2});
+    CHECK((stagesTaken(quick, 250) == std::vector<std::uint32_t>{0, 3}));
+    CHECK(quick.isComplete());
+    // One that takes longer than what waits is begun earlier.
+    PieceGraph slow(stages, {1, 1, 1, 1});
+    CHECK(stagesTaken(slow, 400) == std::vector<std::uint32_t>{1});
+    CHECK((stagesTaken(slow, 400) == std::vector<std::uint32_t>{0, 2}));
+    // Where all others are left out it has nothing to wait for.
+    PieceGraph alone(stages, {1, 0, 0, 0});
+    CHECK(stagesTaken(alone, 250) == std::vector<std::uint32_t>{0});
+}
+
 TEST(PieceGraph, StagesThatDoNotDependRunAtOnceAndBothEndsAreResults)
 {
     PieceGraph graph(branches, {1, 1, 1});
