[Kernel] Count a caller's objective from its first try

Cause: callers that were refused come back with less time allowed, mostly past their objective. They were taken for first tries and got the places of those that could still be in time. Change: the time that callers of a pipeline usually allow is learnt from the last 32 requests (the longest that a sixth of them allow); what a request allows less was spent before. Where callers differ nothing is concluded. Who comes back past its objective is a late request like others.

--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -61,8 +61,9 @@
         }
     }
     request.pipeline.stages = {{"serve", pool}};
+    request.spent = m_patience[request.pipeline.name].note(request.deadline - now);
     request.deadline = std::min<TimePoint>(request.deadline, now + request.pipeline.deadline);
-    request.wanted = std::min<TimePoint>(request.deadline, now + route.objective);
+    request.wanted = std::min<TimePoint>(request.deadline, now + route.objective - request.spent);
     Duration patience = request.deadline - now;
     if (route.patience > Duration::zero()) {
         patience = std::min<Duration>(patience, route.patience);
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -15,6 +15,7 @@
 #include "harelink/Kernel/fairqueue.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/latency.h"
+#include "harelink/Kernel/patiencemodel.h"
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/pooldemand.h"
 #include "harelink/Kernel/retrybudget.h"
@@ -353,9 +354,10 @@
     TimePoint m_lastTurn;  ///< Of the last tick, answer or failure.
     TimePoint m_resumedAt; ///< When this process last woke from a long pause.
     double m_retryTokens;
-    std::map<std::string, RetryBudget> m_budgets; ///< By pool.
-    std::map<std::string, double> m_forecastBias; ///< By pipeline: real against predicted time.
-    std::size_t m_lateRequests = 0;               ///< In progress that were taken in to be late.
+    std::map<std::string, RetryBudget> m_budgets;    ///< By pool.
+    std::map<std::string, PatienceModel> m_patience; ///< By pipeline.
+    std::map<std::string, double> m_forecastBias;    ///< By pipeline: real against predicted time.
+    std::size_t m_lateRequests = 0;                  ///< In progress that were taken in to be late.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
     // Ordered, so that the same events always give the same actions.
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -133,6 +133,7 @@
     std::shared_ptr<const CarriedRequest> carried; ///< Null for the product's own requests.
     int priority = 0;
     TimePoint wanted; ///< Its objective, as a time.
+    Duration spent{}; ///< By its caller on earlier tries, as far as can be told.
     std::unique_ptr<PieceGraph> pieces;
     std::uint32_t remakes = 0;
     TimePoint preparedBy;                   ///< When it is given up if its pieces are not made.
--- /dev/null
+++ b/lib/Kernel/patiencemodel.cpp
@@ -0,0 +1,46 @@
+//===- patiencemodel.cpp - Time callers spent -----------------------------===//
+
+#include "harelink/Kernel/patiencemodel.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+
+namespace harelink {
+namespace {
+
+/// Requests on their first try differ by so much: the way from the caller, and connections
+/// that are made first.
+constexpr std::chrono::milliseconds firstTrySpread{50};
+/// What is usual is allowed by at least this part of requests, and by so many: first tries
+/// are that many even where callers come back often, and the few that are more patient than
+/// others are fewer.
+constexpr std::size_t usualPart = 6;
+constexpr std::size_t leastUsual = 3;
+
+} // namespace
+
+/// The longest time that callers usually allow; zero where no time is usual.
+Duration PatienceModel::usual() const
+{
+    const std::size_t count = std::min(m_noted, sampleCount);
+    const std::size_t needed = std::max(leastUsual, count / usualPart);
+    std::array<Duration, sampleCount> sorted = m_samples;
+    std::sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(count),
+              std::greater<>());
+    for (std::size_t i = 0; i + needed <= count; ++i) {
+        if (sorted[i] - sorted[i + needed - 1] <= firstTrySpread) {
+            return sorted[i];
+        }
+    }
+    return Duration::zero();
+}
+
+Duration PatienceModel::note(Duration allowed)
+{
+    m_samples[m_noted++ % sampleCount] = allowed;
+    const Duration spent = usual() - allowed;
+    return spent > firstTrySpread ? spent : Duration::zero();
+}
+
+} // namespace harelink
--- a/unittests/Kernel/carriedfixture.h
+++ b/unittests/Kernel/carriedfixture.h
@@ -86,7 +86,8 @@
     }
 
     RequestId arrive(const std::string &path, const std::string &key = "key-1",
-                     std::vector<std::uint32_t> pieces = {}, std::uint64_t tokens = 0)
+                     std::vector<std::uint32_t> pieces = {}, std::uint64_t tokens = 0,
+                     std::optional<Duration> timeAllowed = std::nullopt)
     {
         auto carried = std::make_shared<CarriedRequest>();
         carried->callerId = fmt::format("caller-{}", ++lastSequence);
@@ -104,6 +105,7 @@
         RequestArrived event;
         event.id = {9, lastSequence};
         event.carried = std::move(carried);
+        event.timeAllowed = timeAllowed;
         const RequestId id = event.id;
         machine.handle(std::move(event), *snapshot);
         collect();
--- a/unittests/Kernel/carriedtest.cpp
+++ b/unittests/Kernel/carriedtest.cpp
@@ -344,6 +344,26 @@
     CHECK_FALSE(taken(40));
 }
 
+TEST(Carried, WhoComesBackWaitsBehindThoseThatCanStillBeInTime)
+{
+    // Objective 1 s. The last caller comes back 1.2 s after its first try.
+    CarriedBench bench;
+    for (int i = 0; i < 10; ++i) {
+        bench.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(4000));
+    }
+    bench.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(2800));
+    LONGS_EQUAL(11, bench.orders.size());
+    LONGS_EQUAL(0, bench.orders[9].orders[0].priority);
+    LONGS_EQUAL(urgencyClassCount - 1, urgencyClass(bench.orders[10].orders[0].priority));
+    // Where places are short, it is told so at once.
+    bench.snapshot->pool("pieces")->pieceLoad->waiting[0] = 4;
+    bench.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(2800));
+    LONGS_EQUAL(1, bench.answers.size());
+    CHECK(bench.answers[0].outcome == Outcome::NotRun);
+    bench.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(4000));
+    LONGS_EQUAL(12, bench.orders.size());
+}
+
 TEST(Carried, PromptsOfOneBeginningGoToOneEngine)
 {
     CarriedBench bench;
