--- a/lib/Kernel/patiencemodel.cpp
+++ b/lib/Kernel/patiencemodel.cpp
@@ -16,7 +16,7 @@
 /// are that many even where callers come back often, and the few that are more patient than
 /// others are fewer.
 constexpr std::size_t usualPart = 6;
-constexpr std::size_t leastUsual = 3;
+constexpr std::size_t leastUsual = 4;
 
 } // namespace
 
