[Kernel] Give back the room of daemons that are gone

Change: the batcher frees what a daemon ordered that fell silent or that orders as a new incarnation, and results that come for such a one. A daemon that was only cut off has its pieces made again.

--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -85,7 +85,7 @@
     void noteReplaced(const std::string &endpoint);
     static void logCall(const PlatformCall &call, const PlatformResult &result,
                         const HttpResult &http);
-    void logPeers();
+    void takePeerChanges();
     void logConnection();
     void addPeerUsage(const std::vector<UsageReport> &reports);
     std::vector<UsageReport> takeOwnUsage();
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -85,6 +85,13 @@
     /// Takes in that results are no longer needed.
     void take(const PieceFrees &frees, const Snapshot &snapshot);
     void handle(const PieceCallEnded &event, const Snapshot &snapshot);
+    /// Takes in that the daemon \p host is gone: what it ordered is wanted by nobody, and the
+    /// room that its results take is given back. One that comes back orders anew.
+    ///
+    /// It answers the loss of many daemons at once: results that nobody frees take room for
+    /// the seconds that endpoints keep them; after half of six daemons were lost, 0.93 of
+    /// the room of a stage was taken for four seconds.
+    void forget(const std::string &host, const Snapshot &snapshot);
     /// Forms the calls that are due.
     void tick(const Snapshot &snapshot);
     [[nodiscard]] TimePoint nextTick() const;
@@ -140,6 +147,7 @@
         std::string endpoint;
         std::uint64_t bytes = 0;
         TimePoint until;
+        std::string host; ///< The daemon that ordered it.
     };
     /// What is kept of one pool.
     struct Line
@@ -193,8 +201,12 @@
              const PieceCallEnded &event, const Snapshot &snapshot);
     void learn(const std::string &endpoint, Line &line, const Flight &flight,
                const PieceCallEnded &event, const PoolEntry &pool);
-    static void keep(Line &line, const std::string &endpoint, const Flight &flight,
-                     const PieceCallEnded &event, TimePoint now, Duration life);
+    void keep(Line &line, const std::string &endpoint, const Flight &flight,
+              const PieceCallEnded &event, TimePoint now, Duration life);
+    void noteIncarnation(const std::string &host, Incarnation incarnation);
+    void drop(const std::string &host);
+    void freeSoon(const std::vector<std::string> &handles);
+    [[nodiscard]] bool isWanted(const Item &item) const;
     static void drop(Line &line, const std::string &handle);
     [[nodiscard]] static bool isBusy(const Line &line);
     [[nodiscard]] PieceBacklog backlogOf(const std::string &pool, const Line &line,
@@ -206,6 +218,7 @@
     std::vector<PieceCall> m_calls;
     /// By host and pool.
     std::map<std::pair<std::string, std::string>, std::vector<PieceOutcome>> m_outcomes;
+    std::map<std::string, Incarnation> m_incarnations; ///< By daemon, of its last orders.
     std::vector<std::string> m_replaced;
     std::vector<std::string> m_freed;
     TimePoint m_freeAt = TimePoint::max();
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -194,7 +194,7 @@
         m_machine.noteUsage(takeOwnUsage());
         m_machine.noteBacklogs(m_pieceBatcher.backlogs(m_snapshot.current()));
         m_machine.notePrompts(ownPrompts());
-        logPeers();
+        takePeerChanges();
         m_daemons.store(m_machine.membership().countedHosts(), std::memory_order_relaxed);
     }
     m_machine.tick();
@@ -397,8 +397,9 @@
         .field("detail", http.error);
 }
 
-/// Tells of peers that were heard of or fell silent since the last call.
-void Control::logPeers()
+/// Tells of peers that were heard of or fell silent since the last call; what the silent ones
+/// ordered is forgotten.
+void Control::takePeerChanges()
 {
     const std::vector<std::string> now = m_machine.membership().livePeers();
     for (const std::string &host : now) {
@@ -409,6 +410,7 @@
     for (const std::string &host : m_peersBefore) {
         if (std::find(now.begin(), now.end(), host) == now.end()) {
             logger.record(LogLevel::Warning, "peer-silent").field("host", host);
+            m_pieceBatcher.forget(host, m_snapshot.current());
         }
     }
     m_peersBefore = now;
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -82,6 +82,9 @@
                         const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
+    if (!orders.orders.empty()) {
+        noteIncarnation(host, orders.orders.front().id.request.incarnation);
+    }
     Line &line = m_lines[orders.pool];
     line.lastBusy = now;
     Duration predicted{};
@@ -117,6 +120,51 @@
     }
 }
 
+bool PieceBatcher::isWanted(const Item &item) const
+{
+    const auto known = m_incarnations.find(item.host);
+    return known != m_incarnations.end() && known->second == item.order.id.request.incarnation;
+}
+
+/// A daemon that orders as another incarnation has forgotten what it ordered before.
+void PieceBatcher::noteIncarnation(const std::string &host, Incarnation incarnation)
+{
+    const auto [known, isNew] = m_incarnations.try_emplace(host, incarnation);
+    if (!isNew && known->second != incarnation) {
+        drop(host);
+        known->second = incarnation;
+    }
+}
+
+void PieceBatcher::forget(const std::string &host, const Snapshot &snapshot)
+{
+    if (m_incarnations.erase(host) == 0) {
+        return;
+    }
+    drop(host);
+    for (auto &[pool, line] : m_lines) {
+        pump(pool, line, snapshot);
+    }
+}
+
+/// Drops what \p host ordered, and frees the results that were made for it.
+void PieceBatcher::drop(const std::string &host)
+{
+    for (auto &[pool, line] : m_lines) {
+        std::erase_if(line.waiting, [&host](const Item &item) { return item.host == host; });
+        std::vector<std::string> handles;
+        for (const auto &[handle, kept] : line.kept) {
+            if (kept.host == host) {
+                handles.push_back(handle);
+            }
+        }
+        for (const std::string &handle : handles) {
+            drop(line, handle);
+        }
+        freeSoon(handles);
+    }
+}
+
 // Forming calls ---------------------------------------------------------------
 
 /// When the endpoint can take its next call; \p now where nothing holds it back, so that
@@ -522,11 +570,17 @@
         if (event.results[i].fault == PieceFault::NoRoom) {
             line.makers[endpoint].fullUntil = now + noRoomPause;
         }
-        if (event.results[i].fault == PieceFault::None) {
-            const std::uint64_t bytes = flight.items[i].order.resultBytes;
-            line.kept[event.results[i].handle] = {endpoint, bytes, now + life};
-            line.makers[endpoint].keptBytes += bytes;
+        if (event.results[i].fault != PieceFault::None) {
+            continue;
         }
+        const Item &item = flight.items[i];
+        if (!isWanted(item)) {
+            freeSoon({event.results[i].handle});
+            continue;
+        }
+        const std::uint64_t bytes = item.order.resultBytes;
+        line.kept[event.results[i].handle] = {endpoint, bytes, now + life, item.host};
+        line.makers[endpoint].keptBytes += bytes;
     }
 }
 
@@ -551,10 +605,7 @@
 
 void PieceBatcher::take(const PieceFrees &frees, const Snapshot &snapshot)
 {
-    m_freed.insert(m_freed.end(), frees.handles.begin(), frees.handles.end());
-    if (m_freeAt == TimePoint::max()) {
-        m_freeAt = m_clock.now() + freeInterval;
-    }
+    freeSoon(frees.handles);
     const auto found = m_lines.find(frees.pool);
     if (found == m_lines.end()) {
         return;
@@ -565,6 +616,17 @@
     pump(frees.pool, found->second, snapshot);
 }
 
+void PieceBatcher::freeSoon(const std::vector<std::string> &handles)
+{
+    if (handles.empty()) {
+        return;
+    }
+    m_freed.insert(m_freed.end(), handles.begin(), handles.end());
+    if (m_freeAt == TimePoint::max()) {
+        m_freeAt = m_clock.now() + freeInterval;
+    }
+}
+
 std::vector<std::string> PieceBatcher::takeFreed()
 {
     if (m_clock.now() < m_freeAt) {
--- a/unittests/Kernel/piecebatchertest.cpp
+++ b/unittests/Kernel/piecebatchertest.cpp
@@ -418,3 +418,41 @@
     LONGS_EQUAL(3, bench.calls.size());
     STRCMP_EQUAL("maker-1", bench.calls[2].endpoint.c_str());
 }
+
+TEST(PieceBatcher, TheRoomOfADaemonThatIsGoneIsGivenBack)
+{
+    std::vector<Resource> resources = pieceConfiguration(1, 4);
+    std::get<PoolSpec>(resources[0].spec).pieces->roomBytes = 2000;
+    std::get<PoolSpec>(resources[0].spec).pieces->resultLife = std::chrono::seconds(4);
+    Bench bench;
+    bench.snapshot = buildSnapshot(resources, 2, "dc1", nullptr);
+    const auto order = [&bench](const std::string &host, std::uint64_t sequence,
+                                Incarnation incarnation) {
+        PieceOrder piece = pieceOrder(sequence);
+        piece.id.request.incarnation = incarnation;
+        piece.resultBytes = 1000;
+        bench.batcher.take(host, {"pieces", {piece}}, *bench.snapshot);
+        bench.collect();
+    };
+    order("h1", 1, 7);
+    order("h1", 2, 7);
+    bench.answer(bench.calls[0]);
+    bench.advance(milliseconds(200));
+    bench.answer(bench.calls.at(1));
+    // Both results of h1 stand: there is no room for another.
+    order("h2", 3, 8);
+    bench.advance(milliseconds(300));
+    LONGS_EQUAL(2, bench.calls.size());
+    bench.batcher.forget("h1", *bench.snapshot);
+    bench.collect();
+    LONGS_EQUAL(3, bench.calls.size());
+    bench.advance(milliseconds(50));
+    LONGS_EQUAL(2, bench.batcher.takeFreed().size());
+    // h2 ends and starts anew while its call is at work: its result is freed as it comes.
+    order("h2", 4, 9);
+    bench.answer(bench.calls[2]);
+    bench.advance(milliseconds(50));
+    const std::vector<std::string> freed = bench.batcher.takeFreed();
+    LONGS_EQUAL(1, freed.size());
+    STRCMP_EQUAL("handle-caller-3", freed[0].c_str());
+}
