[Kernel] Give the room of results a class of its own

Cause: the batcher held the account of room in three places, mixed with calls and forecasts; a result told twice took room twice. ControlMachine::heartbeatsDue wrote Membership's again. Conclusion: behaviour stays, but for results told twice.

--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -216,7 +216,7 @@
 template <GuardPolicy G>
 bool BasicControlMachine<G>::heartbeatsDue() const
 {
-    return m_clock.now() >= m_membership.nextTick();
+    return m_membership.heartbeatsDue();
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -12,6 +12,7 @@
 #define HARELINK_KERNEL_PIECEBATCHER_H
 
 #include "harelink/Kernel/pieces.h"
+#include "harelink/Kernel/resultroom.h"
 #include "harelink/Kernel/snapshot.h"
 
 #include <absl/status/status.h>
@@ -136,25 +137,15 @@
         std::vector<Flight> flights;
         double slowness = 1;
         TimePoint blockedUntil;
-        std::uint64_t keptBytes = 0;   ///< Of results that are not freed.
-        TimePoint fullUntil;           ///< It had no room although some was booked.
         std::uint32_t unreachable = 0; ///< Connections in a row that were not made.
         std::uint32_t refusals = 0;    ///< Calls in a row that it did not take.
     };
-    /// A result that takes room at its endpoint.
-    struct Kept
-    {
-        std::string endpoint;
-        std::uint64_t bytes = 0;
-        TimePoint until;
-        std::string host; ///< The daemon that ordered it.
-    };
     /// What is kept of one pool.
     struct Line
     {
         std::vector<Item> waiting;
         std::map<std::string, Maker> makers; ///< By endpoint.
-        std::map<std::string, Kept> kept;    ///< By handle.
+        ResultRoom room;                     ///< At its endpoints.
         TimePoint nextLook = TimePoint::max();
         TimePoint lastBusy;    ///< When an order came or a call ended last.
         double correction = 1; ///< See PieceBacklog.
@@ -194,7 +185,6 @@
                                                 const std::vector<std::string> &passed) const;
     [[nodiscard]] static TimePoint freeAt(const Line &line, const EndpointEntry &endpoint,
                                           TimePoint now);
-    void dropExpired(Line &line) const;
     void settle(const std::string &pool, const Item &item, const std::string &endpoint,
                 const std::string &handle, PieceFault fault);
     void end(const std::string &pool, Line &line, const std::string &endpoint, Flight flight,
@@ -207,7 +197,6 @@
     void drop(const std::string &host);
     void freeSoon(const std::vector<std::string> &handles);
     [[nodiscard]] bool isWanted(const Item &item) const;
-    static void drop(Line &line, const std::string &handle);
     [[nodiscard]] static bool isBusy(const Line &line);
     [[nodiscard]] PieceBacklog backlogOf(const std::string &pool, const Line &line,
                                          const Snapshot &snapshot) const;
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -152,16 +152,7 @@
 {
     for (auto &[pool, line] : m_lines) {
         std::erase_if(line.waiting, [&host](const Item &item) { return item.host == host; });
-        std::vector<std::string> handles;
-        for (const auto &[handle, kept] : line.kept) {
-            if (kept.host == host) {
-                handles.push_back(handle);
-            }
-        }
-        for (const std::string &handle : handles) {
-            drop(line, handle);
-        }
-        freeSoon(handles);
+        freeSoon(line.room.dropOf(host));
     }
 }
 
@@ -188,7 +179,7 @@
 {
     const TimePoint now = m_clock.now();
     line.nextLook = TimePoint::max();
-    dropExpired(line);
+    line.room.expire(now);
     if (line.waiting.empty()) {
         return;
     }
@@ -298,18 +289,20 @@
 std::uint64_t PieceBatcher::bookedBytes(const Line &line, const std::string &endpoint,
                                         const PieceWorkSpec &work) const
 {
+    if (line.room.isFull(endpoint, m_clock.now())) {
+        return std::max(line.room.bytesAt(endpoint), work.roomBytes);
+    }
+    std::uint64_t booked = line.room.bytesAt(endpoint);
     const auto found = line.makers.find(endpoint);
     if (found == line.makers.end()) {
-        return 0;
+        return booked;
     }
-    const Maker &maker = found->second;
-    std::uint64_t booked = maker.keptBytes;
-    for (const Flight &flight : maker.flights) {
+    for (const Flight &flight : found->second.flights) {
         for (const Item &item : flight.items) {
             booked += item.order.resultBytes;
         }
     }
-    return m_clock.now() < maker.fullUntil ? std::max(booked, work.roomBytes) : booked;
+    return booked;
 }
 
 /// Whether \p count pieces like \p item wait for the next call of an endpoint with fewer
@@ -568,7 +561,7 @@
 {
     for (std::size_t i = 0; i < flight.items.size() && i < event.results.size(); ++i) {
         if (event.results[i].fault == PieceFault::NoRoom) {
-            line.makers[endpoint].fullUntil = now + noRoomPause;
+            line.room.noteFull(endpoint, now + noRoomPause);
         }
         if (event.results[i].fault != PieceFault::None) {
             continue;
@@ -578,31 +571,11 @@
             freeSoon({event.results[i].handle});
             continue;
         }
-        const std::uint64_t bytes = item.order.resultBytes;
-        line.kept[event.results[i].handle] = {endpoint, bytes, now + life, item.host};
-        line.makers[endpoint].keptBytes += bytes;
+        line.room.keep(event.results[i].handle,
+                       {endpoint, item.order.resultBytes, now + life, item.host});
     }
 }
 
-void PieceBatcher::drop(Line &line, const std::string &handle)
-{
-    const auto kept = line.kept.find(handle);
-    if (kept != line.kept.end()) {
-        line.makers[kept->second.endpoint].keptBytes -= kept->second.bytes;
-        line.kept.erase(kept);
-    }
-}
-
-void PieceBatcher::dropExpired(Line &line) const
-{
-    const TimePoint now = m_clock.now();
-    std::erase_if(line.kept, [&line, now](const auto &entry) {
-        const bool ended = entry.second.until <= now;
-        line.makers[entry.second.endpoint].keptBytes -= ended ? entry.second.bytes : 0;
-        return ended;
-    });
-}
-
 void PieceBatcher::take(const PieceFrees &frees, const Snapshot &snapshot)
 {
     freeSoon(frees.handles);
@@ -611,7 +584,7 @@
         return;
     }
     for (const std::string &handle : frees.handles) {
-        drop(found->second, handle);
+        found->second.room.drop(handle);
     }
     pump(frees.pool, found->second, snapshot);
 }
@@ -646,9 +619,7 @@
             pump(pool, line, snapshot);
         }
         std::erase_if(line.makers, [&snapshot](const auto &entry) {
-            const Maker &maker = entry.second;
-            return maker.flights.empty() && maker.keptBytes == 0
-                   && snapshot.endpoint(entry.first) == nullptr;
+            return entry.second.flights.empty() && snapshot.endpoint(entry.first) == nullptr;
         });
     }
 }
--- /dev/null
+++ b/lib/Kernel/resultroom.cpp
@@ -0,0 +1,69 @@
+//===- resultroom.cpp - Room of results -----------------------------------===//
+
+#include "harelink/Kernel/resultroom.h"
+
+#include <iterator>
+#include <utility>
+
+namespace harelink {
+
+ResultRoom::Results::iterator ResultRoom::erase(Results::iterator result)
+{
+    const auto bytes = m_bytes.find(result->second.endpoint);
+    bytes->second -= result->second.bytes;
+    if (bytes->second == 0) {
+        m_bytes.erase(bytes);
+    }
+    return m_results.erase(result);
+}
+
+void ResultRoom::keep(const std::string &handle, KeptResult result)
+{
+    drop(handle);
+    m_bytes[result.endpoint] += result.bytes;
+    m_results.emplace(handle, std::move(result));
+}
+
+void ResultRoom::drop(const std::string &handle)
+{
+    const auto result = m_results.find(handle);
+    if (result != m_results.end()) {
+        erase(result);
+    }
+}
+
+std::vector<std::string> ResultRoom::dropOf(const std::string &host)
+{
+    std::vector<std::string> handles;
+    for (auto result = m_results.begin(); result != m_results.end();) {
+        if (result->second.host != host) {
+            ++result;
+            continue;
+        }
+        handles.push_back(result->first);
+        result = erase(result);
+    }
+    return handles;
+}
+
+void ResultRoom::expire(TimePoint now)
+{
+    for (auto result = m_results.begin(); result != m_results.end();) {
+        result = result->second.until <= now ? erase(result) : std::next(result);
+    }
+    std::erase_if(m_fullUntil, [now](const auto &entry) { return entry.second <= now; });
+}
+
+bool ResultRoom::isFull(const std::string &endpoint, TimePoint now) const
+{
+    const auto until = m_fullUntil.find(endpoint);
+    return until != m_fullUntil.end() && now < until->second;
+}
+
+std::uint64_t ResultRoom::bytesAt(const std::string &endpoint) const
+{
+    const auto bytes = m_bytes.find(endpoint);
+    return bytes == m_bytes.end() ? 0 : bytes->second;
+}
+
+} // namespace harelink
