[Platform] Refuse figures of work in pieces that nobody could work with

Cause: a declaration with calls of 0 pieces, or with a negative room or time, was taken as it came; forecasts divide by the pieces of a call (as read in predictPieces; not played, the store takes only valid ones). What is missing keeps its meaning.

--- a/unittests/Platform/manifesttest.cpp
+++ b/unittests/Platform/manifesttest.cpp
@@ -2,6 +2,8 @@
 
 #include "manifest.h"
 
+#include "harelink/Support/error.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace harelink;
@@ -103,6 +105,34 @@
     STRCMP_EQUAL("z", endpoint.dataCentre.c_str());
 }
 
+TEST(Manifest, FiguresThatNobodyCouldWorkWithAreRefused)
+{
+    const std::vector<std::pair<std::string, std::string>> faults = {
+        {"\"batch\": 8", "\"batch\": 0"},
+        {"\"batch\": 8", "\"batch\": -1"},
+        {"\"batch\": 8", "\"batch\": 1e12"},
+        {"\"queue\": 2", "\"queue\": -1"},
+        {"\"call-ms\": 150.0", "\"call-ms\": -150"},
+        {"\"call-ms\": 150.0", "\"call-ms\": 1e15"},
+        {"\"item-ms\": 2.1", "\"item-ms\": -2.1"},
+        {"\"headroom-mb\": 39.0", "\"headroom-mb\": -39"},
+        {"\"headroom-mb\": 39.0", "\"headroom-mb\": 1e300"},
+        {"\"handle-s\": 4.0", "\"handle-s\": -4"}};
+    for (const auto &[from, to] : faults) {
+        const auto resources = reader.read("config", "main", with(from, to));
+        CHECK_FALSE_TEXT(resources.ok(), to.c_str());
+        const std::string field = to.substr(1, to.find('"', 1) - 1);
+        CHECK_TEXT(errorMessage(resources.status()).find(field) != std::string::npos, to.c_str());
+    }
+    // What is missing has a meaning: pieces one by one, in no time, with room without limit.
+    const auto missing = reader.read(
+        "config", "main",
+        with("\"batch\": 8, \"call-ms\": 150.0,\n     \"item-ms\": 2.1, \"headroom-mb\": 39.0, ",
+             ""));
+    CHECK(missing.ok());
+    LONGS_EQUAL(1, specOf<PoolSpec>(*missing, "p1").pieces->batch);
+}
+
 TEST(Manifest, WhatDoesNotFitTogetherIsRefusedWhole)
 {
     CHECK_FALSE(reader.read("config", "main", "{}").ok());
