[Test] Make endpoints of the pool "pieces" in one place

Cause: the load test wrote the fixture's endpoint again. Change: pieceMaker() in the fixture serves both; no check changes, product code is untouched.

--- a/unittests/Kernel/piecefixture.h
+++ b/unittests/Kernel/piecefixture.h
@@ -9,6 +9,17 @@
 
 namespace harelink::testing {
 
+/// Endpoint "maker-NUMBER" of the pool "pieces", in "dc1".
+inline Resource pieceMaker(int number)
+{
+    EndpointSpec endpoint;
+    endpoint.name = fmt::format("maker-{}", number);
+    endpoint.pool = "pieces";
+    endpoint.address = "127.0.0.1:1";
+    endpoint.dataCentre = "dc1";
+    return makeResource(endpoint);
+}
+
 /// A pool "pieces" of \p endpoints endpoints in "dc1" that take \p batch pieces a call,
 /// at 150 ms a call and 10 ms a piece.
 inline std::vector<Resource> pieceConfiguration(int endpoints, std::uint32_t batch)
@@ -24,12 +35,7 @@
     pool.pieces = work;
     std::vector<Resource> resources = {makeResource(pool)};
     for (int i = 0; i < endpoints; ++i) {
-        EndpointSpec endpoint;
-        endpoint.name = fmt::format("maker-{}", i);
-        endpoint.pool = "pieces";
-        endpoint.address = "127.0.0.1:1";
-        endpoint.dataCentre = "dc1";
-        resources.push_back(makeResource(endpoint));
+        resources.push_back(pieceMaker(i));
     }
     return resources;
 }
--- a/unittests/Kernel/pieceloadtest.cpp
+++ b/unittests/Kernel/pieceloadtest.cpp
@@ -68,12 +68,7 @@
         }
     }
     for (int i = 2; i < 4; ++i) {
-        EndpointSpec endpoint;
-        endpoint.name = fmt::format("maker-{}", i);
-        endpoint.pool = "pieces";
-        endpoint.address = "127.0.0.1:1";
-        endpoint.dataCentre = "dc1";
-        resources.push_back(makeResource(endpoint));
+        resources.push_back(pieceMaker(i));
     }
     return resources;
 }
