[Kernel] Make lists of hosts at changes, not at messages

Cause: each turn of the control thread made and sorted the names of all hosts several times (who may own a bucket, who watches, who batches), and looked each up again: with 295 hosts over half of the processor time of a start (profile of 40 daemons); who came or went was found by comparing all with all, and every host heard for the first time brought a heartbeat forward, up to fifty a second. Change: Membership keeps its lists until a host comes, goes, changes or may have fallen silent; ranks and batchers are kept beside them. With over 16 peers nobody greets early.

--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -54,6 +54,7 @@
     void send(const std::string &host, decltype(PeerMessage::content) content);
     [[nodiscard]] ConfigDigest digest(bool detailed, bool reply) const;
     [[nodiscard]] std::size_t watcherRank() const;
+    [[nodiscard]] std::size_t findWatcherRank() const;
     void noteSummary(const std::string &host, std::uint64_t summary);
     void forgetMatching();
     void askWhereDue();
@@ -67,6 +68,8 @@
     TimePoint m_nextDigest;
     TimePoint m_watcherHeard;
     bool m_connected = false;
+    mutable std::size_t m_rank = 0; ///< As of the lists of hosts of that version.
+    mutable std::uint64_t m_rankedAtVersion = 0;
     /// A peer's hash that differs from the own one.
     struct Difference
     {
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -49,7 +49,18 @@
 template <GuardPolicy G>
 std::size_t BasicConfigGossip<G>::watcherRank() const
 {
-    const std::vector<std::string> hosts = m_membership.localCandidates();
+    const std::uint64_t version = m_membership.listsVersion();
+    if (version != m_rankedAtVersion) {
+        m_rank = findWatcherRank();
+        m_rankedAtVersion = version;
+    }
+    return m_rank;
+}
+
+template <GuardPolicy G>
+std::size_t BasicConfigGossip<G>::findWatcherRank() const
+{
+    const std::vector<std::string> &hosts = m_membership.localCandidates();
     const std::vector<std::string> able = m_membership.ableHosts(hosts);
     const std::set<std::string> first(able.begin(), able.end());
     const auto rank = [&first](const std::string &host) {
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -147,6 +147,7 @@
     TimePoint m_startedAt;
     TimePoint m_nextHostList;
     bool m_keepsClaims;
+    std::uint64_t m_ownedAtVersion = 0; ///< Of the lists of hosts that buckets were owned by.
     std::string m_hostKind;
     bool m_announced = false;
     std::uint64_t m_announceCall = 0;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -184,9 +184,11 @@
     for (const auto &[endpoint, tokens] : m_peerPrompts.changes()) {
         m_output.prompts.push_back({endpoint, tokens});
     }
-    const std::vector<std::string> hosts = m_membership.candidates();
-    for (std::size_t i = 0; m_keepsClaims && i < claimBucketCount; ++i) {
-        m_ledger.own(i, softOwner(i, hosts) == m_membership.host());
+    if (m_keepsClaims && m_membership.listsVersion() != m_ownedAtVersion) {
+        m_ownedAtVersion = m_membership.listsVersion();
+        for (std::size_t i = 0; i < claimBucketCount; ++i) {
+            m_ledger.own(i, softOwner(i, m_membership.candidates()) == m_membership.host());
+        }
     }
     m_router.tick();
     m_ledger.tick(m_output.calls, m_nextCallId);
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -13,6 +13,7 @@
 
 #include "harelink/Kernel/peers.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -64,13 +65,22 @@
     /// Where this daemon listens for peers.
     void setAddress(const std::string &address) { m_address = address; }
     /// The capacity of this host, in cores of a processor.
-    void setCapacity(double capacity) { m_capacity = capacity; }
+    void setCapacity(double capacity)
+    {
+        m_capacity = capacity;
+        forgetLists();
+    }
     [[nodiscard]] double capacity() const { return m_capacity; }
     /// This host is leaving; the next heartbeats say so, at once.
     void leave();
 
-    /// The hosts that may own a bucket, this one among them, sorted.
-    [[nodiscard]] std::vector<std::string> candidates() const;
+    /// The hosts that may own a bucket, this one among them, sorted. Like the other lists it
+    /// is made anew only where hosts came, went or changed, and holds until then: a daemon
+    /// asks for them at each message. With 295 hosts, making them each time took over half of
+    /// the processor time of a start (profile of 40 daemons).
+    [[nodiscard]] const std::vector<std::string> &candidates() const { return lists().candidates; }
+    /// Another number where the lists were made anew.
+    [[nodiscard]] std::uint64_t listsVersion() const { return lists().version; }
     /// The host that was heard of lately under \p incarnation; empty for this host.
     [[nodiscard]] std::optional<std::string> hostOf(Incarnation incarnation) const;
     /// A message to \p host; nothing where its address is not known.
@@ -79,14 +89,17 @@
     /// The address of \p host, or an empty text.
     [[nodiscard]] std::string addressOf(const std::string &host) const;
     /// The living hosts of the own data centre that stay, this one among them.
-    [[nodiscard]] std::vector<std::string> localCandidates() const;
+    [[nodiscard]] const std::vector<std::string> &localCandidates() const
+    {
+        return lists().localCandidates;
+    }
     /// The hosts that stay and were heard of within \p silence, this one among them where
     /// it stays. \param dataCentre only those that stand there; empty for all.
     [[nodiscard]] std::vector<std::string> heardWithin(Duration silence,
                                                        const std::string &dataCentre) const;
     /// Of \p hosts those that have at least half of the capacity of the largest: what is
     /// done for many others is done there.
-    [[nodiscard]] std::vector<std::string> ableHosts(std::vector<std::string> hosts) const;
+    [[nodiscard]] std::vector<std::string> ableHosts(const std::vector<std::string> &hosts) const;
     /// How many hosts were heard of lately, this one among them; rises at once, falls late.
     [[nodiscard]] int countedHosts() const;
     /// What this daemon knows of live hosts, itself among them.
@@ -94,10 +107,12 @@
     [[nodiscard]] std::vector<HostReport> hostReports(const std::string &dataCentre) const;
     /// Whether \p host was heard of within \p silence, or is reported to live.
     [[nodiscard]] bool heardWithin(const std::string &host, Duration silence) const;
+    /// The same of \p peer.
+    [[nodiscard]] bool heardWithin(const PeerHost &peer, Duration silence) const;
     /// Whether \p host stands in the own data centre.
     [[nodiscard]] bool isLocal(const std::string &host) const;
-    /// The live hosts other than this one.
-    [[nodiscard]] std::vector<std::string> livePeers() const;
+    /// The live hosts other than this one, sorted.
+    [[nodiscard]] const std::vector<std::string> &livePeers() const { return lists().livePeers; }
     [[nodiscard]] const std::map<std::string, PeerHost> &peers() const { return m_peers; }
     [[nodiscard]] const std::string &host() const { return m_host; }
     [[nodiscard]] const std::string &dataCentre() const { return m_dataCentre; }
@@ -106,7 +121,21 @@
     [[nodiscard]] TimePoint nextTick() const { return m_nextHeartbeat; }
 
 private:
+    /// What is asked for often, as of the last change.
+    struct Lists
+    {
+        std::vector<std::string> candidates;
+        std::vector<std::string> localCandidates;
+        std::vector<std::string> livePeers;
+        TimePoint validUntil = TimePoint::min(); ///< When the first may have fallen silent.
+        std::uint64_t version = 0;
+    };
+
+    const Lists &lists() const;
+    void makeLists() const;
+    void forgetLists() { m_lists.validUntil = TimePoint::min(); }
     void makeHeartbeatEarly();
+    [[nodiscard]] TimePoint liveUntil(const PeerHost &peer) const;
     [[nodiscard]] bool isLive(const PeerHost &peer) const;
     [[nodiscard]] bool isReported(const PeerHost &peer) const;
 
@@ -120,6 +149,7 @@
     TimePoint m_lastHeartbeat;
     TimePoint m_nextHeartbeat;
     std::map<std::string, PeerHost> m_peers;
+    mutable Lists m_lists;
 };
 
 /// The host of \p hosts that normally writes \p bucket, by rendezvous hashing:
--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -96,7 +96,8 @@
         TimePoint madeAt;
     };
 
-    [[nodiscard]] std::string batcherOf(const std::string &part, const Snapshot &snapshot) const;
+    const std::string &batcherOf(const std::string &part, const Snapshot &snapshot);
+    [[nodiscard]] std::string findBatcher(const std::string &part, const Snapshot &snapshot) const;
     void place(std::vector<Pending> group, const Snapshot &snapshot);
     [[nodiscard]] bool mayReorder(const Pending &pending);
     void reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
@@ -104,6 +105,14 @@
     RetryBudget &budgetOf(const std::string &pool);
     void forgetOldResults();
 
+    /// The daemon that batches for a part, as of a moment and of the lists of hosts then.
+    struct Batcher
+    {
+        std::string host;
+        TimePoint foundAt;
+        std::uint64_t listsVersion = 0;
+    };
+
     const Clock &m_clock;
     const Membership &m_membership;
     RetryBudgetOptions m_budgetOptions;
@@ -116,6 +125,7 @@
     std::vector<std::pair<std::string, PieceFrees>> m_frees;
     TimePoint m_nextSweep = TimePoint::min();
     std::uint64_t m_reorders = 0;
+    std::map<std::string, Batcher> m_batchers; ///< By part.
 };
 
 } // namespace harelink
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -7,6 +7,7 @@
 #include "harelink/Support/log.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include <nlohmann/json.hpp>
 
@@ -422,17 +423,19 @@
 /// ordered is forgotten.
 void Control::takePeerChanges()
 {
-    const std::vector<std::string> now = m_machine.membership().livePeers();
-    for (const std::string &host : now) {
-        if (std::find(m_peersBefore.begin(), m_peersBefore.end(), host) == m_peersBefore.end()) {
-            logger.record(LogLevel::Info, "peer-heard").field("host", host);
-        }
-    }
-    for (const std::string &host : m_peersBefore) {
-        if (std::find(now.begin(), now.end(), host) == now.end()) {
-            logger.record(LogLevel::Warning, "peer-silent").field("host", host);
-            m_pieceBatcher.forget(host, m_snapshot.current());
-        }
+    const std::vector<std::string> &now = m_machine.membership().livePeers();
+    std::vector<std::string> heard;
+    std::set_difference(now.begin(), now.end(), m_peersBefore.begin(), m_peersBefore.end(),
+                        std::back_inserter(heard));
+    std::vector<std::string> silent;
+    std::set_difference(m_peersBefore.begin(), m_peersBefore.end(), now.begin(), now.end(),
+                        std::back_inserter(silent));
+    for (const std::string &host : heard) {
+        logger.record(LogLevel::Info, "peer-heard").field("host", host);
+    }
+    for (const std::string &host : silent) {
+        logger.record(LogLevel::Warning, "peer-silent").field("host", host);
+        m_pieceBatcher.forget(host, m_snapshot.current());
     }
     m_peersBefore = now;
 }
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -24,6 +24,9 @@
 /// Heartbeats that are sent early keep this distance: daemons that all start at once are
 /// heard one after the other, and one heartbeat answers them all.
 constexpr milliseconds earlyHeartbeatInterval{20};
+/// With more peers nobody greets early: relays tell of all at the next heartbeat, and each
+/// of hundreds that start together would greet fifty times a second.
+constexpr std::size_t mostGreeted = 16;
 /// A host counts this long in what is divided among all: the window of a retry budget.
 constexpr milliseconds countedLife{10'000};
 /// A host is able to serve many others with this part of the largest one's capacity.
@@ -93,6 +96,7 @@
     std::erase_if(m_peers, [&](const auto &entry) {
         return !listed.contains(entry.first) && !isLive(entry.second);
     });
+    forgetLists();
 }
 
 std::string Membership::ownDeclaration() const
@@ -109,22 +113,32 @@
         return;
     }
     PeerHost &peer = m_peers[message.host];
+    const bool wasLive = isLive(peer);
     if (peer.incarnation != message.incarnation) {
         // Incarnations are drawn at random, so an old message cannot be told by its
         // number. It may bring an old incarnation back for a moment; the next
         // heartbeat of the new one ends that, and nothing but hints hangs on it.
         peer.incarnation = message.incarnation;
         peer.leaving = false;
+        forgetLists();
         makeHeartbeatEarly();
     }
     peer.lastHeard = m_clock.now();
+    bool isChanged = !wasLive;
     if (const auto *heartbeat = std::get_if<Heartbeat>(&message.content)) {
+        isChanged = isChanged || peer.address != heartbeat->address
+                    || peer.dataCentre != heartbeat->dataCentre
+                    || (heartbeat->leaving && !peer.leaving)
+                    || peer.capacity != heartbeat->capacity;
         // Its own word reaches a daemon that starts while the host list is out.
         peer.address = heartbeat->address;
         peer.dataCentre = heartbeat->dataCentre;
         peer.leaving = peer.leaving || heartbeat->leaving;
         peer.capacity = heartbeat->capacity;
     }
+    if (isChanged) {
+        forgetLists();
+    }
 }
 
 void Membership::reported(const std::vector<HostReport> &hosts, const std::string &dataCentre)
@@ -158,6 +172,7 @@
         peer.leaving = peer.leaving || (report.leaving && peer.incarnation == report.incarnation);
         peer.reportedAt = m_clock.now();
     }
+    forgetLists();
 }
 
 std::vector<PeerSend> Membership::dueHeartbeats(const std::vector<HeartbeatTarget> &targets)
@@ -184,6 +199,9 @@
 /// which refused 44 calls and had no room for hundreds of pieces.
 void Membership::makeHeartbeatEarly()
 {
+    if (m_peers.size() > mostGreeted) {
+        return;
+    }
     const TimePoint now = m_clock.now();
     const bool isSoonAfter =
         m_lastHeartbeat != TimePoint::min() && now < m_lastHeartbeat + earlyHeartbeatInterval;
@@ -194,6 +212,7 @@
 void Membership::leave()
 {
     m_leaving = true;
+    forgetLists();
     m_nextHeartbeat = m_clock.now();
 }
 
@@ -222,19 +241,60 @@
     return std::nullopt;
 }
 
-std::vector<std::string> Membership::candidates() const
+const Membership::Lists &Membership::lists() const
 {
-    std::vector<std::string> hosts;
+    if (m_clock.now() >= m_lists.validUntil) {
+        makeLists();
+    }
+    return m_lists;
+}
+
+/// Makes the lists anew; each is sorted, as the hosts are kept by name.
+void Membership::makeLists() const
+{
+    Lists lists;
+    lists.version = m_lists.version + 1;
+    lists.validUntil = TimePoint::max();
+    const auto add = [&lists, this](const std::string &host, const std::string &dataCentre) {
+        lists.candidates.push_back(host);
+        if (dataCentre == m_dataCentre) {
+            lists.localCandidates.push_back(host);
+        }
+    };
+    bool isAdded = m_leaving;
     for (const auto &[name, peer] : m_peers) {
-        if (isLive(peer) && !peer.leaving && !peer.address.empty()) {
-            hosts.push_back(name);
+        if (!isAdded && m_host < name) {
+            add(m_host, m_dataCentre);
+            isAdded = true;
+        }
+        if (!isLive(peer) || peer.address.empty()) {
+            continue;
+        }
+        lists.validUntil = std::min(lists.validUntil, liveUntil(peer));
+        lists.livePeers.push_back(name);
+        if (!peer.leaving) {
+            add(name, peer.dataCentre);
         }
     }
-    if (!m_leaving || hosts.empty()) {
-        hosts.push_back(m_host);
+    if (!isAdded || lists.candidates.empty()) {
+        add(m_host, m_dataCentre);
     }
-    std::sort(hosts.begin(), hosts.end());
-    return hosts;
+    m_lists = std::move(lists);
+}
+
+/// The moment from which a live \p peer counts as silent, if nothing is heard of it.
+TimePoint Membership::liveUntil(const PeerHost &peer) const
+{
+    // It lives at the last moment of these spans.
+    constexpr Duration next{1};
+    TimePoint until = TimePoint::min();
+    if (peer.reportedAt != TimePoint::min()) {
+        until = peer.reportedAt + reportLife + next;
+    }
+    if (peer.incarnation != 0 && peer.lastHeard != TimePoint::min()) {
+        until = std::max<TimePoint>(until, peer.lastHeard + livenessLimit + next);
+    }
+    return until;
 }
 
 std::vector<std::string> Membership::heardWithin(Duration silence,
@@ -245,7 +305,7 @@
     };
     std::vector<std::string> hosts;
     for (const auto &[name, peer] : m_peers) {
-        const bool stays = !peer.leaving && !peer.address.empty() && heardWithin(name, silence);
+        const bool stays = !peer.leaving && !peer.address.empty() && heardWithin(peer, silence);
         if (stays && stands(peer.dataCentre)) {
             hosts.push_back(name);
         }
@@ -259,27 +319,34 @@
 bool Membership::heardWithin(const std::string &host, Duration silence) const
 {
     const auto found = m_peers.find(host);
-    if (found == m_peers.end() || found->second.incarnation == 0) {
+    return found != m_peers.end() && heardWithin(found->second, silence);
+}
+
+bool Membership::heardWithin(const PeerHost &peer, Duration silence) const
+{
+    if (peer.incarnation == 0) {
         return false;
     }
-    const PeerHost &peer = found->second;
     return isReported(peer)
            || (peer.lastHeard != TimePoint::min() && m_clock.now() - peer.lastHeard <= silence);
 }
 
-std::vector<std::string> Membership::ableHosts(std::vector<std::string> hosts) const
+std::vector<std::string> Membership::ableHosts(const std::vector<std::string> &hosts) const
 {
-    const auto capacityOf = [this](const std::string &host) {
-        const auto found = m_peers.find(host);
-        return found == m_peers.end() ? m_capacity : found->second.capacity;
-    };
-    double largest = 0;
+    std::vector<double> capacities;
+    capacities.reserve(hosts.size());
     for (const std::string &host : hosts) {
-        largest = std::max(largest, capacityOf(host));
+        const auto found = m_peers.find(host);
+        capacities.push_back(found == m_peers.end() ? m_capacity : found->second.capacity);
     }
-    std::erase_if(hosts,
-                  [&](const std::string &host) { return capacityOf(host) < largest * ablePart; });
-    return hosts;
+    const auto largest = std::max_element(capacities.begin(), capacities.end());
+    std::vector<std::string> able;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        if (capacities[i] >= *largest * ablePart) {
+            able.push_back(hosts[i]);
+        }
+    }
+    return able;
 }
 
 int Membership::countedHosts() const
@@ -313,24 +380,6 @@
     return host == m_host || (found != m_peers.end() && found->second.dataCentre == m_dataCentre);
 }
 
-std::vector<std::string> Membership::localCandidates() const
-{
-    std::vector<std::string> hosts = candidates();
-    std::erase_if(hosts, [this](const std::string &host) { return !isLocal(host); });
-    return hosts;
-}
-
-std::vector<std::string> Membership::livePeers() const
-{
-    std::vector<std::string> hosts;
-    for (const auto &[name, peer] : m_peers) {
-        if (isLive(peer) && !peer.address.empty()) {
-            hosts.push_back(name);
-        }
-    }
-    return hosts;
-}
-
 std::optional<PeerSend> Membership::messageTo(const std::string &host,
                                               decltype(PeerMessage::content) content) const
 {
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -59,7 +59,7 @@
             continue;
         }
         declared.push_back(name);
-        if (m_membership.heardWithin(name, tellingLife)) {
+        if (m_membership.heardWithin(peer, tellingLife)) {
             live.push_back(name);
         }
     }
@@ -123,7 +123,7 @@
     std::vector<std::string> unheard;
     for (const auto &[name, peer] : m_membership.peers()) {
         const bool isLocal = peer.dataCentre == m_membership.dataCentre();
-        if (isLocal && !peer.leaving && !m_membership.heardWithin(name, tellingLife)) {
+        if (isLocal && !peer.leaving && !m_membership.heardWithin(peer, tellingLife)) {
             unheard.push_back(name);
         }
     }
@@ -314,6 +314,9 @@
     update(m_own, own.prompts, own.backlogs, m_clock.now());
     update(m_own, own.usage);
     std::vector<PeerSend> sends;
+    if (m_subscribers.empty()) {
+        return sends;
+    }
     const bool isWhole = hostsChanged() || ++m_round % wholeRound == 0;
     for (const auto &[host, askedAt] : m_subscribers) {
         PeerSummary summary = sum(m_own, host, m_membership.isLocal(host), isWhole);
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -18,6 +18,8 @@
 
 /// A batcher without a word for this long is passed over: two heartbeats and a half.
 constexpr milliseconds batcherSilence{600};
+/// How long a choice of batcher holds at most: short against that silence.
+constexpr milliseconds batcherLook{25};
 /// An order is given up on after so many times what was predicted, and this much.
 constexpr int patienceFactor = 2;
 constexpr milliseconds patience{500};
@@ -101,7 +103,21 @@
     m_sends.push_back(std::move(send));
 }
 
-std::string PieceRouter::batcherOf(const std::string &part, const Snapshot &snapshot) const
+/// The batcher of \p part; asked for at each order, and found anew where hosts came or went,
+/// or after a moment in which one may have fallen silent.
+const std::string &PieceRouter::batcherOf(const std::string &part, const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    Batcher &batcher = m_batchers[part];
+    const std::uint64_t version = m_membership.listsVersion();
+    const bool isOld = now - batcher.foundAt >= batcherLook || batcher.listsVersion != version;
+    if (batcher.host.empty() || isOld) {
+        batcher = {findBatcher(part, snapshot), now, version};
+    }
+    return batcher.host;
+}
+
+std::string PieceRouter::findBatcher(const std::string &part, const Snapshot &snapshot) const
 {
     std::string best = m_membership.host();
     std::uint64_t bestScore = 0;
