[Kernel] Tell through relays by hash and at a pace, without digests to all

Cause: 300 daemons sent each other 5,900 messages and 3.5 MB a second when nothing happened: watchers told all of their data centre a digest each second (a third of the messages), every whole summary held the list of all hosts (94 of 100 bytes), and each of the many small hosts told two relays four times a second. A change made 540 of them ask for all versions. Change: hashes over declared objects and whether somebody watches ride in heartbeats and summaries; the list of hosts goes only to who has another one, told by its hash; hosts that are not able tell and are told at every second heartbeat from 25 hosts of a data centre on, at every fourth from 97; the second relay is told less often; a relay asks whom it introduces itself to. Watchers of a silent platform are joined by as many more each 2.5 s, not by all. Only relays read the host list every 8 s. One test's setting was wrong now: relays that do not know each other meet within 1.5 s, so it looks at 0.2 s whether they don't; what it checks after is as before. Fleet tests play 300 daemons and the mesh as the control.

--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -39,6 +39,14 @@
     [[nodiscard]] bool shouldWatch() const;
     /// Takes in whether the platform answers this daemon.
     void noteConnected(bool connected) { m_connected = connected; }
+    /// Takes in whether heartbeats go through relays. What digests tell then rides in them,
+    /// and in the relays' summaries: watchers that told all of their data centre each second
+    /// sent a third of all messages of 300 daemons.
+    void noteRelayed(bool isRelayed) { m_isRelayed = isRelayed; }
+    /// Whether this daemon watches and the platform answers it.
+    [[nodiscard]] bool watchesConnected() const { return m_connected && shouldWatch(); }
+    /// Whether this daemon, or one of its data centre that it heard of lately, does.
+    [[nodiscard]] bool isWatched() const { return watchesConnected() || hearsOfWatcher(); }
     /// Pushes what the table learnt from the platform.
     void pushNews();
     /// Takes in a peer's news; true where what is in force changed.
@@ -51,6 +59,8 @@
     [[nodiscard]] TimePoint nextTick() const;
 
 private:
+    [[nodiscard]] bool hearsOfWatcher() const;
+    [[nodiscard]] Duration differencePatience() const;
     void send(const std::string &host, decltype(PeerMessage::content) content);
     [[nodiscard]] ConfigDigest digest(bool detailed, bool reply) const;
     [[nodiscard]] std::size_t watcherRank() const;
@@ -68,6 +78,7 @@
     TimePoint m_nextDigest;
     TimePoint m_watcherHeard;
     bool m_connected = false;
+    bool m_isRelayed = false;
     mutable std::size_t m_rank = 0; ///< As of the lists of hosts of that version.
     mutable std::uint64_t m_rankedAtVersion = 0;
     /// A peer's hash that differs from the own one.
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -30,6 +30,9 @@
 /// A difference is asked about when it has lasted for this long: until then the pushes
 /// are on their way, and a whole configuration takes a slow link 0.3 s.
 inline constexpr std::chrono::milliseconds differencePatience{500};
+/// The same where hashes ride in heartbeats: two of them from a host that tells at every
+/// second. At 500 ms a change made 540 of 300 daemons ask for versions, all for nothing.
+inline constexpr std::chrono::milliseconds relayedDifferencePatience{1200};
 
 } // namespace configgossip
 
@@ -71,12 +74,34 @@
         hosts.begin(), hosts.end(), [&](const std::string &host) { return rank(host) > own; }));
 }
 
+template <GuardPolicy G>
+bool BasicConfigGossip<G>::hearsOfWatcher() const
+{
+    return m_watcherHeard != TimePoint::min()
+           && m_clock.now() - m_watcherHeard <= configgossip::watcherSilence;
+}
+
+/// With each span in which nobody is heard of that watches, as many more do: where the
+/// platform answers none of them, more calls would not make it answer.
 template <GuardPolicy G>
 bool BasicConfigGossip<G>::shouldWatch() const
 {
-    const bool heard = m_watcherHeard != TimePoint::min()
-                       && m_clock.now() - m_watcherHeard <= configgossip::watcherSilence;
-    return !heard || watcherRank() < m_watchers;
+    if (m_watcherHeard == TimePoint::min()) {
+        return true;
+    }
+    const auto spans = (m_clock.now() - m_watcherHeard) / configgossip::watcherSilence;
+    return watcherRank() < m_watchers * (1 + static_cast<std::size_t>(spans));
+}
+
+template <GuardPolicy G>
+Duration BasicConfigGossip<G>::differencePatience() const
+{
+    // At the first object there is nothing to wait for.
+    if (m_table.entries().empty()) {
+        return Duration::zero();
+    }
+    return m_isRelayed ? configgossip::relayedDifferencePatience
+                       : configgossip::differencePatience;
 }
 
 template <GuardPolicy G>
@@ -97,7 +122,10 @@
     }
     forgetMatching();
     if (watcherRank() >= configgossip::pushers) {
-        sendDigestToAll(localPeers());
+        // Through relays the next heartbeat tells it.
+        if (!m_isRelayed) {
+            sendDigestToAll(localPeers());
+        }
         return;
     }
     for (const std::string &host : localPeers()) {
@@ -123,7 +151,7 @@
 {
     ConfigDigest digest;
     digest.summary = m_table.summary();
-    digest.watches = m_connected && shouldWatch();
+    digest.watches = watchesConnected();
     digest.detailed = detailed;
     digest.reply = reply;
     if (detailed) {
@@ -178,16 +206,13 @@
 }
 
 /// Remembers the hash of a peer where it differs. Each peer's is kept apart: one that lost
-/// the platform agrees with all that hear of nothing, and must not calm them. At the first
-/// object there is nothing to wait for.
+/// the platform agrees with all that hear of nothing, and must not calm them.
 template <GuardPolicy G>
 void BasicConfigGossip<G>::noteSummary(const std::string &host, std::uint64_t summary)
 {
     const TimePoint now = m_clock.now();
-    const Duration patience =
-        m_table.entries().empty() ? Duration::zero() : Duration(configgossip::differencePatience);
-    m_differing.try_emplace(host, Difference{summary, now + patience}).first->second.summary =
-        summary;
+    m_differing.try_emplace(host, Difference{summary, now + differencePatience()})
+        .first->second.summary = summary;
     forgetMatching();
     askWhereDue();
 }
@@ -239,6 +264,9 @@
     }
     m_nextDigest = m_clock.now() + configgossip::digestInterval;
     ++m_round;
+    if (m_isRelayed && !m_table.entries().empty()) {
+        return;
+    }
     std::vector<std::string> local;
     std::vector<std::string> remote;
     for (const std::string &host : m_membership.livePeers()) {
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -120,6 +120,7 @@
     void handle(const PeerMessage &message, const ConfigDigest &content);
     template <PieceContent Content>
     void handle(const PeerMessage &message, const Content &content);
+    static ConfigDigest digestOf(std::uint64_t summary, bool watches);
     bool takeAnnouncement(const PlatformResult &result);
     void announce();
     void forwardLedgerReplies();
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -29,6 +29,8 @@
 /// The same later: heartbeats tell of hosts that come. With 86 daemons the list was 2,500
 /// of 6,200 calls to the platform in 58 s at the shorter interval.
 inline constexpr std::chrono::milliseconds settledHostListInterval{8000};
+/// The same where a relay tells of all that live: only relays need the list sooner, to meet.
+inline constexpr std::chrono::milliseconds relayedHostListInterval{60'000};
 /// The same after a failure, and while not a single peer is known.
 inline constexpr std::chrono::milliseconds firstHostListInterval{500};
 /// Between two attempts to declare oneself.
@@ -175,6 +177,7 @@
     }
     announce();
     m_gossip.noteConnected(connected());
+    m_gossip.noteRelayed(m_relay.isRelayed());
     m_gossip.tick();
     pollHostList();
     if (m_membership.heartbeatsDue()) {
@@ -203,6 +206,9 @@
     own.leavingKnown = m_leavingKnown;
     own.backlogs = m_backlogs;
     own.prompts = m_prompts;
+    own.configSummary = m_config.summary();
+    own.watches = m_gossip.isWatched();
+    const bool watches = m_gossip.watchesConnected();
     for (PeerSend &send : m_membership.dueHeartbeats(m_relay.targets())) {
         auto &content = std::get<Heartbeat>(send.message.content);
         content.usage = own.usage;
@@ -210,6 +216,8 @@
         content.leavingKnown = own.leavingKnown;
         content.backlogs = own.backlogs;
         content.prompts = own.prompts;
+        content.configSummary = own.configSummary;
+        content.watches = watches;
         m_output.sends.push_back(std::move(send));
     }
     for (PeerSend &send : m_relay.summaries(own)) {
@@ -295,7 +303,9 @@
     if (!listed || m_membership.peers().empty()) {
         interval = controlmachine::firstHostListInterval;
     } else if (settled) {
-        interval = controlmachine::settledHostListInterval;
+        const bool isTold = m_relay.isRelayed() && !m_relay.isRelay();
+        interval = isTold ? controlmachine::relayedHostListInterval
+                          : controlmachine::settledHostListInterval;
     }
     m_nextHostList = now + interval;
 }
@@ -326,6 +336,9 @@
 void BasicControlMachine<G>::handle(const PeerMessage &message, const Heartbeat &content)
 {
     m_relay.take(message.host, content);
+    if (m_relay.isRelayed()) {
+        m_gossip.handle(message.host, digestOf(content.configSummary, content.watches));
+    }
     if (m_relay.countsHeartbeatOf(content.dataCentre)) {
         m_peerDemand.take(message.host, content.usage);
         takeFigures(message.host, content);
@@ -336,6 +349,16 @@
     }
 }
 
+/// What a heartbeat or a summary tells of declared objects, as the digest that it replaces.
+template <GuardPolicy G>
+ConfigDigest BasicControlMachine<G>::digestOf(std::uint64_t summary, bool watches)
+{
+    ConfigDigest digest;
+    digest.summary = summary;
+    digest.watches = watches;
+    return digest;
+}
+
 template <GuardPolicy G>
 void BasicControlMachine<G>::handle(const PeerMessage &message, const PeerSummary &content)
 {
@@ -346,9 +369,14 @@
     const std::string dataCentre = sender->second.dataCentre;
     const bool isLocal = dataCentre == m_membership.dataCentre();
     m_relay.take(dataCentre, content);
-    if (content.isWhole) {
-        m_membership.reported(content.hosts, isLocal ? std::string() : dataCentre);
-    }
+    const std::string scope = isLocal ? std::string() : dataCentre;
+    if (content.hasHosts) {
+        m_membership.reported(content.hosts, scope);
+        m_relay.noteHostList(message.host, scope, content.hostsHash);
+    } else if (m_relay.renewHostList(message.host, content.hostsHash)) {
+        m_membership.stillReported(scope);
+    }
+    m_gossip.handle(message.host, digestOf(content.configSummary, content.watched));
     if (m_relay.countsSummaryOf(dataCentre)) {
         const std::string source = "summary of " + dataCentre;
         takeFigures(source, content);
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -37,13 +37,18 @@
 struct HeartbeatTarget
 {
     std::string host;
-    bool wantsSummary = false; ///< It is to answer with a summary.
+    bool wantsSummary = false;    ///< It is to answer with a summary.
+    std::uint64_t hostsKnown = 0; ///< As in Heartbeat.
 };
 
 /// The hosts as one daemon sees them.
 class Membership
 {
 public:
+    /// A host is taken to live this long after a relay's report, which comes at each of its
+    /// summaries.
+    static constexpr std::chrono::milliseconds reportLife{2500};
+
     /// \param clock outlives the membership.
     Membership(const Clock &clock, std::string host, std::string address, std::string dataCentre,
                Incarnation incarnation);
@@ -56,6 +61,18 @@
     /// Takes in a relay's whole list of live hosts of \p dataCentre, or of all where that
     /// is empty: those that it lacks are not reported to live any more.
     void reported(const std::vector<HostReport> &hosts, const std::string &dataCentre);
+    /// Takes in that a relay's list is the one that was reported last.
+    void stillReported(const std::string &dataCentre);
+    /// A hash over what hostReports() tells, whatever its order.
+    [[nodiscard]] std::uint64_t hostsHash(const std::string &dataCentre) const;
+    /// Hosts that are not able tell, and are told, at each so many heartbeats: 1 in a small
+    /// data centre, and more with its hosts, so that what a relay hears does not grow as they
+    /// do. It divides by what few hosts of it are able, who tell at each.
+    [[nodiscard]] std::uint32_t pace() const { return m_pace; }
+    /// Whether \p peer is able; see ableHosts().
+    [[nodiscard]] bool isAble(const PeerHost &peer) const { return isAble(peer.capacity); }
+    /// Whether this host is.
+    [[nodiscard]] bool isAble() const { return isAble(m_capacity); }
     /// Whether heartbeats are due; dueHeartbeats() is then to be called.
     [[nodiscard]] bool heartbeatsDue() const { return m_clock.now() >= m_nextHeartbeat; }
     /// The heartbeats to \p targets, without what they tell.
@@ -136,6 +153,8 @@
     void forgetLists() { m_lists.validUntil = TimePoint::min(); }
     void makeHeartbeatEarly();
     [[nodiscard]] TimePoint liveUntil(const PeerHost &peer) const;
+    [[nodiscard]] Duration livenessOf(const PeerHost &peer) const;
+    [[nodiscard]] bool isAble(double capacity) const;
     [[nodiscard]] bool isLive(const PeerHost &peer) const;
     [[nodiscard]] bool isReported(const PeerHost &peer) const;
 
@@ -150,6 +169,8 @@
     TimePoint m_nextHeartbeat;
     std::map<std::string, PeerHost> m_peers;
     mutable Lists m_lists;
+    mutable std::uint32_t m_pace = 1;
+    mutable double m_largestCapacity = 0; ///< Of the live hosts of the own data centre.
 };
 
 /// The host of \p hosts that normally writes \p bucket, by rendezvous hashing:
--- a/include/harelink/Kernel/peerrelay.h
+++ b/include/harelink/Kernel/peerrelay.h
@@ -49,6 +49,14 @@
     void take(const std::string &host, const Heartbeat &heartbeat);
     /// Takes in what a relay of another data centre told.
     void take(const std::string &dataCentre, const PeerSummary &summary);
+    /// Takes in that \p host sent a list of live hosts of \p dataCentre, of all where that is
+    /// empty, whose hash is \p hash.
+    void noteHostList(const std::string &host, const std::string &dataCentre, std::uint64_t hash);
+    /// Takes in that \p host tells of a list with \p hash; whether it is the one that it sent
+    /// last, and holds still.
+    bool renewHostList(const std::string &host, std::uint64_t hash);
+    /// Whether this daemon is a relay of its data centre.
+    [[nodiscard]] bool isRelay() const { return m_isRelay; }
     /// The summaries that are due with the heartbeats.
     ///
     /// \param own what this daemon tells of itself.
@@ -70,17 +78,33 @@
         std::vector<PieceBacklog> backlogs;
     };
     using ToldBySource = std::map<std::string, Told>;
+    /// One that asked for summaries.
+    struct Subscriber
+    {
+        TimePoint askedAt;
+        std::uint64_t hostsKnown = 0; ///< As in Heartbeat.
+    };
+    /// A list of hosts that was taken.
+    struct HostList
+    {
+        std::string dataCentre; ///< As in noteHostList().
+        std::uint64_t hash = 0;
+        TimePoint until; ///< Later its hosts do not count as reported any more.
+    };
 
     [[nodiscard]] std::vector<std::string> ranked(const std::string &dataCentre) const;
     [[nodiscard]] bool isSilent(const std::string &host) const;
     void noticeSilence();
     void ask(const std::string &host, std::vector<HeartbeatTarget> &targets);
+    [[nodiscard]] std::uint64_t hostsKnownOf(const std::string &host) const;
     void askElsewhere(std::vector<HeartbeatTarget> &targets);
     void introduce(std::vector<HeartbeatTarget> &targets);
     void forgetOld();
     [[nodiscard]] bool hostsChanged();
     [[nodiscard]] PeerSummary sum(const Told &own, const std::string &without, bool isLocal,
                                   bool isWhole) const;
+    [[nodiscard]] bool isSummaryDue(const std::string &host, bool isUrgent) const;
+    [[nodiscard]] Duration tellingLife() const;
     void add(const Told &told, Told &total) const;
     static void update(Told &told, const std::vector<PromptBacklog> &prompts,
                        const std::vector<PieceBacklog> &backlogs, TimePoint now);
@@ -92,13 +116,15 @@
     bool m_isRelay = false;
     std::uint32_t m_farewells = 0; ///< Heartbeats to everybody that this host leaves.
     std::uint32_t m_introductions = 0;
+    std::uint32_t m_tellings = 0; ///< Heartbeats for the second relay, sent or not.
     std::map<std::string, TimePoint> m_askedSince;
     std::map<std::string, TimePoint> m_silentUntil;
-    std::map<std::string, TimePoint> m_subscribers; ///< With when they last asked.
+    std::map<std::string, Subscriber> m_subscribers;
+    std::map<std::string, HostList> m_hostLists; ///< By the relay that sent it.
     ToldBySource m_local;                           ///< By host of the own data centre.
     ToldBySource m_elsewhere;                       ///< By data centre.
     Told m_own;
-    std::vector<std::pair<std::string, Incarnation>> m_hostsBefore;
+    std::uint64_t m_hostsBefore = 0; ///< The hash over all hosts at the last call.
     std::uint32_t m_round = 0;
 };
 
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -50,6 +50,10 @@
     bool leavingKnown = false;                 ///< The sender has learnt of them itself.
     std::vector<PieceBacklog> backlogs;        ///< Of the pools that it batches for.
     std::vector<PromptBacklog> prompts;        ///< Of the model engines that it sends to.
+    std::uint64_t configSummary = 0;           ///< As in ConfigDigest.
+    bool watches = false;                      ///< As in ConfigDigest.
+    /// Of the list of hosts that the sender last had of the receiver; 0 for none.
+    std::uint64_t hostsKnown = 0;
 };
 
 /// What a relay knows of one live host.
@@ -71,8 +75,15 @@
     std::vector<PromptBacklog> prompts;
     std::vector<std::string> leavingEndpoints;
     bool leavingKnown = false;
-    bool isWhole = false;           ///< The lists below are there, and complete.
-    std::vector<UsageReport> usage; ///< Time: spent since the last whole summary.
+    bool isWhole = false;            ///< The usage is there, and complete.
+    std::vector<UsageReport> usage;  ///< Time: spent since the last whole summary.
+    std::uint64_t configSummary = 0; ///< As in ConfigDigest.
+    bool watched = false; ///< A daemon of the sender's data centre watches the platform.
+    /// A hash over the live hosts that the sender tells of. The list itself, some 55 bytes a
+    /// host, is there only where the receiver had another one: with 300 hosts it was 94 of
+    /// 100 bytes that daemons sent each other.
+    std::uint64_t hostsHash = 0;
+    bool hasHosts = false;
     std::vector<HostReport> hosts;
 };
 
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -140,12 +140,19 @@
         to.set_leaving(from.leaving);
         to.set_capacity(static_cast<float>(from.capacity));
         to.set_wants_summary(from.wantsSummary);
+        to.set_config_summary(from.configSummary);
+        to.set_watches(from.watches);
+        to.set_hosts_known(from.hostsKnown);
         writeFigures(from, to);
     }
     void operator()(const PeerSummary &from) const
     {
         wire::PeerSummary &to = *m_message.mutable_peer_summary();
         to.set_is_whole(from.isWhole);
+        to.set_config_summary(from.configSummary);
+        to.set_watched(from.watched);
+        to.set_hosts_hash(from.hostsHash);
+        to.set_has_hosts(from.hasHosts);
         writeFigures(from, to);
         for (const HostReport &host : from.hosts) {
             wire::HostReport &item = *to.add_hosts();
@@ -273,6 +280,9 @@
     to.leaving = from.leaving();
     to.capacity = capacityOf(from.capacity());
     to.wantsSummary = from.wants_summary();
+    to.configSummary = from.config_summary();
+    to.watches = from.watches();
+    to.hostsKnown = from.hosts_known();
     readFigures(from, to);
     return to;
 }
@@ -281,6 +291,10 @@
 {
     PeerSummary to;
     to.isWhole = from.is_whole();
+    to.configSummary = from.config_summary();
+    to.watched = from.watched();
+    to.hostsHash = from.hosts_hash();
+    to.hasHosts = from.has_hosts();
     readFigures(from, to);
     for (const wire::HostReport &item : from.hosts()) {
         to.hosts.push_back({item.host(), item.data_centre(), item.address(), item.incarnation(),
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -19,8 +19,6 @@
 constexpr milliseconds heartbeatInterval{250};
 /// A host is taken to live this long after its last word.
 constexpr milliseconds livenessLimit{1000};
-/// The same after a relay's report, which comes once a second and at each change.
-constexpr milliseconds reportLife{2500};
 /// Heartbeats that are sent early keep this distance: daemons that all start at once are
 /// heard one after the other, and one heartbeat answers them all.
 constexpr milliseconds earlyHeartbeatInterval{20};
@@ -31,6 +29,13 @@
 constexpr milliseconds countedLife{10'000};
 /// A host is able to serve many others with this part of the largest one's capacity.
 constexpr double ablePart = 0.5;
+/// From so many hosts of a data centre on, those that are not able tell at each second
+/// heartbeat, and from the larger number on at each fourth: a relay hears some 100 messages a
+/// second, as many as it did with 24 hosts.
+constexpr std::size_t leastPacedHosts = 25;
+constexpr std::size_t leastSlowHosts = 97;
+constexpr std::uint32_t middlePace = 2;
+constexpr std::uint32_t slowPace = 4;
 constexpr double leastCapacity = 0.001;
 constexpr double mostCapacity = 100'000;
 
@@ -175,10 +180,35 @@
     forgetLists();
 }
 
+void Membership::stillReported(const std::string &dataCentre)
+{
+    for (auto &[name, peer] : m_peers) {
+        if (isReported(peer) && (dataCentre.empty() || peer.dataCentre == dataCentre)) {
+            peer.reportedAt = m_clock.now();
+        }
+    }
+}
+
+std::uint64_t Membership::hostsHash(const std::string &dataCentre) const
+{
+    const auto hashOf = [](const std::string &host, Incarnation incarnation, bool leaving) {
+        return hash64(host, leaving ? ~incarnation : incarnation);
+    };
+    std::uint64_t sum = hashOf(m_host, m_incarnation, m_leaving);
+    for (const auto &[name, peer] : m_peers) {
+        const bool isMeant = dataCentre.empty() || peer.dataCentre == dataCentre;
+        if (isMeant && isLive(peer) && !peer.address.empty()) {
+            sum += hashOf(name, peer.incarnation, peer.leaving);
+        }
+    }
+    return sum;
+}
+
 std::vector<PeerSend> Membership::dueHeartbeats(const std::vector<HeartbeatTarget> &targets)
 {
     m_lastHeartbeat = m_clock.now();
-    m_nextHeartbeat = m_lastHeartbeat + heartbeatInterval;
+    m_nextHeartbeat =
+        m_lastHeartbeat + heartbeatInterval * (isAble() ? 1 : static_cast<int>(m_pace));
     std::vector<PeerSend> sends;
     for (const HeartbeatTarget &target : targets) {
         Heartbeat heartbeat;
@@ -187,6 +217,7 @@
         heartbeat.leaving = m_leaving;
         heartbeat.capacity = m_capacity;
         heartbeat.wantsSummary = target.wantsSummary;
+        heartbeat.hostsKnown = target.hostsKnown;
         if (std::optional<PeerSend> send = messageTo(target.host, std::move(heartbeat))) {
             sends.push_back(*std::move(send));
         }
@@ -220,7 +251,17 @@
 {
     return isReported(peer)
            || (peer.incarnation != 0 && peer.lastHeard != TimePoint::min()
-               && m_clock.now() - peer.lastHeard <= livenessLimit);
+               && m_clock.now() - peer.lastHeard <= livenessOf(peer));
+}
+
+Duration Membership::livenessOf(const PeerHost &peer) const
+{
+    return livenessLimit * (isAble(peer) ? 1 : static_cast<int>(m_pace));
+}
+
+bool Membership::isAble(double capacity) const
+{
+    return capacity >= m_largestCapacity * ablePart;
 }
 
 bool Membership::isReported(const PeerHost &peer) const
@@ -262,6 +303,7 @@
         }
     };
     bool isAdded = m_leaving;
+    double largest = m_capacity;
     for (const auto &[name, peer] : m_peers) {
         if (!isAdded && m_host < name) {
             add(m_host, m_dataCentre);
@@ -272,6 +314,9 @@
         }
         lists.validUntil = std::min(lists.validUntil, liveUntil(peer));
         lists.livePeers.push_back(name);
+        if (peer.dataCentre == m_dataCentre) {
+            largest = std::max(largest, peer.capacity);
+        }
         if (!peer.leaving) {
             add(name, peer.dataCentre);
         }
@@ -279,6 +324,9 @@
     if (!isAdded || lists.candidates.empty()) {
         add(m_host, m_dataCentre);
     }
+    const std::size_t local = lists.localCandidates.size();
+    m_pace = local >= leastSlowHosts ? slowPace : local >= leastPacedHosts ? middlePace : 1;
+    m_largestCapacity = largest;
     m_lists = std::move(lists);
 }
 
@@ -292,7 +340,7 @@
         until = peer.reportedAt + reportLife + next;
     }
     if (peer.incarnation != 0 && peer.lastHeard != TimePoint::min()) {
-        until = std::max<TimePoint>(until, peer.lastHeard + livenessLimit + next);
+        until = std::max<TimePoint>(until, peer.lastHeard + livenessOf(peer) + next);
     }
     return until;
 }
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -20,9 +20,8 @@
 /// How long it is passed over before it is asked again.
 constexpr milliseconds silencePause{3000};
 /// What a daemon told counts for four heartbeats, as does its wish for summaries.
-constexpr milliseconds tellingLife{1000};
-/// Every so many heartbeats a summary is whole: the list of hosts is most of its bytes
-/// (some 55 a host), and who lives is told at once where it changes.
+constexpr milliseconds fastTellingLife{1000};
+/// Every so many heartbeats a summary is whole, and goes to all. Each pace divides it.
 constexpr std::uint32_t wholeRound = 4;
 /// A host that leaves says so to everybody this many times: messages may be lost.
 constexpr std::uint32_t mostFarewells = 2;
@@ -41,6 +40,11 @@
     return m_membership.peers().size() > m_mostMeshPeers;
 }
 
+Duration PeerRelay::tellingLife() const
+{
+    return fastTellingLife * static_cast<int>(m_membership.pace());
+}
+
 bool PeerRelay::isSilent(const std::string &host) const
 {
     const auto found = m_silentUntil.find(host);
@@ -59,7 +63,7 @@
             continue;
         }
         declared.push_back(name);
-        if (m_membership.heardWithin(peer, tellingLife)) {
+        if (m_membership.heardWithin(peer, tellingLife())) {
             live.push_back(name);
         }
     }
@@ -85,7 +89,8 @@
         const auto peer = m_membership.peers().find(asked.first);
         const TimePoint heard =
             peer == m_membership.peers().end() ? asked.second : peer->second.lastHeard;
-        const bool silent = now - std::max(asked.second, heard) > relaySilence;
+        const bool silent = now - std::max(asked.second, heard)
+                            > relaySilence * static_cast<int>(m_membership.pace());
         if (silent) {
             m_silentUntil[asked.first] = now + silencePause;
         }
@@ -97,7 +102,34 @@
 void PeerRelay::ask(const std::string &host, std::vector<HeartbeatTarget> &targets)
 {
     m_askedSince.try_emplace(host, m_clock.now());
-    targets.push_back({host, true});
+    targets.push_back({host, true, hostsKnownOf(host)});
+}
+
+std::uint64_t PeerRelay::hostsKnownOf(const std::string &host) const
+{
+    const auto list = m_hostLists.find(host);
+    const bool holds = list != m_hostLists.end() && m_clock.now() < list->second.until;
+    return holds ? list->second.hash : 0;
+}
+
+void PeerRelay::noteHostList(const std::string &host, const std::string &dataCentre,
+                             std::uint64_t hash)
+{
+    // It took the place of what others said of the same hosts.
+    std::erase_if(m_hostLists, [&](const auto &entry) {
+        const std::string &where = entry.second.dataCentre;
+        return dataCentre.empty() || where.empty() || where == dataCentre;
+    });
+    m_hostLists[host] = {dataCentre, hash, m_clock.now() + Membership::reportLife};
+}
+
+bool PeerRelay::renewHostList(const std::string &host, std::uint64_t hash)
+{
+    if (hash == 0 || hostsKnownOf(host) != hash) {
+        return false;
+    }
+    m_hostLists[host].until = m_clock.now() + Membership::reportLife;
+    return true;
 }
 
 /// Asks one relay of each other data centre.
@@ -117,13 +149,15 @@
 }
 
 /// Tells one declared host after another, of those that are not known to live, that this
-/// daemon does: two that each became a relay before they knew the other would not meet.
+/// daemon does, and asks what it knows: two that each became a relay before they knew the
+/// other would not meet. The one that is told knows this daemon then and does not tell it in
+/// its turn, so without the question one of them would stay alone.
 void PeerRelay::introduce(std::vector<HeartbeatTarget> &targets)
 {
     std::vector<std::string> unheard;
     for (const auto &[name, peer] : m_membership.peers()) {
         const bool isLocal = peer.dataCentre == m_membership.dataCentre();
-        if (isLocal && !peer.leaving && !m_membership.heardWithin(peer, tellingLife)) {
+        if (isLocal && !peer.leaving && !m_membership.heardWithin(peer, tellingLife())) {
             unheard.push_back(name);
         }
     }
@@ -132,7 +166,7 @@
     const std::vector<std::string> turn =
         m_introductions % 2 == 0 ? std::move(unheard) : m_membership.ableHosts(unheard);
     if (!turn.empty()) {
-        targets.push_back({turn[m_introductions / 2 % turn.size()], false});
+        targets.push_back({turn[m_introductions / 2 % turn.size()], true});
     }
 }
 
@@ -161,9 +195,13 @@
         if (host == m_membership.host()) {
             continue;
         }
+        // The second has heard of all when the first dies; until then it need not be told of
+        // each small change by those that are many.
+        const bool isTold = m_isRelay || m_membership.isAble()
+                            || ++m_tellings % (wholeRound / m_membership.pace()) == 0;
         if (host == hosts.front()) {
             ask(host, targets);
-        } else {
+        } else if (isTold) {
             targets.push_back({host, false});
         }
     }
@@ -213,7 +251,7 @@
 void PeerRelay::take(const std::string &host, const Heartbeat &heartbeat)
 {
     if (heartbeat.wantsSummary) {
-        m_subscribers[host] = m_clock.now();
+        m_subscribers[host] = {m_clock.now(), heartbeat.hostsKnown};
     }
     // A relay of another data centre tells its own figures in its summaries.
     if (heartbeat.dataCentre == m_membership.dataCentre()) {
@@ -238,24 +276,29 @@
 void PeerRelay::forgetOld()
 {
     const TimePoint now = m_clock.now();
-    const auto isOld = [now](const auto &entry) { return now - entry.second.at > tellingLife; };
+    const Duration life = tellingLife();
+    const auto isOld = [&](const auto &entry) { return now - entry.second.at > life; };
     std::erase_if(m_local, isOld);
     std::erase_if(m_elsewhere, isOld);
     std::erase_if(m_subscribers,
-                  [now](const auto &entry) { return now - entry.second > tellingLife; });
+                  [&](const auto &entry) { return now - entry.second.askedAt > life; });
 }
 
-/// Whether other hosts live than at the last call.
+/// Whether other hosts live than at the last call; one that begins to leave is another one.
 bool PeerRelay::hostsChanged()
 {
-    std::vector<std::pair<std::string, Incarnation>> hosts;
-    for (const HostReport &report : m_membership.hostReports({})) {
-        // One that begins to leave counts as another one.
-        hosts.emplace_back(report.host, report.leaving ? 0 : report.incarnation);
-    }
-    const bool changed = hosts != m_hostsBefore;
-    m_hostsBefore = std::move(hosts);
-    return changed;
+    const std::uint64_t hosts = m_membership.hostsHash({});
+    return std::exchange(m_hostsBefore, hosts) != hosts;
+}
+
+/// Whether a summary for \p host goes out with this heartbeat. Few are able or stand
+/// elsewhere; the many others get theirs at their own pace.
+bool PeerRelay::isSummaryDue(const std::string &host, bool isUrgent) const
+{
+    const auto peer = m_membership.peers().find(host);
+    const bool isFast = peer == m_membership.peers().end() || m_membership.isAble(peer->second)
+                        || !m_membership.isLocal(host);
+    return isUrgent || isFast || m_round % m_membership.pace() == 0;
 }
 
 void PeerRelay::add(const Told &told, Told &total) const
@@ -302,8 +345,6 @@
                 summary.usage.push_back({key.first, key.second, use.time, use.demand});
             }
         }
-        summary.hosts =
-            m_membership.hostReports(isLocal ? std::string() : m_membership.dataCentre());
     }
     return summary;
 }
@@ -317,11 +358,28 @@
     if (m_subscribers.empty()) {
         return sends;
     }
-    const bool isWhole = hostsChanged() || ++m_round % wholeRound == 0;
-    for (const auto &[host, askedAt] : m_subscribers) {
-        PeerSummary summary = sum(m_own, host, m_membership.isLocal(host), isWhole);
+    const bool isWhole = ++m_round % wholeRound == 0;
+    const bool isUrgent = hostsChanged() || isWhole;
+    const std::uint64_t hashOfAll = m_membership.hostsHash({});
+    const std::uint64_t hashOfLocal = m_membership.hostsHash(m_membership.dataCentre());
+    for (auto &[host, subscriber] : m_subscribers) {
+        if (!isSummaryDue(host, isUrgent)) {
+            continue;
+        }
+        const bool isLocal = m_membership.isLocal(host);
+        PeerSummary summary = sum(m_own, host, isLocal, isWhole);
         summary.leavingEndpoints = own.leavingEndpoints;
         summary.leavingKnown = own.leavingKnown;
+        summary.configSummary = own.configSummary;
+        summary.watched = own.watches;
+        summary.hostsHash = isLocal ? hashOfAll : hashOfLocal;
+        summary.hasHosts = subscriber.hostsKnown != summary.hostsHash;
+        if (summary.hasHosts) {
+            // Until it tells otherwise, or the list would go out again before it can.
+            subscriber.hostsKnown = summary.hostsHash;
+            summary.hosts =
+                m_membership.hostReports(isLocal ? std::string() : m_membership.dataCentre());
+        }
         if (std::optional<PeerSend> send = m_membership.messageTo(host, std::move(summary))) {
             sends.push_back(*std::move(send));
         }
--- a/unittests/Kernel/fleetfixture.h
+++ b/unittests/Kernel/fleetfixture.h
@@ -147,8 +147,8 @@
         constexpr std::chrono::milliseconds step{25};
         for (const TimePoint end = m_clock.now() + time; m_clock.now() < end;) {
             m_clock.advance(step);
-            for (const PeerSend &send : std::exchange(m_onTheWay, {})) {
-                deliver(send);
+            for (const OnTheWay &message : std::exchange(m_onTheWay, {})) {
+                deliver(message);
             }
             answerWatches();
             for (auto &[name, host] : m_hosts) {
@@ -203,12 +203,19 @@
         TimePoint until;
     };
 
-    void deliver(const PeerSend &send)
+    /// A message, and its bytes on the wire.
+    struct OnTheWay
     {
-        const auto to = m_hosts.find(send.host);
+        PeerSend send;
+        std::size_t bytes = 0;
+    };
+
+    void deliver(const OnTheWay &message)
+    {
+        const auto to = m_hosts.find(message.send.host);
         if (to != m_hosts.end()) {
-            m_traffic.heardBytes[send.host] += encodePeerMessage(send.message).size();
-            to->second->handle(send.message);
+            m_traffic.heardBytes[message.send.host] += message.bytes;
+            to->second->handle(message.send.message);
         }
     }
     void turn(const std::string &name, ControlMachine &host)
@@ -219,13 +226,13 @@
             take(name, call, host);
         }
         for (PeerSend &send : output.sends) {
-            count(name, send);
-            m_onTheWay.push_back(std::move(send));
+            const std::size_t bytes = encodePeerMessage(send.message).size();
+            count(name, send, bytes);
+            m_onTheWay.push_back({std::move(send), bytes});
         }
     }
-    void count(const std::string &name, const PeerSend &send)
+    void count(const std::string &name, const PeerSend &send, std::size_t size)
     {
-        const std::size_t size = encodePeerMessage(send.message).size();
         const std::string kind =
             std::visit([](const auto &content) { return kindOf(content); }, send.message.content);
         ++m_traffic.messages[name];
@@ -323,7 +330,7 @@
     ManualClock m_clock;
     std::map<std::string, ControlOptions> m_options;
     std::map<std::string, std::unique_ptr<ControlMachine>> m_hosts;
-    std::vector<PeerSend> m_onTheWay;
+    std::vector<OnTheWay> m_onTheWay;
     std::vector<Held> m_held;
     std::map<std::pair<std::string, std::string>, PlatformObject> m_objects;
     std::map<std::string, PlatformObject> m_declared; ///< Hosts, as they declared themselves.
--- a/unittests/Kernel/fleettest.cpp
+++ b/unittests/Kernel/fleettest.cpp
@@ -46,3 +46,133 @@
     LONGS_EQUAL(6, fleet.fewestPeers());
     LONGS_EQUAL(7, fleet.control("h0000").membership().candidates().size());
 }
+
+namespace {
+
+/// What one daemon of a fleet sends in a settled second, of those that are many, and of those
+/// that are able.
+struct SettledSecond
+{
+    double messagesOfMany = 0; ///< Mean.
+    double bytesOfMany = 0;
+    double bytesHeardByMany = 0;
+    std::size_t mostMessages = 0; ///< Of any, relays among them.
+    std::size_t mostLinks = 0;
+};
+
+SettledSecond settledSecond(ControlFleet &fleet)
+{
+    (void)fleet.takeTraffic();
+    constexpr int secondsPlayed = 4;
+    fleet.run(seconds(secondsPlayed));
+    FleetTraffic traffic = fleet.takeTraffic();
+    SettledSecond result;
+    double many = 0;
+    for (const std::string &host : fleet.hosts()) {
+        if (fleet.isAble(host)) {
+            continue;
+        }
+        many += 1;
+        result.messagesOfMany += traffic.messages[host];
+        result.bytesOfMany += static_cast<double>(traffic.bytes[host]);
+        result.bytesHeardByMany += static_cast<double>(traffic.heardBytes[host]);
+    }
+    result.messagesOfMany /= many * secondsPlayed;
+    result.bytesOfMany /= many * secondsPlayed;
+    result.bytesHeardByMany /= many * secondsPlayed;
+    result.mostMessages = FleetTraffic::most(traffic.messages) / secondsPlayed;
+    result.mostLinks = traffic.mostTargets();
+    return result;
+}
+
+} // namespace
+
+/// What one of the many daemons sends and hears, and how many it talks to, is the same among
+/// 100 as among 300, and what a relay does grows with its data centre's hosts at a slower pace.
+TEST(Fleet, WhatADaemonTellsDoesNotGrowWithTheHosts)
+{
+    ControlFleet hundred({.hosts = 100, .endpoints = 100});
+    hundred.startAll();
+    hundred.run(seconds(6));
+    const SettledSecond few = settledSecond(hundred);
+    ControlFleet threeHundred({.hosts = 300, .endpoints = 100});
+    threeHundred.startAll();
+    threeHundred.run(seconds(6));
+    const SettledSecond many = settledSecond(threeHundred);
+    LONGS_EQUAL(299, threeHundred.fewestPeers());
+    CHECK(many.messagesOfMany <= few.messagesOfMany);
+    CHECK(many.messagesOfMany < 5);
+    CHECK(many.bytesOfMany < few.bytesOfMany * 1.1);
+    CHECK(many.bytesHeardByMany < few.bytesHeardByMany * 1.1);
+    CHECK(many.bytesHeardByMany < 1000);
+    // Three times the hosts, two thirds of their messages each.
+    CHECK(many.mostMessages < few.mostMessages * 5 / 2);
+    // The control: all tell all.
+    ControlFleet mesh({.hosts = 100, .endpoints = 100, .mostMeshPeers = 1000});
+    mesh.startAll();
+    mesh.run(seconds(3));
+    CHECK(settledSecond(mesh).messagesOfMany > few.messagesOfMany * 20);
+}
+
+/// All end and start again, and the store is away: they know each other and the same
+/// configuration within the time that a change may take.
+TEST(Fleet, AllThatStartAtOnceMeetAndAgree)
+{
+    ControlFleet fleet({.hosts = 300, .endpoints = 100});
+    fleet.startAll();
+    fleet.run(seconds(4));
+    LONGS_EQUAL(300, fleet.upToDate());
+    LONGS_EQUAL(299, fleet.fewestPeers());
+    fleet.endAll();
+    fleet.run(seconds(1));
+    fleet.startAll();
+    (void)fleet.takeTraffic();
+    fleet.run(seconds(4));
+    const FleetTraffic start = fleet.takeTraffic();
+    LONGS_EQUAL(300, fleet.upToDate());
+    LONGS_EQUAL(299, fleet.fewestPeers());
+    // A start of all: not more than a settled daemon sends in a few times as long.
+    CHECK(FleetTraffic::total(start.messages) < 300 * 60);
+    fleet.declare("ClientAccount", "drivers", R"({"weight": 2})");
+    fleet.run(milliseconds(500));
+    LONGS_EQUAL(300, fleet.upToDate());
+}
+
+/// A relay that dies is replaced: a change is in force everywhere, and all know of all.
+TEST(Fleet, WithoutItsRelaysADataCentreGoesOn)
+{
+    ControlFleet fleet({.hosts = 150, .endpoints = 50});
+    fleet.startAll();
+    fleet.run(seconds(5));
+    for (const char *able : {"h0000", "h0005", "h0010"}) {
+        fleet.kill(able);
+    }
+    fleet.run(seconds(5));
+    LONGS_EQUAL(146, fleet.fewestPeers());
+    fleet.declare("ClientAccount", "drivers", R"({"weight": 3})");
+    fleet.run(milliseconds(2500));
+    LONGS_EQUAL(147, fleet.upToDate());
+}
+
+/// Once the store is back, not all ask it at once: a few of each data centre do.
+TEST(Fleet, AStoreThatReturnsIsNotAskedByAll)
+{
+    ControlFleet fleet({.hosts = 150, .endpoints = 50});
+    fleet.startAll();
+    fleet.run(seconds(6));
+    (void)fleet.takeTraffic();
+    fleet.setStoreAway(true);
+    fleet.run(seconds(9));
+    const FleetTraffic away = fleet.takeTraffic();
+    fleet.setStoreAway(false);
+    fleet.declare("ClientAccount", "drivers", R"({"weight": 4})");
+    fleet.run(seconds(2));
+    const FleetTraffic back = fleet.takeTraffic();
+    LONGS_EQUAL(150, fleet.upToDate());
+    const std::size_t all = 150;
+    CHECK(FleetTraffic::total(back.storeCalls) < all);
+    for (const auto &[what, hosts] : back.readers) {
+        CHECK_TEXT(hosts.size() < all / 2, what.c_str());
+    }
+    CHECK(FleetTraffic::total(away.storeCalls) < all * 10);
+}
--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -295,7 +295,7 @@
     Fleet fleet(60, 16);
     // Both able hosts of dc0 are relays to those that they know before they are listed.
     fleet.unlist({"h00", "h03"});
-    fleet.run(milliseconds(1500));
+    fleet.run(milliseconds(200));
     CHECK(!fleet.knows("h00", "h03"));
     fleet.unlist({});
     fleet.run(spreadTime + milliseconds(2000));
