[Kernel] Ask less of the store at a start and while it is away

Change: a daemon lists at once and watches 0.9 s later, if nobody else is heard of that does; no second host list where a relay tells; a declaration that stands is left. While the platform answers nobody, those who join the watchers come in groups after spans that double.

--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -81,16 +81,23 @@
            && m_clock.now() - m_watcherHeard <= configgossip::watcherSilence;
 }
 
-/// With each span in which nobody is heard of that watches, as many more do: where the
-/// platform answers none of them, more calls would not make it answer.
+/// While nobody is heard of that watches, as many more do, after spans that double: one that
+/// cannot reach the platform is soon made up for, and a platform that answers nobody is not
+/// asked by all.
 template <GuardPolicy G>
 bool BasicConfigGossip<G>::shouldWatch() const
 {
     if (m_watcherHeard == TimePoint::min()) {
         return true;
     }
-    const auto spans = (m_clock.now() - m_watcherHeard) / configgossip::watcherSilence;
-    return watcherRank() < m_watchers * (1 + static_cast<std::size_t>(spans));
+    const Duration silence = m_clock.now() - m_watcherHeard;
+    std::size_t groups = 1;
+    for (Duration end = configgossip::watcherSilence;
+         silence > end && groups * m_watchers <= watcherRank();
+         end += end + configgossip::watcherSilence) {
+        ++groups;
+    }
+    return watcherRank() < m_watchers * groups;
 }
 
 template <GuardPolicy G>
@@ -100,8 +107,7 @@
     if (m_table.entries().empty()) {
         return Duration::zero();
     }
-    return m_isRelayed ? configgossip::relayedDifferencePatience
-                       : configgossip::differencePatience;
+    return m_isRelayed ? configgossip::relayedDifferencePatience : configgossip::differencePatience;
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -128,6 +128,8 @@
     void sendHeartbeats();
     template <typename Content>
     void takeFigures(const std::string &source, const Content &content);
+    [[nodiscard]] bool mayCall(const BasicConfigWatcher<G> &watcher) const;
+    [[nodiscard]] bool isToldOfHosts() const;
     void pollHostList();
     void takeHostListResult(const PlatformResult &result);
     void takeHostList(const std::vector<PlatformObject> &hosts);
@@ -147,6 +149,7 @@
     std::uint64_t m_hostListCall = 0;
     TimePoint m_startedAt;
     TimePoint m_nextHostList;
+    bool m_hostListRead = false;
     bool m_keepsClaims;
     std::uint64_t m_ownedAtVersion = 0; ///< Of the lists of hosts that buckets were owned by.
     std::string m_hostKind;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -33,6 +33,10 @@
 inline constexpr std::chrono::milliseconds relayedHostListInterval{60'000};
 /// The same after a failure, and while not a single peer is known.
 inline constexpr std::chrono::milliseconds firstHostListInterval{500};
+/// How long a daemon that starts waits to hear of those that watch: a relay answers its
+/// first heartbeat within 250 ms, and the host list is read before. Of 300 that started
+/// together each made two watches that nobody needed.
+inline constexpr std::chrono::milliseconds acquaintance{900};
 /// Between two attempts to declare oneself.
 inline constexpr std::chrono::milliseconds announceInterval{300};
 /// How long a start waits at most to learn which endpoints are leaving.
@@ -107,8 +111,11 @@
         return false;
     }
     m_announceCall = 0;
-    m_announced = result.outcome == PlatformOutcome::Ok;
-    if (result.outcome == PlatformOutcome::Conflict) {
+    const bool isConflict = result.outcome == PlatformOutcome::Conflict;
+    // A host that starts again stands there already, as it was: one call less for each.
+    m_announced = result.outcome == PlatformOutcome::Ok
+                  || (isConflict && m_membership.isDeclaredBy(result.value));
+    if (isConflict) {
         m_announcedOver = result.version;
         return true;
     }
@@ -171,7 +178,7 @@
 {
     for (BasicConfigWatcher<G> &watcher : m_watchers) {
         m_configPending = watcher.applyHeld() || m_configPending;
-        if (m_gossip.shouldWatch()) {
+        if (mayCall(watcher)) {
             watcher.tick(m_output.calls, m_nextCallId);
         }
     }
@@ -225,18 +232,39 @@
     }
 }
 
+/// Whether \p watcher is to go on. One that has just started lists at once, and watches only
+/// where no other does; what changes meanwhile its first watch brings.
+template <GuardPolicy G>
+bool BasicControlMachine<G>::mayCall(const BasicConfigWatcher<G> &watcher) const
+{
+    const bool isNew = m_clock.now() < m_startedAt + controlmachine::acquaintance;
+    return m_gossip.shouldWatch() && !(isNew && watcher.synced());
+}
+
 template <GuardPolicy G>
 bool BasicControlMachine<G>::heartbeatsDue() const
 {
     return m_membership.heartbeatsDue();
 }
 
+/// Whether a relay tells this daemon of all that live, so that it needs no list.
+template <GuardPolicy G>
+bool BasicControlMachine<G>::isToldOfHosts() const
+{
+    return !m_hostKind.empty() && m_relay.isRelayed() && !m_relay.isRelay()
+           && !m_membership.livePeers().empty();
+}
+
 template <GuardPolicy G>
 void BasicControlMachine<G>::pollHostList()
 {
     if (m_hostListCall != 0 || m_clock.now() < m_nextHostList) {
         return;
     }
+    if (m_hostListRead && isToldOfHosts()) {
+        m_nextHostList = m_clock.now() + controlmachine::relayedHostListInterval;
+        return;
+    }
     m_hostListCall = m_nextCallId++;
     PlatformCall call;
     call.id = m_hostListCall;
@@ -249,7 +277,10 @@
 {
     TimePoint watch = TimePoint::max();
     for (const BasicConfigWatcher<G> &watcher : m_watchers) {
-        watch = m_gossip.shouldWatch() ? std::min(watch, watcher.nextTick()) : watch;
+        watch = mayCall(watcher) ? std::min(watch, watcher.nextTick()) : watch;
+    }
+    if (m_clock.now() < m_startedAt + controlmachine::acquaintance) {
+        watch = std::min<TimePoint>(watch, m_startedAt + controlmachine::acquaintance);
     }
     if (!m_hostKind.empty() && !m_announced && m_announceCall == 0) {
         watch = std::min(watch, m_nextAnnounce);
@@ -291,6 +322,7 @@
     m_hostListCall = 0;
     const bool listed = result.outcome == PlatformOutcome::Ok;
     if (listed) {
+        m_hostListRead = true;
         takeHostList(result.objects);
     }
     const TimePoint now = m_clock.now();
@@ -303,9 +335,8 @@
     if (!listed || m_membership.peers().empty()) {
         interval = controlmachine::firstHostListInterval;
     } else if (settled) {
-        const bool isTold = m_relay.isRelayed() && !m_relay.isRelay();
-        interval = isTold ? controlmachine::relayedHostListInterval
-                          : controlmachine::settledHostListInterval;
+        interval = isToldOfHosts() ? controlmachine::relayedHostListInterval
+                                   : controlmachine::settledHostListInterval;
     }
     m_nextHostList = now + interval;
 }
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -79,6 +79,9 @@
     std::vector<PeerSend> dueHeartbeats(const std::vector<HeartbeatTarget> &targets);
     /// What takeHostList() of a peer reads, for this host.
     [[nodiscard]] std::string ownDeclaration() const;
+    /// Whether \p declaration says of this host what ownDeclaration() would, but for which
+    /// start of it declared it.
+    [[nodiscard]] bool isDeclaredBy(const std::string &declaration) const;
     /// Where this daemon listens for peers.
     void setAddress(const std::string &address) { m_address = address; }
     /// The capacity of this host, in cores of a processor.
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -112,6 +112,14 @@
     return value.dump();
 }
 
+bool Membership::isDeclaredBy(const std::string &declaration) const
+{
+    const std::optional<HostDeclaration> stands = readDeclaration(declaration);
+    const std::optional<HostDeclaration> own = readDeclaration(ownDeclaration());
+    return stands && own && stands->address == own->address && stands->dataCentre == own->dataCentre
+           && stands->capacity == own->capacity;
+}
+
 void Membership::heard(const PeerMessage &message)
 {
     if (message.host == m_host || message.host.empty()) {
--- a/unittests/Kernel/fleetfixture.h
+++ b/unittests/Kernel/fleetfixture.h
@@ -315,7 +315,7 @@
                 result.objects.push_back(object);
             }
         } else if (call.operation == PlatformOperation::Put) {
-            m_declared[name] = {call.kind, name, ++m_hostRevision, false, call.value};
+            return declareHost(name, call);
         } else {
             PlatformCall all = call;
             all.since = call.operation == PlatformOperation::List ? 0 : call.since;
@@ -326,6 +326,21 @@
         return result;
     }
 
+    PlatformResult declareHost(const std::string &name, const PlatformCall &call)
+    {
+        PlatformObject &object = m_declared[name];
+        PlatformResult result;
+        result.id = call.id;
+        result.outcome = PlatformOutcome::Conflict;
+        if (object.version == call.ifVersion) {
+            object = {call.kind, name, ++m_hostRevision, false, call.value};
+            result.outcome = PlatformOutcome::Ok;
+        }
+        result.version = object.version;
+        result.value = object.value;
+        return result;
+    }
+
     Layout m_layout;
     ManualClock m_clock;
     std::map<std::string, ControlOptions> m_options;
--- a/unittests/Kernel/fleettest.cpp
+++ b/unittests/Kernel/fleettest.cpp
@@ -176,3 +176,21 @@
     }
     CHECK(FleetTraffic::total(away.storeCalls) < all * 10);
 }
+
+/// What each of those that start together asks of the store: to be declared, for the hosts,
+/// and for what is declared. Few watch.
+TEST(Fleet, AStartOfAllAsksLittleOfTheStore)
+{
+    ControlFleet fleet({.hosts = 150, .endpoints = 50});
+    const std::size_t all = 150;
+    for (int start = 0; start < 2; ++start) {
+        fleet.startAll();
+        fleet.run(seconds(5));
+        const FleetTraffic traffic = fleet.takeTraffic();
+        LONGS_EQUAL(all, fleet.upToDate());
+        LONGS_EQUAL(all - 1, fleet.fewestPeers());
+        LONGS_EQUAL(all, traffic.storeCalls.at("put hosts"));
+        CHECK(FleetTraffic::total(traffic.storeCalls) < all * 4);
+        fleet.endAll();
+    }
+}
