[Kernel] Take an endpoint whose call is overdue for busy

Change: what is overdue by some time is expected to take that long again. The new test fails without the change.

--- a/lib/Kernel/piececalls.cpp
+++ b/lib/Kernel/piececalls.cpp
@@ -47,9 +47,13 @@
     if (maker.flights.size() >= mostFlights) {
         return std::max(now, maker.flights.back().expectedEnd);
     }
-    const TimePoint free =
-        maker.flights.empty() ? now : TimePoint(maker.flights.back().expectedEnd - lead);
-    return std::max({now, free, maker.blockedUntil});
+    if (maker.flights.empty()) {
+        return std::max(now, maker.blockedUntil);
+    }
+    // What has taken so much longer than it should is expected to take that long again.
+    const Duration overdue = now - maker.flights.front().expectedEnd;
+    const TimePoint last = std::max<TimePoint>(maker.flights.back().expectedEnd, now + overdue);
+    return std::max({now, TimePoint(last - lead), maker.blockedUntil});
 }
 
 void PieceBatcher::pump(const std::string &poolName, Line &line, const Snapshot &snapshot)
--- a/unittests/Kernel/piecebatchertest.cpp
+++ b/unittests/Kernel/piecebatchertest.cpp
@@ -456,3 +456,34 @@
     LONGS_EQUAL(1, freed.size());
     STRCMP_EQUAL("handle-caller-3", freed[0].c_str());
 }
+
+/// A call that takes longer than it should may never be answered, or its endpoint is slow: the
+/// next pieces go where calls end.
+TEST(PieceBatcher, AnEndpointWhoseCallIsOverdueIsNotTakenForFree)
+{
+    Bench bench(4, 2);
+    bench.order(1);
+    bench.order(2);
+    LONGS_EQUAL(2, bench.calls.size());
+    const PieceCall overdue = bench.calls[0];
+    CHECK(overdue.endpoint != bench.calls[1].endpoint);
+    // 160 ms each; the first goes on.
+    bench.advance(milliseconds(200));
+    bench.answer(bench.calls[1]);
+    bench.order(3);
+    LONGS_EQUAL(3, bench.calls.size());
+    CHECK(bench.calls[2].endpoint != overdue.endpoint);
+    bench.advance(milliseconds(100));
+    // Now only the overdue one has no call behind its first.
+    bench.order(4);
+    LONGS_EQUAL(3, bench.calls.size());
+    bench.advance(milliseconds(100));
+    bench.answer(bench.calls[2]);
+    LONGS_EQUAL(4, bench.calls.size());
+    CHECK(bench.calls[3].endpoint != overdue.endpoint);
+    // Once it answers it is called as before.
+    bench.answer(overdue);
+    bench.order(5);
+    LONGS_EQUAL(5, bench.calls.size());
+    STRCMP_EQUAL(overdue.endpoint.c_str(), bench.calls[4].endpoint.c_str());
+}
