[Kernel] Rank hosts for what few do for many in one place

Cause: relays and watchers were ranked alike (able first, then by hash) by two pieces of code. Change: Membership::ranked(). A daemon that leaves keeps the place among watchers that it had. Measured: 263 unit tests pass, as before.

--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -9,12 +9,8 @@
 #define HARELINK_KERNEL_CONFIGGOSSIPIMPL_H
 
 #include "harelink/Kernel/configgossip.h"
-#include "harelink/Support/hash.h"
 
 #include <algorithm>
-#include <set>
-
-#include <fmt/format.h>
 
 namespace harelink {
 
@@ -63,15 +59,14 @@
 template <GuardPolicy G>
 std::size_t BasicConfigGossip<G>::findWatcherRank() const
 {
-    const std::vector<std::string> &hosts = m_membership.localCandidates();
-    const std::vector<std::string> able = m_membership.ableHosts(hosts);
-    const std::set<std::string> first(able.begin(), able.end());
-    const auto rank = [&first](const std::string &host) {
-        return std::pair(first.contains(host), hash64("watch/" + host));
-    };
-    const auto own = rank(m_membership.host());
-    return static_cast<std::size_t>(std::count_if(
-        hosts.begin(), hosts.end(), [&](const std::string &host) { return rank(host) > own; }));
+    std::vector<std::string> hosts = m_membership.localCandidates();
+    const std::string &self = m_membership.host();
+    // One that leaves is not among them, and watches on in its place.
+    if (!std::binary_search(hosts.begin(), hosts.end(), self)) {
+        hosts.push_back(self);
+    }
+    const std::vector<std::string> ranked = m_membership.ranked(std::move(hosts), "watch");
+    return static_cast<std::size_t>(std::find(ranked.begin(), ranked.end(), self) - ranked.begin());
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -214,6 +214,7 @@
     own.backlogs = m_backlogs;
     own.prompts = m_prompts;
     own.configSummary = m_config.summary();
+    // A heartbeat tells whether this daemon watches, a relay's summary whether anybody does.
     own.watches = m_gossip.isWatched();
     const bool watches = m_gossip.watchesConnected();
     for (PeerSend &send : m_membership.dueHeartbeats(m_relay.targets())) {
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -125,6 +125,10 @@
     /// Of \p hosts those that have at least half of the capacity of the largest: what is
     /// done for many others is done there.
     [[nodiscard]] std::vector<std::string> ableHosts(const std::vector<std::string> &hosts) const;
+    /// \p hosts in the order in which they are chosen for \p purpose, which few do for many:
+    /// able ones first, then by a hash of both, the same at every daemon.
+    [[nodiscard]] std::vector<std::string> ranked(std::vector<std::string> hosts,
+                                                  const std::string &purpose) const;
     /// How many hosts were heard of lately, this one among them; rises at once, falls late.
     [[nodiscard]] int countedHosts() const;
     /// What this daemon knows of live hosts, itself among them.
--- a/include/harelink/Kernel/peerrelay.h
+++ b/include/harelink/Kernel/peerrelay.h
@@ -121,8 +121,8 @@
     std::map<std::string, TimePoint> m_silentUntil;
     std::map<std::string, Subscriber> m_subscribers;
     std::map<std::string, HostList> m_hostLists; ///< By the relay that sent it.
-    ToldBySource m_local;                           ///< By host of the own data centre.
-    ToldBySource m_elsewhere;                       ///< By data centre.
+    ToldBySource m_local;                        ///< By host of the own data centre.
+    ToldBySource m_elsewhere;                    ///< By data centre.
     Told m_own;
     std::uint64_t m_hostsBefore = 0; ///< The hash over all hosts at the last call.
     std::uint32_t m_round = 0;
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -78,7 +78,7 @@
     bool isWhole = false;            ///< The usage is there, and complete.
     std::vector<UsageReport> usage;  ///< Time: spent since the last whole summary.
     std::uint64_t configSummary = 0; ///< As in ConfigDigest.
-    bool watched = false; ///< A daemon of the sender's data centre watches the platform.
+    bool watched = false;            ///< A daemon of the sender's data centre watches the platform.
     /// A hash over the live hosts that the sender tells of. The list itself, some 55 bytes a
     /// host, is there only where the receiver had another one: with 300 hosts it was 94 of
     /// 100 bytes that daemons sent each other.
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -431,6 +431,19 @@
     return able;
 }
 
+std::vector<std::string> Membership::ranked(std::vector<std::string> hosts,
+                                            const std::string &purpose) const
+{
+    const std::vector<std::string> able = ableHosts(hosts);
+    const std::set<std::string> first(able.begin(), able.end());
+    const auto rank = [&](const std::string &host) {
+        return std::pair(first.contains(host), hash64(purpose + "/" + host));
+    };
+    std::sort(hosts.begin(), hosts.end(),
+              [&rank](const std::string &a, const std::string &b) { return rank(a) > rank(b); });
+    return hosts;
+}
+
 int Membership::countedHosts() const
 {
     const TimePoint now = m_clock.now();
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -2,8 +2,6 @@
 
 #include "harelink/Kernel/peerrelay.h"
 
-#include "harelink/Support/hash.h"
-
 #include <algorithm>
 #include <set>
 
@@ -71,14 +69,7 @@
     if (dataCentre == m_membership.dataCentre() && !m_membership.leaving()) {
         hosts.push_back(m_membership.host());
     }
-    const std::vector<std::string> able = m_membership.ableHosts(hosts);
-    const std::set<std::string> first(able.begin(), able.end());
-    const auto rank = [&first](const std::string &host) {
-        return std::pair(first.contains(host), hash64("relay/" + host));
-    };
-    std::sort(hosts.begin(), hosts.end(),
-              [&rank](const std::string &a, const std::string &b) { return rank(a) > rank(b); });
-    return hosts;
+    return m_membership.ranked(std::move(hosts), "relay");
 }
 
 /// Passes over those that were asked and did not answer.
