--- a/utils/bench/fleet.cpp
+++ b/utils/bench/fleet.cpp
@@ -73,7 +73,9 @@
                         .able = FLAGS_able,
                         .endpoints = FLAGS_endpoints});
     fleet.startAll();
-    play(fleet, "start", milliseconds(4000));
+    for (int i = 0; i < 8; ++i) {
+        play(fleet, "start", milliseconds(500));
+    }
     play(fleet, "settled", milliseconds(5000));
     fleet.declare("ClientAccount", "drivers", R"({"weight": 2})");
     play(fleet, "a change", milliseconds(1000));
