--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -83,12 +83,14 @@
     [[nodiscard]] const std::map<Key, ConfigEntry> &entries() const { return m_entries; }
     /// The news that were taken in since the last call, for passing on.
     [[nodiscard]] std::vector<PlatformObject> takeNews() { return std::exchange(m_news, {}); }
-    /// A hash over the versions seen, the same for the same versions.
-    [[nodiscard]] std::uint64_t summary() const;
+    /// A hash over the versions seen, the same for the same versions. It is asked for at each
+    /// heartbeat that a relay hears, so it is kept and not made from all entries.
+    [[nodiscard]] std::uint64_t summary() const { return m_summary; }
     /// How often older news came in and was dropped.
     [[nodiscard]] std::uint64_t droppedNews() const { return m_droppedNews; }
 
 private:
+    [[nodiscard]] static std::uint64_t hashOf(const Key &key, Version seen);
     bool applyDeletion(ConfigEntry &entry);
     bool applyFault(const PlatformObject &news, ConfigEntry &entry, std::string fault,
                     const std::string &faultBefore);
@@ -101,6 +103,7 @@
     std::vector<PlatformObject> m_news;
     std::vector<std::string> m_ended;
     std::vector<ConfigFault> m_faults;
+    std::uint64_t m_summary = 0; ///< The sum over entries, so their order does not matter.
     std::uint64_t m_droppedNews = 0;
     std::uint64_t m_unreadable = 0;
 };
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -50,11 +50,17 @@
 template <GuardPolicy G>
 bool BasicConfigTable<G>::apply(const PlatformObject &news)
 {
-    ConfigEntry &entry = m_entries[{news.kind, news.name}];
+    const Key key(news.kind, news.name);
+    const auto [found, isNew] = m_entries.try_emplace(key);
+    ConfigEntry &entry = found->second;
+    if (isNew) {
+        m_summary += hashOf(key, entry.seen);
+    }
     if (G::dropsOlderNews && news.version <= entry.seen) {
         m_droppedNews += news.version < entry.seen ? 1 : 0;
         return false;
     }
+    m_summary += hashOf(key, news.version) - hashOf(key, entry.seen);
     entry.seen = news.version;
     entry.deleted = news.deleted;
     entry.value = news.value;
@@ -184,14 +190,9 @@
 }
 
 template <GuardPolicy G>
-std::uint64_t BasicConfigTable<G>::summary() const
+std::uint64_t BasicConfigTable<G>::hashOf(const Key &key, Version seen)
 {
-    std::uint64_t sum = 0;
-    for (const auto &[key, entry] : m_entries) {
-        // A sum, so that the order of the entries does not matter.
-        sum += hash64(fmt::format("{}/{}", key.first, key.second), entry.seen);
-    }
-    return sum;
+    return hash64(fmt::format("{}/{}", key.first, key.second), seen);
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/peerrelay.h
+++ b/include/harelink/Kernel/peerrelay.h
@@ -100,7 +100,6 @@
     void askElsewhere(std::vector<HeartbeatTarget> &targets);
     void introduce(std::vector<HeartbeatTarget> &targets);
     void forgetOld();
-    [[nodiscard]] bool hostsChanged();
     [[nodiscard]] PeerSummary sum(const Told &own, const std::string &without, bool isLocal,
                                   bool isWhole) const;
     [[nodiscard]] bool isSummaryDue(const std::string &host, bool isUrgent) const;
@@ -124,7 +123,7 @@
     ToldBySource m_local;                        ///< By host of the own data centre.
     ToldBySource m_elsewhere;                    ///< By data centre.
     Told m_own;
-    std::uint64_t m_hostsBefore = 0; ///< The hash over all hosts at the last call.
+    std::uint64_t m_hostsBefore = 0; ///< The hash over all hosts at the last summaries.
     std::uint32_t m_round = 0;
 };
 
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -41,6 +41,21 @@
 constexpr double leastCapacity = 0.001;
 constexpr double mostCapacity = 100'000;
 
+/// Membership::pace() of a data centre with so many hosts.
+std::uint32_t paceAmong(std::size_t hosts)
+{
+    if (hosts >= leastSlowHosts) {
+        return slowPace;
+    }
+    return hosts >= leastPacedHosts ? middlePace : 1;
+}
+
+/// Whether what stands at \p where is meant by \p dataCentre; an empty one means all.
+bool isWithin(const std::string &where, const std::string &dataCentre)
+{
+    return dataCentre.empty() || where == dataCentre;
+}
+
 /// What a host declared of itself.
 struct HostDeclaration
 {
@@ -159,16 +174,13 @@
 
 void Membership::reported(const std::vector<HostReport> &hosts, const std::string &dataCentre)
 {
-    const auto isMeant = [&dataCentre](const std::string &where) {
-        return dataCentre.empty() || where == dataCentre;
-    };
     for (auto &[name, peer] : m_peers) {
-        if (isMeant(peer.dataCentre)) {
+        if (isWithin(peer.dataCentre, dataCentre)) {
             peer.reportedAt = TimePoint::min();
         }
     }
     for (const HostReport &report : hosts) {
-        if (report.host == m_host || !isMeant(report.dataCentre)) {
+        if (report.host == m_host || !isWithin(report.dataCentre, dataCentre)) {
             continue;
         }
         PeerHost &peer = m_peers[report.host];
@@ -195,7 +207,7 @@
 void Membership::stillReported(const std::string &dataCentre)
 {
     for (auto &[name, peer] : m_peers) {
-        if (isReported(peer) && (dataCentre.empty() || peer.dataCentre == dataCentre)) {
+        if (isReported(peer) && isWithin(peer.dataCentre, dataCentre)) {
             peer.reportedAt = m_clock.now();
         }
     }
@@ -208,7 +220,7 @@
     };
     std::uint64_t sum = hashOf(m_host, m_incarnation, m_leaving);
     for (const auto &[name, peer] : m_peers) {
-        const bool isMeant = dataCentre.empty() || peer.dataCentre == dataCentre;
+        const bool isMeant = isWithin(peer.dataCentre, dataCentre);
         if (isMeant && isLive(peer) && !peer.address.empty()) {
             sum += hashOf(name, peer.incarnation, peer.leaving);
         }
@@ -337,7 +349,7 @@
         add(m_host, m_dataCentre);
     }
     const std::size_t local = lists.localCandidates.size();
-    m_pace = local >= leastSlowHosts ? slowPace : local >= leastPacedHosts ? middlePace : 1;
+    m_pace = paceAmong(local);
     m_largestCapacity = largest;
     m_lists = std::move(lists);
 }
@@ -363,12 +375,12 @@
 {
     std::vector<std::string> hosts;
     for (const auto &[name, peer] : m_peers) {
-        const bool stands = dataCentre.empty() || peer.dataCentre == dataCentre;
+        const bool stands = isWithin(peer.dataCentre, dataCentre);
         if (stands && !peer.leaving && !peer.address.empty() && stays(peer)) {
             hosts.push_back(name);
         }
     }
-    if (!m_leaving && (dataCentre.empty() || m_dataCentre == dataCentre)) {
+    if (!m_leaving && isWithin(m_dataCentre, dataCentre)) {
         hosts.push_back(m_host);
     }
     return hosts;
@@ -459,7 +471,7 @@
 {
     std::vector<HostReport> reports;
     for (const auto &[name, peer] : m_peers) {
-        const bool isMeant = dataCentre.empty() || peer.dataCentre == dataCentre;
+        const bool isMeant = isWithin(peer.dataCentre, dataCentre);
         if (isMeant && isLive(peer) && !peer.address.empty()) {
             reports.push_back({name, peer.dataCentre, peer.address, peer.incarnation, peer.leaving,
                                peer.capacity});
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -275,13 +275,6 @@
                   [&](const auto &entry) { return now - entry.second.askedAt > life; });
 }
 
-/// Whether other hosts live than at the last call; one that begins to leave is another one.
-bool PeerRelay::hostsChanged()
-{
-    const std::uint64_t hosts = m_membership.hostsHash({});
-    return std::exchange(m_hostsBefore, hosts) != hosts;
-}
-
 /// Whether a summary for \p host goes out with this heartbeat. Few are able or stand
 /// elsewhere; the many others get theirs at their own pace.
 bool PeerRelay::isSummaryDue(const std::string &host, bool isUrgent) const
@@ -350,8 +343,10 @@
         return sends;
     }
     const bool isWhole = ++m_round % wholeRound == 0;
-    const bool isUrgent = hostsChanged() || isWhole;
+    // One that begins to leave is another one.
     const std::uint64_t hashOfAll = m_membership.hostsHash({});
+    const bool hostsChanged = std::exchange(m_hostsBefore, hashOfAll) != hashOfAll;
+    const bool isUrgent = hostsChanged || isWhole;
     const std::uint64_t hashOfLocal = m_membership.hostsHash(m_membership.dataCentre());
     for (auto &[host, subscriber] : m_subscribers) {
         if (!isSummaryDue(host, isUrgent)) {
--- a/unittests/Kernel/configtabletest.cpp
+++ b/unittests/Kernel/configtabletest.cpp
@@ -90,3 +90,22 @@
     CHECK(table.apply(account(7, 4)));
     CHECK(table.entries().begin()->second.fault.empty());
 }
+
+/// The hash is kept as news come in: the way there and older news leave no trace in it.
+TEST(ConfigTable, TheSameVersionsHaveTheSameHashWhateverCameBefore)
+{
+    PlatformObject other = account(6, 1);
+    other.name = "clerks";
+    ConfigTable table;
+    CHECK_EQUAL(0u, table.summary());
+    table.apply(account(3, 1));
+    table.apply(other);
+    table.apply(account(5, 2));
+    table.apply(account(4, 9));
+    ConfigTable direct;
+    direct.apply(other);
+    direct.apply(account(5, 2));
+    CHECK(table.summary() == direct.summary());
+    direct.apply(account(7, 2));
+    CHECK(table.summary() != direct.summary());
+}
