[Kernel] Tell calls that broke, and requests with the same content

Change: a digest over method, host, target, account and body; a line and a counter for each call whose connection ended in the middle.

--- a/include/harelink/Adapters/httpclient.h
+++ b/include/harelink/Adapters/httpclient.h
@@ -40,9 +40,10 @@
 /// How a call ended.
 struct HttpResult
 {
-    int status = 0;    ///< 0 where no whole answer came.
-    bool sent = false; ///< Whether any byte of the request may have left.
-    std::string error; ///< Where status is 0.
+    int status = 0;        ///< 0 where no whole answer came.
+    bool sent = false;     ///< Whether any byte of the request may have left.
+    bool isBroken = false; ///< The connection ended before the answer did.
+    std::string error;     ///< Where status is 0.
     std::string body;
     std::map<std::string, std::string> headers; ///< Names in lower case; the last of each.
     /// All header fields in order, names as sent.
--- a/include/harelink/Adapters/stageprotocol.h
+++ b/include/harelink/Adapters/stageprotocol.h
@@ -51,6 +51,10 @@
 /// That \p stage failed, with what is known of whether its endpoint saw it.
 [[nodiscard]] StageFailed stageFailure(const SendStage &stage, SendEvidence evidence,
                                        std::string_view message);
+/// The same where \p result brought no whole answer.
+[[nodiscard]] StageFailed callFailure(const SendStage &stage, const HttpResult &result);
+/// That the answer to \p stage ended before its last event.
+[[nodiscard]] StageFailed cutAnswer(const SendStage &stage, std::string_view message);
 /// The HTTP call that carries \p stage.
 [[nodiscard]] HttpCall encodeStage(const StageProtocol &protocol, const SendStage &stage);
 
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -109,6 +109,7 @@
     void perform(FreeResults action);
     void perform(const StreamEvents &action);
     void perform(const EndpointReplaced &action);
+    static void perform(const CallBroken &action);
     void carry(const SendStage &action);
     void answerCarried(const Caller &caller, const AnswerCaller &action);
     void forget(std::uint64_t sequence);
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -165,6 +165,9 @@
             noteFailure(*pool, *endpoint, event.evidence, m_clock.now());
         }
     }
+    if (event.isBroken) {
+        noteBroken(*request);
+    }
     if (event.evidence == SendEvidence::Sent) {
         request->sentUnsettled = true;
         ++request->mayHaveRun;
@@ -187,6 +190,22 @@
     dispatch(poolName, snapshot);
 }
 
+template <GuardPolicy G>
+void BasicRequestMachine<G>::noteBroken(const Request &request)
+{
+    ++m_counters.brokenCalls;
+    CallBroken action;
+    action.call = request.call();
+    action.callerId = request.carried ? request.carried->callerId : std::string();
+    action.digest = request.digest;
+    action.pool = request.stageSpec().pool;
+    action.endpoint = request.endpoint;
+    action.sentAt = request.sentAt;
+    action.brokeAt = m_clock.now();
+    action.events = request.tokens;
+    m_actions.emplace_back(std::move(action));
+}
+
 /// Settles the calls to an endpoint whose life is over, as for one that broke off: it knows
 /// nothing of them any more, and nothing says how far it came.
 template <GuardPolicy G>
@@ -208,6 +227,7 @@
         failure.call = call;
         failure.status = makeError(absl::StatusCode::kUnavailable, "carrying", event.endpoint,
                                    "the endpoint has started again");
+        failure.isBroken = true;
         handle(failure, snapshot);
     }
 }
@@ -295,6 +315,7 @@
     dropPieces(request);
     m_lateRequests -= request.isLate ? 1 : 0;
     action.id = request.id;
+    action.digest = request.digest;
     action.account = request.account;
     action.pipeline = request.pipeline.name;
     action.elapsed = m_clock.now() - request.arrivedAt;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -18,6 +18,7 @@
 #include "harelink/Kernel/patiencemodel.h"
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/pooldemand.h"
+#include "harelink/Kernel/requestdigest.h"
 #include "harelink/Kernel/retrybudget.h"
 #include "harelink/Kernel/routing.h"
 #include "harelink/Kernel/slotshares.h"
@@ -105,6 +106,7 @@
     std::optional<CarriedAnswer> carried;
     bool isOtherEndpoint = false; ///< Another endpoint has taken over the address.
     bool inputsGone = false;      ///< Results that the request names are no longer kept.
+    bool isBroken = false;        ///< The connection ended in the middle of the call.
 };
 
 /// Event: an endpoint's life is over, though it may go on under another name.
@@ -194,10 +196,25 @@
     CallId call;
 };
 
+/// Action: take note of a call whose connection ended in the middle, as that of an endpoint
+/// does that ends.
+struct CallBroken
+{
+    CallId call;
+    std::string callerId; ///< Of a carried request.
+    Hash128 digest;       ///< As digestOf() gives it.
+    std::string pool;
+    std::string endpoint;
+    TimePoint sentAt;
+    TimePoint brokeAt;
+    std::uint64_t events = 0; ///< Of its request that were passed on before.
+};
+
 /// Action: answer the caller. Comes exactly once for each RequestArrived.
 struct AnswerCaller
 {
     RequestId id;
+    Hash128 digest; ///< As digestOf() gives it; zero where it was refused unread.
     std::string account;
     std::string pipeline;
     Outcome outcome = Outcome::Unknown;
@@ -222,9 +239,9 @@
 };
 
 /// What a machine wants done.
-using RequestAction =
-    std::variant<SendStage, CancelStage, StreamPiece, AnswerCaller, ClaimRequest, ClaimFinish,
-                 OrderPieces, WithdrawPieces, FreeResults, StreamEvents, EndpointReplaced>;
+using RequestAction = std::variant<SendStage, CancelStage, StreamPiece, AnswerCaller, ClaimRequest,
+                                   ClaimFinish, OrderPieces, WithdrawPieces, FreeResults,
+                                   StreamEvents, EndpointReplaced, CallBroken>;
 
 /// Counts of what a machine did.
 struct RequestCounters
@@ -234,6 +251,7 @@
     std::uint64_t staleAnswers = 0;      ///< For an attempt that is no longer current.
     std::uint64_t mismatchedAnswers = 0; ///< That carry another call's identity.
     std::uint64_t lateGrants = 0;        ///< For a request already given up on.
+    std::uint64_t brokenCalls = 0;       ///< Whose connection ended in the middle.
     std::uint64_t resumedStreams = 0;    ///< Sent on behind what a broken stream had brought.
     std::array<std::uint64_t, reasonCount> reasons{};
 };
@@ -330,6 +348,7 @@
     static std::shared_ptr<AccountLoad> accountLoad(const Request &request,
                                                     const Snapshot &snapshot);
     void charge(const Request &request, Duration amount, const Snapshot &snapshot);
+    void noteBroken(const Request &request);
     void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
     void complete(Request &request);
     void retryOrFail(Request &request, const StageFailed &event, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -166,6 +166,7 @@
     auto owned = std::make_unique<Request>();
     Request &request = *owned;
     request.id = event.id;
+    request.digest = digestOf(event, event.account);
     request.pipeline = *snapshot.pipeline(event.pipeline);
     request.account = std::move(event.account);
     request.body = std::move(event.body);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -103,6 +103,7 @@
 
     RequestId id;
     std::string account;
+    Hash128 digest; ///< As digestOf() gives it.
     PipelineSpec pipeline;
     std::string body;
     std::string idempotencyKey;
--- a/lib/Adapters/dialect.cpp
+++ b/lib/Adapters/dialect.cpp
@@ -51,14 +51,13 @@
         return m_dialect.decode(m_stage, result);
     }
     if (result.status == 0) {
-        return stageFailure(m_stage, SendEvidence::Sent, result.error);
+        return callFailure(m_stage, result);
     }
     if (!m_rest.empty()) {
-        return stageFailure(m_stage, SendEvidence::Sent, "the stream ended within an event");
+        return cutAnswer(m_stage, "the stream ended within an event");
     }
     if (!isFramed(result)) {
-        return stageFailure(m_stage, SendEvidence::Sent,
-                            "the end of the stream cannot be told from a break");
+        return cutAnswer(m_stage, "the end of the stream cannot be told from a break");
     }
     return m_dialect.decode(m_stage, result);
 }
--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <cerrno>
 #include <charconv>
 #include <mutex>
 #include <utility>
@@ -98,6 +99,19 @@
     });
 }
 
+/// Whether \p code says that the other side ended a connection that stood; a path that
+/// went silent is given up with the same code, but another error of the system.
+bool endedByPeer(CURL *easy, CURLcode code)
+{
+    if (code == CURLE_GOT_NOTHING || code == CURLE_PARTIAL_FILE) {
+        return true;
+    }
+    long systemError = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
+    const bool wentSilent = systemError == ETIMEDOUT || systemError == EHOSTUNREACH;
+    return !wentSilent && (code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR);
+}
+
 } // namespace
 
 std::string HttpResult::header(const std::string &name) const
@@ -179,6 +193,7 @@
         m_result.sent = requestBytes > 0;
         if (code != CURLE_OK) {
             m_result.error = lowerCase(curl_easy_strerror(code));
+            m_result.isBroken = m_result.sent && endedByPeer(m_easy, code);
             return;
         }
         long status = 0;
--- a/lib/Adapters/stageprotocol.cpp
+++ b/lib/Adapters/stageprotocol.cpp
@@ -67,6 +67,21 @@
     return event;
 }
 
+StageFailed callFailure(const SendStage &stage, const HttpResult &result)
+{
+    const auto evidence = result.sent ? SendEvidence::Sent : SendEvidence::NothingSent;
+    StageFailed event = stageFailure(stage, evidence, result.error);
+    event.isBroken = result.isBroken;
+    return event;
+}
+
+StageFailed cutAnswer(const SendStage &stage, std::string_view message)
+{
+    StageFailed event = stageFailure(stage, SendEvidence::Sent, message);
+    event.isBroken = true;
+    return event;
+}
+
 HttpCall encodeStage(const StageProtocol &protocol, const SendStage &stage)
 {
     HttpCall call;
@@ -90,8 +105,7 @@
 decodeStage(const StageProtocol &protocol, const SendStage &stage, const HttpResult &result)
 {
     if (result.status == 0) {
-        const auto evidence = result.sent ? SendEvidence::Sent : SendEvidence::NothingSent;
-        return stageFailure(stage, evidence, result.error);
+        return callFailure(stage, result);
     }
     if (result.status != statusOk) {
         const bool refusal =
@@ -165,7 +179,7 @@
         return stageFailure(m_stage, SendEvidence::Sent, m_fault);
     }
     if (!m_ended) {
-        return stageFailure(m_stage, SendEvidence::Sent, "the stream ended before its last event");
+        return cutAnswer(m_stage, "the stream ended before its last event");
     }
     return answered(m_stage, result, m_protocol.wholeAnswer(m_stage.textBefore + m_text));
 }
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -70,6 +70,7 @@
         m_retries += report.counters.retries;
         m_stale += report.counters.staleAnswers;
         m_mismatched += report.counters.mismatchedAnswers;
+        m_broken += report.counters.brokenCalls;
         m_resumed += report.counters.resumedStreams;
         m_inProgress += report.inProgress;
         m_queued += report.queued;
@@ -96,6 +97,7 @@
         value("harelink_stage_retries_total", "counter", m_retries);
         value("harelink_stale_answers_total", "counter", m_stale);
         value("harelink_mismatched_answers_total", "counter", m_mismatched);
+        value("harelink_broken_calls_total", "counter", m_broken);
         value("harelink_resumed_streams_total", "counter", m_resumed);
         value("harelink_requests_in_progress", "gauge", m_inProgress);
         value("harelink_requests_queued", "gauge", m_queued);
@@ -111,6 +113,7 @@
     std::uint64_t m_retries = 0;
     std::uint64_t m_stale = 0;
     std::uint64_t m_mismatched = 0;
+    std::uint64_t m_broken = 0;
     std::uint64_t m_resumed = 0;
     std::uint64_t m_inProgress = 0;
     std::uint64_t m_queued = 0;
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -328,6 +328,7 @@
     const bool served = action.outcome == Outcome::Completed;
     logger.record(LogLevel::Info, "request-answered")
         .field("request", action.callerId.empty() ? toText(action.id) : action.callerId)
+        .field("digest", served ? std::string() : toHex(action.digest))
         .field("pipeline", action.pipeline)
         .field("account", action.account)
         .field("outcome", toText(action.outcome))
@@ -385,6 +386,18 @@
     m_control.replaced(action);
 }
 
+void Worker::perform(const CallBroken &action)
+{
+    logger.record(LogLevel::Warning, "call-broken")
+        .field("request", action.callerId.empty() ? toText(action.call.request) : action.callerId)
+        .field("digest", toHex(action.digest))
+        .field("pool", action.pool)
+        .field("endpoint", action.endpoint)
+        .field("attempt", action.call.attempt)
+        .field("sentMsAgo", fmt::format("{:.1f}", toMilliseconds(action.brokeAt - action.sentAt)))
+        .field("events", action.events);
+}
+
 void Worker::perform(const StreamPiece &action)
 {
     const auto found = m_callers.find(action.id.sequence);
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -425,6 +425,7 @@
 
     void perform(Host &, const AnswerCaller &action) { m_checks.answered(action); }
     void perform(Host &, const CancelStage &) {}
+    void perform(Host &, const CallBroken &) {}
     void perform(Host &, const StreamPiece &action) { m_checks.streamed(action); }
     /// Only carried requests bring the other actions, and none is sent here.
     template <typename Action>
@@ -504,6 +505,7 @@
         StageFailed event;
         event.call = stage.call;
         event.evidence = evidence;
+        event.isBroken = evidence == SendEvidence::Sent;
         event.status = absl::UnavailableError("the connection broke");
         toRequests(name, start, event);
     }
--- a/unittests/Adapters/httpclienttest.cpp
+++ b/unittests/Adapters/httpclienttest.cpp
@@ -19,13 +19,14 @@
 
 namespace {
 
-/// Answers the first request on each connection and then, when the second one
+/// Answers the first request on each connection, or none, and then, when the next one
 /// is in, closes the connection without a word, as a dying endpoint does.
 class DyingServer
 {
 public:
-    DyingServer()
+    explicit DyingServer(bool answersFirst = true)
         : m_listener(socket(AF_INET, SOCK_STREAM, 0))
+        , m_answersFirst(answersFirst)
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -75,7 +76,7 @@
 
     void serveConnection(int connection)
     {
-        if (readRequest(connection)) {
+        if (readRequest(connection) && m_answersFirst) {
             constexpr std::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
             send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
             readRequest(connection);
@@ -84,6 +85,7 @@
     }
 
     int m_listener;
+    bool m_answersFirst;
     int m_port = 0;
     std::atomic<int> m_seen{0};
     std::thread m_thread;
@@ -146,6 +148,17 @@
     const HttpResult result = callOn(client, post("http://127.0.0.1:1/", true));
     CHECK_EQUAL(0, result.status);
     CHECK_FALSE(result.sent);
+    CHECK_FALSE(result.isBroken);
+}
+
+TEST(HttpClient, TellsAConnectionThatTheOtherSideEnded)
+{
+    DyingServer server(false);
+    HttpClient client;
+    const HttpResult result = callOn(client, post(server.url(), false));
+    CHECK_EQUAL(0, result.status);
+    CHECK_TRUE(result.sent);
+    CHECK_TRUE(result.isBroken);
 }
 
 // The library sends a POST again when a kept connection breaks. A call that may
--- a/unittests/Kernel/carriedfixture.h
+++ b/unittests/Kernel/carriedfixture.h
@@ -121,13 +121,14 @@
         collect();
     }
     void fail(const SendStage &stage, SendEvidence evidence,
-              std::optional<CarriedAnswer> own = std::nullopt)
+              std::optional<CarriedAnswer> own = std::nullopt, bool isBroken = false)
     {
         StageFailed event;
         event.call = stage.call;
         event.evidence = evidence;
         event.status = absl::UnavailableError("test");
         event.carried = std::move(own);
+        event.isBroken = isBroken;
         machine.handle(event, *snapshot);
         collect();
     }
@@ -168,6 +169,7 @@
         append(withdrawals, only<WithdrawPieces>(actions));
         append(frees, only<FreeResults>(actions));
         append(replaced, only<EndpointReplaced>(actions));
+        append(broken, only<CallBroken>(actions));
     }
 
     ManualClock clock;
@@ -183,6 +185,7 @@
     std::vector<WithdrawPieces> withdrawals;
     std::vector<FreeResults> frees;
     std::vector<EndpointReplaced> replaced;
+    std::vector<CallBroken> broken;
 };
 
 } // namespace harelink::testing
