--- a/test/scenarios/runner.cpp
+++ b/test/scenarios/runner.cpp
@@ -12,6 +12,9 @@
 ///
 ///   send N answers to HOST           N repeatable requests
 ///   send record KEY to HOST          one that may not be repeated
+///   send crashing answer NAME to HOST   one that ends each endpoint that runs it, and
+///   send crashing record NAME to HOST   the same that may not be repeated; under a NAME
+///                                    that came before it is the same request again
 ///   kill HOST | start HOST | freeze HOST | thaw HOST | drain HOST
 ///   kill endpoint NAME | leave endpoint NAME
 ///   cut PLACE from PLACE | heal
@@ -23,6 +26,7 @@
 ///   no violations | converged
 ///   OUTCOME at least N | OUTCOME at most N | OUTCOME exactly N
 ///   runs of KEY exactly N
+///   crashes under NAME at most N
 ///
 //===----------------------------------------------------------------------===//
 
@@ -144,6 +148,9 @@
 
     bool send(const Words &words)
     {
+        if (words.size() == 6 && words[1] == "crashing") {
+            return sendCrashing(words[2], words[3], words[5]);
+        }
         if (words.size() != 5) {
             return false;
         }
@@ -157,6 +164,15 @@
         return words[2] == "answers";
     }
 
+    bool sendCrashing(const std::string &pipeline, const std::string &name, const std::string &host)
+    {
+        // Each caller's attempt has a key of its own.
+        const bool isRecord = pipeline == "record";
+        const std::string key = isRecord ? fmt::format("{}-{}", name, ++m_bodies) : std::string();
+        m_world.submit(host, pipeline, "crash " + name, key, requestDeadline);
+        return isRecord || pipeline == "answer";
+    }
+
     bool platform(const Words &words)
     {
         FakePlatform::Faults &faults = m_world.platform().faults();
@@ -228,6 +244,10 @@
             return compare(found == runs.end() ? 0 : found->second, words[3], words[4], words[2],
                            path);
         }
+        if (words.size() == 6 && words[0] == "crashes") {
+            return compare(m_world.checks().crashesUnder("crash " + words[2]), words[4], words[5],
+                           words[2], path);
+        }
         if (words.size() == 4 && words[1] == "at") {
             return compare(count(words[0]), words[2], words[3], words[0], path);
         }
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -11,6 +11,12 @@
 
 /// How long after it began to leave an endpoint may still get new work.
 constexpr std::chrono::seconds leavingAllowance{5};
+/// A request under which so many endpoints have ended is known to end them ...
+constexpr int crashesThatTell = 3;
+/// ... by all that are in touch, after so long ...
+constexpr std::chrono::milliseconds contactTime{3000};
+/// ... but for so many sends.
+constexpr int mostSendsAfter = 3;
 
 /// The one right answer to a request.
 std::string rightAnswer(const Submission &submission)
@@ -108,6 +114,37 @@
     }
 }
 
+void Checks::crashed(const std::string &body)
+{
+    CrashRecord &record = m_crashes[body];
+    ++record.crashes;
+    m_trace.add(fmt::format("an endpoint ends under {}, number {}", body, record.crashes));
+    if (record.crashes == crashesThatTell) {
+        record.thirdAt = m_queue.now();
+    }
+}
+
+void Checks::crashingArrived(const std::string &body, bool inTouch)
+{
+    CrashRecord &record = m_crashes[body];
+    const bool isKnown =
+        record.crashes >= crashesThatTell && m_queue.now() - record.thirdAt > contactTime;
+    if (!isKnown || !inTouch) {
+        return;
+    }
+    ++record.sendsAfter;
+    if (record.sendsAfter > mostSendsAfter) {
+        violation(fmt::format("{}, under which {} endpoints had ended, was sent {} times more",
+                              body, record.crashes, record.sendsAfter));
+    }
+}
+
+int Checks::crashesUnder(const std::string &body) const
+{
+    const auto found = m_crashes.find(body);
+    return found == m_crashes.end() ? 0 : found->second.crashes;
+}
+
 void Checks::hostKilled(const std::string &host, Incarnation incarnation)
 {
     for (auto &[id, submission] : m_submissions) {
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -51,6 +51,10 @@
     void arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
                            const SendStage &stage);
     void ranAtEndpoint(const SendStage &stage);
+    /// An endpoint ended under a request with \p body.
+    void crashed(const std::string &body);
+    /// A request that ends endpoints reached one; \p inTouch: from a host that had to know.
+    void crashingArrived(const std::string &body, bool inTouch);
     void hostKilled(const std::string &host, Incarnation incarnation);
     void hostDraining(const std::string &host);
     void versionInForce(const std::string &host, const std::string &object, Version version);
@@ -62,14 +66,25 @@
     [[nodiscard]] const std::vector<std::string> &violations() const { return m_violations; }
     [[nodiscard]] std::map<RequestId, Submission> &submissions() { return m_submissions; }
     [[nodiscard]] const EndpointLedger &ledger() const { return m_ledger; }
+    /// How many endpoints ended under requests with \p body.
+    [[nodiscard]] int crashesUnder(const std::string &body) const;
     /// Counts of answers by outcome.
     [[nodiscard]] const std::map<std::string, int> &outcomes() const { return m_outcomes; }
     /// Keys that never ran and whose every caller was told "not run".
     [[nodiscard]] std::vector<Submission> neverRunKeys() const;
 
 private:
+    /// What a request that ends endpoints has done.
+    struct CrashRecord
+    {
+        int crashes = 0;
+        TimePoint thirdAt;
+        int sendsAfter = 0; ///< By hosts that had to know, later than the contact time.
+    };
+
     EventQueue &m_queue;
     Trace &m_trace;
+    std::map<std::string, CrashRecord> m_crashes; ///< By body.
     EndpointLedger m_ledger;
     std::map<RequestId, Submission> m_submissions;
     std::map<std::string, int> m_outcomes;
--- a/test/sim/fakes.cpp
+++ b/test/sim/fakes.cpp
@@ -171,6 +171,11 @@
     m_queue.after(watchPoll, [=, this] { watch(call, limit, reply); });
 }
 
+bool isCrashing(const std::string &body)
+{
+    return body.starts_with("crash");
+}
+
 std::string answerTo(const SendStage &stage)
 {
     return fmt::format("{}({})", stage.stage,
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -154,6 +154,8 @@
     TimePoint lastArrival;
 };
 
+/// Whether a request with this body ends every endpoint that begins to run it.
+[[nodiscard]] bool isCrashing(const std::string &body);
 /// The answer that an endpoint of the world gives to \p stage.
 [[nodiscard]] std::string answerTo(const SendStage &stage);
 
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -74,8 +74,9 @@
         RequestArrived event;
         event.id = {host.incarnation, ++host.lastSequence};
         event.account = m_random.chance(0.5) ? "drivers" : "lab";
-        // A key is of one account, so that its retries meet it again.
-        event.account = key.empty() ? event.account : "drivers";
+        // A key is of one account, so that its retries meet it again; what ends endpoints
+        // comes again from one caller.
+        event.account = key.empty() && !isCrashing(body) ? event.account : "drivers";
         event.pipeline = pipeline;
         event.body = body;
         event.idempotencyKey = key;
@@ -111,6 +112,7 @@
         host.wasIdle = false;
         host.incarnation = m_random.bits();
         host.lastSequence = 0;
+        host.disturbedAt = m_queue.now();
         ControlOptions options;
         options.host = name;
         options.peerAddress = name;
@@ -258,6 +260,7 @@
         bool wasIdle = false;
         Incarnation incarnation = 0;
         std::uint64_t lastSequence = 0;
+        TimePoint disturbedAt; ///< When something last kept it from knowing what others know.
         std::unique_ptr<BasicRequestMachine<G>> requests;
         std::unique_ptr<BasicControlMachine<G>> control;
         std::unique_ptr<const Snapshot> snapshot;
@@ -265,6 +268,7 @@
     };
 
     static constexpr std::chrono::milliseconds tickInterval{5};
+    static constexpr std::chrono::milliseconds contactTime{3000};
     /// Letters of an answer that make a token.
     static constexpr std::size_t tokenLength = 4;
 
@@ -363,6 +367,7 @@
             if (!host.alive || host.incarnation != incarnation) {
                 return;
             }
+            noteDisturbance(host);
             // As the daemon does, ask the control only after the workers, behind
             // what they handed over: here, one tick later.
             const bool idle =
@@ -519,6 +524,11 @@
         }
         m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage);
         m_checks.ranAtEndpoint(stage);
+        if (isCrashing(stage.request)) {
+            m_checks.crashingArrived(stage.request, isInTouch(m_hosts.at(name)));
+            crashSoon(name, start, stage);
+            return;
+        }
         const double millis = (3 + 20 * m_random.unit()) * endpoint.slowFactor;
         const auto time =
             std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(millis));
@@ -544,6 +554,40 @@
         });
     }
 
+    /// The endpoint that has begun to run \p stage ends, and is back some seconds later.
+    void crashSoon(const std::string &name, Incarnation start, const SendStage &stage)
+    {
+        const Duration run = std::chrono::milliseconds(20 + m_random.below(130));
+        const Duration away = std::chrono::milliseconds(2000 + m_random.below(2000));
+        const std::uint64_t generation = m_endpoints.at(stage.endpoint).generation;
+        m_queue.after(run, [=, this] {
+            FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
+            if (endpoint.generation == generation) {
+                m_checks.crashed(stage.request);
+                killEndpoint(stage.endpoint);
+                m_queue.after(away, [this, name = stage.endpoint] { startEndpoint(name); });
+            }
+            failStage(name, start, stage, SendEvidence::Sent);
+        });
+    }
+
+    /// Whether \p host lived, was not frozen and reached a well platform for so long that
+    /// it has to know what the others know.
+    [[nodiscard]] bool isInTouch(const Host &host) const
+    {
+        return m_queue.now() - host.disturbedAt >= contactTime;
+    }
+
+    void noteDisturbance(Host &host)
+    {
+        const FakePlatform::Faults &faults = m_platform.faults();
+        const bool isWell = !faults.outage && faults.slow == Duration::zero()
+                            && faults.loseAnswers == 0 && faults.applyLate == 0;
+        if (host.frozen || host.draining || !isWell || m_cuts.isCut(host.dataCentre, "platform")) {
+            host.disturbedAt = m_queue.now();
+        }
+    }
+
     /// A call whose answer comes in parts.
     struct Stream
     {
