--- a/include/harelink/Adapters/httpclient.h
+++ b/include/harelink/Adapters/httpclient.h
@@ -35,6 +35,15 @@
     /// Whether the library may send it again when a kept connection breaks. Off,
     /// the call gets a connection of its own, which is never tried twice.
     bool resendable = true;
+    /// Opens a connection of its own, sends nothing, and is done.
+    bool onlyConnects = false;
+};
+
+/// What is known of the connection of a call.
+enum class HttpConnection {
+    Unknown,
+    Made,
+    Refused, ///< Nobody listens there.
 };
 
 /// How a call ended.
@@ -43,7 +52,8 @@
     int status = 0;        ///< 0 where no whole answer came.
     bool sent = false;     ///< Whether any byte of the request may have left.
     bool isBroken = false; ///< The connection ended before the answer did.
-    std::string error;     ///< Where status is 0.
+    HttpConnection connection = HttpConnection::Unknown;
+    std::string error; ///< Where status is 0.
     std::string body;
     std::map<std::string, std::string> headers; ///< Names in lower case; the last of each.
     /// All header fields in order, names as sent.
--- a/include/harelink/Config/objectreader.h
+++ b/include/harelink/Config/objectreader.h
@@ -31,6 +31,8 @@
     /// Whether objects of that kind may vanish while the platform is out of reach and
     /// come back after it, though their endpoints live.
     [[nodiscard]] virtual bool endpointsLapse() const = 0;
+    /// The kind in which daemons declare a QuarantineSpec, as quarantineDocument() gives it.
+    [[nodiscard]] virtual const std::string &quarantineKind() const = 0;
     /// What an object declares; an error names the fault.
     [[nodiscard]] virtual absl::StatusOr<std::vector<Resource>>
     read(const std::string &kind, const std::string &name, const std::string &value) const = 0;
--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -10,6 +10,7 @@
 #define HARELINK_CONFIG_RESOURCES_H
 
 #include "harelink/Support/clock.h"
+#include "harelink/Support/hash.h"
 
 #include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
@@ -155,9 +156,20 @@
     }
 };
 
+/// Requests that are not run any more, since endpoints end under them. Daemons declare it;
+/// operators lift it by deleting it.
+struct QuarantineSpec
+{
+    Hash128 digest; ///< Of the requests; in hexadecimal also the resource's name.
+    std::string pool;
+    std::vector<std::string> endpoints; ///< That ended, in order.
+    WallTime since;
+    WallTime until; ///< From then on such requests are run again.
+};
+
 /// What a resource holds, by kind.
-using ResourceSpec =
-    std::variant<PipelineSpec, ClientAccountSpec, ModelVersionSpec, PoolSpec, EndpointSpec>;
+using ResourceSpec = std::variant<PipelineSpec, ClientAccountSpec, ModelVersionSpec, PoolSpec,
+                                  EndpointSpec, QuarantineSpec>;
 
 /// A resource as an operator declares it.
 struct Resource
@@ -171,6 +183,9 @@
     std::optional<std::uint64_t> madeFrom;
 };
 
+/// The declaration of \p spec, as readResource() reads it.
+[[nodiscard]] nlohmann::json quarantineDocument(const QuarantineSpec &spec);
+
 /// The names of all kinds, in the order in which a file is best applied.
 [[nodiscard]] const std::vector<std::string> &resourceKinds();
 
--- a/include/harelink/Config/settings.h
+++ b/include/harelink/Config/settings.h
@@ -58,8 +58,10 @@
     int workers = 2;                               ///< Worker threads.
     int listenerThreads = 2;                       ///< Threads that read callers' connections.
     std::size_t mostRequests = 10'000;             ///< In progress on one worker; more are refused.
-    std::chrono::milliseconds platformTimeout{1000};    ///< After it a call counts as silent.
-    std::chrono::milliseconds drainLimit{10'000};       ///< A planned stop takes no longer.
+    std::chrono::milliseconds platformTimeout{1000}; ///< After it a call counts as silent.
+    std::chrono::milliseconds drainLimit{10'000};    ///< A planned stop takes no longer.
+    /// Requests under which endpoints ended are not run for so long, unless it is lifted.
+    std::chrono::milliseconds quarantineLength{86'400'000};
     std::chrono::milliseconds keyRetention{86'400'000}; ///< An idempotency key is remembered.
     /// A caller's connection may be silent so long between two requests.
     std::chrono::milliseconds idleLimit{120'000};
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -35,6 +35,7 @@
         std::function<void(ClaimDecision)> decided;
         std::function<void(PieceEnded)> pieceEnded;
         std::function<void(const std::string &)> endpointEnded; ///< For all workers.
+        std::function<void(RequestSuspected)> suspected;        ///< For all workers.
     };
 
     /// All references outlive the control.
@@ -58,6 +59,10 @@
     void free(const FreeResults &results);
     /// Another endpoint answered at the address of this one; from any thread.
     void replaced(const EndpointReplaced &replaced);
+    /// Takes in a call that broke; from any thread.
+    void broken(const BrokenCall &call);
+    /// Takes in that a suspected request was run to a good end; from any thread.
+    void cleared(const RequestCleared &request);
     /// A planned stop begins; from any thread.
     void leave();
     /// Calls \p take with whether nothing waits any more, on the control's thread
@@ -84,6 +89,7 @@
     void freeResults(const std::vector<std::string> &handles);
     std::vector<PromptBacklog> ownPrompts();
     void noteReplaced(const std::string &endpoint);
+    void probe(const EndpointProbe &probe);
     void logCall(const PlatformCall &call, const PlatformResult &result, const HttpResult &http);
     void takePeerChanges();
     void logConnection();
@@ -103,6 +109,7 @@
     PieceBatcher m_pieceBatcher;
     std::uint64_t m_unreadableEntries = 0; ///< Objects that could not even be named.
     std::uint64_t m_platformCalls = 0;
+    std::uint64_t m_quarantines = 0; ///< Decided here.
     bool m_wasConnected = false;
     std::vector<std::string> m_peersBefore; ///< Live at the last heartbeat.
     std::atomic<bool> m_ready{false};
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -50,6 +50,8 @@
         std::function<void(WithdrawPieces)> withdraw;
         std::function<void(FreeResults)> free;
         std::function<void(EndpointReplaced)> replaced;
+        std::function<void(BrokenCall)> broken;
+        std::function<void(RequestCleared)> cleared;
     };
 
     /// All references outlive the worker.
@@ -68,6 +70,8 @@
     void pieceEnded(PieceEnded event);
     /// Takes in that an endpoint's life is over; from any thread.
     void endpointEnded(const std::string &endpoint);
+    /// Takes in that an endpoint ended under such a request; from any thread.
+    void suspected(const RequestSuspected &event);
     /// The callers' connection \p connection ended; from any thread.
     void connectionClosed(std::uint64_t connection);
     /// From now on replies ask callers to open another connection; from any thread.
@@ -109,7 +113,8 @@
     void perform(FreeResults action);
     void perform(const StreamEvents &action);
     void perform(const EndpointReplaced &action);
-    static void perform(const CallBroken &action);
+    void perform(const CallBroken &action);
+    void perform(const RequestCleared &action);
     void carry(const SendStage &action);
     void answerCarried(const Caller &caller, const AnswerCaller &action);
     void forget(std::uint64_t sequence);
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -133,6 +133,11 @@
     {
         return std::find(m_kinds.begin(), m_kinds.end(), kind) != m_kinds.end();
     }
+    /// Whether it follows objects of \p kind and no others.
+    [[nodiscard]] bool followsOnly(const std::string &kind) const
+    {
+        return m_kinds.size() == 1 && m_kinds.front() == kind;
+    }
     /// Whether a whole listing has been seen.
     [[nodiscard]] bool synced() const { return m_synced; }
     [[nodiscard]] TimePoint nextTick() const;
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -31,6 +31,10 @@
 /// 10 s a daemon used a key 4.6 s after it was taken away; at 1 s, nine daemons made 18
 /// calls a second for nothing else.
 inline constexpr std::chrono::milliseconds watchWait{2200};
+/// The same where requests under quarantine are all that is watched. They change once in
+/// days, so its watches are as few as can be; a silent one is made up for by the peers'
+/// digests within some seconds.
+inline constexpr std::chrono::milliseconds quarantineWatchWait{10'000};
 
 /// Between a watch with news and the next one: what comes meanwhile comes together. Of a
 /// fleet whose endpoints start, 24 watchers made 2,900 calls in 5 s without it. It is a
@@ -251,7 +255,8 @@
     call.kind = fmt::format("{}", fmt::join(m_kinds, ","));
     call.name = m_listing ? m_continueAfter : std::string();
     call.since = m_since;
-    call.wait = configwatcher::watchWait;
+    call.wait = followsOnly(m_table.reader().quarantineKind()) ? configwatcher::quarantineWatchWait
+                                                               : configwatcher::watchWait;
     calls.push_back(std::move(call));
 }
 
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -13,9 +13,11 @@
 #include "harelink/Kernel/claimrouter.h"
 #include "harelink/Kernel/configgossip.h"
 #include "harelink/Kernel/configmachine.h"
+#include "harelink/Kernel/crashwatch.h"
 #include "harelink/Kernel/membership.h"
 #include "harelink/Kernel/peerdemand.h"
 #include "harelink/Kernel/peerrelay.h"
+#include "harelink/Kernel/piecebatcher.h"
 
 #include <map>
 #include <set>
@@ -36,9 +38,12 @@
     bool configChanged = false;                ///< Another configuration is in force.
     /// That have started again: what was sent to them and not answered never will be.
     std::vector<std::string> endedEndpoints;
-    std::vector<ConfigFault> faults;        ///< Newly found in declared objects.
-    std::vector<PeerMessage> pieceMessages; ///< For the router and the batcher.
-    std::vector<PieceBacklog> backlogs;     ///< As peers told.
+    std::vector<EndpointProbe> probes;
+    std::vector<RequestSuspected> suspects;      ///< For the workers.
+    std::vector<QuarantineDecision> quarantines; ///< Decided here.
+    std::vector<ConfigFault> faults;             ///< Newly found in declared objects.
+    std::vector<PeerMessage> pieceMessages;      ///< For the router and the batcher.
+    std::vector<PieceBacklog> backlogs;          ///< As peers told.
     /// Tokens that peers have sent to model engines, where the sum has changed.
     std::vector<PromptBacklog> prompts;
 };
@@ -57,6 +62,8 @@
     /// The kind of object in which this daemon declares itself to its peers; empty where
     /// the platform knows its hosts by itself.
     std::string hostKind;
+    /// How long requests under which endpoints ended are not run, unless an operator lifts it.
+    std::chrono::milliseconds quarantineLength = std::chrono::hours(24);
     double capacity = 1;            ///< Of this host, in cores of a processor.
     std::size_t mostMeshPeers = 16; ///< With more peers heartbeats go through relays.
 };
@@ -74,6 +81,12 @@
     void handle(const ClaimFinish &finish) { m_router.finish(finish); }
     void handle(const PeerMessage &message);
     void handle(const PlatformResult &result);
+    void handle(BrokenCall call);
+    /// The connection of a call of pieces ended in the middle: if its endpoint has ended, all
+    /// requests that have a piece in it are suspects.
+    void pieceCallBroken(const PieceCall &call, TimePoint sentAt);
+    void handle(const EndpointProbed &event) { m_crashes.handle(event); }
+    void handle(const RequestCleared &event) { m_crashes.handle(event); }
     /// Own use since the last call, for the next heartbeats.
     void noteUsage(std::vector<UsageReport> usage) { m_ownUsage = std::move(usage); }
     /// The endpoints that this daemon batches for, for the next heartbeats.
@@ -101,6 +114,9 @@
     [[nodiscard]] bool idle() const { return m_router.idle() && m_ledger.idle(); }
 
     [[nodiscard]] const BasicConfigTable<G> &config() const { return m_config; }
+    /// The resources in force: those that are declared, and what was decided here and is not
+    /// declared yet.
+    [[nodiscard]] std::vector<Resource> resources() const;
     [[nodiscard]] const Membership &membership() const { return m_membership; }
     [[nodiscard]] const ClaimLedgerCounters &claimCounters() const { return m_ledger.counters(); }
     [[nodiscard]] std::uint64_t claimDetours() const { return m_router.detours(); }
@@ -118,6 +134,9 @@
     void handle(const PeerMessage &message, const ClaimFinished &content);
     void handle(const PeerMessage &message, const ConfigPush &content);
     void handle(const PeerMessage &message, const ConfigDigest &content);
+    void handle(const PeerMessage &message, const CrashReports &content);
+    void handle(const PeerMessage &message, const CrashesCleared &content);
+    void takeCrashes();
     template <PieceContent Content>
     void handle(const PeerMessage &message, const Content &content);
     static ConfigDigest digestOf(std::uint64_t summary, bool watches);
@@ -145,6 +164,7 @@
     BasicConfigGossip<G> m_gossip;
     BasicClaimLedger<G> m_ledger;
     BasicClaimRouter<G> m_router;
+    CrashWatch m_crashes;
     std::uint64_t m_nextCallId = 1;
     std::uint64_t m_hostListCall = 0;
     TimePoint m_startedAt;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -56,6 +56,7 @@
           clock, [this](Incarnation incarnation) { return m_membership.hostOf(incarnation); },
           options.claims)
     , m_router(clock, m_membership, m_ledger)
+    , m_crashes(clock, m_membership, options.objects->quarantineKind(), options.quarantineLength)
     , m_startedAt(clock.now())
     , m_nextHostList(clock.now())
     , m_keepsClaims(options.keepsClaims)
@@ -127,6 +128,7 @@
 ControlOutput BasicControlMachine<G>::takeOutput()
 {
     forwardLedgerReplies();
+    takeCrashes();
     giveOutConfig();
     for (PeerSend &send : m_router.takeSends()) {
         m_output.sends.push_back(std::move(send));
@@ -142,6 +144,63 @@
     return std::exchange(m_output, {});
 }
 
+/// Hands out what the watch over crashing requests wants.
+template <GuardPolicy G>
+void BasicControlMachine<G>::takeCrashes()
+{
+    for (PeerSend &send : m_crashes.takeSends()) {
+        m_output.sends.push_back(std::move(send));
+    }
+    m_output.probes = m_crashes.takeProbes();
+    m_output.suspects = m_crashes.takeSuspects();
+    m_output.quarantines = m_crashes.takeDecisions();
+    // In force here at once: the platform may be away.
+    m_configPending = m_configPending || !m_output.quarantines.empty();
+}
+
+template <GuardPolicy G>
+std::vector<Resource> BasicControlMachine<G>::resources() const
+{
+    std::vector<Resource> all = m_config.resources();
+    for (Resource &resource : m_crashes.undeclared()) {
+        all.push_back(std::move(resource));
+    }
+    return all;
+}
+
+/// Where the endpoint is known to have ended, there is no address to ask at.
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(BrokenCall call)
+{
+    const ConfigEntry *declared = m_config.endpoint(call.endpoint);
+    const bool isDeclared =
+        declared != nullptr && !declared->resources.empty() && !m_config.hasEnded(call.endpoint);
+    call.address.clear();
+    if (isDeclared) {
+        call.address = std::get<EndpointSpec>(declared->resources.front().spec).address;
+    }
+    m_crashes.handle(std::move(call));
+}
+
+template <GuardPolicy G>
+void BasicControlMachine<G>::pieceCallBroken(const PieceCall &call, TimePoint sentAt)
+{
+    std::set<Hash128> seen;
+    for (const PieceOrder &order : call.orders) {
+        if (!seen.insert(order.digest).second) {
+            continue;
+        }
+        BrokenCall broken;
+        broken.digest = order.digest;
+        broken.pool = call.basis.pool;
+        broken.endpoint = call.endpoint;
+        broken.sentAt = sentAt;
+        broken.brokeAt = m_clock.now();
+        broken.requester = m_membership.hostOf(order.id.request.incarnation).value_or("");
+        handle(std::move(broken));
+    }
+}
+
 template <GuardPolicy G>
 void BasicControlMachine<G>::forwardLedgerReplies()
 {
@@ -202,6 +261,7 @@
     }
     m_router.tick();
     m_ledger.tick(m_output.calls, m_nextCallId);
+    m_crashes.tick(m_config.entries(), m_output.calls, m_nextCallId);
 }
 
 template <GuardPolicy G>
@@ -286,8 +346,9 @@
     if (!m_hostKind.empty() && !m_announced && m_announceCall == 0) {
         watch = std::min(watch, m_nextAnnounce);
     }
-    const TimePoint next = std::min({watch, m_gossip.nextTick(), m_membership.nextTick(),
-                                     m_router.nextTick(), m_ledger.nextTick()});
+    const TimePoint next =
+        std::min({watch, m_gossip.nextTick(), m_membership.nextTick(), m_router.nextTick(),
+                  m_ledger.nextTick(), m_crashes.nextTick()});
     return m_hostListCall == 0 ? std::min(next, m_nextHostList) : next;
 }
 
@@ -306,7 +367,7 @@
             return;
         }
     }
-    if (takeAnnouncement(result)) {
+    if (takeAnnouncement(result) || m_crashes.handle(result)) {
         return;
     }
     if (result.id == m_hostListCall) {
@@ -464,6 +525,20 @@
     m_gossip.handle(message.host, content);
 }
 
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const CrashReports &content)
+{
+    (void)message;
+    m_crashes.handle(content);
+}
+
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const CrashesCleared &content)
+{
+    (void)message;
+    m_crashes.handle(content);
+}
+
 template <GuardPolicy G>
 template <PieceContent Content>
 void BasicControlMachine<G>::handle(const PeerMessage &message, const Content &content)
@@ -516,7 +591,8 @@
 {
     const auto isKnown = [this](const BasicConfigWatcher<G> &watcher) {
         const auto &entries = m_config.entries();
-        return watcher.synced()
+        // Most of the time nothing is under quarantine, and then no peer tells of any.
+        return watcher.synced() || watcher.followsOnly(m_config.reader().quarantineKind())
                || std::any_of(entries.begin(), entries.end(), [&watcher](const auto &entry) {
                       return watcher.follows(entry.first.first);
                   });
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -35,6 +35,8 @@
     static constexpr bool dropsOlderNews = true;
     /// A leaving endpoint gets no new work.
     static constexpr bool shunsLeaving = true;
+    /// A request under which endpoints have ended is not run again.
+    static constexpr bool quarantinesCrashing = true;
     /// A stopping daemon finishes what is in flight.
     static constexpr bool drainsBeforeExit = true;
     /// A request is taken in, and kept, only while it is predicted to be in time.
@@ -76,6 +78,9 @@
     {
         G::shunsLeaving
         } -> std::convertible_to<bool>;
+    {
+        G::quarantinesCrashing
+        } -> std::convertible_to<bool>;
     {
         G::drainsBeforeExit
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -10,6 +10,7 @@
 #define HARELINK_KERNEL_PEERS_H
 
 #include "harelink/Kernel/claims.h"
+#include "harelink/Kernel/crashes.h"
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/platform.h"
 #include "harelink/Kernel/types.h"
@@ -128,7 +129,8 @@
     std::string host;            ///< The sender's.
     Incarnation incarnation = 0; ///< The sender's.
     std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
-                 ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees, PeerSummary>
+                 ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees, PeerSummary,
+                 CrashReports, CrashesCleared>
         content;
 };
 
--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -99,7 +99,7 @@
     const std::string &batcherOf(const std::string &part, const Snapshot &snapshot);
     [[nodiscard]] std::string findBatcher(const std::string &part, const Snapshot &snapshot) const;
     void place(std::vector<Pending> group, const Snapshot &snapshot);
-    [[nodiscard]] bool mayReorder(const Pending &pending);
+    [[nodiscard]] bool mayReorder(const Pending &pending, const Snapshot &snapshot);
     void reorder(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
     void finish(const PieceId &id, PieceFault fault);
     RetryBudget &budgetOf(const std::string &pool);
--- a/include/harelink/Kernel/pieces.h
+++ b/include/harelink/Kernel/pieces.h
@@ -14,6 +14,7 @@
 #define HARELINK_KERNEL_PIECES_H
 
 #include "harelink/Kernel/types.h"
+#include "harelink/Support/hash.h"
 
 #include <array>
 #include <compare>
@@ -37,6 +38,7 @@
 {
     PieceId id;
     std::string callerId;            ///< The caller's name for the request.
+    Hash128 digest;                  ///< Of the request, as digestOf() gives it.
     std::string key;                 ///< What it is made from, where there are no inputs.
     std::vector<std::string> inputs; ///< Results of earlier pieces.
     int priority = 0;                ///< 0 is the most urgent.
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -190,6 +190,16 @@
     dispatch(poolName, snapshot);
 }
 
+template <GuardPolicy G>
+void BasicRequestMachine<G>::handle(const RequestSuspected &event, const Snapshot &snapshot)
+{
+    (void)snapshot;
+    if (m_suspects.size() >= requestmachine::mostSuspects) {
+        m_suspects.clear();
+    }
+    m_suspects.insert(event.digest);
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::noteBroken(const Request &request)
 {
@@ -197,12 +207,12 @@
     CallBroken action;
     action.call = request.call();
     action.callerId = request.carried ? request.carried->callerId : std::string();
-    action.digest = request.digest;
-    action.pool = request.stageSpec().pool;
-    action.endpoint = request.endpoint;
-    action.sentAt = request.sentAt;
-    action.brokeAt = m_clock.now();
     action.events = request.tokens;
+    action.broken.digest = request.digest;
+    action.broken.pool = request.stageSpec().pool;
+    action.broken.endpoint = request.endpoint;
+    action.broken.sentAt = request.sentAt;
+    action.broken.brokeAt = m_clock.now();
     m_actions.emplace_back(std::move(action));
 }
 
@@ -314,6 +324,10 @@
 {
     dropPieces(request);
     m_lateRequests -= request.isLate ? 1 : 0;
+    if (action.outcome == Outcome::Completed && !action.replayed
+        && m_suspects.erase(request.digest) > 0) {
+        m_actions.emplace_back(RequestCleared{request.digest});
+    }
     action.id = request.id;
     action.digest = request.digest;
     action.account = request.account;
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -332,6 +332,7 @@
         PieceOrder order;
         order.id = {request.id, place.stage, place.piece};
         order.callerId = request.carried->callerId;
+        order.digest = request.digest;
         order.inputs = request.pieces->inputsOf(place.stage);
         if (order.inputs.empty()) {
             order.key = request.carried->pieceKey;
@@ -376,6 +377,12 @@
         }
         return;
     }
+    if (refuseQuarantined(*request, snapshot)) {
+        if (!outcome.handle.empty()) {
+            m_actions.emplace_back(FreeResults{{outcome.handle}});
+        }
+        return;
+    }
     const PiecePlace place{outcome.id.stage, outcome.id.piece};
     switch (outcome.fault) {
     case PieceFault::None:
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -61,6 +61,9 @@
     while (const std::optional<std::uint64_t> sequence =
                state.queue.pop(snapshot, poolName, state.shares, now)) {
         Request &request = *m_requests.at(*sequence);
+        if (refuseQuarantined(request, snapshot)) {
+            continue;
+        }
         if (pool == nullptr || pool->endpoints.empty()) {
             fail(request, Reason::NoEndpoint,
                  makeError(absl::StatusCode::kUnavailable, "routing", poolName,
@@ -94,6 +97,26 @@
     }
 }
 
+/// Ends \p request where it came to be known, after it was taken in, as one under which
+/// endpoints end. Asked before each send and not only at admission: daemons hold copies of
+/// such a request in queues, before their pieces are made, and for a retry.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::refuseQuarantined(Request &request, const Snapshot &snapshot)
+{
+    const Duration left = quarantineLeft(request.digest, snapshot);
+    if (left == Duration::zero()) {
+        return false;
+    }
+    AnswerCaller action;
+    action.outcome = outcomeOfFailure(request);
+    action.reason = Reason::Quarantined;
+    action.error = makeError(absl::StatusCode::kFailedPrecondition, "quarantine", request.endpoint,
+                             requestmachine::quarantineMessage);
+    action.retryAfter = left;
+    answer(request, std::move(action));
+    return true;
+}
+
 /// The endpoint of the call in progress; null for one that is no longer declared.
 template <GuardPolicy G>
 const EndpointEntry *BasicRequestMachine<G>::endpointOf(const Request &request,
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -12,6 +12,7 @@
 
 #include "harelink/Kernel/carried.h"
 #include "harelink/Kernel/claims.h"
+#include "harelink/Kernel/crashes.h"
 #include "harelink/Kernel/fairqueue.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/latency.h"
@@ -196,20 +197,6 @@
     CallId call;
 };
 
-/// Action: take note of a call whose connection ended in the middle, as that of an endpoint
-/// does that ends.
-struct CallBroken
-{
-    CallId call;
-    std::string callerId; ///< Of a carried request.
-    Hash128 digest;       ///< As digestOf() gives it.
-    std::string pool;
-    std::string endpoint;
-    TimePoint sentAt;
-    TimePoint brokeAt;
-    std::uint64_t events = 0; ///< Of its request that were passed on before.
-};
-
 /// Action: answer the caller. Comes exactly once for each RequestArrived.
 struct AnswerCaller
 {
@@ -241,7 +228,7 @@
 /// What a machine wants done.
 using RequestAction = std::variant<SendStage, CancelStage, StreamPiece, AnswerCaller, ClaimRequest,
                                    ClaimFinish, OrderPieces, WithdrawPieces, FreeResults,
-                                   StreamEvents, EndpointReplaced, CallBroken>;
+                                   StreamEvents, EndpointReplaced, CallBroken, RequestCleared>;
 
 /// Counts of what a machine did.
 struct RequestCounters
@@ -288,6 +275,7 @@
     void handle(const ClaimDecision &event, const Snapshot &snapshot);
     void handle(const CallerGone &event, const Snapshot &snapshot);
     void handle(const EndpointEnded &event, const Snapshot &snapshot);
+    void handle(const RequestSuspected &event, const Snapshot &snapshot);
     /// Time passed: gives up what is due and sends what can go.
     void tick(const Snapshot &snapshot);
     /// From now on refuses new requests; those in progress go on.
@@ -311,8 +299,10 @@
 
     Request *find(const RequestId &id);
     PoolState &poolState(const std::string &pool);
-    std::optional<AnswerCaller> refuseAtOnce(const RequestArrived &event,
+    std::optional<AnswerCaller> refuseAtOnce(const RequestArrived &event, const Hash128 &digest,
                                              const Snapshot &snapshot) const;
+    [[nodiscard]] Duration quarantineLeft(const Hash128 &digest, const Snapshot &snapshot) const;
+    bool refuseQuarantined(Request &request, const Snapshot &snapshot);
     void claim(Request &request);
     static void resolveRoute(RequestArrived &event, const Snapshot &snapshot);
     void takeRoute(Request &request, const Snapshot &snapshot);
@@ -392,6 +382,7 @@
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
     absl::flat_hash_set<std::uint64_t> m_givenUpClaims; // Answered while they waited.
     std::deque<std::pair<TimePoint, std::uint64_t>> m_givenUpOrder;
+    absl::flat_hash_set<Hash128> m_suspects; ///< Requests whose good ends are to be told.
     std::vector<RequestAction> m_actions;
     RequestCounters m_counters;
 };
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -104,13 +104,16 @@
 
 template <GuardPolicy G>
 std::optional<AnswerCaller> BasicRequestMachine<G>::refuseAtOnce(const RequestArrived &event,
+                                                                 const Hash128 &digest,
                                                                  const Snapshot &snapshot) const
 {
-    const auto refusal = [&event](Reason reason, absl::StatusCode code, std::string_view step,
-                                  const std::string &peer, std::string_view message) {
+    const auto refusal = [&](Reason reason, absl::StatusCode code, std::string_view step,
+                             const std::string &peer, std::string_view message) {
         AnswerCaller answer;
         answer.id = event.id;
+        answer.digest = digest;
         answer.outcome = Outcome::NotRun;
+        answer.retryAfter = requestmachine::leastRetryAfter;
         answer.reason = reason;
         answer.error = makeError(code, step, peer, message);
         return answer;
@@ -142,6 +145,14 @@
         return refusal(Reason::KeyMissing, absl::StatusCode::kInvalidArgument, "admission", "",
                        "this pipeline may not be repeated and needs an idempotency key");
     }
+    // Before all that costs anything; a copy that is in progress is refused before its next
+    // send, as refuseQuarantined() says.
+    if (const Duration left = quarantineLeft(digest, snapshot); left > Duration::zero()) {
+        AnswerCaller answer = refusal(Reason::Quarantined, absl::StatusCode::kFailedPrecondition,
+                                      "admission", "", requestmachine::quarantineMessage);
+        answer.retryAfter = left;
+        return answer;
+    }
     if (m_requests.size() >= m_limits.mostRequests) {
         return refusal(Reason::TooManyRequests, absl::StatusCode::kResourceExhausted, "admission",
                        "", "as many requests as allowed are in progress");
@@ -149,15 +160,25 @@
     return std::nullopt;
 }
 
+/// For how long requests with \p digest are not run.
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::quarantineLeft(const Hash128 &digest,
+                                                const Snapshot &snapshot) const
+{
+    return G::quarantinesCrashing && !snapshot.quarantinedUntil.empty()
+               ? snapshot.quarantineLeft(digest, m_clock.wallNow())
+               : Duration::zero();
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::handle(RequestArrived event, const Snapshot &snapshot)
 {
     resolveRoute(event, snapshot);
-    if (std::optional<AnswerCaller> refusal = refuseAtOnce(event, snapshot)) {
+    const Hash128 digest = digestOf(event, event.account);
+    if (std::optional<AnswerCaller> refusal = refuseAtOnce(event, digest, snapshot)) {
         refusal->account = event.account;
         refusal->pipeline = event.pipeline;
         refusal->callerId = event.carried ? event.carried->callerId : std::string();
-        refusal->retryAfter = requestmachine::leastRetryAfter;
         ++m_counters.reasons[static_cast<std::size_t>(refusal->reason)];
         m_actions.emplace_back(*std::move(refusal));
         return;
@@ -166,7 +187,7 @@
     auto owned = std::make_unique<Request>();
     Request &request = *owned;
     request.id = event.id;
-    request.digest = digestOf(event, event.account);
+    request.digest = digest;
     request.pipeline = *snapshot.pipeline(event.pipeline);
     request.account = std::move(event.account);
     request.body = std::move(event.body);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace harelink {
@@ -83,6 +84,11 @@
 /// How often lost results of one request are made again.
 inline constexpr std::uint32_t mostRemakes = 2;
 
+/// Requests whose good ends are waited for; all are forgotten where they would be more.
+inline constexpr std::size_t mostSuspects = 4096;
+inline constexpr std::string_view quarantineMessage =
+    "endpoints have ended under such requests, which are not run any more";
+
 inline double seconds(Duration time)
 {
     return std::chrono::duration<double>(time).count();
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -78,6 +78,8 @@
     absl::flat_hash_map<std::string, std::vector<std::pair<std::string, std::string>>> routes;
     absl::flat_hash_map<std::string, std::string> accountsByKey; ///< By API key.
     absl::flat_hash_map<std::string, std::string> poolsByEndpoint;
+    /// By digest, until when such requests are not run.
+    absl::flat_hash_map<Hash128, WallTime> quarantinedUntil;
 
     /// The pipeline of the longest path prefix of \p host that begins \p path, or null.
     [[nodiscard]] const PipelineSpec *route(const std::string &host, const std::string &path) const;
@@ -86,6 +88,9 @@
     /// The endpoint called \p name of any pool, or null.
     [[nodiscard]] const EndpointEntry *endpoint(const std::string &name) const;
     [[nodiscard]] const PipelineSpec *pipeline(const std::string &name) const;
+    /// How long from \p now on requests with \p digest are not run; zero where they are.
+    [[nodiscard]] std::chrono::milliseconds quarantineLeft(const Hash128 &digest,
+                                                           WallTime now) const;
     [[nodiscard]] const AccountEntry *account(const std::string &name) const;
     [[nodiscard]] const PoolEntry *pool(const std::string &name) const;
     /// The pool or the part of a pool called \p name, or null.
--- a/include/harelink/Kernel/types.h
+++ b/include/harelink/Kernel/types.h
@@ -75,6 +75,7 @@
     MayHaveRun,       ///< The key was claimed and what became of it is not known.
     Draining,         ///< The daemon is stopping.
     NotReady,         ///< The daemon has no configuration yet.
+    Quarantined,      ///< Endpoints have ended under such requests, which are not run any more.
     CallerGone,       ///< The caller's connection broke; nobody hears this.
 };
 /// How many reasons there are.
--- a/include/harelink/Support/hash.h
+++ b/include/harelink/Support/hash.h
@@ -11,6 +11,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,6 +39,8 @@
 [[nodiscard]] Hash128 hash128(std::string_view text);
 /// Thirty-two lower-case hexadecimal digits.
 [[nodiscard]] std::string toHex(const Hash128 &hash);
+/// Reads what toHex() wrote.
+[[nodiscard]] std::optional<Hash128> parseHash(std::string_view text);
 
 } // namespace harelink
 
--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -99,6 +99,13 @@
     });
 }
 
+long systemErrorOf(CURL *easy)
+{
+    long error = 0;
+    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+    return error;
+}
+
 /// Whether \p code says that the other side ended a connection that stood; a path that
 /// went silent is given up with the same code, but another error of the system.
 bool endedByPeer(CURL *easy, CURLcode code)
@@ -106,8 +113,7 @@
     if (code == CURLE_GOT_NOTHING || code == CURLE_PARTIAL_FILE) {
         return true;
     }
-    long systemError = 0;
-    curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &systemError);
+    const long systemError = systemErrorOf(easy);
     const bool wentSilent = systemError == ETIMEDOUT || systemError == EHOSTUNREACH;
     return !wentSilent && (code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR);
 }
@@ -154,7 +160,10 @@
             curl_easy_setopt(m_easy, CURLOPT_POSTFIELDS, m_body.data());
             curl_easy_setopt(m_easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(m_body.size()));
         }
-        if (!call.resendable) {
+        if (call.onlyConnects) {
+            curl_easy_setopt(m_easy, CURLOPT_CONNECT_ONLY, 1L);
+        }
+        if (!call.resendable || call.onlyConnects) {
             // On a kept connection that breaks, libcurl would send a POST again.
             curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 1L);
@@ -191,6 +200,11 @@
         long requestBytes = 0;
         curl_easy_getinfo(m_easy, CURLINFO_REQUEST_SIZE, &requestBytes);
         m_result.sent = requestBytes > 0;
+        if (code == CURLE_OK || m_result.sent) {
+            m_result.connection = HttpConnection::Made;
+        } else if (code == CURLE_COULDNT_CONNECT && systemErrorOf(m_easy) == ECONNREFUSED) {
+            m_result.connection = HttpConnection::Refused;
+        }
         if (code != CURLE_OK) {
             m_result.error = lowerCase(curl_easy_strerror(code));
             m_result.isBroken = m_result.sent && endedByPeer(m_easy, code);
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -172,6 +172,7 @@
             wire::PieceOrder &item = *to.add_orders();
             write(order.id, *item.mutable_id());
             item.set_caller_id(order.callerId);
+            write(order.digest, *item.mutable_digest());
             item.set_key(order.key);
             for (const std::string &input : order.inputs) {
                 item.add_inputs(input);
@@ -206,6 +207,25 @@
             to.add_handles(handle);
         }
     }
+    void operator()(const CrashReports &from) const
+    {
+        wire::CrashReports &to = *m_message.mutable_crash_reports();
+        for (const CrashReport &report : from.reports) {
+            wire::CrashReport &item = *to.add_reports();
+            write(report.digest, *item.mutable_digest());
+            item.set_pool(report.pool);
+            item.set_endpoint(report.endpoint);
+            item.set_sent_micros_ago(toMicros(report.sentAgo));
+            item.set_broke_micros_ago(toMicros(report.brokeAgo));
+        }
+    }
+    void operator()(const CrashesCleared &from) const
+    {
+        wire::CrashesCleared &to = *m_message.mutable_crashes_cleared();
+        for (const Hash128 &digest : from.digests) {
+            write(digest, *to.add_digests());
+        }
+    }
     void operator()(const PieceWithdrawal &from) const
     {
         wire::PieceWithdrawal &to = *m_message.mutable_piece_withdrawal();
@@ -311,6 +331,7 @@
         PieceOrder order;
         order.id = read(item.id());
         order.callerId = item.caller_id();
+        order.digest = read(item.digest());
         order.key = item.key();
         order.inputs.assign(item.inputs().begin(), item.inputs().end());
         order.priority = item.priority();
@@ -341,6 +362,26 @@
     return to;
 }
 
+CrashReports read(const wire::CrashReports &from)
+{
+    CrashReports to;
+    for (const wire::CrashReport &report : from.reports()) {
+        to.reports.push_back({read(report.digest()), report.pool(), report.endpoint(),
+                              microseconds(report.sent_micros_ago()),
+                              microseconds(report.broke_micros_ago())});
+    }
+    return to;
+}
+
+CrashesCleared read(const wire::CrashesCleared &from)
+{
+    CrashesCleared to;
+    for (const wire::Hash &digest : from.digests()) {
+        to.digests.push_back(read(digest));
+    }
+    return to;
+}
+
 PieceWithdrawal read(const wire::PieceWithdrawal &from)
 {
     PieceWithdrawal to;
@@ -436,6 +477,12 @@
     case wire::PeerMessage::kPeerSummary:
         to.content = read(from.peer_summary());
         return true;
+    case wire::PeerMessage::kCrashReports:
+        to.content = read(from.crash_reports());
+        return true;
+    case wire::PeerMessage::kCrashesCleared:
+        to.content = read(from.crashes_cleared());
+        return true;
     case wire::PeerMessage::CONTENT_NOT_SET:
         return false;
     }
--- a/lib/Config/objectreader.cpp
+++ b/lib/Config/objectreader.cpp
@@ -24,6 +24,11 @@
         return kind;
     }
     [[nodiscard]] bool endpointsLapse() const override { return false; }
+    [[nodiscard]] const std::string &quarantineKind() const override
+    {
+        static const std::string kind = "Quarantine";
+        return kind;
+    }
     [[nodiscard]] absl::StatusOr<std::vector<Resource>>
     read(const std::string &kind, const std::string &name, const std::string &value) const override
     {
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -181,6 +181,23 @@
     return spec;
 }
 
+ResourceSpec readQuarantine(const std::string &name, JsonReader &reader)
+{
+    // Milliseconds since 1970, so that the time until then is still a Duration (292 years).
+    constexpr std::int64_t latest = 9'000'000'000'000;
+    QuarantineSpec spec;
+    const std::optional<Hash128> digest = parseHash(name);
+    if (!digest) {
+        reader.fault("name", "must be 32 lower-case hexadecimal digits");
+    }
+    spec.digest = digest.value_or(Hash128{});
+    spec.pool = reader.text("pool");
+    spec.endpoints = reader.texts("endpoints");
+    spec.since = WallTime(milliseconds(reader.integer("sinceMs", 0, latest)));
+    spec.until = WallTime(milliseconds(reader.integer("untilMs", 0, latest)));
+    return spec;
+}
+
 ResourceSpec readSpec(const std::string &kind, const std::string &name, JsonReader &reader)
 {
     if (kind == "Pipeline") {
@@ -195,6 +212,9 @@
     if (kind == "Pool") {
         return readPool(name, reader);
     }
+    if (kind == "Quarantine") {
+        return readQuarantine(name, reader);
+    }
     return readEndpoint(name, reader);
 }
 
@@ -202,11 +222,22 @@
 
 const std::vector<std::string> &resourceKinds()
 {
-    static const std::vector<std::string> kinds = {"Pool", "Endpoint", "ModelVersion",
-                                                   "ClientAccount", "Pipeline"};
+    static const std::vector<std::string> kinds = {"Pool",          "Endpoint", "ModelVersion",
+                                                   "ClientAccount", "Pipeline", "Quarantine"};
     return kinds;
 }
 
+nlohmann::json quarantineDocument(const QuarantineSpec &spec)
+{
+    return {{"kind", "Quarantine"},
+            {"name", toHex(spec.digest)},
+            {"spec",
+             {{"pool", spec.pool},
+              {"endpoints", spec.endpoints},
+              {"sinceMs", spec.since.time_since_epoch().count()},
+              {"untilMs", spec.until.time_since_epoch().count()}}}};
+}
+
 absl::StatusOr<Resource> readResource(const nlohmann::json &document, std::string_view origin)
 {
     Faults faults;
--- a/lib/Daemon/callerapi.cpp
+++ b/lib/Daemon/callerapi.cpp
@@ -83,6 +83,7 @@
     case Reason::StageFailed:
         return answer.outcome == Outcome::NotRun ? 503 : 502;
     case Reason::KeyReused:
+    case Reason::Quarantined:
         return 422;
     case Reason::MayHaveRun:
         return 409;
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 
 namespace harelink {
@@ -16,6 +17,10 @@
 
 constexpr Logger logger("control");
 
+/// A connection that stands or is refused is known within a round trip; one that is not
+/// known by then says nothing of its endpoint.
+constexpr std::chrono::milliseconds probeTimeout{500};
+
 ControlOptions optionsOf(const Settings &settings, const Dialect &dialect, Incarnation incarnation)
 {
     ControlOptions options;
@@ -30,6 +35,7 @@
     options.objects = &dialect.platform().objects();
     options.watchersPerDataCentre = static_cast<std::size_t>(settings.watchers);
     options.hostKind = dialect.platform().hostKind();
+    options.quarantineLength = settings.quarantineLength;
     return options;
 }
 
@@ -175,6 +181,44 @@
     m_machine.endpointLeaving(endpoint);
 }
 
+void Control::broken(const BrokenCall &call)
+{
+    m_loop.post([this, call] {
+        m_machine.handle(call);
+        carryOut();
+    });
+}
+
+void Control::cleared(const RequestCleared &request)
+{
+    m_loop.post([this, request] {
+        m_machine.handle(request);
+        carryOut();
+    });
+}
+
+/// Opens a connection to the endpoint and closes it again.
+void Control::probe(const EndpointProbe &probe)
+{
+    HttpCall call;
+    call.url = fmt::format("http://{}", probe.address);
+    call.timeout = probeTimeout;
+    call.onlyConnects = true;
+    m_loop.http().send(call, [this, probe](const HttpResult &result) {
+        ProbeOutcome outcome = ProbeOutcome::Unknown;
+        if (result.connection != HttpConnection::Unknown) {
+            outcome = result.connection == HttpConnection::Refused ? ProbeOutcome::Refused
+                                                                   : ProbeOutcome::Accepted;
+        }
+        logger.record(LogLevel::Info, "endpoint-probed")
+            .field("endpoint", probe.endpoint)
+            .field("outcome", toText(outcome))
+            .field("detail", result.error);
+        m_machine.handle(EndpointProbed{probe.endpoint, outcome});
+        carryOut();
+    });
+}
+
 void Control::leave()
 {
     m_loop.post([this] { m_machine.leave(); });
@@ -308,8 +352,12 @@
 void Control::callPieces(const PieceCall &call)
 {
     const PieceDialect &dialect = *m_dialect.pieces();
-    m_loop.http().send(dialect.encode(call), [this, &dialect, call](const HttpResult &result) {
+    const TimePoint sentAt = m_clock.now();
+    const auto done = [this, &dialect, call, sentAt](const HttpResult &result) {
         const PieceCallEnded ended = dialect.decode(call, result);
+        if (result.isBroken) {
+            m_machine.pieceCallBroken(call, sentAt);
+        }
         if (!ended.answered) {
             logger.record(LogLevel::Warning, "piece-call-failed")
                 .field("endpoint", call.endpoint)
@@ -319,7 +367,8 @@
         }
         m_pieceBatcher.handle(ended, m_snapshot.current());
         carryOut();
-    });
+    };
+    m_loop.http().send(dialect.encode(call), done);
 }
 
 void Control::carryOut()
@@ -349,6 +398,19 @@
     if (output.configChanged) {
         publish();
     }
+    for (const EndpointProbe &next : output.probes) {
+        probe(next);
+    }
+    for (const RequestSuspected &suspect : output.suspects) {
+        m_workers.suspected(suspect);
+    }
+    for (const QuarantineDecision &decision : output.quarantines) {
+        ++m_quarantines;
+        logger.record(LogLevel::Warning, "request-quarantined")
+            .field("digest", toHex(decision.digest))
+            .field("pool", decision.pool)
+            .field("ended", fmt::format("{}", fmt::join(decision.endpoints, ",")));
+    }
     for (const ConfigFault &fault : output.faults) {
         logger.record(LogLevel::Warning, "object-unusable")
             .field("kind", fault.kind)
@@ -450,7 +512,7 @@
 
 void Control::publish()
 {
-    const std::vector<Resource> resources = m_machine.config().resources();
+    const std::vector<Resource> resources = m_machine.resources();
     const std::uint64_t revision = m_machine.config().revision();
     std::unique_ptr<const Snapshot> next =
         buildSnapshot(resources, revision, m_settings.dataCentre, &m_snapshot.current());
@@ -531,6 +593,7 @@
         counter("harelink_peer_messages_dropped_total", m_peers.counters().dropped);
         counter("harelink_peer_messages_unreadable_total", m_peers.counters().unreadable);
         counter("harelink_peer_connections_refused_total", m_peers.refused());
+        counter("harelink_quarantines_total", m_quarantines);
         gauge("harelink_config_version", static_cast<double>(m_machine.config().revision()));
         gauge("harelink_platform_connected", m_machine.connected() ? 1 : 0);
         gauge("harelink_watches_platform", m_machine.watches() ? 1 : 0);
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -142,6 +142,11 @@
             worker->endpointEnded(endpoint);
         }
     };
+    workers.suspected = [this](const RequestSuspected &event) {
+        for (const auto &worker : m_workers) {
+            worker->suspected(event);
+        }
+    };
     m_control = std::make_unique<Control>(m_settings, m_clock, m_snapshot, *m_dialect,
                                           m_incarnation, m_liveDaemons, std::move(workers));
     Worker::ControlSink control;
@@ -151,6 +156,8 @@
     control.withdraw = [this](const WithdrawPieces &pieces) { m_control->withdraw(pieces); };
     control.free = [this](const FreeResults &results) { m_control->free(results); };
     control.replaced = [this](const EndpointReplaced &endpoint) { m_control->replaced(endpoint); };
+    control.broken = [this](const BrokenCall &call) { m_control->broken(call); };
+    control.cleared = [this](const RequestCleared &request) { m_control->cleared(request); };
     for (int i = 0; i < m_settings.workers; ++i) {
         m_workers.push_back(std::make_unique<Worker>(m_settings, m_clock, m_snapshot, *m_dialect,
                                                      m_incarnation + static_cast<std::uint64_t>(i),
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -138,6 +138,11 @@
     m_loop.post([this, endpoint] { feed(EndpointEnded{endpoint}); });
 }
 
+void Worker::suspected(const RequestSuspected &event)
+{
+    m_loop.post([this, event] { feed(event); });
+}
+
 void Worker::pieceEnded(PieceEnded event)
 {
     m_loop.post([this, event = std::move(event)] { feed(event); });
@@ -388,14 +393,22 @@
 
 void Worker::perform(const CallBroken &action)
 {
+    const BrokenCall &broken = action.broken;
+    const Duration sentAgo = broken.brokeAt - broken.sentAt;
     logger.record(LogLevel::Warning, "call-broken")
         .field("request", action.callerId.empty() ? toText(action.call.request) : action.callerId)
-        .field("digest", toHex(action.digest))
-        .field("pool", action.pool)
-        .field("endpoint", action.endpoint)
+        .field("digest", toHex(broken.digest))
+        .field("pool", broken.pool)
+        .field("endpoint", broken.endpoint)
         .field("attempt", action.call.attempt)
-        .field("sentMsAgo", fmt::format("{:.1f}", toMilliseconds(action.brokeAt - action.sentAt)))
+        .field("sentMsAgo", fmt::format("{:.1f}", toMilliseconds(sentAgo)))
         .field("events", action.events);
+    m_control.broken(broken);
+}
+
+void Worker::perform(const RequestCleared &action)
+{
+    m_control.cleared(action);
 }
 
 void Worker::perform(const StreamPiece &action)
--- /dev/null
+++ b/lib/Kernel/crashconfirmer.cpp
@@ -0,0 +1,68 @@
+//===- crashconfirmer.cpp - Did an endpoint end? --------------------------===//
+
+#include "harelink/Kernel/crashconfirmer.h"
+
+#include <iterator>
+
+namespace harelink {
+namespace {
+
+/// Calls to one endpoint that wait for word of it; of more, the rest says nothing new.
+constexpr std::size_t mostPending = 256;
+
+} // namespace
+
+std::string_view toText(ProbeOutcome outcome)
+{
+    switch (outcome) {
+    case ProbeOutcome::Refused:
+        return "refused";
+    case ProbeOutcome::Accepted:
+        return "accepted";
+    case ProbeOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+void CrashConfirmer::add(BrokenCall call)
+{
+    if (call.address.empty()) {
+        m_confirmed.push_back(std::move(call));
+        return;
+    }
+    const std::string endpoint = call.endpoint;
+    Pending &pending = m_pending[endpoint];
+    if (pending.waiting.size() < mostPending) {
+        pending.waiting.push_back(std::move(call));
+    }
+    if (pending.probed.empty()) {
+        probe(endpoint, pending);
+    }
+}
+
+void CrashConfirmer::probe(const std::string &endpoint, Pending &pending)
+{
+    pending.probed = std::exchange(pending.waiting, {});
+    m_probes.push_back({endpoint, pending.probed.front().address});
+}
+
+void CrashConfirmer::handle(const EndpointProbed &event)
+{
+    const auto found = m_pending.find(event.endpoint);
+    if (found == m_pending.end()) {
+        return;
+    }
+    Pending &pending = found->second;
+    std::vector<BrokenCall> probed = std::exchange(pending.probed, {});
+    if (event.outcome == ProbeOutcome::Refused) {
+        std::move(probed.begin(), probed.end(), std::back_inserter(m_confirmed));
+    }
+    if (pending.waiting.empty()) {
+        m_pending.erase(found);
+        return;
+    }
+    probe(event.endpoint, pending);
+}
+
+} // namespace harelink
--- /dev/null
+++ b/lib/Kernel/crashwatch.cpp
@@ -0,0 +1,122 @@
+//===- crashwatch.cpp - Requests that end endpoints -----------------------===//
+
+#include "harelink/Kernel/crashwatch.h"
+
+#include <algorithm>
+
+namespace harelink {
+namespace {
+
+/// Hosts that count the ends under one request: with one of them lost or out of reach the
+/// other has the whole count.
+constexpr std::size_t mostCounters = 2;
+
+} // namespace
+
+CrashWatch::CrashWatch(const Clock &clock, const Membership &membership,
+                       const std::string &quarantineKind,
+                       std::chrono::milliseconds quarantineLength)
+    : m_clock(clock)
+    , m_membership(membership)
+    , m_counter(clock)
+    , m_book(clock, quarantineKind, quarantineLength)
+{
+}
+
+void CrashWatch::handle(BrokenCall call)
+{
+    m_confirmer.add(std::move(call));
+    takeConfirmed();
+}
+
+void CrashWatch::handle(const EndpointProbed &event)
+{
+    m_confirmer.handle(event);
+    takeConfirmed();
+}
+
+void CrashWatch::takeConfirmed()
+{
+    const TimePoint now = m_clock.now();
+    std::map<std::string, CrashReports> byHost;
+    for (const BrokenCall &call : m_confirmer.takeConfirmed()) {
+        const CrashReport report{call.digest, call.pool, call.endpoint, now - call.sentAt,
+                                 now - call.brokeAt};
+        count(report, call.sentAt, call.brokeAt);
+        std::vector<std::string> hosts = countersOf(call.digest);
+        // Where the request is, its good end is seen.
+        if (!call.requester.empty()) {
+            hosts.push_back(call.requester);
+        }
+        std::sort(hosts.begin(), hosts.end());
+        hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
+        for (const std::string &host : hosts) {
+            byHost[host].reports.push_back(report);
+        }
+    }
+    for (auto &[host, reports] : byHost) {
+        send(host, std::move(reports));
+    }
+}
+
+void CrashWatch::handle(const CrashReports &message)
+{
+    const TimePoint now = m_clock.now();
+    for (const CrashReport &report : message.reports) {
+        count(report, now - report.sentAgo, now - report.brokeAgo);
+    }
+}
+
+void CrashWatch::count(const CrashReport &report, TimePoint sentAt, TimePoint brokeAt)
+{
+    m_suspects.push_back({report.digest});
+    std::vector<std::string> ended =
+        m_counter.note(report.digest, report.endpoint, sentAt, brokeAt);
+    if (ended.empty()) {
+        return;
+    }
+    m_counter.clear(report.digest);
+    m_book.add(report.digest, report.pool, ended);
+    m_decisions.push_back({report.digest, report.pool, std::move(ended)});
+}
+
+void CrashWatch::handle(const RequestCleared &event)
+{
+    m_counter.clear(event.digest);
+    for (const std::string &host : countersOf(event.digest)) {
+        send(host, CrashesCleared{{event.digest}});
+    }
+}
+
+void CrashWatch::handle(const CrashesCleared &message)
+{
+    for (const Hash128 &digest : message.digests) {
+        m_counter.clear(digest);
+    }
+}
+
+void CrashWatch::tick(const ConfigEntries &declared, std::vector<PlatformCall> &calls,
+                      std::uint64_t &nextCallId)
+{
+    m_book.tick(declared, calls, nextCallId);
+}
+
+std::vector<std::string> CrashWatch::countersOf(const Hash128 &digest) const
+{
+    std::vector<std::string> hosts =
+        m_membership.ranked(m_membership.candidates(), "crashes/" + toHex(digest));
+    hosts.resize(std::min(hosts.size(), mostCounters));
+    return hosts;
+}
+
+void CrashWatch::send(const std::string &host, decltype(PeerMessage::content) content)
+{
+    if (host == m_membership.host()) {
+        return;
+    }
+    if (std::optional<PeerSend> message = m_membership.messageTo(host, std::move(content))) {
+        m_sends.push_back(*std::move(message));
+    }
+}
+
+} // namespace harelink
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -216,10 +216,13 @@
     }
 }
 
-bool PieceRouter::mayReorder(const Pending &pending)
+bool PieceRouter::mayReorder(const Pending &pending, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
-    return pending.attempts < mostAttempts && now < pending.due
+    // Its request is refused with the first outcome that is told.
+    const bool isQuarantined =
+        snapshot.quarantineLeft(pending.order.digest, m_clock.wallNow()) > Duration::zero();
+    return !isQuarantined && pending.attempts < mostAttempts && now < pending.due
            && budgetOf(pending.pool).allows(now, m_membership.countedHosts());
 }
 
@@ -229,7 +232,7 @@
     const auto found = m_pending.find(id);
     Pending pending = std::move(found->second);
     m_pending.erase(found);
-    if (!mayReorder(pending)) {
+    if (!mayReorder(pending, snapshot)) {
         m_pending[id] = std::move(pending);
         finish(id, fault);
         return;
@@ -269,7 +272,7 @@
         Pending &pending = m_pending.at(id);
         if (now >= pending.due) {
             finish(id, PieceFault::Late);
-        } else if (mayReorder(pending)) {
+        } else if (mayReorder(pending, snapshot)) {
             reorder(id, PieceFault::Failed, snapshot);
         } else {
             // Its endpoint may only be slow: nothing says yet that it will not be made.
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -56,6 +56,11 @@
 
     void operator()(const EndpointSpec &spec) { m_endpoints.push_back(spec); }
 
+    void operator()(const QuarantineSpec &spec)
+    {
+        m_snapshot.quarantinedUntil[spec.digest] = spec.until;
+    }
+
     void finish(const std::string &dataCentre)
     {
         m_snapshot.dataCentre = dataCentre;
@@ -208,6 +213,14 @@
     return findIn(pipelines, name);
 }
 
+std::chrono::milliseconds Snapshot::quarantineLeft(const Hash128 &digest, WallTime now) const
+{
+    const auto found = quarantinedUntil.find(digest);
+    return found == quarantinedUntil.end()
+               ? std::chrono::milliseconds::zero()
+               : std::max(std::chrono::milliseconds::zero(), found->second - now);
+}
+
 const AccountEntry *Snapshot::account(const std::string &name) const
 {
     return findIn(accounts, name);
--- a/lib/Support/hash.cpp
+++ b/lib/Support/hash.cpp
@@ -2,6 +2,8 @@
 
 #include "harelink/Support/hash.h"
 
+#include <charconv>
+
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -23,4 +25,18 @@
     return fmt::format("{:016x}{:016x}", hash.high, hash.low);
 }
 
+std::optional<Hash128> parseHash(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    constexpr std::size_t half = 16;
+    const bool isLowerHex = text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+    if (text.size() != 2 * half || !isLowerHex) {
+        return std::nullopt;
+    }
+    Hash128 hash;
+    std::from_chars(text.data(), text.data() + half, hash.high, hexadecimal);
+    std::from_chars(text.data() + half, text.data() + 2 * half, hash.low, hexadecimal);
+    return hash;
+}
+
 } // namespace harelink
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -409,6 +409,17 @@
         for (const std::string &endpoint : output.leavingEndpoints) {
             markLeaving(*host.snapshot, endpoint);
         }
+        for (const EndpointProbe &probe : output.probes) {
+            perform(host, probe);
+        }
+        for (const RequestSuspected &suspect : output.suspects) {
+            m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
+                toRequests(name, start, suspect);
+            });
+        }
+        for (const QuarantineDecision &decision : output.quarantines) {
+            m_trace.add(fmt::format("{} quarantines {}", host.name, toHex(decision.digest)));
+        }
     }
 
     /// The way between a worker's and the control's thread.
@@ -417,9 +428,8 @@
 
     void publish(Host &host)
     {
-        host.snapshot =
-            buildSnapshot(host.control->config().resources(), host.control->config().revision(),
-                          host.dataCentre, host.snapshot.get());
+        host.snapshot = buildSnapshot(host.control->resources(), host.control->config().revision(),
+                                      host.dataCentre, host.snapshot.get());
         for (const std::string &endpoint : host.control->leavingEndpoints()) {
             markLeaving(*host.snapshot, endpoint);
         }
@@ -430,7 +440,6 @@
 
     void perform(Host &, const AnswerCaller &action) { m_checks.answered(action); }
     void perform(Host &, const CancelStage &) {}
-    void perform(Host &, const CallBroken &) {}
     void perform(Host &, const StreamPiece &action) { m_checks.streamed(action); }
     /// Only carried requests bring the other actions, and none is sent here.
     template <typename Action>
@@ -446,6 +455,34 @@
         });
     }
 
+    void perform(Host &host, const CallBroken &action)
+    {
+        m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
+            toControl(name, start, action.broken);
+        });
+    }
+
+    void perform(Host &host, const RequestCleared &action)
+    {
+        m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
+            toControl(name, start, action);
+        });
+    }
+
+    void perform(Host &host, const EndpointProbe &probe)
+    {
+        const FakeEndpoint &endpoint = m_endpoints.at(probe.endpoint);
+        EndpointProbed event{probe.endpoint, ProbeOutcome::Accepted};
+        if (m_cuts.isCut(host.dataCentre, endpoint.dataCentre)) {
+            event.outcome = ProbeOutcome::Unknown;
+        } else if (endpoint.down) {
+            event.outcome = ProbeOutcome::Refused;
+        }
+        m_queue.after(networkDelay(), [=, this, name = host.name, start = host.incarnation] {
+            toControl(name, start, event);
+        });
+    }
+
     void perform(Host &host, const ClaimFinish &action)
     {
         m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
--- a/unittests/Adapters/httpclienttest.cpp
+++ b/unittests/Adapters/httpclienttest.cpp
@@ -149,6 +149,21 @@
     CHECK_EQUAL(0, result.status);
     CHECK_FALSE(result.sent);
     CHECK_FALSE(result.isBroken);
+    CHECK(result.connection == HttpConnection::Refused);
+}
+
+TEST(HttpClient, ACallThatOnlyConnectsSendsNothing)
+{
+    DyingServer server;
+    HttpClient client;
+    HttpCall call;
+    call.url = server.url();
+    call.timeout = std::chrono::seconds(5);
+    call.onlyConnects = true;
+    const HttpResult result = callOn(client, call);
+    CHECK(result.connection == HttpConnection::Made);
+    CHECK_FALSE(result.sent);
+    CHECK_EQUAL(0, server.seen());
 }
 
 TEST(HttpClient, TellsAConnectionThatTheOtherSideEnded)
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -166,3 +166,21 @@
     }
     CHECK(heard.has_value());
 }
+
+TEST(PeerLink, WhatIsToldOfEndsIsReadAsItWasWritten)
+{
+    CrashReports reports;
+    reports.reports.push_back({hash128("a"), "engines", "e1", std::chrono::milliseconds(120),
+                               std::chrono::milliseconds(3)});
+    const auto read = decodePeerMessage(encodePeerMessage({"h1", 7, reports}));
+    CHECK_TRUE(read.has_value());
+    const CrashReport &report = std::get<CrashReports>(read->content).reports.at(0);
+    CHECK(report.digest == hash128("a"));
+    STRCMP_EQUAL("e1", report.endpoint.c_str());
+    STRCMP_EQUAL("engines", report.pool.c_str());
+    CHECK(report.sentAgo == std::chrono::milliseconds(120));
+    CHECK(report.brokeAgo == std::chrono::milliseconds(3));
+    const auto cleared =
+        decodePeerMessage(encodePeerMessage({"h1", 7, CrashesCleared{{hash128("b")}}}));
+    CHECK(std::get<CrashesCleared>(cleared->content).digests.at(0) == hash128("b"));
+}
--- a/unittests/Kernel/carriedfixture.h
+++ b/unittests/Kernel/carriedfixture.h
@@ -170,6 +170,7 @@
         append(frees, only<FreeResults>(actions));
         append(replaced, only<EndpointReplaced>(actions));
         append(broken, only<CallBroken>(actions));
+        append(cleared, only<RequestCleared>(actions));
     }
 
     ManualClock clock;
@@ -186,6 +187,7 @@
     std::vector<FreeResults> frees;
     std::vector<EndpointReplaced> replaced;
     std::vector<CallBroken> broken;
+    std::vector<RequestCleared> cleared;
 };
 
 } // namespace harelink::testing
--- a/unittests/Kernel/configwatchertest.cpp
+++ b/unittests/Kernel/configwatchertest.cpp
@@ -19,6 +19,10 @@
         return groups;
     }
     [[nodiscard]] const std::string &endpointKind() const override { return kindGroups()[0][0]; }
+    [[nodiscard]] const std::string &quarantineKind() const override
+    {
+        return ownObjectReader().quarantineKind();
+    }
     [[nodiscard]] bool endpointsLapse() const override { return true; }
     [[nodiscard]] absl::StatusOr<std::vector<Resource>>
     read(const std::string &, const std::string &name, const std::string &) const override
--- a/unittests/Kernel/controlmachinetest.cpp
+++ b/unittests/Kernel/controlmachinetest.cpp
@@ -18,6 +18,10 @@
         return groups;
     }
     [[nodiscard]] const std::string &endpointKind() const override { return kindGroups()[1][0]; }
+    [[nodiscard]] const std::string &quarantineKind() const override
+    {
+        return ownObjectReader().quarantineKind();
+    }
     [[nodiscard]] bool endpointsLapse() const override { return false; }
     [[nodiscard]] absl::StatusOr<std::vector<Resource>>
     read(const std::string &, const std::string &, const std::string &) const override
--- a/unittests/Kernel/requestdigesttest.cpp
+++ b/unittests/Kernel/requestdigesttest.cpp
@@ -59,8 +59,8 @@
     bench.arrive("/record/1");
     bench.fail(bench.sends.at(0), SendEvidence::Sent, std::nullopt, true);
     LONGS_EQUAL(1, bench.broken.size());
-    STRCMP_EQUAL(bench.sends.at(0).endpoint.c_str(), bench.broken.at(0).endpoint.c_str());
-    CHECK(bench.broken.at(0).digest == bench.answers.at(0).digest);
+    STRCMP_EQUAL(bench.sends.at(0).endpoint.c_str(), bench.broken.at(0).broken.endpoint.c_str());
+    CHECK(bench.broken.at(0).broken.digest == bench.answers.at(0).digest);
     LONGS_EQUAL(1, bench.machine.counters().brokenCalls);
 }
 
--- a/unittests/Platform/foreignentriestest.cpp
+++ b/unittests/Platform/foreignentriestest.cpp
@@ -194,3 +194,34 @@
         }
     }
 }
+
+TEST(ForeignEntries, AnEntryThatIsNoQuarantineKeepsNothingFromBeingRun)
+{
+    QuarantineSpec spec;
+    spec.digest = hash128("guilty");
+    spec.pool = "m1";
+    spec.endpoints = {"i-1", "i-2", "i-3"};
+    spec.since = WallTime(std::chrono::milliseconds(5));
+    spec.until = WallTime(std::chrono::milliseconds(5000));
+    const std::string name = toHex(spec.digest);
+    const nlohmann::json good = quarantineDocument(spec);
+    const std::string &kind = reader.quarantineKind();
+    const auto read = reader.read(kind, name, good.dump());
+    CHECK_TRUE(read.ok());
+    CHECK(std::get<QuarantineSpec>(read->front().spec).until == spec.until);
+    for (const char *field : {"pool", "endpoints", "sinceMs", "untilMs"}) {
+        for (const std::string &value : strangeValues) {
+            nlohmann::json strange = good;
+            strange["spec"][field] = nlohmann::json::parse(value);
+            const auto result = reader.read(kind, name, strange.dump());
+            const bool isText = value.front() == '"' && value.size() > 2;
+            const bool mayStand = value == "0" || (isText && std::string(field) == "pool")
+                                  || (value == "[]" && std::string(field) == "endpoints");
+            CHECK_TEXT(mayStand || !result.ok(), fmt::format("{} {}", field, value).c_str());
+        }
+    }
+    for (const std::string &value : strangeValues) {
+        CHECK_FALSE(reader.read(kind, name, value).ok());
+    }
+    CHECK_FALSE(reader.read(kind, "another name", good.dump()).ok());
+}
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -213,6 +213,10 @@
     answer.outcome = Outcome::NotRun;
     answer.reason = Reason::UnknownAccount;
     LONGS_EQUAL(401, dialect.makeReply(answer).status);
+    answer.reason = Reason::Quarantined;
+    LONGS_EQUAL(503, dialect.makeReply(answer).status);
+    answer.outcome = Outcome::Unknown;
+    LONGS_EQUAL(502, dialect.makeReply(answer).status);
 }
 
 TEST(Requests, AStreamIsPassedOnInWholeEventsOnly)
