[Support] Count the time for which a host is suspended; play it, and crashing requests, at random

Cause: the standard steady clock stands still while a host is suspended, so that deadlines, silences and pauses were timed as if nothing had been: requests went on to endpoints with time that their callers no longer had. Change: the clock reads the time since boot. Random runs of a kind of their own (--crashes; the draws of the others stay) play suspended hosts and requests that end endpoints, with controls quarantine and suspension.

--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -37,6 +37,9 @@
     static constexpr bool shunsLeaving = true;
     /// A request under which endpoints have ended is not run again.
     static constexpr bool quarantinesCrashing = true;
+    /// The time for which a host was suspended counts for all that its daemon times. (The
+    /// clock that is handed in sees to it.)
+    static constexpr bool countsSuspension = true;
     /// A stopping daemon finishes what is in flight.
     static constexpr bool drainsBeforeExit = true;
     /// A request is taken in, and kept, only while it is predicted to be in time.
@@ -81,6 +84,9 @@
     {
         G::quarantinesCrashing
         } -> std::convertible_to<bool>;
+    {
+        G::countsSuspension
+        } -> std::convertible_to<bool>;
     {
         G::drainsBeforeExit
         } -> std::convertible_to<bool>;
--- a/include/harelink/Support/clock.h
+++ b/include/harelink/Support/clock.h
@@ -13,7 +13,8 @@
 
 namespace harelink {
 
-/// A point on the steady clock of one process; never compared between hosts.
+/// A point on the steady clock of one process, which counts the time for which its host was
+/// suspended; never compared between hosts, nor with std::chrono::steady_clock's own time.
 using TimePoint = std::chrono::steady_clock::time_point;
 /// A point in calendar time; used only for retention and for reports.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
--- a/lib/Support/clock.cpp
+++ b/lib/Support/clock.cpp
@@ -3,12 +3,18 @@
 #include "harelink/Support/clock.h"
 
 #include <cassert>
+#include <ctime>
 
 namespace harelink {
 
 TimePoint SystemClock::now() const
 {
-    return std::chrono::steady_clock::now();
+    // The standard steady clock stands still while the host is suspended. Deadlines do not:
+    // after seconds of it callers are gone, and peers that seem to have spoken a moment ago
+    // are not.
+    timespec time{};
+    (void)clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 WallTime SystemClock::wallNow() const
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -10,6 +10,14 @@
 
 namespace harelink::sim {
 
+/// What a run plays besides requests, an operator's changes and faults.
+enum class RunKind {
+    Faults,
+    /// Requests that end the endpoints that run them and come again at any host, and hosts
+    /// that are suspended. Apart, so that the draws of the other runs stay as they were.
+    CrashesAndSuspensions,
+};
+
 /// What a run came to.
 struct RunResult
 {
--- a/test/sim/fakes.cpp
+++ b/test/sim/fakes.cpp
@@ -171,6 +171,22 @@
     m_queue.after(watchPoll, [=, this] { watch(call, limit, reply); });
 }
 
+void HostClock::setStanding(bool isStanding)
+{
+    const TimePoint world = m_world.now();
+    if (m_standsSince) {
+        m_lost += world - *std::exchange(m_standsSince, std::nullopt);
+    }
+    if (isStanding) {
+        m_standsSince = world;
+    }
+}
+
+TimePoint HostClock::now() const
+{
+    return m_standsSince.value_or(m_world.now()) - m_lost;
+}
+
 bool isCrashing(const std::string &body)
 {
     return body.starts_with("crash");
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -17,6 +17,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -57,6 +58,25 @@
     std::priority_queue<Entry, std::vector<Entry>, std::greater<>> m_entries;
 };
 
+/// The clock of one host, which may stand still while all others go on.
+class HostClock final : public Clock
+{
+public:
+    /// \param world outlives the clock.
+    explicit HostClock(const Clock &world)
+        : m_world(world)
+    {
+    }
+    void setStanding(bool isStanding);
+    [[nodiscard]] TimePoint now() const override;
+    [[nodiscard]] WallTime wallNow() const override { return m_world.wallNow(); }
+
+private:
+    const Clock &m_world;
+    Duration m_lost{};                      ///< That it has stood still.
+    std::optional<TimePoint> m_standsSince; ///< Of the world's time.
+};
+
 /// What happened, as text. Keeps the last lines and a hash over all.
 class Trace
 {
