--- a/utils/standin/endpoint.cpp
+++ b/utils/standin/endpoint.cpp
@@ -26,6 +26,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 #include <deque>
 #include <list>
 #include <mutex>
@@ -35,6 +36,7 @@
 DEFINE_int32(slots, 8, "Calls worked on at a time.");
 DEFINE_double(base_ms, 5, "Time of a call without its size.");
 DEFINE_double(token_ms, 0.1, "Time of one token of a model engine.");
+DEFINE_string(crash_on, "", "Ends at once when it begins to run a body with this text.");
 DEFINE_int32(prefixes, 32, "Prompt prefixes that a model engine keeps.");
 
 namespace {
@@ -77,6 +79,9 @@
     std::list<std::uint64_t> m_recent;
 };
 
+/// The exit status of a stand-in that a request has ended.
+constexpr int crashStatus = 70;
+
 struct Job
 {
     HttpRequest request;
@@ -198,6 +203,10 @@
             m_queue.pop_front();
             ++m_active;
             ++m_runs;
+            if (!FLAGS_crash_on.empty()
+                && job.request.body.find(FLAGS_crash_on) != std::string::npos) {
+                std::_Exit(crashStatus);
+            }
             const std::string key = job.request.header("idempotency-key");
             if (!key.empty()) {
                 ++m_runsByKey[key];
