[Test] A quarantine spreads through relays, and outlives all daemons and an outage

Cause: it was shown with four hosts that all hear each other only; the larger deployments tell through relays. Change: two tests with 100 and 30 controls; the fleet's store takes what daemons declare. Measured: 100 hosts know it within 1 s of the third end, six reports at the most; all of them again 2.5 s after all ended; with the store away the one to three hosts that counted, all of 30 within 3 s of its return.

--- a/unittests/Kernel/fleetfixture.h
+++ b/unittests/Kernel/fleetfixture.h
@@ -94,7 +94,7 @@
             options.capacity = i < layout.able * layout.dataCentres ? 0.5 : 0.12;
             options.mostMeshPeers = layout.mostMeshPeers;
             options.watchersPerDataCentre = layout.watchers;
-            options.hostKind = "hosts";
+            options.hostKind = hostKind;
             m_options[options.host] = options;
         }
         declare("ClientAccount", "drivers", R"({"weight": 1})");
@@ -194,7 +194,34 @@
         return fewest;
     }
 
+    /// An endpoint ends under a request at \p host, which had sent it 100 ms ago.
+    void endUnder(const std::string &host, const Hash128 &digest, const std::string &endpoint)
+    {
+        BrokenCall call;
+        call.digest = digest;
+        call.pool = "engines";
+        call.endpoint = endpoint; // Not declared any more: nobody has to be asked.
+        call.brokeAt = m_clock.now();
+        call.sentAt = call.brokeAt - std::chrono::milliseconds(100);
+        m_hosts.at(host)->handle(call);
+    }
+    /// How many hosts run requests with \p digest no more.
+    [[nodiscard]] std::size_t keptFrom(const Hash128 &digest) const
+    {
+        std::size_t count = 0;
+        for (const auto &[name, host] : m_hosts) {
+            const std::vector<Resource> resources = host->resources();
+            count += std::any_of(resources.begin(), resources.end(), [&](const Resource &one) {
+                const auto *spec = std::get_if<QuarantineSpec>(&one.spec);
+                return spec != nullptr && spec->digest == digest;
+            });
+        }
+        return count;
+    }
+
 private:
+    static constexpr const char *hostKind = "hosts";
+
     /// A watch that waits.
     struct Held
     {
@@ -250,6 +277,8 @@
             return content.isWhole ? "summary, whole" : "summary";
         } else if constexpr (std::same_as<Content, ConfigPush>) {
             return "push";
+        } else if constexpr (std::same_as<Content, CrashReports>) {
+            return "crash reports";
         } else if constexpr (std::same_as<Content, ConfigDigest>) {
             return content.detailed ? "digest, detailed" : "digest";
         } else {
@@ -315,7 +344,7 @@
                 result.objects.push_back(object);
             }
         } else if (call.operation == PlatformOperation::Put) {
-            return declareHost(name, call);
+            return call.kind == hostKind ? declareHost(name, call) : put(call);
         } else {
             PlatformCall all = call;
             all.since = call.operation == PlatformOperation::List ? 0 : call.since;
@@ -326,6 +355,20 @@
         return result;
     }
 
+    PlatformResult put(const PlatformCall &call)
+    {
+        PlatformObject &object = m_objects[{call.kind, call.name}];
+        PlatformResult result;
+        result.id = call.id;
+        result.outcome = PlatformOutcome::Conflict;
+        if (object.version == call.ifVersion) {
+            object = {call.kind, call.name, ++m_revision, false, call.value};
+            result.outcome = PlatformOutcome::Ok;
+        }
+        result.version = object.version;
+        return result;
+    }
+
     PlatformResult declareHost(const std::string &name, const PlatformCall &call)
     {
         PlatformObject &object = m_declared[name];
--- a/unittests/Kernel/fleettest.cpp
+++ b/unittests/Kernel/fleettest.cpp
@@ -209,3 +209,52 @@
         fleet.endAll();
     }
 }
+
+/// A request comes again at a host that none of the others hears of itself, and ends an endpoint
+/// each time. With three ends behind it all know it, well within the 3 s in which daemons that
+/// are in touch have to; it is told to two hosts each time, however many there are.
+TEST(Fleet, WhatEndsEndpointsIsKnownEverywhereAfterTheThirdEnd)
+{
+    constexpr std::size_t hosts = 100;
+    const Hash128 digest = hash128("ends endpoints");
+    ControlFleet fleet({.hosts = hosts, .endpoints = 20});
+    fleet.startAll();
+    fleet.run(seconds(6));
+    (void)fleet.takeTraffic();
+    for (const char *host : {"h0021", "h0062", "h0093"}) {
+        LONGS_EQUAL(0, fleet.keptFrom(digest));
+        fleet.endUnder(host, digest, std::string("gone-") + host);
+        fleet.run(milliseconds(400));
+    }
+    const FleetTraffic traffic = fleet.takeTraffic();
+    CHECK(traffic.kinds.at("crash reports") <= 6);
+    CHECK(traffic.storeCalls.at("put Quarantine") <= 3);
+    fleet.run(milliseconds(600));
+    LONGS_EQUAL(hosts, fleet.keptFrom(digest));
+
+    // It outlives the end of all daemons.
+    fleet.endAll();
+    fleet.startAll();
+    fleet.run(milliseconds(2500));
+    LONGS_EQUAL(hosts, fleet.keptFrom(digest));
+}
+
+TEST(Fleet, WhatEndsEndpointsWhileTheStoreIsAwayIsDeclaredWhenItIsBack)
+{
+    constexpr std::size_t hosts = 30;
+    const Hash128 digest = hash128("ends endpoints");
+    ControlFleet fleet({.hosts = hosts, .dataCentres = 3, .endpoints = 20});
+    fleet.startAll();
+    fleet.run(seconds(6));
+    fleet.setStoreAway(true);
+    for (const char *host : {"h0021", "h0012", "h0013"}) {
+        fleet.run(milliseconds(400));
+        fleet.endUnder(host, digest, std::string("gone-") + host);
+    }
+    fleet.run(seconds(3));
+    CHECK(fleet.keptFrom(digest) >= 1);
+    CHECK(fleet.keptFrom(digest) <= 3);
+    fleet.setStoreAway(false);
+    fleet.run(seconds(3));
+    LONGS_EQUAL(hosts, fleet.keptFrom(digest));
+}
