[Kernel] Drain data centres: their endpoints get nothing new until they are taken back

Change: a declared object, DataCentreDrain, which spreads as configuration does and never goes back; the platform's evacuations are read as such, whatever they hold. Its endpoints are not usable for requests nor pieces, prompts of theirs have other homes at once, slots are not counted; what is under way ends there, results that lie there are read. Where all are drained, requests are refused at once, also those that wait. A start reads drains before it sends anything. Watched with waits of 3.5 s: one that falls silent is noticed within the five seconds that a drain may take.

--- a/include/harelink/Config/objectreader.h
+++ b/include/harelink/Config/objectreader.h
@@ -33,6 +33,8 @@
     [[nodiscard]] virtual bool endpointsLapse() const = 0;
     /// The kind in which daemons declare a QuarantineSpec, as quarantineDocument() gives it.
     [[nodiscard]] virtual const std::string &quarantineKind() const = 0;
+    /// The kind in which operators declare a DataCentreDrainSpec.
+    [[nodiscard]] virtual const std::string &drainKind() const = 0;
     /// What an object declares; an error names the fault.
     [[nodiscard]] virtual absl::StatusOr<std::vector<Resource>>
     read(const std::string &kind, const std::string &name, const std::string &value) const = 0;
--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -167,9 +167,17 @@
     WallTime until; ///< From then on such requests are run again.
 };
 
+/// A data centre whose endpoints are to get nothing new until this is deleted. It is planned
+/// work: what they have begun ends there, and results that lie there may still be read.
+struct DataCentreDrainSpec
+{
+    std::string name;
+    std::string dataCentre; ///< One that no endpoint stands in is no fault.
+};
+
 /// What a resource holds, by kind.
 using ResourceSpec = std::variant<PipelineSpec, ClientAccountSpec, ModelVersionSpec, PoolSpec,
-                                  EndpointSpec, QuarantineSpec>;
+                                  EndpointSpec, QuarantineSpec, DataCentreDrainSpec>;
 
 /// A resource as an operator declares it.
 struct Resource
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -138,6 +138,8 @@
     {
         return m_kinds.size() == 1 && m_kinds.front() == kind;
     }
+    /// Whether the last call to the platform, of this watcher or not, failed.
+    [[nodiscard]] bool isAway() const { return m_away; }
     /// Whether a whole listing has been seen.
     [[nodiscard]] bool synced() const { return m_synced; }
     [[nodiscard]] TimePoint nextTick() const;
@@ -149,6 +151,7 @@
 
 private:
     void backOff();
+    [[nodiscard]] Duration watchWait() const;
     bool takeListing(const PlatformResult &result);
     bool take(const PlatformObject &news);
     [[nodiscard]] bool holdsBack(const PlatformObject &news) const;
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -36,6 +36,11 @@
 /// digests within some seconds.
 inline constexpr std::chrono::milliseconds quarantineWatchWait{10'000};
 
+/// The same where drains of data centres are all that is watched. They change seldom, and have
+/// to be in force within five seconds: with the 0.8 s that a call is waited for beyond it, one
+/// that fell silent is noticed in 4.3 s.
+inline constexpr std::chrono::milliseconds drainWatchWait{3500};
+
 /// Between a watch with news and the next one: what comes meanwhile comes together. Of a
 /// fleet whose endpoints start, 24 watchers made 2,900 calls in 5 s without it. It is a
 /// small part of the seconds in which news have to be in force.
@@ -241,6 +246,16 @@
     return waits ? std::min(call, m_regainedAt + configwatcher::lapseAllowance) : call;
 }
 
+template <GuardPolicy G>
+Duration BasicConfigWatcher<G>::watchWait() const
+{
+    if (followsOnly(m_table.reader().quarantineKind())) {
+        return configwatcher::quarantineWatchWait;
+    }
+    return followsOnly(m_table.reader().drainKind()) ? configwatcher::drainWatchWait
+                                                     : configwatcher::watchWait;
+}
+
 template <GuardPolicy G>
 void BasicConfigWatcher<G>::tick(std::vector<PlatformCall> &calls, std::uint64_t &nextCallId)
 {
@@ -255,8 +270,7 @@
     call.kind = fmt::format("{}", fmt::join(m_kinds, ","));
     call.name = m_listing ? m_continueAfter : std::string();
     call.since = m_since;
-    call.wait = followsOnly(m_table.reader().quarantineKind()) ? configwatcher::quarantineWatchWait
-                                                               : configwatcher::watchWait;
+    call.wait = watchWait();
     calls.push_back(std::move(call));
 }
 
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -154,6 +154,7 @@
     void takeHostList(const std::vector<PlatformObject> &hosts);
     void noteLeaving(const std::string &endpoint);
     [[nodiscard]] bool knowsAllKinds() const;
+    [[nodiscard]] bool knowsKindsOf(const BasicConfigWatcher<G> &watcher) const;
     void giveOutConfig();
 
     const Clock &m_clock;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -162,6 +162,11 @@
 std::vector<Resource> BasicControlMachine<G>::resources() const
 {
     std::vector<Resource> all = m_config.resources();
+    if (!G::shunsDrained) {
+        std::erase_if(all, [](const Resource &resource) {
+            return std::holds_alternative<DataCentreDrainSpec>(resource.spec);
+        });
+    }
     for (Resource &resource : m_crashes.undeclared()) {
         all.push_back(std::move(resource));
     }
@@ -589,15 +594,28 @@
 template <GuardPolicy G>
 bool BasicControlMachine<G>::knowsAllKinds() const
 {
-    const auto isKnown = [this](const BasicConfigWatcher<G> &watcher) {
-        const auto &entries = m_config.entries();
-        // Most of the time nothing is under quarantine, and then no peer tells of any.
-        return watcher.synced() || watcher.followsOnly(m_config.reader().quarantineKind())
-               || std::any_of(entries.begin(), entries.end(), [&watcher](const auto &entry) {
-                      return watcher.follows(entry.first.first);
-                  });
-    };
-    return std::all_of(m_watchers.begin(), m_watchers.end(), isKnown);
+    return std::all_of(m_watchers.begin(), m_watchers.end(),
+                       [this](const auto &watcher) { return knowsKindsOf(watcher); });
+}
+
+/// Whether what \p watcher follows has been listed, or a peer has told of it. Of quarantines
+/// and drains there are none most of the time, and then no peer tells of any. Quarantines are
+/// not waited for; drains are, until the platform fails to tell: a host that has just started
+/// would send work to a data centre that is drained.
+template <GuardPolicy G>
+bool BasicControlMachine<G>::knowsKindsOf(const BasicConfigWatcher<G> &watcher) const
+{
+    const ObjectReader &reader = m_config.reader();
+    if (watcher.synced() || watcher.followsOnly(reader.quarantineKind())) {
+        return true;
+    }
+    if (watcher.followsOnly(reader.drainKind())) {
+        return watcher.isAway();
+    }
+    const auto &entries = m_config.entries();
+    return std::any_of(entries.begin(), entries.end(), [&watcher](const auto &entry) {
+        return watcher.follows(entry.first.first);
+    });
 }
 
 /// Puts the configuration in force. A daemon that just started first learns
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -35,6 +35,8 @@
     static constexpr bool dropsOlderNews = true;
     /// A leaving endpoint gets no new work.
     static constexpr bool shunsLeaving = true;
+    /// The endpoints of a data centre that is drained get no new work.
+    static constexpr bool shunsDrained = true;
     /// A request under which endpoints have ended is not run again.
     static constexpr bool quarantinesCrashing = true;
     /// The time for which a host was suspended counts for all that its daemon times. (The
@@ -81,6 +83,9 @@
     {
         G::shunsLeaving
         } -> std::convertible_to<bool>;
+    {
+        G::shunsDrained
+        } -> std::convertible_to<bool>;
     {
         G::quarantinesCrashing
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -64,10 +64,10 @@
         if (refuseQuarantined(request, snapshot)) {
             continue;
         }
-        if (pool == nullptr || pool->endpoints.empty()) {
+        if (pool == nullptr || !pool->hasServing()) {
             fail(request, Reason::NoEndpoint,
                  makeError(absl::StatusCode::kUnavailable, "routing", poolName,
-                           "the pool has no endpoint"),
+                           "the pool has no endpoint that takes new work"),
                  snapshot);
             continue;
         }
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -39,7 +39,7 @@
     const PromptNeed *prompt = nullptr;   ///< Null where nothing is known of one.
 };
 
-/// Whether \p entry is neither leaving nor ejected.
+/// Whether \p entry is neither leaving nor ejected, and its data centre is not drained.
 [[nodiscard]] bool isUsable(const EndpointEntry &entry, TimePoint now);
 /// Whether \p entry has been ejected and has not yet shown that it is back.
 [[nodiscard]] bool isOnProbation(const EndpointEntry &entry);
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,7 @@
     EndpointSpec spec;
     /// Shared with the snapshots before and after this one.
     std::shared_ptr<EndpointLoad> load;
+    bool isDrained = false; ///< Its data centre gets nothing new.
 };
 
 /// A client account and its counters.
@@ -44,7 +46,7 @@
     PoolSpec spec;
     std::vector<EndpointEntry> endpoints;
     std::size_t localCount = 0; ///< How many at the front are of the own data centre.
-    int totalSlots = 0;
+    int totalSlots = 0;         ///< Of those whose data centre is not drained.
     /// Shared with the snapshots before and after this one; null where the pool does not
     /// work in pieces.
     std::shared_ptr<PieceLoad> pieceLoad;
@@ -52,7 +54,8 @@
     /// centre, each with a batcher and a load of its own. Empty where it is not divided.
     std::vector<std::string> parts;
     std::string dataCentre; ///< Of such a part, where all its endpoints stand; else empty.
-    /// Points on a ring, each an endpoint's index; empty where prompts are not kept.
+    /// Points on a ring, each an endpoint's index; empty where prompts are not kept. Prompts
+    /// of endpoints in a drained data centre have other homes, all at once.
     std::vector<std::pair<std::uint64_t, std::size_t>> promptRing;
 
     /// The endpoint where prompts that begin with what \p prefix is the hash of are
@@ -61,6 +64,9 @@
     [[nodiscard]] const EndpointEntry *homeOf(std::uint64_t prefix) const;
     /// The endpoint called \p name, or null.
     [[nodiscard]] const EndpointEntry *find(const std::string &name) const;
+    /// Whether any endpoint may get new work as far as operators and endpoints say: what
+    /// waits for a pool where none may, waits in vain.
+    [[nodiscard]] bool hasServing() const;
 };
 
 /// The configuration in force.
@@ -73,6 +79,8 @@
     absl::flat_hash_map<std::string, PoolEntry> pools;
     absl::flat_hash_map<std::string, PoolEntry> poolParts; ///< See PoolEntry::parts.
     std::string dataCentre;                                ///< Of this daemon.
+    /// Whose endpoints get nothing new; sorted.
+    std::set<std::string> drainedDataCentres;
     std::vector<ModelVersionSpec> modelVersions;
     /// By host, the path prefixes with their pipelines, longest first.
     absl::flat_hash_map<std::string, std::vector<std::pair<std::string, std::string>>> routes;
--- a/lib/Config/objectreader.cpp
+++ b/lib/Config/objectreader.cpp
@@ -29,6 +29,11 @@
         static const std::string kind = "Quarantine";
         return kind;
     }
+    [[nodiscard]] const std::string &drainKind() const override
+    {
+        static const std::string kind = "DataCentreDrain";
+        return kind;
+    }
     [[nodiscard]] absl::StatusOr<std::vector<Resource>>
     read(const std::string &kind, const std::string &name, const std::string &value) const override
     {
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -198,6 +198,11 @@
     return spec;
 }
 
+ResourceSpec readDataCentreDrain(const std::string &name, JsonReader &reader)
+{
+    return DataCentreDrainSpec{name, reader.name("dataCentre")};
+}
+
 ResourceSpec readSpec(const std::string &kind, const std::string &name, JsonReader &reader)
 {
     if (kind == "Pipeline") {
@@ -215,6 +220,9 @@
     if (kind == "Quarantine") {
         return readQuarantine(name, reader);
     }
+    if (kind == "DataCentreDrain") {
+        return readDataCentreDrain(name, reader);
+    }
     return readEndpoint(name, reader);
 }
 
@@ -222,8 +230,9 @@
 
 const std::vector<std::string> &resourceKinds()
 {
-    static const std::vector<std::string> kinds = {"Pool",          "Endpoint", "ModelVersion",
-                                                   "ClientAccount", "Pipeline", "Quarantine"};
+    static const std::vector<std::string> kinds = {"Pool",           "Endpoint", "ModelVersion",
+                                                   "ClientAccount",  "Pipeline", "Quarantine",
+                                                   "DataCentreDrain"};
     return kinds;
 }
 
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -520,6 +520,7 @@
     for (const std::string &endpoint : m_machine.leavingEndpoints()) {
         markLeaving(*next, endpoint);
     }
+    logDrains(m_snapshot.current(), *next);
     m_snapshot.publish(std::move(next));
     logger.record(LogLevel::Info, "configuration-in-force")
         .field("version", revision)
@@ -527,6 +528,23 @@
     m_ready = true;
 }
 
+/// Tells of data centres that are drained from now on, or no more.
+void Control::logDrains(const Snapshot &before, const Snapshot &next) const
+{
+    const auto tell = [&next](const char *event, const std::set<std::string> &dataCentres,
+                              const std::set<std::string> &others) {
+        for (const std::string &dataCentre : dataCentres) {
+            if (!others.contains(dataCentre)) {
+                logger.record(LogLevel::Info, event)
+                    .field("dataCentre", dataCentre)
+                    .field("version", next.revision);
+            }
+        }
+    };
+    tell("data-centre-drained", next.drainedDataCentres, before.drainedDataCentres);
+    tell("data-centre-taken-back", before.drainedDataCentres, next.drainedDataCentres);
+}
+
 std::vector<UsageReport> Control::takeOwnUsage()
 {
     std::vector<UsageReport> reports;
@@ -595,6 +613,8 @@
         counter("harelink_peer_connections_refused_total", m_peers.refused());
         counter("harelink_quarantines_total", m_quarantines);
         gauge("harelink_config_version", static_cast<double>(m_machine.config().revision()));
+        gauge("harelink_drained_data_centres",
+              static_cast<double>(m_snapshot.current().drainedDataCentres.size()));
         gauge("harelink_platform_connected", m_machine.connected() ? 1 : 0);
         gauge("harelink_watches_platform", m_machine.watches() ? 1 : 0);
         gauge("harelink_live_peers",
@@ -613,6 +633,7 @@
         status["platformConnected"] = m_machine.connected();
         status["configVersion"] = m_machine.config().revision();
         status["livePeers"] = m_machine.membership().livePeers();
+        status["drainedDataCentres"] = m_snapshot.current().drainedDataCentres;
         status["leavingEndpoints"] = m_machine.leavingEndpoints();
         for (const auto &[key, entry] : m_machine.config().entries()) {
             nlohmann::json &object = status["objects"][key.first + "/" + key.second];
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -82,7 +82,8 @@
 
 bool isUsable(const EndpointEntry &entry, TimePoint now)
 {
-    return !entry.load->leaving.load(std::memory_order_relaxed) && !isEjected(entry, now);
+    return !entry.isDrained && !entry.load->leaving.load(std::memory_order_relaxed)
+           && !isEjected(entry, now);
 }
 
 bool isOnProbation(const EndpointEntry &entry)
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -61,6 +61,11 @@
         m_snapshot.quarantinedUntil[spec.digest] = spec.until;
     }
 
+    void operator()(const DataCentreDrainSpec &spec)
+    {
+        m_snapshot.drainedDataCentres.insert(spec.dataCentre);
+    }
+
     void finish(const std::string &dataCentre)
     {
         m_snapshot.dataCentre = dataCentre;
@@ -88,9 +93,10 @@
             if (pool == m_snapshot.pools.end()) {
                 continue;
             }
-            pool->second.endpoints.push_back({spec, loadOf(spec)});
+            const bool isDrained = m_snapshot.drainedDataCentres.contains(spec.dataCentre);
+            pool->second.endpoints.push_back({spec, loadOf(spec), isDrained});
             pool->second.localCount += isLocal(spec) ? 1 : 0;
-            pool->second.totalSlots += spec.slots;
+            pool->second.totalSlots += isDrained ? 0 : spec.slots;
             m_snapshot.poolsByEndpoint[spec.name] = spec.pool;
             if (spec.leaving) {
                 pool->second.endpoints.back().load->leaving.store(true, std::memory_order_relaxed);
@@ -124,7 +130,7 @@
         for (const EndpointEntry &endpoint : pool.endpoints) {
             PoolEntry &part = parts[endpoint.spec.dataCentre];
             part.endpoints.push_back(endpoint);
-            part.totalSlots += endpoint.spec.slots;
+            part.totalSlots += endpoint.isDrained ? 0 : endpoint.spec.slots;
         }
         if (parts.size() < 2) {
             return;
@@ -143,6 +149,9 @@
     static void placeRing(PoolEntry &pool)
     {
         for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
+            if (pool.endpoints[i].isDrained) {
+                continue;
+            }
             for (std::uint64_t point = 0; point < ringPoints; ++point) {
                 // An endpoint that starts again gets the prompts that it had: nobody else's move.
                 const std::string &name = pool.endpoints[i].spec.lastingName();
@@ -198,6 +207,13 @@
     return remote != endpoints.end() && remote->spec.name == name ? &*remote : nullptr;
 }
 
+bool PoolEntry::hasServing() const
+{
+    return std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointEntry &entry) {
+        return !entry.isDrained && !entry.load->leaving.load(std::memory_order_relaxed);
+    });
+}
+
 const EndpointEntry *PoolEntry::homeOf(std::uint64_t prefix) const
 {
     if (promptRing.empty()) {
--- a/unittests/Kernel/configwatchertest.cpp
+++ b/unittests/Kernel/configwatchertest.cpp
@@ -19,6 +19,10 @@
         return groups;
     }
     [[nodiscard]] const std::string &endpointKind() const override { return kindGroups()[0][0]; }
+    [[nodiscard]] const std::string &drainKind() const override
+    {
+        return ownObjectReader().drainKind();
+    }
     [[nodiscard]] const std::string &quarantineKind() const override
     {
         return ownObjectReader().quarantineKind();
--- a/unittests/Kernel/controlmachinetest.cpp
+++ b/unittests/Kernel/controlmachinetest.cpp
@@ -22,6 +22,10 @@
     {
         return ownObjectReader().quarantineKind();
     }
+    [[nodiscard]] const std::string &drainKind() const override
+    {
+        return ownObjectReader().drainKind();
+    }
     [[nodiscard]] bool endpointsLapse() const override { return false; }
     [[nodiscard]] absl::StatusOr<std::vector<Resource>>
     read(const std::string &, const std::string &, const std::string &) const override
--- /dev/null
+++ b/unittests/Kernel/datacentredraintest.cpp
@@ -0,0 +1,274 @@
+//===- datacentredraintest.cpp - Tests of drained data centres ------------===//
+
+#include "carriedfixture.h"
+
+#include "harelink/Kernel/controlmachine.h"
+#include "harelink/Kernel/pieceforecast.h"
+#include "harelink/Support/hash.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+
+using namespace harelink;
+using namespace harelink::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+Resource drainOf(const std::string &dataCentre)
+{
+    return makeResource(DataCentreDrainSpec{dataCentre, dataCentre});
+}
+
+std::unique_ptr<const Snapshot> snapshotOf(std::vector<Resource> resources,
+                                           const std::vector<std::string> &drained,
+                                           const Snapshot *before = nullptr)
+{
+    for (const std::string &dataCentre : drained) {
+        resources.push_back(drainOf(dataCentre));
+    }
+    return buildSnapshot(resources, 1, "dc1", before);
+}
+
+/// Three data centres with three endpoints each, whose prompts are kept.
+std::vector<Resource> threeDataCentres()
+{
+    std::vector<Resource> resources = {makeResource(PoolSpec{"engines", "model-engine", 1, true})};
+    for (int i = 0; i < 9; ++i) {
+        EndpointSpec endpoint;
+        endpoint.name = fmt::format("engine-{}", i);
+        endpoint.pool = "engines";
+        endpoint.dataCentre = fmt::format("dc{}", i % 3 + 1);
+        endpoint.slots = 4;
+        resources.push_back(makeResource(endpoint));
+    }
+    return resources;
+}
+
+/// Drains as the product's own objects, told by a peer.
+struct ControlBench
+{
+    ControlBench()
+        : machine(clock, options())
+    {
+        Heartbeat heartbeat;
+        heartbeat.dataCentre = "dc1";
+        heartbeat.address = "h2:1";
+        heartbeat.leavingKnown = true;
+        machine.handle(PeerMessage{"h2", 2, heartbeat});
+    }
+    static ControlOptions options()
+    {
+        ControlOptions options;
+        options.host = "h1";
+        options.peerAddress = "h1:1";
+        options.dataCentre = "dc1";
+        options.incarnation = 1;
+        options.keepsClaims = false;
+        return options;
+    }
+    void tell(Version version, bool deleted)
+    {
+        ConfigPush push;
+        push.objects.push_back(
+            {"DataCentreDrain", "dc2", version, deleted,
+             R"({"kind": "DataCentreDrain", "name": "dc2", "spec": {"dataCentre": "dc2"}})"});
+        machine.handle(PeerMessage{"h2", 2, push});
+        (void)machine.takeOutput();
+    }
+    [[nodiscard]] bool isDrained() const
+    {
+        const std::vector<Resource> resources = machine.resources();
+        return std::any_of(resources.begin(), resources.end(), [](const Resource &resource) {
+            return std::holds_alternative<DataCentreDrainSpec>(resource.spec);
+        });
+    }
+
+    ManualClock clock;
+    ControlMachine machine;
+};
+
+/// A platform that lists routes, endpoints and drains apart.
+class ThreeGroupsReader final : public ObjectReader
+{
+public:
+    [[nodiscard]] const std::vector<std::vector<std::string>> &kindGroups() const override
+    {
+        static const std::vector<std::vector<std::string>> groups = {
+            {"routes"}, {"endpoints"}, {"drains"}};
+        return groups;
+    }
+    [[nodiscard]] const std::string &endpointKind() const override { return kindGroups()[1][0]; }
+    [[nodiscard]] const std::string &drainKind() const override { return kindGroups()[2][0]; }
+    [[nodiscard]] const std::string &quarantineKind() const override
+    {
+        return ownObjectReader().quarantineKind();
+    }
+    [[nodiscard]] bool endpointsLapse() const override { return false; }
+    [[nodiscard]] absl::StatusOr<std::vector<Resource>>
+    read(const std::string &, const std::string &, const std::string &) const override
+    {
+        return std::vector<Resource>{};
+    }
+};
+
+} // namespace
+
+TEST_GROUP(DataCentreDrain){};
+
+TEST(DataCentreDrain, NoPolicyChoosesItsEndpoints)
+{
+    const auto snapshot = snapshotOf(threeDataCentres(), {"dc1", "dc3"});
+    Random random{1};
+    PromptNeed prompt;
+    prompt.tokens = 100;
+    for (const char *name : {"power-of-two", "prompt-home", "round-robin", "least-in-flight"}) {
+        const auto policy = Registry<RoutingPolicy>::instance().make(name);
+        for (int i = 0; i < 200; ++i) {
+            const PoolEntry &pool = *snapshot->pool("engines");
+            const EndpointEntry *home = pool.homeOf(hash64("prefix", i));
+            const EndpointEntry *chosen =
+                policy->choose({pool, TimePoint(), home, pool.find("engine-0"), &prompt}, random);
+            CHECK(chosen != nullptr);
+            STRCMP_EQUAL("dc2", chosen->spec.dataCentre.c_str());
+        }
+    }
+}
+
+TEST(DataCentreDrain, ItsPromptsMoveAtOnceAndNoOthers)
+{
+    const auto before = snapshotOf(threeDataCentres(), {});
+    const auto after = snapshotOf(threeDataCentres(), {"dc2"}, before.get());
+    for (std::uint64_t i = 0; i < 300; ++i) {
+        const EndpointSpec &was = before->pool("engines")->homeOf(hash64("prefix", i))->spec;
+        const EndpointSpec &is = after->pool("engines")->homeOf(hash64("prefix", i))->spec;
+        CHECK(is.dataCentre != "dc2");
+        if (was.dataCentre != "dc2") {
+            STRCMP_EQUAL(was.name.c_str(), is.name.c_str());
+        }
+    }
+    LONGS_EQUAL(24, after->pool("engines")->totalSlots);
+}
+
+/// Work that has begun goes on, so its endpoint's counters are still there.
+TEST(DataCentreDrain, ItsEndpointsAreKnownOn)
+{
+    const auto before = snapshotOf(threeDataCentres(), {});
+    const auto after = snapshotOf(threeDataCentres(), {"dc2"}, before.get());
+    POINTERS_EQUAL(before->endpoint("engine-1")->load.get(),
+                   after->endpoint("engine-1")->load.get());
+    CHECK(!isUsable(*after->endpoint("engine-1"), TimePoint()));
+    const auto again = snapshotOf(threeDataCentres(), {}, after.get());
+    CHECK(isUsable(*again->endpoint("engine-1"), TimePoint()));
+}
+
+TEST(DataCentreDrain, WhereAllAreDrainedARequestIsRefusedAtOnce)
+{
+    CarriedBench bench;
+    bench.snapshot = snapshotOf(carriedConfiguration(), {"dc1", "dc2"}, bench.snapshot.get());
+    bench.arrive("/read/1");
+    LONGS_EQUAL(0, bench.sends.size());
+    LONGS_EQUAL(1, bench.answers.size());
+    CHECK(bench.answers.at(0).outcome == Outcome::NotRun);
+}
+
+/// What waited for an endpoint when all were drained waits in vain.
+TEST(DataCentreDrain, AWaitingRequestIsRefusedAtOnceToo)
+{
+    CarriedBench bench;
+    for (int i = 0; i < 3; ++i) {
+        const EndpointEntry &engine = *bench.snapshot->endpoint(fmt::format("engine-{}", i));
+        engine.load->limit = 0; // All are full.
+    }
+    bench.arrive("/read/1");
+    LONGS_EQUAL(0, bench.answers.size());
+    bench.snapshot = snapshotOf(carriedConfiguration(), {"dc1", "dc2"}, bench.snapshot.get());
+    bench.advance(milliseconds(10));
+    LONGS_EQUAL(1, bench.answers.size());
+    CHECK(bench.answers.at(0).outcome == Outcome::NotRun);
+    CHECK(bench.answers.at(0).reason == Reason::NoEndpoint);
+}
+
+/// Planned work cuts nothing off.
+TEST(DataCentreDrain, WhatIsUnderWayEndsThere)
+{
+    CarriedBench bench(1);
+    bench.arrive("/read/1");
+    LONGS_EQUAL(1, bench.sends.size());
+    bench.snapshot = snapshotOf(carriedConfiguration(1), {"dc1"}, bench.snapshot.get());
+    bench.advance(milliseconds(100));
+    LONGS_EQUAL(0, bench.cancels.size());
+    bench.answer(bench.sends.at(0));
+    CHECK(bench.answers.at(0).outcome == Outcome::Completed);
+    LONGS_EQUAL(0, bench.snapshot->endpoint("engine-0")->load->inFlight);
+}
+
+TEST(DataCentreDrain, PiecesAreMadeElsewhere)
+{
+    std::vector<Resource> resources = pieceConfiguration(9, 4);
+    for (std::size_t i = 1; i < resources.size(); ++i) {
+        std::get<EndpointSpec>(resources[i].spec).dataCentre = fmt::format("dc{}", i % 3 + 1);
+    }
+    const auto snapshot = snapshotOf(resources, {"dc2"});
+    std::set<std::string> chosen;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        PieceGroup group;
+        group.flows.resultsTo = "dc2";
+        group.flows.resultBytes = 1000;
+        group.draw = PieceGroup::drawOf({7, i}, 0);
+        chosen.insert(
+            choosePart(*snapshot, *snapshot->pool("pieces"), group, TimePoint()).dataCentre);
+    }
+    CHECK(!chosen.contains("dc2"));
+    CHECK(!chosen.contains(""));
+}
+
+TEST(DataCentreDrain, OlderNewsNeitherDrainsNorTakesBack)
+{
+    ControlBench bench;
+    bench.tell(5, false);
+    CHECK(bench.isDrained());
+    bench.tell(4, true);
+    CHECK(bench.isDrained());
+    bench.tell(7, true);
+    CHECK(!bench.isDrained());
+    bench.tell(5, false);
+    CHECK(!bench.isDrained());
+    bench.tell(8, false);
+    CHECK(bench.isDrained());
+}
+
+/// A host that has just started would else send to a data centre that has been drained for long.
+TEST(DataCentreDrain, AHostThatStartsReadsThemBeforeItSendsAnything)
+{
+    ManualClock clock;
+    const ThreeGroupsReader reader;
+    ControlOptions options = ControlBench::options();
+    options.objects = &reader;
+    ControlMachine machine(clock, options);
+    Heartbeat heartbeat;
+    heartbeat.dataCentre = "dc1";
+    heartbeat.address = "h2:1";
+    heartbeat.leavingKnown = true;
+    machine.handle(PeerMessage{"h2", 2, heartbeat});
+    machine.tick();
+    std::map<std::string, std::uint64_t> listings;
+    for (const PlatformCall &call : machine.takeOutput().calls) {
+        if (call.operation == PlatformOperation::List) {
+            listings[call.kind] = call.id;
+        }
+    }
+    LONGS_EQUAL(3, listings.size());
+    const auto answer = [&](const std::string &kind, PlatformOutcome outcome) {
+        PlatformResult result;
+        result.id = listings.at(kind);
+        result.outcome = outcome;
+        result.version = 3;
+        machine.handle(result);
+        return machine.takeOutput().configChanged;
+    };
+    CHECK(!answer("routes", PlatformOutcome::Ok));
+    CHECK(!answer("endpoints", PlatformOutcome::Ok));
+    CHECK(answer("drains", PlatformOutcome::Ok));
+}
--- a/unittests/Platform/manifesttest.cpp
+++ b/unittests/Platform/manifesttest.cpp
@@ -105,6 +105,16 @@
     STRCMP_EQUAL("z", endpoint.dataCentre.c_str());
 }
 
+TEST(Manifest, AnEvacuationDrainsTheDataCentreOfItsName)
+{
+    for (const char *body : {"{}", "null", "[]", "17", "\"x\"", R"({"until": {}})"}) {
+        const auto resources = reader.read("evacuations", "dc-of-nobody", body);
+        CHECK(resources.ok());
+        const auto &drain = std::get<DataCentreDrainSpec>(resources->front().spec);
+        STRCMP_EQUAL("dc-of-nobody", drain.dataCentre.c_str());
+    }
+}
+
 TEST(Manifest, FiguresThatNobodyCouldWorkWithAreRefused)
 {
     const std::vector<std::pair<std::string, std::string>> faults = {
