[Kernel] Send cold endpoints no more than they bear, from all daemons together

Cause: an endpoint that starts, or whose data centre is taken back, is cold for some seconds and falls over when it is pushed; nothing read what endpoints say of it, and homes of prompts alone may bring one 20 requests a second. Change: coldstart, a module of its own: what endpoints say newly, those that are new and say nothing, and those of a data centre that is taken back are cold for a time that runs out by itself. They get nothing while others can serve; else only from the few daemons that a hash of daemon and endpoint draws, each once in 1.1 s, none from one that has just started. Weighed and left: nothing at all while cold, one owner, a part for each daemon (see coldstart.h).

--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -130,6 +130,10 @@
     bool keepsPrompts = false; ///< Its endpoints are faster on a prompt they saw lately.
     std::optional<PieceWorkSpec> pieces;
     std::optional<ModelEngineSpec> engine;
+    /// So long an endpoint that has started is cold, where it does not say.
+    std::chrono::milliseconds coldTime{0};
+    double coldRate =
+        0; ///< Requests that it bears in a second meanwhile; 0 where that is not said.
 };
 
 /// An endpoint.
@@ -146,6 +150,8 @@
     bool refusesBeforeRunning = false; ///< Its 429 and 503 mean that nothing ran.
     bool checksFencing = false;        ///< It refuses an order with an old fencing number.
     bool leaving = false;              ///< It said itself that it is to get no new work.
+    /// It said that it stays cold for so long from then on; nothing where it says nothing.
+    std::optional<std::chrono::milliseconds> coldFor;
     std::string identity; ///< What it calls itself in each of its lives; empty: its name.
     WallTime startedAt;   ///< The beginning of this life; the epoch where it does not tell.
 
--- a/include/harelink/Kernel/coldstart.h
+++ b/include/harelink/Kernel/coldstart.h
@@ -29,8 +29,8 @@
 /// Each daemon draws for itself, by a hash of its own name and the endpoint's: of N hosts each
 /// is drawn with the chance that makes the drawn ones send half of the rate in the mean. Each
 /// knows its own draw only, so nothing hangs on which hosts know which. At a rate of 9.1
-/// requests a second 4.5 daemons of 89, 300 or 400 are drawn in the mean, and 14 or more, the
-/// rate and half of it, once in 4,000 times.
+/// requests a second 4.5 daemons of 89, 300 or 400 are drawn in the mean; 14 or more, the rate
+/// and half of it, once in 3,500 times; 19 or more, twice the rate, once in 2.8 million.
 class ColdShares
 {
 public:
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -11,6 +11,7 @@
 
 #include "harelink/Kernel/claimledger.h"
 #include "harelink/Kernel/claimrouter.h"
+#include "harelink/Kernel/coldstart.h"
 #include "harelink/Kernel/configgossip.h"
 #include "harelink/Kernel/configmachine.h"
 #include "harelink/Kernel/crashwatch.h"
@@ -118,6 +119,8 @@
     /// declared yet.
     [[nodiscard]] std::vector<Resource> resources() const;
     [[nodiscard]] const Membership &membership() const { return m_membership; }
+    /// This daemon's part of what cold endpoints bear.
+    [[nodiscard]] ColdShares coldShares() const;
     [[nodiscard]] const ClaimLedgerCounters &claimCounters() const { return m_ledger.counters(); }
     [[nodiscard]] std::uint64_t claimDetours() const { return m_router.detours(); }
     [[nodiscard]] bool connected() const;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -618,6 +618,15 @@
     });
 }
 
+template <GuardPolicy G>
+ColdShares BasicControlMachine<G>::coldShares() const
+{
+    if (m_clock.now() - m_startedAt < controlmachine::startingTime) {
+        return {};
+    }
+    return {m_membership.host(), m_membership.peers().size() + 1};
+}
+
 /// Puts the configuration in force. A daemon that just started first learns
 /// which endpoints are leaving, or it would send them work.
 template <GuardPolicy G>
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -37,6 +37,8 @@
     static constexpr bool shunsLeaving = true;
     /// The endpoints of a data centre that is drained get no new work.
     static constexpr bool shunsDrained = true;
+    /// Endpoints that are cold get no more than they bear, from all daemons together.
+    static constexpr bool sparesCold = true;
     /// A request under which endpoints have ended is not run again.
     static constexpr bool quarantinesCrashing = true;
     /// The time for which a host was suspended counts for all that its daemon times. (The
@@ -86,6 +88,9 @@
     {
         G::shunsDrained
         } -> std::convertible_to<bool>;
+    {
+        G::sparesCold
+        } -> std::convertible_to<bool>;
     {
         G::quarantinesCrashing
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -57,6 +57,9 @@
     std::atomic<std::int64_t> fullUntil{0};     ///< After a refusal; nanoseconds as above.
     std::atomic<std::int64_t> progressAt{0};    ///< Last answer, or first send of those open.
     std::atomic<bool> leaving{false};           ///< Never goes back to false.
+    std::atomic<std::int64_t> coldUntil{0};     ///< Nanoseconds of the steady clock.
+    std::atomic<std::int64_t> coldInterval{0};  ///< Between own sends while cold; 0 for none.
+    std::atomic<std::int64_t> sentAt{0};        ///< Last own send; nanoseconds as above.
 
     /// Of model engines: tokens of prompts that were sent and of which no answer came yet.
     std::atomic<std::int64_t> tokensToRead{0};        ///< Sent by this daemon.
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -10,6 +10,7 @@
 #ifndef HARELINK_KERNEL_REQUESTCARRIEDIMPL_H
 #define HARELINK_KERNEL_REQUESTCARRIEDIMPL_H
 
+#include "harelink/Kernel/coldstart.h"
 #include "harelink/Kernel/pieceforecast.h"
 #include "harelink/Kernel/requestmachinestate.h"
 
@@ -188,13 +189,21 @@
     }
     const PromptNeed prompt = promptOf(request);
     const EndpointEntry *home = homeOf(request, *pool);
-    Duration best = Duration::max() / 4;
+    const TimePoint now = m_clock.now();
+    const Duration never = Duration::max() / 4;
+    Duration best = never;
+    Duration bestCold = never;
     for (const EndpointEntry &endpoint : pool->endpoints) {
-        if (isUsable(endpoint, m_clock.now())) {
-            best = std::min(best, readingTime(endpoint, prompt, &endpoint == home));
+        if (!isUsable(endpoint, now)) {
+            continue;
+        }
+        const bool isColdOne = isCold(endpoint, now);
+        Duration &candidate = isColdOne ? bestCold : best;
+        if (!isColdOne || mayWarmUp(endpoint, now)) {
+            candidate = std::min(candidate, readingTime(endpoint, prompt, &endpoint == home));
         }
     }
-    return best + requestmachine::firstEventOverhead;
+    return (best < never ? best : bestCold) + requestmachine::firstEventOverhead;
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -75,8 +75,12 @@
             request.endpoint.empty() ? nullptr : pool->find(request.endpoint);
         const PromptNeed prompt = promptOf(request);
         const PromptNeed *need = pool->spec.engine && prompt.tokens > 0 ? &prompt : nullptr;
-        const EndpointEntry *endpoint =
-            m_policy->choose({*pool, now, homeOf(request, *pool), avoid, need}, m_random);
+        RoutingQuery query{*pool, now, homeOf(request, *pool), avoid, need};
+        const EndpointEntry *endpoint = m_policy->choose(query, m_random);
+        if (endpoint == nullptr) {
+            query.warmsUp = true;
+            endpoint = m_policy->choose(query, m_random);
+        }
         if (endpoint == nullptr) {
             state.queue.push(placeOf(request));
             if (state.shares.usableSlots() == 0 && !state.unreachableSince) {
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -37,6 +37,7 @@
     const EndpointEntry *home = nullptr;  ///< Likely has the prompt at hand; null where unknown.
     const EndpointEntry *avoid = nullptr; ///< Failed this request just now; last resort only.
     const PromptNeed *prompt = nullptr;   ///< Null where nothing is known of one.
+    bool warmsUp = false; ///< Only cold endpoints are chosen, that this daemon may send to.
 };
 
 /// Whether \p entry is neither leaving nor ejected, and its data centre is not drained.
@@ -46,6 +47,9 @@
 /// Whether \p entry may get one more call now.
 [[nodiscard]] bool isEligible(const EndpointEntry &entry, TimePoint now);
 
+/// The same for what \p query asks for: cold endpoints get nothing where others can serve.
+[[nodiscard]] bool isEligible(const EndpointEntry &entry, const RoutingQuery &query);
+
 /// Chooses endpoints. Each worker has its own, so a policy needs no lock.
 class RoutingPolicy
 {
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -164,6 +164,8 @@
     if (reader.has("engine")) {
         spec.engine = readModelEngine(reader.object("engine"));
     }
+    spec.coldTime = reader.milliseconds("coldMs", milliseconds(0), longestTime, milliseconds(0));
+    spec.coldRate = reader.number("coldRequestsPerSecond", 0, heaviestWeight, 0);
     return spec;
 }
 
@@ -178,6 +180,9 @@
     spec.refusesBeforeRunning = reader.boolean("refusesBeforeRunning", false);
     spec.checksFencing = reader.boolean("checksFencing", false);
     spec.leaving = reader.boolean("leaving", false);
+    if (reader.has("coldMs")) {
+        spec.coldFor = reader.milliseconds("coldMs", milliseconds(0), longestTime, milliseconds(0));
+    }
     return spec;
 }
 
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -3,6 +3,7 @@
 #include "harelink/Daemon/control.h"
 
 #include "harelink/Daemon/metrics.h"
+#include "harelink/Kernel/coldstart.h"
 #include "harelink/Support/error.h"
 #include "harelink/Support/log.h"
 
@@ -520,6 +521,7 @@
     for (const std::string &endpoint : m_machine.leavingEndpoints()) {
         markLeaving(*next, endpoint);
     }
+    noteColdStarts(*next, m_snapshot.current(), m_clock.now(), m_machine.coldShares());
     logDrains(m_snapshot.current(), *next);
     m_snapshot.publish(std::move(next));
     logger.record(LogLevel::Info, "configuration-in-force")
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -2,6 +2,8 @@
 
 #include "harelink/Kernel/routing.h"
 
+#include "harelink/Kernel/coldstart.h"
+
 #include <algorithm>
 
 namespace harelink {
@@ -105,6 +107,13 @@
     return inFlight < load.limit.load(std::memory_order_relaxed);
 }
 
+bool isEligible(const EndpointEntry &entry, const RoutingQuery &query)
+{
+    const bool mayGo =
+        isCold(entry, query.now) ? query.warmsUp && mayWarmUp(entry, query.now) : !query.warmsUp;
+    return mayGo && isEligible(entry, query.now);
+}
+
 Duration expectedTime(const EndpointEntry &entry, TimePoint now)
 {
     const EndpointLoad &load = *entry.load;
@@ -134,6 +143,7 @@
 
 void noteSend(const EndpointEntry &entry, TimePoint now)
 {
+    entry.load->sentAt.store(nanos(now), std::memory_order_relaxed);
     if (entry.load->inFlight.fetch_add(1, std::memory_order_relaxed) == 0) {
         entry.load->progressAt.store(nanos(now), std::memory_order_relaxed);
     }
--- a/lib/Plugins/routingpolicies.cpp
+++ b/lib/Plugins/routingpolicies.cpp
@@ -44,7 +44,7 @@
     const std::size_t start = random.below(count);
     for (std::size_t i = 0; i < count; ++i) {
         const EndpointEntry &entry = query.pool.endpoints[begin + (start + i) % count];
-        if (&entry != query.avoid && isEligible(entry, query.now)) {
+        if (&entry != query.avoid && isEligible(entry, query)) {
             return &entry;
         }
     }
@@ -54,7 +54,7 @@
 /// The endpoint that \p query avoids, if it is all that is left.
 const EndpointEntry *lastResort(const RoutingQuery &query)
 {
-    const bool usable = query.avoid != nullptr && isEligible(*query.avoid, query.now);
+    const bool usable = query.avoid != nullptr && isEligible(*query.avoid, query);
     return usable ? query.avoid : nullptr;
 }
 
@@ -69,8 +69,7 @@
         const std::size_t local = query.pool.localCount;
         const std::size_t all = query.pool.endpoints.size();
         Best best(query);
-        if (query.home != nullptr && query.home != query.avoid
-            && isEligible(*query.home, query.now)) {
+        if (query.home != nullptr && query.home != query.avoid && isEligible(*query.home, query)) {
             best.consider(query.home);
         }
         for (int i = 0; i < drawsEach; ++i) {
@@ -127,7 +126,7 @@
             return nullptr;
         }
         const EndpointEntry &entry = query.pool.endpoints[random.below(count)];
-        return &entry != query.avoid && isEligible(entry, query.now) ? &entry : nullptr;
+        return &entry != query.avoid && isEligible(entry, query) ? &entry : nullptr;
     }
 };
 
@@ -146,15 +145,15 @@
             return m_others.choose(query, random);
         }
         const PromptNeed &prompt = *query.prompt;
-        const bool homeCan = query.home != nullptr && query.home != query.avoid
-                             && isEligible(*query.home, query.now);
+        const bool homeCan =
+            query.home != nullptr && query.home != query.avoid && isEligible(*query.home, query);
         if (homeCan && readingTime(*query.home, prompt, true) < prompt.slack * homePatience) {
             return query.home;
         }
         const EndpointEntry *best = homeCan ? query.home : nullptr;
         Duration bestTime = homeCan ? readingTime(*query.home, prompt, true) : Duration::max();
         for (const EndpointEntry &entry : query.pool.endpoints) {
-            if (&entry == query.home || &entry == query.avoid || !isEligible(entry, query.now)) {
+            if (&entry == query.home || &entry == query.avoid || !isEligible(entry, query)) {
                 continue;
             }
             const bool crosses =
@@ -194,7 +193,7 @@
         const std::size_t count = query.pool.endpoints.size();
         for (std::size_t i = 0; i < count; ++i) {
             const EndpointEntry &entry = query.pool.endpoints[m_next++ % count];
-            if (&entry != query.avoid && isEligible(entry, query.now)) {
+            if (&entry != query.avoid && isEligible(entry, query)) {
                 return &entry;
             }
         }
@@ -216,7 +215,7 @@
         const std::size_t start = count == 0 ? 0 : random.below(count);
         for (std::size_t i = 0; i < count; ++i) {
             const EndpointEntry &entry = query.pool.endpoints[(start + i) % count];
-            if (&entry == query.avoid || !isEligible(entry, query.now)) {
+            if (&entry == query.avoid || !isEligible(entry, query)) {
                 continue;
             }
             if (best == nullptr || entry.load->inFlight < best->load->inFlight) {
--- a/unittests/Platform/manifesttest.cpp
+++ b/unittests/Platform/manifesttest.cpp
@@ -105,6 +105,26 @@
     STRCMP_EQUAL("z", endpoint.dataCentre.c_str());
 }
 
+TEST(Manifest, AnEndpointSaysForHowLongItStaysCold)
+{
+    const auto coldOf = [this](const std::string &field) {
+        const std::string entry = R"({"service": "m1", "addr": "10.0.0.1:80", "zone": "z",
+                                      "slots": 64, "state": "ready", "seq": 4)"
+                                  + field + "}";
+        const auto resources = reader.read("servers", "i-1", entry);
+        return resources.ok() ? std::get<EndpointSpec>(resources->front().spec).coldFor
+                              : std::optional<milliseconds>(milliseconds(-1));
+    };
+    CHECK(coldOf(R"(, "cold-left-ms": 2500)") == milliseconds(2500));
+    CHECK(coldOf(R"(, "cold-left-ms": 2500.7)") == milliseconds(2500));
+    CHECK(coldOf(R"(, "cold-left-ms": 0)") == milliseconds(0));
+    CHECK(!coldOf(""));
+    // Another writer's: it names no endpoint.
+    for (const char *strange : {"-1", "1e300", "\"x\"", "null", "[]"}) {
+        CHECK(coldOf(std::string(R"(, "cold-left-ms": )") + strange) == milliseconds(-1));
+    }
+}
+
 TEST(Manifest, AnEvacuationDrainsTheDataCentreOfItsName)
 {
     for (const char *body : {"{}", "null", "[]", "17", "\"x\"", R"({"until": {}})"}) {
