[Kernel] Serve requests in the regions that their route and account allow

Cause: routes and client accounts may name the regions that may serve them; nothing read it. Bodies are never carried over other daemons, so nothing else moves. Pieces carry no caller's bytes and are not bound yet.

--- a/include/harelink/Config/jsonreader.h
+++ b/include/harelink/Config/jsonreader.h
@@ -15,6 +15,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -48,6 +49,9 @@
     std::string text(const std::string &field, const std::string &fallback);
     /// A list of texts; empty where the field is absent.
     std::vector<std::string> texts(const std::string &field);
+    /// A member object whose members are texts, each under a name of its own; empty where the
+    /// field is absent.
+    std::map<std::string, std::string> textsByName(const std::string &field);
     /// A list of whole numbers within [\p low, \p high]; empty where the field is absent.
     std::vector<std::int64_t> integers(const std::string &field, std::int64_t low,
                                        std::int64_t high);
--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -70,6 +70,8 @@
     std::chrono::milliseconds longestPause{0}; ///< Wanted between two events; 0 for none.
     /// A caller to whom nothing came for so long leaves; 0 where it waits for its deadline.
     std::chrono::milliseconds patience{0};
+    /// Its requests are served in these regions only; empty where that is all the same.
+    std::vector<std::string> allowedRegions;
 };
 
 /// A pipeline: stages that run one after the other for each request.
@@ -93,6 +95,8 @@
     std::string tokenSha256;          ///< Of the bearer token, in hexadecimal; may be empty.
     std::vector<std::string> apiKeys; ///< Of carried requests; any one of them will do.
     std::optional<int> priority;      ///< Goes before the routes' own.
+    /// As of a route; where both name some, only those that both name.
+    std::vector<std::string> allowedRegions;
 };
 
 /// A version of a model that endpoints are to serve.
@@ -181,9 +185,17 @@
     std::string dataCentre; ///< One that no endpoint stands in is no fault.
 };
 
+/// The region in which a data centre stands.
+struct DataCentreSpec
+{
+    std::string name;
+    std::string region;
+};
+
 /// What a resource holds, by kind.
-using ResourceSpec = std::variant<PipelineSpec, ClientAccountSpec, ModelVersionSpec, PoolSpec,
-                                  EndpointSpec, QuarantineSpec, DataCentreDrainSpec>;
+using ResourceSpec =
+    std::variant<PipelineSpec, ClientAccountSpec, ModelVersionSpec, PoolSpec, EndpointSpec,
+                 QuarantineSpec, DataCentreDrainSpec, DataCentreSpec>;
 
 /// A resource as an operator declares it.
 struct Resource
--- a/include/harelink/Config/settings.h
+++ b/include/harelink/Config/settings.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -38,8 +39,10 @@
 /// Everything a daemon is told at start.
 struct Settings
 {
-    std::string host;            ///< This host's name, unique.
-    std::string dataCentre;      ///< Where it stands.
+    std::string host;       ///< This host's name, unique.
+    std::string dataCentre; ///< Where it stands.
+    /// The region of each data centre; of one that is not named nothing is known.
+    std::map<std::string, std::string> regions;
     std::string callerAddress;   ///< Listens for callers.
     std::string operatorAddress; ///< Listens for operators: health, metrics.
     std::string peerAddress;     ///< Listens for other daemons.
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -193,8 +193,9 @@
     const Duration never = Duration::max() / 4;
     Duration best = never;
     Duration bestCold = never;
+    const RegionLimit regions = regionsOf(request, snapshot);
     for (const EndpointEntry &endpoint : pool->endpoints) {
-        if (!isUsable(endpoint, now)) {
+        if (!isUsable(endpoint, now) || !regions.allows(endpoint.region)) {
             continue;
         }
         const bool isColdOne = isCold(endpoint, now);
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -64,7 +64,8 @@
         if (refuseQuarantined(request, snapshot)) {
             continue;
         }
-        if (pool == nullptr || !pool->hasServing()) {
+        const RegionLimit regions = regionsOf(request, snapshot);
+        if (pool == nullptr || !pool->hasServing(regions)) {
             fail(request, Reason::NoEndpoint,
                  makeError(absl::StatusCode::kUnavailable, "routing", poolName,
                            "the pool has no endpoint that takes new work"),
@@ -75,7 +76,7 @@
             request.endpoint.empty() ? nullptr : pool->find(request.endpoint);
         const PromptNeed prompt = promptOf(request);
         const PromptNeed *need = pool->spec.engine && prompt.tokens > 0 ? &prompt : nullptr;
-        RoutingQuery query{*pool, now, homeOf(request, *pool), avoid, need};
+        RoutingQuery query{*pool, now, homeOf(request, *pool), avoid, need, &regions};
         const EndpointEntry *endpoint = m_policy->choose(query, m_random);
         if (endpoint == nullptr) {
             query.warmsUp = true;
@@ -101,6 +102,16 @@
     }
 }
 
+/// Where \p request may be served; bounds of the request's own, and of the snapshot.
+template <GuardPolicy G>
+RegionLimit BasicRequestMachine<G>::regionsOf(const Request &request, const Snapshot &snapshot)
+{
+    static const std::vector<std::string> anywhere;
+    const AccountEntry *account = snapshot.account(request.account);
+    return {request.pipeline.route ? request.pipeline.route->allowedRegions : anywhere,
+            account != nullptr ? account->spec.allowedRegions : anywhere};
+}
+
 /// Ends \p request where it came to be known, after it was taken in, as one under which
 /// endpoints end. Asked before each send and not only at admission: daemons hold copies of
 /// such a request in queues, before their pieces are made, and for a retry.
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -302,6 +302,7 @@
     std::optional<AnswerCaller> refuseAtOnce(const RequestArrived &event, const Hash128 &digest,
                                              const Snapshot &snapshot) const;
     [[nodiscard]] Duration quarantineLeft(const Hash128 &digest, const Snapshot &snapshot) const;
+    static RegionLimit regionsOf(const Request &request, const Snapshot &snapshot);
     bool refuseQuarantined(Request &request, const Snapshot &snapshot);
     void claim(Request &request);
     static void resolveRoute(RequestArrived &event, const Snapshot &snapshot);
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -37,6 +37,7 @@
     const EndpointEntry *home = nullptr;  ///< Likely has the prompt at hand; null where unknown.
     const EndpointEntry *avoid = nullptr; ///< Failed this request just now; last resort only.
     const PromptNeed *prompt = nullptr;   ///< Null where nothing is known of one.
+    const RegionLimit *regions = nullptr; ///< Null where all are allowed.
     bool warmsUp = false; ///< Only cold endpoints are chosen, that this daemon may send to.
 };
 
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -30,6 +30,18 @@
     /// Shared with the snapshots before and after this one.
     std::shared_ptr<EndpointLoad> load;
     bool isDrained = false; ///< Its data centre gets nothing new.
+    std::string region;     ///< Empty where it is not known.
+};
+
+/// The regions in which a request may be served.
+struct RegionLimit
+{
+    /// Those that its route and its account name; empty for all.
+    const std::vector<std::string> &ofRoute;
+    const std::vector<std::string> &ofAccount;
+
+    /// Whether \p region is among them. One that is not known is only where none is named.
+    [[nodiscard]] bool allows(const std::string &region) const;
 };
 
 /// A client account and its counters.
@@ -64,9 +76,9 @@
     [[nodiscard]] const EndpointEntry *homeOf(std::uint64_t prefix) const;
     /// The endpoint called \p name, or null.
     [[nodiscard]] const EndpointEntry *find(const std::string &name) const;
-    /// Whether any endpoint may get new work as far as operators and endpoints say: what
-    /// waits for a pool where none may, waits in vain.
-    [[nodiscard]] bool hasServing() const;
+    /// Whether any endpoint that \p limit allows may get new work as far as operators and endpoints
+    /// say: what waits for a pool where none may, waits in vain.
+    [[nodiscard]] bool hasServing(const RegionLimit &limit) const;
 };
 
 /// The configuration in force.
--- a/lib/Config/jsonreader.cpp
+++ b/lib/Config/jsonreader.cpp
@@ -142,6 +142,27 @@
     return value->get<std::vector<std::string>>();
 }
 
+std::map<std::string, std::string> JsonReader::textsByName(const std::string &field)
+{
+    std::map<std::string, std::string> texts;
+    if (!has(field)) {
+        return texts;
+    }
+    const nlohmann::json &value = *find(field);
+    if (!value.is_object()) {
+        fault(field, "must be an object");
+        return texts;
+    }
+    for (const auto &[name, text] : value.items()) {
+        if (text.is_string() && !text.get_ref<const std::string &>().empty()) {
+            texts[name] = text.get<std::string>();
+        } else {
+            fault(field + "." + name, "must be a text that is not empty");
+        }
+    }
+    return texts;
+}
+
 std::vector<std::int64_t> JsonReader::integers(const std::string &field, std::int64_t low,
                                                std::int64_t high)
 {
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -73,6 +73,7 @@
     spec.longestPause =
         reader.milliseconds("longestPauseMs", milliseconds(0), longestTime, spec.longestPause);
     spec.patience = reader.milliseconds("patienceMs", milliseconds(0), longestTime, spec.patience);
+    spec.allowedRegions = reader.texts("allowedRegions");
     reader.finish();
     return spec;
 }
@@ -117,6 +118,7 @@
     if (reader.has("priority")) {
         spec.priority = static_cast<int>(reader.integer("priority", 0, mostPriority));
     }
+    spec.allowedRegions = reader.texts("allowedRegions");
     return spec;
 }
 
@@ -228,6 +230,9 @@
     if (kind == "DataCentreDrain") {
         return readDataCentreDrain(name, reader);
     }
+    if (kind == "DataCentre") {
+        return DataCentreSpec{name, reader.text("region")};
+    }
     return readEndpoint(name, reader);
 }
 
@@ -235,9 +240,9 @@
 
 const std::vector<std::string> &resourceKinds()
 {
-    static const std::vector<std::string> kinds = {"Pool",           "Endpoint", "ModelVersion",
-                                                   "ClientAccount",  "Pipeline", "Quarantine",
-                                                   "DataCentreDrain"};
+    static const std::vector<std::string> kinds = {
+        "Pool",     "Endpoint",   "ModelVersion",    "ClientAccount",
+        "Pipeline", "Quarantine", "DataCentreDrain", "DataCentre"};
     return kinds;
 }
 
--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -107,6 +107,7 @@
     Settings settings;
     settings.host = reader.name("host");
     settings.dataCentre = reader.name("dataCentre");
+    settings.regions = reader.textsByName("regions");
     readListeners(reader.object("listen"), settings);
     settings.platformAddress = reader.endpointAddress("platform");
     settings.capacity = reader.number("capacity", leastCapacity, mostCapacity, settings.capacity);
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -513,7 +513,10 @@
 
 void Control::publish()
 {
-    const std::vector<Resource> resources = m_machine.resources();
+    std::vector<Resource> resources = m_machine.resources();
+    for (const auto &[dataCentre, region] : m_settings.regions) {
+        resources.push_back({"DataCentre", dataCentre, DataCentreSpec{dataCentre, region}, {}, {}});
+    }
     const std::uint64_t revision = m_machine.config().revision();
     std::unique_ptr<const Snapshot> next =
         buildSnapshot(resources, revision, m_settings.dataCentre, &m_snapshot.current());
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -109,6 +109,9 @@
 
 bool isEligible(const EndpointEntry &entry, const RoutingQuery &query)
 {
+    if (query.regions != nullptr && !query.regions->allows(entry.region)) {
+        return false;
+    }
     const bool mayGo =
         isCold(entry, query.now) ? query.warmsUp && mayWarmUp(entry, query.now) : !query.warmsUp;
     return mayGo && isEligible(entry, query.now);
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -61,6 +61,8 @@
         m_snapshot.quarantinedUntil[spec.digest] = spec.until;
     }
 
+    void operator()(const DataCentreSpec &spec) { m_regions[spec.name] = spec.region; }
+
     void operator()(const DataCentreDrainSpec &spec)
     {
         m_snapshot.drainedDataCentres.insert(spec.dataCentre);
@@ -94,7 +96,10 @@
                 continue;
             }
             const bool isDrained = m_snapshot.drainedDataCentres.contains(spec.dataCentre);
-            pool->second.endpoints.push_back({spec, loadOf(spec), isDrained});
+            const auto region = m_regions.find(spec.dataCentre);
+            pool->second.endpoints.push_back(
+                {spec, loadOf(spec), isDrained,
+                 region == m_regions.end() ? std::string() : region->second});
             pool->second.localCount += isLocal(spec) ? 1 : 0;
             pool->second.totalSlots += isDrained ? 0 : spec.slots;
             m_snapshot.poolsByEndpoint[spec.name] = spec.pool;
@@ -188,6 +193,7 @@
     Snapshot &m_snapshot;
     const Snapshot *m_previous;
     std::vector<EndpointSpec> m_endpoints;
+    std::map<std::string, std::string> m_regions; ///< By data centre.
 };
 
 } // namespace
@@ -207,10 +213,19 @@
     return remote != endpoints.end() && remote->spec.name == name ? &*remote : nullptr;
 }
 
-bool PoolEntry::hasServing() const
+bool RegionLimit::allows(const std::string &region) const
+{
+    const auto isNamed = [&region](const std::vector<std::string> &names) {
+        return names.empty() || std::find(names.begin(), names.end(), region) != names.end();
+    };
+    return isNamed(ofRoute) && isNamed(ofAccount);
+}
+
+bool PoolEntry::hasServing(const RegionLimit &limit) const
 {
-    return std::any_of(endpoints.begin(), endpoints.end(), [](const EndpointEntry &entry) {
-        return !entry.isDrained && !entry.load->leaving.load(std::memory_order_relaxed);
+    return std::any_of(endpoints.begin(), endpoints.end(), [&limit](const EndpointEntry &entry) {
+        return limit.allows(entry.region) && !entry.isDrained
+               && !entry.load->leaving.load(std::memory_order_relaxed);
     });
 }
 
