[Kernel] Read endpoints once for each look of the batcher, and look less often where many wait

Hypothesis: a look at the line costs pieces times endpoints, each pair with several searches by name, and every order, free and end of a call brings a look, also while nothing can be formed; with a line that has grown during the outage, looks take all of a small host's time and the line never gets shorter. Besides, all kept results were gone through at each look. Change: what is asked of endpoints is read once a look; a line of more than four batches is looked at again no sooner than after 15 ms; nothing is sorted while no endpoint is free; results are gone through when one may have ended. What is chosen stays the same. Not ruled out: what else keeps it from serving within 3 s.

--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -157,16 +157,23 @@
         std::map<std::string, Maker> makers; ///< By endpoint.
         ResultRoom room;                     ///< At its endpoints.
         TimePoint nextLook = TimePoint::max();
-        TimePoint lastBusy;    ///< When an order came or a call ended last.
-        double correction = 1; ///< See PieceBacklog.
+        TimePoint looksAgainAt; ///< Not before, where many pieces wait.
+        TimePoint lastBusy;     ///< When an order came or a call ended last.
+        double correction = 1;  ///< See PieceBacklog.
     };
-    /// What is left to the next call of an endpoint.
-    struct Promise
+    /// An endpoint of a pool that takes calls, as one look at the pool's line sees it.
+    struct Site
     {
-        std::size_t places = 0;
-        std::uint64_t bytes = 0;
+        const EndpointEntry *endpoint = nullptr;
+        TimePoint freeAt;              ///< When it can take its next call.
+        TimePoint endAt;               ///< When a call with one piece would end there.
+        std::uint64_t bookedBytes = 0; ///< Room that is taken, or promised to calls in flight.
+        bool isPassed = false;         ///< It is free, but with nothing to do.
+        /// Left to its next call by pieces that wait for it, in the choice under way.
+        std::size_t promisedPlaces = 0;
+        std::uint64_t promisedBytes = 0;
     };
-    using Promises = std::map<std::string, Promise>; ///< By endpoint.
+    using Sites = std::vector<Site>;
     /// A choice of waiting pieces for one call.
     struct Choice
     {
@@ -179,20 +186,22 @@
     void dropLate(Line &line, const std::string &pool, const PieceWorkSpec &work);
     void learnWait(Line &line, const Item &item) const;
     static void sortByUrgency(Line &line, TimePoint now, const PieceWorkSpec &work);
-    bool form(const EndpointEntry &endpoint, Line &line, const PoolEntry &pool);
-    [[nodiscard]] Choice choose(const EndpointEntry &endpoint, const Line &line,
+    [[nodiscard]] Sites sitesOf(const Line &line, const PoolEntry &pool) const;
+    [[nodiscard]] Site siteOf(const EndpointEntry &endpoint, const Line &line,
+                              const PieceWorkSpec &work) const;
+    [[nodiscard]] bool looksTooOften(const Line &line, const PieceWorkSpec &work) const;
+    bool form(const Site &site, Sites &sites, Line &line, const PoolEntry &pool);
+    [[nodiscard]] Choice choose(const Site &site, Sites &sites, const Line &line,
                                 const PoolEntry &pool) const;
     [[nodiscard]] static std::size_t endOfGroup(const std::vector<Item> &waiting,
                                                 std::size_t begin);
     [[nodiscard]] std::uint64_t bookedBytes(const Line &line, const std::string &endpoint,
                                             const PieceWorkSpec &work) const;
-    [[nodiscard]] bool waitsForNearer(const Item &item, std::size_t count,
-                                      const EndpointEntry &endpoint, const Line &line,
-                                      const PoolEntry &pool, Promises &promises) const;
+    [[nodiscard]] bool waitsForNearer(const Item &item, std::size_t count, const Site &here,
+                                      Sites &sites, const PieceWorkSpec &work) const;
     void send(const EndpointEntry &endpoint, Maker &maker, std::vector<Item> items,
               const PieceWorkSpec &work);
-    [[nodiscard]] const EndpointEntry *nextFree(const Line &line, const PoolEntry &pool,
-                                                const std::vector<std::string> &passed) const;
+    [[nodiscard]] Site *nextFree(Sites &sites) const;
     [[nodiscard]] static TimePoint freeAt(const Line &line, const EndpointEntry &endpoint,
                                           TimePoint now);
     void settle(const std::string &pool, const Item &item, const std::string &endpoint,
--- a/include/harelink/Kernel/resultroom.h
+++ b/include/harelink/Kernel/resultroom.h
@@ -56,6 +56,9 @@
 
     Results::iterator erase(Results::iterator result);
 
+    /// No result ends before: most are freed long before, and not all have to be looked at
+    /// each time that one may have ended.
+    TimePoint m_earliestEnd = TimePoint::max();
     Results m_results;
     std::map<std::string, std::uint64_t> m_bytes; ///< By endpoint.
     std::map<std::string, TimePoint> m_fullUntil; ///< By endpoint.
--- a/lib/Kernel/piececalls.cpp
+++ b/lib/Kernel/piececalls.cpp
@@ -27,11 +27,14 @@
 /// A call is given up after so many times what it should take, and this much.
 constexpr double timeoutFactor = 2;
 constexpr milliseconds timeoutSlack{600};
-/// Where pieces wait that no free endpoint may take, they are looked at again after this.
+/// Where pieces wait that no free endpoint may take, they are looked at again after this; not
+/// sooner where many wait.
 constexpr milliseconds lookInterval{15};
 /// From so many batches waiting on, the pieces of one request are spread over several
 /// calls rather than leave places empty: more is served then, each somewhat later.
 constexpr std::size_t splittingBatches = 2;
+/// With so many batches waiting, the next call is full whether or not it is looked for at once.
+constexpr std::size_t manyBatches = 4;
 
 } // namespace
 
@@ -56,6 +59,43 @@
     return std::max({now, TimePoint(last - lead), maker.blockedUntil});
 }
 
+/// What the choice of calls looks at, read once for each look: with a thousand pieces before
+/// twenty endpoints, reading it for each pair took tens of milliseconds of a small host.
+PieceBatcher::Sites PieceBatcher::sitesOf(const Line &line, const PoolEntry &pool) const
+{
+    const TimePoint now = m_clock.now();
+    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
+    Sites sites;
+    sites.reserve(pool.endpoints.size());
+    for (const EndpointEntry &endpoint : pool.endpoints) {
+        if (isUsable(endpoint, now)) {
+            sites.push_back(siteOf(endpoint, line, work));
+        }
+    }
+    return sites;
+}
+
+PieceBatcher::Site PieceBatcher::siteOf(const EndpointEntry &endpoint, const Line &line,
+                                        const PieceWorkSpec &work) const
+{
+    const auto maker = line.makers.find(endpoint.spec.name);
+    Site site;
+    site.endpoint = &endpoint;
+    site.freeAt = freeAt(line, endpoint, m_clock.now());
+    site.endAt = site.freeAt
+                 + scaled(work.callTime, maker == line.makers.end() ? 1 : maker->second.slowness);
+    site.bookedBytes = bookedBytes(line, endpoint.spec.name, work);
+    return site;
+}
+
+/// Whether a look at the line is to wait: many pieces wait, and the last look left them there a
+/// moment ago. Looking at each order, daemons of a hundred that had all ended together spent
+/// their time on looks, and were not back 30 s later.
+bool PieceBatcher::looksTooOften(const Line &line, const PieceWorkSpec &work) const
+{
+    return m_clock.now() < line.looksAgainAt && line.waiting.size() > work.batch * manyBatches;
+}
+
 void PieceBatcher::pump(const std::string &poolName, Line &line, const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
@@ -74,26 +114,36 @@
         return;
     }
     const PieceWorkSpec work = pool->spec.pieces.value_or(PieceWorkSpec{});
+    if (looksTooOften(line, work)) {
+        line.nextLook = line.looksAgainAt;
+        return;
+    }
     dropLate(line, poolName, work);
-    sortByUrgency(line, now, work);
-    std::vector<std::string> passed; // Free, but with nothing to do.
+    Sites sites = sitesOf(line, *pool);
+    if (nextFree(sites) != nullptr) {
+        sortByUrgency(line, now, work);
+    }
+    bool hasPassed = false; // One that is free, but with nothing to do.
     while (!line.waiting.empty()) {
-        const EndpointEntry *endpoint = nextFree(line, *pool, passed);
-        if (endpoint == nullptr) {
+        Site *site = nextFree(sites);
+        if (site == nullptr) {
             break;
         }
-        if (!form(*endpoint, line, *pool)) {
-            passed.push_back(endpoint->spec.name);
+        if (form(*site, sites, line, *pool)) {
+            *site = siteOf(*site->endpoint, line, work);
+        } else {
+            site->isPassed = true;
+            hasPassed = true;
         }
     }
     if (line.waiting.empty()) {
         return;
     }
-    line.nextLook = passed.empty() ? TimePoint::max() : TimePoint(now + lookInterval);
-    for (const EndpointEntry &endpoint : pool->endpoints) {
-        const TimePoint free = freeAt(line, endpoint, now);
-        if (takesCalls(endpoint) && free > now) {
-            line.nextLook = std::min(line.nextLook, free);
+    line.looksAgainAt = now + lookInterval;
+    line.nextLook = hasPassed ? line.looksAgainAt : TimePoint::max();
+    for (const Site &site : sites) {
+        if (site.freeAt > now) {
+            line.nextLook = std::min(line.nextLook, site.freeAt);
         }
     }
 }
@@ -126,31 +176,15 @@
 
 /// The endpoint that is free now and would end a call soonest; null where none is, or
 /// where to wait for one that is busy now would be quicker.
-const EndpointEntry *PieceBatcher::nextFree(const Line &line, const PoolEntry &pool,
-                                            const std::vector<std::string> &passed) const
+PieceBatcher::Site *PieceBatcher::nextFree(Sites &sites) const
 {
-    const TimePoint now = m_clock.now();
-    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
-    const EndpointEntry *best = nullptr;
-    TimePoint bestEnd = TimePoint::max();
-    bool bestIsFree = false;
-    for (const EndpointEntry &endpoint : pool.endpoints) {
-        const bool isPassed =
-            std::find(passed.begin(), passed.end(), endpoint.spec.name) != passed.end();
-        if (isPassed || !isUsable(endpoint, now)) {
-            continue;
-        }
-        const auto maker = line.makers.find(endpoint.spec.name);
-        const double slowness = maker == line.makers.end() ? 1 : maker->second.slowness;
-        const TimePoint free = freeAt(line, endpoint, now);
-        const TimePoint end = free + scaled(work.callTime, slowness);
-        if (best == nullptr || end < bestEnd) {
-            best = &endpoint;
-            bestEnd = end;
-            bestIsFree = free <= now;
+    Site *best = nullptr;
+    for (Site &site : sites) {
+        if (!site.isPassed && (best == nullptr || site.endAt < best->endAt)) {
+            best = &site;
         }
     }
-    return bestIsFree ? best : nullptr;
+    return best != nullptr && best->freeAt <= m_clock.now() ? best : nullptr;
 }
 
 /// The room at \p endpoint that is taken, or promised to calls in flight.
@@ -179,32 +213,29 @@
 ///
 /// Without that count, pieces waited for an endpoint whose next calls were full while those
 /// of others left empty: with 68 pieces waiting at three endpoints, calls of eight took 4.4.
-bool PieceBatcher::waitsForNearer(const Item &item, std::size_t count,
-                                  const EndpointEntry &endpoint, const Line &line,
-                                  const PoolEntry &pool, Promises &promises) const
+bool PieceBatcher::waitsForNearer(const Item &item, std::size_t count, const Site &here,
+                                  Sites &sites, const PieceWorkSpec &work) const
 {
     const PieceFlows flows = flowsOf(item.order, count);
-    const Duration here = crossingCost(flows, endpoint.spec.dataCentre);
-    if (here == Duration::zero()) {
+    const Duration costHere = crossingCost(flows, here.endpoint->spec.dataCentre);
+    if (costHere == Duration::zero()) {
         return false;
     }
     const TimePoint now = m_clock.now();
-    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
     const std::uint64_t bytes = item.order.resultBytes * count;
-    for (const EndpointEntry &other : pool.endpoints) {
-        const Duration saved = here - crossingCost(flows, other.spec.dataCentre);
-        const bool isNearer = saved > Duration::zero() && isUsable(other, now)
-                              && other.spec.name != item.order.avoid
-                              && freeAt(line, other, now) < now + saved;
+    for (Site &other : sites) {
+        const EndpointSpec &spec = other.endpoint->spec;
+        const Duration saved = costHere - crossingCost(flows, spec.dataCentre);
+        const bool isNearer =
+            saved > Duration::zero() && spec.name != item.order.avoid && other.freeAt < now + saved;
         if (!isNearer) {
             continue;
         }
-        Promise &promise = promises[other.spec.name];
-        const std::uint64_t booked = bookedBytes(line, other.spec.name, work) + promise.bytes;
+        const std::uint64_t booked = other.bookedBytes + other.promisedBytes;
         const bool hasRoom = work.roomBytes == 0 || booked + bytes <= work.roomBytes;
-        if (promise.places + count <= work.batch && hasRoom) {
-            promise.places += count;
-            promise.bytes += bytes;
+        if (other.promisedPlaces + count <= work.batch && hasRoom) {
+            other.promisedPlaces += count;
+            other.promisedBytes += bytes;
             return true;
         }
     }
@@ -213,15 +244,19 @@
 
 /// Chooses from the queue, the most urgent first. The pieces of one request go into one
 /// call where they fit, so that none of them waits for another call.
-PieceBatcher::Choice PieceBatcher::choose(const EndpointEntry &endpoint, const Line &line,
+PieceBatcher::Choice PieceBatcher::choose(const Site &site, Sites &sites, const Line &line,
                                           const PoolEntry &pool) const
 {
     const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
-    std::uint64_t taken = bookedBytes(line, endpoint.spec.name, work);
+    const std::string &name = site.endpoint->spec.name;
+    std::uint64_t taken = site.bookedBytes;
+    for (Site &other : sites) {
+        other.promisedPlaces = 0;
+        other.promisedBytes = 0;
+    }
     const bool splits = line.waiting.size() >= work.batch * splittingBatches;
     const bool isOnlyOne = pool.endpoints.size() == 1;
     Choice choice;
-    Promises promises;
     std::size_t begin = 0;
     while (begin < line.waiting.size() && choice.places.size() < work.batch) {
         const Item &first = line.waiting[begin];
@@ -229,8 +264,8 @@
         const std::size_t group = end - begin;
         const std::size_t places = work.batch - choice.places.size();
         const bool fits = group <= places || splits || (choice.places.empty() && group > places);
-        const bool isAvoided = first.order.avoid == endpoint.spec.name && !isOnlyOne;
-        if (fits && !isAvoided && !waitsForNearer(first, group, endpoint, line, pool, promises)) {
+        const bool isAvoided = first.order.avoid == name && !isOnlyOne;
+        if (fits && !isAvoided && !waitsForNearer(first, group, site, sites, work)) {
             for (std::size_t i = begin; i < std::min(end, begin + places); ++i) {
                 const std::uint64_t bytes = line.waiting[i].order.resultBytes;
                 if (work.roomBytes > 0 && taken + bytes > work.roomBytes) {
@@ -260,9 +295,10 @@
 }
 
 /// Forms a call; false where there is nothing that this endpoint may take.
-bool PieceBatcher::form(const EndpointEntry &endpoint, Line &line, const PoolEntry &pool)
+bool PieceBatcher::form(const Site &site, Sites &sites, Line &line, const PoolEntry &pool)
 {
-    const Choice choice = choose(endpoint, line, pool);
+    const EndpointEntry &endpoint = *site.endpoint;
+    const Choice choice = choose(site, sites, line, pool);
     if (choice.places.empty()) {
         return false;
     }
--- a/lib/Kernel/resultroom.cpp
+++ b/lib/Kernel/resultroom.cpp
@@ -2,6 +2,7 @@
 
 #include "harelink/Kernel/resultroom.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -21,6 +22,7 @@
 {
     drop(handle);
     m_bytes[result.endpoint] += result.bytes;
+    m_earliestEnd = std::min(m_earliestEnd, result.until);
     m_results.emplace(handle, std::move(result));
 }
 
@@ -56,8 +58,15 @@
 
 void ResultRoom::expire(TimePoint now)
 {
-    for (auto result = m_results.begin(); result != m_results.end();) {
-        result = result->second.until <= now ? erase(result) : std::next(result);
+    if (now >= m_earliestEnd) {
+        m_earliestEnd = TimePoint::max();
+        for (auto result = m_results.begin(); result != m_results.end();) {
+            const TimePoint end = result->second.until;
+            if (end > now) {
+                m_earliestEnd = std::min(m_earliestEnd, end);
+            }
+            result = end <= now ? erase(result) : std::next(result);
+        }
     }
     std::erase_if(m_fullUntil, [now](const auto &entry) { return entry.second <= now; });
 }
