--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -62,11 +62,9 @@
     /// Shared with the snapshots before and after this one; null where the pool does not
     /// work in pieces.
     std::shared_ptr<PieceLoad> pieceLoad;
-    /// Of a large pool that works in pieces: the names of its parts, each of one data centre
-    /// and of a bounded number of endpoints, with a batcher and a load of its own. Empty where
-    /// it is not divided.
+    /// Of a large pool that works in pieces: the names of its parts, one for each data
+    /// centre, each with a batcher and a load of its own. Empty where it is not divided.
     std::vector<std::string> parts;
-    std::string partName;   ///< Of such a part, its own; else empty.
     std::string dataCentre; ///< Of such a part, where all its endpoints stand; else empty.
     /// Points on a ring, each an endpoint's index; empty where prompts are not kept. Prompts
     /// of endpoints in a drained data centre have other homes, all at once.
--- a/lib/Kernel/pieceforecast.cpp
+++ b/lib/Kernel/pieceforecast.cpp
@@ -55,31 +55,21 @@
     if (parts.empty()) {
         return avoided == nullptr ? pool : *avoided;
     }
-    const auto costOf = [&group](const PoolEntry *part) {
-        return crossingCost(group.flows, part->dataCentre);
-    };
-    const auto nearest =
-        std::min_element(parts.begin(), parts.end(),
-                         [&costOf](const auto *a, const auto *b) { return costOf(a) < costOf(b); });
-    const Duration least = costOf(*nearest);
-    const auto far = std::stable_partition(parts.begin(), parts.end(),
-                                           [&](const auto *part) { return costOf(part) == least; });
+    const auto nearest = std::min_element(parts.begin(), parts.end(),
+                                          [&group](const PoolEntry *a, const PoolEntry *b) {
+                                              return crossingCost(group.flows, a->dataCentre)
+                                                     < crossingCost(group.flows, b->dataCentre);
+                                          });
+    const PoolEntry *own = *nearest;
+    parts.erase(nearest);
+    if (parts.empty()) {
+        return *own;
+    }
+    const PoolEntry *other = parts[group.draw % parts.size()];
     const auto predicted = [&](const PoolEntry &part) {
         return predictPieces(part, group.count, group.priority, now)
                + crossingCost(group.flows, part.dataCentre);
     };
-    // Two of the near ones by chance, and the better of them: were all to take the best one by
-    // the same old news, it would be the next to be full.
-    const auto near = static_cast<std::size_t>(far - parts.begin());
-    const PoolEntry *own = parts[group.draw % near];
-    const PoolEntry *second = parts[group.draw / near % near];
-    if (predicted(*second) < predicted(*own)) {
-        own = second;
-    }
-    if (near == parts.size()) {
-        return *own;
-    }
-    const PoolEntry *other = parts[near + group.draw % (parts.size() - near)];
     return predicted(*other) + crossingReserve < predicted(*own) ? *other : *own;
 }
 
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -83,7 +83,7 @@
                        {count, priority, flowsOf(first, count), group.front().part,
                         PieceGroup::drawOf(first.id.request, first.id.stage)},
                        now);
-        send.orders.pool = part.partName.empty() ? part.spec.name : part.partName;
+        send.orders.pool += part.dataCentre.empty() ? "" : "/" + part.dataCentre;
         predicted = predictPieces(part, count, priority, now);
         noteOrdered(part, count, priority);
     }
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -5,9 +5,7 @@
 #include "harelink/Support/hash.h"
 
 #include <algorithm>
-#include <bit>
 #include <map>
-#include <tuple>
 
 #include <fmt/format.h>
 
@@ -20,10 +18,6 @@
 /// batcher for all of them would have more than a small host's processor takes, and of
 /// fewer endpoints the parts would be too uneven. docs/DESIGN.md has the figures.
 constexpr std::size_t leastDividedEndpoints = 9;
-/// A part has no more endpoints than this, or their batcher's work would grow with the fleet:
-/// with 62 of a stage in each of three data centres one took 45% of a quarter of a core, 109 MB
-/// and 3.1 MB/s. With ten, calls are as full as with more.
-constexpr std::size_t mostPartEndpoints = 16;
 
 template <typename Map>
 const typename Map::mapped_type *findIn(const Map &map, const std::string &name)
@@ -137,55 +131,26 @@
         if (pool.endpoints.size() < leastDividedEndpoints) {
             return;
         }
-        std::map<std::string, std::vector<const EndpointEntry *>> byDataCentre;
-        for (const EndpointEntry &endpoint : pool.endpoints) {
-            byDataCentre[endpoint.spec.dataCentre].push_back(&endpoint);
-        }
         std::map<std::string, PoolEntry> parts;
-        for (const auto &[dataCentre, endpoints] : byDataCentre) {
-            deal(fmt::format("{}/{}", name, dataCentre), endpoints, parts);
+        for (const EndpointEntry &endpoint : pool.endpoints) {
+            PoolEntry &part = parts[endpoint.spec.dataCentre];
+            part.endpoints.push_back(endpoint);
+            part.totalSlots += endpoint.isDrained ? 0 : endpoint.spec.slots;
         }
         if (parts.size() < 2) {
             return;
         }
-        for (auto &[partName, part] : parts) {
+        for (auto &[dataCentre, part] : parts) {
+            const std::string partName = fmt::format("{}/{}", name, dataCentre);
             part.spec = pool.spec;
-            part.partName = partName;
-            part.dataCentre = part.endpoints.front().spec.dataCentre;
-            part.localCount = part.dataCentre == m_snapshot.dataCentre ? part.endpoints.size() : 0;
+            part.dataCentre = dataCentre;
+            part.localCount = dataCentre == m_snapshot.dataCentre ? part.endpoints.size() : 0;
             placePieceLoad(partName, part);
             pool.parts.push_back(partName);
             m_snapshot.poolParts[partName] = std::move(part);
         }
     }
 
-    /// Deals the endpoints of one data centre to parts of about the same size. They are dealt in
-    /// the order of a hash: where one comes or goes, one changes its part at each border.
-    static void deal(const std::string &name, const std::vector<const EndpointEntry *> &endpoints,
-                     std::map<std::string, PoolEntry> &parts)
-    {
-        const std::size_t count =
-            std::bit_ceil((endpoints.size() + mostPartEndpoints - 1) / mostPartEndpoints);
-        std::vector<std::pair<std::uint64_t, const EndpointEntry *>> order;
-        order.reserve(endpoints.size());
-        for (const EndpointEntry *endpoint : endpoints) {
-            order.emplace_back(hash64(endpoint->spec.lastingName()), endpoint);
-        }
-        std::sort(order.begin(), order.end(), [](const auto &a, const auto &b) {
-            return std::tie(a.first, a.second->spec.name) < std::tie(b.first, b.second->spec.name);
-        });
-        for (std::size_t i = 0; i < order.size(); ++i) {
-            const std::size_t number = i * count / order.size();
-            PoolEntry &part = parts[count == 1 ? name : fmt::format("{}/{}", name, number)];
-            part.endpoints.push_back(*order[i].second);
-            part.totalSlots += order[i].second->isDrained ? 0 : order[i].second->spec.slots;
-        }
-        for (auto &[partName, part] : parts) {
-            std::sort(part.endpoints.begin(), part.endpoints.end(),
-                      [](const auto &a, const auto &b) { return a.spec.name < b.spec.name; });
-        }
-    }
-
     static void placeRing(PoolEntry &pool)
     {
         for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
