--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -39,9 +39,6 @@
     [[nodiscard]] bool shouldWatch() const;
     /// Takes in whether the platform answers this daemon.
     void noteConnected(bool connected) { m_connected = connected; }
-    /// Takes in whether the last call to the platform failed: what a daemon that has just
-    /// started cannot read there it asks its peers for, at once.
-    void notePlatformAway(bool isAway);
     /// Takes in whether heartbeats go through relays. What digests tell then rides in them,
     /// and in the relays' summaries: watchers that told all of their data centre each second
     /// sent a third of all messages of 300 daemons.
@@ -81,7 +78,6 @@
     TimePoint m_nextDigest;
     TimePoint m_watcherHeard;
     bool m_connected = false;
-    bool m_isPlatformAway = false;
     bool m_isRelayed = false;
     mutable std::size_t m_rank = 0; ///< As of the lists of hosts of that version.
     mutable std::uint64_t m_rankedAtVersion = 0;
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -26,9 +26,6 @@
 /// A difference is asked about when it has lasted for this long: until then the pushes
 /// are on their way, and a whole configuration takes a slow link 0.3 s.
 inline constexpr std::chrono::milliseconds differencePatience{500};
-/// The same while a daemon that has just started waits for the platform's listings: several
-/// pages for each of hundreds, which the platform answers within its rate.
-inline constexpr std::chrono::milliseconds startPatience{1500};
 /// The same where hashes ride in heartbeats: two of them from a host that tells at every
 /// second. At 500 ms a change made 540 of 300 daemons ask for versions, all for nothing.
 inline constexpr std::chrono::milliseconds relayedDifferencePatience{1200};
@@ -101,26 +98,13 @@
 template <GuardPolicy G>
 Duration BasicConfigGossip<G>::differencePatience() const
 {
-    // A daemon that has nothing yet reads it from the platform, unless that is away: of 100 that
-    // started together in one data centre each had the whole of 3,000 endpoints, 0.9 MB, from
-    // a peer besides, who needed 30 s for it.
+    // At the first object there is nothing to wait for.
     if (m_table.entries().empty()) {
-        return m_isPlatformAway ? Duration::zero() : configgossip::startPatience;
+        return Duration::zero();
     }
     return m_isRelayed ? configgossip::relayedDifferencePatience : configgossip::differencePatience;
 }
 
-template <GuardPolicy G>
-void BasicConfigGossip<G>::notePlatformAway(bool isAway)
-{
-    if (isAway && !m_isPlatformAway && m_table.entries().empty()) {
-        for (auto &[host, difference] : m_differing) {
-            difference.askAt = m_clock.now();
-        }
-    }
-    m_isPlatformAway = isAway;
-}
-
 template <GuardPolicy G>
 void BasicConfigGossip<G>::send(const std::string &host, decltype(PeerMessage::content) content)
 {
