--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -1,7 +1,8 @@
 //===- main.cpp - Randomised runs from the command line -------------------===//
 ///
 /// \file
-/// harelink-randrun --seed N --steps M [--seeds K] [--crashes] [--without MECHANISM]
+/// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains]
+///                  [--without MECHANISM]
 ///
 /// Plays K runs from seed N on, M steps each, and prints "violations: V"; on a
 /// violation the seed and the last lines of its trace. With --without the run
@@ -20,6 +21,7 @@
 DEFINE_uint64(seeds, 1, "How many seeds to play.");
 DEFINE_uint64(steps, 20'000, "Events of each run.");
 DEFINE_bool(crashes, false, "Plays requests that end endpoints, and suspended hosts.");
+DEFINE_bool(drains, false, "Plays data centres that are drained and taken back.");
 DEFINE_string(without, "", "The mechanism to take out; empty for none.");
 
 std::map<std::string, harelink::sim::Player> &harelink::sim::players()
@@ -33,6 +35,14 @@
 using namespace harelink;
 using namespace harelink::sim;
 
+RunKind kindOfRun()
+{
+    if (FLAGS_drains) {
+        return RunKind::Drains;
+    }
+    return FLAGS_crashes ? RunKind::CrashesAndSuspensions : RunKind::Faults;
+}
+
 void printViolation(std::uint64_t seed, const RunResult &result)
 {
     fmt::print("seed {}: {}\n", seed, result.violations.front());
@@ -53,7 +63,7 @@
         fmt::print(stderr, "randrun: there is no mechanism '{}'\n", FLAGS_without);
         return 2;
     }
-    const RunKind kind = FLAGS_crashes ? RunKind::CrashesAndSuspensions : RunKind::Faults;
+    const RunKind kind = kindOfRun();
     std::size_t violations = 0;
     std::uint64_t steps = 0;
     std::uint64_t traceHash = 0;
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -41,7 +41,10 @@
                 sendCrashing();
                 suspendSomething();
             }
-            if (random().chance(m_kind == RunKind::Faults ? 0.03 : 0.005)) {
+            if (m_kind == RunKind::Drains) {
+                drainOrTakeBack();
+            }
+            if (random().chance(m_kind == RunKind::CrashesAndSuspensions ? 0.005 : 0.03)) {
                 breakSomething();
             }
             if (random().chance(0.05)) {
@@ -134,6 +137,21 @@
         later(milliseconds(500), [=, this] { m_world.thaw(host); });
     }
 
+    /// An operator drains a data centre, or all, for some seconds. Each may be taken back at
+    /// once, and drained again while the others are cut off or the platform is away.
+    void drainOrTakeBack()
+    {
+        if (!random().chance(0.01)) {
+            return;
+        }
+        for (int i = 1; i <= dataCentreCount; ++i) {
+            const bool isMeant = random().chance(0.5);
+            if (isMeant) {
+                m_world.setDrained(fmt::format("dc{}", i), random().chance(0.6));
+            }
+        }
+    }
+
     /// With everything well, each of those requests comes on: by now all have to know it.
     void repeatCrashing()
     {
@@ -236,6 +254,9 @@
     void settle()
     {
         m_world.healAll();
+        for (int i = 1; i <= dataCentreCount && m_kind == RunKind::Drains; ++i) {
+            m_world.setDrained(fmt::format("dc{}", i), false);
+        }
         m_result.steps += m_world.run(settleTime);
         // A planned stop that began before may have ended only now.
         m_world.healAll();
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -17,6 +17,9 @@
     /// that are suspended. Apart, so that the faults of the other runs are drawn as often as
     /// they were.
     CrashesAndSuspensions,
+    /// Data centres that operators drain and take back, one or all of them, among the other
+    /// faults; apart for the same reason.
+    Drains,
 };
 
 /// What a run came to.
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -11,6 +11,11 @@
 
 /// How long after it began to leave an endpoint may still get new work.
 constexpr std::chrono::seconds leavingAllowance{5};
+/// What cold endpoints get in a second: so many times what they bear, and so much more.
+constexpr double coldExcess = 1.5;
+constexpr double coldSlack = 5;
+/// The same after its data centre was drained.
+constexpr std::chrono::seconds drainAllowance{5};
 /// An endpoint may get so much more time than the caller has.
 constexpr std::chrono::milliseconds timeAllowance{500};
 /// A request under which so many endpoints have ended is known to end them ...
@@ -122,6 +127,46 @@
     }
 }
 
+void Checks::dataCentreDrained(const std::string &dataCentre, bool isDrained)
+{
+    if (isDrained) {
+        m_drainedSince[dataCentre] = m_queue.now();
+    } else {
+        m_drainedSince.erase(dataCentre);
+    }
+}
+
+void Checks::arrivedAtDataCentre(const FakeEndpoint &endpoint, const SendStage &stage, bool inTouch)
+{
+    noteColdArrival(endpoint, stage.endpoint);
+    const auto drained = m_drainedSince.find(endpoint.dataCentre);
+    if (!inTouch || drained == m_drainedSince.end()) {
+        return;
+    }
+    const Duration since = m_queue.now() - drained->second;
+    if (since > drainAllowance) {
+        violation(fmt::format("{} got new work {} ms after {} was drained", stage.endpoint,
+                              toMilliseconds(since), endpoint.dataCentre));
+    }
+}
+
+void Checks::noteColdArrival(const FakeEndpoint &endpoint, const std::string &name)
+{
+    if (m_queue.now() >= endpoint.coldUntil) {
+        m_coldArrivals.erase(name);
+        return;
+    }
+    std::deque<TimePoint> &arrivals = m_coldArrivals[name];
+    arrivals.push_back(m_queue.now());
+    while (m_queue.now() - arrivals.front() >= std::chrono::seconds(1)) {
+        arrivals.pop_front();
+    }
+    if (static_cast<double>(arrivals.size()) > coldRate * coldExcess + coldSlack) {
+        violation(fmt::format("{} got {} requests within a second while it was cold", name,
+                              arrivals.size()));
+    }
+}
+
 void Checks::ranAtEndpoint(const SendStage &stage)
 {
     m_trace.add(fmt::format("{} runs {}", stage.endpoint, toText(stage.call)));
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -59,6 +59,10 @@
     /// \p wokeLately: from a host that was suspended until a moment ago.
     void arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
                            const SendStage &stage, bool wokeLately);
+    /// An operator has drained a data centre, or taken it back.
+    void dataCentreDrained(const std::string &dataCentre, bool isDrained);
+    /// A call arrived at \p endpoint; \p inTouch: from a host that has to know what others do.
+    void arrivedAtDataCentre(const FakeEndpoint &endpoint, const SendStage &stage, bool inTouch);
     void ranAtEndpoint(const SendStage &stage);
     /// An endpoint ended under a request with \p body.
     void crashed(const std::string &body);
@@ -95,6 +99,10 @@
     EventQueue &m_queue;
     Trace &m_trace;
     std::map<std::string, CrashRecord> m_crashes; ///< By body.
+    void noteColdArrival(const FakeEndpoint &endpoint, const std::string &name);
+
+    std::map<std::string, TimePoint> m_drainedSince;             ///< By data centre.
+    std::map<std::string, std::deque<TimePoint>> m_coldArrivals; ///< Of a second, by endpoint.
     EndpointLedger m_ledger;
     std::map<RequestId, Submission> m_submissions;
     std::map<std::string, int> m_outcomes;
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -172,8 +172,13 @@
     std::uint64_t generation = 0; ///< Rises when it dies: running calls end.
     TimePoint leavingSince = TimePoint::max();
     TimePoint lastArrival;
+    TimePoint coldUntil; ///< It bears few requests until then.
 };
 
+/// What a cold endpoint of the world bears in a second, and for how long it is cold.
+inline constexpr double coldRate = 1;
+inline constexpr std::chrono::milliseconds coldTime{3000};
+
 /// Whether a request with this body ends every endpoint that begins to run it.
 [[nodiscard]] bool isCrashing(const std::string &body);
 /// The answer that an endpoint of the world gives to \p stage.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -211,6 +211,28 @@
             {"kind", "ClientAccount"}, {"name", account}, {"spec", {{"weight", weight}}}};
         store.put("ClientAccount", account, current ? current->version : 0, document.dump());
     }
+    /// An operator drains \p dataCentre, or takes it back; where it is so already, nothing.
+    void setDrained(const std::string &dataCentre, bool isDrained)
+    {
+        constexpr const char *kind = "DataCentreDrain";
+        standin::PlatformStore &store = m_platform.store();
+        const auto current = store.get(kind, dataCentre);
+        if (isDrained == current.has_value()) {
+            return;
+        }
+        m_trace.add((isDrained ? "drain all endpoints of " : "take back ") + dataCentre);
+        m_checks.dataCentreDrained(dataCentre, isDrained);
+        if (isDrained) {
+            declare(kind, dataCentre, {{"dataCentre", dataCentre}});
+            return;
+        }
+        store.remove(kind, dataCentre, current->version);
+        for (auto &[name, endpoint] : m_endpoints) {
+            if (endpoint.dataCentre == dataCentre) {
+                turnCold(name, endpoint);
+            }
+        }
+    }
     /// Every living host has the platform's version of every object in force.
     [[nodiscard]] bool converged()
     {
@@ -312,11 +334,26 @@
         m_platform.store().put(kind, name, 0, document.dump());
     }
 
+    /// The endpoint is cold from now on, and says so in its declaration. Each time by a
+    /// millisecond more, for what says nothing new is no news.
+    void turnCold(const std::string &name, FakeEndpoint &endpoint)
+    {
+        endpoint.coldUntil = m_queue.now() + coldTime;
+        standin::PlatformStore &store = m_platform.store();
+        const auto current = store.get("Endpoint", name);
+        nlohmann::json document = nlohmann::json::parse(current->value);
+        document["spec"]["coldMs"] = coldTime.count() + ++m_timesCold;
+        store.put("Endpoint", name, current->version, document.dump());
+    }
+
     void declareResources()
     {
         using nlohmann::json;
         for (const char *pool : {"encoders", "engines", "records"}) {
-            declare("Pool", pool, {{"protocol", "plain-service"}});
+            declare("Pool", pool,
+                    {{"protocol", "plain-service"},
+                     {"coldMs", coldTime.count()},
+                     {"coldRequestsPerSecond", coldRate}});
             for (int i = 0; i < m_dataCentres * 2; ++i) {
                 const std::string name = fmt::format("{}-{}", pool, i + 1);
                 const std::string dataCentre = fmt::format("dc{}", i % m_dataCentres + 1);
@@ -453,8 +490,13 @@
 
     void publish(Host &host)
     {
-        host.snapshot = buildSnapshot(host.control->resources(), host.control->config().revision(),
-                                      host.dataCentre, host.snapshot.get());
+        std::unique_ptr<const Snapshot> next =
+            buildSnapshot(host.control->resources(), host.control->config().revision(),
+                          host.dataCentre, host.snapshot.get());
+        if (G::sparesCold) {
+            noteColdStarts(*next, *host.snapshot, host.clock->now(), host.control->coldShares());
+        }
+        host.snapshot = std::move(next);
         for (const std::string &endpoint : host.control->leavingEndpoints()) {
             markLeaving(*host.snapshot, endpoint);
         }
@@ -586,6 +628,7 @@
             return;
         }
         m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage, wokeLately(m_hosts.at(name)));
+        m_checks.arrivedAtDataCentre(endpoint, stage, isInTouch(m_hosts.at(name)));
         m_checks.ranAtEndpoint(stage);
         if (isCrashing(stage.request)) {
             m_checks.crashingArrived(stage.request, isInTouch(m_hosts.at(name)));
@@ -724,6 +767,7 @@
     WorldFaults m_faults;
     std::size_t m_mostMeshPeers; ///< With every other seed, heartbeats go through relays.
     int m_dataCentres;
+    std::int64_t m_timesCold = 0; ///< Endpoints that have turned cold so far.
     std::map<std::string, Host> m_hosts;
     std::map<std::string, FakeEndpoint> m_endpoints;
 };
