--- a/unittests/Kernel/regionlimittest.cpp
+++ b/unittests/Kernel/regionlimittest.cpp
@@ -6,7 +6,6 @@
 
 #include <set>
 
-
 using namespace harelink;
 using namespace harelink::testing;
 
