--- a/lib/Config/jsonreader.cpp
+++ b/lib/Config/jsonreader.cpp
@@ -157,7 +157,7 @@
         if (text.is_string() && !text.get_ref<const std::string &>().empty()) {
             texts[name] = text.get<std::string>();
         } else {
-            fault(field + "." + name, "must be a text that is not empty");
+            fault(fmt::format("{}.{}", field, name), "must be a text that is not empty");
         }
     }
     return texts;
