[Kernel] Revert: ask by one call at a time whether the platform is back

Traced by its logs: one host's watches fell silent; the one call that then asked for all was a watch on quarantines, which may wait for ten seconds, and until it ended nobody else might ask. The host knew of no change for as long. Change: reverted; each kind asks for itself again. A next try has to ask by a call that cannot wait.

--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -151,8 +151,6 @@
     template <typename Content>
     void takeFigures(const std::string &source, const Content &content);
     [[nodiscard]] bool mayCall(const BasicConfigWatcher<G> &watcher) const;
-    [[nodiscard]] bool isAsking() const;
-    void notePlatform(const PlatformResult &result);
     [[nodiscard]] bool isToldOfHosts() const;
     void pollHostList();
     void takeHostListResult(const PlatformResult &result);
@@ -172,10 +170,6 @@
     BasicClaimRouter<G> m_router;
     CrashWatch m_crashes;
     std::uint64_t m_nextCallId = 1;
-    bool m_isPlatformAway = false;  ///< The last call to it failed.
-    std::uint64_t m_askingCall = 0; ///< Whether it is back; 0 for none.
-    TimePoint m_nextAsking;         ///< Not before, while it is away.
-    Duration m_askingPause{};
     std::uint64_t m_hostListCall = 0;
     TimePoint m_startedAt;
     TimePoint m_nextHostList;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -37,9 +37,6 @@
 /// first heartbeat within 250 ms, and the host list is read before. Of 300 that started
 /// together each made two watches that nobody needed.
 inline constexpr std::chrono::milliseconds acquaintance{900};
-/// Between two calls that ask whether the platform is back.
-inline constexpr std::chrono::milliseconds firstAskingPause{100};
-inline constexpr std::chrono::milliseconds longestAskingPause{1000};
 /// Between two attempts to declare oneself.
 inline constexpr std::chrono::milliseconds announceInterval{300};
 /// How long a start waits at most to learn which endpoints are leaving.
@@ -93,8 +90,7 @@
 template <GuardPolicy G>
 void BasicControlMachine<G>::announce()
 {
-    const bool due =
-        !m_hostKind.empty() && !m_announced && m_announceCall == 0 && !m_isPlatformAway;
+    const bool due = !m_hostKind.empty() && !m_announced && m_announceCall == 0;
     if (!due || m_clock.now() < m_nextAnnounce) {
         return;
     }
@@ -246,11 +242,8 @@
 {
     for (BasicConfigWatcher<G> &watcher : m_watchers) {
         m_configPending = watcher.applyHeld() || m_configPending;
-        if (mayCall(watcher) && !isAsking()) {
-            const std::uint64_t next = m_nextCallId;
+        if (mayCall(watcher)) {
             watcher.tick(m_output.calls, m_nextCallId);
-            const bool hasCalled = m_nextCallId != next;
-            m_askingCall = m_isPlatformAway && hasCalled ? next : m_askingCall;
         }
     }
     announce();
@@ -331,7 +324,7 @@
 template <GuardPolicy G>
 void BasicControlMachine<G>::pollHostList()
 {
-    if (m_hostListCall != 0 || m_clock.now() < m_nextHostList || m_isPlatformAway) {
+    if (m_hostListCall != 0 || m_clock.now() < m_nextHostList) {
         return;
     }
     if (m_hostListRead && isToldOfHosts()) {
@@ -352,54 +345,26 @@
     for (const BasicConfigWatcher<G> &watcher : m_watchers) {
         watch = mayCall(watcher) ? std::min(watch, watcher.nextTick()) : watch;
     }
-    if (m_isPlatformAway) {
-        watch = m_askingCall == 0 ? std::max(watch, m_nextAsking) : TimePoint::max();
-    }
     if (m_clock.now() < m_startedAt + controlmachine::acquaintance) {
         watch = std::min<TimePoint>(watch, m_startedAt + controlmachine::acquaintance);
     }
-    if (!m_hostKind.empty() && !m_announced && m_announceCall == 0 && !m_isPlatformAway) {
+    if (!m_hostKind.empty() && !m_announced && m_announceCall == 0) {
         watch = std::min(watch, m_nextAnnounce);
     }
     const TimePoint next =
         std::min({watch, m_gossip.nextTick(), m_membership.nextTick(), m_router.nextTick(),
                   m_ledger.nextTick(), m_crashes.nextTick()});
-    return m_hostListCall == 0 && !m_isPlatformAway ? std::min(next, m_nextHostList) : next;
+    return m_hostListCall == 0 ? std::min(next, m_nextHostList) : next;
 }
 
-/// Takes in whether the platform answered. While it does not, one call at a time asks whether it
-/// is back, after pauses that double: each call is paid for, also one that is refused.
 template <GuardPolicy G>
-void BasicControlMachine<G>::notePlatform(const PlatformResult &result)
+void BasicControlMachine<G>::handle(const PlatformResult &result)
 {
     const bool answered =
         result.outcome != PlatformOutcome::Refused && result.outcome != PlatformOutcome::Silent;
     for (BasicConfigWatcher<G> &watcher : m_watchers) {
         watcher.notePlatform(answered);
     }
-    if (answered || !m_isPlatformAway) {
-        m_askingPause = controlmachine::firstAskingPause;
-    }
-    const bool wasAsked = result.id == m_askingCall;
-    if (!answered && (wasAsked || !m_isPlatformAway)) {
-        m_nextAsking = m_clock.now() + m_askingPause;
-        m_askingPause = std::min<Duration>(m_askingPause * 2, controlmachine::longestAskingPause);
-    }
-    m_askingCall = wasAsked ? 0 : m_askingCall;
-    m_isPlatformAway = !answered;
-}
-
-/// Whether the platform is away and somebody has asked for it, or does soon.
-template <GuardPolicy G>
-bool BasicControlMachine<G>::isAsking() const
-{
-    return m_isPlatformAway && (m_askingCall != 0 || m_clock.now() < m_nextAsking);
-}
-
-template <GuardPolicy G>
-void BasicControlMachine<G>::handle(const PlatformResult &result)
-{
-    notePlatform(result);
     for (BasicConfigWatcher<G> &watcher : m_watchers) {
         if (watcher.owns(result.id)) {
             // What a start reads all others read or have: pushed, 3,000 endpoints are 0.9 MB for
