[Kernel] Read the change once more: one reading of the steady clock, no second choice in vain

Cause: on the last read of the change: the nanoseconds of the steady clock were made in three files; a pool whose endpoints are never cold was chosen from twice where nothing is free, at each look at its queue; a function without state was a member; the options and the peer of a control stood in three test files; two comments stood at the wrong line. Change: steadyNanos beside the loads that hold it; the second choice only where a pool says what cold endpoints bear; controlfixture.h for the tests. No check or expectation is changed.

--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -136,8 +136,8 @@
     std::optional<ModelEngineSpec> engine;
     /// So long an endpoint that has started is cold, where it does not say.
     std::chrono::milliseconds coldTime{0};
-    double coldRate =
-        0; ///< Requests that it bears in a second meanwhile; 0 where that is not said.
+    /// Requests a second that it bears meanwhile; 0 where that is not said.
+    double coldRate = 0;
 };
 
 /// An endpoint.
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -82,7 +82,6 @@
     void carryOut();
     void call(const PlatformCall &call);
     void publish();
-    void logDrains(const Snapshot &before, const Snapshot &next) const;
     void carryOutPieces();
     void takePieceMessage(const PeerMessage &message);
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -20,6 +20,12 @@
 
 namespace harelink {
 
+/// \p time as the loads hold it: nanoseconds of the steady clock.
+[[nodiscard]] inline std::int64_t steadyNanos(TimePoint time)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
+}
+
 /// How much of a pool's time one account has used lately.
 ///
 /// A ring of short windows, so that old use is forgotten without a sweep.
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -78,7 +78,7 @@
         const PromptNeed *need = pool->spec.engine && prompt.tokens > 0 ? &prompt : nullptr;
         RoutingQuery query{*pool, now, homeOf(request, *pool), avoid, need, &regions};
         const EndpointEntry *endpoint = m_policy->choose(query, m_random);
-        if (endpoint == nullptr) {
+        if (endpoint == nullptr && pool->spec.coldRate > 0) {
             query.warmsUp = true;
             endpoint = m_policy->choose(query, m_random);
         }
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -78,6 +78,23 @@
         .field("longestWaitMs", static_cast<std::int64_t>(toMilliseconds(basis.longestWait)));
 }
 
+/// Tells of data centres that are drained from now on, or no more.
+void logDrains(const Snapshot &before, const Snapshot &next)
+{
+    const auto tell = [&next](const char *event, const std::set<std::string> &dataCentres,
+                              const std::set<std::string> &others) {
+        for (const std::string &dataCentre : dataCentres) {
+            if (!others.contains(dataCentre)) {
+                logger.record(LogLevel::Info, event)
+                    .field("dataCentre", dataCentre)
+                    .field("version", next.revision);
+            }
+        }
+    };
+    tell("data-centre-drained", next.drainedDataCentres, before.drainedDataCentres);
+    tell("data-centre-taken-back", before.drainedDataCentres, next.drainedDataCentres);
+}
+
 } // namespace
 
 Control::Control(const Settings &settings, const Clock &clock, SnapshotCell &snapshot,
@@ -533,23 +550,6 @@
     m_ready = true;
 }
 
-/// Tells of data centres that are drained from now on, or no more.
-void Control::logDrains(const Snapshot &before, const Snapshot &next) const
-{
-    const auto tell = [&next](const char *event, const std::set<std::string> &dataCentres,
-                              const std::set<std::string> &others) {
-        for (const std::string &dataCentre : dataCentres) {
-            if (!others.contains(dataCentre)) {
-                logger.record(LogLevel::Info, event)
-                    .field("dataCentre", dataCentre)
-                    .field("version", next.revision);
-            }
-        }
-    };
-    tell("data-centre-drained", next.drainedDataCentres, before.drainedDataCentres);
-    tell("data-centre-taken-back", before.drainedDataCentres, next.drainedDataCentres);
-}
-
 std::vector<UsageReport> Control::takeOwnUsage()
 {
     std::vector<UsageReport> reports;
--- a/lib/Kernel/coldstart.cpp
+++ b/lib/Kernel/coldstart.cpp
@@ -18,11 +18,6 @@
 /// A second, and some of the next: sends that leave a second apart may arrive closer.
 constexpr std::chrono::milliseconds sendInterval{1100};
 
-std::int64_t nanos(Duration time)
-{
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(time).count();
-}
-
 /// A number from 0 to 1, always the same for the same text.
 double drawOf(const std::string &text)
 {
@@ -78,16 +73,16 @@
             }
             const Duration interval =
                 shares.intervalAt(entry.spec.name, pool.spec.coldRate).value_or(Duration::zero());
-            entry.load->coldInterval.store(nanos(interval), std::memory_order_relaxed);
-            entry.load->coldUntil.store(nanos((now + *time).time_since_epoch()),
-                                        std::memory_order_relaxed);
+            entry.load->coldInterval.store(std::chrono::nanoseconds(interval).count(),
+                                           std::memory_order_relaxed);
+            entry.load->coldUntil.store(steadyNanos(now + *time), std::memory_order_relaxed);
         }
     }
 }
 
 bool isCold(const EndpointEntry &entry, TimePoint now)
 {
-    return entry.load->coldUntil.load(std::memory_order_relaxed) > nanos(now.time_since_epoch());
+    return entry.load->coldUntil.load(std::memory_order_relaxed) > steadyNanos(now);
 }
 
 bool mayWarmUp(const EndpointEntry &entry, TimePoint now)
@@ -95,7 +90,7 @@
     const EndpointLoad &load = *entry.load;
     const std::int64_t interval = load.coldInterval.load(std::memory_order_relaxed);
     const std::int64_t last = load.sentAt.load(std::memory_order_relaxed);
-    return interval > 0 && nanos(now.time_since_epoch()) - last >= interval;
+    return interval > 0 && steadyNanos(now) - last >= interval;
 }
 
 } // namespace harelink
--- a/lib/Kernel/pieceforecast.cpp
+++ b/lib/Kernel/pieceforecast.cpp
@@ -20,11 +20,6 @@
 /// which forecasts of that age are off.
 constexpr std::chrono::milliseconds crossingReserve{150};
 
-std::int64_t nanos(TimePoint time)
-{
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
-}
-
 } // namespace
 
 std::uint64_t PieceGroup::drawOf(const RequestId &request, std::uint32_t stage)
@@ -93,7 +88,7 @@
     const Duration before = fullCall * callsBefore / endpoints;
     const Duration own = work.callTime + work.pieceTime * std::min(all, work.batch);
     const double slowness = load.slownessPercent.load(std::memory_order_relaxed) / percent;
-    const std::int64_t freeIn = load.freeAt.load(std::memory_order_relaxed) - nanos(now);
+    const std::int64_t freeIn = load.freeAt.load(std::memory_order_relaxed) - steadyNanos(now);
     const double correction = load.correctionPercent.load(std::memory_order_relaxed) / percent;
     const Duration wait = std::chrono::nanoseconds(std::max<std::int64_t>(0, freeIn));
     return std::chrono::duration_cast<Duration>((wait + (before + own) * slowness) * correction);
@@ -120,7 +115,7 @@
         return;
     }
     PieceLoad &load = *pool.pieceLoad;
-    load.freeAt.store(nanos(now + backlog.freeIn), std::memory_order_relaxed);
+    load.freeAt.store(steadyNanos(now + backlog.freeIn), std::memory_order_relaxed);
     load.endpoints.store(static_cast<int>(backlog.endpoints), std::memory_order_relaxed);
     for (std::size_t i = 0; i < urgencyClassCount; ++i) {
         load.waiting[i].store(static_cast<int>(backlog.waiting[i]), std::memory_order_relaxed);
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -30,11 +30,6 @@
 /// At most this part of a pool is ejected at once.
 constexpr std::size_t ejectableShare = 2;
 
-std::int64_t nanos(TimePoint time)
-{
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
-}
-
 Duration fullTime(const EndpointLoad &load)
 {
     const std::chrono::microseconds call(load.latencyMicros.load(std::memory_order_relaxed));
@@ -43,7 +38,7 @@
 
 bool isEjected(const EndpointEntry &entry, TimePoint now)
 {
-    return entry.load->ejectedUntil.load(std::memory_order_relaxed) > nanos(now);
+    return entry.load->ejectedUntil.load(std::memory_order_relaxed) > steadyNanos(now);
 }
 
 bool mayEject(const PoolEntry &pool, const EndpointEntry &entry, TimePoint now)
@@ -96,7 +91,8 @@
 bool isEligible(const EndpointEntry &entry, TimePoint now)
 {
     const EndpointLoad &load = *entry.load;
-    if (!isUsable(entry, now) || load.fullUntil.load(std::memory_order_relaxed) > nanos(now)) {
+    if (!isUsable(entry, now)
+        || load.fullUntil.load(std::memory_order_relaxed) > steadyNanos(now)) {
         return false;
     }
     const int inFlight = load.inFlight.load(std::memory_order_relaxed);
@@ -124,7 +120,7 @@
     if (load.inFlight.load(std::memory_order_relaxed) == 0) {
         return usual;
     }
-    const std::int64_t silent = nanos(now) - load.progressAt.load(std::memory_order_relaxed);
+    const std::int64_t silent = steadyNanos(now) - load.progressAt.load(std::memory_order_relaxed);
     return std::max<Duration>(usual, std::chrono::nanoseconds(silent));
 }
 
@@ -146,15 +142,15 @@
 
 void noteSend(const EndpointEntry &entry, TimePoint now)
 {
-    entry.load->sentAt.store(nanos(now), std::memory_order_relaxed);
+    entry.load->sentAt.store(steadyNanos(now), std::memory_order_relaxed);
     if (entry.load->inFlight.fetch_add(1, std::memory_order_relaxed) == 0) {
-        entry.load->progressAt.store(nanos(now), std::memory_order_relaxed);
+        entry.load->progressAt.store(steadyNanos(now), std::memory_order_relaxed);
     }
 }
 
 void noteProgress(const EndpointEntry &entry, TimePoint now)
 {
-    entry.load->progressAt.store(nanos(now), std::memory_order_relaxed);
+    entry.load->progressAt.store(steadyNanos(now), std::memory_order_relaxed);
 }
 
 void noteSuccess(const EndpointEntry &entry, Duration elapsed, TimePoint now)
@@ -179,7 +175,7 @@
         // It is well but full: others send to it too, so take a smaller part, and
         // ask again only when a call has had time to end.
         lowerLimit(load);
-        load.fullUntil.store(nanos(now + fullTime(load)), std::memory_order_relaxed);
+        load.fullUntil.store(steadyNanos(now + fullTime(load)), std::memory_order_relaxed);
         return;
     }
     const int failures = load.failures.fetch_add(1, std::memory_order_relaxed) + 1;
@@ -194,7 +190,7 @@
     }
     const Duration length =
         ejectionAfter(failures, unreachable ? longestUnreachable : longestEjection);
-    load.ejectedUntil.store(nanos(now + length), std::memory_order_relaxed);
+    load.ejectedUntil.store(steadyNanos(now + length), std::memory_order_relaxed);
 }
 
 void noteGivenUp(const PoolEntry &pool, const EndpointEntry &entry, Duration elapsed,
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -11,11 +11,11 @@
 
 /// How long after it began to leave an endpoint may still get new work.
 constexpr std::chrono::seconds leavingAllowance{5};
+/// The same after its data centre was drained.
+constexpr std::chrono::seconds drainAllowance{5};
 /// What cold endpoints get in a second: so many times what they bear, and so much more.
 constexpr double coldExcess = 1.5;
 constexpr double coldSlack = 5;
-/// The same after its data centre was drained.
-constexpr std::chrono::seconds drainAllowance{5};
 /// An endpoint may get so much more time than the caller has.
 constexpr std::chrono::milliseconds timeAllowance{500};
 /// A request under which so many endpoints have ended is known to end them ...
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -96,11 +96,11 @@
         int sendsAfter = 0; ///< By hosts that had to know, later than the contact time.
     };
 
-    EventQueue &m_queue;
-    Trace &m_trace;
-    std::map<std::string, CrashRecord> m_crashes; ///< By body.
     void noteColdArrival(const FakeEndpoint &endpoint, const std::string &name);
 
+    EventQueue &m_queue;
+    Trace &m_trace;
+    std::map<std::string, CrashRecord> m_crashes;                ///< By body.
     std::map<std::string, TimePoint> m_drainedSince;             ///< By data centre.
     std::map<std::string, std::deque<TimePoint>> m_coldArrivals; ///< Of a second, by endpoint.
     EndpointLedger m_ledger;
--- a/unittests/Kernel/controlmachinetest.cpp
+++ b/unittests/Kernel/controlmachinetest.cpp
@@ -1,10 +1,11 @@
 //===- controlmachinetest.cpp - Tests of a daemon's control ---------------===//
 
-#include "harelink/Kernel/controlmachine.h"
+#include "controlfixture.h"
 
 #include <CppUTest/TestHarness.h>
 
 using namespace harelink;
+using namespace harelink::testing;
 
 namespace {
 
@@ -37,24 +38,9 @@
 struct Bench
 {
     Bench()
-        : machine(clock, options())
+        : machine(clock, controlOptions(reader))
     {
-        Heartbeat heartbeat;
-        heartbeat.dataCentre = "dc1";
-        heartbeat.address = "h2:1";
-        heartbeat.leavingKnown = true;
-        machine.handle(PeerMessage{"h2", 2, heartbeat});
-    }
-    ControlOptions options()
-    {
-        ControlOptions options;
-        options.host = "h1";
-        options.peerAddress = "h1:1";
-        options.dataCentre = "dc1";
-        options.incarnation = 1;
-        options.keepsClaims = false;
-        options.objects = &reader;
-        return options;
+        machine.handle(heartbeatOf(2));
     }
     /// Whether a peer's news puts a configuration in force.
     bool push(const std::string &kind, const std::string &name)
--- a/unittests/Kernel/datacentredraintest.cpp
+++ b/unittests/Kernel/datacentredraintest.cpp
@@ -1,8 +1,8 @@
 //===- datacentredraintest.cpp - Tests of drained data centres ------------===//
 
 #include "carriedfixture.h"
+#include "controlfixture.h"
 
-#include "harelink/Kernel/controlmachine.h"
 #include "harelink/Kernel/pieceforecast.h"
 #include "harelink/Support/hash.h"
 
@@ -50,23 +50,9 @@
 struct ControlBench
 {
     ControlBench()
-        : machine(clock, options())
+        : machine(clock, controlOptions())
     {
-        Heartbeat heartbeat;
-        heartbeat.dataCentre = "dc1";
-        heartbeat.address = "h2:1";
-        heartbeat.leavingKnown = true;
-        machine.handle(PeerMessage{"h2", 2, heartbeat});
-    }
-    static ControlOptions options()
-    {
-        ControlOptions options;
-        options.host = "h1";
-        options.peerAddress = "h1:1";
-        options.dataCentre = "dc1";
-        options.incarnation = 1;
-        options.keepsClaims = false;
-        return options;
+        machine.handle(heartbeatOf(2));
     }
     void tell(Version version, bool deleted)
     {
@@ -245,25 +231,15 @@
 struct StartBench
 {
     StartBench()
-        : machine(clock, options(reader))
+        : machine(clock, controlOptions(reader))
     {
-        Heartbeat heartbeat;
-        heartbeat.dataCentre = "dc1";
-        heartbeat.address = "h2:1";
-        heartbeat.leavingKnown = true;
-        machine.handle(PeerMessage{"h2", 2, heartbeat});
+        machine.handle(heartbeatOf(2));
         machine.tick();
         for (const PlatformCall &call : machine.takeOutput().calls) {
             const bool isListing = call.operation == PlatformOperation::List;
             calls[isListing ? call.kind : std::string(toText(call.operation))] = call.id;
         }
     }
-    static ControlOptions options(const ObjectReader &reader)
-    {
-        ControlOptions options = ControlBench::options();
-        options.objects = &reader;
-        return options;
-    }
     /// Whether the platform's answer to a call puts a configuration in force.
     bool answer(const std::string &what, PlatformOutcome outcome)
     {
--- a/unittests/Kernel/quarantinetest.cpp
+++ b/unittests/Kernel/quarantinetest.cpp
@@ -1,8 +1,7 @@
 //===- quarantinetest.cpp - Tests of requests that are not run ------------===//
 
 #include "carriedfixture.h"
-
-#include "harelink/Kernel/controlmachine.h"
+#include "controlfixture.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -35,14 +34,10 @@
 struct ControlBench
 {
     ControlBench()
-        : machine(clock, options())
+        : machine(clock, controlOptions())
     {
-        for (const char *host : {"h2", "h3", "h4"}) {
-            Heartbeat heartbeat;
-            heartbeat.dataCentre = "dc1";
-            heartbeat.address = std::string(host) + ":1";
-            heartbeat.leavingKnown = true;
-            machine.handle(PeerMessage{host, static_cast<Incarnation>(host[1] - '0'), heartbeat});
+        for (const Incarnation host : {2, 3, 4}) {
+            machine.handle(heartbeatOf(host));
         }
         ConfigPush push;
         push.objects.push_back({"Pool", "engines", 1, false,
@@ -54,16 +49,6 @@
         machine.handle(PeerMessage{"h2", 2, push});
         (void)machine.takeOutput();
     }
-    static ControlOptions options()
-    {
-        ControlOptions options;
-        options.host = "h1";
-        options.peerAddress = "h1:1";
-        options.dataCentre = "dc1";
-        options.incarnation = 1;
-        options.keepsClaims = false;
-        return options;
-    }
     /// The reports that a broken call brings once nobody listens at its endpoint.
     std::vector<PeerSend> reportsOfEnd()
     {
