[Test] Random runs with endpoints that state rate limits; they break

Judged is what arrives in any 4 s, from 3 s after a limit was stated, from daemons that took in such an answer half a second before: 1.5 times the limit and 5 more, as the users allow.

--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -1,8 +1,8 @@
 //===- main.cpp - Randomised runs from the command line -------------------===//
 ///
 /// \file
-/// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains]
-///                  [--without MECHANISM]
+/// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits]
+///                  [--hosts H] [--without MECHANISM]
 ///
 /// Plays K runs from seed N on, M steps each, and prints "violations: V"; on a
 /// violation the seed and the last lines of its trace. With --without the run
@@ -22,6 +22,8 @@
 DEFINE_uint64(steps, 20'000, "Events of each run.");
 DEFINE_bool(crashes, false, "Plays requests that end endpoints, and suspended hosts.");
 DEFINE_bool(drains, false, "Plays data centres that are drained and taken back.");
+DEFINE_bool(limits, false, "Plays endpoints that state rate limits.");
+DEFINE_int32(hosts, 0, "Hosts of each run; 0 for as many as its kind has.");
 DEFINE_string(without, "", "The mechanism to take out; empty for none.");
 
 std::map<std::string, harelink::sim::Player> &harelink::sim::players()
@@ -40,6 +42,9 @@
     if (FLAGS_drains) {
         return RunKind::Drains;
     }
+    if (FLAGS_limits) {
+        return RunKind::Limits;
+    }
     return FLAGS_crashes ? RunKind::CrashesAndSuspensions : RunKind::Faults;
 }
 
@@ -71,7 +76,7 @@
     int faults = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result = player->second(FLAGS_seed + i, FLAGS_steps, kind);
+        const RunResult result = player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
--- a/test/randrun/player.cpp
+++ b/test/randrun/player.cpp
@@ -19,9 +19,9 @@
 #endif
 };
 
-RunResult play(std::uint64_t seed, std::uint64_t steps, RunKind kind)
+RunResult play(const RunOptions &options)
 {
-    return RandomRun<Guards>(seed, kind).play(steps);
+    return RandomRun<Guards>(options).play(options.steps);
 }
 
 const PlayerRegistration registration(HARELINK_PLAYER, play);
--- a/test/randrun/players.h
+++ b/test/randrun/players.h
@@ -11,14 +11,13 @@
 
 #include "runresult.h"
 
-#include <cstdint>
 #include <map>
 #include <string>
 
 namespace harelink::sim {
 
-/// Plays one seed for so many steps.
-using Player = RunResult (*)(std::uint64_t seed, std::uint64_t steps, RunKind kind);
+/// Plays one run.
+using Player = RunResult (*)(const RunOptions &options);
 
 /// All players by the mechanism that they lack; the product's has an empty name.
 std::map<std::string, Player> &players();
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -11,8 +11,10 @@
 #include "runresult.h"
 #include "world.h"
 
+#include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,9 +25,9 @@
 class RandomRun
 {
 public:
-    RandomRun(std::uint64_t seed, RunKind kind)
-        : m_world(seed, hostCount, dataCentreCount)
-        , m_kind(kind)
+    explicit RandomRun(const RunOptions &options)
+        : m_world(options.seed, hostsOf(options), dataCentreCount)
+        , m_kind(options.kind)
     {
     }
 
@@ -44,6 +46,9 @@
             if (m_kind == RunKind::Drains) {
                 drainOrTakeBack();
             }
+            if (m_kind == RunKind::Limits) {
+                limitOrLift();
+            }
             if (random().chance(m_kind == RunKind::CrashesAndSuspensions ? 0.005 : 0.03)) {
                 breakSomething();
             }
@@ -59,6 +64,7 @@
 
 private:
     static constexpr int hostCount = 4;
+    static constexpr int hostCountOfLimits = 9;
     static constexpr int dataCentreCount = 2;
     /// Time for everything to settle once all is healed: longer than any
     /// deadline, back-off or heartbeat limit.
@@ -68,6 +74,14 @@
     /// How often one request that ends endpoints comes before another one does.
     static constexpr std::uint64_t crashingCopies = 20;
 
+    static int hostsOf(const RunOptions &options)
+    {
+        if (options.hosts > 0) {
+            return options.hosts;
+        }
+        return options.kind == RunKind::Limits ? hostCountOfLimits : hostCount;
+    }
+
     Random &random() { return m_world.random(); }
 
     std::string anyHost()
@@ -152,6 +166,21 @@
         }
     }
 
+    /// Some endpoints state a limit for some seconds, another one or none after it.
+    void limitOrLift()
+    {
+        constexpr std::array<double, 5> rates = {0, 0.5, 1, 1, 4};
+        if (!random().chance(0.01)) {
+            return;
+        }
+        const std::string endpoint = anyEndpoint();
+        std::optional<double> limit;
+        if (random().chance(0.8)) {
+            limit = rates[random().below(rates.size())];
+        }
+        m_world.setLimit(endpoint, limit);
+    }
+
     /// With everything well, each of those requests comes on: by now all have to know it.
     void repeatCrashing()
     {
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -20,6 +20,17 @@
     /// Data centres that operators drain and take back, one or all of them, among the other
     /// faults; apart for the same reason.
     Drains,
+    /// Endpoints that state rate limits in their answers.
+    Limits,
+};
+
+/// What a run is to be.
+struct RunOptions
+{
+    std::uint64_t seed = 1;
+    std::uint64_t steps = 0;
+    RunKind kind = RunKind::Faults;
+    int hosts = 0; ///< 0 for as many as its kind has.
 };
 
 /// What a run came to.
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -16,6 +16,12 @@
 /// What cold endpoints get in a second: so many times what they bear, and so much more.
 constexpr double coldExcess = 1.5;
 constexpr double coldSlack = 5;
+/// What an endpoint that states a limit gets in a window: so many times what the limit
+/// allows, and so much more, from daemons that were told so long before.
+constexpr double limitExcess = 1.5;
+constexpr double limitSlack = 5;
+constexpr std::chrono::seconds limitWindow{4};
+constexpr std::chrono::milliseconds limitNoticeTime{500};
 /// An endpoint may get so much more time than the caller has.
 constexpr std::chrono::milliseconds timeAllowance{500};
 /// A request under which so many endpoints have ended is known to end them ...
@@ -167,6 +173,33 @@
     }
 }
 
+void Checks::toldOfLimit(const std::string &endpoint, Incarnation daemon)
+{
+    m_limits[endpoint].toldAt.try_emplace(daemon, m_queue.now());
+}
+
+void Checks::arrivedAtLimited(const FakeEndpoint &endpoint, const SendStage &stage, bool excused)
+{
+    LimitRecord &record = m_limits[stage.endpoint];
+    const TimePoint now = m_queue.now();
+    const auto told = record.toldAt.find(stage.call.request.incarnation);
+    const bool knows = told != record.toldAt.end() && now - told->second >= limitNoticeTime;
+    if (excused || !knows || now - endpoint.limitedSince < contactTime) {
+        return;
+    }
+    record.arrivals.push_back(now);
+    while (now - record.arrivals.front() >= limitWindow) {
+        record.arrivals.pop_front();
+    }
+    const double seconds = std::chrono::duration<double>(limitWindow).count();
+    const double allowed = *endpoint.limit * seconds * limitExcess + limitSlack;
+    if (static_cast<double>(record.arrivals.size()) > allowed) {
+        violation(fmt::format("{}, which states a limit of {}/s, got {} requests in {:.0f} s from "
+                              "daemons that had been told",
+                              stage.endpoint, *endpoint.limit, record.arrivals.size(), seconds));
+    }
+}
+
 void Checks::ranAtEndpoint(const SendStage &stage)
 {
     m_trace.add(fmt::format("{} runs {}", stage.endpoint, toText(stage.call)));
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -10,6 +10,7 @@
 
 #include "fakes.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -63,6 +64,13 @@
     void dataCentreDrained(const std::string &dataCentre, bool isDrained);
     /// A call arrived at \p endpoint; \p inTouch: from a host that has to know what others do.
     void arrivedAtDataCentre(const FakeEndpoint &endpoint, const SendStage &stage, bool inTouch);
+    /// An endpoint states another limit, or none.
+    void limitChanged(const std::string &endpoint) { m_limits.erase(endpoint); }
+    /// A host's daemon has taken in an answer that states a limit.
+    void toldOfLimit(const std::string &endpoint, Incarnation daemon);
+    /// A call arrived at \p endpoint, which states a limit; \p excused: from a host that
+    /// stood still a moment ago.
+    void arrivedAtLimited(const FakeEndpoint &endpoint, const SendStage &stage, bool excused);
     void ranAtEndpoint(const SendStage &stage);
     /// An endpoint ended under a request with \p body.
     void crashed(const std::string &body);
@@ -96,6 +104,13 @@
         int sendsAfter = 0; ///< By hosts that had to know, later than the contact time.
     };
 
+    /// What has happened at an endpoint since it stated its limit.
+    struct LimitRecord
+    {
+        std::map<Incarnation, TimePoint> toldAt; ///< By daemon.
+        std::deque<TimePoint> arrivals;          ///< From daemons that had been told.
+    };
+
     void noteColdArrival(const FakeEndpoint &endpoint, const std::string &name);
 
     EventQueue &m_queue;
@@ -103,6 +118,7 @@
     std::map<std::string, CrashRecord> m_crashes;                ///< By body.
     std::map<std::string, TimePoint> m_drainedSince;             ///< By data centre.
     std::map<std::string, std::deque<TimePoint>> m_coldArrivals; ///< Of a second, by endpoint.
+    std::map<std::string, LimitRecord> m_limits;                 ///< By endpoint.
     EndpointLedger m_ledger;
     std::map<RequestId, Submission> m_submissions;
     std::map<std::string, int> m_outcomes;
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -173,6 +173,9 @@
     TimePoint leavingSince = TimePoint::max();
     TimePoint lastArrival;
     TimePoint coldUntil; ///< It bears few requests until then.
+    /// Requests per second that it accepts from all hosts; its answers say so.
+    std::optional<double> limit;
+    TimePoint limitedSince; ///< When it began to state this one.
 };
 
 /// What a cold endpoint of the world bears in a second, and for how long it is cold.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -251,6 +251,16 @@
         }
         return true;
     }
+    /// The answers of an endpoint state \p limit from now on, or none.
+    void setLimit(const std::string &name, std::optional<double> limit)
+    {
+        FakeEndpoint &endpoint = m_endpoints.at(name);
+        m_trace.add(limit ? fmt::format("{} states a limit of {}/s", name, *limit)
+                          : fmt::format("{} lifts its limit", name));
+        endpoint.limitedSince = m_queue.now();
+        endpoint.limit = limit;
+        m_checks.limitChanged(name);
+    }
     void startEndpoint(const std::string &name) { m_endpoints.at(name).down = false; }
 
     void healAll()
@@ -262,6 +272,7 @@
         for (auto &[name, endpoint] : m_endpoints) {
             endpoint.down = false;
             endpoint.slowFactor = 1;
+            endpoint.limit.reset();
         }
         for (auto &[name, host] : m_hosts) {
             thaw(name);
@@ -306,6 +317,7 @@
         std::uint64_t lastSequence = 0;
         bool isSuspended = false;
         std::optional<TimePoint> suspendedUntil;
+        TimePoint frozenAt;    ///< When it last stood still.
         TimePoint disturbedAt; ///< When something last kept it from knowing what others know.
         std::unique_ptr<HostClock> clock;
         std::unique_ptr<BasicRequestMachine<G>> requests;
@@ -471,6 +483,11 @@
         for (const std::string &endpoint : output.leavingEndpoints) {
             markLeaving(*host.snapshot, endpoint);
         }
+        for (const EndpointLimitStated &change : output.limits) {
+            if (const EndpointEntry *entry = host.snapshot->endpoint(change.endpoint)) {
+                entry->load->isLimited = change.statement.perSecond.has_value();
+            }
+        }
         for (const EndpointProbe &probe : output.probes) {
             perform(host, probe);
         }
@@ -507,7 +524,6 @@
 
     void perform(Host &, const AnswerCaller &action) { m_checks.answered(action); }
     void perform(Host &, const CancelStage &) {}
-    void perform(Host &, const EndpointNoticed &) {}
     void perform(Host &, const StreamPiece &action) { m_checks.streamed(action); }
     /// Only carried requests bring the other actions, and none is sent here.
     template <typename Action>
@@ -523,6 +539,18 @@
         });
     }
 
+    void perform(Host &host, const EndpointNoticed &action)
+    {
+        if (action.notice.requestsPerSecond) {
+            m_checks.toldOfLimit(action.endpoint, host.incarnation);
+        }
+        m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
+            toControl(name, start,
+                      EndpointLimitStated{action.endpoint,
+                                          {action.notice.requestsPerSecond, action.sentAt}});
+        });
+    }
+
     void perform(Host &host, const CallBroken &action)
     {
         m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
@@ -630,6 +658,9 @@
         }
         m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage, wokeLately(m_hosts.at(name)));
         m_checks.arrivedAtDataCentre(endpoint, stage, isInTouch(m_hosts.at(name)));
+        if (endpoint.limit) {
+            m_checks.arrivedAtLimited(endpoint, stage, wasFrozenLately(m_hosts.at(name)));
+        }
         m_checks.ranAtEndpoint(stage);
         if (isCrashing(stage.request)) {
             m_checks.crashingArrived(stage.request, isInTouch(m_hosts.at(name)));
@@ -652,6 +683,7 @@
             event.call = stage.call;
             event.echoed = stage.call;
             event.body = answerTo(stage);
+            event.notice = noticeOf(stage.endpoint);
             if (died || breaks) {
                 failStage(name, start, stage, SendEvidence::Sent);
                 misdeliver(name, start, event);
@@ -661,6 +693,14 @@
         });
     }
 
+    /// What the answers of the endpoint called \p name say of it now.
+    [[nodiscard]] EndpointNotice noticeOf(const std::string &name) const
+    {
+        EndpointNotice notice;
+        notice.requestsPerSecond = m_endpoints.at(name).limit;
+        return notice;
+    }
+
     /// The endpoint that has begun to run \p stage ends, and is back some seconds later.
     void crashSoon(const std::string &name, Incarnation start, const SendStage &stage)
     {
@@ -693,8 +733,17 @@
         return host.suspendedUntil && m_queue.now() - *host.suspendedUntil < contactTime;
     }
 
+    /// Whether \p host stood still a moment ago: what it sent then may arrive with the rest.
+    [[nodiscard]] bool wasFrozenLately(const Host &host) const
+    {
+        return m_queue.now() - host.frozenAt < contactTime;
+    }
+
     void noteDisturbance(Host &host)
     {
+        if (host.frozen) {
+            host.frozenAt = m_queue.now();
+        }
         const FakePlatform::Faults &faults = m_platform.faults();
         const bool isWell = !faults.outage && faults.slow == Duration::zero()
                             && faults.loseAnswers == 0 && faults.applyLate == 0;
@@ -735,6 +784,7 @@
                 event.call = stream.stage.call;
                 event.echoed = stream.stage.call;
                 event.body = whole;
+                event.notice = noticeOf(stream.stage.endpoint);
                 toRequests(stream.host, stream.start, event);
                 return;
             }
