[Kernel] Keep the rate limits that endpoints state, from all daemons together

Callers saw: nothing yet; an endpoint in need that stated one request a second to all hosts went on getting two to five, 13 in 4 s where 11 are allowed, and would have failed under its callers next. Cause: the field was read by nobody. Its class: a bound that all daemons keep together, stated at run time by an endpoint and not by its declaration; the code knew such bounds only from declarations (cold endpoints). Change: RateShares gives each daemon its part by the limit and the hosts it knows, those out of reach included, without asking anybody: where each host has a place in each window all send, an interval apart; else a hash draws a few that send once in a window, and the others ask at spread times, 0.1 a second from all, so that a lifted limit is noticed. Batchers send for the hosts that they hear. What is still accepted is used; where all endpoints of a pool are closed, requests wait only for a turn that comes in time, and the rest is refused at once, before any piece is made, with a Retry-After of at most a second. Failed on the way: a limit of 0 blocked keys for minutes after it was lifted (asking followed the limit), and after a quiet time all hosts asked at once (turns to ask were never lost); both are tests now.

--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -103,6 +103,7 @@
     void noteReplaced(const std::string &endpoint);
     void handleNotice(const EndpointNoticed &event);
     void applyLimit(const EndpointLimitStated &change);
+    void applyLimits(const Snapshot &snapshot);
     void handleNotice(const PieceCall &call, const PieceCallEnded &ended, TimePoint sentAt);
     void logUnreadableNotice(const EndpointNoticed &event);
     void probe(const EndpointProbe &probe);
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -20,6 +20,7 @@
 #include "harelink/Kernel/peerdemand.h"
 #include "harelink/Kernel/peerrelay.h"
 #include "harelink/Kernel/piecebatcher.h"
+#include "harelink/Kernel/rateshares.h"
 
 #include <map>
 #include <set>
@@ -125,6 +126,8 @@
     [[nodiscard]] const Membership &membership() const { return m_membership; }
     /// This daemon's part of what cold endpoints bear.
     [[nodiscard]] ColdShares coldShares() const;
+    /// This daemon's parts of what endpoints with rate limits accept.
+    [[nodiscard]] RateShares rateShares() const;
     [[nodiscard]] const ClaimLedgerCounters &claimCounters() const { return m_ledger.counters(); }
     [[nodiscard]] std::uint64_t claimDetours() const { return m_router.detours(); }
     [[nodiscard]] bool connected() const;
@@ -160,6 +163,7 @@
     void takeHostListResult(const PlatformResult &result);
     void takeHostList(const std::vector<PlatformObject> &hosts);
     void noteLeaving(const std::string &endpoint);
+    void takeLimits(const std::vector<EndpointLimitReport> &reports);
     [[nodiscard]] bool knowsAllKinds() const;
     [[nodiscard]] bool knowsKindsOf(const BasicConfigWatcher<G> &watcher) const;
     void giveOutConfig();
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -278,6 +278,7 @@
     own.leavingKnown = m_leavingKnown;
     own.backlogs = m_backlogs;
     own.prompts = m_prompts;
+    own.limits = m_limits.reports(m_clock.now());
     own.configSummary = m_config.summary();
     // A heartbeat tells whether this daemon watches, a relay's summary whether anybody does.
     own.watches = m_gossip.isWatched();
@@ -289,6 +290,7 @@
         content.leavingKnown = own.leavingKnown;
         content.backlogs = own.backlogs;
         content.prompts = own.prompts;
+        content.limits = own.limits;
         content.configSummary = own.configSummary;
         content.watches = watches;
         m_output.sends.push_back(std::move(send));
@@ -449,6 +451,7 @@
         takeFigures(message.host, content);
     }
     m_leavingKnown = m_leavingKnown || content.leavingKnown;
+    takeLimits(content.limits);
     for (const std::string &endpoint : content.leavingEndpoints) {
         noteLeaving(endpoint);
     }
@@ -490,6 +493,7 @@
         }
     }
     m_leavingKnown = m_leavingKnown || content.leavingKnown;
+    takeLimits(content.limits);
     for (const std::string &endpoint : content.leavingEndpoints) {
         noteLeaving(endpoint);
     }
@@ -598,11 +602,24 @@
 template <GuardPolicy G>
 void BasicControlMachine<G>::handle(const EndpointLimitStated &event)
 {
-    if (m_limits.record(event.endpoint, event.statement)) {
+    if (m_limits.record(event.endpoint, event.statement, m_clock.now())) {
         m_output.limits.push_back(event);
     }
 }
 
+/// Records what a peer tells of rate limits of declared endpoints.
+template <GuardPolicy G>
+void BasicControlMachine<G>::takeLimits(const std::vector<EndpointLimitReport> &reports)
+{
+    const TimePoint now = m_clock.now();
+    for (const EndpointLimitReport &report : reports) {
+        const bool isDeclared = m_config.endpoint(report.endpoint) != nullptr;
+        if (isDeclared && m_limits.recordReport(report, now)) {
+            m_output.limits.push_back({report.endpoint, {report.perSecond, now - report.age}});
+        }
+    }
+}
+
 /// Whether every group of kinds has been listed, or peers have told of it. The endpoints
 /// alone are no configuration: with only them a daemon that had just started answered
 /// requests that every version allows with 404.
@@ -633,6 +650,16 @@
     });
 }
 
+template <GuardPolicy G>
+RateShares BasicControlMachine<G>::rateShares() const
+{
+    if (m_clock.now() - m_startedAt < controlmachine::startingTime) {
+        return {};
+    }
+    return {m_membership.host(), m_membership.peers().size() + 1,
+            m_membership.livePeers().size() + 1};
+}
+
 template <GuardPolicy G>
 ColdShares BasicControlMachine<G>::coldShares() const
 {
@@ -655,6 +682,8 @@
     m_isConfigOut = true;
     m_configPending = false;
     m_output.configChanged = true;
+    m_limits.keepOnly(
+        [this](const std::string &endpoint) { return m_config.endpoint(endpoint) != nullptr; });
     for (const std::string &endpoint : std::exchange(m_undeclaredLeaving, {})) {
         noteLeaving(endpoint);
     }
--- a/include/harelink/Kernel/endpointlimits.h
+++ b/include/harelink/Kernel/endpointlimits.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace harelink {
 
@@ -30,25 +31,47 @@
     LimitStatement statement;
 };
 
+/// What a host tells its peers of a limit.
+struct EndpointLimitReport
+{
+    std::string endpoint;
+    std::optional<double> perSecond; ///< As in LimitStatement.
+    Duration age{};                  ///< Of the statement, as of the sending.
+};
+
 /// The newest statement of each endpoint that has stated a limit. The later one holds,
 /// whatever the order in which they are recorded.
 class EndpointLimits
 {
 public:
-    /// Records a statement of \p endpoint; whether its limit is another one now.
-    bool record(const std::string &endpoint, const LimitStatement &statement);
-    /// Forgets \p endpoint.
-    void forget(const std::string &endpoint) { m_statements.erase(endpoint); }
-    /// By endpoint; lifted limits are among them.
-    [[nodiscard]] const std::map<std::string, LimitStatement> &statements() const
+    /// Records a statement that \p endpoint has made to this host; whether its limit is
+    /// another one now.
+    bool record(const std::string &endpoint, const LimitStatement &statement, TimePoint now);
+    /// Records what a peer tells; whether the limit is another one now.
+    bool recordReport(const EndpointLimitReport &report, TimePoint now);
+    /// What to tell peers: the limits in force, and those that were lifted a short time ago.
+    /// Bounded; the newest statements go first.
+    [[nodiscard]] std::vector<EndpointLimitReport> reports(TimePoint now) const;
+    /// Forgets the endpoints for which \p isDeclared is false.
+    template <typename IsDeclared>
+    void keepOnly(const IsDeclared &isDeclared)
     {
-        return m_statements;
+        std::erase_if(m_entries,
+                      [&isDeclared](const auto &entry) { return !isDeclared(entry.first); });
     }
-    /// How many endpoints are under a limit.
-    [[nodiscard]] std::size_t inForce() const;
+    /// The limits in force.
+    [[nodiscard]] std::vector<EndpointLimitStated> inForce() const;
 
 private:
-    std::map<std::string, LimitStatement> m_statements;
+    struct Entry
+    {
+        LimitStatement statement;
+        TimePoint tellUntil; ///< Where the limit is lifted.
+    };
+
+    bool replace(Entry &entry, const LimitStatement &statement, TimePoint now);
+
+    std::map<std::string, Entry> m_entries;
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -39,6 +39,8 @@
     static constexpr bool shunsDrained = true;
     /// Endpoints that are cold get no more than they bear, from all daemons together.
     static constexpr bool sparesCold = true;
+    /// Endpoints that state a rate limit get no more from all daemons together.
+    static constexpr bool keepsRateLimits = true;
     /// A request under which endpoints have ended is not run again.
     static constexpr bool quarantinesCrashing = true;
     /// The time for which a host was suspended counts for all that its daemon times. (The
@@ -91,6 +93,9 @@
     {
         G::sparesCold
         } -> std::convertible_to<bool>;
+    {
+        G::keepsRateLimits
+        } -> std::convertible_to<bool>;
     {
         G::quarantinesCrashing
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -26,6 +26,12 @@
     return std::chrono::duration_cast<std::chrono::nanoseconds>(time.time_since_epoch()).count();
 }
 
+/// The time that the loads hold as \p nanos.
+[[nodiscard]] inline TimePoint timeOf(std::int64_t nanos)
+{
+    return TimePoint(std::chrono::nanoseconds(nanos));
+}
+
 /// How much of a pool's time one account has used lately.
 ///
 /// A ring of short windows, so that old use is forgotten without a sweep.
@@ -67,6 +73,10 @@
     std::atomic<std::int64_t> coldInterval{0};  ///< Between own sends while cold; 0 for none.
     std::atomic<std::int64_t> sentAt{0};        ///< Last own send; nanoseconds as above.
     std::atomic<bool> isLimited{false};         ///< It last stated a rate limit.
+    std::atomic<std::int64_t> sendInterval{0};  ///< Between own sends; 0 without a limit.
+    std::atomic<std::int64_t> nextSendAt{0};    ///< With a limit; nanoseconds as above.
+    /// With a limit: nanoseconds after which a turn that was not used is lost; 0 for never.
+    std::atomic<std::int64_t> turnLength{0};
 
     /// Of model engines: tokens of prompts that were sent and of which no answer came yet.
     std::atomic<std::int64_t> tokensToRead{0};        ///< Sent by this daemon.
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -11,6 +11,7 @@
 
 #include "harelink/Kernel/claims.h"
 #include "harelink/Kernel/crashes.h"
+#include "harelink/Kernel/endpointlimits.h"
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/platform.h"
 #include "harelink/Kernel/types.h"
@@ -51,6 +52,7 @@
     bool leavingKnown = false;                 ///< The sender has learnt of them itself.
     std::vector<PieceBacklog> backlogs;        ///< Of the pools that it batches for.
     std::vector<PromptBacklog> prompts;        ///< Of the model engines that it sends to.
+    std::vector<EndpointLimitReport> limits;   ///< As far as the sender knows.
     std::uint64_t configSummary = 0;           ///< As in ConfigDigest.
     bool watches = false;                      ///< As in ConfigDigest.
     /// Of the list of hosts that the sender last had of the receiver; 0 for none.
@@ -74,6 +76,7 @@
 {
     std::vector<PieceBacklog> backlogs;
     std::vector<PromptBacklog> prompts;
+    std::vector<EndpointLimitReport> limits; ///< As in Heartbeat.
     std::vector<std::string> leavingEndpoints;
     bool leavingKnown = false;
     bool isWhole = false;            ///< The usage is there, and complete.
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -186,7 +186,7 @@
     };
 
     void pump(const std::string &poolName, Line &line, const Snapshot &snapshot);
-    void dropLate(Line &line, const std::string &pool, const PieceWorkSpec &work);
+    void dropLate(Line &line, const std::string &poolName, const PoolEntry &pool);
     void learnWait(Line &line, const Item &item) const;
     static void sortByUrgency(Line &line, TimePoint now, const PieceWorkSpec &work);
     [[nodiscard]] Sites sitesOf(const Line &line, const PoolEntry &pool) const;
--- a/include/harelink/Kernel/requestadmissionimpl.h
+++ b/include/harelink/Kernel/requestadmissionimpl.h
@@ -95,6 +95,14 @@
     Duration wait = requestmachine::leastRetryAfter;
     for (const StageSpec &stage : request.pipeline.stages) {
         wait = std::max(wait, queueWait(request, stage, snapshot));
+        const PoolEntry *pool = snapshot.pool(stage.pool);
+        if (pool == nullptr) {
+            continue;
+        }
+        if (const auto opens = closedUntil(*pool, regionsOf(request, snapshot), m_clock.now())) {
+            wait = std::max(wait, std::min<Duration>(*opens - m_clock.now(),
+                                                     requestmachine::mostClosedRetryAfter));
+        }
     }
     if (request.carried && request.predicted > Duration::zero()) {
         // By then its pools will have worked off what makes it late now.
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -266,7 +266,7 @@
 void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
                                          const Snapshot &snapshot)
 {
-    if (mayRetry(request, event.evidence)) {
+    if (hasTurn(request, snapshot, 0) && mayRetry(request, event.evidence)) {
         ++m_counters.retries;
         if (request.pieces && request.pieces->finalResultsTaken()) {
             piecesLost(request, snapshot);
--- a/include/harelink/Kernel/requestcarriedimpl.h
+++ b/include/harelink/Kernel/requestcarriedimpl.h
@@ -201,7 +201,8 @@
         const bool isColdOne = isCold(endpoint, now);
         Duration &candidate = isColdOne ? bestCold : best;
         if (!isColdOne || mayWarmUp(endpoint, now)) {
-            candidate = std::min(candidate, readingTime(endpoint, prompt, &endpoint == home));
+            candidate = std::min(candidate, opensAt(endpoint, now) - now
+                                                + readingTime(endpoint, prompt, &endpoint == home));
         }
     }
     return (best < never ? best : bestCold) + requestmachine::firstEventOverhead;
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -58,6 +58,8 @@
     } else if (G::sharesSlots && state.queue.size() > 0) {
         state.shares.update(snapshot, *pool, now);
     }
+    // Requests that wait for an endpoint that a rate limit closes.
+    std::vector<FairQueue::Place> held;
     while (const std::optional<std::uint64_t> sequence =
                state.queue.pop(snapshot, poolName, state.shares, now)) {
         Request &request = *m_requests.at(*sequence);
@@ -76,18 +78,22 @@
             request.endpoint.empty() ? nullptr : pool->find(request.endpoint);
         const PromptNeed prompt = promptOf(request);
         const PromptNeed *need = pool->spec.engine && prompt.tokens > 0 ? &prompt : nullptr;
-        RoutingQuery query{*pool, now, homeOf(request, *pool), avoid, need, &regions};
-        const EndpointEntry *endpoint = m_policy->choose(query, m_random);
-        if (endpoint == nullptr && pool->spec.coldRate > 0) {
-            query.warmsUp = true;
-            endpoint = m_policy->choose(query, m_random);
+        const EndpointEntry *endpoint =
+            chooseEndpoint({*pool, now, homeOf(request, *pool), avoid, need, &regions});
+        if (endpoint == nullptr && closedUntil(*pool, regions, now)) {
+            if (hasTurn(request, snapshot, held.size())) {
+                held.push_back(placeOf(request));
+            } else {
+                failWithoutTurn(request, poolName, snapshot);
+            }
+            continue;
         }
         if (endpoint == nullptr) {
             state.queue.push(placeOf(request));
             if (state.shares.usableSlots() == 0 && !state.unreachableSince) {
                 state.unreachableSince = now;
             }
-            return;
+            break;
         }
         // A probe says nothing of how fast the queue moves.
         if (!isOnProbation(*endpoint)) {
@@ -100,6 +106,76 @@
         }
         send(request, *pool, *endpoint, snapshot);
     }
+    for (const FairQueue::Place &place : held) {
+        state.queue.push(place);
+    }
+}
+
+/// An endpoint that may be sent to, with this daemon's turn at it; null where there is none.
+template <GuardPolicy G>
+const EndpointEntry *BasicRequestMachine<G>::chooseEndpoint(RoutingQuery query)
+{
+    const EndpointEntry *endpoint = nullptr;
+    do {
+        endpoint = m_policy->choose(query, m_random);
+        if (endpoint == nullptr && !query.warmsUp && query.pool.spec.coldRate > 0) {
+            query.warmsUp = true;
+            endpoint = m_policy->choose(query, m_random);
+        }
+        // Another worker may have taken the turn; then the endpoint is closed.
+    } while (endpoint != nullptr && !claimTurn(*endpoint, query.now));
+    return endpoint;
+}
+
+/// When \p request has to be sent at the latest to be worth waiting for its turn here: what is
+/// carried may come sooner at another daemon.
+template <GuardPolicy G>
+TimePoint BasicRequestMachine<G>::latestStart(const Request &request)
+{
+    const TimePoint latest = request.deadline - remainingTime(request);
+    return request.carried ? std::min(latest, request.wanted) : latest;
+}
+
+/// Whether the pool of \p request accepts it in time, behind \p ahead others that wait for
+/// rate limits there.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::hasTurn(const Request &request, const Snapshot &snapshot,
+                                     std::size_t ahead)
+{
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    const TimePoint now = m_clock.now();
+    const RegionLimit regions = regionsOf(request, snapshot);
+    return pool == nullptr || !closedUntil(*pool, regions, now)
+           || turnsUntil(*pool, regions, now, latestStart(request)) > ahead;
+}
+
+/// The first stage of a new request whose pool will not accept it in time; null for none.
+template <GuardPolicy G>
+const StageSpec *BasicRequestMachine<G>::stageWithoutTurn(const Request &request,
+                                                          const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
+    const RegionLimit regions = regionsOf(request, snapshot);
+    for (const StageSpec &stage : request.pipeline.stages) {
+        const PoolEntry *pool = snapshot.pool(stage.pool);
+        const bool isClosed = pool != nullptr && closedUntil(*pool, regions, now);
+        if (isClosed
+            && turnsUntil(*pool, regions, now, latestStart(request))
+                   <= poolState(stage.pool).demand.size()) {
+            return &stage;
+        }
+    }
+    return nullptr;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::failWithoutTurn(Request &request, const std::string &pool,
+                                             const Snapshot &snapshot)
+{
+    fail(request, Reason::NoEndpoint,
+         makeError(absl::StatusCode::kResourceExhausted, "routing", pool,
+                   "the rate limits of all endpoints are used up"),
+         snapshot);
 }
 
 /// Where \p request may be served; bounds of the request's own, and of the snapshot.
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -345,6 +345,12 @@
                                                     const Snapshot &snapshot);
     void charge(const Request &request, Duration amount, const Snapshot &snapshot);
     void noteBroken(const Request &request);
+    [[nodiscard]] const EndpointEntry *chooseEndpoint(RoutingQuery query);
+    [[nodiscard]] TimePoint latestStart(const Request &request);
+    [[nodiscard]] bool hasTurn(const Request &request, const Snapshot &snapshot, std::size_t ahead);
+    [[nodiscard]] const StageSpec *stageWithoutTurn(const Request &request,
+                                                    const Snapshot &snapshot);
+    void failWithoutTurn(Request &request, const std::string &pool, const Snapshot &snapshot);
     void recordNotice(const Request &request, const std::optional<EndpointNotice> &notice,
                       const Snapshot &snapshot);
     void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -205,6 +205,10 @@
     (void)added;
 
     request.demandFrom = static_cast<std::uint32_t>(request.pipeline.stages.size());
+    if (const StageSpec *stage = stageWithoutTurn(request, snapshot)) {
+        failWithoutTurn(request, stage->pool, snapshot);
+        return;
+    }
     if (request.carried && !admit(request, snapshot)) {
         fail(request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -31,6 +31,8 @@
 inline constexpr std::chrono::milliseconds leastRetryAfter{100};
 /// The longest for a carried request: what a forecast says of later is worth nothing.
 inline constexpr std::chrono::milliseconds mostRetryAfter{5000};
+/// The longest where rate limits are used up: another daemon may have a turn sooner.
+inline constexpr std::chrono::milliseconds mostClosedRetryAfter{1000};
 /// Retries earned by each first send, and the most that can be saved up.
 inline constexpr double retryTokensPerSend = 0.1;
 inline constexpr double mostRetryTokens = 20;
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -13,7 +13,9 @@
 #include "harelink/Kernel/types.h"
 #include "harelink/Support/random.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace harelink {
@@ -43,6 +45,19 @@
 
 /// Whether \p entry is neither leaving nor ejected, and its data centre is not drained.
 [[nodiscard]] bool isUsable(const EndpointEntry &entry, TimePoint now);
+/// When the rate limit that \p entry has stated lets this daemon send to it; \p now where it
+/// may send at once.
+[[nodiscard]] TimePoint opensAt(const EndpointEntry &entry, TimePoint now);
+/// Takes this daemon's turn at \p entry; false where another worker has taken it, or where
+/// the endpoint is not open.
+[[nodiscard]] bool claimTurn(const EndpointEntry &entry, TimePoint now);
+/// When the first endpoint of \p pool opens; nothing where one is open, as far as rate limits
+/// are concerned, or where none will be.
+[[nodiscard]] std::optional<TimePoint> closedUntil(const PoolEntry &pool,
+                                                   const RegionLimit &regions, TimePoint now);
+/// How many requests the endpoints of a closed pool accept from this daemon until \p until.
+[[nodiscard]] std::size_t turnsUntil(const PoolEntry &pool, const RegionLimit &regions,
+                                     TimePoint now, TimePoint until);
 /// Whether \p entry has been ejected and has not yet shown that it is back.
 [[nodiscard]] bool isOnProbation(const EndpointEntry &entry);
 /// Whether \p entry may get one more call now.
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -44,6 +44,10 @@
     [[nodiscard]] bool allows(const std::string &region) const;
 };
 
+/// Whether \p entry may get new work under \p limit as far as operators and endpoints say, now
+/// or later.
+[[nodiscard]] bool mayServe(const EndpointEntry &entry, const RegionLimit &limit);
+
 /// A client account and its counters.
 struct AccountEntry
 {
--- a/include/harelink/Support/hash.h
+++ b/include/harelink/Support/hash.h
@@ -35,6 +35,8 @@
 
 /// A 64-bit hash of \p text under \p seed.
 [[nodiscard]] std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+/// Maps a text uniformly to [0, 1].
+[[nodiscard]] double unitHash(std::string_view text);
 /// A 128-bit hash of \p text.
 [[nodiscard]] Hash128 hash128(std::string_view text);
 /// Thirty-two lower-case hexadecimal digits.
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -98,6 +98,13 @@
         item.set_endpoint(prompt.endpoint);
         item.set_tokens(prompt.tokens);
     }
+    for (const EndpointLimitReport &limit : from.limits) {
+        wire::EndpointLimit &item = *to.add_limits();
+        item.set_endpoint(limit.endpoint);
+        item.set_per_second(limit.perSecond.value_or(0));
+        item.set_lifted(!limit.perSecond);
+        item.set_stated_micros_ago(toMicros(limit.age));
+    }
 }
 
 template <typename Content, typename Wire>
@@ -115,6 +122,15 @@
     for (const wire::PromptBacklog &prompt : from.prompts()) {
         to.prompts.push_back({prompt.endpoint(), prompt.tokens()});
     }
+    for (const wire::EndpointLimit &limit : from.limits()) {
+        const bool isSensible = limit.per_second() >= 0 && limit.stated_micros_ago() >= 0;
+        if (isSensible) {
+            to.limits.push_back(
+                {limit.endpoint(),
+                 limit.lifted() ? std::nullopt : std::optional<double>(limit.per_second()),
+                 microseconds(limit.stated_micros_ago())});
+        }
+    }
 }
 
 /// A daemon of an older version tells none.
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -4,6 +4,7 @@
 
 #include "harelink/Daemon/metrics.h"
 #include "harelink/Kernel/coldstart.h"
+#include "harelink/Kernel/rateshares.h"
 #include "harelink/Support/error.h"
 #include "harelink/Support/log.h"
 
@@ -313,6 +314,7 @@
         m_machine.noteBacklogs(m_pieceBatcher.backlogs(m_snapshot.current()));
         m_machine.notePrompts(ownPrompts());
         takePeerChanges();
+        applyLimits(m_snapshot.current());
         m_daemons.store(m_machine.membership().countedHosts(), std::memory_order_relaxed);
     }
     m_machine.tick();
@@ -524,8 +526,16 @@
         .field("endpoint", change.endpoint)
         .field("perSecond", limit ? fmt::format("{}", *limit) : std::string())
         .field("ageMs", fmt::format("{:.0f}", toMilliseconds(m_clock.now() - change.statement.at)));
-    if (const EndpointEntry *endpoint = m_snapshot.current().endpoint(change.endpoint)) {
-        endpoint->load->isLimited.store(limit.has_value(), std::memory_order_relaxed);
+    harelink::applyLimit(m_snapshot.current(), change.endpoint, change.statement,
+                         m_machine.rateShares(), m_clock.now());
+}
+
+/// Computes this daemon's parts anew: of rate limits in force, by the hosts now known.
+void Control::applyLimits(const Snapshot &snapshot)
+{
+    const RateShares shares = m_machine.rateShares();
+    for (const EndpointLimitStated &limit : m_machine.limits().inForce()) {
+        harelink::applyLimit(snapshot, limit.endpoint, limit.statement, shares, m_clock.now());
     }
 }
 
@@ -614,6 +624,7 @@
         markLeaving(*next, endpoint);
     }
     noteColdStarts(*next, m_snapshot.current(), m_clock.now(), m_machine.coldShares());
+    applyLimits(*next);
     logDrains(m_snapshot.current(), *next);
     m_snapshot.publish(std::move(next));
     logger.record(LogLevel::Info, "configuration-in-force")
@@ -693,7 +704,8 @@
         counter("harelink_endpoint_pauses_total", m_notices.pauses);
         counter("harelink_endpoint_departures_total", m_notices.departures);
         counter("harelink_endpoint_notices_unreadable_total", m_notices.unreadable);
-        gauge("harelink_limited_endpoints", static_cast<double>(m_machine.limits().inForce()));
+        gauge("harelink_limited_endpoints",
+              static_cast<double>(m_machine.limits().inForce().size()));
         gauge("harelink_config_version", static_cast<double>(m_machine.config().revision()));
         gauge("harelink_drained_data_centres",
               static_cast<double>(m_snapshot.current().drainedDataCentres.size()));
@@ -717,6 +729,9 @@
         status["livePeers"] = m_machine.membership().livePeers();
         status["drainedDataCentres"] = m_snapshot.current().drainedDataCentres;
         status["leavingEndpoints"] = m_machine.leavingEndpoints();
+        for (const EndpointLimitStated &limit : m_machine.limits().inForce()) {
+            status["limitedEndpoints"][limit.endpoint] = *limit.statement.perSecond;
+        }
         for (const auto &[key, entry] : m_machine.config().entries()) {
             nlohmann::json &object = status["objects"][key.first + "/" + key.second];
             object["seen"] = entry.seen;
--- a/lib/Kernel/coldstart.cpp
+++ b/lib/Kernel/coldstart.cpp
@@ -5,7 +5,6 @@
 #include "harelink/Support/hash.h"
 
 #include <algorithm>
-#include <limits>
 
 #include <fmt/format.h>
 
@@ -18,13 +17,6 @@
 /// A second, and some of the next: sends that leave a second apart may arrive closer.
 constexpr std::chrono::milliseconds sendInterval{1100};
 
-/// A number from 0 to 1, always the same for the same text.
-double drawOf(const std::string &text)
-{
-    return static_cast<double>(hash64(text))
-           / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-}
-
 /// For how long \p entry is cold from now on; nothing where nothing is said anew.
 std::optional<Duration> coldFor(const EndpointEntry &entry, const PoolSpec &pool,
                                 const Snapshot &before)
@@ -55,7 +47,7 @@
     if (part >= 1) {
         return std::chrono::duration_cast<Duration>(sendInterval / part);
     }
-    const bool isDrawn = drawOf(fmt::format("cold/{}/{}", endpoint, m_self)) < part;
+    const bool isDrawn = unitHash(fmt::format("cold/{}/{}", endpoint, m_self)) < part;
     return isDrawn ? std::optional<Duration>(sendInterval) : std::nullopt;
 }
 
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -356,6 +356,7 @@
         PeerSummary summary = sum(m_own, host, isLocal, isWhole);
         summary.leavingEndpoints = own.leavingEndpoints;
         summary.leavingKnown = own.leavingKnown;
+        summary.limits = own.limits;
         summary.configSummary = own.configSummary;
         summary.watched = own.watches;
         summary.hostsHash = isLocal ? hashOfAll : hashOfLocal;
--- a/lib/Kernel/piececalls.cpp
+++ b/lib/Kernel/piececalls.cpp
@@ -12,6 +12,7 @@
 #include "harelink/Kernel/routing.h"
 
 #include <algorithm>
+#include <cassert>
 #include <tuple>
 
 namespace harelink {
@@ -42,21 +43,22 @@
 /// two readings of the clock can never keep it waiting.
 TimePoint PieceBatcher::freeAt(const Line &line, const EndpointEntry &endpoint, TimePoint now)
 {
+    const TimePoint opens = opensAt(endpoint, now);
     const auto found = line.makers.find(endpoint.spec.name);
     if (found == line.makers.end()) {
-        return now;
+        return opens;
     }
     const Maker &maker = found->second;
     if (maker.flights.size() >= mostFlights) {
-        return std::max(now, maker.flights.back().expectedEnd);
+        return std::max(opens, maker.flights.back().expectedEnd);
     }
     if (maker.flights.empty()) {
-        return std::max(now, maker.blockedUntil);
+        return std::max(opens, maker.blockedUntil);
     }
     // What has taken so much longer than it should is expected to take that long again.
     const Duration overdue = now - maker.flights.front().expectedEnd;
     const TimePoint last = std::max<TimePoint>(maker.flights.back().expectedEnd, now + overdue);
-    return std::max({now, TimePoint(last - lead), maker.blockedUntil});
+    return std::max({opens, TimePoint(last - lead), maker.blockedUntil});
 }
 
 /// What the choice of calls looks at, read once for each look: with a thousand pieces before
@@ -118,7 +120,7 @@
         line.nextLook = line.looksAgainAt;
         return;
     }
-    dropLate(line, poolName, work);
+    dropLate(line, poolName, *pool);
     Sites sites = sitesOf(line, *pool);
     if (nextFree(sites) != nullptr) {
         sortByUrgency(line, now, work);
@@ -149,14 +151,22 @@
 }
 
 /// A piece that would be too late takes no place from one that is not.
-void PieceBatcher::dropLate(Line &line, const std::string &pool, const PieceWorkSpec &work)
+void PieceBatcher::dropLate(Line &line, const std::string &poolName, const PoolEntry &pool)
 {
-    const TimePoint earliest = m_clock.now() + work.callTime;
+    const TimePoint now = m_clock.now();
+    TimePoint opens = TimePoint::max();
+    for (const EndpointEntry &endpoint : pool.endpoints) {
+        if (isUsable(endpoint, now)) {
+            opens = std::min(opens, opensAt(endpoint, now));
+        }
+    }
+    const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
+    const TimePoint earliest = opens + work.callTime;
     const auto isLate = [earliest](const Item &item) { return item.due < earliest; };
     for (const Item &item : line.waiting) {
         if (isLate(item)) {
             learnWait(line, item);
-            settle(pool, item, {}, {}, PieceFault::Late);
+            settle(poolName, item, {}, {}, PieceFault::Late);
         }
     }
     std::erase_if(line.waiting, isLate);
@@ -298,6 +308,10 @@
 bool PieceBatcher::form(const Site &site, Sites &sites, Line &line, const PoolEntry &pool)
 {
     const EndpointEntry &endpoint = *site.endpoint;
+    const TimePoint now = m_clock.now();
+    if (opensAt(endpoint, now) > now) {
+        return false;
+    }
     const Choice choice = choose(site, sites, line, pool);
     if (choice.places.empty()) {
         return false;
@@ -350,6 +364,9 @@
     ++m_callCount;
     flight.items = std::move(items);
     maker.flights.push_back(std::move(flight));
+    const bool hasTurn = claimTurn(endpoint, now);
+    assert(hasTurn && "only the batcher sends to the endpoints of its pool");
+    (void)hasTurn;
     noteSend(endpoint, now);
     m_calls.push_back(std::move(call));
 }
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -69,6 +69,32 @@
     load.latencyMicros.store(std::max<std::int64_t>(after, 1), std::memory_order_relaxed);
 }
 
+/// The begin of the turn that this daemon has at \p now, or of its next one.
+std::int64_t turnAt(const EndpointLoad &load, std::int64_t now)
+{
+    const std::int64_t next = load.nextSendAt.load(std::memory_order_relaxed);
+    const std::int64_t length = load.turnLength.load(std::memory_order_relaxed);
+    if (length == 0 || now < next + length) {
+        return next;
+    }
+    const std::int64_t interval =
+        std::max<std::int64_t>(1, load.sendInterval.load(std::memory_order_relaxed));
+    const std::int64_t begin = next + (now - next) / interval * interval;
+    return now < begin + length ? begin : begin + interval;
+}
+
+/// When \p entry next takes a request of this daemon, as far as is known.
+TimePoint nextOpening(const EndpointEntry &entry, TimePoint now)
+{
+    const EndpointLoad &load = *entry.load;
+    TimePoint opens =
+        std::max(opensAt(entry, now), timeOf(load.ejectedUntil.load(std::memory_order_relaxed)));
+    if (isCold(entry, now) && !mayWarmUp(entry, now)) {
+        opens = std::max(opens, timeOf(load.coldUntil.load(std::memory_order_relaxed)));
+    }
+    return opens;
+}
+
 void lowerLimit(EndpointLoad &load)
 {
     const int limit = load.limit.load(std::memory_order_relaxed);
@@ -83,6 +109,68 @@
            && !isEjected(entry, now);
 }
 
+TimePoint opensAt(const EndpointEntry &entry, TimePoint now)
+{
+    const EndpointLoad &load = *entry.load;
+    if (load.sendInterval.load(std::memory_order_relaxed) == 0) {
+        return now;
+    }
+    return std::max(now, timeOf(turnAt(load, steadyNanos(now))));
+}
+
+bool claimTurn(const EndpointEntry &entry, TimePoint now)
+{
+    EndpointLoad &load = *entry.load;
+    const std::int64_t interval = load.sendInterval.load(std::memory_order_relaxed);
+    if (interval == 0) {
+        return true;
+    }
+    std::int64_t known = load.nextSendAt.load(std::memory_order_relaxed);
+    const std::int64_t turn = turnAt(load, steadyNanos(now));
+    // Turns that are never lost leave an interval between sends, others come at fixed times.
+    const bool isLost = load.turnLength.load(std::memory_order_relaxed) > 0;
+    const std::int64_t next = (isLost ? turn : steadyNanos(now)) + interval;
+    return turn <= steadyNanos(now)
+           && load.nextSendAt.compare_exchange_strong(known, next, std::memory_order_relaxed);
+}
+
+std::optional<TimePoint> closedUntil(const PoolEntry &pool, const RegionLimit &regions,
+                                     TimePoint now)
+{
+    std::optional<TimePoint> first;
+    bool isLimited = false;
+    for (const EndpointEntry &entry : pool.endpoints) {
+        if (!mayServe(entry, regions)) {
+            continue;
+        }
+        const TimePoint opens = nextOpening(entry, now);
+        if (opens <= now) {
+            return std::nullopt;
+        }
+        isLimited = isLimited || opensAt(entry, now) > now;
+        first = std::min(first.value_or(opens), opens);
+    }
+    return isLimited ? first : std::nullopt;
+}
+
+std::size_t turnsUntil(const PoolEntry &pool, const RegionLimit &regions, TimePoint now,
+                       TimePoint until)
+{
+    std::size_t turns = 0;
+    for (const EndpointEntry &entry : pool.endpoints) {
+        const TimePoint opens = nextOpening(entry, now);
+        if (!mayServe(entry, regions) || opens > until) {
+            continue;
+        }
+        const std::int64_t interval = entry.load->sendInterval.load(std::memory_order_relaxed);
+        turns += interval == 0 ? static_cast<std::size_t>(std::max(1, entry.spec.slots))
+                               : 1
+                                     + static_cast<std::size_t>(
+                                         (until - opens) / std::chrono::nanoseconds(interval));
+    }
+    return turns;
+}
+
 bool isOnProbation(const EndpointEntry &entry)
 {
     return entry.load->failures.load(std::memory_order_relaxed) >= failuresToEject;
@@ -91,7 +179,7 @@
 bool isEligible(const EndpointEntry &entry, TimePoint now)
 {
     const EndpointLoad &load = *entry.load;
-    if (!isUsable(entry, now)
+    if (!isUsable(entry, now) || opensAt(entry, now) > now
         || load.fullUntil.load(std::memory_order_relaxed) > steadyNanos(now)) {
         return false;
     }
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -223,10 +223,14 @@
 
 bool PoolEntry::hasServing(const RegionLimit &limit) const
 {
-    return std::any_of(endpoints.begin(), endpoints.end(), [&limit](const EndpointEntry &entry) {
-        return limit.allows(entry.region) && !entry.isDrained
-               && !entry.load->leaving.load(std::memory_order_relaxed);
-    });
+    return std::any_of(endpoints.begin(), endpoints.end(),
+                       [&limit](const EndpointEntry &entry) { return mayServe(entry, limit); });
+}
+
+bool mayServe(const EndpointEntry &entry, const RegionLimit &limit)
+{
+    return limit.allows(entry.region) && !entry.isDrained
+           && !entry.load->leaving.load(std::memory_order_relaxed);
 }
 
 const EndpointEntry *PoolEntry::homeOf(std::uint64_t prefix) const
--- a/lib/Support/hash.cpp
+++ b/lib/Support/hash.cpp
@@ -2,6 +2,8 @@
 
 #include "harelink/Support/hash.h"
 
+#include <limits>
+
 #include <charconv>
 
 #include <fmt/format.h>
@@ -14,6 +16,12 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+double unitHash(std::string_view text)
+{
+    return static_cast<double>(hash64(text))
+           / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 Hash128 hash128(std::string_view text)
 {
     const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -69,6 +69,8 @@
     /// Time for everything to settle once all is healed: longer than any
     /// deadline, back-off or heartbeat limit.
     static constexpr std::chrono::seconds settleTime{8};
+    /// Time in which one of the hosts asks an endpoint that has accepted nothing at all.
+    static constexpr std::chrono::seconds learningTime{60};
     static constexpr std::size_t mostRetriedKeys = 40;
     static constexpr int mostLeaving = 2;
     /// How often one request that ends endpoints comes before another one does.
@@ -291,6 +293,9 @@
         m_world.healAll();
         m_result.steps += m_world.run(settleTime);
         repeatCrashing();
+        if (m_kind == RunKind::Limits) {
+            learnLiftedLimits();
+        }
         if (!m_world.converged()) {
             m_world.checks().violation("the configuration is not in force everywhere");
         }
@@ -322,6 +327,23 @@
         }
     }
 
+    /// Lifted limits become known by an answer, so callers have to come.
+    void learnLiftedLimits()
+    {
+        const TimePoint end = m_world.queue().now() + learningTime;
+        while (m_world.queue().now() < end) {
+            for (const char *pipeline : {"answer", "record"}) {
+                const std::string name = fmt::format("k{}", ++m_keys);
+                const bool isRecord = std::string(pipeline) == "record";
+                m_result.requests += m_world.submit(anyHost(), pipeline, "r" + name,
+                                                    isRecord ? name : "", std::chrono::seconds(1))
+                                         ? 1
+                                         : 0;
+            }
+            m_result.steps += m_world.run(std::chrono::milliseconds(100));
+        }
+    }
+
     RunResult conclude()
     {
         m_world.checks().finish();
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -433,7 +433,10 @@
     void scheduleTick(const std::string &name, Incarnation incarnation)
     {
         m_queue.after(tickInterval, [=, this] {
-            onHost(name, incarnation, [](Host &host) {
+            onHost(name, incarnation, [this](Host &host) {
+                if (host.control->heartbeatsDue()) {
+                    keepLimits(host);
+                }
                 host.control->tick();
                 host.requests->tick(*host.snapshot);
             });
@@ -484,9 +487,7 @@
             markLeaving(*host.snapshot, endpoint);
         }
         for (const EndpointLimitStated &change : output.limits) {
-            if (const EndpointEntry *entry = host.snapshot->endpoint(change.endpoint)) {
-                entry->load->isLimited = change.statement.perSecond.has_value();
-            }
+            keepLimit(host, change);
         }
         for (const EndpointProbe &probe : output.probes) {
             perform(host, probe);
@@ -501,6 +502,21 @@
         }
     }
 
+    void keepLimit(Host &host, const EndpointLimitStated &limit)
+    {
+        if (G::keepsRateLimits) {
+            applyLimit(*host.snapshot, limit.endpoint, limit.statement, host.control->rateShares(),
+                       host.clock->now());
+        }
+    }
+
+    void keepLimits(Host &host)
+    {
+        for (const EndpointLimitStated &limit : host.control->limits().inForce()) {
+            keepLimit(host, limit);
+        }
+    }
+
     /// The way between a worker's and the control's thread.
     Duration handover() { return std::chrono::microseconds(10 + m_random.below(100)); }
     Duration networkDelay() { return std::chrono::microseconds(200 + m_random.below(800)); }
@@ -514,6 +530,7 @@
             noteColdStarts(*next, *host.snapshot, host.clock->now(), host.control->coldShares());
         }
         host.snapshot = std::move(next);
+        keepLimits(host);
         for (const std::string &endpoint : host.control->leavingEndpoints()) {
             markLeaving(*host.snapshot, endpoint);
         }
--- a/unittests/Kernel/endpointlimitstest.cpp
+++ b/unittests/Kernel/endpointlimitstest.cpp
@@ -18,18 +18,18 @@
 TEST(EndpointLimits, TheLaterStatementHoldsInWhateverOrderTheyCome)
 {
     EndpointLimits limits;
-    CHECK(limits.record("e1", {2.0, start + seconds(2)}));
-    CHECK(!limits.record("e1", {std::nullopt, start}));
-    CHECK(!limits.record("e1", {2.0, start + seconds(3)}));
-    CHECK(limits.record("e1", {1.0, start + seconds(4)}));
-    CHECK(limits.record("e1", {std::nullopt, start + seconds(5)}));
-    CHECK(!limits.record("e1", {1.0, start + seconds(4)}));
-    LONGS_EQUAL(0, limits.inForce());
+    CHECK(limits.record("e1", {2.0, start + seconds(2)}, start));
+    CHECK(!limits.record("e1", {std::nullopt, start}, start));
+    CHECK(!limits.record("e1", {2.0, start + seconds(3)}, start));
+    CHECK(limits.record("e1", {1.0, start + seconds(4)}, start));
+    CHECK(limits.record("e1", {std::nullopt, start + seconds(5)}, start));
+    CHECK(!limits.record("e1", {1.0, start + seconds(4)}, start));
+    CHECK(limits.inForce().empty());
 }
 
 TEST(EndpointLimits, AnEndpointThatNeverStatedOneIsNotKept)
 {
     EndpointLimits limits;
-    CHECK(!limits.record("e1", {std::nullopt, start}));
-    CHECK(limits.statements().empty());
+    CHECK(!limits.record("e1", {std::nullopt, start}, start));
+    CHECK(limits.reports(start).empty());
 }
