[Test] Random runs with endpoints that ask for pauses or announce that they leave; they break

Judged: at most two arrivals from a daemon from half a second after it was asked until the end of the pause; none later than 3 s after it took in that the endpoint leaves.

--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -1,7 +1,7 @@
 //===- main.cpp - Randomised runs from the command line -------------------===//
 ///
 /// \file
-/// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits]
+/// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
 ///                  [--hosts H] [--without MECHANISM]
 ///
 /// Plays K runs from seed N on, M steps each, and prints "violations: V"; on a
@@ -23,6 +23,7 @@
 DEFINE_bool(crashes, false, "Plays requests that end endpoints, and suspended hosts.");
 DEFINE_bool(drains, false, "Plays data centres that are drained and taken back.");
 DEFINE_bool(limits, false, "Plays endpoints that state rate limits.");
+DEFINE_bool(pauses, false, "Plays endpoints that ask for pauses, and one that leaves.");
 DEFINE_int32(hosts, 0, "Hosts of each run; 0 for as many as its kind has.");
 DEFINE_string(without, "", "The mechanism to take out; empty for none.");
 
@@ -45,6 +46,9 @@
     if (FLAGS_limits) {
         return RunKind::Limits;
     }
+    if (FLAGS_pauses) {
+        return RunKind::Pauses;
+    }
     return FLAGS_crashes ? RunKind::CrashesAndSuspensions : RunKind::Faults;
 }
 
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -49,6 +49,9 @@
             if (m_kind == RunKind::Limits) {
                 limitOrLift();
             }
+            if (m_kind == RunKind::Pauses) {
+                pauseOrServe();
+            }
             if (random().chance(m_kind == RunKind::CrashesAndSuspensions ? 0.005 : 0.03)) {
                 breakSomething();
             }
@@ -183,6 +186,21 @@
         m_world.setLimit(endpoint, limit);
     }
 
+    /// Some endpoints refuse most requests for a while; one announces that it is leaving.
+    void pauseOrServe()
+    {
+        constexpr std::array<int, 3> pauseMillis = {800, 2000, 3000};
+        if (random().chance(0.01)) {
+            const bool refuses = random().chance(0.6);
+            const auto pause =
+                std::chrono::milliseconds(pauseMillis[random().below(pauseMillis.size())]);
+            m_world.setPause(anyEndpoint(), refuses ? pause : std::chrono::milliseconds(0));
+        }
+        if (random().chance(0.001)) {
+            m_world.announceLeaving("engines-1");
+        }
+    }
+
     /// With everything well, each of those requests comes on: by now all have to know it.
     void repeatCrashing()
     {
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -22,6 +22,9 @@
     Drains,
     /// Endpoints that state rate limits in their answers.
     Limits,
+    /// Endpoints that refuse requests and ask for a pause, and one that announces in its
+    /// answers that it is leaving.
+    Pauses,
 };
 
 /// What a run is to be.
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -22,6 +22,11 @@
 constexpr double limitSlack = 5;
 constexpr std::chrono::seconds limitWindow{4};
 constexpr std::chrono::milliseconds limitNoticeTime{500};
+/// Requests that an endpoint may get within a pause, after the time to take it in.
+constexpr int mostInPause = 2;
+constexpr std::chrono::milliseconds pauseNoticeTime{500};
+/// How long after it took in that an endpoint is leaving a daemon may still send there.
+constexpr std::chrono::seconds leavingNoticeTime{3};
 /// An endpoint may get so much more time than the caller has.
 constexpr std::chrono::milliseconds timeAllowance{500};
 /// A request under which so many endpoints have ended is known to end them ...
@@ -200,6 +205,43 @@
     }
 }
 
+void Checks::pauseAsked(const SendStage &stage, Duration pause)
+{
+    const TimePoint now = m_queue.now();
+    m_pauses[{stage.endpoint, stage.call.request.incarnation}].push_back(
+        {now + pauseNoticeTime, now + pause, 0});
+}
+
+void Checks::toldOfLeaving(const std::string &endpoint, Incarnation daemon)
+{
+    m_leavingToldAt.try_emplace({endpoint, daemon}, m_queue.now());
+}
+
+void Checks::arrivedAtPausing(const SendStage &stage, bool excused)
+{
+    const TimePoint now = m_queue.now();
+    const EndpointDaemon key{stage.endpoint, stage.call.request.incarnation};
+    if (excused) {
+        return;
+    }
+    const auto leaving = m_leavingToldAt.find(key);
+    if (leaving != m_leavingToldAt.end() && now - leaving->second > leavingNoticeTime) {
+        violation(fmt::format("{} got new work {:.0f} ms after it told the daemon that it leaves",
+                              stage.endpoint, toMilliseconds(now - leaving->second)));
+    }
+    const auto pauses = m_pauses.find(key);
+    if (pauses == m_pauses.end()) {
+        return;
+    }
+    std::erase_if(pauses->second, [now](const Pause &pause) { return pause.end <= now; });
+    for (Pause &pause : pauses->second) {
+        if (now >= pause.begin && ++pause.arrivals > mostInPause) {
+            violation(fmt::format("{} got {} requests of a daemon in a pause that it asked for",
+                                  stage.endpoint, pause.arrivals));
+        }
+    }
+}
+
 void Checks::ranAtEndpoint(const SendStage &stage)
 {
     m_trace.add(fmt::format("{} runs {}", stage.endpoint, toText(stage.call)));
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -71,6 +71,12 @@
     /// A call arrived at \p endpoint, which states a limit; \p excused: from a host that
     /// stood still a moment ago.
     void arrivedAtLimited(const FakeEndpoint &endpoint, const SendStage &stage, bool excused);
+    /// An endpoint has refused \p stage and asked its host for a pause.
+    void pauseAsked(const SendStage &stage, Duration pause);
+    /// A host's daemon has taken in an answer of an endpoint that is leaving.
+    void toldOfLeaving(const std::string &endpoint, Incarnation daemon);
+    /// A call arrived; \p excused: from a host that stood still a moment ago.
+    void arrivedAtPausing(const SendStage &stage, bool excused);
     void ranAtEndpoint(const SendStage &stage);
     /// An endpoint ended under a request with \p body.
     void crashed(const std::string &body);
@@ -111,6 +117,16 @@
         std::deque<TimePoint> arrivals;          ///< From daemons that had been told.
     };
 
+    /// A pause that an endpoint asked a daemon for.
+    struct Pause
+    {
+        TimePoint begin; ///< After the time that the daemon has to take it in.
+        TimePoint end;
+        int arrivals = 0;
+    };
+    /// An endpoint's name and a daemon.
+    using EndpointDaemon = std::pair<std::string, Incarnation>;
+
     void noteColdArrival(const FakeEndpoint &endpoint, const std::string &name);
 
     EventQueue &m_queue;
@@ -119,6 +135,8 @@
     std::map<std::string, TimePoint> m_drainedSince;             ///< By data centre.
     std::map<std::string, std::deque<TimePoint>> m_coldArrivals; ///< Of a second, by endpoint.
     std::map<std::string, LimitRecord> m_limits;                 ///< By endpoint.
+    std::map<EndpointDaemon, std::vector<Pause>> m_pauses;
+    std::map<EndpointDaemon, TimePoint> m_leavingToldAt;
     EndpointLedger m_ledger;
     std::map<RequestId, Submission> m_submissions;
     std::map<std::string, int> m_outcomes;
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -175,7 +175,10 @@
     TimePoint coldUntil; ///< It bears few requests until then.
     /// Requests per second that it accepts from all hosts; its answers say so.
     std::optional<double> limit;
-    TimePoint limitedSince; ///< When it began to state this one.
+    /// It refuses most requests and asks for so long a pause; zero where it does not.
+    Duration pause{};
+    bool announcesLeaving = false; ///< In its answers; the platform does not say so.
+    TimePoint limitedSince;        ///< When it began to state this one.
 };
 
 /// What a cold endpoint of the world bears in a second, and for how long it is cold.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -261,6 +261,18 @@
         endpoint.limit = limit;
         m_checks.limitChanged(name);
     }
+    /// An endpoint refuses most requests from now on and asks for \p pause; zero for none.
+    void setPause(const std::string &name, Duration pause)
+    {
+        m_trace.add(fmt::format("{} asks for pauses of {} ms", name, toMilliseconds(pause)));
+        m_endpoints.at(name).pause = pause;
+    }
+    /// The answers of an endpoint say from now on that it is leaving.
+    void announceLeaving(const std::string &name)
+    {
+        m_trace.add(name + " announces that it is leaving");
+        m_endpoints.at(name).announcesLeaving = true;
+    }
     void startEndpoint(const std::string &name) { m_endpoints.at(name).down = false; }
 
     void healAll()
@@ -273,6 +285,7 @@
             endpoint.down = false;
             endpoint.slowFactor = 1;
             endpoint.limit.reset();
+            endpoint.pause = {};
         }
         for (auto &[name, host] : m_hosts) {
             thaw(name);
@@ -327,6 +340,8 @@
     };
 
     static constexpr std::chrono::milliseconds tickInterval{5};
+    /// Part of the requests that an endpoint refuses which asks for pauses.
+    static constexpr double refusedShare = 0.7;
     /// Letters of an answer that make a token.
     static constexpr std::size_t tokenLength = 4;
 
@@ -561,6 +576,9 @@
         if (action.notice.requestsPerSecond) {
             m_checks.toldOfLimit(action.endpoint, host.incarnation);
         }
+        if (action.notice.isLeaving) {
+            m_checks.toldOfLeaving(action.endpoint, host.incarnation);
+        }
         m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
             toControl(name, start,
                       EndpointLimitStated{action.endpoint,
@@ -678,6 +696,12 @@
         if (endpoint.limit) {
             m_checks.arrivedAtLimited(endpoint, stage, wasFrozenLately(m_hosts.at(name)));
         }
+        const bool excused = wasFrozenLately(m_hosts.at(name));
+        m_checks.arrivedAtPausing(stage, excused);
+        if (endpoint.pause > Duration::zero() && m_random.chance(refusedShare)) {
+            refuse(name, start, stage);
+            return;
+        }
         m_checks.ranAtEndpoint(stage);
         if (isCrashing(stage.request)) {
             m_checks.crashingArrived(stage.request, isInTouch(m_hosts.at(name)));
@@ -715,9 +739,23 @@
     {
         EndpointNotice notice;
         notice.requestsPerSecond = m_endpoints.at(name).limit;
+        notice.isLeaving = m_endpoints.at(name).announcesLeaving;
         return notice;
     }
 
+    /// The endpoint does not run \p stage and asks for a pause.
+    void refuse(const std::string &name, Incarnation start, const SendStage &stage)
+    {
+        StageFailed event;
+        event.call = stage.call;
+        event.evidence = SendEvidence::RefusedBeforeRun;
+        event.status = absl::UnavailableError("refused");
+        event.notice = noticeOf(stage.endpoint);
+        event.notice->pause = m_endpoints.at(stage.endpoint).pause;
+        m_checks.pauseAsked(stage, event.notice->pause);
+        m_queue.after(networkDelay(), [=, this] { toRequests(name, start, event); });
+    }
+
     /// The endpoint that has begun to run \p stage ends, and is back some seconds later.
     void crashSoon(const std::string &name, Incarnation start, const SendStage &stage)
     {
