[Kernel] Send endpoints nothing in a pause that they asked for, nor once they announce that they leave

Callers saw: requests refused after two sends to endpoints that had asked for 3 s without requests, with ten others idle. Cause: Retry-After of an endpoint was read by nobody, as its limit was; a refusal closed it for 2 to 250 ms, and any success of another call in flight ended even that. Same class as the limit: what an endpoint says at run time of itself. Change: the pause is kept in the endpoint's load, for all workers and pools of pieces; only its own end ends it. An endpoint that announces in an answer that it leaves gets nothing new from then on, and peers hear.

--- a/include/harelink/Kernel/endpointnotice.h
+++ b/include/harelink/Kernel/endpointnotice.h
@@ -27,6 +27,11 @@
     bool isLimitUnreadable = false;
     /// The name and the value of the last field that could not be read; empty for none.
     std::string unreadable;
+
+    [[nodiscard]] bool saysSomething() const
+    {
+        return requestsPerSecond || pause > Duration::zero() || isLeaving || !unreadable.empty();
+    }
 };
 
 /// Event: an endpoint's answer says something of the endpoint.
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -41,6 +41,8 @@
     static constexpr bool sparesCold = true;
     /// Endpoints that state a rate limit get no more from all daemons together.
     static constexpr bool keepsRateLimits = true;
+    /// Endpoints get nothing in a pause that they asked for.
+    static constexpr bool keepsPauses = true;
     /// A request under which endpoints have ended is not run again.
     static constexpr bool quarantinesCrashing = true;
     /// The time for which a host was suspended counts for all that its daemon times. (The
@@ -96,6 +98,9 @@
     {
         G::keepsRateLimits
         } -> std::convertible_to<bool>;
+    {
+        G::keepsPauses
+        } -> std::convertible_to<bool>;
     {
         G::quarantinesCrashing
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -72,6 +72,7 @@
     std::atomic<std::int64_t> coldUntil{0};     ///< Nanoseconds of the steady clock.
     std::atomic<std::int64_t> coldInterval{0};  ///< Between own sends while cold; 0 for none.
     std::atomic<std::int64_t> sentAt{0};        ///< Last own send; nanoseconds as above.
+    std::atomic<std::int64_t> pausedUntil{0};   ///< At its request; nanoseconds as above.
     std::atomic<bool> isLimited{false};         ///< It last stated a rate limit.
     std::atomic<std::int64_t> sendInterval{0};  ///< Between own sends; 0 without a limit.
     std::atomic<std::int64_t> nextSendAt{0};    ///< With a limit; nanoseconds as above.
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -212,10 +212,14 @@
     if (!notice || endpoint == nullptr) {
         return;
     }
+    if (G::keepsPauses && notice->pause > Duration::zero()) {
+        recordPause(*endpoint, notice->pause, m_clock.now());
+    }
+    if (G::shunsLeaving && notice->isLeaving) {
+        endpoint->load->leaving.store(true, std::memory_order_relaxed);
+    }
     const bool wasLimited = endpoint->load->isLimited.load(std::memory_order_relaxed);
-    const bool saysSomething = notice->requestsPerSecond || notice->pause > Duration::zero()
-                               || notice->isLeaving || !notice->unreadable.empty();
-    if (saysSomething || wasLimited) {
+    if (notice->saysSomething() || wasLimited) {
         m_actions.emplace_back(EndpointNoticed{request.endpoint, *notice, request.sentAt});
     }
 }
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -58,7 +58,7 @@
     } else if (G::sharesSlots && state.queue.size() > 0) {
         state.shares.update(snapshot, *pool, now);
     }
-    // Requests that wait for an endpoint that a rate limit closes.
+    // Requests that wait for a turn at endpoints that rate limits or pauses close.
     std::vector<FairQueue::Place> held;
     while (const std::optional<std::uint64_t> sequence =
                state.queue.pop(snapshot, poolName, state.shares, now)) {
@@ -174,7 +174,7 @@
 {
     fail(request, Reason::NoEndpoint,
          makeError(absl::StatusCode::kResourceExhausted, "routing", pool,
-                   "the rate limits of all endpoints are used up"),
+                   "all endpoints have reached their rate limits or asked for a pause"),
          snapshot);
 }
 
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -45,14 +45,14 @@
 
 /// Whether \p entry is neither leaving nor ejected, and its data centre is not drained.
 [[nodiscard]] bool isUsable(const EndpointEntry &entry, TimePoint now);
-/// When the rate limit that \p entry has stated lets this daemon send to it; \p now where it
-/// may send at once.
+/// When a rate limit that \p entry has stated, or a pause that it asked for, lets this daemon
+/// send to it; \p now where it may send at once.
 [[nodiscard]] TimePoint opensAt(const EndpointEntry &entry, TimePoint now);
 /// Takes this daemon's turn at \p entry; false where another worker has taken it, or where
 /// the endpoint is not open.
 [[nodiscard]] bool claimTurn(const EndpointEntry &entry, TimePoint now);
 /// When the first endpoint of \p pool opens; nothing where one is open, as far as rate limits
-/// are concerned, or where none will be.
+/// and pauses are concerned, or where none will be.
 [[nodiscard]] std::optional<TimePoint> closedUntil(const PoolEntry &pool,
                                                    const RegionLimit &regions, TimePoint now);
 /// How many requests the endpoints of a closed pool accept from this daemon until \p until.
@@ -89,6 +89,9 @@
 void noteProgress(const EndpointEntry &entry, TimePoint now);
 /// Takes in that a call to \p entry was answered after \p elapsed.
 void noteSuccess(const EndpointEntry &entry, Duration elapsed, TimePoint now);
+/// Records that \p entry wants nothing from this daemon for \p pause. A success of another
+/// call does not end it, nor does a shorter pause.
+void recordPause(const EndpointEntry &entry, Duration pause, TimePoint now);
 /// Takes in that a call to \p entry failed.
 ///
 /// Several failures in a row eject the endpoint for a time that doubles, but
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -227,6 +227,7 @@
         ++m_notices.departures;
         logger.record(LogLevel::Info, "endpoint-announced-departure")
             .field("endpoint", event.endpoint);
+        m_machine.endpointLeaving(event.endpoint);
     }
     if (!notice.isLimitUnreadable) {
         m_machine.handle(
@@ -250,9 +251,14 @@
 /// The same of an answer to a call of pieces.
 void Control::handleNotice(const PieceCall &call, const PieceCallEnded &ended, TimePoint sentAt)
 {
-    if (ended.notice) {
-        handleNotice(EndpointNoticed{call.endpoint, *ended.notice, sentAt});
+    const EndpointEntry *endpoint = m_snapshot.current().endpoint(call.endpoint);
+    if (!ended.notice) {
+        return;
+    }
+    if (endpoint != nullptr && ended.notice->pause > Duration::zero()) {
+        recordPause(*endpoint, ended.notice->pause, m_clock.now());
     }
+    handleNotice(EndpointNoticed{call.endpoint, *ended.notice, sentAt});
 }
 
 void Control::broken(const BrokenCall &call)
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -112,10 +112,13 @@
 TimePoint opensAt(const EndpointEntry &entry, TimePoint now)
 {
     const EndpointLoad &load = *entry.load;
+    const TimePoint resumes =
+        std::max(now, timeOf(load.pausedUntil.load(std::memory_order_relaxed)));
     if (load.sendInterval.load(std::memory_order_relaxed) == 0) {
-        return now;
+        return resumes;
     }
-    return std::max(now, timeOf(turnAt(load, steadyNanos(now))));
+    // A turn may pass while the endpoint is paused.
+    return std::max(resumes, timeOf(turnAt(load, steadyNanos(resumes))));
 }
 
 bool claimTurn(const EndpointEntry &entry, TimePoint now)
@@ -123,14 +126,14 @@
     EndpointLoad &load = *entry.load;
     const std::int64_t interval = load.sendInterval.load(std::memory_order_relaxed);
     if (interval == 0) {
-        return true;
+        return opensAt(entry, now) <= now;
     }
     std::int64_t known = load.nextSendAt.load(std::memory_order_relaxed);
     const std::int64_t turn = turnAt(load, steadyNanos(now));
     // Turns that are never lost leave an interval between sends, others come at fixed times.
     const bool isLost = load.turnLength.load(std::memory_order_relaxed) > 0;
     const std::int64_t next = (isLost ? turn : steadyNanos(now)) + interval;
-    return turn <= steadyNanos(now)
+    return opensAt(entry, now) <= now
            && load.nextSendAt.compare_exchange_strong(known, next, std::memory_order_relaxed);
 }
 
@@ -255,6 +258,15 @@
     }
 }
 
+void recordPause(const EndpointEntry &entry, Duration pause, TimePoint now)
+{
+    std::atomic<std::int64_t> &until = entry.load->pausedUntil;
+    const std::int64_t next = steadyNanos(now + pause);
+    std::int64_t before = until.load(std::memory_order_relaxed);
+    while (before < next && !until.compare_exchange_weak(before, next, std::memory_order_relaxed)) {
+    }
+}
+
 void noteFailure(const PoolEntry &pool, const EndpointEntry &entry, SendEvidence evidence,
                  TimePoint now)
 {
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -577,6 +577,7 @@
             m_checks.toldOfLimit(action.endpoint, host.incarnation);
         }
         if (action.notice.isLeaving) {
+            host.control->endpointLeaving(action.endpoint);
             m_checks.toldOfLeaving(action.endpoint, host.incarnation);
         }
         m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
@@ -691,17 +692,17 @@
             failStage(name, start, stage, SendEvidence::Sent);
             return;
         }
-        m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage, wokeLately(m_hosts.at(name)));
-        m_checks.arrivedAtDataCentre(endpoint, stage, isInTouch(m_hosts.at(name)));
-        if (endpoint.limit) {
-            m_checks.arrivedAtLimited(endpoint, stage, wasFrozenLately(m_hosts.at(name)));
-        }
         const bool excused = wasFrozenLately(m_hosts.at(name));
         m_checks.arrivedAtPausing(stage, excused);
         if (endpoint.pause > Duration::zero() && m_random.chance(refusedShare)) {
             refuse(name, start, stage);
             return;
         }
+        m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage, wokeLately(m_hosts.at(name)));
+        m_checks.arrivedAtDataCentre(endpoint, stage, isInTouch(m_hosts.at(name)));
+        if (endpoint.limit) {
+            m_checks.arrivedAtLimited(endpoint, stage, wasFrozenLately(m_hosts.at(name)));
+        }
         m_checks.ranAtEndpoint(stage);
         if (isCrashing(stage.request)) {
             m_checks.crashingArrived(stage.request, isInTouch(m_hosts.at(name)));
