--- a/unittests/Adapters/noticereadertest.cpp
+++ b/unittests/Adapters/noticereadertest.cpp
@@ -1,6 +1,8 @@
 //===- noticereadertest.cpp - Tests of what endpoints say of themselves ---===//
 
 #include "harelink/Adapters/noticereader.h"
+#include "harelink/Adapters/stageprotocol.h"
+#include "harelink/Kernel/registry.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -70,3 +72,21 @@
     CHECK(!notice.isLeaving);
     CHECK(!notice.unreadable.empty());
 }
+
+TEST(NoticeReader, EndpointsOfTheProductsOwnProtocolsAreHeardToo)
+{
+    const std::unique_ptr<StageProtocol> protocol =
+        Registry<StageProtocol>::instance().make("plain-service");
+    SendStage stage;
+    stage.refusesBeforeRunning = true;
+    HttpResult result;
+    result.sent = true;
+    result.headers = {{rateLimitHeader, "2"}, {leavingHeader, "1"}, {"retry-after", "1"}};
+    result.status = result.headStatus = 200;
+    const auto answered = std::get<StageAnswered>(decodeStage(*protocol, stage, result));
+    DOUBLES_EQUAL(2, *answered.notice->requestsPerSecond, 1e-9);
+    CHECK(answered.notice->isLeaving);
+    result.status = result.headStatus = 429;
+    const auto refused = std::get<StageFailed>(decodeStage(*protocol, stage, result));
+    CHECK(refused.notice->pause == milliseconds(1000));
+}
--- a/utils/standin/endpoint.cpp
+++ b/utils/standin/endpoint.cpp
@@ -7,7 +7,9 @@
 /// mixed-up answer shows. Switches:
 ///
 ///   POST /control  {"slowFactor": F, "failing": bool, "hanging": bool,
-///                   "refusing": bool, "breakAfterTokens": N}
+///                   "refusing": bool, "breakAfterTokens": N, "rateLimit": "R",
+///                   "retryAfter": "S", "leaving": bool}
+///     (rateLimit and retryAfter are sent as they are; empty for none)
 ///   GET  /counters  runs, runs per idempotency key, prefix hits, broken streams
 ///
 /// A model engine streams where it is asked to: token N of an answer is " wN-NONCE".
@@ -19,6 +21,7 @@
 #include "serve.h"
 
 #include "harelink/Adapters/httpserver.h"
+#include "harelink/Adapters/stageprotocol.h"
 #include "harelink/Support/hash.h"
 
 #include <fmt/format.h>
@@ -54,6 +57,9 @@
     bool hanging = false;
     bool refusing = false;
     int breakAfterTokens = 0; ///< Ends each stream early; 0 for never.
+    std::string rateLimit;    ///< Stated in all answers; empty for none.
+    std::string retryAfter;   ///< Stated in refusals; empty for none.
+    bool leaving = false;     ///< Announced in all answers.
 };
 
 /// The prompt prefixes that were used last.
@@ -166,6 +172,9 @@
         m_switches.hanging = body.value("hanging", m_switches.hanging);
         m_switches.refusing = body.value("refusing", m_switches.refusing);
         m_switches.breakAfterTokens = body.value("breakAfterTokens", m_switches.breakAfterTokens);
+        m_switches.rateLimit = body.value("rateLimit", m_switches.rateLimit);
+        m_switches.retryAfter = body.value("retryAfter", m_switches.retryAfter);
+        m_switches.leaving = body.value("leaving", m_switches.leaving);
         return reply(request, 200, {{"ok", true}});
     }
 
@@ -192,6 +201,15 @@
         answer.status = status;
         answer.headers.emplace_back("X-Request-Id", request.header("x-request-id"));
         answer.headers.emplace_back("X-Active-Requests", fmt::format("{}", m_active));
+        if (!m_switches.rateLimit.empty()) {
+            answer.headers.emplace_back(rateLimitHeader, m_switches.rateLimit);
+        }
+        if (status == 429 && !m_switches.retryAfter.empty()) {
+            answer.headers.emplace_back("Retry-After", m_switches.retryAfter);
+        }
+        if (m_switches.leaving) {
+            answer.headers.emplace_back(leavingHeader, "1");
+        }
         answer.body = body.dump();
         return answer;
     }
