--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -324,10 +324,6 @@
         }
         for (const Submission &key : keys) {
             m_world.submit("h1", key.pipeline, key.body, key.key, std::chrono::seconds(4));
-            // Where all endpoints of a pool were away, its queue is expected to move as slowly
-            // until it has moved again: of 40 that come at once the last are refused, which
-            // blocks no key.
-            m_result.steps += m_world.run(std::chrono::milliseconds(50));
         }
         m_result.steps += m_world.run(settleTime);
         for (const auto &entry : m_world.checks().submissions()) {
