[Kernel] Say in a refusal for lateness which queue it would wait in, and how fast that moves

Cause: "the predicted time does not fit into the deadline" names neither pool nor figures, so the logs could not tell why a key that nothing blocks was refused. Change: the message gives the time needed and left, the requests ahead at the slowest pool, the expected interval between two of them and for how long no endpoint of it could be reached. Random runs trace it, also of checks made at their end.

--- a/include/harelink/Kernel/requestadmissionimpl.h
+++ b/include/harelink/Kernel/requestadmissionimpl.h
@@ -12,6 +12,10 @@
 #include "harelink/Kernel/requestmachinestate.h"
 
 #include <algorithm>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
 
 namespace harelink {
 
@@ -47,11 +51,11 @@
     return !G::admitsByPrediction || m_clock.now() + needed < request.deadline;
 }
 
-/// The time until all that now goes before \p request has been sent to a stage's
-/// pool, from this worker.
+/// What goes before \p request at a stage's pool now, and how fast it is sent on from
+/// this worker.
 template <GuardPolicy G>
-Duration BasicRequestMachine<G>::queueWait(const Request &request, const StageSpec &stage,
-                                           const Snapshot &snapshot)
+auto BasicRequestMachine<G>::queueForecast(const Request &request, const StageSpec &stage,
+                                           const Snapshot &snapshot) -> QueueForecast
 {
     const PoolEntry *pool = snapshot.pool(stage.pool);
     const PoolState &state = poolState(stage.pool);
@@ -69,8 +73,40 @@
     } else if (state.queue.size() > 0) {
         interval = std::max(interval, m_clock.now() - state.lastDispatch);
     }
-    const double ahead = state.demand.ahead(snapshot, request.account);
-    return requestmachine::fromSeconds(ahead * requestmachine::seconds(interval));
+    return {state.demand.ahead(snapshot, request.account), interval};
+}
+
+/// The time until all that now goes before \p request has been sent to a stage's
+/// pool, from this worker.
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::queueWait(const Request &request, const StageSpec &stage,
+                                           const Snapshot &snapshot)
+{
+    const QueueForecast forecast = queueForecast(request, stage, snapshot);
+    return requestmachine::fromSeconds(forecast.ahead * requestmachine::seconds(forecast.interval));
+}
+
+/// Why a new request is predicted to be late: the queue that it would wait longest in.
+template <GuardPolicy G>
+std::string BasicRequestMachine<G>::describeLateness(const Request &request, Duration needed,
+                                                     const Snapshot &snapshot)
+{
+    const std::vector<StageSpec> &stages = request.pipeline.stages;
+    const auto slowest =
+        std::max_element(stages.begin(), stages.end(), [&](const StageSpec &a, const StageSpec &b) {
+            return queueWait(request, a, snapshot) < queueWait(request, b, snapshot);
+        });
+    const QueueForecast forecast = queueForecast(request, *slowest, snapshot);
+    const PoolState &state = poolState(slowest->pool);
+    const std::string unreachable =
+        state.unreachableSince ? fmt::format(
+            ", unreachable for {:.0f} ms", toMilliseconds(m_clock.now() - *state.unreachableSince))
+                               : std::string();
+    return fmt::format("predicted to take {:.0f} ms of {:.0f} ms: {:.1f} ahead at pool {}, sent "
+                       "every {:.1f} ms{}",
+                       toMilliseconds(needed), toMilliseconds(request.deadline - m_clock.now()),
+                       forecast.ahead, slowest->pool, toMilliseconds(forecast.interval),
+                       unreachable);
 }
 
 /// Counts a request in the demand of its stages' pools from stage \p from on, and
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -301,6 +301,12 @@
 private:
     struct Request;
     struct PoolState;
+    /// The queue that a new request finds at a pool.
+    struct QueueForecast
+    {
+        double ahead = 0;    ///< Requests that go before it.
+        Duration interval{}; ///< Between two of them.
+    };
 
     Request *find(const RequestId &id);
     PoolState &poolState(const std::string &pool);
@@ -368,7 +374,10 @@
     Outcome outcomeOfFailure(const Request &request) const;
     Duration remainingTime(const Request &request);
     Duration timeWithWaits(const Request &request, const Snapshot &snapshot);
+    QueueForecast queueForecast(const Request &request, const StageSpec &stage,
+                                const Snapshot &snapshot);
     Duration queueWait(const Request &request, const StageSpec &stage, const Snapshot &snapshot);
+    std::string describeLateness(const Request &request, Duration needed, const Snapshot &snapshot);
     void countDemand(Request &request, std::uint32_t from);
     Duration retryAfter(const Request &request, const Snapshot &snapshot);
     void expire(Request &request, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -218,10 +218,11 @@
              snapshot);
         return;
     }
-    if (!fitsDeadline(request, timeWithWaits(request, snapshot))) {
+    const Duration needed = timeWithWaits(request, snapshot);
+    if (!fitsDeadline(request, needed)) {
         fail(request, Reason::CannotFinish,
              makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
-                       "the predicted time does not fit into the deadline"),
+                       describeLateness(request, needed, snapshot)),
              snapshot);
         return;
     }
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -62,6 +62,9 @@
         }
         keepLines();
         settle();
+        if (m_brokeAtEnd) {
+            keepLines();
+        }
         return conclude();
     }
 
@@ -334,6 +337,7 @@
             if (retried && !m_world.checks().ledger().runsByKey.contains(submission.key)) {
                 m_world.checks().violation(
                     fmt::format("key {} never ran and can no longer be run", submission.key));
+                m_brokeAtEnd = true;
                 break;
             }
         }
@@ -371,6 +375,7 @@
     std::uint64_t m_crashing = 0; ///< Sent of the requests that end endpoints.
     std::uint64_t m_crashKeys = 0;
     int m_left = 0;
+    bool m_brokeAtEnd = false; ///< In a check that settle() makes.
     std::uint64_t m_keys = 0;
     std::uint64_t m_bodies = 0;
 };
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -2,6 +2,8 @@
 
 #include "checks.h"
 
+#include "harelink/Support/error.h"
+
 #include <fmt/format.h>
 
 #include <set>
@@ -77,8 +79,9 @@
 void Checks::answered(const AnswerCaller &answer)
 {
     Submission &submission = m_submissions.at(answer.id);
-    m_trace.add(fmt::format("{} -> caller: {} {} {}", submission.host, toText(answer.id),
-                            toText(answer.outcome), toText(answer.reason)));
+    m_trace.add(fmt::format("{} -> caller: {} {} {} {}", submission.host, toText(answer.id),
+                            toText(answer.outcome), toText(answer.reason),
+                            errorMessage(answer.error)));
     if (submission.answered) {
         violation(fmt::format("request {} was answered twice", toText(answer.id)));
     }
