[Kernel] Leave outages out of the pace at which a queue is expected to move

Callers saw: after all endpoints of a pool had been away, asked for pauses or were cold, a burst of requests was refused ("predicted to take 4046 ms of 4000 ms: 18 ahead, sent every 224.8 ms") although the pool was idle and answers in 3 to 23 ms. Cause: the smoothed time between two dispatches took in the whole outage with the first dispatch after it, a fifth of it each time; nothing let it fade; and "unreachable since" stood until the next dispatch, however long nobody had tried. Change: QueuePace. A dispatch is a sample only if an endpoint took calls while the queue waited: none after a time in which all were unreachable, paused, limited or cold, nor after this process stood still. The estimate fades without samples, by the rule of the latency model. A pool is unreachable only while somebody tries.

--- a/include/harelink/Kernel/latency.h
+++ b/include/harelink/Kernel/latency.h
@@ -15,6 +15,10 @@
 
 namespace harelink {
 
+/// What \p estimate is worth so long after its last sample: it halves with each second, after
+/// the first.
+[[nodiscard]] Duration fadedEstimate(Duration estimate, Duration sinceLastSample);
+
 /// Follows one quantile of a stream of times without keeping them.
 ///
 /// Each sample moves the estimate by a fixed share of itself, up when the
--- a/include/harelink/Kernel/requestadmissionimpl.h
+++ b/include/harelink/Kernel/requestadmissionimpl.h
@@ -12,6 +12,7 @@
 #include "harelink/Kernel/requestmachinestate.h"
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,13 +67,8 @@
     const int slots = std::max(1, pool->totalSlots);
     const Duration atBest =
         state.latency.typical(m_clock.now(), request.bytes()) * m_limits.workers / slots;
-    Duration interval = std::max(state.dispatchInterval, atBest);
-    if (state.unreachableSince) {
-        const Duration down = m_clock.now() - *state.unreachableSince;
-        interval = down < requestmachine::restartAllowance ? interval : std::max(interval, down);
-    } else if (state.queue.size() > 0) {
-        interval = std::max(interval, m_clock.now() - state.lastDispatch);
-    }
+    const Duration interval =
+        std::max(atBest, state.pace.interval(m_clock.now(), state.queue.size() > 0));
     return {state.demand.ahead(snapshot, request.account), interval};
 }
 
@@ -97,16 +93,15 @@
             return queueWait(request, a, snapshot) < queueWait(request, b, snapshot);
         });
     const QueueForecast forecast = queueForecast(request, *slowest, snapshot);
-    const PoolState &state = poolState(slowest->pool);
-    const std::string unreachable =
-        state.unreachableSince ? fmt::format(
-            ", unreachable for {:.0f} ms", toMilliseconds(m_clock.now() - *state.unreachableSince))
-                               : std::string();
+    const std::optional<Duration> unreachable =
+        poolState(slowest->pool).pace.unreachableFor(m_clock.now());
+    const std::string state =
+        unreachable ? fmt::format(", unreachable for {:.0f} ms", toMilliseconds(*unreachable))
+                    : std::string();
     return fmt::format("predicted to take {:.0f} ms of {:.0f} ms: {:.1f} ahead at pool {}, sent "
                        "every {:.1f} ms{}",
                        toMilliseconds(needed), toMilliseconds(request.deadline - m_clock.now()),
-                       forecast.ahead, slowest->pool, toMilliseconds(forecast.interval),
-                       unreachable);
+                       forecast.ahead, slowest->pool, toMilliseconds(forecast.interval), state);
 }
 
 /// Counts a request in the demand of its stages' pools from stage \p from on, and
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -384,6 +384,9 @@
     const TimePoint now = m_clock.now();
     if (now - m_lastTurn > requestmachine::longestTurnGap) {
         m_resumedAt = now;
+        for (auto &[name, pool] : m_pools) {
+            pool->pace.recordClosed();
+        }
     }
     m_lastTurn = now;
 }
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -37,7 +37,7 @@
     countDemand(request, request.stage);
     PoolState &state = poolState(pool);
     if (state.queue.size() == 0) {
-        state.lastDispatch = m_clock.now();
+        state.pace.recordWaiting(m_clock.now());
     }
     state.queue.push(placeOf(request));
     if (const std::shared_ptr<AccountLoad> load = accountLoad(request, snapshot)) {
@@ -90,25 +90,40 @@
         }
         if (endpoint == nullptr) {
             state.queue.push(placeOf(request));
-            if (state.shares.usableSlots() == 0 && !state.unreachableSince) {
-                state.unreachableSince = now;
-            }
             break;
         }
         // A probe says nothing of how fast the queue moves.
         if (!isOnProbation(*endpoint)) {
-            const double before = requestmachine::seconds(state.dispatchInterval);
-            const double gap = requestmachine::seconds(now - state.lastDispatch);
-            state.dispatchInterval = requestmachine::fromSeconds(
-                before + (gap - before) * requestmachine::intervalSmoothing);
-            state.lastDispatch = now;
-            state.unreachableSince.reset();
+            state.pace.recordDispatch(now);
         }
         send(request, *pool, *endpoint, snapshot);
     }
     for (const FairQueue::Place &place : held) {
         state.queue.push(place);
     }
+    if (pool != nullptr && state.queue.size() > 0) {
+        recordStandstill(state, *pool);
+    }
+}
+
+/// Tells the pace of a queue in which requests wait whether they wait for room or for an
+/// endpoint that may be sent to at all.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::recordStandstill(PoolState &state, const PoolEntry &pool)
+{
+    const TimePoint now = m_clock.now();
+    if (state.shares.usableSlots() == 0) {
+        state.pace.recordUnreachable(now);
+        return;
+    }
+    const bool isOpen =
+        std::any_of(pool.endpoints.begin(), pool.endpoints.end(),
+                    [now](const EndpointEntry &endpoint) { return takesCalls(endpoint, now); });
+    if (isOpen) {
+        state.pace.recordFull(now);
+    } else {
+        state.pace.recordClosed();
+    }
 }
 
 /// An endpoint that may be sent to, with this daemon's turn at it; null where there is none.
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -378,6 +378,7 @@
                                 const Snapshot &snapshot);
     Duration queueWait(const Request &request, const StageSpec &stage, const Snapshot &snapshot);
     std::string describeLateness(const Request &request, Duration needed, const Snapshot &snapshot);
+    void recordStandstill(PoolState &state, const PoolEntry &pool);
     void countDemand(Request &request, std::uint32_t from);
     Duration retryAfter(const Request &request, const Snapshot &snapshot);
     void expire(Request &request, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -10,6 +10,7 @@
 #define HARELINK_KERNEL_REQUESTMACHINESTATE_H
 
 #include "harelink/Kernel/piecegraph.h"
+#include "harelink/Kernel/queuepace.h"
 #include "harelink/Kernel/requestmachine.h"
 
 #include <chrono>
@@ -46,11 +47,6 @@
 inline constexpr std::chrono::minutes lateGrantMemory{10};
 /// A machine has a turn more often than this, unless its process stands still.
 inline constexpr std::chrono::milliseconds longestTurnGap{750};
-/// So long a pool of which nobody can be reached is taken to be restarting: its queue
-/// is expected to move on as before. Later it is taken to stand still.
-inline constexpr std::chrono::seconds restartAllowance{5};
-/// Share by which one dispatch moves the smoothed interval between dispatches.
-inline constexpr double intervalSmoothing = 0.2;
 
 /// Sends of one carried request, those refused before running among them: each costs a
 /// connection and a part of the budget that all daemons share.
@@ -170,9 +166,7 @@
     SlotShares shares;
     LatencyModel latency;
     double tokensPerSecond = requestmachine::unknownReadingRate; ///< That an engine reads.
-    Duration dispatchInterval{}; ///< Smoothed, while requests waited.
-    TimePoint lastDispatch;
-    std::optional<TimePoint> unreachableSince; ///< No endpoint answers a connection.
+    QueuePace pace;
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -60,6 +60,8 @@
                                      TimePoint now, TimePoint until);
 /// Whether \p entry has been ejected and has not yet shown that it is back.
 [[nodiscard]] bool isOnProbation(const EndpointEntry &entry);
+/// Whether \p entry takes calls of this daemon, as far as it has room for them.
+[[nodiscard]] bool takesCalls(const EndpointEntry &entry, TimePoint now);
 /// Whether \p entry may get one more call now.
 [[nodiscard]] bool isEligible(const EndpointEntry &entry, TimePoint now);
 
--- a/lib/Kernel/latency.cpp
+++ b/lib/Kernel/latency.cpp
@@ -42,6 +42,13 @@
 
 } // namespace
 
+Duration fadedEstimate(Duration estimate, Duration sinceLastSample)
+{
+    const double idle = std::chrono::duration<double>(sinceLastSample).count();
+    const double halvings = std::max(0.0, idle - fadeAfterSeconds);
+    return fromSeconds(std::chrono::duration<double>(estimate).count() * std::exp2(-halvings));
+}
+
 void QuantileEstimate::add(Duration sample)
 {
     const double seconds = std::chrono::duration<double>(sample).count();
@@ -67,10 +74,8 @@
 
 Duration LatencyModel::typical(TimePoint now, std::size_t bytes) const
 {
-    const double seconds = std::chrono::duration<double>(m_normalised.value()).count();
-    const double idle = std::chrono::duration<double>(now - m_lastSample).count();
-    const double halvings = std::max(0.0, idle - fadeAfterSeconds);
-    return fromSeconds(seconds * sizeFactor(bytes) * std::exp2(-halvings));
+    const Duration faded = fadedEstimate(m_normalised.value(), now - m_lastSample);
+    return fromSeconds(std::chrono::duration<double>(faded).count() * sizeFactor(bytes));
 }
 
 void UsageMeter::add(TimePoint now, Duration cost)
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -179,6 +179,12 @@
     return entry.load->failures.load(std::memory_order_relaxed) >= failuresToEject;
 }
 
+bool takesCalls(const EndpointEntry &entry, TimePoint now)
+{
+    const bool isWarm = !isCold(entry, now) || mayWarmUp(entry, now);
+    return isWarm && isUsable(entry, now) && !isOnProbation(entry) && opensAt(entry, now) <= now;
+}
+
 bool isEligible(const EndpointEntry &entry, TimePoint now)
 {
     const EndpointLoad &load = *entry.load;
