--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -2,7 +2,7 @@
 ///
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
-///                  [--hosts H] [--without MECHANISM]
+///                  [--hosts H] [--lines L] [--without MECHANISM]
 ///
 /// Plays K runs from seed N on, M steps each, and prints "violations: V"; on a
 /// violation the seed and the last lines of its trace. With --without the run
@@ -25,6 +25,7 @@
 DEFINE_bool(limits, false, "Plays endpoints that state rate limits.");
 DEFINE_bool(pauses, false, "Plays endpoints that ask for pauses, and one that leaves.");
 DEFINE_int32(hosts, 0, "Hosts of each run; 0 for as many as its kind has.");
+DEFINE_uint64(lines, 60, "Lines of its trace that a broken run prints.");
 DEFINE_string(without, "", "The mechanism to take out; empty for none.");
 
 std::map<std::string, harelink::sim::Player> &harelink::sim::players()
@@ -80,7 +81,8 @@
     int faults = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result = player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts});
+        const RunResult result =
+            player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -29,6 +29,7 @@
         : m_world(options.seed, hostsOf(options), dataCentreCount)
         , m_kind(options.kind)
     {
+        m_world.trace().keepLines(options.traceLines);
     }
 
     /// Runs until \p steps events were handled, heals, and judges.
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -33,7 +33,8 @@
     std::uint64_t seed = 1;
     std::uint64_t steps = 0;
     RunKind kind = RunKind::Faults;
-    int hosts = 0; ///< 0 for as many as its kind has.
+    int hosts = 0;               ///< 0 for as many as its kind has.
+    std::size_t traceLines = 60; ///< Kept for a violation.
 };
 
 /// What a run came to.
--- a/test/sim/fakes.cpp
+++ b/test/sim/fakes.cpp
@@ -13,7 +13,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-constexpr std::size_t keptTraceLines = 60;
 /// A daemon takes a call for silent after this time.
 constexpr milliseconds clientPatience{300};
 /// A late write arrives within this time.
@@ -55,7 +54,7 @@
     std::string timed = fmt::format("{:>10.3f} ms  {}", static_cast<double>(micros) / 1000, line);
     m_hash = hash64(timed, m_hash);
     m_last.push_back(std::move(timed));
-    if (m_last.size() > keptTraceLines) {
+    if (m_last.size() > m_keptLines) {
         m_last.pop_front();
     }
 }
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -87,11 +87,14 @@
     }
     void add(const std::string &line);
     [[nodiscard]] std::uint64_t hash() const { return m_hash; }
+    /// How many lines are kept from now on.
+    void keepLines(std::size_t lines) { m_keptLines = lines; }
     [[nodiscard]] const std::deque<std::string> &last() const { return m_last; }
 
 private:
     const EventQueue &m_queue;
     std::uint64_t m_hash = 0;
+    std::size_t m_keptLines = 60;
     std::deque<std::string> m_last;
 };
 
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -699,6 +699,7 @@
             return;
         }
         m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage, wokeLately(m_hosts.at(name)));
+        traceColdArrival(m_hosts.at(name), stage.endpoint);
         m_checks.arrivedAtDataCentre(endpoint, stage, isInTouch(m_hosts.at(name)));
         if (endpoint.limit) {
             m_checks.arrivedAtLimited(endpoint, stage, wasFrozenLately(m_hosts.at(name)));
@@ -735,6 +736,21 @@
         });
     }
 
+    /// Traces what \p host believes of an endpoint that is cold and gets a request from it.
+    void traceColdArrival(const Host &host, const std::string &name)
+    {
+        if (m_queue.now() >= m_endpoints.at(name).coldUntil || !host.alive) {
+            return;
+        }
+        const EndpointEntry *entry = host.snapshot->endpoint(name);
+        const bool knows = entry != nullptr && isCold(*entry, m_queue.now());
+        const char *access = host.control->connected() ? "reaches" : "does not reach";
+        m_trace.add(fmt::format("{} is cold and gets a request of {}, which {} and {} the platform "
+                                "(in touch: {})",
+                                name, host.name, knows ? "knows it" : "takes it for warm", access,
+                                isInTouch(host)));
+    }
+
     /// What the answers of the endpoint called \p name say of it now.
     [[nodiscard]] EndpointNotice noticeOf(const std::string &name) const
     {
