[Kernel] Ask endpoints whether they are cold where the platform's word of it does not come

Callers saw: requests at endpoints that had just come back cold and fall over when they are pushed: up to 7 within 0.2 s of an endpoint that bears 1 a second. Cause: hosts that do not reach the platform, nor a peer that does, took endpoints for warm, though they knew that they hear nothing; so did hosts that had stood still, until their watch caught up. Endpoints tell in answers to status checks how long they stay cold; no line read it, and no endpoint of ours told it. Change: while no change of endpoints can reach a daemon (a watch failed, no watcher of its data centre is heard, or its control came late to a turn and the platform has not answered a call made since), it sends to an endpoint of a pool that states a cold rate only within its own part of that rate, or under an answer not older than 100 ms that the endpoint is warm. Endpoints that do not answer are left alone for a second. In contact nothing is asked and nothing changes. Why it works: what reaches an endpoint that turns cold is what all daemons send in 100 ms, and their parts.

--- a/include/harelink/Adapters/dialect.h
+++ b/include/harelink/Adapters/dialect.h
@@ -98,6 +98,8 @@
     [[nodiscard]] virtual const PlatformDialect &platform() const = 0;
     /// Null where callers speak the product's own interface.
     [[nodiscard]] virtual const CarriedDialect *carried() const { return nullptr; }
+    /// What an answer says of its endpoint, as of status checks.
+    [[nodiscard]] virtual EndpointNotice noticeIn(const HttpResult &result) const = 0;
     /// Null where no endpoint works in pieces.
     [[nodiscard]] virtual const PieceDialect *pieces() const { return nullptr; }
 };
--- a/include/harelink/Adapters/noticereader.h
+++ b/include/harelink/Adapters/noticereader.h
@@ -18,8 +18,9 @@
 /// The header fields of a dialect; names in lower case.
 struct NoticeFields
 {
-    std::string rateLimit; ///< Requests per second from all hosts, a decimal number.
-    std::string leaving;   ///< "1" where the endpoint takes no new work, "0" where it does.
+    std::string rateLimit;  ///< Requests per second from all hosts, a decimal number.
+    std::string leaving;    ///< "1" where the endpoint takes no new work, "0" where it does.
+    std::string coldMillis; ///< How long the endpoint stays cold, in milliseconds.
 };
 
 /// What \p result says of its endpoint. The standard field Retry-After (RFC 9110, in seconds;
--- a/include/harelink/Adapters/stageprotocol.h
+++ b/include/harelink/Adapters/stageprotocol.h
@@ -11,6 +11,7 @@
 
 #include "harelink/Adapters/eventstream.h"
 #include "harelink/Adapters/httpclient.h"
+#include "harelink/Adapters/noticereader.h"
 #include "harelink/Kernel/requestmachine.h"
 
 #include <memory>
@@ -26,6 +27,11 @@
 inline constexpr const char *rateLimitHeader = "harelink-rate-limit";
 /// "1" in the answers of an endpoint that takes no new work; lower case.
 inline constexpr const char *leavingHeader = "harelink-leaving";
+/// How long the endpoint stays cold, in milliseconds; in answers to status checks.
+inline constexpr const char *coldHeader = "harelink-cold-ms";
+
+/// The fields in which endpoints of the product's own dialect speak of themselves.
+[[nodiscard]] const NoticeFields &ownNoticeFields();
 
 /// One event of an answer that comes in parts.
 struct StreamEvent
--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -138,6 +138,8 @@
     std::chrono::milliseconds coldTime{0};
     /// Requests a second that it bears meanwhile; 0 where that is not said.
     double coldRate = 0;
+    /// Where its endpoints are asked for their status; empty where they cannot be.
+    std::string statusPath;
 };
 
 /// An endpoint.
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -69,6 +69,8 @@
     void free(const FreeResults &results);
     /// Another endpoint answered at the address of this one; from any thread.
     void replaced(const EndpointReplaced &replaced);
+    /// Asks an endpoint whether it is cold; from any thread.
+    void checkColdState(const CheckColdState &check);
     /// An endpoint's answer said something of the endpoint; from any thread.
     void noticed(const EndpointNoticed &event);
     /// Takes in a call that broke; from any thread.
@@ -107,6 +109,9 @@
     void handleNotice(const PieceCall &call, const PieceCallEnded &ended, TimePoint sentAt);
     void logUnreadableNotice(const EndpointNoticed &event);
     void probe(const EndpointProbe &probe);
+    void sendColdCheck(const CheckColdState &check);
+    void recordColdState(const ColdStateChecked &state);
+    void noteHearing();
     void logCall(const PlatformCall &call, const PlatformResult &result, const HttpResult &http);
     void takePeerChanges();
     void logConnection();
@@ -127,6 +132,7 @@
     std::uint64_t m_unreadableEntries = 0; ///< Objects that could not even be named.
     std::uint64_t m_platformCalls = 0;
     std::uint64_t m_quarantines = 0; ///< Decided here.
+    std::uint64_t m_coldChecks = 0;
     EndpointNoticeCounters m_notices;
     std::set<std::string> m_unreadableNotices; ///< Endpoints whose fields were logged.
     bool m_wasConnected = false;
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -50,6 +50,7 @@
         std::function<void(WithdrawPieces)> withdraw;
         std::function<void(FreeResults)> free;
         std::function<void(EndpointReplaced)> replaced;
+        std::function<void(CheckColdState)> checkColdState;
         std::function<void(BrokenCall)> broken;
         std::function<void(RequestCleared)> cleared;
         std::function<void(const EndpointNoticed &)> noticed;
@@ -115,6 +116,7 @@
     void perform(const StreamEvents &action);
     void perform(const EndpointNoticed &action);
     void perform(const EndpointReplaced &action);
+    void perform(const CheckColdState &action);
     void perform(const CallBroken &action);
     void perform(const RequestCleared &action);
     void carry(const SendStage &action);
--- a/include/harelink/Kernel/coldstart.h
+++ b/include/harelink/Kernel/coldstart.h
@@ -16,6 +16,7 @@
 #ifndef HARELINK_KERNEL_COLDSTART_H
 #define HARELINK_KERNEL_COLDSTART_H
 
+#include "harelink/Kernel/endpointnotice.h"
 #include "harelink/Kernel/snapshot.h"
 
 #include <cstddef>
@@ -59,6 +60,25 @@
 void noteColdStarts(const Snapshot &next, const Snapshot &before, TimePoint now,
                     const ColdShares &shares);
 
+/// Notes this daemon's part of what each endpoint of \p snapshot bears while it is cold, for
+/// the time in which the daemon does not hear which are.
+void noteColdParts(const Snapshot &snapshot, const ColdShares &shares);
+
+/// Puts what an endpoint answered to a status check in force.
+void recordColdState(const Snapshot &snapshot, const ColdStateChecked &state,
+                     const ColdShares &shares, TimePoint now);
+
+/// Whether changes of endpoints reach this daemon at \p now.
+[[nodiscard]] bool hearsOfEndpoints(const Snapshot &snapshot, TimePoint now);
+/// Takes in until when they do, as the control tells at each of its turns; whether that is
+/// a change.
+bool noteWhatIsHeard(const Snapshot &snapshot, TimePoint until, const ColdShares &shares);
+/// Whether \p entry is known to be warm from a status check.
+[[nodiscard]] bool isKnownWarm(const EndpointEntry &entry, TimePoint now);
+/// Takes the turn to ask \p entry whether it is cold; false where that is being asked, or
+/// was asked in vain a moment ago.
+[[nodiscard]] bool claimColdCheck(const EndpointEntry &entry, TimePoint now);
+
 /// Whether \p entry is cold.
 [[nodiscard]] bool isCold(const EndpointEntry &entry, TimePoint now);
 /// Whether this daemon may send to \p entry, which is cold.
--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -47,6 +47,11 @@
     [[nodiscard]] bool watchesConnected() const { return m_connected && shouldWatch(); }
     /// Whether this daemon, or one of its data centre that it heard of lately, does.
     [[nodiscard]] bool isWatched() const { return watchesConnected() || hearsOfWatcher(); }
+    /// Whether one of this daemon's data centre said at \p time or later that it does.
+    [[nodiscard]] bool heardOfWatcherSince(TimePoint time) const
+    {
+        return hearsOfWatcher() && m_watcherHeard >= time;
+    }
     /// Pushes what the table learnt from the platform.
     void pushNews();
     /// Takes in a peer's news; true where what is in force changed.
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -128,6 +128,8 @@
     [[nodiscard]] bool owns(std::uint64_t callId) const { return m_callId == callId; }
     /// Whether the platform answered the last call.
     [[nodiscard]] bool connected() const { return m_connected; }
+    /// Whether the platform answered the last call, and one that was made at \p time or later.
+    [[nodiscard]] bool heardSince(TimePoint time) const { return m_connected && m_heardAt >= time; }
     /// Whether it follows objects of \p kind.
     [[nodiscard]] bool follows(const std::string &kind) const
     {
@@ -170,6 +172,8 @@
     bool m_synced = false;
     bool m_connected = false;
     std::uint64_t m_callId = 0;
+    TimePoint m_askedAt;
+    TimePoint m_heardAt = TimePoint::min(); ///< When the last call that was answered was made.
     bool m_listing = false;
     TimePoint m_notBefore;
     Duration m_backOff;
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -263,6 +263,7 @@
         return;
     }
     m_callId = nextCallId++;
+    m_askedAt = m_clock.now();
     m_listing = m_listNext;
     PlatformCall call;
     call.id = m_callId;
@@ -280,6 +281,7 @@
     m_callId = 0;
     m_connected =
         result.outcome != PlatformOutcome::Refused && result.outcome != PlatformOutcome::Silent;
+    m_heardAt = m_connected ? m_askedAt : m_heardAt;
     if (result.outcome == PlatformOutcome::Gone) {
         m_listNext = true;
         return false;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -26,6 +26,8 @@
 /// that start together may each have read it before the others stood in it.
 inline constexpr std::chrono::milliseconds hostListInterval{2000};
 inline constexpr std::chrono::milliseconds startingTime{6000};
+/// A turn that comes later than this after it was due tells that the process stood still.
+inline constexpr std::chrono::milliseconds latestTurn{200};
 /// The same later: heartbeats tell of hosts that come. With 86 daemons the list was 2,500
 /// of 6,200 calls to the platform in 58 s at the shorter interval.
 inline constexpr std::chrono::milliseconds settledHostListInterval{8000};
@@ -78,6 +80,20 @@
                        [](const auto &watcher) { return watcher.connected(); });
 }
 
+template <GuardPolicy G>
+TimePoint BasicControlMachine<G>::hearsOfEndpointsUntil() const
+{
+    const ObjectReader &reader = m_config.reader();
+    const auto hears = [this, &reader](const BasicConfigWatcher<G> &watcher) {
+        return watcher.followsOnly(reader.quarantineKind())
+               || watcher.followsOnly(reader.drainKind()) || watcher.heardSince(m_wokeAt);
+    };
+    const bool isTold = m_gossip.shouldWatch()
+                            ? std::all_of(m_watchers.begin(), m_watchers.end(), hears)
+                            : m_gossip.heardOfWatcherSince(m_wokeAt);
+    return isTold ? nextTick() + controlmachine::latestTurn : TimePoint::min();
+}
+
 template <GuardPolicy G>
 bool BasicControlMachine<G>::synced() const
 {
@@ -240,6 +256,10 @@
 template <GuardPolicy G>
 void BasicControlMachine<G>::tick()
 {
+    const TimePoint now = m_clock.now();
+    if (m_dueAt < now && now - m_dueAt > controlmachine::latestTurn) {
+        m_wokeAt = now;
+    }
     for (BasicConfigWatcher<G> &watcher : m_watchers) {
         m_configPending = watcher.applyHeld() || m_configPending;
         if (mayCall(watcher)) {
@@ -267,6 +287,7 @@
     m_router.tick();
     m_ledger.tick(m_output.calls, m_nextCallId);
     m_crashes.tick(m_config.entries(), m_output.calls, m_nextCallId);
+    m_dueAt = nextTick();
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/endpointnotice.h
+++ b/include/harelink/Kernel/endpointnotice.h
@@ -23,6 +23,7 @@
     std::optional<double> requestsPerSecond;
     Duration pause{};       ///< It accepts nothing from this host for so long; zero for none.
     bool isLeaving = false; ///< It accepts no new work.
+    Duration coldFor{};     ///< It stays cold for so long; zero where it does not say so.
     /// The limit could not be read: neither stated nor lifted.
     bool isLimitUnreadable = false;
     /// The name and the value of the last field that could not be read; empty for none.
@@ -42,6 +43,23 @@
     TimePoint sentAt; ///< When the request was sent that was answered.
 };
 
+/// Action: ask an endpoint whether it is cold.
+struct CheckColdState
+{
+    std::string endpoint;
+    std::string address;
+    std::string path;
+};
+
+/// Event: an endpoint has answered whether it is cold, or has not.
+struct ColdStateChecked
+{
+    std::string endpoint;
+    TimePoint askedAt;
+    /// For how long it stays cold, zero where it is warm; nothing without an answer.
+    std::optional<Duration> coldFor;
+};
+
 } // namespace harelink
 
 #endif // HARELINK_KERNEL_ENDPOINTNOTICE_H
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -39,6 +39,8 @@
     static constexpr bool shunsDrained = true;
     /// Endpoints that are cold get no more than they bear, from all daemons together.
     static constexpr bool sparesCold = true;
+    /// A daemon that does not hear which endpoints are cold asks them before it sends.
+    static constexpr bool checksColdState = true;
     /// Endpoints that state a rate limit get no more from all daemons together.
     static constexpr bool keepsRateLimits = true;
     /// Endpoints get nothing in a pause that they asked for.
@@ -95,6 +97,9 @@
     {
         G::sparesCold
         } -> std::convertible_to<bool>;
+    {
+        G::checksColdState
+        } -> std::convertible_to<bool>;
     {
         G::keepsRateLimits
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -15,6 +15,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -71,6 +72,8 @@
     std::atomic<bool> leaving{false};           ///< Never goes back to false.
     std::atomic<std::int64_t> coldUntil{0};     ///< Nanoseconds of the steady clock.
     std::atomic<std::int64_t> coldInterval{0};  ///< Between own sends while cold; 0 for none.
+    std::atomic<std::int64_t> warmUntil{0};     ///< It said so itself; nanoseconds as above.
+    std::atomic<std::int64_t> checkedUntil{0};  ///< A status check is under way, or has failed.
     std::atomic<std::int64_t> sentAt{0};        ///< Last own send; nanoseconds as above.
     std::atomic<std::int64_t> pausedUntil{0};   ///< At its request; nanoseconds as above.
     std::atomic<bool> isLimited{false};         ///< It last stated a rate limit.
@@ -84,6 +87,14 @@
     std::atomic<std::int64_t> tokensToReadOfPeers{0}; ///< As the peers last told.
 };
 
+/// What this daemon knows of its own state.
+struct DaemonLoad
+{
+    /// Until when it hears of changes of endpoints: from the platform, or from a peer that
+    /// does. Nanoseconds of the steady clock.
+    std::atomic<std::int64_t> hearsOfEndpointsUntil{std::numeric_limits<std::int64_t>::max()};
+};
+
 /// How busy the endpoints of a pool that works in pieces are, as its batcher last told.
 struct PieceLoad
 {
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -79,7 +79,7 @@
         const PromptNeed prompt = promptOf(request);
         const PromptNeed *need = pool->spec.engine && prompt.tokens > 0 ? &prompt : nullptr;
         const EndpointEntry *endpoint =
-            chooseEndpoint({*pool, now, homeOf(request, *pool), avoid, need, &regions});
+            chooseEndpoint({*pool, now, homeOf(request, *pool), avoid, need, &regions}, snapshot);
         if (endpoint == nullptr && closedUntil(*pool, regions, now)) {
             if (hasTurn(request, snapshot, held.size())) {
                 held.push_back(placeOf(request));
@@ -128,8 +128,15 @@
 
 /// An endpoint that may be sent to, with this daemon's turn at it; null where there is none.
 template <GuardPolicy G>
-const EndpointEntry *BasicRequestMachine<G>::chooseEndpoint(RoutingQuery query)
+const EndpointEntry *BasicRequestMachine<G>::chooseEndpoint(RoutingQuery query,
+                                                            const Snapshot &snapshot)
 {
+    query.needsWarmth = G::checksColdState && query.pool.spec.coldRate > 0
+                        && !query.pool.spec.statusPath.empty()
+                        && !hearsOfEndpoints(snapshot, query.now);
+    if (query.needsWarmth && checkInPlaceOfSending(query)) {
+        return nullptr;
+    }
     const EndpointEntry *endpoint = nullptr;
     do {
         endpoint = m_policy->choose(query, m_random);
@@ -142,6 +149,36 @@
     return endpoint;
 }
 
+/// Asks an endpoint whether it is cold, where the request would go to one of which this is not
+/// known: its home, or any where no other is safe. Whether the request waits for the answer.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::checkInPlaceOfSending(const RoutingQuery &query)
+{
+    RoutingQuery unchecked = query;
+    unchecked.needsWarmth = false;
+    const EndpointEntry *endpoint = query.home;
+    const bool asksHome = endpoint != nullptr && isEligible(*endpoint, unchecked);
+    if (asksHome && isEligible(*endpoint, query)) {
+        return false;
+    }
+    if (!asksHome) {
+        if (m_policy->choose(query, m_random) != nullptr) {
+            return false;
+        }
+        endpoint = m_policy->choose(unchecked, m_random);
+    }
+    if (endpoint == nullptr) {
+        return false;
+    }
+    PoolState &state = poolState(query.pool.spec.name);
+    if (query.now >= state.nextColdCheck && claimColdCheck(*endpoint, query.now)) {
+        state.nextColdCheck = query.now + requestmachine::coldCheckSpacing;
+        m_actions.emplace_back(CheckColdState{endpoint->spec.name, endpoint->spec.address,
+                                              query.pool.spec.statusPath});
+    }
+    return true;
+}
+
 /// When \p request has to be sent at the latest to be worth waiting for its turn here: what is
 /// carried may come sooner at another daemon.
 template <GuardPolicy G>
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -233,7 +233,7 @@
 using RequestAction =
     std::variant<SendStage, CancelStage, StreamPiece, AnswerCaller, ClaimRequest, ClaimFinish,
                  OrderPieces, WithdrawPieces, FreeResults, StreamEvents, EndpointReplaced,
-                 EndpointNoticed, CallBroken, RequestCleared>;
+                 EndpointNoticed, CallBroken, RequestCleared, CheckColdState>;
 
 /// Counts of what a machine did.
 struct RequestCounters
@@ -351,7 +351,8 @@
                                                     const Snapshot &snapshot);
     void charge(const Request &request, Duration amount, const Snapshot &snapshot);
     void noteBroken(const Request &request);
-    [[nodiscard]] const EndpointEntry *chooseEndpoint(RoutingQuery query);
+    [[nodiscard]] const EndpointEntry *chooseEndpoint(RoutingQuery query, const Snapshot &snapshot);
+    [[nodiscard]] bool checkInPlaceOfSending(const RoutingQuery &query);
     [[nodiscard]] TimePoint latestStart(const Request &request);
     [[nodiscard]] bool hasTurn(const Request &request, const Snapshot &snapshot, std::size_t ahead);
     [[nodiscard]] const StageSpec *stageWithoutTurn(const Request &request,
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -88,7 +88,9 @@
 /// The configuration in force.
 struct Snapshot
 {
-    bool ready = false;         ///< False until a configuration has been seen.
+    bool ready = false; ///< False until a configuration has been seen.
+    /// Shared with the snapshots before and after this one.
+    std::shared_ptr<DaemonLoad> daemon = std::make_shared<DaemonLoad>();
     std::uint64_t revision = 0; ///< Highest version of any object in it.
     absl::flat_hash_map<std::string, PipelineSpec> pipelines;
     absl::flat_hash_map<std::string, AccountEntry> accounts;
--- a/lib/Adapters/noticereader.cpp
+++ b/lib/Adapters/noticereader.cpp
@@ -16,6 +16,7 @@
 /// Larger values are taken for errors of the endpoint.
 constexpr double highestRate = 1e6;
 constexpr double longestPauseSeconds = 3600;
+constexpr double longestColdMillis = 3'600'000;
 /// Characters of an unreadable value that are kept for the log.
 constexpr std::size_t mostShown = 40;
 
@@ -53,6 +54,14 @@
             setUnreadable(notice, names.leaving, leaving);
         }
     }
+    if (const std::string cold = result.header(names.coldMillis); !cold.empty()) {
+        if (const std::optional<double> millis = readNumber(cold, longestColdMillis)) {
+            notice.coldFor = std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double, std::milli>(*millis));
+        } else {
+            setUnreadable(notice, names.coldMillis, cold);
+        }
+    }
     const bool asksForPause =
         result.headStatus == statusTooManyRequests || result.headStatus == statusUnavailable;
     if (const std::string pause = result.header("retry-after"); asksForPause && !pause.empty()) {
--- a/lib/Adapters/stageprotocol.cpp
+++ b/lib/Adapters/stageprotocol.cpp
@@ -2,7 +2,6 @@
 
 #include "harelink/Adapters/stageprotocol.h"
 
-#include "harelink/Adapters/noticereader.h"
 #include "harelink/Support/error.h"
 
 #include <charconv>
@@ -10,6 +9,13 @@
 #include <fmt/format.h>
 
 namespace harelink {
+
+const NoticeFields &ownNoticeFields()
+{
+    static const NoticeFields names = {rateLimitHeader, leavingHeader, coldHeader};
+    return names;
+}
+
 namespace {
 
 constexpr int statusOk = 200;
@@ -42,8 +48,7 @@
 
 EndpointNotice noticeOf(const HttpResult &result)
 {
-    static const NoticeFields names = {rateLimitHeader, leavingHeader};
-    return readNotice(result, names);
+    return readNotice(result, ownNoticeFields());
 }
 
 CallId callIdOf(const HttpResult &result)
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -168,6 +168,7 @@
     }
     spec.coldTime = reader.milliseconds("coldMs", milliseconds(0), longestTime, milliseconds(0));
     spec.coldRate = reader.number("coldRequestsPerSecond", 0, heaviestWeight, 0);
+    spec.statusPath = reader.text("statusPath", "");
     return spec;
 }
 
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -22,6 +22,8 @@
 /// A connection that stands or is refused is known within a round trip; one that is not
 /// known by then says nothing of its endpoint.
 constexpr std::chrono::milliseconds probeTimeout{500};
+/// A status check that takes longer says nothing: requests wait for it.
+constexpr std::chrono::milliseconds coldCheckTimeout{200};
 /// Endpoints whose unreadable fields are logged; of others they are only counted.
 constexpr std::size_t mostUnreadableNotices = 1000;
 
@@ -188,6 +190,49 @@
     });
 }
 
+void Control::checkColdState(const CheckColdState &check)
+{
+    m_loop.post([this, check] { sendColdCheck(check); });
+}
+
+void Control::sendColdCheck(const CheckColdState &check)
+{
+    HttpCall call;
+    call.url = fmt::format("http://{}{}", check.address, check.path);
+    call.timeout = coldCheckTimeout;
+    const TimePoint askedAt = m_clock.now();
+    ++m_coldChecks;
+    m_loop.http().send(call, [this, check, askedAt](const HttpResult &result) {
+        ColdStateChecked state{check.endpoint, askedAt, std::nullopt};
+        if (result.status != 0) {
+            state.coldFor = m_dialect.noticeIn(result).coldFor;
+        }
+        recordColdState(state);
+    });
+}
+
+void Control::recordColdState(const ColdStateChecked &state)
+{
+    harelink::recordColdState(m_snapshot.current(), state, m_machine.coldShares(), m_clock.now());
+    logger.record(LogLevel::Info, "endpoint-cold-state")
+        .field("endpoint", state.endpoint)
+        .field("answered", state.coldFor ? "yes" : "no")
+        .field("coldMs", fmt::format("{:.0f}", toMilliseconds(state.coldFor.value_or(Duration()))))
+        .field("ageMs", fmt::format("{:.0f}", toMilliseconds(m_clock.now() - state.askedAt)));
+}
+
+/// Tells the workers whether changes of endpoints reach this daemon.
+void Control::noteHearing()
+{
+    const Snapshot &snapshot = m_snapshot.current();
+    const TimePoint until = m_machine.hearsOfEndpointsUntil();
+    if (noteWhatIsHeard(snapshot, until, m_machine.coldShares())) {
+        const bool hears = until != TimePoint::min();
+        logger.record(hears ? LogLevel::Info : LogLevel::Warning, "endpoint-changes")
+            .field("heard", hears ? "yes" : "no");
+    }
+}
+
 void Control::replaced(const EndpointReplaced &replaced)
 {
     m_loop.post([this, replaced] {
@@ -223,6 +268,9 @@
             .field("endpoint", event.endpoint)
             .field("pauseMs", fmt::format("{:.0f}", toMilliseconds(notice.pause)));
     }
+    if (notice.coldFor > Duration::zero()) {
+        recordColdState({event.endpoint, event.sentAt, notice.coldFor});
+    }
     if (notice.isLeaving) {
         ++m_notices.departures;
         logger.record(LogLevel::Info, "endpoint-announced-departure")
@@ -324,6 +372,7 @@
         m_daemons.store(m_machine.membership().countedHosts(), std::memory_order_relaxed);
     }
     m_machine.tick();
+    noteHearing();
     m_pieceRouter.tick(m_snapshot.current());
     m_pieceBatcher.tick(m_snapshot.current());
     carryOut();
@@ -630,6 +679,9 @@
         markLeaving(*next, endpoint);
     }
     noteColdStarts(*next, m_snapshot.current(), m_clock.now(), m_machine.coldShares());
+    if (!hearsOfEndpoints(*next, m_clock.now())) {
+        noteColdParts(*next, m_machine.coldShares());
+    }
     applyLimits(*next);
     logDrains(m_snapshot.current(), *next);
     m_snapshot.publish(std::move(next));
@@ -706,6 +758,7 @@
         counter("harelink_peer_messages_unreadable_total", m_peers.counters().unreadable);
         counter("harelink_peer_connections_refused_total", m_peers.refused());
         counter("harelink_quarantines_total", m_quarantines);
+        counter("harelink_cold_checks_total", m_coldChecks);
         counter("harelink_endpoint_limit_changes_total", m_notices.limitChanges);
         counter("harelink_endpoint_pauses_total", m_notices.pauses);
         counter("harelink_endpoint_departures_total", m_notices.departures);
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -156,6 +156,9 @@
     control.withdraw = [this](const WithdrawPieces &pieces) { m_control->withdraw(pieces); };
     control.free = [this](const FreeResults &results) { m_control->free(results); };
     control.replaced = [this](const EndpointReplaced &endpoint) { m_control->replaced(endpoint); };
+    control.checkColdState = [this](const CheckColdState &check) {
+        m_control->checkColdState(check);
+    };
     control.broken = [this](const BrokenCall &call) { m_control->broken(call); };
     control.noticed = [this](const EndpointNoticed &event) { m_control->noticed(event); };
     control.cleared = [this](const RequestCleared &request) { m_control->cleared(request); };
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -386,6 +386,11 @@
     m_control.free(std::move(action));
 }
 
+void Worker::perform(const CheckColdState &action)
+{
+    m_control.checkColdState(action);
+}
+
 void Worker::perform(const EndpointReplaced &action)
 {
     m_control.replaced(action);
--- a/lib/Kernel/coldstart.cpp
+++ b/lib/Kernel/coldstart.cpp
@@ -17,6 +17,23 @@
 /// A second, and some of the next: sends that leave a second apart may arrive closer.
 constexpr std::chrono::milliseconds sendInterval{1100};
 
+/// How long an answer that an endpoint is warm holds. What all daemons may send to one that
+/// turns cold behind it is what comes in this time.
+constexpr std::chrono::milliseconds warmAnswerLife{100};
+/// How long a question may take; longer than its transport waits for an answer.
+constexpr std::chrono::milliseconds checkPatience{250};
+/// How long an endpoint that did not answer is left alone.
+constexpr std::chrono::milliseconds unansweredPause{1000};
+
+/// What \p shares allows at \p entry of \p pool, as the load holds it: 0 for nothing.
+std::int64_t coldIntervalOf(const EndpointEntry &entry, const PoolSpec &pool,
+                            const ColdShares &shares)
+{
+    const Duration interval =
+        shares.intervalAt(entry.spec.name, pool.coldRate).value_or(Duration::zero());
+    return std::chrono::nanoseconds(interval).count();
+}
+
 /// For how long \p entry is cold from now on; nothing where nothing is said anew.
 std::optional<Duration> coldFor(const EndpointEntry &entry, const PoolSpec &pool,
                                 const Snapshot &before)
@@ -63,15 +80,81 @@
             if (!time) {
                 continue;
             }
-            const Duration interval =
-                shares.intervalAt(entry.spec.name, pool.spec.coldRate).value_or(Duration::zero());
-            entry.load->coldInterval.store(std::chrono::nanoseconds(interval).count(),
+            entry.load->coldInterval.store(coldIntervalOf(entry, pool.spec, shares),
                                            std::memory_order_relaxed);
             entry.load->coldUntil.store(steadyNanos(now + *time), std::memory_order_relaxed);
         }
     }
 }
 
+void noteColdParts(const Snapshot &snapshot, const ColdShares &shares)
+{
+    for (const auto &[name, pool] : snapshot.pools) {
+        if (pool.spec.coldRate <= 0) {
+            continue;
+        }
+        for (const EndpointEntry &entry : pool.endpoints) {
+            entry.load->coldInterval.store(coldIntervalOf(entry, pool.spec, shares),
+                                           std::memory_order_relaxed);
+        }
+    }
+}
+
+bool hearsOfEndpoints(const Snapshot &snapshot, TimePoint now)
+{
+    return snapshot.daemon->hearsOfEndpointsUntil.load(std::memory_order_relaxed)
+           > steadyNanos(now);
+}
+
+bool noteWhatIsHeard(const Snapshot &snapshot, TimePoint until, const ColdShares &shares)
+{
+    const std::int64_t nothing = steadyNanos(TimePoint::min());
+    const std::int64_t before = snapshot.daemon->hearsOfEndpointsUntil.exchange(
+        steadyNanos(until), std::memory_order_relaxed);
+    const bool isChange = (before == nothing) != (until == TimePoint::min());
+    if (isChange && before != nothing) {
+        noteColdParts(snapshot, shares);
+    }
+    return isChange;
+}
+
+void recordColdState(const Snapshot &snapshot, const ColdStateChecked &state,
+                     const ColdShares &shares, TimePoint now)
+{
+    const PoolEntry *pool = snapshot.poolOfEndpoint(state.endpoint);
+    const EndpointEntry *entry = pool == nullptr ? nullptr : pool->find(state.endpoint);
+    if (entry == nullptr) {
+        return;
+    }
+    EndpointLoad &load = *entry->load;
+    if (!state.coldFor) {
+        load.fullUntil.store(steadyNanos(now + unansweredPause), std::memory_order_relaxed);
+        return;
+    }
+    load.checkedUntil.store(0, std::memory_order_relaxed);
+    if (*state.coldFor == Duration::zero()) {
+        load.warmUntil.store(steadyNanos(state.askedAt + warmAnswerLife),
+                             std::memory_order_relaxed);
+        return;
+    }
+    load.coldInterval.store(coldIntervalOf(*entry, pool->spec, shares), std::memory_order_relaxed);
+    load.coldUntil.store(steadyNanos(now + *state.coldFor), std::memory_order_relaxed);
+}
+
+bool isKnownWarm(const EndpointEntry &entry, TimePoint now)
+{
+    return entry.load->warmUntil.load(std::memory_order_relaxed) > steadyNanos(now);
+}
+
+bool claimColdCheck(const EndpointEntry &entry, TimePoint now)
+{
+    std::atomic<std::int64_t> &until = entry.load->checkedUntil;
+    std::int64_t before = until.load(std::memory_order_relaxed);
+    return before <= steadyNanos(now)
+           && until.compare_exchange_strong(before, steadyNanos(now + checkPatience),
+                                            std::memory_order_relaxed);
+}
+
 bool isCold(const EndpointEntry &entry, TimePoint now)
 {
     return entry.load->coldUntil.load(std::memory_order_relaxed) > steadyNanos(now);
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -205,9 +205,12 @@
     if (query.regions != nullptr && !query.regions->allows(entry.region)) {
         return false;
     }
-    const bool mayGo =
-        isCold(entry, query.now) ? query.warmsUp && mayWarmUp(entry, query.now) : !query.warmsUp;
-    return mayGo && isEligible(entry, query.now);
+    if (isCold(entry, query.now)) {
+        return query.warmsUp && mayWarmUp(entry, query.now) && isEligible(entry, query.now);
+    }
+    const bool isSafe =
+        !query.needsWarmth || isKnownWarm(entry, query.now) || mayWarmUp(entry, query.now);
+    return !query.warmsUp && isSafe && isEligible(entry, query.now);
 }
 
 Duration expectedTime(const EndpointEntry &entry, TimePoint now)
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -314,6 +314,9 @@
     auto snapshot = std::make_unique<Snapshot>();
     snapshot->ready = true;
     snapshot->revision = revision;
+    if (previous != nullptr) {
+        snapshot->daemon = previous->daemon;
+    }
     Builder builder(*snapshot, previous);
     for (const Resource &resource : resources) {
         std::visit(builder, resource.spec);
--- a/lib/Plugins/owndialect.cpp
+++ b/lib/Plugins/owndialect.cpp
@@ -8,6 +8,7 @@
 
 #include "harelink/Adapters/dialect.h"
 #include "harelink/Adapters/platformclient.h"
+#include "harelink/Adapters/stageprotocol.h"
 #include "harelink/Kernel/registry.h"
 
 namespace harelink {
@@ -33,6 +34,10 @@
 {
 public:
     [[nodiscard]] const PlatformDialect &platform() const override { return m_platform; }
+    [[nodiscard]] EndpointNotice noticeIn(const HttpResult &result) const override
+    {
+        return readNotice(result, ownNoticeFields());
+    }
 
 private:
     OwnPlatformDialect m_platform;
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -342,6 +342,7 @@
     static constexpr std::chrono::milliseconds tickInterval{5};
     /// Part of the requests that an endpoint refuses which asks for pauses.
     static constexpr double refusedShare = 0.7;
+    static constexpr std::chrono::milliseconds coldCheckTimeout{200};
     /// Letters of an answer that make a token.
     static constexpr std::size_t tokenLength = 4;
 
@@ -380,7 +381,8 @@
             declare("Pool", pool,
                     {{"protocol", "plain-service"},
                      {"coldMs", coldTime.count()},
-                     {"coldRequestsPerSecond", coldRate}});
+                     {"coldRequestsPerSecond", coldRate},
+                     {"statusPath", "/status"}});
             for (int i = 0; i < m_dataCentres * 2; ++i) {
                 const std::string name = fmt::format("{}-{}", pool, i + 1);
                 const std::string dataCentre = fmt::format("dc{}", i % m_dataCentres + 1);
@@ -453,6 +455,7 @@
                     keepLimits(host);
                 }
                 host.control->tick();
+                noteHearing(host);
                 host.requests->tick(*host.snapshot);
             });
             Host &host = m_hosts.at(name);
@@ -543,6 +546,9 @@
                           host.dataCentre, host.snapshot.get());
         if (G::sparesCold) {
             noteColdStarts(*next, *host.snapshot, host.clock->now(), host.control->coldShares());
+            if (!hearsOfEndpoints(*next, host.clock->now())) {
+                noteColdParts(*next, host.control->coldShares());
+            }
         }
         host.snapshot = std::move(next);
         keepLimits(host);
@@ -587,6 +593,39 @@
         });
     }
 
+    void perform(Host &host, const CheckColdState &action)
+    {
+        const std::string name = host.name;
+        const Incarnation start = host.incarnation;
+        ++m_coldChecks;
+        const ColdStateChecked silent{action.endpoint, m_queue.now(), std::nullopt};
+        const FakeEndpoint &endpoint = m_endpoints.at(action.endpoint);
+        if (endpoint.down || m_cuts.isCut(host.dataCentre, endpoint.dataCentre)) {
+            m_queue.after(coldCheckTimeout, [=, this] { takeColdState(name, start, silent); });
+            return;
+        }
+        m_queue.after(networkDelay(), [=, this] {
+            ColdStateChecked state = silent;
+            state.coldFor = std::max<Duration>(
+                m_endpoints.at(state.endpoint).coldUntil - m_queue.now(), Duration::zero());
+            m_queue.after(networkDelay(), [=, this] { takeColdState(name, start, state); });
+        });
+    }
+
+    void takeColdState(const std::string &name, Incarnation start, const ColdStateChecked &state)
+    {
+        onHost(name, start, [=, this](Host &host) {
+            recordColdState(*host.snapshot, state, host.control->coldShares(), host.clock->now());
+        });
+    }
+
+    /// What the daemon does at each of its control's turns.
+    void noteHearing(Host &host)
+    {
+        noteWhatIsHeard(*host.snapshot, host.control->hearsOfEndpointsUntil(),
+                        host.control->coldShares());
+    }
+
     void perform(Host &host, const CallBroken &action)
     {
         m_queue.after(handover(), [=, this, name = host.name, start = host.incarnation] {
@@ -890,6 +929,7 @@
     WorldFaults m_faults;
     std::size_t m_mostMeshPeers; ///< With every other seed, heartbeats go through relays.
     int m_dataCentres;
+    std::uint64_t m_coldChecks = 0;
     std::int64_t m_timesCold = 0; ///< Endpoints that have turned cold so far.
     std::map<std::string, Host> m_hosts;
     std::map<std::string, FakeEndpoint> m_endpoints;
--- a/unittests/Adapters/noticereadertest.cpp
+++ b/unittests/Adapters/noticereadertest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const NoticeFields names = {"rate", "leaving"};
+const NoticeFields names = {"rate", "leaving", "cold"};
 
 EndpointNotice read(int status, std::map<std::string, std::string> headers)
 {
@@ -46,6 +46,20 @@
     CHECK(!read(503, {{"leaving", "0"}}).isLeaving);
 }
 
+TEST(NoticeReader, AStatusCheckTellsForHowLongTheEndpointIsCold)
+{
+    CHECK(read(200, {{"cold", "2500"}}).coldFor == milliseconds(2500));
+    CHECK(read(503, {{"cold", "0"}}).coldFor == Duration::zero());
+    CHECK(read(200, {}).coldFor == Duration::zero());
+    const EndpointNotice notice = read(200, {{"cold", "soon"}});
+    CHECK(notice.coldFor == Duration::zero());
+    STRCMP_EQUAL("cold: soon", notice.unreadable.c_str());
+    HttpResult result;
+    result.status = 200;
+    result.headers = {{"harelink-cold-ms", "700"}};
+    CHECK(readNotice(result, ownNoticeFields()).coldFor == milliseconds(700));
+}
+
 TEST(NoticeReader, APauseIsOnlyReadFromARefusal)
 {
     CHECK(read(200, {{"retry-after", "3"}}).pause == Duration::zero());
--- a/unittests/Kernel/carriedfixture.h
+++ b/unittests/Kernel/carriedfixture.h
@@ -171,6 +171,7 @@
         append(replaced, only<EndpointReplaced>(actions));
         append(broken, only<CallBroken>(actions));
         append(cleared, only<RequestCleared>(actions));
+        append(coldChecks, only<CheckColdState>(actions));
     }
 
     ManualClock clock;
@@ -188,6 +189,7 @@
     std::vector<EndpointReplaced> replaced;
     std::vector<CallBroken> broken;
     std::vector<RequestCleared> cleared;
+    std::vector<CheckColdState> coldChecks;
 };
 
 } // namespace harelink::testing
--- a/unittests/Platform/manifesttest.cpp
+++ b/unittests/Platform/manifesttest.cpp
@@ -25,7 +25,7 @@
      "service": "m2"}],
   "services": [
     {"name": "m1", "engine": {"kv-capacity": 614608}},
-    {"name": "m2"},
+    {"name": "m2", "cold-s": 3.0, "cold-per-s": 9.1, "health-path": "/ok"},
     {"name": "p1", "pieces": {"slots": 1, "queue": 2, "batch": 8, "call-ms": 150.0,
      "item-ms": 2.1, "headroom-mb": 39.0, "handle-s": 4.0}}],
   "limits": {"max-body-bytes": 4194304},
@@ -88,6 +88,10 @@
     CHECK(work.pieceTime == std::chrono::microseconds(2100));
     LONGS_EQUAL(39'000'000, work.roomBytes);
     CHECK(work.resultLife == milliseconds(4000));
+    const auto &coldPool = specOf<PoolSpec>(*resources, "m2");
+    DOUBLES_EQUAL(9.1, coldPool.coldRate, 1e-9);
+    STRCMP_EQUAL("/ok", coldPool.statusPath.c_str());
+    CHECK(specOf<PoolSpec>(*resources, "m1").statusPath.empty());
     const auto &account = specOf<ClientAccountSpec>(*resources, "t1");
     LONGS_EQUAL(2, account.apiKeys.size());
     LONGS_EQUAL(1, account.priority.value());
--- a/utils/standin/endpoint.cpp
+++ b/utils/standin/endpoint.cpp
@@ -8,8 +8,9 @@
 ///
 ///   POST /control  {"slowFactor": F, "failing": bool, "hanging": bool,
 ///                   "refusing": bool, "breakAfterTokens": N, "rateLimit": "R",
-///                   "retryAfter": "S", "leaving": bool}
+///                   "retryAfter": "S", "leaving": bool, "coldMs": N}
 ///     (rateLimit and retryAfter are sent as they are; empty for none)
+///   GET  /status    tells in a field how long it stays cold
 ///   GET  /counters  runs, runs per idempotency key, prefix hits, broken streams
 ///
 /// A model engine streams where it is asked to: token N of an answer is " wN-NONCE".
@@ -56,10 +57,11 @@
     bool failing = false;
     bool hanging = false;
     bool refusing = false;
-    int breakAfterTokens = 0; ///< Ends each stream early; 0 for never.
-    std::string rateLimit;    ///< Stated in all answers; empty for none.
-    std::string retryAfter;   ///< Stated in refusals; empty for none.
-    bool leaving = false;     ///< Announced in all answers.
+    int breakAfterTokens = 0;                        ///< Ends each stream early; 0 for never.
+    std::string rateLimit;                           ///< Stated in all answers; empty for none.
+    std::string retryAfter;                          ///< Stated in refusals; empty for none.
+    bool leaving = false;                            ///< Announced in all answers.
+    std::chrono::steady_clock::time_point coldUntil; ///< As its status tells.
 };
 
 /// The prompt prefixes that were used last.
@@ -142,6 +144,10 @@
             responder(counters());
             return;
         }
+        if (request.path == "/status") {
+            responder(status(request));
+            return;
+        }
         if (m_switches.hanging) {
             m_held.push_back(responder);
             return;
@@ -175,9 +181,25 @@
         m_switches.rateLimit = body.value("rateLimit", m_switches.rateLimit);
         m_switches.retryAfter = body.value("retryAfter", m_switches.retryAfter);
         m_switches.leaving = body.value("leaving", m_switches.leaving);
+        if (body.contains("coldMs")) {
+            m_switches.coldUntil = std::chrono::steady_clock::now()
+                                   + std::chrono::milliseconds(body.value("coldMs", 0));
+        }
         return reply(request, 200, {{"ok", true}});
     }
 
+    HttpReply status(const HttpRequest &request) const
+    {
+        using std::chrono::milliseconds;
+        const auto left = std::chrono::duration_cast<milliseconds>(
+            m_switches.coldUntil - std::chrono::steady_clock::now());
+        HttpReply answer = reply(request, 200, {{"ok", true}});
+        if (left > milliseconds(0)) {
+            answer.headers.emplace_back(coldHeader, fmt::format("{}", left.count()));
+        }
+        return answer;
+    }
+
     HttpReply counters() const
     {
         std::uint64_t most = 0;
