[Kernel] Name the checks of cold endpoints by the field's terms

Cause: names of the change before ("what is heard", "parts", "warmth") need explaining. Change: endpoint updates, cold shares, requiresWarm, mostTurnDelay; comments shortened; an unused counter goes. No behaviour changes but the text of one log event (endpoint-updates).

--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -138,7 +138,7 @@
     std::chrono::milliseconds coldTime{0};
     /// Requests a second that it bears meanwhile; 0 where that is not said.
     double coldRate = 0;
-    /// Where its endpoints are asked for their status; empty where they cannot be.
+    /// Path of its endpoints' status check; empty where they have none.
     std::string statusPath;
 };
 
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -111,7 +111,7 @@
     void probe(const EndpointProbe &probe);
     void sendColdCheck(const CheckColdState &check);
     void recordColdState(const ColdStateChecked &state);
-    void noteHearing();
+    void recordEndpointUpdates();
     void logCall(const PlatformCall &call, const PlatformResult &result, const HttpResult &http);
     void takePeerChanges();
     void logConnection();
--- a/include/harelink/Kernel/coldstart.h
+++ b/include/harelink/Kernel/coldstart.h
@@ -60,23 +60,23 @@
 void noteColdStarts(const Snapshot &next, const Snapshot &before, TimePoint now,
                     const ColdShares &shares);
 
-/// Notes this daemon's part of what each endpoint of \p snapshot bears while it is cold, for
-/// the time in which the daemon does not hear which are.
-void noteColdParts(const Snapshot &snapshot, const ColdShares &shares);
+/// Records this daemon's share of what each endpoint of \p snapshot bears while it is cold, for
+/// the time in which the daemon is not told which are.
+void recordColdShares(const Snapshot &snapshot, const ColdShares &shares);
 
-/// Puts what an endpoint answered to a status check in force.
+/// Records what an endpoint answered to a status check.
 void recordColdState(const Snapshot &snapshot, const ColdStateChecked &state,
                      const ColdShares &shares, TimePoint now);
 
 /// Whether changes of endpoints reach this daemon at \p now.
-[[nodiscard]] bool hearsOfEndpoints(const Snapshot &snapshot, TimePoint now);
-/// Takes in until when they do, as the control tells at each of its turns; whether that is
-/// a change.
-bool noteWhatIsHeard(const Snapshot &snapshot, TimePoint until, const ColdShares &shares);
-/// Whether \p entry is known to be warm from a status check.
+[[nodiscard]] bool receivesEndpointUpdates(const Snapshot &snapshot, TimePoint now);
+/// Records until when they do, as the control finds at each of its turns; true where they
+/// begin or cease to.
+bool recordEndpointUpdatesUntil(const Snapshot &snapshot, TimePoint until,
+                                const ColdShares &shares);
+/// Whether \p entry has answered a status check that it is warm, a short time ago.
 [[nodiscard]] bool isKnownWarm(const EndpointEntry &entry, TimePoint now);
-/// Takes the turn to ask \p entry whether it is cold; false where that is being asked, or
-/// was asked in vain a moment ago.
+/// Claims the status check of \p entry; false while one is under way.
 [[nodiscard]] bool claimColdCheck(const EndpointEntry &entry, TimePoint now);
 
 /// Whether \p entry is cold.
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -131,10 +131,10 @@
     [[nodiscard]] const ClaimLedgerCounters &claimCounters() const { return m_ledger.counters(); }
     [[nodiscard]] std::uint64_t claimDetours() const { return m_router.detours(); }
     [[nodiscard]] bool connected() const;
-    /// Until when changes of endpoints reach this daemon, if it has a turn until then: the
-    /// platform answers it, or a peer of its data centre that watches for it. A daemon that
-    /// stood still first has to ask anew. In the past where nothing reaches it.
-    [[nodiscard]] TimePoint hearsOfEndpointsUntil() const;
+    /// Until when changes of endpoints reach this daemon, unless its next turn is late: the
+    /// platform answers it, or a peer of its data centre that watches for it. After a
+    /// standstill the platform has to answer anew. TimePoint::min() where they do not.
+    [[nodiscard]] TimePoint endpointUpdatesUntil() const;
     [[nodiscard]] bool synced() const;
     /// Whether this daemon watches the platform.
     [[nodiscard]] bool watches() const { return m_gossip.shouldWatch(); }
@@ -184,8 +184,9 @@
     std::uint64_t m_nextCallId = 1;
     std::uint64_t m_hostListCall = 0;
     TimePoint m_startedAt;
-    TimePoint m_dueAt = TimePoint::max();  ///< When the next tick was due, as of the last one.
-    TimePoint m_wokeAt = TimePoint::min(); ///< When this process last went on after a standstill.
+    TimePoint m_dueAt = TimePoint::max(); ///< When the next tick was due, as of the last one.
+    TimePoint m_resumedAt =
+        TimePoint::min(); ///< When this process last went on after a standstill.
     TimePoint m_nextHostList;
     bool m_hostListRead = false;
     bool m_keepsClaims;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -26,8 +26,8 @@
 /// that start together may each have read it before the others stood in it.
 inline constexpr std::chrono::milliseconds hostListInterval{2000};
 inline constexpr std::chrono::milliseconds startingTime{6000};
-/// A turn that comes later than this after it was due tells that the process stood still.
-inline constexpr std::chrono::milliseconds latestTurn{200};
+/// A turn that comes later than this after it was due shows that the process stood still.
+inline constexpr std::chrono::milliseconds mostTurnDelay{200};
 /// The same later: heartbeats tell of hosts that come. With 86 daemons the list was 2,500
 /// of 6,200 calls to the platform in 58 s at the shorter interval.
 inline constexpr std::chrono::milliseconds settledHostListInterval{8000};
@@ -81,17 +81,17 @@
 }
 
 template <GuardPolicy G>
-TimePoint BasicControlMachine<G>::hearsOfEndpointsUntil() const
+TimePoint BasicControlMachine<G>::endpointUpdatesUntil() const
 {
     const ObjectReader &reader = m_config.reader();
-    const auto hears = [this, &reader](const BasicConfigWatcher<G> &watcher) {
+    const auto isCurrent = [this, &reader](const BasicConfigWatcher<G> &watcher) {
         return watcher.followsOnly(reader.quarantineKind())
-               || watcher.followsOnly(reader.drainKind()) || watcher.heardSince(m_wokeAt);
+               || watcher.followsOnly(reader.drainKind()) || watcher.heardSince(m_resumedAt);
     };
-    const bool isTold = m_gossip.shouldWatch()
-                            ? std::all_of(m_watchers.begin(), m_watchers.end(), hears)
-                            : m_gossip.heardOfWatcherSince(m_wokeAt);
-    return isTold ? nextTick() + controlmachine::latestTurn : TimePoint::min();
+    const bool receives = m_gossip.shouldWatch()
+                              ? std::all_of(m_watchers.begin(), m_watchers.end(), isCurrent)
+                              : m_gossip.heardOfWatcherSince(m_resumedAt);
+    return receives ? nextTick() + controlmachine::mostTurnDelay : TimePoint::min();
 }
 
 template <GuardPolicy G>
@@ -257,8 +257,8 @@
 void BasicControlMachine<G>::tick()
 {
     const TimePoint now = m_clock.now();
-    if (m_dueAt < now && now - m_dueAt > controlmachine::latestTurn) {
-        m_wokeAt = now;
+    if (m_dueAt < now && now - m_dueAt > controlmachine::mostTurnDelay) {
+        m_resumedAt = now;
     }
     for (BasicConfigWatcher<G> &watcher : m_watchers) {
         m_configPending = watcher.applyHeld() || m_configPending;
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -39,7 +39,7 @@
     static constexpr bool shunsDrained = true;
     /// Endpoints that are cold get no more than they bear, from all daemons together.
     static constexpr bool sparesCold = true;
-    /// A daemon that does not hear which endpoints are cold asks them before it sends.
+    /// A daemon that is not told which endpoints are cold checks them before it sends.
     static constexpr bool checksColdState = true;
     /// Endpoints that state a rate limit get no more from all daemons together.
     static constexpr bool keepsRateLimits = true;
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -90,9 +90,9 @@
 /// What this daemon knows of its own state.
 struct DaemonLoad
 {
-    /// Until when it hears of changes of endpoints: from the platform, or from a peer that
-    /// does. Nanoseconds of the steady clock.
-    std::atomic<std::int64_t> hearsOfEndpointsUntil{std::numeric_limits<std::int64_t>::max()};
+    /// Until when it receives changes of endpoints, from the platform or from a peer that
+    /// does; nanoseconds of the steady clock.
+    std::atomic<std::int64_t> endpointUpdatesUntil{std::numeric_limits<std::int64_t>::max()};
 };
 
 /// How busy the endpoints of a pool that works in pieces are, as its batcher last told.
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -131,10 +131,10 @@
 const EndpointEntry *BasicRequestMachine<G>::chooseEndpoint(RoutingQuery query,
                                                             const Snapshot &snapshot)
 {
-    query.needsWarmth = G::checksColdState && query.pool.spec.coldRate > 0
-                        && !query.pool.spec.statusPath.empty()
-                        && !hearsOfEndpoints(snapshot, query.now);
-    if (query.needsWarmth && checkInPlaceOfSending(query)) {
+    query.requiresWarm = G::checksColdState && query.pool.spec.coldRate > 0
+                         && !query.pool.spec.statusPath.empty()
+                         && !receivesEndpointUpdates(snapshot, query.now);
+    if (query.requiresWarm && awaitsColdCheck(query)) {
         return nullptr;
     }
     const EndpointEntry *endpoint = nullptr;
@@ -149,13 +149,13 @@
     return endpoint;
 }
 
-/// Asks an endpoint whether it is cold, where the request would go to one of which this is not
-/// known: its home, or any where no other is safe. Whether the request waits for the answer.
+/// Whether a request waits for a status check, which is made where it would go to an endpoint
+/// that may be cold: its home, or any where no other endpoint is known to be warm.
 template <GuardPolicy G>
-bool BasicRequestMachine<G>::checkInPlaceOfSending(const RoutingQuery &query)
+bool BasicRequestMachine<G>::awaitsColdCheck(const RoutingQuery &query)
 {
     RoutingQuery unchecked = query;
-    unchecked.needsWarmth = false;
+    unchecked.requiresWarm = false;
     const EndpointEntry *endpoint = query.home;
     const bool asksHome = endpoint != nullptr && isEligible(*endpoint, unchecked);
     if (asksHome && isEligible(*endpoint, query)) {
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -352,7 +352,7 @@
     void charge(const Request &request, Duration amount, const Snapshot &snapshot);
     void noteBroken(const Request &request);
     [[nodiscard]] const EndpointEntry *chooseEndpoint(RoutingQuery query, const Snapshot &snapshot);
-    [[nodiscard]] bool checkInPlaceOfSending(const RoutingQuery &query);
+    [[nodiscard]] bool awaitsColdCheck(const RoutingQuery &query);
     [[nodiscard]] TimePoint latestStart(const Request &request);
     [[nodiscard]] bool hasTurn(const Request &request, const Snapshot &snapshot, std::size_t ahead);
     [[nodiscard]] const StageSpec *stageWithoutTurn(const Request &request,
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -26,8 +26,7 @@
 
 /// A caller is answered this long before its deadline, so that the answer is in time.
 inline constexpr std::chrono::milliseconds answerMargin{2};
-/// Between two questions of one worker at a pool whether endpoints are cold: an answer takes
-/// as long at most where the endpoint is well.
+/// Least time between two status checks of a pool's endpoints by one worker.
 inline constexpr std::chrono::milliseconds coldCheckSpacing{20};
 /// How soon a waiting queue is looked at again: another worker may have freed an endpoint.
 inline constexpr std::chrono::milliseconds queuePollInterval{5};
@@ -170,7 +169,7 @@
     LatencyModel latency;
     double tokensPerSecond = requestmachine::unknownReadingRate; ///< That an engine reads.
     QueuePace pace;
-    TimePoint nextColdCheck; ///< When an endpoint may next be asked whether it is cold.
+    TimePoint nextColdCheck; ///< When a status check may next be made.
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -43,7 +43,7 @@
     bool warmsUp = false; ///< Only cold endpoints are chosen, that this daemon may send to.
     /// Only endpoints are chosen that are known to be warm, or get no more of this daemon than
     /// its part of what they bear while they are cold.
-    bool needsWarmth = false;
+    bool requiresWarm = false;
 };
 
 /// Whether \p entry is neither leaving nor ejected, and its data centre is not drained.
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -222,14 +222,14 @@
 }
 
 /// Tells the workers whether changes of endpoints reach this daemon.
-void Control::noteHearing()
+void Control::recordEndpointUpdates()
 {
     const Snapshot &snapshot = m_snapshot.current();
-    const TimePoint until = m_machine.hearsOfEndpointsUntil();
-    if (noteWhatIsHeard(snapshot, until, m_machine.coldShares())) {
-        const bool hears = until != TimePoint::min();
-        logger.record(hears ? LogLevel::Info : LogLevel::Warning, "endpoint-changes")
-            .field("heard", hears ? "yes" : "no");
+    const TimePoint until = m_machine.endpointUpdatesUntil();
+    if (recordEndpointUpdatesUntil(snapshot, until, m_machine.coldShares())) {
+        const bool receives = until != TimePoint::min();
+        logger.record(receives ? LogLevel::Info : LogLevel::Warning, "endpoint-updates")
+            .field("received", receives ? "yes" : "no");
     }
 }
 
@@ -372,7 +372,7 @@
         m_daemons.store(m_machine.membership().countedHosts(), std::memory_order_relaxed);
     }
     m_machine.tick();
-    noteHearing();
+    recordEndpointUpdates();
     m_pieceRouter.tick(m_snapshot.current());
     m_pieceBatcher.tick(m_snapshot.current());
     carryOut();
@@ -679,8 +679,8 @@
         markLeaving(*next, endpoint);
     }
     noteColdStarts(*next, m_snapshot.current(), m_clock.now(), m_machine.coldShares());
-    if (!hearsOfEndpoints(*next, m_clock.now())) {
-        noteColdParts(*next, m_machine.coldShares());
+    if (!receivesEndpointUpdates(*next, m_clock.now())) {
+        recordColdShares(*next, m_machine.coldShares());
     }
     applyLimits(*next);
     logDrains(m_snapshot.current(), *next);
--- a/lib/Kernel/coldstart.cpp
+++ b/lib/Kernel/coldstart.cpp
@@ -17,10 +17,10 @@
 /// A second, and some of the next: sends that leave a second apart may arrive closer.
 constexpr std::chrono::milliseconds sendInterval{1100};
 
-/// How long an answer that an endpoint is warm holds. What all daemons may send to one that
-/// turns cold behind it is what comes in this time.
+/// How long an answer that an endpoint is warm holds: bounds what all daemons together send to
+/// one that turns cold.
 constexpr std::chrono::milliseconds warmAnswerLife{100};
-/// How long a question may take; longer than its transport waits for an answer.
+/// How long a status check may take; above the timeout of its call.
 constexpr std::chrono::milliseconds checkPatience{250};
 /// How long an endpoint that did not answer is left alone.
 constexpr std::chrono::milliseconds unansweredPause{1000};
@@ -87,7 +87,7 @@
     }
 }
 
-void noteColdParts(const Snapshot &snapshot, const ColdShares &shares)
+void recordColdShares(const Snapshot &snapshot, const ColdShares &shares)
 {
     for (const auto &[name, pool] : snapshot.pools) {
         if (pool.spec.coldRate <= 0) {
@@ -100,20 +100,19 @@
     }
 }
 
-bool hearsOfEndpoints(const Snapshot &snapshot, TimePoint now)
+bool receivesEndpointUpdates(const Snapshot &snapshot, TimePoint now)
 {
-    return snapshot.daemon->hearsOfEndpointsUntil.load(std::memory_order_relaxed)
-           > steadyNanos(now);
+    return snapshot.daemon->endpointUpdatesUntil.load(std::memory_order_relaxed) > steadyNanos(now);
 }
 
-bool noteWhatIsHeard(const Snapshot &snapshot, TimePoint until, const ColdShares &shares)
+bool recordEndpointUpdatesUntil(const Snapshot &snapshot, TimePoint until, const ColdShares &shares)
 {
     const std::int64_t nothing = steadyNanos(TimePoint::min());
-    const std::int64_t before = snapshot.daemon->hearsOfEndpointsUntil.exchange(
+    const std::int64_t before = snapshot.daemon->endpointUpdatesUntil.exchange(
         steadyNanos(until), std::memory_order_relaxed);
     const bool isChange = (before == nothing) != (until == TimePoint::min());
     if (isChange && before != nothing) {
-        noteColdParts(snapshot, shares);
+        recordColdShares(snapshot, shares);
     }
     return isChange;
 }
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -209,7 +209,7 @@
         return query.warmsUp && mayWarmUp(entry, query.now) && isEligible(entry, query.now);
     }
     const bool isSafe =
-        !query.needsWarmth || isKnownWarm(entry, query.now) || mayWarmUp(entry, query.now);
+        !query.requiresWarm || isKnownWarm(entry, query.now) || mayWarmUp(entry, query.now);
     return !query.warmsUp && isSafe && isEligible(entry, query.now);
 }
 
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -455,7 +455,7 @@
                     keepLimits(host);
                 }
                 host.control->tick();
-                noteHearing(host);
+                recordEndpointUpdates(host);
                 host.requests->tick(*host.snapshot);
             });
             Host &host = m_hosts.at(name);
@@ -546,8 +546,8 @@
                           host.dataCentre, host.snapshot.get());
         if (G::sparesCold) {
             noteColdStarts(*next, *host.snapshot, host.clock->now(), host.control->coldShares());
-            if (!hearsOfEndpoints(*next, host.clock->now())) {
-                noteColdParts(*next, host.control->coldShares());
+            if (!receivesEndpointUpdates(*next, host.clock->now())) {
+                recordColdShares(*next, host.control->coldShares());
             }
         }
         host.snapshot = std::move(next);
@@ -597,7 +597,6 @@
     {
         const std::string name = host.name;
         const Incarnation start = host.incarnation;
-        ++m_coldChecks;
         const ColdStateChecked silent{action.endpoint, m_queue.now(), std::nullopt};
         const FakeEndpoint &endpoint = m_endpoints.at(action.endpoint);
         if (endpoint.down || m_cuts.isCut(host.dataCentre, endpoint.dataCentre)) {
@@ -620,10 +619,10 @@
     }
 
     /// What the daemon does at each of its control's turns.
-    void noteHearing(Host &host)
+    void recordEndpointUpdates(Host &host)
     {
-        noteWhatIsHeard(*host.snapshot, host.control->hearsOfEndpointsUntil(),
-                        host.control->coldShares());
+        recordEndpointUpdatesUntil(*host.snapshot, host.control->endpointUpdatesUntil(),
+                                   host.control->coldShares());
     }
 
     void perform(Host &host, const CallBroken &action)
@@ -929,7 +928,6 @@
     WorldFaults m_faults;
     std::size_t m_mostMeshPeers; ///< With every other seed, heartbeats go through relays.
     int m_dataCentres;
-    std::uint64_t m_coldChecks = 0;
     std::int64_t m_timesCold = 0; ///< Endpoints that have turned cold so far.
     std::map<std::string, Host> m_hosts;
     std::map<std::string, FakeEndpoint> m_endpoints;
--- a/unittests/Kernel/coldchecktest.cpp
+++ b/unittests/Kernel/coldchecktest.cpp
@@ -34,17 +34,17 @@
     return resources;
 }
 
-/// A daemon that does not hear of changes of endpoints.
+/// A daemon that does not receive changes of endpoints.
 struct CheckBench : CarriedBench
 {
     explicit CheckBench(const std::string &statusPath = "/status")
     {
         snapshot = buildSnapshot(checkedConfiguration(3, 1, statusPath), 1, "dc1", nullptr);
-        setHears(false);
+        setReceivesUpdates(false);
     }
-    void setHears(bool hears)
+    void setReceivesUpdates(bool receives)
     {
-        noteWhatIsHeard(*snapshot, hears ? TimePoint::max() : TimePoint::min(), {});
+        recordEndpointUpdatesUntil(*snapshot, receives ? TimePoint::max() : TimePoint::min(), {});
     }
     void answerCheck(const CheckColdState &check, std::optional<Duration> coldFor)
     {
@@ -53,7 +53,7 @@
     }
 };
 
-/// Many daemons that hear nothing, one endpoint that has turned cold, and requests that come
+/// Many daemons without updates, one endpoint that has turned cold, and requests that come
 /// at \p perSecond, evenly, each to the next daemon; answers to checks take 2 ms.
 class BlindFleet
 {
@@ -65,7 +65,7 @@
             bench->snapshot = buildSnapshot(checkedConfiguration(1, rate, asks ? "/status" : ""), 1,
                                             "dc1", nullptr);
             const ColdShares shares(fmt::format("h{}", i), hosts);
-            noteWhatIsHeard(*bench->snapshot, TimePoint::min(), shares);
+            recordEndpointUpdatesUntil(*bench->snapshot, TimePoint::min(), shares);
             m_shares.push_back(shares);
             m_hosts.push_back(std::move(bench));
         }
@@ -134,10 +134,10 @@
 
 TEST_GROUP(ColdCheck){};
 
-TEST(ColdCheck, ADaemonThatHearsOfEndpointsAsksNothing)
+TEST(ColdCheck, ADaemonThatReceivesUpdatesAsksNothing)
 {
     CheckBench bench;
-    bench.setHears(true);
+    bench.setReceivesUpdates(true);
     bench.arrive("/read/1");
     LONGS_EQUAL(0, bench.coldChecks.size());
     LONGS_EQUAL(1, bench.sends.size());
@@ -212,7 +212,7 @@
 }
 
 /// What a daemon was told before it stood still says nothing of what came after.
-TEST(ColdCheck, ADaemonThatStoodStillHearsNothingUntilThePlatformAnswersAnew)
+TEST(ColdCheck, AfterAStandstillThePlatformHasToAnswerAnew)
 {
     ManualClock clock;
     ControlMachine control(clock, controlOptions());
@@ -225,25 +225,25 @@
         }
     };
     control.tick();
-    CHECK(control.hearsOfEndpointsUntil() < clock.now());
+    CHECK(control.endpointUpdatesUntil() < clock.now());
     answerCalls();
     control.tick();
-    const TimePoint until = control.hearsOfEndpointsUntil();
+    const TimePoint until = control.endpointUpdatesUntil();
     CHECK(until > clock.now());
     clock.advance(seconds(10)); // Whatever was due came late.
     CHECK(until < clock.now());
     control.tick();
-    CHECK(control.hearsOfEndpointsUntil() < clock.now());
+    CHECK(control.endpointUpdatesUntil() < clock.now());
     answerCalls();
     control.tick();
     answerCalls();
     control.tick();
-    CHECK(control.hearsOfEndpointsUntil() > clock.now());
+    CHECK(control.endpointUpdatesUntil() > clock.now());
 }
 
-/// Nobody hears that the endpoint has turned cold. What it gets is what comes while the last
+/// Nobody is told that the endpoint has turned cold. What it gets is what comes while the last
 /// answers hold, and each daemon's part of what it bears.
-TEST(ColdCheck, ManyDaemonsThatHearNothingKeepTheBoundTogether)
+TEST(ColdCheck, ManyDaemonsWithoutUpdatesKeepTheBoundTogether)
 {
     constexpr double rate = 9.1;
     constexpr double mostInASecond = rate * 1.5 + 5;
