--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -268,9 +268,6 @@
             .field("endpoint", event.endpoint)
             .field("pauseMs", fmt::format("{:.0f}", toMilliseconds(notice.pause)));
     }
-    if (notice.coldFor > Duration::zero()) {
-        recordColdState({event.endpoint, event.sentAt, notice.coldFor});
-    }
     if (notice.isLeaving) {
         ++m_notices.departures;
         logger.record(LogLevel::Info, "endpoint-announced-departure")
