[Daemon] Log many peer changes in one line

Cause: a daemon logged one line for each peer that was seen or lost: at a start of N hosts N lines each, N squared in all. Change: more than eight changes between two heartbeats are one line with their number, the first and the last host.

--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -28,6 +28,9 @@
 /// Maximum number of endpoints whose unreadable fields are logged; those of further endpoints
 /// are only counted.
 constexpr std::size_t maxLoggedUnreadableNotices = 1000;
+/// Maximum number of peers that are logged one by one when they change together. At a start of
+/// 1,000 daemons each would otherwise log all others.
+constexpr std::size_t maxLoggedPeerChanges = 8;
 
 ControlOptions makeControlOptions(const Settings &settings, const Dialect &dialect,
                                   Incarnation incarnation)
@@ -103,6 +106,23 @@
     logDifference("data-centre-taken-back", before.drainedDataCentres, next.drainedDataCentres);
 }
 
+/// Logs one line for each of \p hosts, or a single line with their number if they are many.
+void logPeers(LogLevel level, const char *event, const std::vector<std::string> &hosts,
+              std::size_t live)
+{
+    if (hosts.size() > maxLoggedPeerChanges) {
+        logger.record(level, event)
+            .field("hosts", hosts.size())
+            .field("first", hosts.front())
+            .field("last", hosts.back())
+            .field("live", live);
+        return;
+    }
+    for (const std::string &host : hosts) {
+        logger.record(level, event).field("host", host);
+    }
+}
+
 } // namespace
 
 Control::Control(const Settings &settings, const Clock &clock, SnapshotCell &snapshot,
@@ -650,9 +670,8 @@
     std::vector<std::string> lost;
     std::set_difference(m_previousLivePeers.begin(), m_previousLivePeers.end(), now.begin(),
                         now.end(), std::back_inserter(lost));
-    for (const std::string &host : reachable) {
-        logger.record(LogLevel::Info, "peer-heard").field("host", host);
-    }
+    logPeers(LogLevel::Info, "peer-heard", reachable, now.size());
+    logPeers(LogLevel::Warning, "peer-silent", lost, now.size());
     for (const std::string &host : lost) {
         logger.record(LogLevel::Warning, "peer-silent").field("host", host);
         m_pieceBatcher.removeHost(host, m_snapshot.current());
