--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -18,6 +18,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -216,6 +217,16 @@
     std::optional<std::uint64_t> baseVersion;
 };
 
+/// Resources in force. A fleet has thousands of endpoints, so the specification of each is shared
+/// by all that refer to it.
+struct ActiveResources
+{
+    std::vector<Resource> resources; ///< All but the endpoints.
+    std::vector<std::shared_ptr<const EndpointSpec>> endpoints;
+
+    [[nodiscard]] std::size_t size() const { return resources.size() + endpoints.size(); }
+};
+
 /// Returns the declaration of \p spec in the format that readResource() accepts.
 [[nodiscard]] nlohmann::json quarantineDocument(const QuarantineSpec &spec);
 
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -14,9 +14,13 @@
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/platform.h"
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -38,11 +42,15 @@
 {
     Version seenVersion = 0; ///< The highest version received.
     bool deleted = false;
-    std::string value;               ///< Of seenVersion.
-    Version inForce = 0;             ///< The version that is applied; 0 for none.
-    std::vector<Resource> resources; ///< The resources in force.
-    std::string fault;               ///< Why seenVersion is not in force; empty if it is.
-    WallTime latestStartedAt;        ///< Of an endpoint: start of the latest incarnation seen.
+    std::string value;                            ///< Of seenVersion.
+    Version inForce = 0;                          ///< The version that is applied; 0 for none.
+    std::vector<Resource> resources;              ///< The resources in force, but for an endpoint.
+    std::shared_ptr<const EndpointSpec> endpoint; ///< The endpoint in force.
+    std::string fault;        ///< Why seenVersion is not in force; empty if it is.
+    WallTime latestStartedAt; ///< Of an endpoint: start of the latest incarnation seen.
+
+    /// Returns whether a version of the object is in force that is no deletion.
+    [[nodiscard]] bool isActive() const { return endpoint != nullptr || !resources.empty(); }
 };
 
 /// The declared objects as one daemon knows them. Versions only increase.
@@ -58,7 +66,7 @@
     {
     }
     /// Applies an update. Returns true if the configuration in force changed.
-    bool apply(const PlatformObject &update);
+    bool apply(PlatformObject update);
     /// Applies a complete listing of \p kinds as of \p revision; objects that are missing from it
     /// are deleted. Returns true if the configuration in force changed.
     bool applyListing(const std::vector<PlatformObject> &objects, Version revision,
@@ -83,38 +91,65 @@
     [[nodiscard]] std::uint64_t unreadableObjects() const { return m_unreadable; }
     [[nodiscard]] const ObjectReader &reader() const { return m_reader; }
     /// Returns the resources in force.
-    [[nodiscard]] std::vector<Resource> resources() const;
+    [[nodiscard]] ActiveResources resources() const;
     /// Returns the highest version in force.
     [[nodiscard]] Version revision() const;
     [[nodiscard]] const std::map<Key, ConfigEntry> &entries() const { return m_entries; }
-    /// Returns and clears the updates applied, to be forwarded to peers.
-    [[nodiscard]] std::vector<PlatformObject> drainUpdates()
+    /// Returns the objects that were updated since the last call, to be forwarded to peers.
+    [[nodiscard]] std::vector<PlatformObject> drainUpdates();
+    /// Forgets which objects were updated.
+    void discardUpdates() { m_updates.clear(); }
+    /// Returns whether an object other than an endpoint has changed since the last call.
+    [[nodiscard]] bool drainDeclarationsChanged()
+    {
+        return std::exchange(m_declarationsChanged, false);
+    }
+    /// Returns and clears the endpoints that have declared that they are leaving.
+    [[nodiscard]] std::vector<std::string> drainLeavingEndpoints()
     {
-        return std::exchange(m_updates, {});
+        return std::exchange(m_leavingEndpoints, {});
     }
     /// Returns a hash over the versions seen, equal for equal versions. It is maintained with each
     /// update instead of computed from all entries, since a relay reads it at each heartbeat that
     /// it receives.
     [[nodiscard]] std::uint64_t summary() const { return m_summary; }
+    /// Buckets into which the objects are divided by a hash of their kind and name.
+    static constexpr std::size_t bucketCount = 1024;
+    using Entry = typename std::map<Key, ConfigEntry>::value_type;
+    /// Returns a hash over the versions seen of each bucket; 0 for an empty one.
+    [[nodiscard]] const std::vector<std::uint64_t> &bucketHashes() const { return m_bucketHashes; }
+    /// Returns the entries of a bucket, in the order in which they were first seen.
+    [[nodiscard]] const std::vector<const Entry *> &bucket(std::size_t index) const
+    {
+        return m_buckets.at(index);
+    }
+    /// Returns the bucket of an object.
+    [[nodiscard]] static std::size_t bucketOf(const Key &key);
     /// Returns the number of updates dropped because a newer version had been seen.
     [[nodiscard]] std::uint64_t droppedUpdates() const { return m_droppedUpdates; }
 
 private:
     [[nodiscard]] static std::uint64_t hashOf(const Key &key, Version seen);
+    void addToHashes(const Key &key, std::uint64_t difference);
     bool applyDeletion(ConfigEntry &entry);
     bool applyFault(const PlatformObject &update, ConfigEntry &entry, std::string fault,
                     const std::string &faultBefore);
     bool recordIncarnation(const PlatformObject &update, ConfigEntry &entry,
-                           const std::vector<Resource> &read);
+                           const EndpointSpec &spec);
 
     const ObjectReader &m_reader;
     std::map<Key, ConfigEntry> m_entries;
-    /// Object names by endpoint name, for all incarnations seen.
-    std::map<std::string, std::string> m_objectsByEndpoint;
-    std::vector<PlatformObject> m_updates;
+    /// By endpoint name, for all incarnations seen. The entries are never erased.
+    absl::flat_hash_map<std::string, const ConfigEntry *> m_entriesByEndpoint;
+    std::set<Key> m_updates; ///< Objects updated since drainUpdates().
     std::vector<std::string> m_endedEndpoints;
+    std::vector<std::string> m_leavingEndpoints; ///< That have declared it themselves.
+    bool m_declarationsChanged = false;          ///< Objects that are no endpoints.
     std::vector<ConfigFault> m_faults;
     std::uint64_t m_summary = 0; ///< Sum of the entries' hashes, so independent of their order.
+    std::vector<std::uint64_t> m_bucketHashes = std::vector<std::uint64_t>(bucketCount);
+    std::vector<std::vector<const Entry *>> m_buckets =
+        std::vector<std::vector<const Entry *>>(bucketCount);
     std::uint64_t m_droppedUpdates = 0;
     std::uint64_t m_unreadable = 0;
 };
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -57,38 +57,48 @@
 } // namespace configwatcher
 
 template <GuardPolicy G>
-bool BasicConfigTable<G>::apply(const PlatformObject &update)
+bool BasicConfigTable<G>::apply(PlatformObject update)
 {
     const Key key(update.kind, update.name);
     const auto [found, isNew] = m_entries.try_emplace(key);
     ConfigEntry &entry = found->second;
     if (isNew) {
-        m_summary += hashOf(key, entry.seenVersion);
+        m_buckets[bucketOf(key)].push_back(&*found);
+        addToHashes(key, hashOf(key, entry.seenVersion));
     }
     if (G::dropsStaleUpdates && update.version <= entry.seenVersion) {
         m_droppedUpdates += update.version < entry.seenVersion ? 1 : 0;
         return false;
     }
-    m_summary += hashOf(key, update.version) - hashOf(key, entry.seenVersion);
+    addToHashes(key, hashOf(key, update.version) - hashOf(key, entry.seenVersion));
     entry.seenVersion = update.version;
     entry.deleted = update.deleted;
-    entry.value = update.value;
+    entry.value = std::move(update.value);
     const std::string faultBefore = std::exchange(entry.fault, {});
-    m_updates.push_back(update);
+    m_updates.insert(key);
+    m_declarationsChanged = m_declarationsChanged || update.kind != m_reader.endpointKind();
     if (update.deleted) {
         return applyDeletion(entry);
     }
     absl::StatusOr<std::vector<Resource>> read =
-        m_reader.read(update.kind, update.name, update.value);
+        m_reader.read(update.kind, update.name, entry.value);
     if (!read.ok()) {
         return applyFault(update, entry, errorMessage(read.status()), faultBefore);
     }
-    if (!recordIncarnation(update, entry, *read)) {
+    auto *endpoint = read->empty() ? nullptr : std::get_if<EndpointSpec>(&read->front().spec);
+    if (endpoint != nullptr && !recordIncarnation(update, entry, *endpoint)) {
         return false;
     }
     assert((!G::dropsStaleUpdates || update.version > entry.inForce)
            && "the version in force must only increase");
-    entry.resources = *std::move(read);
+    if (endpoint != nullptr) {
+        if (endpoint->leaving) {
+            m_leavingEndpoints.push_back(endpoint->name);
+        }
+        entry.endpoint = std::make_shared<const EndpointSpec>(std::move(*endpoint));
+    } else {
+        entry.resources = *std::move(read);
+    }
     entry.inForce = update.version;
     return true;
 }
@@ -96,8 +106,9 @@
 template <GuardPolicy G>
 bool BasicConfigTable<G>::applyDeletion(ConfigEntry &entry)
 {
-    const bool changed = !entry.resources.empty();
+    const bool changed = entry.isActive();
     entry.resources.clear();
+    entry.endpoint.reset();
     entry.inForce = entry.seenVersion;
     return changed;
 }
@@ -111,38 +122,33 @@
 {
     ++m_unreadable;
     const bool isEndpoint = update.kind == m_reader.endpointKind();
-    const bool changed = isEndpoint && !entry.resources.empty();
+    const bool changed = isEndpoint && entry.isActive();
     if (isEndpoint) {
-        entry.resources.clear();
+        entry.endpoint.reset();
     }
     if (fault != faultBefore) {
-        m_faults.push_back(
-            {update.kind, update.name, update.version, fault, !entry.resources.empty()});
+        m_faults.push_back({update.kind, update.name, update.version, fault, entry.isActive()});
     }
     entry.fault = std::move(fault);
     return changed;
 }
 
-/// Records the incarnation of the endpoint in \p read, if it is one. Returns false if a newer
-/// incarnation has been seen: a delayed write of an older one must not restore it.
+/// Records the incarnation of the endpoint \p spec. Returns false if a newer incarnation has been
+/// seen: a delayed write of an older one must not restore it.
 template <GuardPolicy G>
 bool BasicConfigTable<G>::recordIncarnation(const PlatformObject &update, ConfigEntry &entry,
-                                            const std::vector<Resource> &read)
+                                            const EndpointSpec &spec)
 {
-    const auto *spec = read.empty() ? nullptr : std::get_if<EndpointSpec>(&read.front().spec);
-    if (spec == nullptr) {
-        return true;
-    }
-    if (G::dropsStaleUpdates && spec->startedAt < entry.latestStartedAt) {
-        entry.fault = fmt::format("{} has started again since", spec->name);
+    if (G::dropsStaleUpdates && spec.startedAt < entry.latestStartedAt) {
+        entry.fault = fmt::format("{} has started again since", spec.name);
         m_faults.push_back(
-            {update.kind, update.name, update.version, entry.fault, !entry.resources.empty()});
+            {update.kind, update.name, update.version, entry.fault, entry.isActive()});
         return false;
     }
-    entry.latestStartedAt = spec->startedAt;
-    m_objectsByEndpoint[spec->name] = update.name;
-    if (!entry.resources.empty() && entry.resources.front().name != spec->name) {
-        m_endedEndpoints.push_back(entry.resources.front().name);
+    entry.latestStartedAt = spec.startedAt;
+    m_entriesByEndpoint[spec.name] = &entry;
+    if (entry.endpoint != nullptr && entry.endpoint->name != spec.name) {
+        m_endedEndpoints.push_back(entry.endpoint->name);
     }
     return true;
 }
@@ -189,9 +195,11 @@
 template <GuardPolicy G>
 const ConfigEntry *BasicConfigTable<G>::endpoint(const std::string &name) const
 {
-    const auto object = m_objectsByEndpoint.find(name);
-    const std::string &objectName = object == m_objectsByEndpoint.end() ? name : object->second;
-    const auto found = m_entries.find({m_reader.endpointKind(), objectName});
+    const auto entry = m_entriesByEndpoint.find(name);
+    if (entry != m_entriesByEndpoint.end()) {
+        return entry->second;
+    }
+    const auto found = m_entries.find({m_reader.endpointKind(), name});
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
@@ -199,7 +207,7 @@
 bool BasicConfigTable<G>::hasEnded(const std::string &name) const
 {
     const ConfigEntry *entry = endpoint(name);
-    return entry != nullptr && !entry->resources.empty() && entry->resources.front().name != name;
+    return entry != nullptr && entry->endpoint != nullptr && entry->endpoint->name != name;
 }
 
 template <GuardPolicy G>
@@ -209,13 +217,41 @@
 }
 
 template <GuardPolicy G>
-std::vector<Resource> BasicConfigTable<G>::resources() const
+std::size_t BasicConfigTable<G>::bucketOf(const Key &key)
 {
-    std::vector<Resource> resources;
+    return hash64(key.second, hash64(key.first)) % bucketCount;
+}
+
+template <GuardPolicy G>
+void BasicConfigTable<G>::addToHashes(const Key &key, std::uint64_t difference)
+{
+    m_summary += difference;
+    m_bucketHashes[bucketOf(key)] += difference;
+}
+
+template <GuardPolicy G>
+ActiveResources BasicConfigTable<G>::resources() const
+{
+    ActiveResources active;
     for (const auto &[key, entry] : m_entries) {
-        resources.insert(resources.end(), entry.resources.begin(), entry.resources.end());
+        active.resources.insert(active.resources.end(), entry.resources.begin(),
+                                entry.resources.end());
+        if (entry.endpoint != nullptr) {
+            active.endpoints.push_back(entry.endpoint);
+        }
+    }
+    return active;
+}
+
+template <GuardPolicy G>
+std::vector<PlatformObject> BasicConfigTable<G>::drainUpdates()
+{
+    std::vector<PlatformObject> updates;
+    for (const Key &key : std::exchange(m_updates, {})) {
+        const ConfigEntry &entry = m_entries.at(key);
+        updates.push_back({key.first, key.second, entry.seenVersion, entry.deleted, entry.value});
     }
-    return resources;
+    return updates;
 }
 
 template <GuardPolicy G>
@@ -329,16 +365,17 @@
 bool BasicConfigWatcher<G>::handleListing(const PlatformResult &result)
 {
     m_listed.insert(m_listed.end(), result.objects.begin(), result.objects.end());
-    const std::vector<PlatformObject> objects = std::exchange(m_listed, {});
+    std::vector<PlatformObject> objects = std::exchange(m_listed, {});
     m_lastListedName.clear();
+    const std::vector<PlatformObject> deletions =
+        m_table.impliedDeletions(objects, result.version, m_kinds);
     // An empty listing is a configuration too, with which the daemon becomes ready.
     bool changed = !m_synced;
     m_synced = true;
-    for (const PlatformObject &object : objects) {
-        changed = m_table.apply(object) || changed;
+    for (PlatformObject &object : objects) {
+        changed = m_table.apply(std::move(object)) || changed;
     }
-    for (const PlatformObject &deletion :
-         m_table.impliedDeletions(objects, result.version, m_kinds)) {
+    for (const PlatformObject &deletion : deletions) {
         changed = handleUpdate(deletion) || changed;
     }
     return changed;
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -124,7 +124,7 @@
     [[nodiscard]] const BasicConfigTable<G> &config() const { return m_config; }
     /// Returns the resources in force: the declared ones, and quarantines that this daemon
     /// decided and that are not declared yet.
-    [[nodiscard]] std::vector<Resource> resources() const;
+    [[nodiscard]] ActiveResources resources() const;
     [[nodiscard]] const Membership &membership() const { return m_membership; }
     /// Returns this daemon's share of the load that cold endpoints can bear.
     [[nodiscard]] ColdShares coldShares() const;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -175,16 +175,16 @@
 }
 
 template <GuardPolicy G>
-std::vector<Resource> BasicControlMachine<G>::resources() const
+ActiveResources BasicControlMachine<G>::resources() const
 {
-    std::vector<Resource> all = m_config.resources();
+    ActiveResources all = m_config.resources();
     if (!G::avoidsDrained) {
-        std::erase_if(all, [](const Resource &resource) {
+        std::erase_if(all.resources, [](const Resource &resource) {
             return std::holds_alternative<DataCentreDrainSpec>(resource.spec);
         });
     }
     for (Resource &resource : m_crashes.unpublished()) {
-        all.push_back(std::move(resource));
+        all.resources.push_back(std::move(resource));
     }
     return all;
 }
@@ -195,11 +195,8 @@
 {
     const ConfigEntry *declared = m_config.endpoint(call.endpoint);
     const bool isDeclared =
-        declared != nullptr && !declared->resources.empty() && !m_config.hasEnded(call.endpoint);
-    call.address.clear();
-    if (isDeclared) {
-        call.address = std::get<EndpointSpec>(declared->resources.front().spec).address;
-    }
+        declared != nullptr && declared->endpoint != nullptr && !m_config.hasEnded(call.endpoint);
+    call.address = isDeclared ? declared->endpoint->address : std::string();
     m_crashes.handle(std::move(call));
 }
 
@@ -402,7 +399,7 @@
             if (isUpdate) {
                 m_gossip.pushUpdates();
             } else {
-                (void)m_config.drainUpdates();
+                m_config.discardUpdates();
             }
             return;
         }
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -176,7 +176,7 @@
     PoolState &state = poolState(query.pool.spec.name);
     if (query.now >= state.nextColdCheck && claimColdCheck(*endpoint, query.now)) {
         state.nextColdCheck = query.now + requestmachine::minColdCheckInterval;
-        m_actions.emplace_back(CheckColdState{endpoint->spec.name, endpoint->spec.address,
+        m_actions.emplace_back(CheckColdState{endpoint->spec->name, endpoint->spec->address,
                                               query.pool.spec.statusPath});
     }
     return true;
@@ -308,7 +308,7 @@
     const TimePoint now = m_clock.now();
     request.phase = Request::Phase::Running;
     countDemand(request, request.stage + 1);
-    request.endpoint = endpoint.spec.name;
+    request.endpoint = endpoint.spec->name;
     request.sentAt = now;
     ++request.attempt;
     if (request.costs.size() <= request.stage) {
@@ -330,16 +330,16 @@
 
     SendStage action;
     action.call = request.call();
-    action.endpoint = endpoint.spec.name;
-    action.endpointIdentity = endpoint.spec.stableName();
-    action.address = endpoint.spec.address;
+    action.endpoint = endpoint.spec->name;
+    action.endpointIdentity = endpoint.spec->stableName();
+    action.address = endpoint.spec->address;
     action.protocol = pool.spec.protocol;
     action.stage = request.stageSpec().name;
     action.request = request.body;
     action.previous = request.previous;
     action.idempotencyKey = request.idempotencyKey;
     action.repeatable = request.pipeline.repeatable;
-    action.refusesBeforeRunning = endpoint.spec.refusesBeforeRunning;
+    action.refusesBeforeRunning = endpoint.spec->refusesBeforeRunning;
     action.traceparent = request.traceparent;
     action.timeout = request.deadline - now;
     action.streams = request.streams && request.stage + 1 == request.pipeline.stages.size();
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -332,7 +332,7 @@
     const EndpointEntry *preferred =
         serving == nullptr ? nullptr : preferredEndpoint(request, *serving);
     if (preferred != nullptr) {
-        return preferred->spec.dataCentre;
+        return preferred->spec->dataCentre;
     }
     const std::string resultDataCentre =
         request.pieces ? request.pieces->mainResultDataCentre().first : "";
@@ -380,7 +380,7 @@
 std::string BasicRequestMachine<G>::dataCentreOf(const std::string &name, const Snapshot &snapshot)
 {
     const EndpointEntry *entry = snapshot.endpoint(name);
-    return entry == nullptr ? std::string() : entry->spec.dataCentre;
+    return entry == nullptr ? std::string() : entry->spec->dataCentre;
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -18,6 +18,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -26,11 +27,12 @@
 /// An endpoint and its load counters.
 struct EndpointEntry
 {
-    EndpointSpec spec;
+    std::shared_ptr<const EndpointSpec> spec; ///< Never null.
     /// Shared with the previous and the next snapshot.
     std::shared_ptr<EndpointLoad> load;
-    bool isDrained = false; ///< Its data centre gets no new work.
-    std::string region;     ///< Empty if unknown.
+    std::uint64_t placementHash = 0; ///< Of the name that survives a restart.
+    bool isDrained = false;          ///< Its data centre gets no new work.
+    std::string region;              ///< Empty if unknown.
 };
 
 /// The regions in which a request may be served.
@@ -71,14 +73,11 @@
     /// with its own batcher and load. Empty if the pool is not partitioned.
     std::vector<std::string> partitions;
     std::string dataCentre; ///< Of a partition: that of all its endpoints; else empty.
-    /// Consistent hash ring: points with the index of their endpoint; empty if the pool does
-    /// not cache prompts. Endpoints in a drained data centre have no points, so that all their
-    /// prompts move to other endpoints at once.
-    std::vector<std::pair<std::uint64_t, std::size_t>> promptRing;
 
     /// Returns the endpoint that caches prompts whose prefix has the hash \p prefix, or null if
-    /// the pool does not cache prompts. All daemons select the same one, and adding an endpoint
-    /// moves few prefixes.
+    /// the pool does not cache prompts or all its endpoints are drained. Selected by rendezvous
+    /// hashing: all daemons select the same one, and adding or draining an endpoint moves only its
+    /// own prefixes. Linear in the number of endpoints.
     [[nodiscard]] const EndpointEntry *preferredEndpoint(std::uint64_t prefix) const;
     /// Returns the endpoint named \p name, or null.
     [[nodiscard]] const EndpointEntry *find(const std::string &name) const;
@@ -105,7 +104,8 @@
     /// By host: path prefixes and the names of their pipelines, longest prefix first.
     absl::flat_hash_map<std::string, std::vector<std::pair<std::string, std::string>>> routes;
     absl::flat_hash_map<std::string, std::string> accountsByKey; ///< By API key.
-    absl::flat_hash_map<std::string, std::string> poolsByEndpoint;
+    /// By name; they belong to the entries of the pools.
+    absl::flat_hash_map<std::string_view, const EndpointSpec *> endpointSpecs;
     /// By request digest: end of the quarantine.
     absl::flat_hash_map<Hash128, WallTime> quarantinedUntil;
 
@@ -129,9 +129,14 @@
 /// Marks the endpoint named \p name as leaving; does nothing if it is not declared.
 void markLeaving(const Snapshot &snapshot, const std::string &name);
 
-/// Builds the snapshot of \p resources for a daemon in \p dataCentre.
+/// Builds the snapshot of \p active for a daemon in \p dataCentre.
 ///
 /// \param previous Source of the load counters to share; may be null.
+[[nodiscard]] std::unique_ptr<const Snapshot> buildSnapshot(const ActiveResources &active,
+                                                            std::uint64_t revision,
+                                                            const std::string &dataCentre,
+                                                            const Snapshot *previous);
+/// \overload
 [[nodiscard]] std::unique_ptr<const Snapshot> buildSnapshot(const std::vector<Resource> &resources,
                                                             std::uint64_t revision,
                                                             const std::string &dataCentre,
--- a/include/harelink/Support/hash.h
+++ b/include/harelink/Support/hash.h
@@ -35,6 +35,8 @@
 
 /// Returns a 64-bit hash of \p text with \p seed.
 [[nodiscard]] std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+/// Returns a 64-bit hash of \p value with \p seed.
+[[nodiscard]] std::uint64_t hash64(std::uint64_t value, std::uint64_t seed);
 /// Maps the hash of \p text uniformly to [0, 1].
 [[nodiscard]] double unitHash(std::string_view text);
 /// Returns a 128-bit hash of \p text.
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -689,13 +689,14 @@
 
 void Control::publish()
 {
-    std::vector<Resource> resources = m_machine.resources();
+    ActiveResources active = m_machine.resources();
     for (const auto &[dataCentre, region] : m_settings.regions) {
-        resources.push_back({"DataCentre", dataCentre, DataCentreSpec{dataCentre, region}, {}, {}});
+        active.resources.push_back(
+            {"DataCentre", dataCentre, DataCentreSpec{dataCentre, region}, {}, {}});
     }
     const std::uint64_t revision = m_machine.config().revision();
     std::unique_ptr<const Snapshot> next =
-        buildSnapshot(resources, revision, m_settings.dataCentre, &m_snapshot.current());
+        buildSnapshot(active, revision, m_settings.dataCentre, &m_snapshot.current());
     // Must precede the publication, or a leaving endpoint would receive new work.
     for (const std::string &endpoint : m_machine.leavingEndpoints()) {
         markLeaving(*next, endpoint);
@@ -709,7 +710,7 @@
     m_snapshot.publish(std::move(next));
     logger.record(LogLevel::Info, "configuration-in-force")
         .field("version", revision)
-        .field("resources", resources.size());
+        .field("resources", active.size());
     m_ready = true;
 }
 
@@ -735,7 +736,7 @@
             const std::int64_t tokens =
                 endpoint.load->prefillBacklog.load(std::memory_order_relaxed);
             if (tokens > 0) {
-                prompts.push_back({endpoint.spec.name, tokens});
+                prompts.push_back({endpoint.spec->name, tokens});
             }
         }
     }
--- a/lib/Kernel/coldstart.cpp
+++ b/lib/Kernel/coldstart.cpp
@@ -32,7 +32,7 @@
                             const ColdShares &shares)
 {
     const Duration interval =
-        shares.intervalAt(entry.spec.name, pool.coldRate).value_or(Duration::zero());
+        shares.intervalAt(entry.spec->name, pool.coldRate).value_or(Duration::zero());
     return std::chrono::nanoseconds(interval).count();
 }
 
@@ -40,18 +40,18 @@
 std::optional<Duration> coldFor(const EndpointEntry &entry, const PoolSpec &pool,
                                 const Snapshot &before)
 {
-    const EndpointEntry *known = before.endpoint(entry.spec.name);
+    const EndpointEntry *known = before.endpoint(entry.spec->name);
     if (known == nullptr) {
         // Endpoints that exist when this daemon starts may have been running for a long time.
         const Duration undeclared = before.ready ? Duration(pool.coldTime) : Duration::zero();
-        return entry.spec.coldFor ? Duration(*entry.spec.coldFor) : undeclared;
+        return entry.spec->coldFor ? Duration(*entry.spec->coldFor) : undeclared;
     }
     if (known->isDrained && !entry.isDrained) {
         return std::max<Duration>(pool.coldTime,
-                                  entry.spec.coldFor.value_or(std::chrono::milliseconds::zero()));
+                                  entry.spec->coldFor.value_or(std::chrono::milliseconds::zero()));
     }
-    const bool isNew = entry.spec.coldFor && entry.spec.coldFor != known->spec.coldFor;
-    return isNew ? std::optional<Duration>(*entry.spec.coldFor) : std::nullopt;
+    const bool isNew = entry.spec->coldFor && entry.spec->coldFor != known->spec->coldFor;
+    return isNew ? std::optional<Duration>(*entry.spec->coldFor) : std::nullopt;
 }
 
 } // namespace
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -382,7 +382,7 @@
         if (!isUsable(endpoint, now)) {
             continue;
         }
-        const auto state = queue.endpointStates.find(endpoint.spec.name);
+        const auto state = queue.endpointStates.find(endpoint.spec->name);
         slowness.push_back(state == queue.endpointStates.end() ? 1 : state->second.slowness);
         first = std::min(first, nextCallAt(queue, endpoint, now));
     }
--- a/lib/Kernel/piececalls.cpp
+++ b/lib/Kernel/piececalls.cpp
@@ -45,7 +45,7 @@
                                    TimePoint now)
 {
     const TimePoint opens = availableAt(endpoint, now);
-    const auto found = queue.endpointStates.find(endpoint.spec.name);
+    const auto found = queue.endpointStates.find(endpoint.spec->name);
     if (found == queue.endpointStates.end()) {
         return opens;
     }
@@ -84,14 +84,14 @@
                                                    const PoolQueue &queue,
                                                    const PieceWorkSpec &work) const
 {
-    const auto state = queue.endpointStates.find(endpoint.spec.name);
+    const auto state = queue.endpointStates.find(endpoint.spec->name);
     Candidate candidate;
     candidate.endpoint = &endpoint;
     candidate.nextCallAt = nextCallAt(queue, endpoint, m_clock.now());
     candidate.endsAt =
         candidate.nextCallAt
         + scaled(work.callTime, state == queue.endpointStates.end() ? 1 : state->second.slowness);
-    candidate.allocatedBytes = allocatedBytes(queue, endpoint.spec.name, work);
+    candidate.allocatedBytes = allocatedBytes(queue, endpoint.spec->name, work);
     return candidate;
 }
 
@@ -237,14 +237,14 @@
                                   Candidates &candidates, const PieceWorkSpec &work) const
 {
     const PieceTransfers transfers = transfersOf(item.order, count);
-    const Duration costHere = transferCost(transfers, here.endpoint->spec.dataCentre);
+    const Duration costHere = transferCost(transfers, here.endpoint->spec->dataCentre);
     if (costHere == Duration::zero()) {
         return false;
     }
     const TimePoint now = m_clock.now();
     const std::uint64_t bytes = item.order.resultBytes * count;
     for (Candidate &other : candidates) {
-        const EndpointSpec &spec = other.endpoint->spec;
+        const EndpointSpec &spec = *other.endpoint->spec;
         const Duration saved = costHere - transferCost(transfers, spec.dataCentre);
         const bool isCloser = saved > Duration::zero() && spec.name != item.order.avoid
                               && other.nextCallAt < now + saved;
@@ -271,7 +271,7 @@
                                                        const PoolEntry &pool) const
 {
     const PieceWorkSpec work = pool.spec.pieces.value_or(PieceWorkSpec{});
-    const std::string &name = candidate.endpoint->spec.name;
+    const std::string &name = candidate.endpoint->spec->name;
     std::uint64_t allocated = candidate.allocatedBytes;
     for (Candidate &other : candidates) {
         other.reservedSlots = 0;
@@ -348,7 +348,7 @@
     for (const QueuedPiece &item : items) {
         stats.longestWait = std::max<Duration>(stats.longestWait, m_clock.now() - item.receivedAt);
     }
-    send(endpoint, queue.endpointStates[endpoint.spec.name], std::move(items), work);
+    send(endpoint, queue.endpointStates[endpoint.spec->name], std::move(items), work);
     m_calls.back().stats = std::move(stats);
     return true;
 }
@@ -366,9 +366,9 @@
 
     PieceCall call;
     call.id = activeCall.id;
-    call.endpoint = endpoint.spec.name;
-    call.endpointIdentity = endpoint.spec.stableName();
-    call.address = endpoint.spec.address;
+    call.endpoint = endpoint.spec->name;
+    call.endpointIdentity = endpoint.spec->stableName();
+    call.address = endpoint.spec->address;
     call.timeout =
         scaled(activeCall.expectedEnd - now + activeCall.declared, timeoutFactor) + timeoutSlack;
     for (QueuedPiece &item : items) {
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -169,7 +169,7 @@
         }
         const std::int64_t interval = entry.load->sendInterval.load(std::memory_order_relaxed);
         sendSlots += interval == 0
-                         ? static_cast<std::size_t>(std::max(1, entry.spec.slots))
+                         ? static_cast<std::size_t>(std::max(1, entry.spec->slots))
                          : 1
                                + static_cast<std::size_t>((until - available)
                                                           / std::chrono::nanoseconds(interval));
@@ -268,7 +268,7 @@
     load.fullUntil.store(0, std::memory_order_relaxed);
     const int limit = load.concurrencyLimit.load(std::memory_order_relaxed);
     const bool wasFull = load.inFlight.load(std::memory_order_relaxed) + 1 >= limit;
-    if (wasFull && limit < entry.spec.slots) {
+    if (wasFull && limit < entry.spec->slots) {
         load.concurrencyLimit.store(limit + 1, std::memory_order_relaxed);
     }
 }
--- a/lib/Kernel/slotshares.cpp
+++ b/lib/Kernel/slotshares.cpp
@@ -56,7 +56,7 @@
     int slots = 0;
     for (const EndpointEntry &endpoint : pool.endpoints) {
         const bool isServing = isUsable(endpoint, now) && !isOnProbation(endpoint);
-        slots += isServing ? endpoint.spec.slots : 0;
+        slots += isServing ? endpoint.spec->slots : 0;
     }
     return slots;
 }
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -12,8 +12,6 @@
 namespace harelink {
 namespace {
 
-/// Points per endpoint on the prompt ring; more points balance the prompts better.
-constexpr std::uint64_t ringPoints = 64;
 /// Minimum number of endpoints for which a pool that works in pieces is partitioned by data
 /// centre. One batcher for a larger pool would overload the CPU of a small host; with fewer
 /// endpoints, the partitions would be too uneven. docs/DESIGN.md has the measurements.
@@ -54,7 +52,14 @@
 
     void operator()(const PoolSpec &spec) { m_snapshot.pools[spec.name].spec = spec; }
 
-    void operator()(const EndpointSpec &spec) { m_endpoints.push_back(spec); }
+    void operator()(const EndpointSpec &spec)
+    {
+        m_endpoints.push_back(std::make_shared<const EndpointSpec>(spec));
+    }
+    void addEndpoint(std::shared_ptr<const EndpointSpec> spec)
+    {
+        m_endpoints.push_back(std::move(spec));
+    }
 
     void operator()(const QuarantineSpec &spec)
     {
@@ -84,33 +89,31 @@
 private:
     void addEndpoints(const std::string &dataCentre)
     {
-        const auto isLocal = [&dataCentre](const EndpointSpec &spec) {
-            return spec.dataCentre == dataCentre;
+        const auto isLocal = [&dataCentre](const auto &spec) {
+            return spec->dataCentre == dataCentre;
         };
         std::sort(m_endpoints.begin(), m_endpoints.end(),
-                  [](const auto &a, const auto &b) { return a.name < b.name; });
+                  [](const auto &a, const auto &b) { return a->name < b->name; });
         std::stable_partition(m_endpoints.begin(), m_endpoints.end(), isLocal);
-        for (const EndpointSpec &spec : m_endpoints) {
-            const auto pool = m_snapshot.pools.find(spec.pool);
+        m_snapshot.endpointSpecs.reserve(m_endpoints.size());
+        for (const std::shared_ptr<const EndpointSpec> &spec : m_endpoints) {
+            const auto pool = m_snapshot.pools.find(spec->pool);
             if (pool == m_snapshot.pools.end()) {
                 continue;
             }
-            const bool isDrained = m_snapshot.drainedDataCentres.contains(spec.dataCentre);
-            const auto region = m_regions.find(spec.dataCentre);
+            const bool isDrained = m_snapshot.drainedDataCentres.contains(spec->dataCentre);
+            const auto region = m_regions.find(spec->dataCentre);
             pool->second.endpoints.push_back(
-                {spec, loadOf(spec), isDrained,
+                {spec, loadOf(spec), hash64(spec->stableName()), isDrained,
                  region == m_regions.end() ? std::string() : region->second});
             pool->second.localCount += isLocal(spec) ? 1 : 0;
-            pool->second.totalSlots += isDrained ? 0 : spec.slots;
-            m_snapshot.poolsByEndpoint[spec.name] = spec.pool;
-            if (spec.leaving) {
+            pool->second.totalSlots += isDrained ? 0 : spec->slots;
+            m_snapshot.endpointSpecs[spec->name] = spec.get();
+            if (spec->leaving) {
                 pool->second.endpoints.back().load->leaving.store(true, std::memory_order_relaxed);
             }
         }
         for (auto &[name, pool] : m_snapshot.pools) {
-            if (pool.spec.hasPromptCache) {
-                buildPromptRing(pool);
-            }
             if (pool.spec.pieces) {
                 attachPieceLoad(name, pool);
                 createPartitions(name, pool);
@@ -134,9 +137,9 @@
         }
         std::map<std::string, PoolEntry> partitions;
         for (const EndpointEntry &endpoint : pool.endpoints) {
-            PoolEntry &partition = partitions[endpoint.spec.dataCentre];
+            PoolEntry &partition = partitions[endpoint.spec->dataCentre];
             partition.endpoints.push_back(endpoint);
-            partition.totalSlots += endpoint.isDrained ? 0 : endpoint.spec.slots;
+            partition.totalSlots += endpoint.isDrained ? 0 : endpoint.spec->slots;
         }
         if (partitions.size() < 2) {
             return;
@@ -153,34 +156,34 @@
         }
     }
 
-    static void buildPromptRing(PoolEntry &pool)
+    /// Returns the previous entry of the endpoint \p spec, or null. Endpoints are added in the
+    /// order of the previous snapshot, so the one after the last found is the likeliest.
+    const EndpointEntry *findPrevious(const std::shared_ptr<const EndpointSpec> &spec)
     {
-        for (std::size_t i = 0; i < pool.endpoints.size(); ++i) {
-            if (pool.endpoints[i].isDrained) {
-                continue;
-            }
-            for (std::uint64_t point = 0; point < ringPoints; ++point) {
-                // The name survives a restart, so that a restarted endpoint gets its prompts back
-                // and no other prompt moves.
-                const std::string &name = pool.endpoints[i].spec.stableName();
-                pool.promptRing.emplace_back(hash64(name, point), i);
-            }
+        const PoolEntry *pool = m_previous == nullptr ? nullptr : m_previous->pool(spec->pool);
+        if (pool == nullptr) {
+            return nullptr;
         }
-        std::sort(pool.promptRing.begin(), pool.promptRing.end());
+        std::size_t &next = m_nextPrevious[spec->pool];
+        const bool isNext = next < pool->endpoints.size() && pool->endpoints[next].spec == spec;
+        const EndpointEntry *found = isNext ? &pool->endpoints[next] : pool->find(spec->name);
+        if (found != nullptr) {
+            next = static_cast<std::size_t>(found - pool->endpoints.data()) + 1;
+        }
+        return found;
     }
 
-    std::shared_ptr<EndpointLoad> loadOf(const EndpointSpec &spec) const
+    std::shared_ptr<EndpointLoad> loadOf(const std::shared_ptr<const EndpointSpec> &spec)
     {
-        const PoolEntry *pool = m_previous == nullptr ? nullptr : m_previous->pool(spec.pool);
-        const EndpointEntry *before = pool == nullptr ? nullptr : pool->find(spec.name);
+        const EndpointEntry *before = findPrevious(spec);
         // A different address means a different endpoint, to which the recorded load does not
         // apply.
-        if (before != nullptr && before->spec.address == spec.address
-            && before->spec.slots == spec.slots) {
+        if (before != nullptr && before->spec->address == spec->address
+            && before->spec->slots == spec->slots) {
             return before->load;
         }
         auto load = std::make_shared<EndpointLoad>();
-        load->concurrencyLimit.store(spec.slots);
+        load->concurrencyLimit.store(spec->slots);
         return load;
     }
 
@@ -196,8 +199,9 @@
 
     Snapshot &m_snapshot;
     const Snapshot *m_previous;
-    std::vector<EndpointSpec> m_endpoints;
-    std::map<std::string, std::string> m_regions; ///< By data centre.
+    std::vector<std::shared_ptr<const EndpointSpec>> m_endpoints;
+    std::map<std::string, std::string> m_regions;      ///< By data centre.
+    std::map<std::string, std::size_t> m_nextPrevious; ///< By pool; see findPrevious().
 };
 
 } // namespace
@@ -206,15 +210,15 @@
 {
     // The endpoints are sorted in two runs: those of the own data centre, then the others.
     const auto byName = [](const EndpointEntry &entry, const std::string &wanted) {
-        return entry.spec.name < wanted;
+        return entry.spec->name < wanted;
     };
     const auto middle = endpoints.begin() + static_cast<std::ptrdiff_t>(localCount);
     const auto local = std::lower_bound(endpoints.begin(), middle, name, byName);
-    if (local != middle && local->spec.name == name) {
+    if (local != middle && local->spec->name == name) {
         return &*local;
     }
     const auto remote = std::lower_bound(middle, endpoints.end(), name, byName);
-    return remote != endpoints.end() && remote->spec.name == name ? &*remote : nullptr;
+    return remote != endpoints.end() && remote->spec->name == name ? &*remote : nullptr;
 }
 
 bool RegionLimit::allows(const std::string &region) const
@@ -239,12 +243,19 @@
 
 const EndpointEntry *PoolEntry::preferredEndpoint(std::uint64_t prefix) const
 {
-    if (promptRing.empty()) {
+    if (!spec.hasPromptCache) {
         return nullptr;
     }
-    const auto next = std::lower_bound(promptRing.begin(), promptRing.end(),
-                                       std::pair<std::uint64_t, std::size_t>(prefix, 0));
-    return &endpoints[(next == promptRing.end() ? promptRing.front() : *next).second];
+    const EndpointEntry *best = nullptr;
+    std::uint64_t bestScore = 0;
+    for (const EndpointEntry &entry : endpoints) {
+        const std::uint64_t score = hash64(entry.placementHash, prefix);
+        if (!entry.isDrained && (best == nullptr || score > bestScore)) {
+            best = &entry;
+            bestScore = score;
+        }
+    }
+    return best;
 }
 
 const PipelineSpec *Snapshot::pipeline(const std::string &name) const
@@ -292,8 +303,8 @@
 
 const PoolEntry *Snapshot::poolOfEndpoint(const std::string &name) const
 {
-    const std::string *pool = findIn(poolsByEndpoint, name);
-    return pool == nullptr ? nullptr : this->pool(*pool);
+    const auto found = endpointSpecs.find(name);
+    return found == endpointSpecs.end() ? nullptr : pool(found->second->pool);
 }
 
 const EndpointEntry *Snapshot::endpoint(const std::string &name) const
@@ -314,6 +325,13 @@
 std::unique_ptr<const Snapshot> buildSnapshot(const std::vector<Resource> &resources,
                                               std::uint64_t revision, const std::string &dataCentre,
                                               const Snapshot *previous)
+{
+    return buildSnapshot(ActiveResources{resources, {}}, revision, dataCentre, previous);
+}
+
+std::unique_ptr<const Snapshot> buildSnapshot(const ActiveResources &active, std::uint64_t revision,
+                                              const std::string &dataCentre,
+                                              const Snapshot *previous)
 {
     auto snapshot = std::make_unique<Snapshot>();
     snapshot->ready = true;
@@ -322,9 +340,12 @@
         snapshot->daemon = previous->daemon;
     }
     Builder builder(*snapshot, previous);
-    for (const Resource &resource : resources) {
+    for (const Resource &resource : active.resources) {
         std::visit(builder, resource.spec);
     }
+    for (const std::shared_ptr<const EndpointSpec> &endpoint : active.endpoints) {
+        builder.addEndpoint(endpoint);
+    }
     builder.finish(dataCentre);
     return snapshot;
 }
--- a/lib/Plugins/routingpolicies.cpp
+++ b/lib/Plugins/routingpolicies.cpp
@@ -30,7 +30,7 @@
     const int active = std::max(own, load.reportedActive.load(std::memory_order_relaxed));
     const double latency =
         std::chrono::duration<double, std::micro>(expectedLatency(entry, now)).count();
-    const double queueing = static_cast<double>(active) / entry.spec.slots;
+    const double queueing = static_cast<double>(active) / entry.spec->slots;
     return (latency + 1) * (1 + queueing);
 }
 
@@ -165,7 +165,7 @@
                 continue;
             }
             const bool isRemote =
-                !prompt.dataCentre.empty() && prompt.dataCentre != entry.spec.dataCentre;
+                !prompt.dataCentre.empty() && prompt.dataCentre != entry.spec->dataCentre;
             const double megabytes = static_cast<double>(prompt.inputBytes) / bytesPerMegabyte;
             const Duration time = prefillTime(entry, prompt, false)
                                   + std::chrono::duration_cast<Duration>(jitter * random.unit())
--- a/lib/Support/hash.cpp
+++ b/lib/Support/hash.cpp
@@ -16,6 +16,11 @@
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
+std::uint64_t hash64(std::uint64_t value, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(&value, sizeof(value), seed);
+}
+
 double unitHash(std::string_view text)
 {
     return static_cast<double>(hash64(text))
--- a/unittests/Kernel/configtabletest.cpp
+++ b/unittests/Kernel/configtabletest.cpp
@@ -23,7 +23,7 @@
 template <typename Table>
 double weightIn(const Table &table)
 {
-    const std::vector<Resource> resources = table.resources();
+    const std::vector<Resource> resources = table.resources().resources;
     return resources.empty() ? 0 : std::get<ClientAccountSpec>(resources[0].spec).weight;
 }
 
@@ -62,7 +62,7 @@
     deletion.deleted = true;
     CHECK(table.apply(deletion));
     CHECK_FALSE(table.apply(account(5, 2)));
-    CHECK(table.resources().empty());
+    LONGS_EQUAL(0, table.resources().size());
 }
 
 TEST(ConfigTable, ListingDeletesMissingObjects)
@@ -70,7 +70,7 @@
     ConfigTable table;
     table.apply(account(5, 2));
     CHECK(table.applyListing({}, 8));
-    CHECK(table.resources().empty());
+    LONGS_EQUAL(0, table.resources().size());
     // A listing that is older than the object does not affect it.
     CHECK(table.apply(account(12, 3)));
     CHECK_FALSE(table.applyListing({}, 9));
--- a/unittests/Kernel/configwatchertest.cpp
+++ b/unittests/Kernel/configwatchertest.cpp
@@ -99,7 +99,7 @@
     fixture.clock.advance(milliseconds(300));
     CHECK(fixture.watcher.applyDelayedDeletions());
     LONGS_EQUAL(1, fixture.endpoints());
-    CHECK(fixture.table.endpoint("i-2")->resources.size() == 1);
+    CHECK(fixture.table.endpoint("i-2")->endpoint != nullptr);
 }
 
 TEST(ConfigWatcher, DelaysDeletionByACallThatHungDuringTheOutage)
--- a/unittests/Kernel/datacentredraintest.cpp
+++ b/unittests/Kernel/datacentredraintest.cpp
@@ -65,7 +65,7 @@
     }
     [[nodiscard]] bool isDrained() const
     {
-        const std::vector<Resource> resources = machine.resources();
+        const std::vector<Resource> resources = machine.resources().resources;
         return std::any_of(resources.begin(), resources.end(), [](const Resource &resource) {
             return std::holds_alternative<DataCentreDrainSpec>(resource.spec);
         });
@@ -117,7 +117,7 @@
             const EndpointEntry *chosen =
                 policy->choose({pool, TimePoint(), home, pool.find("engine-0"), &prompt}, random);
             CHECK(chosen != nullptr);
-            STRCMP_EQUAL("dc2", chosen->spec.dataCentre.c_str());
+            STRCMP_EQUAL("dc2", chosen->spec->dataCentre.c_str());
         }
     }
 }
--- a/unittests/Kernel/fleetfixture.h
+++ b/unittests/Kernel/fleetfixture.h
@@ -211,7 +211,7 @@
     {
         std::size_t count = 0;
         for (const auto &[name, host] : m_hosts) {
-            const std::vector<Resource> resources = host->resources();
+            const std::vector<Resource> resources = host->resources().resources;
             count += std::any_of(resources.begin(), resources.end(), [&](const Resource &one) {
                 const auto *spec = std::get_if<QuarantineSpec>(&one.spec);
                 return spec != nullptr && spec->digest == digest;
--- a/unittests/Kernel/piecepartitionstest.cpp
+++ b/unittests/Kernel/piecepartitionstest.cpp
@@ -102,7 +102,7 @@
     group.avoid.clear();
     for (const EndpointEntry &endpoint :
          fixture.snapshot->poolOrPartition("pieces/dc2")->endpoints) {
-        markLeaving(*fixture.snapshot, endpoint.spec.name);
+        markLeaving(*fixture.snapshot, endpoint.spec->name);
     }
     CHECK(choosePartition(*fixture.snapshot, fixture.pool(), group, fixture.now).dataCentre
           != "dc2");
--- a/unittests/Kernel/quarantinepublishertest.cpp
+++ b/unittests/Kernel/quarantinepublishertest.cpp
@@ -77,7 +77,7 @@
     LONGS_EQUAL(0, fixture.tickAfter(milliseconds(10)).size());
     LONGS_EQUAL(0, fixture.publisher.unpublished().size());
     LONGS_EQUAL(0, fixture.tickAfter(milliseconds(60'000)).size());
-    const auto spec = std::get<QuarantineSpec>(fixture.table.resources().at(0).spec);
+    const auto spec = std::get<QuarantineSpec>(fixture.table.resources().resources.at(0).spec);
     CHECK(spec.digest == fixture.digest);
     LONGS_EQUAL(3, spec.endpoints.size());
 }
--- a/unittests/Kernel/regionlimittest.cpp
+++ b/unittests/Kernel/regionlimittest.cpp
@@ -44,7 +44,7 @@
     }
     std::set<std::string> dataCentres;
     for (const SendStage &send : fixture.sends) {
-        dataCentres.insert(fixture.snapshot->endpoint(send.endpoint)->spec.dataCentre);
+        dataCentres.insert(fixture.snapshot->endpoint(send.endpoint)->spec->dataCentre);
     }
     for (const AnswerCaller &answer : fixture.answers) {
         CHECK(answer.outcome == Outcome::NotRun);
--- a/unittests/Kernel/requestmachinetest.cpp
+++ b/unittests/Kernel/requestmachinetest.cpp
@@ -311,7 +311,7 @@
 {
     Fixture fixture(2, 50);
     const PoolEntry &pool = *fixture.snapshot->pool("encoders");
-    const std::string failingEndpoint = pool.endpoints[0].spec.name;
+    const std::string failingEndpoint = pool.endpoints[0].spec->name;
     const auto sendsTo = [&fixture, &failingEndpoint](std::size_t from) {
         std::size_t count = 0;
         for (std::size_t i = from; i < fixture.sends.size(); ++i) {
--- a/unittests/Kernel/routingtest.cpp
+++ b/unittests/Kernel/routingtest.cpp
@@ -35,7 +35,7 @@
 
 std::string preferredName(const Snapshot &snapshot, std::uint64_t prefix)
 {
-    return snapshot.pool("engines")->preferredEndpoint(hash64("prefix", prefix))->spec.name;
+    return snapshot.pool("engines")->preferredEndpoint(hash64("prefix", prefix))->spec->name;
 }
 
 } // namespace
@@ -53,7 +53,7 @@
         std::map<std::string, int> counts;
         for (int i = 0; i < 100; ++i) {
             const RoutingQuery query{*snapshot.pool("engines"), clock.now(), preferred, nullptr};
-            ++counts[policy->choose(query, random)->spec.name];
+            ++counts[policy->choose(query, random)->spec->name];
         }
         return counts;
     }
@@ -108,14 +108,14 @@
         endpoint.load->latencyMicros = 50'000;
     }
     for (const auto &[name, count] : choices(*snapshot, nullptr)) {
-        STRCMP_EQUAL("dc1", pool.find(name)->spec.dataCentre.c_str());
+        STRCMP_EQUAL("dc1", pool.find(name)->spec->dataCentre.c_str());
     }
     for (std::size_t i = 0; i < pool.localCount; ++i) {
         pool.endpoints[i].load->latencyMicros = 500'000;
     }
     int remote = 0;
     for (const auto &[name, count] : choices(*snapshot, nullptr)) {
-        remote += pool.find(name)->spec.dataCentre == "dc2" ? count : 0;
+        remote += pool.find(name)->spec->dataCentre == "dc2" ? count : 0;
     }
     CHECK(remote > 50);
 }
--- a/unittests/Platform/endpointlivestest.cpp
+++ b/unittests/Platform/endpointlivestest.cpp
@@ -37,8 +37,8 @@
 template <typename Table>
 std::string currentName(const Table &table)
 {
-    const std::vector<Resource> resources = table.resources();
-    return resources.empty() ? std::string() : resources.front().name;
+    const ActiveResources active = table.resources();
+    return active.endpoints.empty() ? std::string() : active.endpoints.front()->name;
 }
 
 /// Returns the configuration with \p endpoint under the name of its next incarnation.
@@ -126,8 +126,8 @@
     const PoolEntry &newPool = *second->pool("engines");
     for (std::uint64_t prompt = 0; prompt < 1000; ++prompt) {
         const std::uint64_t hash = hash64("prompt", prompt);
-        STRCMP_EQUAL(oldPool.preferredEndpoint(hash)->spec.stableName().c_str(),
-                     newPool.preferredEndpoint(hash)->spec.stableName().c_str());
+        STRCMP_EQUAL(oldPool.preferredEndpoint(hash)->spec->stableName().c_str(),
+                     newPool.preferredEndpoint(hash)->spec->stableName().c_str());
     }
 }
 
