[Kernel] Send what changed in the host list, and sum loads once a round

Cause: a relay sent the whole list of hosts to each of its subscribers whenever one host changed, hosts squared in all; summed all loads anew for each subscriber, members squared; a host that left announced it to all hosts itself; and daemons that had received any message right after a start took themselves for relays, since they preferred hosts that had sent something. LoadAggregator sums once and subtracts the receiver's part. A host that leaves tells both relays. Candidates for relays include declared hosts until a relay has reported who is live.

--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -462,6 +462,9 @@
                              content.backlogs.end());
 }
 
+    } else if (m_relay.holdsBaseOf(message.host, content)) {
+        m_membership.handleHostChanges(content.hosts, content.removedHosts, scope);
+        m_relay.recordHostList(message.host, scope, content.hostsHash);
 template <GuardPolicy G>
 void BasicControlMachine<G>::handle(const PeerMessage &message, const Heartbeat &content)
 {
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -62,6 +62,11 @@
     /// Applies a relay's complete list of live hosts of \p dataCentre, or of all data centres
     /// if that is empty. Hosts that are not listed no longer count as reported.
     void handleHostReports(const std::vector<HostReport> &hosts, const std::string &dataCentre);
+    /// Applies what has changed in a relay's list of live hosts of \p dataCentre, as above. All
+    /// other hosts of the last list count as reported again.
+    void handleHostChanges(const std::vector<HostReport> &hosts,
+                           const std::vector<std::string> &removedHosts,
+                           const std::string &dataCentre);
     /// Renews the reports of \p dataCentre's hosts after a relay confirmed its last list.
     void renewHostReports(const std::string &dataCentre);
     /// Returns an order-independent hash over the result of hostReports().
@@ -131,6 +136,9 @@
     /// duties; hosts that do not respond are passed over soon.
     [[nodiscard]] std::vector<std::string> likelyLiveWithin(Duration period,
                                                             const std::string &dataCentre) const;
+    /// Returns the hosts of \p dataCentre that are not leaving, whether they were seen or not;
+    /// includes this host unless it is leaving.
+    [[nodiscard]] std::vector<std::string> declaredHosts(const std::string &dataCentre) const;
     /// Returns those of \p hosts with at least half of the largest capacity among them. They
     /// are preferred for work that serves many other hosts.
     [[nodiscard]] std::vector<std::string>
@@ -177,6 +185,7 @@
     void rebuildLists() const;
     void invalidateLists() { m_lists.validUntil = TimePoint::min(); }
     void scheduleEarlyHeartbeat();
+    void applyHostReport(const HostReport &report);
     [[nodiscard]] TimePoint liveUntil(const PeerHost &peer) const;
     [[nodiscard]] Duration livenessTimeoutOf(const PeerHost &peer) const;
     [[nodiscard]] bool hasHighCapacity(double capacity) const;
--- a/include/harelink/Kernel/peerrelay.h
+++ b/include/harelink/Kernel/peerrelay.h
@@ -1,8 +1,8 @@
 //===- harelink/Kernel/peerrelay.h - Heartbeats through relays --*- C++ -*-===//
 ///
 /// \file
-/// Selects the receivers of this daemon's heartbeats, and aggregates received heartbeats
-/// into summaries for others.
+/// Selects the receivers of this daemon's heartbeats, and sends summaries of received
+/// heartbeats to others.
 ///
 /// Design alternatives: a full mesh (86 daemons sent 29,000 messages per second, which
 /// took more processor time than their requests); gossip with a few peers in turn (the
@@ -19,6 +19,8 @@
 #ifndef HARELINK_KERNEL_PEERRELAY_H
 #define HARELINK_KERNEL_PEERRELAY_H
 
+#include "harelink/Kernel/hostlistlog.h"
+#include "harelink/Kernel/loadaggregator.h"
 #include "harelink/Kernel/membership.h"
 
 #include <cstdint>
@@ -56,6 +58,9 @@
     /// Renews the last list of \p host if its hash is \p hash and it is still valid. Returns
     /// whether it was renewed.
     bool renewHostList(const std::string &host, std::uint64_t hash);
+    /// Returns whether this daemon has the list that the changes in \p summary of \p host are
+    /// based on. Otherwise its next heartbeat requests the whole list.
+    [[nodiscard]] bool holdsBaseOf(const std::string &host, const PeerSummary &summary) const;
     /// Returns whether this daemon is a relay of its data centre.
     [[nodiscard]] bool isRelay() const { return m_isRelay; }
     /// Returns the summaries that are due with the heartbeats.
@@ -64,26 +69,12 @@
     [[nodiscard]] std::vector<PeerSend> summaries(const Heartbeat &own);
 
 private:
-    using AccountPool = std::pair<std::string, std::string>;
-    struct AccountUsage
-    {
-        Duration time{}; ///< Since the last summary with usage.
-        int demand = 0;
-    };
-    /// The load that one daemon or another data centre reported last.
-    struct PeerLoad
-    {
-        TimePoint at;
-        std::map<std::string, std::int64_t> prompts;
-        std::map<AccountPool, AccountUsage> usage;
-        std::vector<PieceBacklog> backlogs;
-    };
-    using LoadBySource = std::map<std::string, PeerLoad>;
     /// A host that requested summaries.
     struct Subscriber
     {
         TimePoint requestedAt;
         std::uint64_t knownHostsHash = 0; ///< See Heartbeat.
+        bool acceptsHostChanges = false;  ///< See Heartbeat.
     };
     /// The last host list received from a relay.
     struct HostList
@@ -101,14 +92,10 @@
     void requestRemoteSummaries(std::vector<HeartbeatTarget> &targets);
     void addIntroduction(std::vector<HeartbeatTarget> &targets);
     void removeExpired();
-    [[nodiscard]] PeerSummary aggregate(const PeerLoad &own, const std::string &excludedHost,
-                                        bool isLocal, bool hasUsage) const;
+    void recordHostLists();
+    void addHostList(Subscriber &subscriber, bool isLocal, PeerSummary &summary) const;
     [[nodiscard]] bool isSummaryDue(const std::string &host, bool isUrgent) const;
     [[nodiscard]] Duration heartbeatTtl() const;
-    void add(const PeerLoad &load, PeerLoad &total) const;
-    static void update(PeerLoad &load, const std::vector<PromptBacklog> &prompts,
-                       const std::vector<PieceBacklog> &backlogs, TimePoint now);
-    static void update(PeerLoad &load, const std::vector<UsageReport> &usage);
 
     const Clock &m_clock;
     const Membership &m_membership;
@@ -121,10 +108,9 @@
     std::map<std::string, TimePoint> m_unresponsiveUntil;
     std::map<std::string, Subscriber> m_subscribers;
     std::map<std::string, HostList> m_hostLists; ///< By the relay that sent it.
-    LoadBySource m_local;                        ///< By host of this data centre.
-    LoadBySource m_remote;                       ///< By other data centre.
-    PeerLoad m_own;
-    std::uint64_t m_lastHostsHash = 0; ///< Over all hosts, when summaries were last made.
+    LoadAggregator m_load;
+    HostListLog m_allHosts;   ///< Lists as sent to hosts of this data centre.
+    HostListLog m_localHosts; ///< Lists as sent to hosts of other data centres.
     std::uint32_t m_round = 0;
 };
 
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -57,6 +57,7 @@
     bool watches = false;                      ///< See ConfigDigest::watches.
     /// Hash of the host list that the sender last received from the receiver; 0 for none.
     std::uint64_t knownHostsHash = 0;
+    bool acceptsHostChanges = false; ///< The sender understands PeerSummary::changesHostsFrom.
 };
 
 /// The state of one live host as reported by a relay.
@@ -68,6 +69,8 @@
     Incarnation incarnation = 0;
     bool leaving = false;
     double capacity = 1; ///< In processor cores.
+
+    bool operator==(const HostReport &) const = default;
 };
 
 /// A relay's aggregate of the heartbeats that it received, without the receiver's own share.
@@ -90,6 +93,10 @@
     std::uint64_t hostsHash = 0;
     bool hasHosts = false;
     std::vector<HostReport> hosts;
+    /// Hash of the list that hosts and removedHosts change into the one with hostsHash; 0 if they
+    /// are no changes.
+    std::uint64_t changesHostsFrom = 0;
+    std::vector<std::string> removedHosts; ///< No longer live.
 };
 
 /// Confirms that the end of a claimant's request has been stored.
@@ -105,7 +112,7 @@
 };
 
 /// The versions of the declared objects that the sender has seen: a hash over them or, if the
-/// hashes differ, the versions themselves.
+/// hashes differ, hashes over buckets of them, or the versions themselves.
 struct ConfigDigest
 {
     struct Entry
@@ -119,6 +126,12 @@
     bool detailed = false; ///< The entries are present.
     bool reply = false;    ///< Replies to a detailed digest; shall not get a reply itself.
     std::vector<Entry> entries;
+    /// Hashes over the versions in each bucket; requests the buckets that differ, a page at a time.
+    std::vector<std::uint64_t> bucketHashes;
+    std::vector<std::uint32_t> buckets; ///< To which the entries are limited; empty for all.
+    bool endsPage = false;              ///< Ends the reply to bucket hashes.
+    bool more = false;                  ///< With endsPage: further buckets differ.
+    bool complete = false;              ///< With endsPage: the sender has a complete configuration.
 };
 
 /// Messages that concern pieces; the control forwards them unread.
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -159,6 +159,7 @@
         to.set_config_summary(from.configSummary);
         to.set_watches(from.watches);
         to.set_hosts_known(from.knownHostsHash);
+        to.set_accepts_host_changes(from.acceptsHostChanges);
         writeSharedLists(from, to);
     }
     void operator()(const PeerSummary &from) const
@@ -169,6 +170,8 @@
         to.set_watched(from.hasWatcher);
         to.set_hosts_hash(from.hostsHash);
         to.set_has_hosts(from.hasHosts);
+        to.set_changes_hosts_from(from.changesHostsFrom);
+        to.mutable_removed_hosts()->Add(from.removedHosts.begin(), from.removedHosts.end());
         writeSharedLists(from, to);
         for (const HostReport &host : from.hosts) {
             wire::HostReport &item = *to.add_hosts();
@@ -296,6 +299,11 @@
         to.set_watches(from.watches);
         to.set_detailed(from.detailed);
         to.set_reply(from.reply);
+        to.mutable_bucket_hashes()->Add(from.bucketHashes.begin(), from.bucketHashes.end());
+        to.mutable_buckets()->Add(from.buckets.begin(), from.buckets.end());
+        to.set_ends_page(from.endsPage);
+        to.set_more(from.more);
+        to.set_complete(from.complete);
         for (const ConfigDigest::Entry &entry : from.entries) {
             wire::ConfigDigest::Entry &item = *to.add_entries();
             item.set_kind(entry.kind);
@@ -319,6 +327,7 @@
     to.configSummary = from.config_summary();
     to.watches = from.watches();
     to.knownHostsHash = from.hosts_known();
+    to.acceptsHostChanges = from.accepts_host_changes();
     readSharedLists(from, to);
     return to;
 }
@@ -331,6 +340,8 @@
     to.hasWatcher = from.watched();
     to.hostsHash = from.hosts_hash();
     to.hasHosts = from.has_hosts();
+    to.changesHostsFrom = from.changes_hosts_from();
+    to.removedHosts.assign(from.removed_hosts().begin(), from.removed_hosts().end());
     readSharedLists(from, to);
     for (const wire::HostReport &item : from.hosts()) {
         to.hosts.push_back({item.host(), item.data_centre(), item.address(), item.incarnation(),
@@ -424,6 +435,11 @@
     to.watches = from.watches();
     to.detailed = from.detailed();
     to.reply = from.reply();
+    to.bucketHashes.assign(from.bucket_hashes().begin(), from.bucket_hashes().end());
+    to.buckets.assign(from.buckets().begin(), from.buckets().end());
+    to.endsPage = from.ends_page();
+    to.more = from.more();
+    to.complete = from.complete();
     for (const wire::ConfigDigest::Entry &item : from.entries()) {
         to.entries.push_back({item.kind(), item.name(), item.version()});
     }
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -6,7 +6,9 @@
 #include "harelink/Support/hash.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
+#include <utility>
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -187,24 +189,48 @@
         if (report.host == m_host || !isWithin(report.dataCentre, dataCentre)) {
             continue;
         }
-        PeerHost &peer = m_peers[report.host];
-        if (peer.incarnation == 0) {
-            peer.lastSeen = TimePoint::min();
+        applyHostReport(report);
+    }
+    m_hasRelayHostList = m_hasRelayHostList || dataCentre.empty();
+    invalidateLists();
+}
+
+void Membership::applyHostReport(const HostReport &report)
+{
+    PeerHost &peer = m_peers[report.host];
+    if (peer.incarnation == 0) {
+        peer.lastSeen = TimePoint::min();
+    }
+    // A recent message from the host itself takes precedence over a relay's report.
+    const bool wasSeenDirectly = peer.incarnation != 0 && peer.lastSeen != TimePoint::min()
+                                 && m_clock.now() - peer.lastSeen <= heartbeatInterval;
+    if (!wasSeenDirectly && peer.incarnation != report.incarnation) {
+        peer.incarnation = report.incarnation;
+        peer.leaving = false;
+    }
+    peer.address = report.address;
+    peer.dataCentre = report.dataCentre;
+    peer.capacity = report.capacity;
+    peer.leaving = peer.leaving || (report.leaving && peer.incarnation == report.incarnation);
+    peer.reportedAt = m_clock.now();
+}
+
+void Membership::handleHostChanges(const std::vector<HostReport> &hosts,
+                                   const std::vector<std::string> &removedHosts,
+                                   const std::string &dataCentre)
+{
+    renewHostReports(dataCentre);
+    for (const HostReport &report : hosts) {
+        if (report.host != m_host && isWithin(report.dataCentre, dataCentre)) {
+            applyHostReport(report);
         }
-        // A recent message from the host itself takes precedence over a relay's report.
-        const bool wasSeenDirectly = peer.incarnation != 0 && peer.lastSeen != TimePoint::min()
-                                     && m_clock.now() - peer.lastSeen <= heartbeatInterval;
-        if (!wasSeenDirectly && peer.incarnation != report.incarnation) {
-            peer.incarnation = report.incarnation;
-            peer.leaving = false;
+    }
+    for (const std::string &name : removedHosts) {
+        const auto found = m_peers.find(name);
+        if (found != m_peers.end() && isWithin(found->second.dataCentre, dataCentre)) {
+            found->second.reportedAt = TimePoint::min();
         }
-        peer.address = report.address;
-        peer.dataCentre = report.dataCentre;
-        peer.capacity = report.capacity;
-        peer.leaving = peer.leaving || (report.leaving && peer.incarnation == report.incarnation);
-        peer.reportedAt = m_clock.now();
     }
-    m_hasRelayHostList = m_hasRelayHostList || dataCentre.empty();
     invalidateLists();
 }
 
@@ -247,6 +273,7 @@
         heartbeat.capacity = m_capacity;
         heartbeat.requestsSummary = target.requestsSummary;
         heartbeat.knownHostsHash = target.knownHostsHash;
+        heartbeat.acceptsHostChanges = true;
         if (std::optional<PeerSend> send = messageTo(target.host, std::move(heartbeat))) {
             sends.push_back(*std::move(send));
         }
@@ -397,6 +424,11 @@
     return selectHosts([&](const PeerHost &peer) { return seenWithin(peer, period); }, dataCentre);
 }
 
+std::vector<std::string> Membership::declaredHosts(const std::string &dataCentre) const
+{
+    return selectHosts([](const PeerHost &) { return true; }, dataCentre);
+}
+
 std::vector<std::string> Membership::likelyLiveWithin(Duration period,
                                                       const std::string &dataCentre) const
 {
@@ -453,11 +485,15 @@
 {
     const std::vector<std::string> capable = highCapacityHosts(hosts);
     const std::set<std::string> first(capable.begin(), capable.end());
-    const auto rank = [&](const std::string &host) {
-        return std::pair(first.contains(host), hash64(purpose + "/" + host));
-    };
-    std::sort(hosts.begin(), hosts.end(),
-              [&rank](const std::string &a, const std::string &b) { return rank(a) > rank(b); });
+    std::vector<std::pair<std::pair<bool, std::uint64_t>, std::string>> byRank;
+    byRank.reserve(hosts.size());
+    for (std::string &host : hosts) {
+        const std::uint64_t hash = hash64(purpose + "/" + host);
+        byRank.push_back({{first.contains(host), hash}, std::move(host)});
+    }
+    std::sort(byRank.begin(), byRank.end(), std::greater<>());
+    std::transform(byRank.begin(), byRank.end(), hosts.begin(),
+                   [](auto &entry) { return std::move(entry.second); });
     return hosts;
 }
 
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -3,7 +3,9 @@
 #include "harelink/Kernel/peerrelay.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
+#include <utility>
 
 namespace harelink {
 namespace {
@@ -21,8 +23,8 @@
 /// The length of a round, in heartbeats. One summary of each round contains the usage and goes to
 /// all subscribers. Must be a multiple of each value of Membership::heartbeatMultiplier().
 constexpr std::uint32_t usageRoundInterval = 4;
-/// A host that leaves announces it to all peers this number of times, since messages may be
-/// lost.
+/// A host that leaves announces it to both relays this number of times, since messages may be
+/// lost. The relays report it to all with their next summaries.
 constexpr std::uint32_t maxLeaveAnnouncements = 2;
 
 } // namespace
@@ -31,6 +33,7 @@
     : m_clock(clock)
     , m_membership(membership)
     , m_maxMeshPeers(maxMeshPeers)
+    , m_load(clock)
 {
 }
 
@@ -54,20 +57,19 @@
 /// first, then by hash. If none is known to be live, all declared hosts are candidates.
 std::vector<std::string> PeerRelay::ranked(const std::string &dataCentre) const
 {
-    std::vector<std::string> live;
-    std::vector<std::string> declared;
-    for (const auto &[name, peer] : m_membership.peers()) {
-        const bool isEligible =
-            peer.dataCentre == dataCentre && !peer.leaving && !peer.address.empty();
-        if (!isEligible || isUnresponsive(name)) {
-            continue;
-        }
-        declared.push_back(name);
-        if (m_membership.seenWithin(peer, heartbeatTtl())) {
-            live.push_back(name);
-        }
+    const auto isCandidate = [this](const std::string &host) {
+        const auto peer = m_membership.peers().find(host);
+        return peer != m_membership.peers().end() && !peer->second.address.empty()
+               && !isUnresponsive(host);
+    };
+    // Right after a start, the hosts that have sent a message are no better candidates than the
+    // others. Otherwise most daemons would take themselves for relays.
+    std::vector<std::string> hosts = m_membership.likelyLiveWithin(heartbeatTtl(), dataCentre);
+    std::erase_if(hosts, [&](const std::string &host) { return !isCandidate(host); });
+    if (hosts.empty()) {
+        hosts = m_membership.declaredHosts(dataCentre);
+        std::erase_if(hosts, [&](const std::string &host) { return !isCandidate(host); });
     }
-    std::vector<std::string> hosts = live.empty() ? std::move(declared) : std::move(live);
     if (dataCentre == m_membership.dataCentre() && !m_membership.leaving()) {
         hosts.push_back(m_membership.host());
     }
@@ -118,6 +120,11 @@
     m_hostLists[host] = {dataCentre, hash, m_clock.now() + Membership::reportTtl};
 }
 
+bool PeerRelay::holdsBaseOf(const std::string &host, const PeerSummary &summary) const
+{
+    return summary.changesHostsFrom != 0 && knownHostsHashOf(host) == summary.changesHostsFrom;
+}
+
 bool PeerRelay::renewHostList(const std::string &host, std::uint64_t hash)
 {
     if (hash == 0 || knownHostsHashOf(host) != hash) {
@@ -170,7 +177,7 @@
     std::vector<HeartbeatTarget> targets;
     const bool announcesLeave =
         m_membership.leaving() && m_leaveAnnouncements++ < maxLeaveAnnouncements;
-    if (!isRelayed() || announcesLeave) {
+    if (!isRelayed()) {
         m_isRelay = false;
         for (const auto &[name, peer] : m_membership.peers()) {
             targets.push_back({name, false});
@@ -194,7 +201,7 @@
         // The second relay has to know all hosts when the first one dies. Until then it does
         // not need every heartbeat of the many hosts without high capacity.
         const bool isDue =
-            m_isRelay || m_membership.hasHighCapacity()
+            m_isRelay || announcesLeave || m_membership.hasHighCapacity()
             || ++m_secondRelayHeartbeats % (usageRoundInterval / m_membership.heartbeatMultiplier())
                    == 0;
         if (host == hosts.front()) {
@@ -221,53 +228,22 @@
     return isRelayed() && m_isRelay == (dataCentre != m_membership.dataCentre());
 }
 
-// Load reports ----------------------------------------------------------------
-
-void PeerRelay::update(PeerLoad &load, const std::vector<PromptBacklog> &prompts,
-                       const std::vector<PieceBacklog> &backlogs, TimePoint now)
-{
-    load.at = now;
-    load.prompts.clear();
-    for (const PromptBacklog &prompt : prompts) {
-        load.prompts[prompt.endpoint] += prompt.tokens;
-    }
-    load.backlogs = backlogs;
-}
-
-void PeerRelay::update(PeerLoad &load, const std::vector<UsageReport> &usage)
-{
-    for (auto &[key, accountUsage] : load.usage) {
-        accountUsage.demand = 0;
-    }
-    for (const UsageReport &report : usage) {
-        AccountUsage &accountUsage = load.usage[{report.account, report.pool}];
-        accountUsage.time += report.time;
-        accountUsage.demand = report.demand;
-    }
-}
-
 void PeerRelay::handle(const std::string &host, const Heartbeat &heartbeat)
 {
     if (heartbeat.requestsSummary) {
-        m_subscribers[host] = {m_clock.now(), heartbeat.knownHostsHash};
+        m_subscribers[host] = {m_clock.now(), heartbeat.knownHostsHash,
+                               heartbeat.acceptsHostChanges};
     }
     // A relay of another data centre includes its own load in its summaries.
     if (heartbeat.dataCentre == m_membership.dataCentre()) {
-        PeerLoad &load = m_local[host];
-        update(load, heartbeat.prompts, heartbeat.backlogs, m_clock.now());
-        update(load, heartbeat.usage);
+        m_load.record(host, heartbeat);
     }
 }
 
 void PeerRelay::handle(const std::string &dataCentre, const PeerSummary &summary)
 {
-    if (dataCentre == m_membership.dataCentre()) {
-        return;
-    }
-    PeerLoad &load = m_remote[dataCentre];
-    update(load, summary.prompts, summary.backlogs, m_clock.now());
-    if (summary.hasUsage) {
-        update(load, summary.usage);
+    if (dataCentre != m_membership.dataCentre()) {
+        m_load.record(dataCentre, summary);
     }
 }
 
@@ -275,9 +251,7 @@
 {
     const TimePoint now = m_clock.now();
     const Duration ttl = heartbeatTtl();
-    const auto isExpired = [&](const auto &entry) { return now - entry.second.at > ttl; };
-    std::erase_if(m_local, isExpired);
-    std::erase_if(m_remote, isExpired);
+    m_load.removeExpired(ttl);
     std::erase_if(m_subscribers,
                   [&](const auto &entry) { return now - entry.second.requestedAt > ttl; });
 }
@@ -294,103 +268,79 @@
     return isUrgent || isEveryRound || m_round % m_membership.heartbeatMultiplier() == 0;
 }
 
-void PeerRelay::add(const PeerLoad &load, PeerLoad &total) const
+/// Records the current host lists, to find out what has changed since earlier ones.
+void PeerRelay::recordHostLists()
 {
-    for (const auto &[endpoint, tokens] : load.prompts) {
-        total.prompts[endpoint] += tokens;
+    const std::uint64_t all = m_membership.hostsHash({});
+    if (!m_allHosts.isCurrent(all)) {
+        m_allHosts.record(m_membership.hostReports({}), all);
     }
-    for (const auto &[key, accountUsage] : load.usage) {
-        AccountUsage &sum = total.usage[key];
-        sum.time += accountUsage.time;
-        sum.demand += accountUsage.demand;
-    }
-    const Duration age = m_clock.now() - load.at;
-    for (PieceBacklog backlog : load.backlogs) {
-        backlog.freeIn = std::max<Duration>(Duration::zero(), backlog.freeIn - age);
-        total.backlogs.push_back(std::move(backlog));
+    const std::string &dataCentre = m_membership.dataCentre();
+    const std::uint64_t local = m_membership.hostsHash(dataCentre);
+    if (!m_localHosts.isCurrent(local)) {
+        m_localHosts.record(m_membership.hostReports(dataCentre), local);
     }
 }
 
-PeerSummary PeerRelay::aggregate(const PeerLoad &own, const std::string &excludedHost, bool isLocal,
-                                 bool hasUsage) const
+/// Adds the host list to \p summary if the subscriber has another one, or what has changed if the
+/// subscriber has a recent one.
+void PeerRelay::addHostList(Subscriber &subscriber, bool isLocal, PeerSummary &summary) const
 {
-    PeerLoad total;
-    add(own, total);
-    for (const auto &[host, load] : m_local) {
-        if (host != excludedHost) {
-            add(load, total);
-        }
-    }
-    for (const auto &[dataCentre, load] : m_remote) {
-        if (isLocal) {
-            add(load, total);
-        }
+    const HostListLog &log = isLocal ? m_allHosts : m_localHosts;
+    summary.hostsHash = log.currentHash();
+    // Assumes delivery until the subscriber reports another hash; otherwise the list would be
+    // sent again before it can reply.
+    const std::uint64_t known = std::exchange(subscriber.knownHostsHash, summary.hostsHash);
+    if (known == summary.hostsHash) {
+        return;
     }
-    PeerSummary summary;
-    summary.backlogs = std::move(total.backlogs);
-    for (const auto &[endpoint, tokens] : total.prompts) {
-        summary.prompts.push_back({endpoint, tokens});
+    std::optional<HostListChanges> changes;
+    if (subscriber.acceptsHostChanges) {
+        changes = log.changesSince(known);
     }
-    summary.hasUsage = hasUsage;
-    if (hasUsage) {
-        for (const auto &[key, accountUsage] : total.usage) {
-            if (accountUsage.time != Duration{} || accountUsage.demand > 0) {
-                summary.usage.push_back(
-                    {key.first, key.second, accountUsage.time, accountUsage.demand});
-            }
-        }
+    if (changes) {
+        summary.changesHostsFrom = known;
+        summary.hosts = std::move(changes->hosts);
+        summary.removedHosts = std::move(changes->removedHosts);
+        return;
     }
-    return summary;
+    summary.hasHosts = true;
+    summary.hosts = m_membership.hostReports(isLocal ? std::string() : m_membership.dataCentre());
 }
 
 std::vector<PeerSend> PeerRelay::summaries(const Heartbeat &own)
 {
     removeExpired();
-    update(m_own, own.prompts, own.backlogs, m_clock.now());
-    update(m_own, own.usage);
+    m_load.recordOwn(own);
     std::vector<PeerSend> sends;
     if (m_subscribers.empty()) {
         return sends;
     }
     const bool hasUsage = ++m_round % usageRoundInterval == 0;
     // The hash also changes when a host starts to leave.
-    const std::uint64_t hashOfAll = m_membership.hostsHash({});
-    const bool hostsChanged = std::exchange(m_lastHostsHash, hashOfAll) != hashOfAll;
-    const bool isUrgent = hostsChanged || hasUsage;
-    const std::uint64_t hashOfLocal = m_membership.hostsHash(m_membership.dataCentre());
+    const std::uint64_t hashBefore = m_allHosts.currentHash();
+    recordHostLists();
+    const bool isUrgent = hasUsage || m_allHosts.currentHash() != hashBefore;
+    m_load.beginRound();
     for (auto &[host, subscriber] : m_subscribers) {
         if (!isSummaryDue(host, isUrgent)) {
             continue;
         }
         const bool isLocal = m_membership.isLocal(host);
-        PeerSummary summary = aggregate(m_own, host, isLocal, hasUsage);
+        PeerSummary summary;
+        m_load.addTo(summary, host, isLocal, hasUsage);
         summary.leavingEndpoints = own.leavingEndpoints;
         summary.leavingKnown = own.leavingKnown;
         summary.limits = own.limits;
         summary.configSummary = own.configSummary;
         summary.hasWatcher = own.watches;
-        summary.hostsHash = isLocal ? hashOfAll : hashOfLocal;
-        summary.hasHosts = subscriber.knownHostsHash != summary.hostsHash;
-        if (summary.hasHosts) {
-            // Assumes delivery until the subscriber reports another hash; otherwise the list
-            // would be sent again before it can reply.
-            subscriber.knownHostsHash = summary.hostsHash;
-            summary.hosts =
-                m_membership.hostReports(isLocal ? std::string() : m_membership.dataCentre());
-        }
+        addHostList(subscriber, isLocal, summary);
         if (std::optional<PeerSend> send = m_membership.messageTo(host, std::move(summary))) {
             sends.push_back(*std::move(send));
         }
     }
     if (hasUsage) {
-        m_own.usage.clear();
-        for (LoadBySource *sources : {&m_local, &m_remote}) {
-            for (auto &[source, load] : *sources) {
-                for (auto &[key, accountUsage] : load.usage) {
-                    accountUsage.time = {};
-                }
-            }
-        }
+        m_load.resetUsedTime();
     }
     return sends;
 }
