[Kernel] Push each endpoint change once, compressed, to each host

Cause: two watchers each pushed every change of an endpoint, 300 bytes of JSON, to all hosts of their data centre: 1,000 endpoints that start in a second are 600 MB to 986 hosts. The message was copied and encoded anew for each receiver. A push is shared by its messages, encoded once, and from 8 KB on compressed by protobuf's gzip stream. The pauses between watches of endpoints and between publications grow with the objects: 250 ms at 10,000.

--- a/include/harelink/Adapters/peerlink.h
+++ b/include/harelink/Adapters/peerlink.h
@@ -93,11 +93,16 @@
     struct Sender;
     Sender *findSender(const std::string &address, TimePoint now);
     bool sendNow(const std::string &address, const std::string &bytes);
+    const std::string &encode(const PeerMessage &message);
 
     std::unique_ptr<Sockets> m_sockets;
     std::uint16_t m_port = 0; ///< Stored, since other threads must not use the sockets.
     std::set<std::string> m_unusableAddresses;
     std::vector<PendingMessage> m_pending;
+    std::string m_encoded; ///< The last message.
+    /// Objects of the last message if it was a push: it goes to many peers in succession, and
+    /// compressing it once is enough.
+    std::shared_ptr<const std::vector<PlatformObject>> m_encodedObjects;
     TimePoint m_nextFlush = TimePoint::max();
     PeerLinkCounters m_counters;
 };
--- a/include/harelink/Kernel/configexchangeimpl.h
+++ b/include/harelink/Kernel/configexchangeimpl.h
@@ -74,7 +74,7 @@
 void BasicConfigExchange<G>::sendPage(const std::string &host,
                                       const std::vector<std::uint64_t> &peerHashes, bool isComplete)
 {
-    ConfigPush push;
+    std::vector<PlatformObject> objects;
     ConfigDigest versions;
     versions.detailed = true;
     ConfigDigest end;
@@ -97,13 +97,13 @@
         }
         for (const auto *entry : m_table.bucket(i)) {
             const auto &[key, state] = *entry;
-            push.objects.push_back(
+            objects.push_back(
                 {key.first, key.second, state.seenVersion, state.deleted, state.value});
             bytes += key.second.size() + state.value.size();
         }
     }
-    if (!push.objects.empty()) {
-        send(host, std::move(push));
+    if (!objects.empty()) {
+        send(host, ConfigPush(std::move(objects)));
     }
     if (!versions.buckets.empty()) {
         send(host, std::move(versions));
@@ -141,7 +141,7 @@
     for (const ConfigDigest::Entry &entry : digest.entries) {
         peerVersions[{entry.kind, entry.name}] = entry.version;
     }
-    ConfigPush push;
+    std::vector<PlatformObject> newer;
     ConfigDigest reply;
     reply.detailed = true;
     reply.reply = true;
@@ -154,7 +154,7 @@
             const auto &[key, state] = *entry;
             const auto found = peerVersions.find(key);
             if (found == peerVersions.end() || found->second < state.seenVersion) {
-                push.objects.push_back(
+                newer.push_back(
                     {key.first, key.second, state.seenVersion, state.deleted, state.value});
             }
         }
@@ -164,8 +164,8 @@
             const auto own = m_table.entries().find(peer.first);
             return own == m_table.entries().end() || own->second.seenVersion < peer.second;
         });
-    if (!push.objects.empty()) {
-        send(host, std::move(push));
+    if (!newer.empty()) {
+        send(host, ConfigPush(std::move(newer)));
     }
     if (isBehind && !digest.reply) {
         send(host, std::move(reply));
--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -87,6 +87,7 @@
     [[nodiscard]] bool hasRecentWatcher() const;
     [[nodiscard]] bool mayListAfterStart() const;
     [[nodiscard]] bool isLarge() const;
+    [[nodiscard]] bool isEndpointsOnly(const ConfigPush &push) const;
     void fetchConfiguration();
     void recordOwnSummary();
     [[nodiscard]] bool hadSummary(std::uint64_t summary) const;
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -23,7 +23,8 @@
 /// In rounds: the interval at which a digest is sent to another data centre.
 inline constexpr std::uint64_t remoteRoundInterval = 3;
 /// Watchers per data centre that push; the digests of the others compensate for a loss of both
-/// pushes.
+/// pushes. In a large fleet each pushes changes of endpoints to a part of the daemons only, and
+/// digests compensate for the loss of that push too.
 inline constexpr std::size_t pusherCount = 2;
 /// Versions are requested from a peer when its hash has differed for this period. Before, pushes
 /// may still be in transit: a complete configuration takes 0.3 s on a slow link.
@@ -168,9 +169,8 @@
 template <GuardPolicy G>
 void BasicConfigGossip<G>::pushUpdates()
 {
-    ConfigPush push;
-    push.objects = m_table.drainUpdates();
-    if (push.objects.empty()) {
+    const ConfigPush push(m_table.drainUpdates());
+    if (push.objects->empty()) {
         return;
     }
     recordOwnSummary();
@@ -181,16 +181,27 @@
         }
         return;
     }
+    const bool isShared = isLarge() && isEndpointsOnly(push);
     for (const std::string &host : localPeers()) {
-        send(host, push);
+        if (!isShared || hash64(host) % configgossip::pusherCount == watcherRank()) {
+            send(host, push);
+        }
     }
 }
 
+template <GuardPolicy G>
+bool BasicConfigGossip<G>::isEndpointsOnly(const ConfigPush &push) const
+{
+    const std::string &kind = m_table.reader().endpointKind();
+    return std::all_of(push.objects->begin(), push.objects->end(),
+                       [&kind](const PlatformObject &object) { return object.kind == kind; });
+}
+
 template <GuardPolicy G>
 bool BasicConfigGossip<G>::handle(const ConfigPush &push)
 {
     bool changed = false;
-    for (const PlatformObject &object : push.objects) {
+    for (const PlatformObject &object : *push.objects) {
         changed = m_table.apply(object) || changed;
     }
     // Updates from a peer are not pushed again; digests spread them further.
@@ -240,15 +251,17 @@
     for (const ConfigDigest::Entry &entry : peerDigest.entries) {
         peerVersions[{entry.kind, entry.name}] = entry.version;
     }
-    ConfigPush push;
+    std::vector<PlatformObject> newer;
     for (const auto &[key, entry] : m_table.entries()) {
         const auto found = peerVersions.find(key);
         if (found == peerVersions.end() || found->second < entry.seenVersion) {
-            push.objects.push_back(
+            newer.push_back(
                 {key.first, key.second, entry.seenVersion, entry.deleted, entry.value});
         }
     }
-    if (!push.objects.empty()) {
+    if (!newer.empty()) {
+        ConfigPush push(std::move(newer));
+        push.isPackable = false; // Daemons of an older version also send such digests.
         send(host, std::move(push));
     }
     const bool isBehind =
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -204,6 +204,7 @@
 private:
     void backOff();
     [[nodiscard]] Duration watchWait() const;
+    [[nodiscard]] Duration updatePause() const;
     bool handleListing(const PlatformResult &result);
     bool handleUpdate(const PlatformObject &update);
     [[nodiscard]] bool mustDelay(const PlatformObject &update) const;
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -46,6 +46,10 @@
 /// started. It is short compared to the seconds within which updates must be in force.
 inline constexpr std::chrono::milliseconds updatePause{150};
 
+/// The same for a watch of endpoints, for each object known: 250 ms for 10,000. Thousands of
+/// endpoints change so often that each push to all daemons would carry only few of them.
+inline constexpr std::chrono::microseconds updatePausePerEndpoint{25};
+
 /// Pause between a watch without updates and the next one.
 inline constexpr std::chrono::milliseconds emptyWatchPause{50};
 
@@ -296,6 +300,16 @@
                                                      : configwatcher::watchWait;
 }
 
+template <GuardPolicy G>
+Duration BasicConfigWatcher<G>::updatePause() const
+{
+    const Duration pause =
+        followsOnly(m_table.reader().endpointKind())
+            ? Duration(configwatcher::updatePausePerEndpoint * m_table.entries().size())
+            : Duration::zero();
+    return std::max<Duration>(configwatcher::updatePause, pause);
+}
+
 template <GuardPolicy G>
 void BasicConfigWatcher<G>::tick(std::vector<PlatformCall> &calls, std::uint64_t &nextCallId)
 {
@@ -350,8 +364,8 @@
         // The platform counts each watch as a call, so watches that end early without updates
         // must not cause a flood of calls.
         m_nextCall = m_clock.now()
-                     + (result.objects.empty() ? configwatcher::emptyWatchPause
-                                               : configwatcher::updatePause);
+                     + (result.objects.empty() ? Duration(configwatcher::emptyWatchPause)
+                                               : updatePause());
         for (const PlatformObject &object : result.objects) {
             changed = handleUpdate(object) || changed;
         }
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -34,7 +34,7 @@
 /// Changes of endpoints join until this time, multiplied by the number of objects, has passed since
 /// the last publication. A snapshot is built whole, which takes about 0.5 us per object and core,
 /// 4 us on a host with an eighth of a core.
-inline constexpr std::chrono::microseconds publishIntervalPerObject{10};
+inline constexpr std::chrono::microseconds publishIntervalPerObject{25};
 /// With fewer objects a snapshot costs so little that every change is published at once.
 inline constexpr std::size_t minJoinedObjects = 500;
 /// Maximum time for which a daemon that starts waits to learn which endpoints are leaving.
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -17,7 +17,9 @@
 #include "harelink/Kernel/types.h"
 
 #include <concepts>
+#include <memory>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -105,10 +107,19 @@
     RequestId claimant;
 };
 
-/// Updates of declared objects.
+/// Updates of declared objects. They are shared by the messages to all receivers.
 struct ConfigPush
 {
-    std::vector<PlatformObject> objects;
+    ConfigPush() = default;
+    explicit ConfigPush(std::vector<PlatformObject> updates)
+        : objects(std::make_shared<const std::vector<PlatformObject>>(std::move(updates)))
+    {
+    }
+
+    std::shared_ptr<const std::vector<PlatformObject>> objects =
+        std::make_shared<const std::vector<PlatformObject>>(); ///< Never null.
+    /// May be compressed on the wire. Not set in replies to daemons of an older version.
+    bool isPackable = true;
 };
 
 /// The versions of the declared objects that the sender has seen: a hash over them or, if the
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -4,13 +4,62 @@
 
 #include "harelink.pb.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/gzip_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+
 #include <algorithm>
+#include <optional>
 
 namespace harelink {
 namespace {
 
 using std::chrono::microseconds;
 
+/// From this size on, the objects of a push are compressed: the declarations of endpoints are
+/// alike, and shrink to about a sixth.
+constexpr std::size_t minPackedBytes = 8 * 1024;
+/// Size limit of decompressed objects, in bytes; a complete configuration fits.
+constexpr int maxUnpackedBytes = 64'000'000;
+
+std::string compress(const wire::ConfigPush &push)
+{
+    std::string packed;
+    google::protobuf::io::StringOutputStream output(&packed);
+    google::protobuf::io::GzipOutputStream gzip(&output);
+    push.SerializeToZeroCopyStream(&gzip);
+    gzip.Close();
+    return packed;
+}
+
+bool decompress(const std::string &packed, wire::ConfigPush &push)
+{
+    google::protobuf::io::ArrayInputStream input(packed.data(), static_cast<int>(packed.size()));
+    google::protobuf::io::GzipInputStream gzip(&input);
+    google::protobuf::io::CodedInputStream coded(&gzip);
+    coded.SetTotalBytesLimit(maxUnpackedBytes);
+    return push.ParseFromCodedStream(&coded);
+}
+
+/// A daemon of an older version ignores compressed objects. It finds out by the next digest that
+/// it lacks them, and requests them in a way that is answered without compression.
+void write(const ConfigPush &from, wire::ConfigPush &to)
+{
+    for (const PlatformObject &object : *from.objects) {
+        wire::ObjectNews &news = *to.add_objects();
+        news.set_kind(object.kind);
+        news.set_name(object.name);
+        news.set_version(object.version);
+        news.set_deleted(object.deleted);
+        news.set_value(object.value);
+    }
+    if (from.isPackable && to.ByteSizeLong() >= minPackedBytes) {
+        std::string packed = compress(to);
+        to.clear_objects();
+        to.set_packed_objects(std::move(packed));
+    }
+}
+
 std::int64_t toMicros(Duration time)
 {
     return std::chrono::duration_cast<microseconds>(time).count();
@@ -282,15 +331,7 @@
     }
     void operator()(const ConfigPush &from) const
     {
-        wire::ConfigPush &to = *m_message.mutable_config_push();
-        for (const PlatformObject &object : from.objects) {
-            wire::ObjectNews &news = *to.add_objects();
-            news.set_kind(object.kind);
-            news.set_name(object.name);
-            news.set_version(object.version);
-            news.set_deleted(object.deleted);
-            news.set_value(object.value);
-        }
+        write(from, *m_message.mutable_config_push());
     }
     void operator()(const ConfigDigest &from) const
     {
@@ -418,14 +459,19 @@
     return to;
 }
 
-ConfigPush read(const wire::ConfigPush &from)
+/// Returns the objects of a push, of which either list is empty; std::nullopt if it is invalid.
+std::optional<ConfigPush> read(const wire::ConfigPush &from)
 {
-    ConfigPush to;
-    for (const wire::ObjectNews &news : from.objects()) {
-        to.objects.push_back(
-            {news.kind(), news.name(), news.version(), news.deleted(), news.value()});
+    wire::ConfigPush unpacked;
+    const bool isPacked = !from.packed_objects().empty();
+    if (isPacked && !decompress(from.packed_objects(), unpacked)) {
+        return std::nullopt;
     }
-    return to;
+    std::vector<PlatformObject> objects;
+    for (const wire::ObjectNews &news : (isPacked ? unpacked : from).objects()) {
+        objects.push_back({news.kind(), news.name(), news.version(), news.deleted(), news.value()});
+    }
+    return ConfigPush(std::move(objects));
 }
 
 ConfigDigest read(const wire::ConfigDigest &from)
@@ -481,9 +527,14 @@
     case wire::PeerMessage::kClaimFinished:
         to.content = ClaimFinished{read(from.claim_finished().claimant())};
         return true;
-    case wire::PeerMessage::kConfigPush:
-        to.content = read(from.config_push());
+    case wire::PeerMessage::kConfigPush: {
+        std::optional<ConfigPush> push = read(from.config_push());
+        if (!push) {
+            return false;
+        }
+        to.content = *std::move(push);
         return true;
+    }
     case wire::PeerMessage::kConfigDigest:
         to.content = read(from.config_digest());
         return true;
--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -174,7 +174,7 @@
         ++m_counters.dropped;
         return;
     }
-    std::string bytes = encodePeerMessage(send.message);
+    const std::string &bytes = encode(send.message);
     if (sendNow(send.address, bytes)) {
         return;
     }
@@ -183,10 +183,22 @@
         ++m_counters.dropped;
         return;
     }
-    m_pending.push_back({send.address, std::move(bytes), expiresAt});
+    m_pending.push_back({send.address, bytes, expiresAt});
     m_nextFlush = std::min<TimePoint>(m_nextFlush, now + flushInterval);
 }
 
+/// Returns the encoded message, which is valid until the next call.
+const std::string &PeerLink::encode(const PeerMessage &message)
+{
+    const auto *push = std::get_if<ConfigPush>(&message.content);
+    if (push != nullptr && push->objects == m_encodedObjects) {
+        return m_encoded;
+    }
+    m_encoded = encodePeerMessage(message);
+    m_encodedObjects = push == nullptr ? nullptr : push->objects;
+    return m_encoded;
+}
+
 void PeerLink::flush(TimePoint now)
 {
     if (now < m_nextFlush) {
--- a/unittests/Kernel/controlmachinetest.cpp
+++ b/unittests/Kernel/controlmachinetest.cpp
@@ -45,8 +45,7 @@
     /// Handles an update from a peer. Returns whether it puts a configuration in force.
     bool push(const std::string &kind, const std::string &name)
     {
-        ConfigPush push;
-        push.objects.push_back({kind, name, ++version, false, "{}"});
+        const ConfigPush push({{kind, name, ++version, false, "{}"}});
         machine.handle(PeerMessage{"h2", 2, push});
         return machine.drainOutput().configChanged;
     }
--- a/unittests/Kernel/datacentredraintest.cpp
+++ b/unittests/Kernel/datacentredraintest.cpp
@@ -56,10 +56,9 @@
     }
     void push(Version version, bool deleted)
     {
-        ConfigPush push;
-        push.objects.push_back(
-            {"DataCentreDrain", "dc2", version, deleted,
-             R"({"kind": "DataCentreDrain", "name": "dc2", "spec": {"dataCentre": "dc2"}})"});
+        const ConfigPush push(
+            {{"DataCentreDrain", "dc2", version, deleted,
+              R"({"kind": "DataCentreDrain", "name": "dc2", "spec": {"dataCentre": "dc2"}})"}});
         machine.handle(PeerMessage{"h2", 2, push});
         (void)machine.drainOutput();
     }
@@ -256,8 +255,7 @@
     /// Handles an update from a peer. Returns whether it puts a configuration in force.
     bool push(const std::string &kind, const std::string &name)
     {
-        ConfigPush push;
-        push.objects.push_back({kind, name, ++version, false, "{}"});
+        const ConfigPush push({{kind, name, ++version, false, "{}"}});
         machine.handle(PeerMessage{"h2", 2, push});
         return machine.drainOutput().configChanged;
     }
--- a/unittests/Kernel/quarantinetest.cpp
+++ b/unittests/Kernel/quarantinetest.cpp
@@ -39,13 +39,12 @@
         for (const Incarnation host : {2, 3, 4}) {
             machine.handle(heartbeatOf(host));
         }
-        ConfigPush push;
-        push.objects.push_back({"Pool", "engines", 1, false,
-                                R"({"kind": "Pool", "name": "engines",
-                                    "spec": {"protocol": "plain-service"}})"});
-        push.objects.push_back({"Endpoint", "e1", 2, false,
-                                R"({"kind": "Endpoint", "name": "e1",
-                 "spec": {"pool": "engines", "address": "10.0.0.1:80", "dataCentre": "dc1"}})"});
+        const ConfigPush push(
+            {{"Pool", "engines", 1, false,
+              R"({"kind": "Pool", "name": "engines", "spec": {"protocol": "plain-service"}})"},
+             {"Endpoint", "e1", 2, false,
+              R"({"kind": "Endpoint", "name": "e1",
+                 "spec": {"pool": "engines", "address": "10.0.0.1:80", "dataCentre": "dc1"}})"}});
         machine.handle(PeerMessage{"h2", 2, push});
         (void)machine.drainOutput();
     }
