[Test] Play what a large fleet costs, with controls

Controls lack the guards. An exchange that is pending no longer makes the control thread wake for differences that it delays.

--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -255,8 +255,7 @@
     for (const auto &[key, entry] : m_table.entries()) {
         const auto found = peerVersions.find(key);
         if (found == peerVersions.end() || found->second < entry.seenVersion) {
-            newer.push_back(
-                {key.first, key.second, entry.seenVersion, entry.deleted, entry.value});
+            newer.push_back({key.first, key.second, entry.seenVersion, entry.deleted, entry.value});
         }
     }
     if (!newer.empty()) {
@@ -281,8 +280,9 @@
     if (m_isRelayed && !isComplete() && !m_exchange.isPending()) {
         next = std::min(next, m_nextFetch);
     }
+    // A pending exchange delays the others until it ends, by a message or its timeout.
     for (const auto &[host, difference] : m_differences) {
-        next = std::min(next, difference.requestAt);
+        next = m_exchange.isPending() ? next : std::min(next, difference.requestAt);
     }
     return next;
 }
@@ -342,14 +342,14 @@
 {
     const TimePoint now = m_clock.now();
     std::erase_if(m_differences, [&](const auto &entry) {
-        const bool due = entry.second.requestAt <= now;
-        if (due && isLarge()) {
+        const bool isDue = entry.second.requestAt <= now;
+        if (isDue && isLarge()) {
             return m_exchange.start(entry.first);
         }
-        if (due) {
+        if (isDue) {
             send(entry.first, digest(true, false));
         }
-        return due;
+        return isDue;
     });
 }
 
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -363,9 +363,9 @@
     } else {
         // The platform counts each watch as a call, so watches that end early without updates
         // must not cause a flood of calls.
-        m_nextCall = m_clock.now()
-                     + (result.objects.empty() ? Duration(configwatcher::emptyWatchPause)
-                                               : updatePause());
+        m_nextCall =
+            m_clock.now()
+            + (result.objects.empty() ? Duration(configwatcher::emptyWatchPause) : updatePause());
         for (const PlatformObject &object : result.objects) {
             changed = handleUpdate(object) || changed;
         }
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -329,10 +329,7 @@
     {
         write(from.claimant, *m_message.mutable_claim_finished()->mutable_claimant());
     }
-    void operator()(const ConfigPush &from) const
-    {
-        write(from, *m_message.mutable_config_push());
-    }
+    void operator()(const ConfigPush &from) const { write(from, *m_message.mutable_config_push()); }
     void operator()(const ConfigDigest &from) const
     {
         wire::ConfigDigest &to = *m_message.mutable_config_digest();
--- a/unittests/Kernel/fleetfixture.h
+++ b/unittests/Kernel/fleetfixture.h
@@ -66,8 +66,9 @@
     }
 };
 
-/// A fleet of control machines.
-class ControlFleet
+/// A fleet of control machines. \p G is AllGuards, or lacks a mechanism in a control.
+template <GuardPolicy G>
+class BasicControlFleet
 {
 public:
     /// The size and layout of the fleet.
@@ -81,7 +82,7 @@
         std::size_t watchers = 6;
     };
 
-    explicit ControlFleet(const Layout &layout)
+    explicit BasicControlFleet(const Layout &layout)
         : m_layout(layout)
     {
         for (int i = 0; i < layout.hosts; ++i) {
@@ -118,7 +119,7 @@
     {
         constexpr Incarnation incarnationStep = 100'000;
         m_options.at(host).incarnation += incarnationStep;
-        m_hosts[host] = std::make_unique<ControlMachine>(m_clock, m_options.at(host));
+        m_hosts[host] = std::make_unique<BasicControlMachine<G>>(m_clock, m_options.at(host));
     }
     void endAll()
     {
@@ -168,7 +169,7 @@
         }
         return names;
     }
-    [[nodiscard]] const ControlMachine &control(const std::string &host) const
+    [[nodiscard]] const BasicControlMachine<G> &control(const std::string &host) const
     {
         return *m_hosts.at(host);
     }
@@ -246,7 +247,7 @@
             to->second->handle(message.send.message);
         }
     }
-    void tick(const std::string &name, ControlMachine &host)
+    void tick(const std::string &name, BasicControlMachine<G> &host)
     {
         host.tick();
         ControlOutput output = host.drainOutput();
@@ -289,7 +290,8 @@
 
     // The store ---------------------------------------------------------------
 
-    void handleStoreCall(const std::string &name, const PlatformCall &call, ControlMachine &host)
+    void handleStoreCall(const std::string &name, const PlatformCall &call,
+                         BasicControlMachine<G> &host)
     {
         const std::string what = fmt::format("{} {}", toText(call.operation), call.kind);
         ++m_traffic.storeCalls[what];
@@ -389,7 +391,7 @@
     Layout m_layout;
     ManualClock m_clock;
     std::map<std::string, ControlOptions> m_options;
-    std::map<std::string, std::unique_ptr<ControlMachine>> m_hosts;
+    std::map<std::string, std::unique_ptr<BasicControlMachine<G>>> m_hosts;
     std::vector<Transit> m_inTransit;
     std::vector<OpenWatch> m_openWatches;
     std::map<std::pair<std::string, std::string>, PlatformObject> m_objects;
@@ -400,6 +402,9 @@
     FleetTraffic m_traffic;
 };
 
+/// The fleet of the product.
+using ControlFleet = BasicControlFleet<AllGuards>;
+
 } // namespace harelink::testing
 
 #endif // HARELINK_UNITTESTS_KERNEL_FLEETFIXTURE_H
