[Kernel] Take the hosts of other data centres from their relays only

Cause: a relay got a list of all hosts from the other relay of its data centre, and one list from each other data centre. Each replaced the others as the last list that the relay reported to have, so that each was sent whole with every summary: bytes that grow with the hosts all the time, though no host changes. Change: a relay takes from the other one the hosts of their own data centre only; its lists are forgotten when its role changes. Test LargeFleet NoHostListIsSentWhileNoHostChanges.

--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -458,9 +458,8 @@
         return; // This daemon requests summaries from known relays only.
     }
     const std::string dataCentre = sender->second.dataCentre;
-    const bool isLocal = dataCentre == m_membership.dataCentre();
     m_relay.handle(dataCentre, content);
-    const std::string scope = isLocal ? std::string() : dataCentre;
+    const std::string scope = m_relay.hostListScope(dataCentre);
     if (content.hasHosts) {
         m_membership.handleHostReports(content.hosts, scope);
         m_relay.recordHostList(message.host, scope, content.hostsHash);
--- a/include/harelink/Kernel/peerrelay.h
+++ b/include/harelink/Kernel/peerrelay.h
@@ -52,6 +52,11 @@
     void handle(const std::string &host, const Heartbeat &heartbeat);
     /// Handles a summary of a relay of \p dataCentre. Ignores those of this data centre.
     void handle(const std::string &dataCentre, const PeerSummary &summary);
+    /// Returns the data centre whose hosts are taken from the lists of a relay of \p dataCentre;
+    /// empty for all. A relay takes those of other data centres from their relays only: if it also
+    /// took them from the other relay of its own, the two lists would replace each other, and each
+    /// would be sent whole with every summary.
+    [[nodiscard]] std::string hostListScope(const std::string &dataCentre) const;
     /// Records that \p host sent a list of the live hosts of \p dataCentre, or of all data
     /// centres if that is empty, and that its hash is \p hash.
     void recordHostList(const std::string &host, const std::string &dataCentre, std::uint64_t hash);
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -120,6 +120,12 @@
     m_hostLists[host] = {dataCentre, hash, m_clock.now() + Membership::reportTtl};
 }
 
+std::string PeerRelay::hostListScope(const std::string &dataCentre) const
+{
+    const bool coversAll = dataCentre == m_membership.dataCentre() && !m_isRelay;
+    return coversAll ? std::string() : dataCentre;
+}
+
 bool PeerRelay::holdsBaseOf(const std::string &host, const PeerSummary &summary) const
 {
     return summary.changesHostsFrom != 0 && knownHostsHashOf(host) == summary.changesHostsFrom;
@@ -187,7 +193,11 @@
     detectUnresponsiveRelays();
     std::vector<std::string> hosts = ranked(m_membership.dataCentre());
     hosts.resize(std::min(hosts.size(), relayCount));
-    m_isRelay = std::find(hosts.begin(), hosts.end(), m_membership.host()) != hosts.end();
+    const bool wasRelay = std::exchange(
+        m_isRelay, std::find(hosts.begin(), hosts.end(), m_membership.host()) != hosts.end());
+    if (wasRelay != m_isRelay) {
+        m_hostLists.clear(); // Their scope depends on the role.
+    }
     if (m_isRelay) {
         requestRemoteSummaries(targets);
         addIntroduction(targets);
