[Kernel] Do not request the whole configuration beside its pages

Cause: a daemon without objects in a large fleet, that fetches the configuration in pages, also sent an empty list of versions to every peer that reported a hash, which is answered by the whole configuration in one uncompressed message: 3.5 MB at 10,000 endpoints for each. Found by reading the change. Change: while a daemon awaits its configuration, it records no differences.

--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -44,7 +44,7 @@
 /// A host that was never declared waits this long for the declarations of hosts that start with
 /// it, by which it finds out whether it shall list the objects.
 inline constexpr std::chrono::milliseconds newHostWait{900};
-/// A daemon that has run for this period passes on what it has, complete or not.
+/// A daemon that has run for this period uses and passes on what it has, complete or not.
 inline constexpr std::chrono::milliseconds incompletePeriod{5000};
 
 } // namespace configgossip
@@ -294,8 +294,10 @@
 void BasicConfigGossip<G>::recordSummary(const std::string &host, std::uint64_t summary)
 {
     const TimePoint now = m_clock.now();
+    // A peer without objects has none to send. A daemon that fetches its configuration must not get
+    // it in one message besides.
     const bool isEmpty = summary == 0;
-    if (isEmpty || hadSummary(summary)) {
+    if (isEmpty || awaitsConfiguration() || hadSummary(summary)) {
         m_differences.erase(host);
         return;
     }
