[Test] Correct two comments of the large fleet

Cause: a comment in the test's fixture described what is not there; the size of a host's row was given as 75 and as 55 bytes. Change: comments only. Measured: nothing to measure.

--- a/include/harelink/Kernel/hostlistlog.h
+++ b/include/harelink/Kernel/hostlistlog.h
@@ -3,7 +3,7 @@
 /// \file
 /// The recent changes of the list of live hosts that a relay reports. A receiver that has
 /// one of the recent lists gets only the hosts that have changed since. A whole list takes
-/// 75 bytes per host; sent at each change to each host, the bytes would grow with the square
+/// 55 bytes per host; sent at each change to each host, the bytes would grow with the square
 /// of their number.
 ///
 //===----------------------------------------------------------------------===//
--- a/unittests/Kernel/largefleettest.cpp
+++ b/unittests/Kernel/largefleettest.cpp
@@ -66,14 +66,13 @@
     return listing;
 }
 
-/// The tables of two daemons, and the bytes that they exchange.
+/// Two daemons of a large fleet that report their hashes to each other, as heartbeats do.
 template <GuardPolicy G>
 class GossipPair
 {
 public:
     explicit GossipPair(int objects)
     {
-        // The other hosts make heartbeats go through relays, as in a large fleet.
         for (Side *side : {&m_first, &m_second}) {
             for (int i = 0; i < objects; ++i) {
                 (void)side->table.apply(endpoint(i, static_cast<Version>(i) + 1));
@@ -171,7 +170,7 @@
 constexpr int changingEndpoints = 1000;
 
 /// Returns the number of configurations that a daemon publishes in a second in which 200
-/// endpoints change one after the other.
+/// endpoints change one after the other. Also checks what must not wait for other changes.
 template <GuardPolicy G>
 int publicationsOfChanges()
 {
