[Kernel] Fetch buckets whole, and put no fetched part in force

Cause: (1) a daemon that fetches its configuration took it for complete when the last page ended, although updates pushed meanwhile had filled buckets in part; of those only versions were sent, so it could put a configuration in force without some objects, or with endpoints only. (2) It waited 1.5 s for a first page from a host that was not up. Both found by reading the change. Change: (1) a request says whether it is a fetch; then the objects of all buckets that differ are sent. A complete fetch only replaces the wait for drains: operators' declarations must be there. (2) The first page is waited for 400 ms. Whether a table is behind is decided in one place.

--- a/include/harelink/Kernel/configexchange.h
+++ b/include/harelink/Kernel/configexchange.h
@@ -5,10 +5,9 @@
 /// either lacks.
 ///
 /// The objects are divided into buckets by a hash of their names. The daemon sends a hash
-/// over each bucket; the peer replies with the objects of buckets that the daemon has none
-/// of, and with the versions in the others that differ. Replies are pages of limited size,
-/// requested one after the other. With 10,000 objects the hashes take 8 KB, all versions
-/// 450 KB, and a whole configuration 3.5 MB, which a host with 20 Mbit/s receives in 1.4 s.
+/// over each bucket; the peer replies with the versions in those that differ, or with their
+/// objects if the daemon fetches a whole configuration. Replies are pages of limited size,
+/// requested one after the other.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -19,7 +18,6 @@
 #include "harelink/Kernel/membership.h"
 
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,14 +34,16 @@
                         BasicConfigTable<G> &table);
 
     /// Requests the first page from \p host, unless a request is pending. Returns whether it did.
-    bool start(const std::string &host);
+    ///
+    /// \param isFetch whether this daemon has no complete configuration and gets it from \p host.
+    bool start(const std::string &host, bool isFetch);
     /// Returns whether a request is pending.
     [[nodiscard]] bool isPending() const { return m_pending.has_value(); }
     /// Handles a digest of \p host that concerns buckets.
     ///
     /// \param isComplete whether this daemon has a complete configuration that it may pass on.
     void handle(const std::string &host, const ConfigDigest &digest, bool isComplete);
-    /// Returns whether a peer has transferred a complete configuration.
+    /// Returns whether a fetch has transferred a complete configuration.
     [[nodiscard]] bool hasCompleted() const { return m_hasCompleted; }
     /// Gives up a request without a reply.
     void tick();
@@ -55,12 +55,14 @@
     struct Pending
     {
         std::string host;
+        bool isFetch = false;
+        bool hasReplied = false;
         TimePoint requestedAt;
     };
 
     void requestPage();
-    void sendPage(const std::string &host, const std::vector<std::uint64_t> &peerHashes,
-                  bool isComplete);
+    void sendPage(const std::string &host, const ConfigDigest &request, bool isComplete);
+    [[nodiscard]] TimePoint givesUpAt() const;
     void handlePageEnd(const ConfigDigest &digest);
     void handleVersions(const std::string &host, const ConfigDigest &digest);
     void appendVersions(std::uint32_t bucket, ConfigDigest &digest) const;
--- a/include/harelink/Kernel/configexchangeimpl.h
+++ b/include/harelink/Kernel/configexchangeimpl.h
@@ -20,7 +20,10 @@
 /// Size limits of a page. Its objects take a tenth of a second on a link of 20 Mbit/s.
 inline constexpr std::size_t maxPageBytes = 262'144;
 inline constexpr std::size_t maxPageVersions = 2000;
-/// A page that takes longer is not waited for.
+/// A host that does not send its first page for this period is given up. A link keeps a message for
+/// 300 ms until its connection is established, and then drops it.
+inline constexpr std::chrono::milliseconds firstPageTimeout{400};
+/// The same for the following pages, which may queue on a slow link.
 inline constexpr std::chrono::milliseconds pageTimeout{1500};
 
 } // namespace configexchange
@@ -35,12 +38,12 @@
 }
 
 template <GuardPolicy G>
-bool BasicConfigExchange<G>::start(const std::string &host)
+bool BasicConfigExchange<G>::start(const std::string &host, bool isFetch)
 {
     if (m_pending) {
         return false;
     }
-    m_pending = Pending{host, m_clock.now()};
+    m_pending = Pending{host, isFetch, false, m_clock.now()};
     requestPage();
     return true;
 }
@@ -52,6 +55,7 @@
     ConfigDigest digest;
     digest.summary = m_table.summary();
     digest.bucketHashes = m_table.bucketHashes();
+    digest.complete = !m_pending->isFetch;
     send(m_pending->host, std::move(digest));
 }
 
@@ -60,7 +64,7 @@
                                     bool isComplete)
 {
     if (digest.bucketHashes.size() == BasicConfigTable<G>::bucketCount) {
-        sendPage(host, digest.bucketHashes, isComplete);
+        sendPage(host, digest, isComplete);
     } else if (digest.endsPage && m_pending && m_pending->host == host) {
         handlePageEnd(digest);
     } else if (digest.detailed && !digest.buckets.empty()) {
@@ -69,11 +73,14 @@
 }
 
 /// Replies to the bucket hashes of \p host. A daemon without a complete configuration sends no
-/// objects: the receiver could not tell whether it has all.
+/// objects: the receiver could not tell whether it has all. To a host that fetches, the objects of
+/// all buckets that differ are sent, so that it has all of them when the last page ends: pushes may
+/// have filled some buckets in part.
 template <GuardPolicy G>
-void BasicConfigExchange<G>::sendPage(const std::string &host,
-                                      const std::vector<std::uint64_t> &peerHashes, bool isComplete)
+void BasicConfigExchange<G>::sendPage(const std::string &host, const ConfigDigest &request,
+                                      bool isComplete)
 {
+    const std::vector<std::uint64_t> &peerHashes = request.bucketHashes;
     std::vector<PlatformObject> objects;
     ConfigDigest versions;
     versions.detailed = true;
@@ -91,7 +98,7 @@
         if (end.more) {
             break;
         }
-        if (peerHashes[i] != 0) {
+        if (request.complete && peerHashes[i] != 0) {
             appendVersions(i, versions);
             continue;
         }
@@ -115,10 +122,11 @@
 void BasicConfigExchange<G>::handlePageEnd(const ConfigDigest &digest)
 {
     if (digest.complete && digest.more) {
+        m_pending->hasReplied = true;
         requestPage();
         return;
     }
-    m_hasCompleted = m_hasCompleted || digest.complete;
+    m_hasCompleted = m_hasCompleted || (m_pending->isFetch && digest.complete);
     m_pending.reset();
 }
 
@@ -159,15 +167,10 @@
             }
         }
     }
-    const bool isBehind =
-        std::any_of(peerVersions.begin(), peerVersions.end(), [this](const auto &peer) {
-            const auto own = m_table.entries().find(peer.first);
-            return own == m_table.entries().end() || own->second.seenVersion < peer.second;
-        });
     if (!newer.empty()) {
         send(host, ConfigPush(std::move(newer)));
     }
-    if (isBehind && !digest.reply) {
+    if (m_table.isBehind(peerVersions) && !digest.reply) {
         send(host, std::move(reply));
     }
 }
@@ -183,16 +186,23 @@
 template <GuardPolicy G>
 void BasicConfigExchange<G>::tick()
 {
-    if (m_pending && m_clock.now() - m_pending->requestedAt > configexchange::pageTimeout) {
+    if (m_pending && m_clock.now() >= givesUpAt()) {
         m_pending.reset();
     }
 }
 
+template <GuardPolicy G>
+TimePoint BasicConfigExchange<G>::givesUpAt() const
+{
+    return m_pending->requestedAt
+           + (m_pending->hasReplied ? configexchange::pageTimeout
+                                    : configexchange::firstPageTimeout);
+}
+
 template <GuardPolicy G>
 TimePoint BasicConfigExchange<G>::nextTick() const
 {
-    return m_pending ? TimePoint(m_pending->requestedAt + configexchange::pageTimeout)
-                     : TimePoint::max();
+    return m_pending ? givesUpAt() : TimePoint::max();
 }
 
 } // namespace harelink
--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -13,8 +13,8 @@
 /// that one of them lacks. A daemon that does not receive from any watcher to which the
 /// platform answers watches the platform itself.
 ///
-/// Of a large fleet that starts, only the daemons that will watch list the objects: a listing
-/// by all would take minutes at the platform's link. The others get the configuration from
+/// Of a large fleet that starts, only the daemons that will watch list the objects, since a
+/// listing by all would saturate the platform's link. The others get the configuration from
 /// the high-capacity hosts of their data centre.
 ///
 //===----------------------------------------------------------------------===//
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -263,12 +263,7 @@
         push.isPackable = false; // Daemons of an older version also send such digests.
         send(host, std::move(push));
     }
-    const bool isBehind =
-        std::any_of(peerVersions.begin(), peerVersions.end(), [this](const auto &peer) {
-            const auto own = m_table.entries().find(peer.first);
-            return own == m_table.entries().end() || own->second.seenVersion < peer.second;
-        });
-    if (isBehind && !peerDigest.reply) {
+    if (m_table.isBehind(peerVersions) && !peerDigest.reply) {
         send(host, digest(true, true));
     }
 }
@@ -346,7 +341,7 @@
     std::erase_if(m_differences, [&](const auto &entry) {
         const bool isDue = entry.second.requestAt <= now;
         if (isDue && isLarge()) {
-            return m_exchange.start(entry.first);
+            return m_exchange.start(entry.first, !isComplete());
         }
         if (isDue) {
             send(entry.first, digest(true, false));
@@ -386,7 +381,8 @@
         m_membership.likelyLiveWithin(configgossip::watcherTimeout, m_membership.dataCentre()));
     std::erase(hosts, m_membership.host());
     if (!hosts.empty()) {
-        (void)m_exchange.start(hosts[(hash64(m_membership.host()) + m_fetches++) % hosts.size()]);
+        const std::size_t next = (hash64(m_membership.host()) + m_fetches++) % hosts.size();
+        (void)m_exchange.start(hosts[next], true);
     }
 }
 
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -125,6 +125,8 @@
     }
     /// Returns the bucket of an object.
     [[nodiscard]] static std::size_t bucketOf(const Key &key);
+    /// Returns whether a peer that has seen \p peerVersions has seen a newer version of an object.
+    [[nodiscard]] bool isBehind(const std::map<Key, Version> &peerVersions) const;
     /// Returns the number of updates dropped because a newer version had been seen.
     [[nodiscard]] std::uint64_t droppedUpdates() const { return m_droppedUpdates; }
 
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -233,6 +233,15 @@
     m_bucketHashes[bucketOf(key)] += difference;
 }
 
+template <GuardPolicy G>
+bool BasicConfigTable<G>::isBehind(const std::map<Key, Version> &peerVersions) const
+{
+    return std::any_of(peerVersions.begin(), peerVersions.end(), [this](const auto &peer) {
+        const auto own = m_entries.find(peer.first);
+        return own == m_entries.end() || own->second.seenVersion < peer.second;
+    });
+}
+
 template <GuardPolicy G>
 ActiveResources BasicConfigTable<G>::resources() const
 {
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -611,15 +611,15 @@
 template <GuardPolicy G>
 bool BasicControlMachine<G>::hasAllKinds() const
 {
-    return m_gossip.isComplete()
-           || std::all_of(m_watchers.begin(), m_watchers.end(),
-                          [this](const auto &watcher) { return hasKindsOf(watcher); });
+    return std::all_of(m_watchers.begin(), m_watchers.end(),
+                       [this](const auto &watcher) { return hasKindsOf(watcher); });
 }
 
 /// Returns whether the kinds that \p watcher follows have been listed, or received from peers.
 /// Usually there are no quarantines and drains, so peers have none to send. A start does not
-/// wait for quarantines. It does wait for drains, unless the platform is unavailable, since it
-/// would otherwise send work to a drained data centre.
+/// wait for quarantines. It does wait for drains, unless the platform is unavailable or a peer has
+/// transferred its complete configuration, since it would otherwise send work to a drained data
+/// centre.
 template <GuardPolicy G>
 bool BasicControlMachine<G>::hasKindsOf(const BasicConfigWatcher<G> &watcher) const
 {
@@ -628,7 +628,7 @@
         return true;
     }
     if (watcher.followsOnly(reader.drainKind())) {
-        return watcher.isPlatformUnavailable();
+        return watcher.isPlatformUnavailable() || m_gossip.isComplete();
     }
     const auto &entries = m_config.entries();
     return std::any_of(entries.begin(), entries.end(), [&watcher](const auto &entry) {
--- a/unittests/Kernel/controlmachinetest.cpp
+++ b/unittests/Kernel/controlmachinetest.cpp
@@ -69,6 +69,32 @@
     CHECK(fixture.push("endpoints", "e3"));
 }
 
+/// A peer that sends its configuration in pages may lose one of them.
+TEST(ControlMachine, PublishesNoFetchedConfigurationWithEndpointsOnly)
+{
+    Fixture fixture;
+    for (Incarnation peer = 3; peer < 30; ++peer) {
+        fixture.machine.handle(heartbeatOf(peer));
+    }
+    std::string source;
+    for (int i = 0; i < 20 && source.empty(); ++i) {
+        fixture.clock.advance(std::chrono::milliseconds(100));
+        fixture.machine.tick();
+        for (const PeerSend &send : fixture.machine.drainOutput().sends) {
+            const auto *digest = std::get_if<ConfigDigest>(&send.message.content);
+            source = digest != nullptr && !digest->bucketHashes.empty() ? send.host : source;
+        }
+    }
+    CHECK(!source.empty());
+    CHECK(!fixture.push("endpoints", "e1"));
+    ConfigDigest end;
+    end.endsPage = true;
+    end.complete = true;
+    fixture.machine.handle(PeerMessage{source, 3, end});
+    CHECK(!fixture.machine.drainOutput().configChanged);
+    CHECK(fixture.push("routes", "main"));
+}
+
 /// Two hosts of a data centre push updates to all others. They must not push the first listing,
 /// since each host of a fleet that starts has read it itself.
 TEST(ControlMachine, DoesNotPushTheFirstListing)
