--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -58,8 +58,10 @@
 /// A push of the declarations of many endpoints.
 ConfigPush pushOfEndpoints()
 {
+    constexpr int endpoints = 300;
     std::vector<PlatformObject> objects;
-    for (int i = 0; i < 300; ++i) {
+    objects.reserve(endpoints);
+    for (int i = 0; i < endpoints; ++i) {
         objects.push_back({"servers", fmt::format("i-{:08x}", i), 7, i % 100 == 0,
                            fmt::format(R"({{"service":"engines","addr":"10.0.0.{}:80",)"
                                        R"("zone":"dc1","slots":8,"state":"ready"}})",
