[Test] Outages without answers; a change after one is not in force in time

Cause: not mended here.

A check that each operator's write is in force within 2 s at hosts that were stable for 3 s.

--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -2,7 +2,7 @@
 ///
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
-///                  [--restores] [--hosts H] [--lines L] [--without MECHANISM]
+///                  [--restores] [--silences] [--hosts H] [--lines L] [--without MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
 /// On a violation, also prints the seed and the last lines of its trace. With --without
@@ -26,6 +26,9 @@
 DEFINE_bool(pauses, false,
             "Run endpoints that ask for pauses, and one that announces its departure.");
 DEFINE_bool(restores, false, "In addition, let the store return from older copies.");
+DEFINE_bool(silences, false,
+            "Let outages of the platform last for seconds, in which calls get no answer; other "
+            "faults are rarer.");
 DEFINE_int32(hosts, 0, "Number of hosts; 0 for the default of the run's kind.");
 DEFINE_uint64(lines, 60, "Number of trace lines to print on a violation.");
 DEFINE_string(without, "", "The mechanism to disable; empty for none.");
@@ -83,8 +86,8 @@
     int faults = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result = player->second(
-            {FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines, FLAGS_restores});
+        const RunResult result = player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts,
+                                                 FLAGS_lines, FLAGS_restores, FLAGS_silences});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -29,8 +29,12 @@
         : m_world(options.seed, hostCountFor(options), dataCentreCount)
         , m_kind(options.kind)
         , m_restores(options.restores)
+        , m_silences(options.silences)
     {
         m_world.trace().setMaxLines(options.traceLines);
+        if (m_silences) {
+            m_world.allowLongOutages();
+        }
     }
 
     /// Runs until \p steps events were handled or an invariant is violated, then heals all
@@ -55,7 +59,8 @@
             if (m_kind == RunKind::Pauses) {
                 changePauses();
             }
-            if (random().chance(m_kind == RunKind::CrashesAndSuspensions ? 0.005 : 0.03)) {
+            const bool isCalm = m_kind == RunKind::CrashesAndSuspensions || m_silences;
+            if (random().chance(isCalm ? 0.005 : 0.03)) {
                 injectFault();
             }
             if (random().chance(0.05)) {
@@ -86,6 +91,7 @@
     /// Time in which all hosts write again the claims that the store has lost.
     static constexpr std::chrono::seconds claimRestoreTime{6};
     static constexpr std::size_t maxRetriedKeys = 40;
+    static constexpr std::uint64_t maxSilenceMs = 10'000;
     static constexpr int maxLeavingEndpoints = 2;
     /// Number of times that a request that crashes endpoints is sent before the next one is.
     static constexpr std::uint64_t sendsPerCrashingRequest = 20;
@@ -309,7 +315,9 @@
         case 4:
             m_world.trace().add("platform out");
             m_world.platform().faults().outage = true;
-            scheduleHeal(milliseconds(100), [this] { m_world.platform().faults().outage = false; });
+            m_world.platform().faults().silent = m_silences;
+            scheduleHeal(milliseconds(100 + (m_silences ? random().below(maxSilenceMs) : 0)),
+                         [this] { m_world.platform().faults().outage = false; });
             return;
         case 5:
             m_world.trace().add("platform slow");
@@ -418,6 +426,7 @@
     World<G> m_world;
     RunKind m_kind;
     bool m_restores;
+    bool m_silences;
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
     std::optional<TimePoint> m_restoredAt; ///< When it last returned from one.
     RunResult m_result;
--- a/test/scenarios/runner.cpp
+++ b/test/scenarios/runner.cpp
@@ -18,7 +18,8 @@
 ///   kill HOST | start HOST | freeze HOST | thaw HOST | drain HOST
 ///   kill endpoint NAME | leave endpoint NAME
 ///   cut PLACE from PLACE | heal
-///   platform out | platform back | platform loses answers | platform applies late
+///   platform out | platform silent | platform back
+///   platform loses answers | platform applies late
 ///   weigh ACCOUNT NUMBER             an operator changes the account's weight
 ///   copy store | restore store       the store returns from the copy
 ///
@@ -185,9 +186,10 @@
     bool platform(const Words &words)
     {
         FakePlatform::Faults &faults = m_world.platform().faults();
-        if (words[1] == "out" || words[1] == "back") {
+        if (words[1] == "out" || words[1] == "silent" || words[1] == "back") {
             faults = {};
-            faults.outage = words[1] == "out";
+            faults.outage = words[1] != "back";
+            faults.silent = words[1] == "silent";
             return true;
         }
         if (words[1] == "loses") {
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -130,7 +130,7 @@
 }
 
 void Checks::arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
-                               const SendStage &stage, bool recentlyResumed)
+                               const SendStage &stage, bool mayBeUninformed)
 {
     ++m_ledger.callsByRequest[stage.call.request];
     const auto found = m_submissions.find(stage.call.request);
@@ -139,7 +139,7 @@
         violation(fmt::format("request {} ran after it was said not to have run",
                               toText(stage.call.request)));
     }
-    if (!recentlyResumed && endpoint.leavingSince != TimePoint::max()
+    if (!mayBeUninformed && endpoint.leavingSince != TimePoint::max()
         && m_queue.now() - endpoint.leavingSince > leavingGracePeriod) {
         violation(fmt::format("{} got new work {} ms after it began to leave", endpointName,
                               toMilliseconds(m_queue.now() - endpoint.leavingSince)));
@@ -343,6 +343,15 @@
     last = write;
 }
 
+void Checks::writeNotInForce(const std::string &host, const std::string &object,
+                             std::uint64_t number)
+{
+    if (std::exchange(m_lateWrites[{host, object}], number) != number) {
+        violation(fmt::format("{} on {} is not in force {} ms after write {}", object, host,
+                              convergenceTime.count(), number));
+    }
+}
+
 void Checks::finish()
 {
     for (const auto &[id, submission] : m_submissions) {
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -22,6 +22,9 @@
 /// updates that other hosts had at the start of the period.
 inline constexpr std::chrono::milliseconds stabilizationTime{3000};
 
+/// An operator's write must be in force at each stable host after this period.
+inline constexpr std::chrono::milliseconds convergenceTime{2000};
+
 /// A request and its answer from the caller's view.
 struct Submission
 {
@@ -65,10 +68,10 @@
     void answered(const AnswerCaller &answer);
     void sent(const SendStage &stage);
     void streamed(const StreamChunk &chunk);
-    /// A call arrived at an endpoint. \p recentlyResumed: the sending host was suspended
-    /// until recently.
+    /// A call arrived at an endpoint. \p mayBeUninformed: the sending host was suspended, or did
+    /// not reach the platform for long, until recently.
     void arrivedAtEndpoint(const std::string &endpointName, const FakeEndpoint &endpoint,
-                           const SendStage &stage, bool recentlyResumed);
+                           const SendStage &stage, bool mayBeUninformed);
     /// An operator has drained a data centre, or ended the drain.
     void dataCentreDrained(const std::string &dataCentre, bool isDrained);
     /// A call arrived at \p endpoint; \p fromStableHost: the sending host must have
@@ -103,6 +106,9 @@
     /// \param version the version of the object at the host.
     void valueInForce(const std::string &host, const std::string &object,
                       const OperatorWrite &write, const Version &version);
+    /// \p host, which is stable, does not have the operator's write \p number of \p object in
+    /// force within convergenceTime.
+    void writeNotInForce(const std::string &host, const std::string &object, std::uint64_t number);
     void hostRestarted(const std::string &host);
     /// Final checks, after all faults were healed and the system had time to settle.
     void finish();
@@ -161,6 +167,8 @@
     std::map<std::string, int> m_outcomes;
     std::map<std::pair<std::string, std::string>, Version> m_inForce;
     std::map<std::pair<std::string, std::string>, OperatorWrite> m_writesInForce;
+    /// By host and object, to report a write once.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_lateWrites;
     std::vector<std::string> m_violations;
 };
 
--- a/test/sim/fakes.cpp
+++ b/test/sim/fakes.cpp
@@ -80,7 +80,10 @@
     ++m_calls;
     const Duration latency = m_faults.slow + microseconds(300 + m_random.below(700));
     if (m_faults.outage) {
-        m_queue.after(latency, [=] { reply(resultOf(call, PlatformOutcome::Refused)); });
+        const bool isWatch = call.operation == PlatformOperation::Watch;
+        m_queue.after(latency, [=, this] {
+            failInOutage(call, isWatch ? call.wait : Duration::zero(), reply);
+        });
         return;
     }
     if (call.operation == PlatformOperation::Watch) {
@@ -157,10 +160,22 @@
     }
 }
 
+/// Refuses \p call at once; if the outage is silent, the client gives it up after \p wait and its
+/// timeout.
+void FakePlatform::failInOutage(const PlatformCall &call, Duration wait, const Reply &reply)
+{
+    if (!m_faults.silent) {
+        reply(resultOf(call, PlatformOutcome::Refused));
+        return;
+    }
+    m_queue.after(std::max(wait, Duration::zero()) + clientTimeout,
+                  [=] { reply(resultOf(call, PlatformOutcome::Unanswered)); });
+}
+
 void FakePlatform::watch(const PlatformCall &call, TimePoint limit, const Reply &reply)
 {
     if (m_faults.outage) {
-        reply(resultOf(call, PlatformOutcome::Refused));
+        failInOutage(call, limit - m_queue.now(), reply);
         return;
     }
     const auto changes = m_store.changes(standin::splitKinds(call.kind), call.since.revision);
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -122,6 +122,7 @@
     struct Faults
     {
         bool outage = false;
+        bool silent = false; ///< Calls of an outage get no answer, rather than a refusal.
         Duration slow{};
         double loseAnswers = 0; ///< Probability that a call is executed, but its answer is lost.
         double applyLate = 0;   ///< Probability that the answer is lost and the write is delayed.
@@ -151,6 +152,7 @@
     PlatformResult execute(const PlatformCall &call);
     PlatformResult put(const PlatformCall &call);
     void watch(const PlatformCall &call, TimePoint limit, const Reply &reply);
+    void failInOutage(const PlatformCall &call, Duration wait, const Reply &reply);
 
     EventQueue &m_queue;
     Random &m_random;
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -20,6 +20,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <memory>
 #include <optional>
 
@@ -208,6 +209,7 @@
         const nlohmann::json document = {
             {"kind", "ClientAccount"}, {"name", account}, {"spec", {{"weight", weight}}}};
         m_lastOperatorWrites[account] = ++m_operatorWriteCount;
+        m_recentWrites[account].push_back({m_queue.now(), m_operatorWriteCount});
         writeAsOwner({"ClientAccount", account}, document.dump());
     }
     /// Keeps a copy of the store, from which restoreStore() returns.
@@ -234,6 +236,9 @@
         for (const auto &[key, value] : m_owned) {
             rewriteSoon(key);
         }
+        for (auto &[account, writes] : m_recentWrites) {
+            writes = {{m_queue.now() + rewriteTime, m_lastOperatorWrites.at(account)}};
+        }
     }
     /// Drains \p dataCentre as an operator, or ends the drain. Does nothing if it is in
     /// that state already.
@@ -318,6 +323,9 @@
         }
     }
 
+    /// Outages of the platform may last longer than an endpoint takes to leave.
+    void allowLongOutages() { m_hasLongOutages = true; }
+
     [[nodiscard]] bool isAlive(const std::string &host) const { return m_hosts.at(host).alive; }
     [[nodiscard]] EventQueue &queue() { return m_queue; }
     [[nodiscard]] Random &random() { return m_random; }
@@ -522,6 +530,7 @@
                 return;
             }
             recordDisturbance(host);
+            checkOperatorWrites(host);
             // As in the daemon, the control machine is asked only after the workers and after
             // it has handled their events: here, one tick later.
             const bool idle =
@@ -804,8 +813,10 @@
             refuse(name, start, stage);
             return;
         }
-        m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage,
-                                   recentlyResumed(m_hosts.at(name)));
+        const Host &sender = m_hosts.at(name);
+        const bool mayBeUninformed =
+            recentlyResumed(sender) || (m_hasLongOutages && !isStable(sender));
+        m_checks.arrivedAtEndpoint(stage.endpoint, endpoint, stage, mayBeUninformed);
         traceColdRequest(m_hosts.at(name), stage.endpoint);
         m_checks.arrivedAtDataCentre(endpoint, stage, isStable(m_hosts.at(name)));
         if (endpoint.limit) {
@@ -933,6 +944,35 @@
         }
     }
 
+    /// Returns the number of the last write of \p account that must be in force at stable hosts.
+    std::uint64_t lastDueWrite(const std::string &account)
+    {
+        auto &writes = m_recentWrites.at(account);
+        const TimePoint latest = m_queue.now() - convergenceTime;
+        while (writes.size() > 1 && writes[1].writtenAt <= latest) {
+            writes.pop_front();
+        }
+        return writes.front().writtenAt <= latest ? writes.front().number : 0;
+    }
+
+    void checkOperatorWrites(const Host &host)
+    {
+        if (!isStable(host)) {
+            return;
+        }
+        for (const auto &[account, writes] : m_recentWrites) {
+            const std::uint64_t due = lastDueWrite(account);
+            const auto &entries = host.control->config().entries();
+            const auto entry = entries.find(Key("ClientAccount", account));
+            const auto write = entry == entries.end()
+                                   ? m_operatorWrites.end()
+                                   : m_operatorWrites.find(entry->second.inForce.origin());
+            if ((write == m_operatorWrites.end() ? 0 : write->second) < due) {
+                m_checks.writeNotInForce(host.name, account, due);
+            }
+        }
+    }
+
     /// A call with a streamed answer.
     struct Stream
     {
@@ -1003,8 +1043,16 @@
     WorldFaults m_faults;
     std::size_t m_maxMeshPeers; ///< 0 for even seeds, so that heartbeats go through relays.
     int m_dataCentres;
+    bool m_hasLongOutages = false;
     std::uint64_t m_operatorWriteCount = 0; ///< Number of calls of changeWeight().
     std::map<std::string, std::uint64_t> m_lastOperatorWrites; ///< Their numbers by account.
+    /// A write of an operator; after a return of the store, until when it was repeated.
+    struct RecentWrite
+    {
+        TimePoint writtenAt;
+        std::uint64_t number = 0;
+    };
+    std::map<std::string, std::deque<RecentWrite>> m_recentWrites; ///< By account.
     /// Their numbers, by the versions that they got.
     std::map<Version, std::uint64_t> m_operatorWrites;
     std::int64_t m_coldTransitions = 0; ///< Number of calls of makeCold().
