[Test] A host cut from all endpoints refuses what others could serve

Cause: not mended here. Simulated cuts lay between data centres, never between one host and all endpoints.

Change: scenarios and runs can cut a host from its endpoints: connections are refused, or not established.

--- a/test/scenarios/runner.cpp
+++ b/test/scenarios/runner.cpp
@@ -17,7 +17,7 @@
 ///   send crashing record NAME to HOST   the same, but it may not be repeated
 ///   kill HOST | start HOST | freeze HOST | thaw HOST | drain HOST
 ///   kill endpoint NAME | leave endpoint NAME
-///   cut PLACE from PLACE | heal
+///   cut PLACE from PLACE | heal      a host may be cut from "endpoints"
 ///   platform out | platform silent | platform back
 ///   platform loses answers | platform applies late
 ///   weigh ACCOUNT NUMBER             an operator changes the account's weight
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -99,7 +99,8 @@
     std::deque<std::string> m_last;
 };
 
-/// The current network partitions. Each side is a data centre or "platform".
+/// The current network partitions. Each side is a data centre or "platform"; a host may be cut from
+/// "endpoints", that is from all of them.
 class Cuts
 {
 public:
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -376,6 +376,7 @@
     /// Fraction of requests refused by an endpoint that asks for pauses.
     static constexpr double refusalProbability = 0.7;
     static constexpr std::chrono::milliseconds coldCheckTimeout{200};
+    static constexpr std::chrono::milliseconds connectTimeout{200};
     /// Time within which operators and endpoints write again what the store has lost.
     static constexpr std::chrono::milliseconds rewriteTime{1500};
     /// Characters per token of an answer.
@@ -675,7 +676,7 @@
         const Incarnation start = host.incarnation;
         const ColdStateChecked unanswered{action.endpoint, m_queue.now(), std::nullopt};
         const FakeEndpoint &endpoint = m_endpoints.at(action.endpoint);
-        if (endpoint.down || m_cuts.isCut(host.dataCentre, endpoint.dataCentre)) {
+        if (endpoint.down || isCutFrom(host, endpoint)) {
             m_queue.after(coldCheckTimeout,
                           [=, this] { handleColdState(name, start, unanswered); });
             return;
@@ -720,7 +721,7 @@
     {
         const FakeEndpoint &endpoint = m_endpoints.at(probe.endpoint);
         EndpointProbeResult event{probe.endpoint, ProbeOutcome::Accepted};
-        if (m_cuts.isCut(host.dataCentre, endpoint.dataCentre)) {
+        if (isCutFrom(host, endpoint)) {
             event.outcome = ProbeOutcome::Unknown;
         } else if (endpoint.down) {
             event.outcome = ProbeOutcome::Refused;
@@ -782,6 +783,13 @@
                           [=, this] { failStage(name, start, stage, SendEvidence::NothingSent); });
             return;
         }
+        if (m_cuts.isCut(host.name, "endpoints")) {
+            // Connections are refused, or not established until the daemon gives up.
+            const Duration delay = m_random.chance(0.5) ? networkDelay() : Duration(connectTimeout);
+            m_queue.after(delay,
+                          [=, this] { failStage(name, start, stage, SendEvidence::NothingSent); });
+            return;
+        }
         if (m_cuts.isCut(host.dataCentre, endpoint.dataCentre)) {
             // The connection is never established; the daemon gives up at its deadline.
             return;
@@ -789,6 +797,13 @@
         m_queue.after(networkDelay(), [=, this] { arrive(name, start, stage); });
     }
 
+    /// Returns whether \p host cannot connect to \p endpoint.
+    [[nodiscard]] bool isCutFrom(const Host &host, const FakeEndpoint &endpoint) const
+    {
+        return m_cuts.isCut(host.name, "endpoints")
+               || m_cuts.isCut(host.dataCentre, endpoint.dataCentre);
+    }
+
     void failStage(const std::string &name, Incarnation start, const SendStage &stage,
                    SendEvidence evidence)
     {
