--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -14,6 +14,7 @@
 #include "harelink/Adapters/peerlink.h"
 #include "harelink/Adapters/snapshotcell.h"
 #include "harelink/Config/settings.h"
+#include "harelink/Daemon/callrelay.h"
 #include "harelink/Kernel/controlmachine.h"
 #include "harelink/Kernel/piecebatcher.h"
 #include "harelink/Kernel/piecerouter.h"
@@ -46,6 +47,7 @@
         std::function<void(PieceEnded)> pieceEnded;
         std::function<void(const std::string &)> endpointEnded; ///< For all workers.
         std::function<void(RequestSuspected)> requestSuspected; ///< For all workers.
+        std::function<void(RelayedPart)> relayedPart;
     };
 
     /// All references must outlive this object.
@@ -67,6 +69,9 @@
     void submitPieces(const OrderPieces &order);
     void withdrawPieces(const WithdrawPieces &withdrawal);
     void freeResults(const FreeResults &results);
+    /// Lets a peer make a call of a worker, or gives the call up; thread-safe.
+    void relayCall(const RelayRequest &request);
+    void cancelRelayedCall(const CallId &call);
     /// Handles that another endpoint answered at the address of this one; thread-safe.
     void handleEndpointReplaced(const EndpointReplaced &replaced);
     /// Checks whether an endpoint is cold; thread-safe.
@@ -100,6 +105,9 @@
     void handlePieceMessage(const PeerMessage &message);
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
     void sendPieceCall(const PieceCall &call);
+    void updatePaths();
+    void probePath(const std::string &name, const PoolEntry &pool);
+    void logPathChanges(const std::vector<std::string> &lostPools);
     void sendFreeRequests(const std::vector<std::string> &handles);
     std::vector<PromptBacklog> localPromptBacklogs();
     void recordEndpointReplaced(const std::string &endpoint);
@@ -109,6 +117,8 @@
     void handleNotice(const PieceCall &call, const PieceCallEnded &ended, TimePoint sentAt);
     void logUnreadableNotice(const EndpointNoticed &event);
     void probe(const EndpointProbe &probe);
+    void confirmRefusal(const EndpointProbe &probe);
+    void recordProbe(const std::string &endpoint, ProbeOutcome outcome, const std::string &detail);
     void sendColdCheck(const CheckColdState &check);
     void recordColdState(const ColdStateChecked &state);
     void recordEndpointUpdates();
@@ -131,6 +141,9 @@
     ControlMachine m_machine;
     PieceRouter m_pieceRouter;
     PieceBatcher m_pieceBatcher;
+    CallRelay m_callRelay;
+    std::vector<std::string> m_lostPools; ///< To which there was no path at the last heartbeat.
+    std::size_t m_pathProbes = 0;
     std::uint64_t m_unreadableEntries = 0; ///< Objects without a readable name and version.
     std::uint64_t m_platformCalls = 0;
     std::uint64_t m_storeReturns = 0;
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -14,6 +14,7 @@
 #include "harelink/Adapters/stageprotocol.h"
 #include "harelink/Config/settings.h"
 #include "harelink/Daemon/callerapi.h"
+#include "harelink/Daemon/callrelay.h"
 #include "harelink/Daemon/metrics.h"
 #include "harelink/Kernel/requestmachine.h"
 
@@ -54,6 +55,8 @@
         std::function<void(BrokenCall)> callBroken;
         std::function<void(RequestCleared)> requestCleared;
         std::function<void(const EndpointNoticed &)> endpointNoticed;
+        std::function<void(RelayRequest)> relayCall;
+        std::function<void(const CallId &)> cancelRelayedCall;
     };
 
     /// All references must outlive the worker.
@@ -71,6 +74,8 @@
     void handleClaimDecision(ClaimDecision decision);
     /// Handles the outcome of a piece; thread-safe.
     void handlePieceEnded(PieceEnded event);
+    /// Handles a part of the answer to a call that a peer makes; thread-safe.
+    void handleRelayedPart(RelayedPart part);
     /// Handles the end of an endpoint instance; thread-safe.
     void handleEndpointEnded(const std::string &endpoint);
     /// Handles that an endpoint ended while it ran such a request; thread-safe.
@@ -99,6 +104,15 @@
         std::uint64_t connection = 0;
     };
 
+    using StageResult = std::variant<StageAnswered, StageFailed>;
+    /// A call that a peer makes.
+    struct RelayedCall
+    {
+        std::function<StageResult(HttpResult)> decode;
+        HttpClient::BodyCallback onPart; ///< Empty if the answer is needed as a whole.
+        HttpResult result;               ///< What has arrived; without the body if it is passed on.
+    };
+
     template <typename Event>
     void dispatch(Event event);
     void rejectToken(const CallerRequest &request, const Responder &responder);
@@ -121,12 +135,16 @@
     void perform(const BrokenCallReport &action);
     void perform(const RequestCleared &action);
     void forwardProxied(const SendStage &action);
+    void sendCall(const SendStage &action, const HttpCall &http,
+                  const std::function<StageResult(HttpResult)> &decode,
+                  HttpClient::BodyCallback onPart);
+    void receiveRelayedPart(const RelayedPart &part);
     void answerProxied(const Caller &caller, const AnswerCaller &action);
     void removeCaller(std::uint64_t sequence);
     void logAnswer(const AnswerCaller &action) const;
-    void stream(const CallId &call, const HttpCall &http,
+    void stream(const SendStage &action, const HttpCall &http,
                 const std::shared_ptr<StageStream> &stream);
-    void dispatchResult(std::variant<StageAnswered, StageFailed> event);
+    void dispatchResult(StageResult event);
     const StageProtocol &protocol(const std::string &name);
 
     const Settings &m_settings;
@@ -141,6 +159,7 @@
     absl::flat_hash_map<std::uint64_t, Caller> m_callers; // By request sequence.
     absl::flat_hash_map<std::uint64_t, std::vector<RequestId>> m_requestsByConnection;
     std::map<CallId, std::uint64_t> m_calls; // Values are call ids of HttpClient.
+    std::map<CallId, RelayedCall> m_relayedCalls;
     std::map<std::string, std::unique_ptr<StageProtocol>> m_protocols;
     std::thread m_thread;
 };
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -59,6 +59,7 @@
     std::vector<StoreReturn> storeReturns;
     std::vector<RetainedObject> retained;   ///< Newly retained.
     std::vector<PeerMessage> pieceMessages; ///< For the piece router and the batcher.
+    std::vector<PeerMessage> relayMessages; ///< Concern calls that are made for peers.
     std::vector<PieceBacklog> backlogs;     ///< As reported by peers.
     /// Tokens that peers have sent to model engines; only totals that have changed.
     std::vector<PromptBacklog> prompts;
@@ -111,6 +112,18 @@
     void recordBacklogs(std::vector<PieceBacklog> backlogs) { m_backlogs = std::move(backlogs); }
     /// Sets the tokens that this daemon has sent to model engines, for the next heartbeats.
     void recordPrompts(std::vector<PromptBacklog> prompts) { m_prompts = std::move(prompts); }
+    /// Sets the pools to which this daemon has no path, for the next heartbeats.
+    void recordLostPools(std::vector<std::string> pools) { m_lostPools = std::move(pools); }
+    /// Records that \p host has reported that it has no path to \p pool.
+    void recordLostPool(const std::string &host, const std::string &pool)
+    {
+        m_membership.recordLostPool(host, pool);
+    }
+    /// Returns a peer that can make a call to an endpoint of \p pool for this daemon; std::nullopt
+    /// if there is none. Peers take turns.
+    [[nodiscard]] std::optional<std::string> chooseRelay(const std::string &pool);
+    /// Returns whether any peer can make calls for this daemon.
+    [[nodiscard]] bool hasRelay() const { return !m_membership.livePeers().empty(); }
     /// Sets the address at which this daemon listens for peers, once that is known.
     void setPeerAddress(const std::string &address) { m_membership.setAddress(address); }
     /// Handles an endpoint's own announcement that it is leaving.
@@ -171,6 +184,8 @@
     void drainCrashWatch();
     template <PieceContent Content>
     void handle(const PeerMessage &message, const Content &content);
+    template <RelayContent Content>
+    void handle(const PeerMessage &message, const Content &content);
     template <typename Content>
     static ConfigDigest digestOf(const Content &content, bool watches);
     void observeEra(std::uint64_t era, std::uint64_t lowestRevision);
@@ -222,6 +237,8 @@
     TimePoint m_nextAnnounce;
     std::vector<PieceBacklog> m_backlogs;
     std::vector<PromptBacklog> m_prompts;
+    std::vector<std::string> m_lostPools;
+    std::size_t m_nextRelay = 0;
     PeerTotals<std::string> m_peerPrompts;
     std::vector<UsageReport> m_ownUsage;
     PeerDemand m_peerDemand;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -309,6 +309,7 @@
     own.leavingKnown = m_leavingKnown;
     own.backlogs = m_backlogs;
     own.prompts = m_prompts;
+    own.lostPools = m_lostPools;
     own.limits = m_limits.reports(m_clock.now());
     own.configSummary = m_config.summary();
     own.storeEra = m_storeEra;
@@ -324,6 +325,7 @@
         content.leavingKnown = own.leavingKnown;
         content.backlogs = own.backlogs;
         content.prompts = own.prompts;
+        content.lostPools = own.lostPools;
         content.limits = own.limits;
         content.configSummary = own.configSummary;
         content.storeEra = own.storeEra;
@@ -679,6 +681,27 @@
     m_output.pieceMessages.push_back(message);
 }
 
+template <GuardPolicy G>
+template <RelayContent Content>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const Content &content)
+{
+    (void)content;
+    m_output.relayMessages.push_back(message);
+}
+
+template <GuardPolicy G>
+std::optional<std::string> BasicControlMachine<G>::chooseRelay(const std::string &pool)
+{
+    std::vector<std::string> hosts = m_membership.livePeers();
+    std::erase_if(hosts, [&](const std::string &host) {
+        return m_membership.peers().at(host).leaving || !m_membership.reaches(host, pool);
+    });
+    if (hosts.empty()) {
+        return std::nullopt;
+    }
+    return hosts[m_nextRelay++ % hosts.size()];
+}
+
 template <GuardPolicy G>
 void BasicControlMachine<G>::handleHostList(const std::vector<PlatformObject> &hosts)
 {
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -30,6 +30,7 @@
     Incarnation incarnation = 0;             ///< Of its last message; 0 before the first.
     bool leaving = false;                    ///< Never reset to false within an incarnation.
     double capacity = 1;                     ///< In processor cores.
+    std::vector<std::string> lostPools;      ///< See Heartbeat.
     TimePoint lastSeen;                      ///< Time of the last message from the host itself.
     TimePoint reportedAt = TimePoint::min(); ///< When a relay last reported the host as live.
 };
@@ -159,6 +160,10 @@
     [[nodiscard]] bool seenWithin(const std::string &host, Duration period) const;
     /// \overload
     [[nodiscard]] bool seenWithin(const PeerHost &peer, Duration period) const;
+    /// Records that \p host has no path to \p pool, until its next heartbeat.
+    void recordLostPool(const std::string &host, const std::string &pool);
+    /// Returns whether \p host, a peer, has a path to \p pool as far as it has reported.
+    [[nodiscard]] bool reaches(const std::string &host, const std::string &pool) const;
     /// Returns whether \p host belongs to this host's data centre.
     [[nodiscard]] bool isLocal(const std::string &host) const;
     /// Returns the live hosts other than this one, sorted.
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -14,6 +14,7 @@
 #include "harelink/Kernel/endpointlimits.h"
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/platform.h"
+#include "harelink/Kernel/relays.h"
 #include "harelink/Kernel/types.h"
 
 #include <concepts>
@@ -55,10 +56,12 @@
     std::vector<PieceBacklog> backlogs;        ///< Of the pools that the sender batches for.
     std::vector<PromptBacklog> prompts;        ///< Of the model engines that the sender calls.
     std::vector<EndpointLimitReport> limits;   ///< As far as the sender knows.
-    std::uint64_t configSummary = 0;           ///< See ConfigDigest::summary.
-    std::uint64_t storeEra = 0;                ///< See ConfigDigest::storeEra.
-    std::uint64_t lowestRevision = 0;          ///< See ConfigDigest::lowestRevision.
-    bool watches = false;                      ///< See ConfigDigest::watches.
+    /// Pools and pool partitions to which the sender has no path.
+    std::vector<std::string> lostPools;
+    std::uint64_t configSummary = 0;  ///< See ConfigDigest::summary.
+    std::uint64_t storeEra = 0;       ///< See ConfigDigest::storeEra.
+    std::uint64_t lowestRevision = 0; ///< See ConfigDigest::lowestRevision.
+    bool watches = false;             ///< See ConfigDigest::watches.
     /// Hash of the host list that the sender last received from the receiver; 0 for none.
     std::uint64_t knownHostsHash = 0;
     bool acceptsHostChanges = false; ///< The sender understands PeerSummary::changesHostsFrom.
@@ -158,6 +161,11 @@
     std::same_as<Content, PieceOrders> || std::same_as<Content, PieceOutcomes> || std::same_as<
         Content, PieceWithdrawal> || std::same_as<Content, PieceFrees>;
 
+/// Messages that concern calls made for peers; the control forwards them unread.
+template <typename Content>
+concept RelayContent = std::same_as<Content, RelayCall> || std::same_as<
+    Content, RelayPart> || std::same_as<Content, RelayCancel>;
+
 /// A message with its sender.
 struct PeerMessage
 {
@@ -165,7 +173,7 @@
     Incarnation incarnation = 0; ///< Of the sender.
     std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
                  ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees, PeerSummary,
-                 CrashReports, CrashesCleared>
+                 CrashReports, CrashesCleared, RelayCall, RelayPart, RelayCancel>
         content;
 };
 
--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -98,6 +98,7 @@
         TimePoint sentAt;
         TimePoint checkAt;
         std::uint32_t attempts = 0;
+        std::uint32_t handBacks = 0; ///< By batchers that had lost the path.
     };
     /// A result that belongs to a request of this daemon.
     struct Result
@@ -107,6 +108,10 @@
     };
 
     const std::string &batcherOf(const std::string &partition, const Snapshot &snapshot);
+    [[nodiscard]] bool reaches(const std::string &host, const std::string &partition,
+                               const Snapshot &snapshot) const;
+    [[nodiscard]] std::vector<std::string> batcherCandidates(const std::string &partition,
+                                                             const Snapshot &snapshot) const;
     [[nodiscard]] std::string findBatcher(const std::string &partition,
                                           const Snapshot &snapshot) const;
     void dispatch(std::vector<Pending> group, const Snapshot &snapshot);
--- a/include/harelink/Kernel/pieces.h
+++ b/include/harelink/Kernel/pieces.h
@@ -108,8 +108,9 @@
     std::uint32_t endpoints = 0; ///< Number of endpoints that accept calls.
     /// Pieces that are not part of a call yet, by class.
     std::array<std::uint32_t, priorityClassCount> waiting{};
-    double slowness = 1;   ///< Ratio of measured to declared call time, median of the endpoints.
-    double correction = 1; ///< Ratio of measured to predicted completion time.
+    bool isPathLost = false; ///< The batcher has no path to the endpoints.
+    double slowness = 1;     ///< Ratio of measured to declared call time, median of the endpoints.
+    double correction = 1;   ///< Ratio of measured to predicted completion time.
 };
 
 /// Message: compute these pieces in \p pool, which may be a partition of a divided pool. Sent
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -96,6 +96,9 @@
         StageCost &cost = request->costs[request->stage];
         cost.busy += busy;
         cost.cost += requestmachine::seconds(busy) * pool->spec.costPerSecond;
+        if (!request->isRelayed && pool->path != nullptr) {
+            pool->path->recordReached();
+        }
         if (const EndpointEntry *endpoint = pool->find(request->endpoint)) {
             recordSuccess(*endpoint, elapsed, m_clock.now());
             if (event.reportedActive >= 0) {
@@ -162,11 +165,7 @@
     settleCall(*request, snapshot);
     charge(*request, m_clock.now() - request->sentAt - request->charged, snapshot);
     request->phase = Request::Phase::Queued;
-    if (const PoolEntry *pool = snapshot.pool(poolName)) {
-        if (const EndpointEntry *endpoint = pool->find(request->endpoint)) {
-            recordFailure(*pool, *endpoint, event.evidence, m_clock.now());
-        }
-    }
+    recordFailedCall(*request, event, snapshot);
     if (event.isBroken) {
         reportBrokenCall(*request);
     }
@@ -174,7 +173,9 @@
         request->stageMayHaveRun = true;
         ++request->possibleRuns;
     }
-    if (event.evidence != SendEvidence::NothingSent) {
+    if (event.evidence == SendEvidence::NothingSent) {
+        ++request->connectFailures;
+    } else {
         ++request->deliveredSends;
     }
     if (event.evidence == SendEvidence::RefusedBeforeRun) {
@@ -192,6 +193,26 @@
     dispatch(poolName, snapshot);
 }
 
+/// Records the failure of the call in progress at its endpoint and at the path to it. The endpoint
+/// is not blamed for the loss of a peer, nor for what only a peer could not connect to.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::recordFailedCall(const Request &request, const StageFailed &event,
+                                              const Snapshot &snapshot)
+{
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    const EndpointEntry *endpoint = pool == nullptr ? nullptr : pool->find(request.endpoint);
+    const bool isPeersFailure =
+        request.isRelayed && (event.isRelayLost || event.evidence == SendEvidence::NothingSent);
+    if (endpoint == nullptr || isPeersFailure) {
+        return;
+    }
+    if (!request.isRelayed && event.evidence == SendEvidence::RefusedBeforeRun
+        && pool->path != nullptr) {
+        pool->path->recordReached();
+    }
+    recordFailure(*pool, *endpoint, event.evidence, m_clock.now());
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::handle(const RequestSuspected &event, const Snapshot &snapshot)
 {
@@ -408,7 +429,7 @@
     const TimePoint now = m_clock.now();
     const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
     const EndpointEntry *endpoint = pool == nullptr ? nullptr : pool->find(request.endpoint);
-    if (endpoint != nullptr && request.sentAt >= m_resumedAt) {
+    if (endpoint != nullptr && request.sentAt >= m_resumedAt && !request.isRelayed) {
         const Duration typicalTime =
             poolState(pool->spec.name).latency.median(now, request.bytes());
         recordAbandonedCall(*pool, *endpoint, now - request.sentAt, typicalTime, now);
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -309,6 +309,10 @@
     request.phase = Request::Phase::Running;
     countDemand(request, request.stage + 1);
     request.endpoint = endpoint.spec->name;
+    request.isRelayed = G::relaysCalls && pool.path != nullptr
+                        && (pool.isPathLost()
+                            || (pool.path->hasRelay()
+                                && request.connectFailures >= requestmachine::maxConnectFailures));
     request.sentAt = now;
     ++request.attempt;
     if (request.costs.size() <= request.stage) {
@@ -330,6 +334,8 @@
 
     SendStage action;
     action.call = request.call();
+    action.pool = pool.spec.name;
+    action.isRelayed = request.isRelayed;
     action.endpoint = endpoint.spec->name;
     action.endpointIdentity = endpoint.spec->stableName();
     action.address = endpoint.spec->address;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -111,6 +111,7 @@
     bool isEndpointReplaced = false; ///< Another endpoint now uses the address.
     bool inputsGone = false;         ///< Piece results used by the request are no longer stored.
     bool isBroken = false;           ///< The connection was lost during the call.
+    bool isRelayLost = false;        ///< The peer that made the call was lost, or its answer.
     std::optional<EndpointNotice> notice; ///< std::nullopt if the endpoint sent nothing.
 };
 
@@ -130,6 +131,8 @@
 struct SendStage
 {
     CallId call;
+    std::string pool;
+    bool isRelayed = false; ///< A peer shall make the call, since this daemon has no path.
     std::string endpoint;
     std::string endpointIdentity; ///< Identity that the endpoint at the address must report.
     std::string address;
@@ -360,6 +363,8 @@
     [[nodiscard]] const StageSpec *stageWithoutSendSlot(const Request &request,
                                                         const Snapshot &snapshot);
     void failWithoutSendSlot(Request &request, const std::string &pool, const Snapshot &snapshot);
+    void recordFailedCall(const Request &request, const StageFailed &event,
+                          const Snapshot &snapshot);
     void recordNotice(const Request &request, const std::optional<EndpointNotice> &notice,
                       const Snapshot &snapshot);
     void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -54,6 +54,8 @@
 /// Maximum number of sends of one proxied request, including those refused before running:
 /// each costs a connection and a share of the common retry budget.
 inline constexpr std::uint32_t maxProxiedSends = 4;
+/// After this number of failures to connect, another call of a request is made by a peer.
+inline constexpr std::uint32_t maxConnectFailures = 2;
 /// Minimum number of daemons assumed when the retry budget is divided.
 inline constexpr int minDaemonCount = 3;
 /// Initial estimate of the prompt tokens that a model engine prefills per second.
@@ -133,7 +135,9 @@
     Duration timeToFirstChunk{};
     bool stageMayHaveRun = false; ///< A send of the current stage may have run.
     std::string previous;
-    std::string endpoint; ///< Endpoint of the call in progress, or of the last failed call.
+    std::string endpoint;   ///< Endpoint of the call in progress, or of the last failed call.
+    bool isRelayed = false; ///< A peer makes the call in progress, or made the last one.
+    std::uint32_t connectFailures = 0; ///< Calls for which no connection was established.
     TimePoint sentAt;
     Duration charged{};
     ScopedCount demand;   ///< Held while it is queued or in flight at a pool.
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace harelink {
 
@@ -107,6 +108,11 @@
 void recordFailure(const PoolEntry &pool, const EndpointEntry &entry, SendEvidence evidence,
                    TimePoint now);
 
+/// Returns the names of the pools and pool partitions to which this daemon has lost the path.
+///
+/// \param hasRelay whether a peer may make calls for this daemon.
+[[nodiscard]] std::vector<std::string> updateLostPools(const Snapshot &snapshot, bool hasRelay);
+
 /// Records that a call to \p entry was abandoned after \p elapsed; \p usual is the typical time
 /// of a call to its pool. A call that took much longer counts as a failure.
 void recordAbandonedCall(const PoolEntry &pool, const EndpointEntry &entry, Duration elapsed,
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -11,6 +11,7 @@
 
 #include "harelink/Config/resources.h"
 #include "harelink/Kernel/load.h"
+#include "harelink/Kernel/poolpath.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -69,6 +70,8 @@
     /// Shared with the previous and the next snapshot; null if the pool does not work in
     /// pieces.
     std::shared_ptr<PieceLoad> pieceLoad;
+    /// Shared with the previous and the next snapshot; null in a pool that no snapshot holds.
+    std::shared_ptr<PoolPath> path;
     /// Names of the partitions of a large pool that works in pieces: one per data centre, each
     /// with its own batcher and load. Empty if the pool is not partitioned.
     std::vector<std::string> partitions;
@@ -81,6 +84,8 @@
     [[nodiscard]] const EndpointEntry *preferredEndpoint(std::uint64_t prefix) const;
     /// Returns the endpoint named \p name, or null.
     [[nodiscard]] const EndpointEntry *find(const std::string &name) const;
+    /// Returns whether this daemon has no path to the endpoints, but peers may.
+    [[nodiscard]] bool isPathLost() const { return path != nullptr && path->isLost(); }
     /// Returns whether any endpoint may get new work under \p limit; see mayServe(). If not,
     /// requests that wait for the pool can never be sent.
     [[nodiscard]] bool hasServingEndpoint(const RegionLimit &limit) const;
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -129,6 +129,19 @@
     }
     to.set_slowness(static_cast<float>(from.slowness));
     to.set_correction(static_cast<float>(from.correction));
+    to.set_path_lost(from.isPathLost);
+}
+
+void write(const CallId &from, wire::CallId &to)
+{
+    write(from.request, *to.mutable_request());
+    to.set_stage(from.stage);
+    to.set_attempt(from.attempt);
+}
+
+CallId read(const wire::CallId &from)
+{
+    return {read(from.request()), from.stage(), from.attempt()};
 }
 
 PieceBacklog read(const wire::PieceBacklog &from)
@@ -138,6 +151,7 @@
     to.freeIn = microseconds(from.free_in_micros());
     to.endpoints = from.endpoints();
     to.slowness = from.slowness();
+    to.isPathLost = from.path_lost();
     to.correction = from.correction() > 0 ? static_cast<double>(from.correction()) : 1.0;
     const auto count = static_cast<std::size_t>(from.waiting_size());
     std::copy_n(from.waiting().begin(), std::min(to.waiting.size(), count), to.waiting.begin());
@@ -231,6 +245,7 @@
         to.set_watches(from.watches);
         to.set_hosts_known(from.knownHostsHash);
         to.set_accepts_host_changes(from.acceptsHostChanges);
+        to.mutable_lost_pools()->Add(from.lostPools.begin(), from.lostPools.end());
         writeSharedLists(from, to);
     }
     void operator()(const PeerSummary &from) const
@@ -318,6 +333,43 @@
             write(digest, *to.add_digests());
         }
     }
+    void operator()(const RelayCall &from) const
+    {
+        wire::RelayCall &to = *m_message.mutable_relay_call();
+        write(from.call, *to.mutable_call());
+        to.set_pool(from.pool);
+        to.set_method(from.method);
+        to.set_url(from.url);
+        to.set_target(from.target);
+        to.mutable_headers()->Add(from.headers.begin(), from.headers.end());
+        to.set_body(from.body);
+        to.set_timeout_micros(toMicros(from.timeout));
+        to.set_connect_timeout_micros(toMicros(from.connectTimeout));
+        to.set_omits_default_headers(from.omitsDefaultHeaders);
+    }
+    void operator()(const RelayPart &from) const
+    {
+        wire::RelayPart &to = *m_message.mutable_relay_part();
+        write(from.call, *to.mutable_call());
+        to.set_number(from.number);
+        to.set_is_last(from.isLast);
+        to.set_status(from.status);
+        to.set_head_status(from.headStatus);
+        to.set_was_sent(from.wasSent);
+        to.set_is_broken(from.isBroken);
+        to.set_was_refused(from.wasRefused);
+        to.set_error(from.error);
+        for (const auto &[name, value] : from.fields) {
+            wire::HeaderField &field = *to.add_fields();
+            field.set_name(name);
+            field.set_value(value);
+        }
+        to.set_body(from.body);
+    }
+    void operator()(const RelayCancel &from) const
+    {
+        write(from.call, *m_message.mutable_relay_cancel()->mutable_call());
+    }
     void operator()(const PieceWithdrawal &from) const
     {
         wire::PieceWithdrawal &to = *m_message.mutable_piece_withdrawal();
@@ -394,6 +446,7 @@
     to.watches = from.watches();
     to.knownHostsHash = from.hosts_known();
     to.acceptsHostChanges = from.accepts_host_changes();
+    to.lostPools.assign(from.lost_pools().begin(), from.lost_pools().end());
     readSharedLists(from, to);
     return to;
 }
@@ -522,6 +575,41 @@
     return to;
 }
 
+RelayCall read(const wire::RelayCall &from)
+{
+    RelayCall to;
+    to.call = read(from.call());
+    to.pool = from.pool();
+    to.method = from.method();
+    to.url = from.url();
+    to.target = from.target();
+    to.headers.assign(from.headers().begin(), from.headers().end());
+    to.body = from.body();
+    to.timeout = microseconds(from.timeout_micros());
+    to.connectTimeout = microseconds(from.connect_timeout_micros());
+    to.omitsDefaultHeaders = from.omits_default_headers();
+    return to;
+}
+
+RelayPart read(const wire::RelayPart &from)
+{
+    RelayPart to;
+    to.call = read(from.call());
+    to.number = from.number();
+    to.isLast = from.is_last();
+    to.status = from.status();
+    to.headStatus = from.head_status();
+    to.wasSent = from.was_sent();
+    to.isBroken = from.is_broken();
+    to.wasRefused = from.was_refused();
+    to.error = from.error();
+    for (const wire::HeaderField &field : from.fields()) {
+        to.fields.emplace_back(field.name(), field.value());
+    }
+    to.body = from.body();
+    return to;
+}
+
 /// Reads the content; returns false if its kind is unknown or a value is invalid.
 bool readContent(const wire::PeerMessage &from, PeerMessage &to)
 {
@@ -596,6 +684,15 @@
     case wire::PeerMessage::kCrashesCleared:
         to.content = read(from.crashes_cleared());
         return true;
+    case wire::PeerMessage::kRelayCall:
+        to.content = read(from.relay_call());
+        return true;
+    case wire::PeerMessage::kRelayPart:
+        to.content = read(from.relay_part());
+        return true;
+    case wire::PeerMessage::kRelayCancel:
+        to.content = RelayCancel{read(from.relay_cancel().call())};
+        return true;
     case wire::PeerMessage::CONTENT_NOT_SET:
         return false;
     }
--- /dev/null
+++ b/lib/Daemon/callrelay.cpp
@@ -0,0 +1,230 @@
+//===- callrelay.cpp - Calls made by peers --------------------------------===//
+
+#include "harelink/Daemon/callrelay.h"
+
+#include "harelink/Support/log.h"
+
+#include <variant>
+
+namespace harelink {
+namespace {
+
+constexpr Logger logger("relay");
+
+/// Maximum number of calls that are made for peers at once, which bounds the memory that they take.
+constexpr std::size_t maxServed = 256;
+/// A call that arrives again within this period is a repeated message.
+constexpr std::chrono::seconds arrivalRetention{30};
+
+RelayCall toMessage(const RelayRequest &request)
+{
+    RelayCall message;
+    message.call = request.call;
+    message.pool = request.pool;
+    message.method = request.http.method;
+    message.url = request.http.url;
+    message.target = request.http.target;
+    message.headers = request.http.headers;
+    message.body = request.http.body;
+    message.timeout = request.http.timeout;
+    message.connectTimeout = request.http.connectTimeout;
+    message.omitsDefaultHeaders = request.http.omitDefaultHeaders;
+    return message;
+}
+
+HttpCall toHttp(const RelayCall &message)
+{
+    HttpCall http;
+    http.method = message.method;
+    http.url = message.url;
+    http.target = message.target;
+    http.headers = message.headers;
+    http.body = message.body;
+    http.timeout = message.timeout;
+    http.connectTimeout = message.connectTimeout;
+    http.omitDefaultHeaders = message.omitsDefaultHeaders;
+    // The requesting daemon decides on retries.
+    http.resendable = false;
+    return http;
+}
+
+} // namespace
+
+CallRelay::CallRelay(const Clock &clock, HttpClient &http, Sink sink)
+    : m_clock(clock)
+    , m_http(http)
+    , m_sink(std::move(sink))
+{
+}
+
+void CallRelay::request(const std::string &host, const RelayRequest &request)
+{
+    logger.record(LogLevel::Info, "call-relayed")
+        .field("request", toText(request.call))
+        .field("pool", request.pool)
+        .field("endpoint", request.endpoint)
+        .field("peer", host);
+    m_requested[request.call] = {host, 0};
+    if (host.empty()) {
+        ++m_counters.unplaced;
+        fail(request.call, "no peer reaches the pool", false);
+        return;
+    }
+    ++m_counters.requested;
+    m_sink.send(host, toMessage(request));
+}
+
+void CallRelay::cancel(const CallId &call)
+{
+    const auto found = m_requested.find(call);
+    if (found != m_requested.end()) {
+        m_sink.send(found->second.host, RelayCancel{call});
+        m_requested.erase(found);
+    }
+}
+
+void CallRelay::handle(const PeerMessage &message)
+{
+    if (const auto *call = std::get_if<RelayCall>(&message.content)) {
+        handle(message.host, *call);
+    } else if (const auto *part = std::get_if<RelayPart>(&message.content)) {
+        handle(message.host, *part);
+    } else if (const auto *cancelled = std::get_if<RelayCancel>(&message.content)) {
+        handle(message.host, *cancelled);
+    }
+}
+
+void CallRelay::dropLostPeers(const std::function<bool(const std::string &)> &isLive)
+{
+    std::vector<CallId> lost;
+    for (const auto &[call, requested] : m_requested) {
+        if (!isLive(requested.host)) {
+            lost.push_back(call);
+        }
+    }
+    for (const CallId &call : lost) {
+        ++m_counters.lost;
+        fail(call, "the peer that makes the call was lost", true);
+    }
+    std::erase_if(m_served, [&](const auto &entry) {
+        const bool isLost = !isLive(entry.first.first);
+        if (isLost) {
+            m_http.cancel(entry.second.transfer);
+        }
+        return isLost;
+    });
+}
+
+/// Ends a call of a worker without a result of the peer.
+void CallRelay::fail(const CallId &call, std::string error, bool wasSent)
+{
+    m_requested.erase(call);
+    RelayedPart failed;
+    failed.part.call = call;
+    failed.part.isLast = true;
+    failed.part.wasSent = wasSent;
+    failed.part.error = std::move(error);
+    failed.isRelayLost = wasSent;
+    m_sink.deliver(std::move(failed));
+}
+
+void CallRelay::handle(const std::string &host, const RelayPart &part)
+{
+    const auto found = m_requested.find(part.call);
+    if (found == m_requested.end() || found->second.host != host) {
+        return;
+    }
+    Requested &requested = found->second;
+    if (part.number < requested.nextPart) {
+        return; // A repeated message.
+    }
+    if (part.number > requested.nextPart) {
+        ++m_counters.lost;
+        m_sink.send(host, RelayCancel{part.call});
+        fail(part.call, "a part of the answer was lost between daemons", true);
+        return;
+    }
+    ++requested.nextPart;
+    if (part.isLast) {
+        m_requested.erase(found);
+    }
+    m_sink.deliver({part, false});
+}
+
+void CallRelay::handle(const std::string &host, const RelayCancel &cancelled)
+{
+    const auto found = m_served.find({host, cancelled.call});
+    if (found != m_served.end()) {
+        m_http.cancel(found->second.transfer);
+        m_served.erase(found);
+    }
+}
+
+/// Returns whether the call arrives for the first time.
+bool CallRelay::recordArrival(const ServedId &id)
+{
+    const TimePoint now = m_clock.now();
+    while (!m_arrivedOrder.empty() && now - m_arrivedOrder.front().first > arrivalRetention) {
+        m_arrived.erase(m_arrivedOrder.front().second);
+        m_arrivedOrder.pop_front();
+    }
+    const bool isNew = m_arrived.insert(id).second;
+    if (isNew) {
+        m_arrivedOrder.emplace_back(now, id);
+    }
+    return isNew;
+}
+
+void CallRelay::handle(const std::string &host, const RelayCall &call)
+{
+    const ServedId id(host, call.call);
+    if (!recordArrival(id)) {
+        return;
+    }
+    if (!m_sink.reaches(call.pool) || m_served.size() >= maxServed) {
+        ++m_counters.refused;
+        RelayPart refusal;
+        refusal.call = call.call;
+        refusal.isLast = true;
+        refusal.wasSent = false;
+        refusal.error = "the peer does not make the call";
+        m_sink.send(host, std::move(refusal));
+        return;
+    }
+    ++m_counters.served;
+    serve(id, call);
+}
+
+void CallRelay::serve(const ServedId &id, const RelayCall &call)
+{
+    const auto onPart = [this, id](const HttpResult &head, const std::string &body) {
+        Served &served = m_served.at(id);
+        RelayPart part;
+        part.call = id.second;
+        part.headStatus = head.headStatus;
+        if (served.nextPart == 0) {
+            part.fields = head.fields;
+        }
+        part.number = served.nextPart++;
+        part.body = body;
+        m_sink.send(id.first, std::move(part));
+    };
+    const auto onDone = [this, id](const HttpResult &result) {
+        RelayPart part;
+        part.call = id.second;
+        part.number = m_served.at(id).nextPart;
+        part.isLast = true;
+        part.status = result.status;
+        part.headStatus = result.headStatus;
+        part.wasSent = result.sent;
+        part.isBroken = result.isBroken;
+        part.wasRefused = result.connection == HttpConnection::Refused;
+        part.error = result.error;
+        part.fields = result.fields;
+        m_served.erase(id);
+        m_sink.send(id.first, std::move(part));
+    };
+    m_served[id].transfer = m_http.send(toHttp(call), onDone, onPart);
+}
+
+} // namespace harelink
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -25,6 +25,9 @@
 /// Timeout of cold state checks, short because requests wait for the result. A check that takes
 /// longer is inconclusive.
 constexpr std::chrono::milliseconds coldCheckTimeout{200};
+/// A peer that makes calls for this daemon is taken to be lost after this time, 2.5 heartbeats,
+/// without a message.
+constexpr std::chrono::milliseconds relayPeerTimeout{600};
 /// Maximum number of endpoints whose unreadable fields are logged; those of further endpoints
 /// are only counted.
 constexpr std::size_t maxLoggedUnreadableNotices = 1000;
@@ -144,6 +147,15 @@
     , m_pieceRouter(clock, m_machine.membership(),
                     {settings.retryRatio, settings.retryAllowance, settings.retryWindow})
     , m_pieceBatcher(clock)
+    , m_callRelay(clock, m_loop.http(),
+                  {[this](const std::string &host, decltype(PeerMessage::content) content) {
+                       sendTo(host, std::move(content));
+                   },
+                   [this](RelayedPart part) { m_workers.relayedPart(std::move(part)); },
+                   [this](const std::string &pool) {
+                       const PoolEntry *entry = m_snapshot.current().pool(pool);
+                       return entry != nullptr && !entry->isPathLost();
+                   }})
 {
 }
 
@@ -219,6 +231,66 @@
     });
 }
 
+void Control::relayCall(const RelayRequest &request)
+{
+    m_loop.post([this, request] {
+        m_callRelay.request(m_machine.chooseRelay(request.pool).value_or(std::string()), request);
+    });
+}
+
+void Control::cancelRelayedCall(const CallId &call)
+{
+    m_loop.post([this, call] { m_callRelay.cancel(call); });
+}
+
+/// Reports to the peers to which pools there is no path, and probes these paths.
+void Control::updatePaths()
+{
+    const Snapshot &snapshot = m_snapshot.current();
+    std::vector<std::string> lost = updateLostPools(snapshot, m_machine.hasRelay());
+    for (const std::string &name : lost) {
+        probePath(name, *snapshot.poolOrPartition(name));
+    }
+    logPathChanges(lost);
+    m_lostPools = lost;
+    m_machine.recordLostPools(std::move(lost));
+    m_callRelay.dropLostPeers([this](const std::string &host) {
+        return m_machine.membership().seenWithin(host, relayPeerTimeout);
+    });
+}
+
+/// Opens a connection to an endpoint of \p pool, if the path to it shall be probed now.
+void Control::probePath(const std::string &name, const PoolEntry &pool)
+{
+    if (pool.endpoints.empty() || !pool.path->claimProbe(m_clock.now())) {
+        return;
+    }
+    const EndpointEntry &endpoint = pool.endpoints[m_pathProbes++ % pool.endpoints.size()];
+    HttpCall call;
+    call.url = fmt::format("http://{}", endpoint.spec->address);
+    call.timeout = probeTimeout;
+    call.connectOnly = true;
+    m_loop.http().send(call, [this, name, path = pool.path](const HttpResult &result) {
+        if (result.connection == HttpConnection::Established) {
+            path->recordReached();
+        }
+    });
+}
+
+void Control::logPathChanges(const std::vector<std::string> &lostPools)
+{
+    const auto log = [](const char *event, const std::vector<std::string> &names,
+                        const std::vector<std::string> &others) {
+        for (const std::string &name : names) {
+            if (!std::binary_search(others.begin(), others.end(), name)) {
+                logger.record(LogLevel::Warning, event).field("pool", name);
+            }
+        }
+    };
+    log("pool-path-lost", lostPools, m_lostPools);
+    log("pool-path-restored", m_lostPools, lostPools);
+}
+
 void Control::checkColdState(const CheckColdState &check)
 {
     m_loop.post([this, check] { sendColdCheck(check); });
@@ -359,20 +431,55 @@
     call.timeout = probeTimeout;
     call.connectOnly = true;
     m_loop.http().send(call, [this, probe](const HttpResult &result) {
-        ProbeOutcome outcome = ProbeOutcome::Unknown;
-        if (result.connection != HttpConnection::Unknown) {
-            outcome = result.connection == HttpConnection::Refused ? ProbeOutcome::Refused
-                                                                   : ProbeOutcome::Accepted;
+        if (result.connection == HttpConnection::Refused) {
+            confirmRefusal(probe);
+            return;
         }
-        logger.record(LogLevel::Info, "endpoint-probed")
-            .field("endpoint", probe.endpoint)
-            .field("outcome", toText(outcome))
-            .field("detail", result.error);
-        m_machine.handle(EndpointProbeResult{probe.endpoint, outcome});
-        performActions();
+        const bool isAccepted = result.connection == HttpConnection::Established;
+        recordProbe(probe.endpoint, isAccepted ? ProbeOutcome::Accepted : ProbeOutcome::Unknown,
+                    result.error);
     });
 }
 
+/// Takes an endpoint that refused a connection for ended only if another one of its pool accepts
+/// one: a path that is cut may refuse connections too.
+void Control::confirmRefusal(const EndpointProbe &probe)
+{
+    const PoolEntry *pool = m_snapshot.current().poolOfEndpoint(probe.endpoint);
+    const EndpointEntry *other = nullptr;
+    for (std::size_t i = 0; pool != nullptr && i < pool->endpoints.size(); ++i) {
+        const EndpointEntry &entry = pool->endpoints[(m_pathProbes + i) % pool->endpoints.size()];
+        if (entry.spec->name != probe.endpoint && isUsable(entry, m_clock.now())) {
+            other = &entry;
+            break;
+        }
+    }
+    ++m_pathProbes;
+    if (other == nullptr) {
+        recordProbe(probe.endpoint, ProbeOutcome::Refused, "no other endpoint to compare with");
+        return;
+    }
+    HttpCall call;
+    call.url = fmt::format("http://{}", other->spec->address);
+    call.timeout = probeTimeout;
+    call.connectOnly = true;
+    m_loop.http().send(call, [this, name = probe.endpoint](const HttpResult &result) {
+        const bool hasPath = result.connection == HttpConnection::Established;
+        recordProbe(name, hasPath ? ProbeOutcome::Refused : ProbeOutcome::Unknown, result.error);
+    });
+}
+
+void Control::recordProbe(const std::string &endpoint, ProbeOutcome outcome,
+                          const std::string &detail)
+{
+    logger.record(LogLevel::Info, "endpoint-probed")
+        .field("endpoint", endpoint)
+        .field("outcome", toText(outcome))
+        .field("detail", detail);
+    m_machine.handle(EndpointProbeResult{endpoint, outcome});
+    performActions();
+}
+
 void Control::leave()
 {
     m_loop.post([this] { m_machine.leave(); });
@@ -396,6 +503,7 @@
         m_machine.recordPrompts(localPromptBacklogs());
         handlePeerChanges();
         applyLimits(m_snapshot.current());
+        updatePaths();
         m_daemons.store(m_machine.membership().recentHostCount(), std::memory_order_relaxed);
     }
     m_machine.tick();
@@ -438,6 +546,9 @@
     if (const auto *orders = std::get_if<PieceOrders>(&message.content)) {
         m_pieceBatcher.handle(message.host, *orders, snapshot);
     } else if (const auto *outcomes = std::get_if<PieceOutcomes>(&message.content)) {
+        if (outcomes->backlog.isPathLost) {
+            m_machine.recordLostPool(message.host, outcomes->backlog.pool);
+        }
         m_pieceRouter.handle(*outcomes, snapshot);
     } else if (const auto *frees = std::get_if<PieceFrees>(&message.content)) {
         m_pieceBatcher.handle(*frees, snapshot);
@@ -555,6 +666,9 @@
     for (const PeerMessage &message : output.pieceMessages) {
         handlePieceMessage(message);
     }
+    for (const PeerMessage &message : output.relayMessages) {
+        m_callRelay.handle(message);
+    }
     if (output.configChanged) {
         publish();
     }
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -149,6 +149,10 @@
             worker->handleSuspectedRequest(event);
         }
     };
+    workers.relayedPart = [this](RelayedPart part) {
+        const std::uint64_t sequence = part.part.call.request.sequence;
+        workerFor(sequence).handleRelayedPart(std::move(part));
+    };
     m_control = std::make_unique<Control>(m_settings, m_clock, m_snapshot, *m_dialect,
                                           m_incarnation, m_liveDaemons, std::move(workers));
     Worker::ControlSink control;
@@ -176,6 +180,8 @@
     control.requestCleared = [this](const RequestCleared &request) {
         m_control->handleRequestCleared(request);
     };
+    control.relayCall = [this](const RelayRequest &request) { m_control->relayCall(request); };
+    control.cancelRelayedCall = [this](const CallId &call) { m_control->cancelRelayedCall(call); };
     for (int i = 0; i < m_settings.workers; ++i) {
         m_workers.push_back(std::make_unique<Worker>(m_settings, m_clock, m_snapshot, *m_dialect,
                                                      m_incarnation + static_cast<std::uint64_t>(i),
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -5,6 +5,7 @@
 #include "harelink/Kernel/registry.h"
 #include "harelink/Support/error.h"
 #include "harelink/Support/log.h"
+#include "harelink/Support/text.h"
 
 #include <cassert>
 
@@ -244,50 +245,111 @@
     const HttpCall http = encodeStage(stageProtocol, action);
     logger.debug("Sending {} to {}.", toText(call), action.endpoint);
     if (action.streams && stageProtocol.streams()) {
-        stream(call, http, std::make_shared<StageStream>(stageProtocol, action));
+        stream(action, http, std::make_shared<StageStream>(stageProtocol, action));
         return;
     }
-    m_calls[call] = m_loop.http().send(
-        http, [this, &stageProtocol, stage = std::move(action)](const HttpResult &result) {
-            m_calls.erase(stage.call);
-            dispatchResult(decodeStage(stageProtocol, stage, result));
-        });
+    const auto decode = [&stageProtocol, stage = action](const HttpResult &result) {
+        return decodeStage(stageProtocol, stage, result);
+    };
+    sendCall(action, http, decode, {});
+}
+
+/// Makes the call of \p action, or lets a peer make it, and handles its result.
+void Worker::sendCall(const SendStage &action, const HttpCall &http,
+                      const std::function<StageResult(HttpResult)> &decode,
+                      HttpClient::BodyCallback onPart)
+{
+    const CallId call = action.call;
+    if (action.isRelayed) {
+        m_relayedCalls[call] = {decode, std::move(onPart), {}};
+        m_control.relayCall({call, action.pool, action.endpoint, http});
+        return;
+    }
+    const auto onDone = [this, call, decode](HttpResult result) {
+        m_calls.erase(call);
+        dispatchResult(decode(std::move(result)));
+    };
+    m_calls[call] = m_loop.http().send(http, onDone, std::move(onPart));
+}
+
+void Worker::handleRelayedPart(RelayedPart part)
+{
+    m_loop.post([this, part = std::move(part)] { receiveRelayedPart(part); });
+}
+
+void Worker::receiveRelayedPart(const RelayedPart &received)
+{
+    const RelayPart &part = received.part;
+    const auto found = m_relayedCalls.find(part.call);
+    if (found == m_relayedCalls.end()) {
+        return;
+    }
+    HttpResult &result = found->second.result;
+    result.headStatus = part.headStatus;
+    if (!part.fields.empty()) {
+        result.fields = part.fields;
+        result.headers.clear();
+        for (const auto &[name, value] : part.fields) {
+            result.headers[lowerCase(name)] = value;
+        }
+    }
+    if (found->second.onPart && !part.body.empty()) {
+        // The callback may end the call.
+        const HttpClient::BodyCallback onPart = found->second.onPart;
+        const HttpResult head = result;
+        onPart(head, part.body);
+    } else {
+        result.body += part.body;
+    }
+    const auto call = m_relayedCalls.find(part.call);
+    if (!part.isLast || call == m_relayedCalls.end()) {
+        return;
+    }
+    RelayedCall ended = std::move(call->second);
+    m_relayedCalls.erase(call);
+    ended.result.status = part.status;
+    ended.result.sent = part.wasSent;
+    ended.result.isBroken = part.isBroken;
+    ended.result.error = part.error;
+    if (part.wasSent) {
+        ended.result.connection = HttpConnection::Established;
+    } else if (part.wasRefused) {
+        ended.result.connection = HttpConnection::Refused;
+    }
+    StageResult event = ended.decode(std::move(ended.result));
+    if (auto *failed = std::get_if<StageFailed>(&event)) {
+        failed->isRelayLost = received.isRelayLost;
+    }
+    dispatchResult(std::move(event));
 }
 
 /// Forwards a proxied request unchanged and streams its response back.
 void Worker::forwardProxied(const SendStage &action)
 {
-    const CallId call = action.call;
     const ProxiedDialect &dialect = *m_dialect.proxied();
     const auto stream = std::make_shared<ProxiedStream>(dialect, action);
-    const auto onDone = [this, call, stream](HttpResult result) {
-        m_calls.erase(call);
-        dispatchResult(stream->finish(std::move(result)));
-    };
+    const auto decode = [stream](HttpResult result) { return stream->finish(std::move(result)); };
     const auto onPart = [this, stream](const HttpResult &head, const std::string &body) {
         for (StageEvent &event : stream->handleBody(head, body)) {
             dispatch(std::move(event));
         }
     };
-    m_calls[call] = m_loop.http().send(dialect.encode(action), onDone, onPart);
+    sendCall(action, dialect.encode(action), decode, onPart);
 }
 
-void Worker::stream(const CallId &call, const HttpCall &http,
+void Worker::stream(const SendStage &action, const HttpCall &http,
                     const std::shared_ptr<StageStream> &stream)
 {
-    const auto onDone = [this, call, stream](const HttpResult &result) {
-        m_calls.erase(call);
-        dispatchResult(stream->finish(result));
-    };
+    const auto decode = [stream](const HttpResult &result) { return stream->finish(result); };
     const auto onPart = [this, stream](const HttpResult &head, const std::string &body) {
         for (StageChunk &chunk : stream->handleBody(head, body)) {
             dispatch(std::move(chunk));
         }
     };
-    m_calls[call] = m_loop.http().send(http, onDone, onPart);
+    sendCall(action, http, decode, onPart);
 }
 
-void Worker::dispatchResult(std::variant<StageAnswered, StageFailed> event)
+void Worker::dispatchResult(StageResult event)
 {
     std::visit(
         [this](auto &&alternative) { dispatch(std::forward<decltype(alternative)>(alternative)); },
@@ -301,6 +363,9 @@
         m_loop.http().cancel(found->second);
         m_calls.erase(found);
     }
+    if (m_relayedCalls.erase(action.call) > 0) {
+        m_control.cancelRelayedCall(action.call);
+    }
 }
 
 void Worker::perform(const AnswerCaller &action)
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -163,20 +163,40 @@
     if (const auto *heartbeat = std::get_if<Heartbeat>(&message.content)) {
         isChanged = isChanged || peer.address != heartbeat->address
                     || peer.dataCentre != heartbeat->dataCentre
-                    || (heartbeat->leaving && !peer.leaving)
-                    || peer.capacity != heartbeat->capacity;
+                    || (heartbeat->leaving && !peer.leaving) || peer.capacity != heartbeat->capacity
+                    || peer.lostPools != heartbeat->lostPools;
         // Heartbeats carry this data too, for daemons that start while the host list is
         // unavailable.
         peer.address = heartbeat->address;
         peer.dataCentre = heartbeat->dataCentre;
         peer.leaving = peer.leaving || heartbeat->leaving;
         peer.capacity = heartbeat->capacity;
+        peer.lostPools = heartbeat->lostPools;
     }
     if (isChanged) {
         invalidateLists();
     }
 }
 
+void Membership::recordLostPool(const std::string &host, const std::string &pool)
+{
+    const auto peer = m_peers.find(host);
+    if (peer != m_peers.end() && reaches(host, pool)) {
+        peer->second.lostPools.push_back(pool);
+        invalidateLists();
+    }
+}
+
+bool Membership::reaches(const std::string &host, const std::string &pool) const
+{
+    const auto peer = m_peers.find(host);
+    if (peer == m_peers.end()) {
+        return true;
+    }
+    const std::vector<std::string> &lost = peer->second.lostPools;
+    return std::find(lost.begin(), lost.end(), pool) == lost.end();
+}
+
 void Membership::handleHostReports(const std::vector<HostReport> &hosts,
                                    const std::string &dataCentre)
 {
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -254,14 +254,16 @@
     if (failed) {
         sample = std::max(sample, failureSlowness);
     }
-    if (event.answered || failed) {
+    const bool unreachable = !event.answered && event.evidence == SendEvidence::NothingSent;
+    if (unreachable) {
+        // Tells nothing of the time that calls take.
+    } else if (event.answered || failed) {
         state.slowness += (sample - state.slowness) * slownessSmoothing;
         state.slowness = std::clamp(state.slowness, minSlowness, maxSlowness);
     } else {
         state.blockedUntil = now + backoff(refusalBackoff, state.refusals++, maxRefusalBackoff);
     }
     state.refusals = event.answered ? 0 : state.refusals;
-    const bool unreachable = !event.answered && event.evidence == SendEvidence::NothingSent;
     if (unreachable) {
         state.blockedUntil =
             now + backoff(unreachableBackoff, state.unreachable, maxUnreachableBackoff);
@@ -275,6 +277,10 @@
         return;
     }
     entry->load->inFlight.fetch_sub(1, std::memory_order_relaxed);
+    const bool isReached = event.answered || event.evidence == SendEvidence::RefusedBeforeRun;
+    if (isReached && pool.path != nullptr) {
+        pool.path->recordReached();
+    }
     if (event.answered) {
         recordSuccess(*entry, elapsed, now);
     } else {
@@ -376,6 +382,7 @@
     if (entry == nullptr) {
         return backlog;
     }
+    backlog.isPathLost = entry->isPathLost();
     std::vector<double> slowness;
     TimePoint first = TimePoint::max();
     for (const EndpointEntry &endpoint : entry->endpoints) {
--- a/lib/Kernel/piececalls.cpp
+++ b/lib/Kernel/piececalls.cpp
@@ -115,7 +115,7 @@
     }
     const PoolEntry *pool = snapshot.poolOrPartition(poolName);
     const auto acceptsCalls = [now](const EndpointEntry &entry) { return isUsable(entry, now); };
-    if (pool == nullptr
+    if (pool == nullptr || pool->isPathLost()
         || std::none_of(pool->endpoints.begin(), pool->endpoints.end(), acceptsCalls)) {
         for (const QueuedPiece &item : std::exchange(queue.waiting, {})) {
             addOutcome(poolName, item, {}, {}, PieceFault::Refused);
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds resubmitTimeoutSlack{500};
 /// Maximum number of times that one piece is ordered.
 constexpr std::uint32_t maxAttempts = 3;
+/// Maximum number of times that one piece is ordered again since its batcher had lost the path.
+constexpr std::uint32_t maxHandBacks = 3;
 /// The interval of checks for overdue orders.
 constexpr milliseconds pendingCheckInterval{50};
 /// Records of results are dropped after this time, longer than any endpoint keeps a result.
@@ -111,26 +113,53 @@
     const TimePoint now = m_clock.now();
     Batcher &batcher = m_batchers[partition];
     const std::uint64_t version = m_membership.listsVersion();
-    const bool isStale =
-        now - batcher.selectedAt >= batcherCacheTtl || batcher.listsVersion != version;
+    const bool isStale = now - batcher.selectedAt >= batcherCacheTtl
+                         || batcher.listsVersion != version
+                         || !reaches(batcher.host, partition, snapshot);
     if (batcher.host.empty() || isStale) {
         batcher = {findBatcher(partition, snapshot), now, version};
     }
     return batcher.host;
 }
 
-std::string PieceRouter::findBatcher(const std::string &partition, const Snapshot &snapshot) const
+/// Returns whether \p host has a path to the endpoints of \p partition.
+bool PieceRouter::reaches(const std::string &host, const std::string &partition,
+                          const Snapshot &snapshot) const
 {
-    std::string best = m_membership.host();
-    std::uint64_t bestScore = 0;
+    if (host != m_membership.host()) {
+        return m_membership.reaches(host, partition);
+    }
+    const PoolEntry *entry = snapshot.poolOrPartition(partition);
+    return entry == nullptr || !entry->isPathLost();
+}
+
+/// Returns the hosts that may be the batcher of \p partition: those that have a path to it, or all
+/// if none has.
+std::vector<std::string> PieceRouter::batcherCandidates(const std::string &partition,
+                                                        const Snapshot &snapshot) const
+{
+    const auto withPath = [&](const std::string &dataCentre) {
+        std::vector<std::string> hosts = m_membership.likelyLiveWithin(batcherTimeout, dataCentre);
+        std::erase_if(hosts,
+                      [&](const std::string &host) { return !reaches(host, partition, snapshot); });
+        return hosts;
+    };
     const PoolEntry *entry = snapshot.poolOrPartition(partition);
     std::vector<std::string> hosts;
     if (entry != nullptr && !entry->dataCentre.empty()) {
-        hosts = m_membership.likelyLiveWithin(batcherTimeout, entry->dataCentre);
+        hosts = withPath(entry->dataCentre);
     }
     if (hosts.empty()) {
-        hosts = m_membership.likelyLiveWithin(batcherTimeout, {});
+        hosts = withPath({});
     }
+    return hosts.empty() ? m_membership.likelyLiveWithin(batcherTimeout, {}) : hosts;
+}
+
+std::string PieceRouter::findBatcher(const std::string &partition, const Snapshot &snapshot) const
+{
+    std::string best = m_membership.host();
+    std::uint64_t bestScore = 0;
+    const std::vector<std::string> hosts = batcherCandidates(partition, snapshot);
     for (const std::string &host : m_membership.highCapacityHosts(hosts)) {
         const std::uint64_t score = hash64(fmt::format("pieces/{}/{}", partition, host));
         if (score >= bestScore) {
@@ -234,6 +263,18 @@
     const auto found = m_pending.find(id);
     Pending pending = std::move(found->second);
     m_pending.erase(found);
+    // A batcher that has lost the path hands its pieces back before any work was done.
+    const bool isHandedBack = fault == PieceFault::Refused && pending.handBacks < maxHandBacks
+                              && now < pending.deadline
+                              && batcherOf(pending.partition, snapshot) != pending.batcher;
+    if (isHandedBack) {
+        ++pending.handBacks;
+        --pending.attempts;
+        std::vector<Pending> group;
+        group.push_back(std::move(pending));
+        dispatch(std::move(group), snapshot);
+        return;
+    }
     if (!mayResubmit(pending, snapshot)) {
         m_pending[id] = std::move(pending);
         reportFault(id, fault);
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -97,6 +97,16 @@
     return available;
 }
 
+/// Makes the endpoints of \p pool usable again that were ejected since this daemon could not
+/// connect to them.
+void forgiveEndpoints(const PoolEntry &pool)
+{
+    for (const EndpointEntry &endpoint : pool.endpoints) {
+        endpoint.load->failures.store(0, std::memory_order_relaxed);
+        endpoint.load->ejectedUntil.store(0, std::memory_order_relaxed);
+    }
+}
+
 void lowerLimit(EndpointLoad &load)
 {
     const int limit = load.concurrencyLimit.load(std::memory_order_relaxed);
@@ -293,13 +303,21 @@
         load.fullUntil.store(steadyNanos(now + fullTime(load)), std::memory_order_relaxed);
         return;
     }
+    const bool unreachable = evidence == SendEvidence::NothingSent;
+    if (unreachable && pool.path != nullptr) {
+        if (pool.path->recordUnreachable(entry.placementHash, pool.endpoints.size())) {
+            forgiveEndpoints(pool);
+        }
+        if (pool.path->isLost()) {
+            return;
+        }
+    }
     const int failures = load.failures.fetch_add(1, std::memory_order_relaxed) + 1;
     if (failures < failuresToEject) {
         return;
     }
     // Ejecting an endpoint that cannot be reached costs no capacity, so the limit on ejected
     // endpoints does not apply.
-    const bool unreachable = evidence == SendEvidence::NothingSent;
     if (!unreachable && !mayEject(pool, entry, now)) {
         load.failures.store(failuresToEject - 1, std::memory_order_relaxed);
         return;
@@ -309,6 +327,23 @@
     load.ejectedUntil.store(steadyNanos(now + length), std::memory_order_relaxed);
 }
 
+std::vector<std::string> updateLostPools(const Snapshot &snapshot, bool hasRelay)
+{
+    std::vector<std::string> lost;
+    const auto update = [&](const auto &pools) {
+        for (const auto &[name, pool] : pools) {
+            pool.path->setHasRelay(hasRelay);
+            if (pool.isPathLost()) {
+                lost.push_back(name);
+            }
+        }
+    };
+    update(snapshot.pools);
+    update(snapshot.poolPartitions);
+    std::sort(lost.begin(), lost.end());
+    return lost;
+}
+
 void recordAbandonedCall(const PoolEntry &pool, const EndpointEntry &entry, Duration elapsed,
                          Duration usual, TimePoint now)
 {
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -118,6 +118,7 @@
             }
         }
         for (auto &[name, pool] : m_snapshot.pools) {
+            attachPath(name, pool);
             if (pool.spec.pieces) {
                 attachPieceLoad(name, pool);
                 createPartitions(name, pool);
@@ -125,6 +126,13 @@
         }
     }
 
+    void attachPath(const std::string &name, PoolEntry &pool) const
+    {
+        const PoolEntry *before =
+            m_previous == nullptr ? nullptr : m_previous->poolOrPartition(name);
+        pool.path = before != nullptr ? before->path : std::make_shared<PoolPath>();
+    }
+
     void attachPieceLoad(const std::string &name, PoolEntry &pool) const
     {
         const PoolEntry *before =
@@ -154,6 +162,7 @@
             partition.dataCentre = dataCentre;
             partition.localCount =
                 dataCentre == m_snapshot.dataCentre ? partition.endpoints.size() : 0;
+            attachPath(partitionName, partition);
             attachPieceLoad(partitionName, partition);
             pool.partitions.push_back(partitionName);
             m_snapshot.poolPartitions[partitionName] = std::move(partition);
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -377,6 +377,7 @@
     static constexpr double refusalProbability = 0.7;
     static constexpr std::chrono::milliseconds coldCheckTimeout{200};
     static constexpr std::chrono::milliseconds connectTimeout{200};
+    static constexpr std::chrono::milliseconds relayTimeout{600};
     /// Time within which operators and endpoints write again what the store has lost.
     static constexpr std::chrono::milliseconds rewriteTime{1500};
     /// Characters per token of an answer.
@@ -521,6 +522,7 @@
             onHost(name, incarnation, [this](Host &host) {
                 if (host.control->heartbeatsDue()) {
                     applyCurrentLimits(host);
+                    updatePaths(host);
                 }
                 host.control->tick();
                 recordEndpointUpdates(host);
@@ -778,6 +780,10 @@
         const FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
         const std::string name = host.name;
         const Incarnation start = host.incarnation;
+        if (stage.isRelayed) {
+            relay(host, stage);
+            return;
+        }
         if (endpoint.down) {
             m_queue.after(networkDelay(),
                           [=, this] { failStage(name, start, stage, SendEvidence::NothingSent); });
@@ -797,6 +803,55 @@
         m_queue.after(networkDelay(), [=, this] { arrive(name, start, stage); });
     }
 
+    /// Lets a peer of \p host make the call. If the peer does not get it, \p host gives it up later
+    /// and does not know whether it ran.
+    void relay(Host &host, const SendStage &stage)
+    {
+        const std::string name = host.name;
+        const Incarnation start = host.incarnation;
+        const std::optional<std::string> relay = host.control->chooseRelay(stage.pool);
+        if (!relay) {
+            m_queue.after(networkDelay(),
+                          [=, this] { failStage(name, start, stage, SendEvidence::NothingSent); });
+            return;
+        }
+        const Host &peer = m_hosts.at(*relay);
+        const FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
+        const bool isLost = m_cuts.isCut(host.dataCentre, peer.dataCentre) || !peer.alive
+                            || peer.frozen || m_random.chance(m_faults.loseMessage);
+        if (isLost) {
+            m_queue.after(relayTimeout, [=, this] {
+                StageFailed event;
+                event.call = stage.call;
+                event.isRelayLost = true;
+                event.status = absl::UnavailableError("the peer was lost");
+                toRequests(name, start, event);
+            });
+            return;
+        }
+        if (endpoint.down || isCutFrom(peer, endpoint)) {
+            m_queue.after(networkDelay() + networkDelay(),
+                          [=, this] { failStage(name, start, stage, SendEvidence::NothingSent); });
+            return;
+        }
+        m_queue.after(networkDelay() + networkDelay(), [=, this] { arrive(name, start, stage); });
+    }
+
+    /// Does what the daemon does before each heartbeat: reports lost paths, and probes them.
+    void updatePaths(Host &host)
+    {
+        host.control->recordLostPools(updateLostPools(*host.snapshot, host.control->hasRelay()));
+        for (const auto &[name, pool] : host.snapshot->pools) {
+            if (!pool.endpoints.empty() && pool.path->claimProbe(m_queue.now())) {
+                const EndpointEntry &entry = pool.endpoints[m_pathProbes++ % pool.endpoints.size()];
+                const FakeEndpoint &endpoint = m_endpoints.at(entry.spec->name);
+                if (!endpoint.down && !isCutFrom(host, endpoint)) {
+                    pool.path->recordReached();
+                }
+            }
+        }
+    }
+
     /// Returns whether \p host cannot connect to \p endpoint.
     [[nodiscard]] bool isCutFrom(const Host &host, const FakeEndpoint &endpoint) const
     {
@@ -1059,6 +1114,7 @@
     std::size_t m_maxMeshPeers; ///< 0 for even seeds, so that heartbeats go through relays.
     int m_dataCentres;
     bool m_hasLongOutages = false;
+    std::size_t m_pathProbes = 0;
     std::uint64_t m_operatorWriteCount = 0; ///< Number of calls of changeWeight().
     std::map<std::string, std::uint64_t> m_lastOperatorWrites; ///< Their numbers by account.
     /// A write of an operator; after a return of the store, until when it was repeated.
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -239,3 +239,54 @@
         decodePeerMessage(encodePeerMessage({"h1", 7, CrashesCleared{{hash128("b")}}}));
     CHECK(std::get<CrashesCleared>(cleared->content).digests.at(0) == hash128("b"));
 }
+
+TEST(PeerLink, CallsMadeForPeersKeepTheirFields)
+{
+    RelayCall call;
+    call.call = {{7, 3}, 1, 2};
+    call.pool = "engines";
+    call.method = "POST";
+    call.url = "http://127.0.0.1:1";
+    call.target = "/a?b=c";
+    call.headers = {"A: b", "C;"};
+    call.body = std::string("x\0y", 3);
+    call.timeout = milliseconds(700);
+    call.connectTimeout = milliseconds(200);
+    call.omitsDefaultHeaders = true;
+    const auto readCall = decodePeerMessage(encodePeerMessage({"h1", 7, call}));
+    CHECK(readCall.has_value());
+    const auto &received = std::get<RelayCall>(readCall->content);
+    CHECK(received.call == call.call && received.headers == call.headers);
+    CHECK(received.pool == call.pool && received.method == call.method);
+    CHECK(received.url == call.url && received.target == call.target);
+    CHECK(received.body == call.body && received.omitsDefaultHeaders);
+    CHECK(received.timeout == call.timeout && received.connectTimeout == call.connectTimeout);
+
+    RelayPart part;
+    part.call = call.call;
+    part.number = 4;
+    part.isLast = true;
+    part.status = 503;
+    part.headStatus = 503;
+    part.wasSent = false;
+    part.isBroken = true;
+    part.wasRefused = true;
+    part.error = "closed";
+    part.fields = {{"A", "b"}, {"A", "c"}};
+    part.body = "rest";
+    const auto readPart = decodePeerMessage(encodePeerMessage({"h1", 7, part}));
+    CHECK(readPart.has_value());
+    const auto &result = std::get<RelayPart>(readPart->content);
+    CHECK(result.call == part.call && result.fields == part.fields);
+    CHECK(result.number == 4 && result.isLast && !result.wasSent);
+    CHECK(result.status == 503 && result.headStatus == 503);
+    CHECK(result.isBroken && result.wasRefused);
+    CHECK(result.error == part.error && result.body == part.body);
+
+    Heartbeat heartbeat;
+    heartbeat.lostPools = {"engines", "stages/dc1"};
+    const auto readHeartbeat = decodePeerMessage(encodePeerMessage({"h1", 7, heartbeat}));
+    CHECK(std::get<Heartbeat>(readHeartbeat->content).lostPools == heartbeat.lostPools);
+    const auto readCancel = decodePeerMessage(encodePeerMessage({"h1", 7, RelayCancel{call.call}}));
+    CHECK(std::get<RelayCancel>(readCancel->content).call == call.call);
+}
--- /dev/null
+++ b/unittests/Daemon/callrelaytest.cpp
@@ -0,0 +1,195 @@
+//===- callrelaytest.cpp - Tests of the calls made by peers ---------------===//
+
+#include "harelink/Daemon/callrelay.h"
+#include "harelink/Adapters/httpserver.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+using namespace harelink;
+
+namespace {
+
+constexpr CallId firstCall{{7, 1}, 0, 1};
+
+/// One daemon's relay, with what it sends and delivers.
+struct Side
+{
+    explicit Side(const Clock &clock)
+        : relay(clock, http,
+                {[this](const std::string &, decltype(PeerMessage::content) content) {
+                     sent.push_back(std::move(content));
+                 },
+                 [this](RelayedPart part) { delivered.push_back(std::move(part)); },
+                 [this](const std::string &) { return hasPath; }})
+    {
+    }
+    void receive(const std::string &from, decltype(PeerMessage::content) content)
+    {
+        relay.handle(PeerMessage{from, 1, std::move(content)});
+    }
+    /// Waits for \p count messages.
+    void await(std::size_t count)
+    {
+        for (int i = 0; i < 500 && sent.size() < count; ++i) {
+            http.poll(std::chrono::milliseconds(10));
+        }
+        CHECK(sent.size() >= count);
+    }
+
+    HttpClient http;
+    bool hasPath = true;
+    std::vector<decltype(PeerMessage::content)> sent;
+    std::vector<RelayedPart> delivered;
+    CallRelay relay;
+};
+
+struct Fixture
+{
+    Fixture()
+    {
+        HttpServerOptions options;
+        options.address = "127.0.0.1:0";
+        server = *HttpServer::start(options,
+                                    [this](const HttpRequest &request, const Responder &respond) {
+                                        ++calls;
+                                        HttpReply reply;
+                                        reply.body = "answer to " + request.body;
+                                        respond(std::move(reply));
+                                    });
+    }
+    [[nodiscard]] RelayRequest request() const
+    {
+        RelayRequest request{firstCall, "engines", "e-1", {}};
+        request.http.method = "POST";
+        request.http.url = "http://127.0.0.1:" + std::to_string(server->port());
+        request.http.body = "question";
+        request.http.timeout = std::chrono::seconds(5);
+        return request;
+    }
+
+    std::atomic<int> calls{0};
+    std::unique_ptr<HttpServer> server;
+    ManualClock clock;
+    Side origin{clock};
+    Side peer{clock};
+};
+
+const RelayPart &partIn(const decltype(PeerMessage::content) &content)
+{
+    return std::get<RelayPart>(content);
+}
+
+} // namespace
+
+TEST_GROUP(CallRelay){};
+
+TEST(CallRelay, ThePeerMakesTheCallAndReturnsItsAnswer)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("h2", fixture.request());
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    fixture.peer.await(2);
+    for (const auto &message : fixture.peer.sent) {
+        fixture.origin.receive("h2", message);
+    }
+    std::string body;
+    for (const RelayedPart &part : fixture.origin.delivered) {
+        body += part.part.body;
+        CHECK_FALSE(part.isRelayLost);
+    }
+    STRCMP_EQUAL("answer to question", body.c_str());
+    const RelayPart &last = fixture.origin.delivered.back().part;
+    CHECK(last.isLast);
+    LONGS_EQUAL(200, last.status);
+}
+
+TEST(CallRelay, ARepeatedMessageMakesNoSecondCall)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("h2", fixture.request());
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    fixture.peer.await(2);
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    for (int i = 0; i < 10; ++i) {
+        fixture.peer.http.poll(std::chrono::milliseconds(10));
+    }
+    LONGS_EQUAL(1, fixture.calls);
+}
+
+TEST(CallRelay, WithoutAPathNothingIsSent)
+{
+    Fixture fixture;
+    fixture.peer.hasPath = false;
+    fixture.origin.relay.request("h2", fixture.request());
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    LONGS_EQUAL(1, fixture.peer.sent.size());
+    CHECK(partIn(fixture.peer.sent[0]).isLast);
+    CHECK_FALSE(partIn(fixture.peer.sent[0]).wasSent);
+    LONGS_EQUAL(0, fixture.calls);
+}
+
+TEST(CallRelay, WithoutAPeerNothingIsSent)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("", fixture.request());
+    LONGS_EQUAL(1, fixture.origin.delivered.size());
+    CHECK_FALSE(fixture.origin.delivered[0].part.wasSent);
+    CHECK_FALSE(fixture.origin.delivered[0].isRelayLost);
+}
+
+TEST(CallRelay, ACallOfALostPeerMayHaveRun)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("h2", fixture.request());
+    fixture.origin.relay.dropLostPeers([](const std::string &) { return false; });
+    LONGS_EQUAL(1, fixture.origin.delivered.size());
+    CHECK(fixture.origin.delivered[0].part.wasSent);
+    CHECK(fixture.origin.delivered[0].isRelayLost);
+    CHECK_FALSE(fixture.origin.delivered[0].part.isBroken);
+}
+
+TEST(CallRelay, ALostPartDoesNotLeaveAGapInTheAnswer)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("h2", fixture.request());
+    RelayPart part;
+    part.call = firstCall;
+    part.number = 1;
+    part.body = "rest";
+    fixture.origin.receive("h2", part);
+    LONGS_EQUAL(1, fixture.origin.delivered.size());
+    CHECK(fixture.origin.delivered[0].isRelayLost);
+    CHECK(fixture.origin.delivered[0].part.body.empty());
+    CHECK(std::holds_alternative<RelayCancel>(fixture.origin.sent.back()));
+}
+
+TEST(CallRelay, APartOfAnotherHostIsIgnored)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("h2", fixture.request());
+    RelayPart part;
+    part.call = firstCall;
+    part.isLast = true;
+    fixture.origin.receive("h3", part);
+    LONGS_EQUAL(0, fixture.origin.delivered.size());
+}
+
+TEST(CallRelay, ACancelledCallIsEndedAtThePeer)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("h2", fixture.request());
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    fixture.origin.relay.cancel(firstCall);
+    fixture.peer.receive("h1", fixture.origin.sent.at(1));
+    for (int i = 0; i < 10; ++i) {
+        fixture.peer.http.poll(std::chrono::milliseconds(10));
+    }
+    LONGS_EQUAL(0, fixture.peer.sent.size());
+}
--- a/unittests/Kernel/pieceroutertest.cpp
+++ b/unittests/Kernel/pieceroutertest.cpp
@@ -215,3 +215,28 @@
     fixture.submit(1);
     STRCMP_EQUAL("h1", fixture.orders[0].host.c_str());
 }
+
+TEST(PieceRouter, ABatcherWithoutAPathIsReplaced)
+{
+    Fixture fixture;
+    for (const char *host : {"h2", "h3", "h4"}) {
+        fixture.receiveHeartbeat(host);
+    }
+    fixture.submit(1);
+    const std::string first = fixture.orders[0].host;
+    if (first == "h1") {
+        updateLostPools(*fixture.snapshot, true);
+        const PoolEntry &pool = *fixture.snapshot->pool("pieces");
+        for (const EndpointEntry &endpoint : pool.endpoints) {
+            pool.path->recordUnreachable(endpoint.placementHash, pool.endpoints.size());
+        }
+    } else {
+        fixture.membership.recordLostPool(first, "pieces");
+    }
+    fixture.submit(2);
+    CHECK(fixture.orders[1].host != first);
+    fixture.receiveOutcome(fixture.orders[0], "", PieceFault::Refused);
+    LONGS_EQUAL(3, fixture.orders.size());
+    CHECK(fixture.orders[2].host != first);
+    LONGS_EQUAL(0, fixture.router.resubmissions());
+}
