[Kernel] Forget what was learned of a pool that has had no work since

Cause: the correction of a pool, the slowness of its endpoints and the bias of a pipeline learned from pieces that had waited for endpoints that could not be reached, and changed only with new samples, which the refusals kept away. Hosts kept the last report of a batcher for ever. The class: a learned value without an age.

Change: correction and bias are a FadingRatio, which returns to 1 from 2 s after the last sample on, half in 5 s. A batcher's report older than 2.5 s says nothing: a busy pool's is renewed each heartbeat. A pool that was idle for 2 s starts anew. A piece that was not started at first is no sample of the correction.

--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -103,6 +103,7 @@
     /// Pieces not in a call yet, including those ordered since the report; by priority class.
     std::array<std::atomic<int>, priorityClassCount> waiting{};
     std::atomic<int> slownessPercent{100};   ///< Measured call time relative to the declared one.
+    std::atomic<std::int64_t> reportedAt{0}; ///< Steady nanoseconds.
     std::atomic<int> correctionPercent{100}; ///< Measured time until completion of a piece relative
                                              ///< to the uncorrected forecast.
 };
--- a/include/harelink/Kernel/piecebatcher.h
+++ b/include/harelink/Kernel/piecebatcher.h
@@ -12,6 +12,7 @@
 #define HARELINK_KERNEL_PIECEBATCHER_H
 
 #include "harelink/Kernel/endpointnotice.h"
+#include "harelink/Kernel/fadingratio.h"
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/resultbufferusage.h"
 #include "harelink/Kernel/snapshot.h"
@@ -168,7 +169,7 @@
         TimePoint nextScan = TimePoint::max();
         TimePoint noScanBefore; ///< See isScanThrottled().
         TimePoint lastActive;   ///< Time of the last order or end of a call.
-        double correction = 1;  ///< See PieceBacklog.
+        FadingRatio correction; ///< See PieceBacklog.
     };
     /// An endpoint that accepts calls, evaluated once per scan of the queue.
     struct Candidate
@@ -192,6 +193,7 @@
     };
 
     void formCalls(const std::string &poolName, PoolQueue &queue, const Snapshot &snapshot);
+    void forgetIfIdle(PoolQueue &queue) const;
     void dropLate(PoolQueue &queue, const std::string &poolName, const PoolEntry &pool);
     void updateCorrection(PoolQueue &queue, const QueuedPiece &item) const;
     static void sortByUrgency(PoolQueue &queue, TimePoint now, const PieceWorkSpec &work);
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -14,6 +14,7 @@
 #include "harelink/Kernel/clienttimeoutmodel.h"
 #include "harelink/Kernel/crashes.h"
 #include "harelink/Kernel/endpointnotice.h"
+#include "harelink/Kernel/fadingratio.h"
 #include "harelink/Kernel/fairqueue.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/latency.h"
@@ -405,8 +406,9 @@
     double m_retryTokens;
     std::map<std::string, RetryBudget> m_budgets;               ///< By pool.
     std::map<std::string, ClientTimeoutModel> m_clientTimeouts; ///< By pipeline.
-    std::map<std::string, double> m_forecastBias; ///< By pipeline: ratio of real to predicted time.
-    std::size_t m_lateAdmissions = 0;             ///< Requests in progress that were admitted late.
+    /// By pipeline: ratio of real to predicted time.
+    std::map<std::string, FadingRatio> m_forecastBias;
+    std::size_t m_lateAdmissions = 0; ///< Requests in progress that were admitted late.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
     // Ordered, so that the same events always produce the same actions.
     std::map<std::string, std::unique_ptr<PoolState>> m_pools;
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -219,7 +219,7 @@
     const Duration pieces = forecastPieces(request, snapshot);
     const Duration first = forecastFirstEvent(request, snapshot);
     const auto bias = m_forecastBias.find(request.pipeline.name);
-    const double factor = bias == m_forecastBias.end() ? 1 : bias->second;
+    const double factor = bias == m_forecastBias.end() ? 1 : bias->second.value(m_clock.now());
     return std::chrono::duration_cast<Duration>((pieces + first) * factor);
 }
 
@@ -283,11 +283,13 @@
         || request.arrivedAt < m_resumedAt) {
         return;
     }
-    double &bias = m_forecastBias.try_emplace(request.pipeline.name, 1.0).first->second;
-    const double actualSeconds = requestmachine::seconds(m_clock.now() - request.arrivedAt);
-    const double sample = bias * actualSeconds / requestmachine::seconds(request.predicted);
-    bias += (sample - bias) * requestmachine::forecastSmoothing;
-    bias = std::clamp(bias, requestmachine::minForecastBias, requestmachine::maxForecastBias);
+    const TimePoint now = m_clock.now();
+    FadingRatio &bias = m_forecastBias[request.pipeline.name];
+    const double actualSeconds = requestmachine::seconds(now - request.arrivedAt);
+    const double sample =
+        bias.value(now) * actualSeconds / requestmachine::seconds(request.predicted);
+    bias.add(sample, requestmachine::forecastSmoothing, requestmachine::minForecastBias,
+             requestmachine::maxForecastBias, now);
 
     const double prefillSeconds = requestmachine::seconds(m_clock.now() - request.sentAt
                                                           - requestmachine::firstEventOverhead);
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -67,6 +67,7 @@
         updateIncarnation(host, orders.orders.front().id.request.incarnation);
     }
     PoolQueue &queue = m_queues[orders.pool];
+    forgetIfIdle(queue);
     queue.lastActive = now;
     Duration predicted{};
     if (const PoolEntry *pool = snapshot.poolOrPartition(orders.pool);
@@ -88,6 +89,15 @@
     formCalls(orders.pool, queue, snapshot);
 }
 
+/// Forgets what was learned of the endpoints of a pool that had no work since.
+void PieceBatcher::forgetIfIdle(PoolQueue &queue) const
+{
+    if (isBusy(queue) || m_clock.now() - queue.lastActive <= idleReportPeriod) {
+        return;
+    }
+    queue.endpointStates.clear();
+}
+
 void PieceBatcher::withdraw(const std::string &host, const PieceWithdrawal &withdrawal)
 {
     const auto isWithdrawn = [&](const QueuedPiece &item) {
@@ -227,13 +237,16 @@
 /// pieces that overtake.
 void PieceBatcher::updateCorrection(PoolQueue &queue, const QueuedPiece &item) const
 {
-    if (item.predicted <= Duration::zero()) {
+    // A piece that was not started at first has waited for an endpoint that could not be reached,
+    // or was full, which is no error of the forecast.
+    if (item.predicted <= Duration::zero() || item.refusals > 0) {
         return;
     }
     const double ratio = std::chrono::duration<double>(m_clock.now() - item.receivedAt)
                          / std::chrono::duration<double>(item.predicted);
-    queue.correction += (queue.correction * ratio - queue.correction) * correctionSmoothing;
-    queue.correction = std::clamp(queue.correction, minCorrection, maxCorrection);
+    const TimePoint now = m_clock.now();
+    queue.correction.add(queue.correction.value(now) * ratio, correctionSmoothing, minCorrection,
+                         maxCorrection, now);
 }
 
 /// Updates slowness, backoff, load and health of \p endpoint.
@@ -399,7 +412,7 @@
     const auto middle = slowness.begin() + static_cast<std::ptrdiff_t>(slowness.size() / 2);
     std::nth_element(slowness.begin(), middle, slowness.end());
     backlog.slowness = *middle;
-    backlog.correction = queue.correction;
+    backlog.correction = queue.correction.value(now);
     backlog.endpoints = static_cast<std::uint32_t>(slowness.size());
     backlog.freeIn = first - now;
     return backlog;
--- a/lib/Kernel/pieceforecast.cpp
+++ b/lib/Kernel/pieceforecast.cpp
@@ -20,6 +20,33 @@
 /// the duration of a call, which is the error of forecasts of that age.
 constexpr std::chrono::milliseconds minTransferGain{150};
 
+/// A batcher reports its load at least this often while it has orders, so that an older report says
+/// nothing of the pool.
+constexpr std::chrono::milliseconds maxReportAge{2500};
+
+/// What is known of the load of a pool.
+struct KnownLoad
+{
+    int waiting = 0; ///< Pieces that precede a new one.
+    double slowness = 1;
+    double correction = 1;
+};
+
+KnownLoad knownLoad(const PieceLoad &load, int priority, TimePoint now)
+{
+    KnownLoad known;
+    const std::int64_t reportedAt = load.reportedAt.load(std::memory_order_relaxed);
+    if (reportedAt != 0 && now - fromSteadyNanos(reportedAt) > maxReportAge) {
+        return known;
+    }
+    for (std::size_t i = 0; i <= priorityClass(priority); ++i) {
+        known.waiting += std::max(0, load.waiting[i].load(std::memory_order_relaxed));
+    }
+    known.slowness = load.slownessPercent.load(std::memory_order_relaxed) / percent;
+    known.correction = load.correctionPercent.load(std::memory_order_relaxed) / percent;
+    return known;
+}
+
 } // namespace
 
 std::uint64_t PieceGroup::selectionHashOf(const RequestId &request, std::uint32_t stage)
@@ -77,11 +104,8 @@
         return work.callTime + work.pieceTime * pieces;
     }
     const PieceLoad &load = *pool.pieceLoad;
-    int waiting = 0;
-    for (std::size_t i = 0; i <= priorityClass(priority); ++i) {
-        waiting += std::max(0, load.waiting[i].load(std::memory_order_relaxed));
-    }
-    const std::uint32_t total = static_cast<std::uint32_t>(waiting) + pieces;
+    const KnownLoad known = knownLoad(load, priority, now);
+    const std::uint32_t total = static_cast<std::uint32_t>(known.waiting) + pieces;
     const std::uint32_t callsBefore = (total - 1) / work.batch;
     const Duration fullCall = work.callTime + work.pieceTime * work.batch;
     // The calls of several endpoints are assumed to end evenly spaced.
@@ -90,12 +114,10 @@
         reported > 0 ? reported : std::max(1, static_cast<int>(pool.endpoints.size()));
     const Duration before = fullCall * callsBefore / endpoints;
     const Duration ownCall = work.callTime + work.pieceTime * std::min(total, work.batch);
-    const double slowness = load.slownessPercent.load(std::memory_order_relaxed) / percent;
     const std::int64_t freeIn = load.freeAt.load(std::memory_order_relaxed) - steadyNanos(now);
-    const double correction = load.correctionPercent.load(std::memory_order_relaxed) / percent;
     const Duration wait = std::chrono::nanoseconds(std::max<std::int64_t>(0, freeIn));
-    return std::chrono::duration_cast<Duration>((wait + (before + ownCall) * slowness)
-                                                * correction);
+    return std::chrono::duration_cast<Duration>((wait + (before + ownCall) * known.slowness)
+                                                * known.correction);
 }
 
 bool hasSpareBatchSlots(const PoolEntry &pool)
@@ -119,6 +141,7 @@
         return;
     }
     PieceLoad &load = *pool.pieceLoad;
+    load.reportedAt.store(steadyNanos(now), std::memory_order_relaxed);
     load.freeAt.store(steadyNanos(now + backlog.freeIn), std::memory_order_relaxed);
     load.endpoints.store(static_cast<int>(backlog.endpoints), std::memory_order_relaxed);
     for (std::size_t i = 0; i < priorityClassCount; ++i) {
