--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -31,6 +31,7 @@
     bool leaving = false;                    ///< Never reset to false within an incarnation.
     double capacity = 1;                     ///< In processor cores.
     std::vector<std::string> lostPools;      ///< See Heartbeat.
+    TimePoint lostPoolsAt;                   ///< When they were last reported.
     TimePoint lastSeen;                      ///< Time of the last message from the host itself.
     TimePoint reportedAt = TimePoint::min(); ///< When a relay last reported the host as live.
 };
@@ -160,7 +161,7 @@
     [[nodiscard]] bool seenWithin(const std::string &host, Duration period) const;
     /// \overload
     [[nodiscard]] bool seenWithin(const PeerHost &peer, Duration period) const;
-    /// Records that \p host has no path to \p pool, until its next heartbeat.
+    /// Records that \p host has no path to \p pool, until its next heartbeat, or for reportTtl.
     void recordLostPool(const std::string &host, const std::string &pool);
     /// Returns whether \p host, a peer, has a path to \p pool as far as it has reported.
     [[nodiscard]] bool reaches(const std::string &host, const std::string &pool) const;
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -172,6 +172,7 @@
         peer.leaving = peer.leaving || heartbeat->leaving;
         peer.capacity = heartbeat->capacity;
         peer.lostPools = heartbeat->lostPools;
+        peer.lostPoolsAt = m_clock.now();
     }
     if (isChanged) {
         invalidateLists();
@@ -181,10 +182,14 @@
 void Membership::recordLostPool(const std::string &host, const std::string &pool)
 {
     const auto peer = m_peers.find(host);
-    if (peer != m_peers.end() && reaches(host, pool)) {
+    if (peer == m_peers.end()) {
+        return;
+    }
+    if (reaches(host, pool)) {
         peer->second.lostPools.push_back(pool);
         invalidateLists();
     }
+    peer->second.lostPoolsAt = m_clock.now();
 }
 
 bool Membership::reaches(const std::string &host, const std::string &pool) const
@@ -194,7 +199,9 @@
         return true;
     }
     const std::vector<std::string> &lost = peer->second.lostPools;
-    return std::find(lost.begin(), lost.end(), pool) == lost.end();
+    // Where heartbeats go through relays, most hosts do not report it themselves.
+    return m_clock.now() - peer->second.lostPoolsAt > reportTtl
+           || std::find(lost.begin(), lost.end(), pool) == lost.end();
 }
 
 void Membership::handleHostReports(const std::vector<HostReport> &hosts,
