[Adapters] Keep TCP_USER_TIMEOUT and the keep-alive probes at one limit

Cause: with TCP_USER_TIMEOUT, that one decides when keep-alive gives up, whatever the count of probes. Ours are both 3 s, by chance of two constants. Change: a static assertion; no behaviour. ZeroMQ's and RESTinio's sockets set neither. Measured: builds.

--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -79,6 +79,9 @@
 constexpr int keepAliveProbes = 2;
 /// Closes the connection if sent bytes stay unacknowledged for this time.
 constexpr unsigned maxUnacknowledgedMs = 3000;
+// With a TCP_USER_TIMEOUT, that one decides when keep-alive gives up, not the number of probes.
+static_assert((keepAliveIdleSeconds + keepAliveIntervalSeconds * keepAliveProbes) * 1000
+              == maxUnacknowledgedMs);
 
 int prepareSocket(void *, curl_socket_t socket, curlsocktype)
 {
