[Kernel] Spare endpoints that state how many rejections they bear

Change: the notice reader has the field. While an endpoint states it, a daemon has at most its part of the slots in flight there, and stays away after a rejection for as long as its share of N takes (daemons / N seconds, at most 5). All endpoints of the pool count as brittle until they answer otherwise. A batcher keeps no second call waiting there.

--- a/include/harelink/Adapters/noticereader.h
+++ b/include/harelink/Adapters/noticereader.h
@@ -20,6 +20,7 @@
 {
     std::string rateLimit;  ///< Requests per second from all hosts, as a decimal number.
     std::string leaving;    ///< "1" if the endpoint accepts no new work, otherwise "0".
+    std::string brittle;    ///< Rejections per second that it bears, as a decimal number.
     std::string coldMillis; ///< How long the endpoint stays cold, in milliseconds.
 };
 
--- a/include/harelink/Adapters/stageprotocol.h
+++ b/include/harelink/Adapters/stageprotocol.h
@@ -27,6 +27,8 @@
 inline constexpr const char *rateLimitHeader = "harelink-rate-limit";
 /// "1" in the answers of an endpoint that accepts no new work; lower case.
 inline constexpr const char *leavingHeader = "harelink-leaving";
+/// Rejections per second that an endpoint bears, from all daemons; lower case.
+inline constexpr const char *brittleHeader = "harelink-brittle";
 /// How long the endpoint stays cold, in milliseconds; in answers to status checks.
 inline constexpr const char *coldHeader = "harelink-cold-ms";
 
--- a/include/harelink/Kernel/endpointnotice.h
+++ b/include/harelink/Kernel/endpointnotice.h
@@ -23,7 +23,10 @@
     std::optional<double> requestsPerSecond;
     Duration pause{};       ///< Time for which it accepts nothing from this host; zero for none.
     bool isLeaving = false; ///< It accepts no new work.
-    Duration coldFor{};     ///< Remaining time in cold state; zero if not reported.
+    /// Calls per second from all hosts that it can reject for lack of room without failing;
+    /// std::nullopt if it states none.
+    std::optional<double> rejectionsPerSecond;
+    Duration coldFor{}; ///< Remaining time in cold state; zero if not reported.
     /// The limit could not be parsed: it counts neither as announced nor as lifted.
     bool isLimitUnreadable = false;
     /// Name and value of the last field that could not be parsed; empty if none.
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -75,6 +75,8 @@
     static constexpr bool listsAtFewHosts = true;
     /// Compares the versions of many objects by bucket.
     static constexpr bool comparesByBucket = true;
+    /// Sends less to endpoints that state how many rejections they bear.
+    static constexpr bool sparesBrittle = true;
     /// A daemon that has lost the path to a pool lets peers make its calls.
     static constexpr bool relaysCalls = true;
     /// While the platform gives no answers, no watch waits for updates.
@@ -166,6 +168,9 @@
     {
         G::comparesByBucket
         } -> std::convertible_to<bool>;
+    {
+        G::sparesBrittle
+        } -> std::convertible_to<bool>;
     {
         G::relaysCalls
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -82,6 +82,11 @@
     /// If limited: nanoseconds after which an unused send slot expires; 0 if it never does.
     std::atomic<std::int64_t> slotLength{0};
 
+    /// If it states how many rejections it bears: how many calls of this daemon it may have in
+    /// flight, and for how long a rejection keeps this daemon away, in nanoseconds; else 0.
+    std::atomic<int> brittleSlots{0};
+    std::atomic<std::int64_t> rejectionPause{0};
+
     /// Of model engines: uncached tokens of prompts that were sent and not answered yet.
     std::atomic<std::int64_t> prefillBacklog{0};     ///< Of prompts sent by this daemon.
     std::atomic<std::int64_t> peerPrefillBacklog{0}; ///< As last reported by peers.
@@ -98,12 +103,12 @@
 /// Load of a pool that works in pieces, as last reported by its batcher.
 struct PieceLoad
 {
+    std::atomic<std::int64_t> reportedAt{0}; ///< Steady nanoseconds.
     std::atomic<std::int64_t> freeAt{0}; ///< First time an endpoint is free; steady nanoseconds.
     std::atomic<int> endpoints{0};       ///< That accept calls; 0 if unknown.
     /// Pieces not in a call yet, including those ordered since the report; by priority class.
     std::array<std::atomic<int>, priorityClassCount> waiting{};
     std::atomic<int> slownessPercent{100};   ///< Measured call time relative to the declared one.
-    std::atomic<std::int64_t> reportedAt{0}; ///< Steady nanoseconds.
     std::atomic<int> correctionPercent{100}; ///< Measured time until completion of a piece relative
                                              ///< to the uncorrected forecast.
 };
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -236,6 +236,10 @@
     if (G::enforcesPauses && notice->pause > Duration::zero()) {
         recordPause(*endpoint, notice->pause, m_clock.now());
     }
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    if (G::sparesBrittle && pool != nullptr) {
+        recordRejectionLimit(*pool, *endpoint, notice->rejectionsPerSecond, daemonCount());
+    }
     if (G::avoidsLeaving && notice->isLeaving) {
         endpoint->load->leaving.store(true, std::memory_order_relaxed);
     }
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -98,6 +98,13 @@
 void recordProgress(const EndpointEntry &entry, TimePoint now);
 /// Records that a call to \p entry was answered after \p elapsed.
 void recordSuccess(const EndpointEntry &entry, Duration elapsed, TimePoint now);
+/// Records how many rejections per second \p pool's endpoint \p entry bears from all daemons;
+/// std::nullopt if it states none. Endpoints of a pool are brittle together, so one that is makes
+/// all others so until they answer.
+///
+/// \param daemons number of daemons that share the endpoint.
+void recordRejectionLimit(const PoolEntry &pool, const EndpointEntry &entry,
+                          std::optional<double> perSecond, int daemons);
 /// Records that \p entry requested no calls from this daemon for \p pause. Neither the success
 /// of another call nor a shorter pause ends it.
 void recordPause(const EndpointEntry &entry, Duration pause, TimePoint now);
--- a/lib/Adapters/noticereader.cpp
+++ b/lib/Adapters/noticereader.cpp
@@ -54,6 +54,12 @@
             setUnreadable(notice, names.leaving, leaving);
         }
     }
+    if (const std::string brittle = result.header(names.brittle); !brittle.empty()) {
+        notice.rejectionsPerSecond = readNumber(brittle, maxRate);
+        if (!notice.rejectionsPerSecond) {
+            setUnreadable(notice, names.brittle, brittle);
+        }
+    }
     if (const std::string cold = result.header(names.coldMillis); !cold.empty()) {
         if (const std::optional<double> millis = readNumber(cold, maxColdMillis)) {
             notice.coldFor = std::chrono::duration_cast<Duration>(
--- a/lib/Adapters/stageprotocol.cpp
+++ b/lib/Adapters/stageprotocol.cpp
@@ -12,7 +12,7 @@
 
 const NoticeFields &ownNoticeFields()
 {
-    static const NoticeFields names = {rateLimitHeader, leavingHeader, coldHeader};
+    static const NoticeFields names = {rateLimitHeader, leavingHeader, brittleHeader, coldHeader};
     return names;
 }
 
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -404,6 +404,11 @@
     if (endpoint != nullptr && ended.notice->pause > Duration::zero()) {
         recordPause(*endpoint, ended.notice->pause, m_clock.now());
     }
+    const PoolEntry *pool = m_snapshot.current().poolOfEndpoint(call.endpoint);
+    if (endpoint != nullptr && pool != nullptr) {
+        // The calls of a pool of pieces come from one daemon.
+        recordRejectionLimit(*pool, *endpoint, ended.notice->rejectionsPerSecond, 1);
+    }
     handleNotice(EndpointNoticed{call.endpoint, *ended.notice, sentAt});
 }
 
--- a/lib/Kernel/piecebatcher.cpp
+++ b/lib/Kernel/piecebatcher.cpp
@@ -275,6 +275,11 @@
         state.slowness = std::clamp(state.slowness, minSlowness, maxSlowness);
     } else {
         state.blockedUntil = now + backoff(refusalBackoff, state.refusals++, maxRefusalBackoff);
+        if (const EndpointEntry *rejecting = pool.find(endpoint)) {
+            const Duration pause = std::chrono::nanoseconds(
+                rejecting->load->rejectionPause.load(std::memory_order_relaxed));
+            state.blockedUntil = std::max<TimePoint>(state.blockedUntil, now + pause);
+        }
     }
     state.refusals = event.answered ? 0 : state.refusals;
     if (unreachable) {
--- a/lib/Kernel/piececalls.cpp
+++ b/lib/Kernel/piececalls.cpp
@@ -25,6 +25,14 @@
 constexpr milliseconds sendAhead{15};
 /// Calls in flight per endpoint: the current one and the next.
 constexpr std::size_t maxActiveCalls = 2;
+
+/// Returns the number of calls that \p endpoint may have in flight. A brittle one may let none
+/// wait.
+std::size_t activeCallLimit(const EndpointEntry &endpoint)
+{
+    const bool isBrittle = endpoint.load->brittleSlots.load(std::memory_order_relaxed) > 0;
+    return isBrittle ? 1 : maxActiveCalls;
+}
 /// The timeout of a call is its expected duration times timeoutFactor, plus timeoutSlack.
 constexpr double timeoutFactor = 2;
 constexpr milliseconds timeoutSlack{600};
@@ -50,7 +58,7 @@
         return opens;
     }
     const EndpointState &state = found->second;
-    if (state.activeCalls.size() >= maxActiveCalls) {
+    if (state.activeCalls.size() >= activeCallLimit(endpoint)) {
         return std::max(opens, state.activeCalls.back().expectedEnd);
     }
     if (state.activeCalls.empty()) {
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -25,6 +25,10 @@
 constexpr int fullTimeDivisor = 4;
 constexpr milliseconds minFullTime{2};
 constexpr milliseconds maxFullTime{250};
+/// A daemon stays away from a brittle endpoint that rejected its call for as long as its share of
+/// the rejections takes, at most maxRejectionPause.
+constexpr std::chrono::seconds maxRejectionPause{5};
+constexpr double minRejectionRate = 0.1;
 /// A sample moves the smoothed latency by the difference divided by this.
 constexpr std::int64_t smoothingDivisor = 8;
 /// At most the size of a pool divided by this is ejected at once.
@@ -107,6 +111,24 @@
     }
 }
 
+/// Sets how \p entry is spared; see recordRejectionLimit().
+void setRejectionLimit(const EndpointEntry &entry, std::optional<double> perSecond, int daemons)
+{
+    EndpointLoad &load = *entry.load;
+    if (!perSecond) {
+        load.brittleSlots.store(0, std::memory_order_relaxed);
+        load.rejectionPause.store(0, std::memory_order_relaxed);
+        return;
+    }
+    const std::chrono::duration<double> pause(daemons / std::max(*perSecond, minRejectionRate));
+    load.rejectionPause.store(std::chrono::duration_cast<std::chrono::nanoseconds>(
+                                  std::min<std::chrono::duration<double>>(pause, maxRejectionPause))
+                                  .count(),
+                              std::memory_order_relaxed);
+    load.brittleSlots.store(std::max(1, entry.spec->slots / std::max(1, daemons)),
+                            std::memory_order_relaxed);
+}
+
 void lowerLimit(EndpointLoad &load)
 {
     const int limit = load.concurrencyLimit.load(std::memory_order_relaxed);
@@ -211,7 +233,9 @@
     if (isOnProbation(entry)) {
         return inFlight == 0;
     }
-    return inFlight < load.concurrencyLimit.load(std::memory_order_relaxed);
+    const int brittleSlots = load.brittleSlots.load(std::memory_order_relaxed);
+    return inFlight < load.concurrencyLimit.load(std::memory_order_relaxed)
+           && (brittleSlots == 0 || inFlight < brittleSlots);
 }
 
 bool isEligible(const EndpointEntry &entry, const RoutingQuery &query)
@@ -275,7 +299,9 @@
     addLatency(load, elapsed);
     recordProgress(entry, now);
     load.failures.store(0, std::memory_order_relaxed);
-    load.fullUntil.store(0, std::memory_order_relaxed);
+    if (load.rejectionPause.load(std::memory_order_relaxed) == 0) {
+        load.fullUntil.store(0, std::memory_order_relaxed);
+    }
     const int limit = load.concurrencyLimit.load(std::memory_order_relaxed);
     const bool wasFull = load.inFlight.load(std::memory_order_relaxed) + 1 >= limit;
     if (wasFull && limit < entry.spec->slots) {
@@ -283,6 +309,17 @@
     }
 }
 
+void recordRejectionLimit(const PoolEntry &pool, const EndpointEntry &entry,
+                          std::optional<double> perSecond, int daemons)
+{
+    setRejectionLimit(entry, perSecond, daemons);
+    for (const EndpointEntry &other : pool.endpoints) {
+        if (perSecond && other.load->brittleSlots.load(std::memory_order_relaxed) == 0) {
+            setRejectionLimit(other, perSecond, daemons);
+        }
+    }
+}
+
 void recordPause(const EndpointEntry &entry, Duration pause, TimePoint now)
 {
     std::atomic<std::int64_t> &until = entry.load->pausedUntil;
@@ -300,7 +337,10 @@
         // The endpoint is healthy but full, since other daemons send to it too: lower the
         // concurrency limit, and retry only after a call has had time to finish.
         lowerLimit(load);
-        load.fullUntil.store(steadyNanos(now + fullTime(load)), std::memory_order_relaxed);
+        const Duration pause =
+            std::chrono::nanoseconds(load.rejectionPause.load(std::memory_order_relaxed));
+        load.fullUntil.store(steadyNanos(now + std::max(fullTime(load), pause)),
+                             std::memory_order_relaxed);
         return;
     }
     const bool unreachable = evidence == SendEvidence::NothingSent;
--- a/unittests/Adapters/noticereadertest.cpp
+++ b/unittests/Adapters/noticereadertest.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-const NoticeFields names = {"rate", "leaving", "cold"};
+const NoticeFields names = {"rate", "leaving", "brittle", "cold"};
 
 EndpointNotice readFields(int status, std::map<std::string, std::string> headers)
 {
--- a/unittests/Kernel/routingtest.cpp
+++ b/unittests/Kernel/routingtest.cpp
@@ -1,6 +1,6 @@
 //===- routingtest.cpp - Tests of endpoint selection ----------------------===//
 
-#include "kernelfixture.h"
+#include "piecefixture.h"
 
 #include "harelink/Kernel/routing.h"
 #include "harelink/Support/hash.h"
@@ -119,3 +119,33 @@
     }
     CHECK(remote > 50);
 }
+
+TEST(Routing, ABrittleEndpointIsRejectedBySoFewThatItDoesNotFail)
+{
+    ManualClock clock;
+    const auto snapshot = buildSnapshot(pieceConfiguration(2, 4), 1, "dc1", nullptr);
+    const PoolEntry &pool = *snapshot->pool("pieces");
+    const EndpointEntry &first = pool.endpoints[0];
+    const EndpointEntry &second = pool.endpoints[1];
+    first.load->concurrencyLimit = 64;
+    constexpr int daemons = 8;
+    constexpr double bearable = 4;
+    recordRejectionLimit(pool, first, bearable, daemons);
+    // Each of the daemons sends whenever it may and is rejected each time.
+    int rejections = 0;
+    constexpr int seconds = 20;
+    for (int i = 0; i < seconds * 100; ++i) {
+        if (isEligible(first, clock.now())) {
+            recordFailure(pool, first, SendEvidence::RefusedBeforeRun, clock.now());
+            ++rejections;
+        }
+        clock.advance(std::chrono::milliseconds(10));
+    }
+    CHECK(rejections * daemons <= bearable * seconds + daemons);
+    // Endpoints of a pool are brittle together.
+    recordSend(second, clock.now());
+    CHECK_FALSE(isEligible(second, clock.now()));
+    recordRejectionLimit(pool, second, std::nullopt, daemons);
+    second.load->concurrencyLimit = 64;
+    CHECK(isEligible(second, clock.now()));
+}
