[Daemon] Metrics of lost paths and of the calls that peers make

Cause: relayed calls could be seen in the log only, under an id that explain does not know. Change: gauge and counters; the log line has the caller's id.

--- a/include/harelink/Daemon/callrelay.h
+++ b/include/harelink/Daemon/callrelay.h
@@ -27,6 +27,7 @@
 struct RelayRequest
 {
     CallId call;
+    std::string callerId; ///< Of a proxied request.
     std::string pool;
     std::string endpoint;
     HttpCall http;
--- a/lib/Daemon/callrelay.cpp
+++ b/lib/Daemon/callrelay.cpp
@@ -60,7 +60,7 @@
 void CallRelay::request(const std::string &host, const RelayRequest &request)
 {
     logger.record(LogLevel::Info, "call-relayed")
-        .field("request", toText(request.call))
+        .field("request", request.callerId.empty() ? toText(request.call) : request.callerId)
         .field("pool", request.pool)
         .field("endpoint", request.endpoint)
         .field("peer", host);
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -967,6 +967,13 @@
         counter("harelink_peer_connections_refused_total", m_peers.refusedConnections());
         counter("harelink_quarantines_total", m_quarantines);
         counter("harelink_cold_checks_total", m_coldChecks);
+        const CallRelayCounters &relays = m_callRelay.counters();
+        gauge("harelink_lost_paths", static_cast<double>(m_lostPools.size()));
+        counter("harelink_relayed_calls_requested_total", relays.requested);
+        counter("harelink_relayed_calls_lost_total", relays.lost);
+        counter("harelink_relayed_calls_unplaced_total", relays.unplaced);
+        counter("harelink_relayed_calls_served_total", relays.served);
+        counter("harelink_relayed_calls_refused_total", relays.refused);
         counter("harelink_endpoint_limit_changes_total", m_notices.limitChanges);
         counter("harelink_endpoint_pauses_total", m_notices.pauses);
         counter("harelink_endpoint_departures_total", m_notices.departures);
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -262,7 +262,8 @@
     const CallId call = action.call;
     if (action.isRelayed) {
         m_relayedCalls[call] = {decode, std::move(onPart), {}};
-        m_control.relayCall({call, action.pool, action.endpoint, http});
+        m_control.relayCall({call, action.proxied ? action.proxied->callerId : std::string(),
+                             action.pool, action.endpoint, http});
         return;
     }
     const auto onDone = [this, call, decode](HttpResult result) {
--- a/unittests/Daemon/callrelaytest.cpp
+++ b/unittests/Daemon/callrelaytest.cpp
@@ -65,7 +65,7 @@
     }
     [[nodiscard]] RelayRequest request() const
     {
-        RelayRequest request{firstCall, "engines", "e-1", {}};
+        RelayRequest request{firstCall, "", "engines", "e-1", {}};
         request.http.method = "POST";
         request.http.url = "http://127.0.0.1:" + std::to_string(server->port());
         request.http.body = "question";
