--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -2,7 +2,9 @@
 ///
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
-///                  [--restores] [--silences] [--hosts H] [--lines L] [--without MECHANISM]
+///                  [--restores] [--silences] [--partitions] [--brittle]
+///                  [--hosts H] [--lines L] [--without
+///                  MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
 /// On a violation, also prints the seed and the last lines of its trace. With --without
@@ -29,6 +31,8 @@
 DEFINE_bool(silences, false,
             "Let outages of the platform last for seconds, in which calls get no answer; other "
             "faults are rarer.");
+DEFINE_bool(brittle, false, "Run endpoints that fail when they reject too many calls.");
+DEFINE_bool(partitions, false, "Cut hosts from all endpoints for seconds.");
 DEFINE_int32(hosts, 0, "Number of hosts; 0 for the default of the run's kind.");
 DEFINE_uint64(lines, 60, "Number of trace lines to print on a violation.");
 DEFINE_string(without, "", "The mechanism to disable; empty for none.");
@@ -86,8 +90,9 @@
     int faults = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result = player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts,
-                                                 FLAGS_lines, FLAGS_restores, FLAGS_silences});
+        const RunResult result =
+            player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines,
+                            FLAGS_restores, FLAGS_brittle, FLAGS_partitions, FLAGS_silences});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -29,6 +29,8 @@
         : m_world(options.seed, hostCountFor(options), dataCentreCount)
         , m_kind(options.kind)
         , m_restores(options.restores)
+        , m_brittle(options.brittle)
+        , m_partitions(options.partitions)
         , m_silences(options.silences)
     {
         m_world.trace().setMaxLines(options.traceLines);
@@ -45,7 +47,9 @@
         m_world.faults() = {0.02, 0.05, 0.05, 0.05, 0.5};
         while (m_result.steps < steps && m_world.checks().violations().empty()) {
             m_result.steps += m_world.run(std::chrono::milliseconds(1 + random().below(20)));
-            submitRandomRequest();
+            for (int i = 0; i < (m_brittle ? brittleLoad : 1); ++i) {
+                submitRandomRequest();
+            }
             if (m_kind == RunKind::CrashesAndSuspensions) {
                 maybeSubmitCrashing();
                 maybeSuspendHost();
@@ -70,6 +74,12 @@
             if (m_restores) {
                 maybeRestoreStore();
             }
+            if (m_brittle) {
+                changeBrittleness();
+            }
+            if (m_partitions) {
+                maybeCutHostFromEndpoints();
+            }
         }
         captureTrace();
         settle();
@@ -91,6 +101,8 @@
     /// Time in which all hosts write again the claims that the store has lost.
     static constexpr std::chrono::seconds claimRestoreTime{6};
     static constexpr std::size_t maxRetriedKeys = 40;
+    /// Requests that brittle runs send in place of one.
+    static constexpr int brittleLoad = 4;
     static constexpr std::uint64_t maxSilenceMs = 10'000;
     static constexpr int maxLeavingEndpoints = 2;
     /// Number of times that a request that crashes endpoints is sent before the next one is.
@@ -269,6 +281,33 @@
                || (m_restoredAt && m_world.queue().now() - *m_restoredAt < claimRestoreTime);
     }
 
+    /// Makes the endpoints of a pool brittle for some seconds.
+    void changeBrittleness()
+    {
+        if (!random().chance(0.003)) {
+            return;
+        }
+        const char *pool = random().chance(0.5) ? "engines" : "encoders";
+        const bool isBrittle = random().chance(0.7);
+        m_world.setBrittle(pool,
+                           isBrittle ? std::optional<double>(2 + random().below(4)) : std::nullopt);
+    }
+
+    /// Cuts a host from all endpoints for some seconds, often together with others.
+    void maybeCutHostFromEndpoints()
+    {
+        using std::chrono::milliseconds;
+        if (!random().chance(0.01)) {
+            return;
+        }
+        ++m_result.faults;
+        const std::string host = randomHost();
+        m_world.trace().add("cut " + host + " from endpoints");
+        m_world.cuts().cut(host, "endpoints");
+        scheduleHeal(milliseconds(100 + random().below(3000)),
+                     [=, this] { m_world.cuts().heal(host, "endpoints"); });
+    }
+
     void scheduleHeal(Duration minDelay, std::function<void()> heal)
     {
         m_world.queue().after(minDelay + std::chrono::milliseconds(random().below(1500)),
@@ -426,6 +465,8 @@
     World<G> m_world;
     RunKind m_kind;
     bool m_restores;
+    bool m_brittle;
+    bool m_partitions;
     bool m_silences;
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
     std::optional<TimePoint> m_restoredAt; ///< When it last returned from one.
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -35,6 +35,8 @@
     int hosts = 0;               ///< 0 for the default of the run's kind.
     std::size_t traceLines = 60; ///< Trace lines kept for the report of a violation.
     bool restores = false;       ///< The store returns from older copies.
+    bool brittle = false;        ///< Endpoints fail when they reject too many calls.
+    bool partitions = false;     ///< Hosts lose the path to all endpoints.
     bool silences = false;       ///< Outages of the platform last seconds, without answers.
 };
 
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -352,6 +352,17 @@
     }
 }
 
+void Checks::brittleFailed(const std::string &pool, int endpoints)
+{
+    constexpr double allowed = 2;
+    constexpr double allowedPerEndpoint = 0.1;
+    const int failures = ++m_brittleFailures[pool];
+    if (failures > allowed + allowedPerEndpoint * endpoints) {
+        violation(
+            fmt::format("endpoints of {} failed {} times while they were brittle", pool, failures));
+    }
+}
+
 void Checks::finish()
 {
     for (const auto &[id, submission] : m_submissions) {
--- a/test/sim/checks.h
+++ b/test/sim/checks.h
@@ -109,6 +109,10 @@
     /// \p host, which is stable, does not have the operator's write \p number of \p object in
     /// force within convergenceTime.
     void writeNotInForce(const std::string &host, const std::string &object, std::uint64_t number);
+    /// The endpoints of \p pool begin or cease to be brittle.
+    void brittleChanged(const std::string &pool) { m_brittleFailures.erase(pool); }
+    /// One of the \p endpoints endpoints of \p pool has failed since it rejected too many calls.
+    void brittleFailed(const std::string &pool, int endpoints);
     void hostRestarted(const std::string &host);
     /// Final checks, after all faults were healed and the system had time to settle.
     void finish();
@@ -169,6 +173,7 @@
     std::map<std::pair<std::string, std::string>, OperatorWrite> m_writesInForce;
     /// By host and object, to report a write once.
     std::map<std::pair<std::string, std::string>, std::uint64_t> m_lateWrites;
+    std::map<std::string, int> m_brittleFailures; ///< By pool, since it is brittle.
     std::vector<std::string> m_violations;
 };
 
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -188,6 +188,11 @@
     Duration pause{};
     bool announcesLeaving = false; ///< In its answers only, not in the platform's host list.
     TimePoint limitedSince;        ///< When the current limit was first announced.
+    /// Rejections per second that it bears, as announced; std::nullopt unless it is brittle.
+    std::optional<double> bearableRejections;
+    TimePoint brittleSince;
+    int running = 0;                  ///< Calls that hold a slot.
+    std::deque<TimePoint> rejections; ///< Of the last second, while it is brittle.
 };
 
 /// Requests per second that a cold endpoint accepts, and how long it stays cold.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -20,6 +20,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -55,6 +56,7 @@
             Host &host = m_hosts[name];
             host.name = name;
             host.dataCentre = fmt::format("dc{}", i % dataCentres + 1);
+            ++m_daemonCount;
             m_platform.setHost(name, host.dataCentre, "live", true);
             startHost(name);
         }
@@ -124,11 +126,13 @@
         options.dataCentre = host.dataCentre;
         options.incarnation = host.incarnation;
         options.maxMeshPeers = m_maxMeshPeers;
+        RequestLimits limits;
+        limits.daemons = &m_daemonCount;
         host.clock = std::make_unique<HostClock>(m_queue.clock());
         host.control = std::make_unique<BasicControlMachine<G>>(*host.clock, options);
         host.requests = std::make_unique<BasicRequestMachine<G>>(
             *host.clock, Registry<RoutingPolicy>::instance().make("power-of-two"), host.incarnation,
-            RequestLimits{});
+            limits);
         host.snapshot = std::make_unique<Snapshot>();
         scheduleTick(name, host.incarnation);
     }
@@ -298,6 +302,21 @@
         m_trace.add(fmt::format("{} asks for pauses of {} ms", name, toMilliseconds(pause)));
         m_endpoints.at(name).pause = pause;
     }
+    /// Makes the endpoints of \p pool announce how many rejections per second they bear; a while
+    /// later they let no calls wait, and one that rejects more fails. std::nullopt ends this.
+    void setBrittle(const std::string &pool, std::optional<double> bearable)
+    {
+        m_trace.add(fmt::format("{} {}", pool, bearable ? "are brittle" : "are no longer brittle"));
+        m_checks.brittleChanged(pool);
+        for (auto &[name, endpoint] : m_endpoints) {
+            if (name.starts_with(pool)) {
+                endpoint.bearableRejections = bearable;
+                endpoint.brittleSince = m_queue.now();
+                endpoint.slowFactor = bearable ? brittleSlowFactor : 1;
+                endpoint.rejections.clear();
+            }
+        }
+    }
     /// Makes the answers of an endpoint announce that it is leaving.
     void announceLeaving(const std::string &name)
     {
@@ -317,6 +336,7 @@
             endpoint.slowFactor = 1;
             endpoint.limit.reset();
             endpoint.pause = {};
+            endpoint.bearableRejections.reset();
         }
         for (auto &[name, host] : m_hosts) {
             thaw(name);
@@ -379,6 +399,9 @@
     static constexpr std::chrono::milliseconds coldCheckTimeout{200};
     static constexpr std::chrono::milliseconds connectTimeout{200};
     static constexpr std::chrono::milliseconds relayTimeout{600};
+    static constexpr double brittleSlowFactor = 15;
+    static constexpr int slotsPerEndpoint = 8;
+    static constexpr std::chrono::seconds brittleDowntime{3};
     /// Time within which operators and endpoints write again what the store has lost.
     static constexpr std::chrono::milliseconds rewriteTime{1500};
     /// Characters per token of an answer.
@@ -460,7 +483,7 @@
                         {{"pool", pool},
                          {"address", "127.0.0.1:1"},
                          {"dataCentre", dataCentre},
-                         {"slots", 8}});
+                         {"slots", slotsPerEndpoint}});
                 m_endpoints[name].dataCentre = dataCentre;
             }
         }
@@ -880,6 +903,10 @@
         }
         const bool excused = wasRecentlyFrozen(m_hosts.at(name));
         m_checks.arrivedAtPausing(stage, excused);
+        if (rejectsForLackOfRoom(endpoint)) {
+            rejectAsBrittle(name, start, stage);
+            return;
+        }
         if (endpoint.pause > Duration::zero() && m_random.chance(refusalProbability)) {
             refuse(name, start, stage);
             return;
@@ -902,6 +929,9 @@
         const double millis = (3 + 20 * m_random.unit()) * endpoint.slowFactor;
         const auto time =
             std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(millis));
+        if (endpoint.bearableRejections) {
+            holdSlot(stage.endpoint, time);
+        }
         const std::uint64_t generation = endpoint.generation;
         const bool breaks = m_random.chance(m_faults.brokenCall);
         if (stage.streams) {
@@ -946,6 +976,7 @@
         EndpointNotice notice;
         notice.requestsPerSecond = m_endpoints.at(name).limit;
         notice.isLeaving = m_endpoints.at(name).announcesLeaving;
+        notice.rejectionsPerSecond = m_endpoints.at(name).bearableRejections;
         return notice;
     }
 
@@ -962,6 +993,45 @@
         m_queue.after(networkDelay(), [=, this] { toRequests(name, start, event); });
     }
 
+    /// Returns whether a brittle endpoint has no room: it lets no call wait for a slot.
+    [[nodiscard]] bool rejectsForLackOfRoom(const FakeEndpoint &endpoint) const
+    {
+        return endpoint.bearableRejections
+               && m_queue.now() - endpoint.brittleSince >= stabilizationTime
+               && endpoint.running >= slotsPerEndpoint;
+    }
+
+    /// Lets a call hold a slot of the endpoint \p name for \p time.
+    void holdSlot(const std::string &name, Duration time)
+    {
+        ++m_endpoints.at(name).running;
+        m_queue.after(time, [this, name] { --m_endpoints.at(name).running; });
+    }
+
+    /// Rejects \p stage; the endpoint fails for some seconds if it rejects too much.
+    void rejectAsBrittle(const std::string &name, Incarnation start, const SendStage &stage)
+    {
+        FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
+        StageFailed event;
+        event.call = stage.call;
+        event.evidence = SendEvidence::RefusedBeforeRun;
+        event.status = absl::UnavailableError("there is no room");
+        event.notice = noticeOf(stage.endpoint);
+        m_queue.after(networkDelay(), [=, this] { toRequests(name, start, event); });
+        std::deque<TimePoint> &recent = endpoint.rejections;
+        recent.push_back(m_queue.now());
+        while (m_queue.now() - recent.front() > std::chrono::seconds(1)) {
+            recent.pop_front();
+        }
+        if (static_cast<double>(recent.size()) > *endpoint.bearableRejections) {
+            recent.clear();
+            m_checks.brittleFailed(stage.pool, m_dataCentres * 2);
+            killEndpoint(stage.endpoint);
+            m_queue.after(brittleDowntime,
+                          [this, failed = stage.endpoint] { startEndpoint(failed); });
+        }
+    }
+
     /// Crashes the endpoint while it runs \p stage, and restarts it 2 to 4 seconds later.
     void crashSoon(const std::string &name, Incarnation start, const SendStage &stage)
     {
@@ -1117,6 +1187,7 @@
     WorldFaults m_faults;
     std::size_t m_maxMeshPeers; ///< 0 for even seeds, so that heartbeats go through relays.
     int m_dataCentres;
+    std::atomic<int> m_daemonCount{0};
     bool m_hasLongOutages = false;
     std::size_t m_pathProbes = 0;
     std::uint64_t m_operatorWriteCount = 0; ///< Number of calls of changeWeight().
@@ -1124,8 +1195,12 @@
     /// A write of an operator; after a return of the store, until when it was repeated.
     struct RecentWrite : OperatorWrite
     {
+        RecentWrite(TimePoint time, std::uint64_t count, std::string document)
+            : OperatorWrite{count, std::move(document)}
+            , writtenAt(time)
+        {
+        }
         TimePoint writtenAt;
-        std::uint64_t number = 0;
     };
     std::map<std::string, std::deque<RecentWrite>> m_recentWrites; ///< By account.
     /// Their numbers, by the versions that they got.
@@ -1138,8 +1213,3 @@
 } // namespace harelink::sim
 
 #endif // HARELINK_TEST_SIM_WORLD_H
-        RecentWrite(TimePoint time, std::uint64_t count, std::string document)
-            : OperatorWrite{count, std::move(document)}
-            , writtenAt(time)
-        {
-        }
