--- a/include/harelink/Daemon/callrelay.h
+++ b/include/harelink/Daemon/callrelay.h
@@ -44,12 +44,13 @@
 struct CallRelayCounters
 {
     std::uint64_t requested = 0; ///< Calls that peers were asked to make.
-    std::uint64_t lost = 0;      ///< Of these, without a result since the peer was lost.
+    std::uint64_t lost = 0;      ///< Of these, ended since the peer or a part was lost.
     std::uint64_t unplaced = 0;  ///< Calls for which there was no peer.
     std::uint64_t served = 0;    ///< Calls made for peers.
     std::uint64_t refused = 0;   ///< Calls of peers that were not made.
 };
 
+/// The calls that peers make for this daemon, and those that it makes for peers.
 class CallRelay
 {
 public:
@@ -104,7 +105,7 @@
     Sink m_sink;
     std::map<CallId, Requested> m_requested;
     std::map<ServedId, Served> m_served;
-    /// The calls that have arrived lately, so that a repeated message makes none.
+    /// The calls that have arrived recently, so that a repeated message makes none.
     std::set<ServedId> m_arrived;
     std::deque<std::pair<TimePoint, ServedId>> m_arrivedOrder;
     CallRelayCounters m_counters;
--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -3,8 +3,7 @@
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
 ///                  [--restores] [--silences] [--partitions] [--brittle]
-///                  [--hosts H] [--lines L] [--without
-///                  MECHANISM]
+///                  [--hosts H] [--lines L] [--without MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
 /// On a violation, also prints the seed and the last lines of its trace. With --without
