[Daemon] Log which sends resume a stream, and the endpoint's software version

Change: both are read, and logged by stream-resumed and call-broken; no decision uses them yet. The version belongs to the declaration by which the call was sent. An entry without a valid version stays usable.

--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -163,6 +163,9 @@
     /// Self-reported remaining cold period, counted from the report; std::nullopt if it reports
     /// none.
     std::optional<std::chrono::milliseconds> coldFor;
+    /// Version of its software, empty if its operator states none; std::nullopt if unknown. Only an
+    /// endpoint of the same known version can continue a stream of another one.
+    std::optional<std::string> softwareVersion = std::string();
     std::string identity; ///< Name shared by all incarnations; if empty, the same as name.
     WallTime startedAt;   ///< Start of this incarnation; the epoch if not reported.
 
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -134,6 +134,7 @@
     void perform(const CheckColdState &action);
     void perform(const BrokenCallReport &action);
     void perform(const RequestCleared &action);
+    static void logResumedStream(const SendStage &action);
     void forwardProxied(const SendStage &action);
     void sendCall(const SendStage &action, const HttpCall &http,
                   const std::function<StageResult(HttpResult)> &decode,
--- a/include/harelink/Kernel/crashes.h
+++ b/include/harelink/Kernel/crashes.h
@@ -15,6 +15,7 @@
 #include "harelink/Support/hash.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,7 +40,8 @@
     CallId call;
     std::string callerId;     ///< Of a proxied request.
     std::uint64_t events = 0; ///< Events of its request that were forwarded before.
-    BrokenCall broken;        ///< Without the address.
+    std::optional<std::string> softwareVersion; ///< Of the endpoint; see EndpointSpec.
+    BrokenCall broken;                          ///< Without the address.
 };
 
 /// Action: probe whether any process still listens at the address of an endpoint.
--- a/include/harelink/Kernel/proxied.h
+++ b/include/harelink/Kernel/proxied.h
@@ -52,6 +52,9 @@
 
     /// ID of the last event that the caller received before its stream broke.
     std::optional<std::uint64_t> lastEventSeen;
+    /// The caller's ID of its attempt that brought the first event of that stream; empty if the
+    /// caller names none.
+    std::string resumedAttempt;
 
     /// Returns the number of tokens of all prompt segments except the last.
     [[nodiscard]] std::uint64_t sharedTokens() const
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -257,6 +257,7 @@
     action.call = request.call();
     action.callerId = request.proxied ? request.proxied->callerId : std::string();
     action.events = request.tokens;
+    action.softwareVersion = request.softwareVersion;
     action.broken.digest = request.digest;
     action.broken.pool = request.stageSpec().pool;
     action.broken.endpoint = request.endpoint;
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -309,6 +309,7 @@
     request.phase = Request::Phase::Running;
     countDemand(request, request.stage + 1);
     request.endpoint = endpoint.spec->name;
+    request.softwareVersion = endpoint.spec->softwareVersion;
     request.isRelayed = G::relaysCalls && pool.path != nullptr
                         && (pool.isPathLost()
                             || (pool.path->hasRelay()
@@ -338,6 +339,7 @@
     action.isRelayed = request.isRelayed;
     action.endpoint = endpoint.spec->name;
     action.endpointIdentity = endpoint.spec->stableName();
+    action.softwareVersion = endpoint.spec->softwareVersion;
     action.address = endpoint.spec->address;
     action.protocol = pool.spec.protocol;
     action.stage = request.stageSpec().name;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -136,6 +136,7 @@
     bool isRelayed = false; ///< A peer shall make the call, since this daemon has no path.
     std::string endpoint;
     std::string endpointIdentity; ///< Identity that the endpoint at the address must report.
+    std::optional<std::string> softwareVersion; ///< Of the endpoint; see EndpointSpec.
     std::string address;
     std::string protocol;
     std::string stage;
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -135,8 +135,9 @@
     Duration timeToFirstChunk{};
     bool stageMayHaveRun = false; ///< A send of the current stage may have run.
     std::string previous;
-    std::string endpoint;   ///< Endpoint of the call in progress, or of the last failed call.
-    bool isRelayed = false; ///< A peer makes the call in progress, or made the last one.
+    std::string endpoint; ///< Endpoint of the call in progress, or of the last failed call.
+    std::optional<std::string> softwareVersion; ///< Of that endpoint; see EndpointSpec.
+    bool isRelayed = false;            ///< A peer makes the call in progress, or made the last one.
     std::uint32_t connectFailures = 0; ///< Calls for which no connection was established.
     TimePoint sentAt;
     Duration charged{};
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -187,6 +187,7 @@
     if (reader.has("coldMs")) {
         spec.coldFor = reader.milliseconds("coldMs", milliseconds(0), maxDuration, milliseconds(0));
     }
+    spec.softwareVersion = reader.text("softwareVersion", "");
     return spec;
 }
 
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -324,9 +324,30 @@
     dispatchResult(std::move(event));
 }
 
+/// Logs a send that continues a stream of which the caller has received events.
+void Worker::logResumedStream(const SendStage &action)
+{
+    const ProxiedRequest &request = *action.proxied;
+    const std::optional<std::uint64_t> after =
+        action.resumeAfter ? action.resumeAfter : request.lastEventSeen;
+    if (!after && request.resumedAttempt.empty()) {
+        return;
+    }
+    logger.record(LogLevel::Info, "stream-resumed")
+        .field("request", request.callerId)
+        .field("by", action.resumeAfter ? "host" : "caller")
+        .field("firstAttempt", request.resumedAttempt)
+        .field("afterEvent", after ? fmt::format("{}", *after) : "")
+        .field("attempt", action.call.attempt)
+        .field("pool", action.pool)
+        .field("endpoint", action.endpoint)
+        .field("version", action.softwareVersion.value_or("unknown"));
+}
+
 /// Forwards a proxied request unchanged and streams its response back.
 void Worker::forwardProxied(const SendStage &action)
 {
+    logResumedStream(action);
     const ProxiedDialect &dialect = *m_dialect.proxied();
     const auto stream = std::make_shared<ProxiedStream>(dialect, action);
     const auto decode = [stream](HttpResult result) { return stream->finish(std::move(result)); };
@@ -485,6 +506,7 @@
         .field("digest", toHex(broken.digest))
         .field("pool", broken.pool)
         .field("endpoint", broken.endpoint)
+        .field("version", action.softwareVersion.value_or("unknown"))
         .field("attempt", action.call.attempt)
         .field("sentMsAgo", fmt::format("{:.1f}", toMilliseconds(sentAgo)))
         .field("events", action.events);
