--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -2,7 +2,7 @@
 ///
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
-///                  [--restores] [--silences] [--partitions] [--brittle]
+///                  [--restores] [--silences] [--partitions] [--brittle] [--versions]
 ///                  [--hosts H] [--lines L] [--without MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
@@ -32,6 +32,9 @@
             "faults are rarer.");
 DEFINE_bool(brittle, false, "Run endpoints that fail when they reject too many calls.");
 DEFINE_bool(partitions, false, "Cut hosts from all endpoints for seconds.");
+DEFINE_bool(versions, false,
+            "Run callers that take up broken streams at other hosts, and endpoints of several "
+            "software versions.");
 DEFINE_int32(hosts, 0, "Number of hosts; 0 for the default of the run's kind.");
 DEFINE_uint64(lines, 60, "Number of trace lines to print on a violation.");
 DEFINE_string(without, "", "The mechanism to disable; empty for none.");
@@ -87,11 +90,13 @@
     std::uint64_t traceHash = 0;
     int requests = 0;
     int faults = 0;
+    int streamsTakenUp = 0;
+    int streamsWentOn = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result =
-            player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines,
-                            FLAGS_restores, FLAGS_brittle, FLAGS_partitions, FLAGS_silences});
+        const RunResult result = player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts,
+                                                 FLAGS_lines, FLAGS_restores, FLAGS_brittle,
+                                                 FLAGS_partitions, FLAGS_silences, FLAGS_versions});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
@@ -102,6 +107,8 @@
         traceHash ^= result.traceHash;
         requests += result.requests;
         faults += result.faults;
+        streamsTakenUp += result.streamsTakenUp;
+        streamsWentOn += result.streamsWentOn;
         for (const auto &[outcome, count] : result.outcomes) {
             outcomes[outcome] += count;
         }
@@ -111,6 +118,9 @@
     for (const auto &[outcome, count] : outcomes) {
         fmt::print("  {} {}\n", outcome, count);
     }
+    if (FLAGS_versions) {
+        fmt::print("  streams taken up {}, of these went on {}\n", streamsTakenUp, streamsWentOn);
+    }
     fmt::print("violations: {}\n", violations);
     const bool control = !FLAGS_without.empty();
     return (violations > 0) == control ? 0 : 1;
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -32,11 +32,15 @@
         , m_brittle(options.brittle)
         , m_partitions(options.partitions)
         , m_silences(options.silences)
+        , m_versions(options.versions)
     {
         m_world.trace().setMaxLines(options.traceLines);
         if (m_silences) {
             m_world.allowLongOutages();
         }
+        if (m_versions) {
+            m_world.declareStreams();
+        }
     }
 
     /// Runs until \p steps events were handled or an invariant is violated, then heals all
@@ -80,6 +84,9 @@
             if (m_partitions) {
                 maybeCutHostFromEndpoints();
             }
+            if (m_versions) {
+                runStreams();
+            }
         }
         captureTrace();
         settle();
@@ -104,6 +111,7 @@
     /// Requests that brittle runs send in place of one.
     static constexpr int brittleLoad = 4;
     static constexpr std::uint64_t maxSilenceMs = 10'000;
+    static constexpr std::uint64_t versionCount = 3;
     static constexpr int maxLeavingEndpoints = 2;
     /// Number of times that a request that crashes endpoints is sent before the next one is.
     static constexpr std::uint64_t sendsPerCrashingRequest = 20;
@@ -308,6 +316,21 @@
                      [=, this] { m_world.cuts().heal(host, "endpoints"); });
     }
 
+    /// Begins streams, breaks connections of their callers, and replaces endpoints by ones of
+    /// another version.
+    void runStreams()
+    {
+        if (random().chance(0.7)) {
+            m_world.beginStream();
+        }
+        if (random().chance(0.1)) {
+            m_world.breakCaller();
+        }
+        if (random().chance(0.01)) {
+            m_world.releaseStreamEndpoint(fmt::format("v{}", 1 + random().below(versionCount)));
+        }
+    }
+
     void scheduleHeal(Duration minDelay, std::function<void()> heal)
     {
         m_world.queue().after(minDelay + std::chrono::milliseconds(random().below(1500)),
@@ -456,6 +479,11 @@
     RunResult collectResult()
     {
         m_world.checks().finish();
+        if (m_versions) {
+            m_world.streamCallers().finish();
+            m_result.streamsTakenUp = m_world.streamCallers().takenUp().attempts;
+            m_result.streamsWentOn = m_world.streamCallers().takenUp().succeeded;
+        }
         m_result.violations = m_world.checks().violations();
         m_result.outcomes = m_world.checks().outcomes();
         m_result.traceHash = m_world.trace().hash();
@@ -468,6 +496,7 @@
     bool m_brittle;
     bool m_partitions;
     bool m_silences;
+    bool m_versions;
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
     std::optional<TimePoint> m_restoredAt; ///< When it last returned from one.
     RunResult m_result;
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -38,6 +38,7 @@
     bool brittle = false;        ///< Endpoints fail when they reject too many calls.
     bool partitions = false;     ///< Hosts lose the path to all endpoints.
     bool silences = false;       ///< Outages of the platform last seconds, without answers.
+    bool versions = false;       ///< Callers take up streams; endpoints have several versions.
 };
 
 /// Result of a run.
@@ -48,6 +49,8 @@
     int requests = 0;
     int faults = 0;
     std::map<std::string, int> outcomes;
+    int streamsTakenUp = 0; ///< At undisturbed hosts, while their version was served.
+    int streamsWentOn = 0;  ///< Of these.
     std::vector<std::string> violations;
     std::vector<std::string> lastLines; ///< Last trace lines up to the first violation.
 };
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -175,6 +175,7 @@
 struct FakeEndpoint
 {
     std::string dataCentre;
+    std::string softwareVersion; ///< Empty if it declares none.
     bool down = false;
     double slowFactor = 1;
     double failing = 0;           ///< Share of calls that break after they ran.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -12,6 +12,7 @@
 
 #include "checks.h"
 #include "fakes.h"
+#include "streamcallers.h"
 
 #include "harelink/Kernel/controlmachineimpl.h"
 #include "harelink/Kernel/registry.h"
@@ -20,6 +21,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <memory>
@@ -47,6 +49,10 @@
         , m_trace(m_queue)
         , m_platform(m_queue, m_random)
         , m_checks(m_queue, m_trace)
+        , m_streamCallers(m_queue, m_checks, m_trace,
+                          [this](const StreamAttempt &attempt, const std::string &version) {
+                              return submitStream(attempt, version);
+                          })
         , m_dataCentres(dataCentres)
         , m_maxMeshPeers(seed % 2 == 0 ? 0 : ControlOptions{}.maxMeshPeers)
     {
@@ -102,7 +108,65 @@
         }
         m_trace.add("kill " + name);
         m_checks.hostKilled(name, host.incarnation);
+        const Incarnation incarnation = host.incarnation;
         stopHost(host);
+        m_streamCallers.handleHostLost(incarnation);
+    }
+
+    /// Declares a pool whose endpoints have several software versions, and a pipeline of resumable
+    /// streams.
+    void declareStreams()
+    {
+        using nlohmann::json;
+        declare("Pool", streamPool, {{"protocol", "carried"}});
+        for (int i = 0; i < m_dataCentres * endpointsPerVersion; ++i) {
+            startStreamEndpoint(i % m_dataCentres, i < m_dataCentres * 2 ? "v1" : "v2");
+        }
+        declare("Pipeline", "talk",
+                {{"deadlineMs", 4000},
+                 {"route",
+                  {{"host", streamHost},
+                   {"pathPrefix", "/"},
+                   {"split", json::array({{{"pool", streamPool}}})},
+                   {"streams", true},
+                   {"resumable", true},
+                   {"public", true},
+                   {"mostEndpoints", 3}}}});
+    }
+    /// Begins a stream at any host.
+    void beginStream() { m_streamCallers.begin(); }
+    /// Breaks the connection of a caller that reads a stream.
+    void breakCaller()
+    {
+        if (const std::optional<RequestId> id = m_streamCallers.breakConnection(m_random.bits())) {
+            for (auto &[name, host] : m_hosts) {
+                if (host.alive && host.incarnation == id->incarnation) {
+                    toRequests(name, host.incarnation, CallerGone{*id});
+                }
+            }
+        }
+    }
+    /// Replaces the oldest endpoint with streams by one of \p version: the new one starts first,
+    /// the old one leaves and ends later.
+    void releaseStreamEndpoint(const std::string &version)
+    {
+        const auto oldest = std::find_if(
+            m_streamEndpoints.begin(), m_streamEndpoints.end(), [this](const std::string &name) {
+                return m_endpoints.at(name).leavingSince == TimePoint::max();
+            });
+        const std::string name = *oldest;
+        startStreamEndpoint(m_endpoints.at(name).dataCentre == "dc1" ? 0 : 1, version);
+        markEndpointLeaving(name);
+        m_queue.after(departureTime, [this, name] {
+            killEndpoint(name);
+            writeAsOwner({"Endpoint", name}, std::nullopt);
+            std::erase(m_streamEndpoints, name);
+        });
+    }
+    [[nodiscard]] StreamCallers &streamCallers() { return m_streamCallers; }
+    [[nodiscard]] const std::vector<std::string> &streamEndpoints() const
+    {
+        return m_streamEndpoints;
     }
 
     void startHost(const std::string &name)
@@ -393,6 +457,12 @@
         std::vector<std::function<void()>> deferred;
     };
 
+    static constexpr const char *streamPool = "talkers";
+    static constexpr const char *streamHost = "talk.example";
+    static constexpr int endpointsPerVersion = 4;
+    /// Time from which on an endpoint is leaving until it ends.
+    static constexpr std::chrono::seconds departureTime{2};
+
     static constexpr std::chrono::milliseconds tickInterval{5};
     /// Fraction of requests refused by an endpoint that asks for pauses.
     static constexpr double refusalProbability = 0.7;
@@ -497,6 +567,66 @@
                  {"repeatable", false}});
     }
 
+    void startStreamEndpoint(int dataCentre, const std::string &version)
+    {
+        const std::string name = fmt::format("{}-{}", streamPool, ++m_streamEndpointCount);
+        FakeEndpoint &endpoint = m_endpoints[name];
+        endpoint.dataCentre = fmt::format("dc{}", dataCentre + 1);
+        endpoint.softwareVersion = version;
+        m_streamEndpoints.push_back(name);
+        m_trace.add(fmt::format("{} starts at version {}", name, version));
+        declare("Endpoint", name,
+                {{"pool", streamPool},
+                 {"address", "127.0.0.1:1"},
+                 {"dataCentre", endpoint.dataCentre},
+                 {"slots", slotsPerEndpoint},
+                 {"softwareVersion", version}});
+    }
+
+    /// Sends an attempt of a stream's caller to any running host.
+    std::optional<StreamCallers::Submitted> submitStream(const StreamAttempt &attempt,
+                                                         const std::string &version)
+    {
+        auto host = m_hosts.begin();
+        std::advance(host, m_random.below(m_hosts.size()));
+        if (!host->second.alive) {
+            return std::nullopt;
+        }
+        auto proxied = std::make_shared<ProxiedRequest>();
+        proxied->callerId = attempt.callerId;
+        proxied->method = "POST";
+        proxied->target = proxied->path = "/";
+        proxied->host = streamHost;
+        proxied->lastEventSeen = attempt.lastEvent;
+        proxied->resumedAttempt = attempt.resumedAttempt;
+        RequestArrived event;
+        event.id = {host->second.incarnation, ++host->second.lastSequence};
+        event.timeAllowed = attempt.allowed;
+        event.proxied = std::move(proxied);
+        m_trace.add(fmt::format("stream {}, attempt {} -> {}", attempt.stream, attempt.callerId,
+                                host->first));
+        toRequestsSoon(host->first, event.id.incarnation, event);
+        return StreamCallers::Submitted{event.id, isStable(host->second) && isServed(version)};
+    }
+
+    /// Delivers an event that a caller causes, after the network's delay.
+    template <typename Event>
+    void toRequestsSoon(const std::string &name, Incarnation incarnation, const Event &event)
+    {
+        m_queue.after(networkDelay(), [=, this] { toRequests(name, incarnation, event); });
+    }
+
+    /// Returns whether two endpoints of \p version serve, or two of any version if that is empty.
+    [[nodiscard]] bool isServed(const std::string &version) const
+    {
+        const auto serves = [&](const std::string &name) {
+            const FakeEndpoint &endpoint = m_endpoints.at(name);
+            return !endpoint.down && endpoint.leavingSince == TimePoint::max()
+                   && (version.empty() || endpoint.softwareVersion == version);
+        };
+        return std::count_if(m_streamEndpoints.begin(), m_streamEndpoints.end(), serves) >= 2;
+    }
+
     void beginDrain(Host &host)
     {
         host.draining = true;
@@ -663,7 +793,15 @@
         }
     }
 
-    void perform(Host &, const AnswerCaller &action) { m_checks.answered(action); }
+    void perform(Host &, const AnswerCaller &action)
+    {
+        if (m_streamCallers.owns(action.id)) {
+            m_streamCallers.handle(action);
+        } else {
+            m_checks.answered(action);
+        }
+    }
+    void perform(Host &, const StreamEvents &action) { m_streamCallers.handle(action); }
     void perform(Host &, const CancelStage &) {}
     void perform(Host &, const StreamChunk &action) { m_checks.streamed(action); }
     /// Only proxied requests cause the other actions, and none are sent here.
@@ -800,7 +938,9 @@
 
     void perform(Host &host, const SendStage &stage)
     {
-        m_checks.sent(stage);
+        if (!stage.proxied) {
+            m_checks.sent(stage);
+        }
         const FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
         const std::string name = host.name;
         const Incarnation start = host.incarnation;
@@ -926,6 +1066,10 @@
             crashSoon(name, start, stage);
             return;
         }
+        if (stage.proxied) {
+            beginEvents(name, start, stage);
+            return;
+        }
         const double millis = (3 + 20 * m_random.unit()) * endpoint.slowFactor;
         const auto time =
             std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(millis));
@@ -1160,6 +1304,43 @@
         });
     }
 
+    void beginEvents(const std::string &name, Incarnation start, const SendStage &stage)
+    {
+        const FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
+        const std::uint64_t first =
+            stage.resumeAfter.value_or(stage.proxied->lastEventSeen.value_or(0)) + 1;
+        const std::uint64_t breakAt = m_random.chance(m_faults.brokenCall)
+                                          ? first + m_random.below(StreamCallers::eventCount)
+                                          : UINT64_MAX;
+        const Duration pause = std::chrono::milliseconds(5 + m_random.below(40));
+        nextEvent({name, start, stage, endpoint.generation, pause, breakAt}, first);
+    }
+
+    void nextEvent(const Stream &stream, std::uint64_t id)
+    {
+        m_queue.after(stream.pause, [=, this] {
+            const FakeEndpoint &endpoint = m_endpoints.at(stream.stage.endpoint);
+            if (endpoint.generation != stream.generation || id == stream.breakAt) {
+                failStage(stream.host, stream.start, stream.stage, SendEvidence::Sent);
+                return;
+            }
+            if (id > StreamCallers::eventCount) {
+                StageAnswered event;
+                event.call = event.echoed = stream.stage.call;
+                event.proxied = ProxiedAnswer{200, {}, ""};
+                toRequests(stream.host, stream.start, event);
+                return;
+            }
+            StageEvent event;
+            event.call = event.echoed = stream.stage.call;
+            event.head.status = 200;
+            event.eventId = id;
+            event.bytes = StreamCallers::eventBytes(id, endpoint.softwareVersion);
+            toRequests(stream.host, stream.start, event);
+            nextEvent(stream, id + 1);
+        });
+    }
+
     /// With the probability lateAnswer, delivers the answer of a failed call after a delay,
     /// either for the same call or for the next attempt of the request.
     template <typename Event>
@@ -1183,6 +1364,9 @@
     /// What the owners of objects last wrote; std::nullopt for a deletion.
     std::map<std::pair<std::string, std::string>, std::optional<std::string>> m_owned;
     Checks m_checks;
+    StreamCallers m_streamCallers;
+    std::vector<std::string> m_streamEndpoints; ///< Oldest first.
+    int m_streamEndpointCount = 0;
     Cuts m_cuts;
     WorldFaults m_faults;
     std::size_t m_maxMeshPeers; ///< 0 for even seeds, so that heartbeats go through relays.
