[Kernel] Continue a stream only at the software version that began it

Cause: a pool's endpoints were taken for interchangeable in every send. Change: the first event binds a stream to the pool and the version of the endpoint that the call was sent to, as declared then. A filter limits all later sends, forecasts and waits to endpoints of that version; an unknown version equals none. A stream whose version takes no new work ends at once, with a reason of its own, without a retry. One that waits for its version holds up no other request. RegionLimit becomes EndpointFilter. Streams that their callers take up are not mended here.

--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -81,6 +81,8 @@
     static constexpr bool relaysCalls = true;
     /// While the platform gives no answers, no watch waits for updates.
     static constexpr bool pollsInOutages = true;
+    /// Continues a stream only at endpoints of the software version that sent its first event.
+    static constexpr bool keepsStreamVersion = true;
 };
 
 /// A policy that enables or disables each mechanism.
@@ -177,6 +179,9 @@
     {
         G::pollsInOutages
         } -> std::convertible_to<bool>;
+    {
+        G::keepsStreamVersion
+        } -> std::convertible_to<bool>;
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/requestadmissionimpl.h
+++ b/include/harelink/Kernel/requestadmissionimpl.h
@@ -132,7 +132,7 @@
             continue;
         }
         if (const auto opens =
-                unavailableUntil(*pool, regionsOf(request, snapshot), m_clock.now())) {
+                unavailableUntil(*pool, filterOf(request, snapshot), m_clock.now())) {
             wait = std::max(wait, std::min<Duration>(*opens - m_clock.now(),
                                                      requestmachine::maxRateLimitedRetryAfter));
         }
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -68,6 +68,7 @@
     }
     if (request->tokens == 0) {
         request->timeToFirstChunk = m_clock.now() - request->arrivedAt;
+        bindStream(*request);
     }
     request->tokens += event.tokens;
     request->text += event.text;
@@ -292,11 +293,21 @@
     }
 }
 
+/// Binds a stream that has got its first event to the endpoints that may continue it.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::bindStream(Request &request)
+{
+    if (!request.origin) {
+        request.origin = StreamOrigin{request.stageSpec().pool, request.softwareVersion};
+    }
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
                                          const Snapshot &snapshot)
 {
-    if (hasSendSlot(request, snapshot, 0) && mayRetry(request, event.evidence)) {
+    const bool canContinue = !request.origin || hasServingEndpoint(request, snapshot);
+    if (canContinue && hasSendSlot(request, snapshot, 0) && mayRetry(request, event.evidence)) {
         ++m_counters.retries;
         if (request.pieces && request.pieces->finalResultsReleased()) {
             handleLostResults(request, snapshot);
@@ -315,6 +326,10 @@
         answer(request, std::move(action));
         return;
     }
+    if (!canContinue) {
+        failWithoutEndpoint(request, snapshot);
+        return;
+    }
     fail(request, Reason::StageFailed, event.status, snapshot);
 }
 
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -18,6 +18,8 @@
 #include <cassert>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace harelink {
 
 template <GuardPolicy G>
@@ -61,18 +63,17 @@
     }
     // Requests that wait for a send slot at endpoints under rate limits or pauses.
     std::vector<FairQueue::Waiter> waitingForSlot;
+    // Streams that wait for the few endpoints of their version must not hold up other requests.
+    std::vector<FairQueue::Waiter> waitingForVersion;
     while (const std::optional<std::uint64_t> sequence =
                state.queue.pop(snapshot, poolName, state.shares, now)) {
         Request &request = *m_requests.at(*sequence);
         if (rejectQuarantined(request, snapshot)) {
             continue;
         }
-        const RegionLimit regions = regionsOf(request, snapshot);
-        if (pool == nullptr || !pool->hasServingEndpoint(regions)) {
-            fail(request, Reason::NoEndpoint,
-                 makeError(absl::StatusCode::kUnavailable, "routing", poolName,
-                           "the pool has no endpoint that takes new work"),
-                 snapshot);
+        const EndpointFilter filter = filterOf(request, snapshot);
+        if (pool == nullptr || !pool->hasServingEndpoint(filter)) {
+            failWithoutEndpoint(request, snapshot);
             continue;
         }
         const EndpointEntry *avoid =
@@ -80,9 +81,9 @@
         const PromptInfo prompt = promptInfo(request);
         const PromptInfo *enginePrompt = pool->spec.engine && prompt.tokens > 0 ? &prompt : nullptr;
         const EndpointEntry *endpoint = chooseEndpoint(
-            {*pool, now, preferredEndpoint(request, *pool), avoid, enginePrompt, &regions},
+            {*pool, now, preferredEndpoint(request, *pool), avoid, enginePrompt, &filter},
             snapshot);
-        if (endpoint == nullptr && unavailableUntil(*pool, regions, now)) {
+        if (endpoint == nullptr && unavailableUntil(*pool, filter, now)) {
             if (hasSendSlot(request, snapshot, waitingForSlot.size())) {
                 waitingForSlot.push_back(queueKey(request));
             } else {
@@ -90,6 +91,10 @@
             }
             continue;
         }
+        if (endpoint == nullptr && filter.origin != nullptr) {
+            waitingForVersion.push_back(queueKey(request));
+            continue;
+        }
         if (endpoint == nullptr) {
             state.queue.push(queueKey(request));
             break;
@@ -100,8 +105,10 @@
         }
         send(request, *pool, *endpoint, snapshot);
     }
-    for (const FairQueue::Waiter &waiter : waitingForSlot) {
-        state.queue.push(waiter);
+    for (const std::vector<FairQueue::Waiter> *waiters : {&waitingForSlot, &waitingForVersion}) {
+        for (const FairQueue::Waiter &waiter : *waiters) {
+            state.queue.push(waiter);
+        }
     }
     if (pool != nullptr && state.queue.size() > 0) {
         recordStall(state, *pool);
@@ -199,9 +206,9 @@
 {
     const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
     const TimePoint now = m_clock.now();
-    const RegionLimit regions = regionsOf(request, snapshot);
-    return pool == nullptr || !unavailableUntil(*pool, regions, now)
-           || sendSlotsUntil(*pool, regions, now, latestStart(request)) > ahead;
+    const EndpointFilter filter = filterOf(request, snapshot);
+    return pool == nullptr || !unavailableUntil(*pool, filter, now)
+           || sendSlotsUntil(*pool, filter, now, latestStart(request)) > ahead;
 }
 
 /// Returns the first stage of a new request whose pool has no send slot in time; null if none.
@@ -210,12 +217,12 @@
                                                               const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
-    const RegionLimit regions = regionsOf(request, snapshot);
+    const EndpointFilter filter = filterOf(request, snapshot);
     for (const StageSpec &stage : request.pipeline.stages) {
         const PoolEntry *pool = snapshot.pool(stage.pool);
-        const bool isClosed = pool != nullptr && unavailableUntil(*pool, regions, now);
+        const bool isClosed = pool != nullptr && unavailableUntil(*pool, filter, now);
         if (isClosed
-            && sendSlotsUntil(*pool, regions, now, latestStart(request))
+            && sendSlotsUntil(*pool, filter, now, latestStart(request))
                    <= poolState(stage.pool).demand.size()) {
             return &stage;
         }
@@ -223,6 +230,36 @@
     return nullptr;
 }
 
+/// Returns whether any endpoint may get \p request, now or later.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::hasServingEndpoint(const Request &request, const Snapshot &snapshot)
+{
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    return pool != nullptr && pool->hasServingEndpoint(filterOf(request, snapshot));
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::failWithoutEndpoint(Request &request, const Snapshot &snapshot)
+{
+    const std::string &pool = request.stageSpec().pool;
+    if (request.origin) {
+        AnswerCaller action;
+        action.outcome = outcomeOfFailure(request);
+        action.reason = Reason::StreamVersionGone;
+        action.error =
+            makeError(absl::StatusCode::kUnavailable, "routing", pool,
+                      fmt::format("no endpoint of software version {}, at which the stream began, "
+                                  "takes new work",
+                                  request.origin->softwareVersion.value_or("unknown")));
+        answer(request, std::move(action));
+        return;
+    }
+    fail(request, Reason::NoEndpoint,
+         makeError(absl::StatusCode::kUnavailable, "routing", pool,
+                   "the pool has no endpoint that takes new work"),
+         snapshot);
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::failWithoutSendSlot(Request &request, const std::string &pool,
                                                  const Snapshot &snapshot)
@@ -233,15 +270,16 @@
          snapshot);
 }
 
-/// Returns the regions that may serve \p request; refers to data of the request and of the
+/// Returns the endpoints that may serve \p request; refers to data of the request and of the
 /// snapshot.
 template <GuardPolicy G>
-RegionLimit BasicRequestMachine<G>::regionsOf(const Request &request, const Snapshot &snapshot)
+EndpointFilter BasicRequestMachine<G>::filterOf(const Request &request, const Snapshot &snapshot)
 {
     static const std::vector<std::string> anywhere;
     const AccountEntry *account = snapshot.account(request.account);
     return {request.pipeline.route ? request.pipeline.route->allowedRegions : anywhere,
-            account != nullptr ? account->spec.allowedRegions : anywhere};
+            account != nullptr ? account->spec.allowedRegions : anywhere,
+            G::keepsStreamVersion && request.origin ? &*request.origin : nullptr};
 }
 
 /// Fails \p request if it was quarantined after its admission, since it crashes endpoints.
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -318,7 +318,10 @@
     std::optional<AnswerCaller> rejectOnArrival(const RequestArrived &event, const Hash128 &digest,
                                                 const Snapshot &snapshot) const;
     [[nodiscard]] Duration quarantineLeft(const Hash128 &digest, const Snapshot &snapshot) const;
-    static RegionLimit regionsOf(const Request &request, const Snapshot &snapshot);
+    static EndpointFilter filterOf(const Request &request, const Snapshot &snapshot);
+    static bool hasServingEndpoint(const Request &request, const Snapshot &snapshot);
+    void failWithoutEndpoint(Request &request, const Snapshot &snapshot);
+    void bindStream(Request &request);
     bool rejectQuarantined(Request &request, const Snapshot &snapshot);
     void claim(Request &request);
     static void resolveRoute(RequestArrived &event, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -160,6 +160,8 @@
     bool headForwarded = false;      ///< The head of the stream was sent to the caller.
     /// ID of the last event that the caller has received.
     std::optional<std::uint64_t> lastEventId;
+    /// Where the stream began; set by its first event.
+    std::optional<StreamOrigin> origin;
     std::uint32_t possibleRuns = 0;   ///< Sends that an endpoint may have started to run.
     std::uint32_t deliveredSends = 0; ///< Sends that reached an endpoint.
 
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -197,9 +197,9 @@
     const Duration never = Duration::max() / 4;
     Duration best = never;
     Duration bestCold = never;
-    const RegionLimit regions = regionsOf(request, snapshot);
+    const EndpointFilter filter = filterOf(request, snapshot);
     for (const EndpointEntry &endpoint : pool->endpoints) {
-        if (!isUsable(endpoint, now) || !regions.allows(endpoint.region)) {
+        if (!isUsable(endpoint, now) || !filter.allows(endpoint)) {
             continue;
         }
         const bool isEndpointCold = isCold(endpoint, now);
@@ -529,6 +529,7 @@
     action.bytes = event.bytes;
     if (!request->headForwarded) {
         request->headForwarded = true;
+        bindStream(*request);
         action.head = event.head;
         // The engine has read the results before the first event. Keeping them until the end,
         // in case the stream breaks, let results of 1.5 MB fill the result buffers of a stage;
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -40,7 +40,7 @@
     const EndpointEntry *preferred = nullptr; ///< Likely has the prompt cached; null if unknown.
     const EndpointEntry *avoid = nullptr;     ///< Just failed this request; last resort only.
     const PromptInfo *prompt = nullptr;       ///< Null if the request has no known prompt.
-    const RegionLimit *regions = nullptr;     ///< Null if all regions are allowed.
+    const EndpointFilter *filter = nullptr;   ///< Null if all endpoints are allowed.
     bool coldOnly = false; ///< Selects only cold endpoints that this daemon may send to.
     /// Selects only endpoints that are known to be warm, or that get no more from this daemon
     /// than its share of what they accept while cold.
@@ -57,11 +57,11 @@
 [[nodiscard]] bool claimSendSlot(const EndpointEntry &entry, TimePoint now);
 /// Returns when this daemon may first send to an endpoint of \p pool. Returns std::nullopt if it
 /// may send to one now, or if no rate limit or pause holds back any that may serve.
-[[nodiscard]] std::optional<TimePoint> unavailableUntil(const PoolEntry &pool,
-                                                        const RegionLimit &regions, TimePoint now);
+[[nodiscard]] std::optional<TimePoint>
+unavailableUntil(const PoolEntry &pool, const EndpointFilter &filter, TimePoint now);
 /// Returns the number of requests that the endpoints of an unavailable pool accept from this
 /// daemon until \p until.
-[[nodiscard]] std::size_t sendSlotsUntil(const PoolEntry &pool, const RegionLimit &regions,
+[[nodiscard]] std::size_t sendSlotsUntil(const PoolEntry &pool, const EndpointFilter &filter,
                                          TimePoint now, TimePoint until);
 /// Returns whether \p entry was ejected and has not answered a call successfully since.
 [[nodiscard]] bool isOnProbation(const EndpointEntry &entry);
--- a/include/harelink/Kernel/snapshot.h
+++ b/include/harelink/Kernel/snapshot.h
@@ -12,6 +12,7 @@
 #include "harelink/Config/resources.h"
 #include "harelink/Kernel/load.h"
 #include "harelink/Kernel/poolpath.h"
+#include "harelink/Kernel/streams.h"
 
 #include <absl/container/flat_hash_map.h>
 
@@ -36,21 +37,23 @@
     std::string region;              ///< Empty if unknown.
 };
 
-/// The regions in which a request may be served.
-struct RegionLimit
+/// The endpoints that may serve a request.
+struct EndpointFilter
 {
-    /// Allowed by its route and by its account; empty for all.
+    /// Regions that are allowed by its route and by its account; empty for all. An endpoint whose
+    /// region is unknown is allowed only if no list names any region.
     const std::vector<std::string> &routeRegions;
     const std::vector<std::string> &accountRegions;
+    /// Origin of the stream that the request continues; null if it continues none.
+    const StreamOrigin *origin = nullptr;
 
-    /// Returns whether \p region is allowed. An unknown region is allowed only if no list names
-    /// any region.
-    [[nodiscard]] bool allows(const std::string &region) const;
+    /// Returns whether \p entry is allowed.
+    [[nodiscard]] bool allows(const EndpointEntry &entry) const;
 };
 
-/// Returns whether \p entry may get new work under \p limit, now or later: it is neither leaving
+/// Returns whether \p entry may get new work under \p filter, now or later: it is neither leaving
 /// nor in a drained data centre.
-[[nodiscard]] bool mayServe(const EndpointEntry &entry, const RegionLimit &limit);
+[[nodiscard]] bool mayServe(const EndpointEntry &entry, const EndpointFilter &filter);
 
 /// A client account and its load counters.
 struct AccountEntry
@@ -86,9 +89,9 @@
     [[nodiscard]] const EndpointEntry *find(const std::string &name) const;
     /// Returns whether this daemon has no path to the endpoints, but peers may.
     [[nodiscard]] bool isPathLost() const { return path != nullptr && path->isLost(); }
-    /// Returns whether any endpoint may get new work under \p limit; see mayServe(). If not,
+    /// Returns whether any endpoint may get new work under \p filter; see mayServe(). If not,
     /// requests that wait for the pool can never be sent.
-    [[nodiscard]] bool hasServingEndpoint(const RegionLimit &limit) const;
+    [[nodiscard]] bool hasServingEndpoint(const EndpointFilter &filter) const;
 };
 
 /// The active configuration.
--- a/include/harelink/Kernel/types.h
+++ b/include/harelink/Kernel/types.h
@@ -76,9 +76,11 @@
     NotReady,         ///< The daemon has not received a configuration yet.
     Quarantined,      ///< Requests with this digest have crashed endpoints and are no longer run.
     CallerGone,       ///< The caller disconnected; the answer is not delivered.
+    /// No endpoint of the software version at which the stream began accepts work.
+    StreamVersionGone,
 };
 /// The number of enumerators of Reason.
-inline constexpr std::size_t reasonCount = static_cast<std::size_t>(Reason::CallerGone) + 1;
+inline constexpr std::size_t reasonCount = static_cast<std::size_t>(Reason::StreamVersionGone) + 1;
 
 /// Returns the name used in metrics, such as "cannot-finish".
 [[nodiscard]] std::string_view toText(Reason reason);
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -171,13 +171,13 @@
            && load.nextSendAt.compare_exchange_strong(known, next, std::memory_order_relaxed);
 }
 
-std::optional<TimePoint> unavailableUntil(const PoolEntry &pool, const RegionLimit &regions,
+std::optional<TimePoint> unavailableUntil(const PoolEntry &pool, const EndpointFilter &filter,
                                           TimePoint now)
 {
     std::optional<TimePoint> first;
     bool isLimited = false;
     for (const EndpointEntry &entry : pool.endpoints) {
-        if (!mayServe(entry, regions)) {
+        if (!mayServe(entry, filter)) {
             continue;
         }
         const TimePoint available = nextAvailableAt(entry, now);
@@ -190,13 +190,13 @@
     return isLimited ? first : std::nullopt;
 }
 
-std::size_t sendSlotsUntil(const PoolEntry &pool, const RegionLimit &regions, TimePoint now,
+std::size_t sendSlotsUntil(const PoolEntry &pool, const EndpointFilter &filter, TimePoint now,
                            TimePoint until)
 {
     std::size_t sendSlots = 0;
     for (const EndpointEntry &entry : pool.endpoints) {
         const TimePoint available = nextAvailableAt(entry, now);
-        if (!mayServe(entry, regions) || available > until) {
+        if (!mayServe(entry, filter) || available > until) {
             continue;
         }
         const std::int64_t interval = entry.load->sendInterval.load(std::memory_order_relaxed);
@@ -240,7 +240,7 @@
 
 bool isEligible(const EndpointEntry &entry, const RoutingQuery &query)
 {
-    if (query.regions != nullptr && !query.regions->allows(entry.region)) {
+    if (query.filter != nullptr && !query.filter->allows(entry)) {
         return false;
     }
     if (isCold(entry, query.now)) {
--- a/lib/Kernel/snapshot.cpp
+++ b/lib/Kernel/snapshot.cpp
@@ -234,23 +234,26 @@
     return remote != endpoints.end() && remote->spec->name == name ? &*remote : nullptr;
 }
 
-bool RegionLimit::allows(const std::string &region) const
+bool EndpointFilter::allows(const EndpointEntry &entry) const
 {
-    const auto isNamed = [&region](const std::vector<std::string> &names) {
-        return names.empty() || std::find(names.begin(), names.end(), region) != names.end();
+    const auto isNamed = [&entry](const std::vector<std::string> &names) {
+        return names.empty() || std::find(names.begin(), names.end(), entry.region) != names.end();
     };
-    return isNamed(routeRegions) && isNamed(accountRegions);
+    const bool continuesOrigin =
+        origin == nullptr
+        || (origin->softwareVersion && origin->softwareVersion == entry.spec->softwareVersion);
+    return continuesOrigin && isNamed(routeRegions) && isNamed(accountRegions);
 }
 
-bool PoolEntry::hasServingEndpoint(const RegionLimit &limit) const
+bool PoolEntry::hasServingEndpoint(const EndpointFilter &filter) const
 {
     return std::any_of(endpoints.begin(), endpoints.end(),
-                       [&limit](const EndpointEntry &entry) { return mayServe(entry, limit); });
+                       [&filter](const EndpointEntry &entry) { return mayServe(entry, filter); });
 }
 
-bool mayServe(const EndpointEntry &entry, const RegionLimit &limit)
+bool mayServe(const EndpointEntry &entry, const EndpointFilter &filter)
 {
-    return limit.allows(entry.region) && !entry.isDrained
+    return filter.allows(entry) && !entry.isDrained
            && !entry.load->leaving.load(std::memory_order_relaxed);
 }
 
