[Kernel] Find where a stream began when its caller takes it up at any host

Cause: a request that takes up a stream was routed as a new one: the host knew neither the pool nor the version that began it, and the field by which the caller names its first attempt was not read. Streams went on at another version over a caller's attempts. Change: with the first event, the host reports the stream's origin to a few hosts of several data centres. What nobody knows is refused at once, "not run". A planned stop hands the records over; records belong to account and route, and are bounded in time and number. The objective of a stream that is taken up counts from its arrival: its first event has met it already.

--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -48,6 +48,7 @@
         std::function<void(const std::string &)> endpointEnded; ///< For all workers.
         std::function<void(RequestSuspected)> requestSuspected; ///< For all workers.
         std::function<void(RelayedPart)> relayedPart;
+        std::function<void(const StreamLocated &)> streamLocated;
     };
 
     /// All references must outlive this object.
@@ -82,6 +83,9 @@
     void handleBrokenCall(const BrokenCall &call);
     /// Handles that a request suspected of crashing endpoints has completed; thread-safe.
     void handleRequestCleared(const RequestCleared &request);
+    /// Handles StreamBegan or LocateStream; thread-safe.
+    template <typename Event>
+    void handleStream(const Event &event);
     /// Announces a planned stop to the peers; thread-safe.
     void leave();
     /// Calls \p callback on the control thread, after all events posted before, and passes
@@ -99,6 +103,7 @@
 private:
     std::optional<TimePoint> runIteration();
     void performActions();
+    void endLookup(const StreamLookup &lookup);
     void sendPlatformCall(const PlatformCall &call);
     void publish();
     void performPieceActions();
@@ -151,6 +156,8 @@
     std::optional<TimePoint> m_storeReturnedAt;
     std::uint64_t m_quarantines = 0; ///< Decided by this daemon.
     std::uint64_t m_coldChecks = 0;
+    std::uint64_t m_streamsLocated = 0;
+    std::uint64_t m_streamsUnknown = 0;
     EndpointNoticeCounters m_notices;
     std::set<std::string> m_unreadableNotices; ///< Endpoints whose unreadable fields were logged.
     bool m_wasPlatformConnected = false;
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -57,6 +57,8 @@
         std::function<void(const EndpointNoticed &)> endpointNoticed;
         std::function<void(RelayRequest)> relayCall;
         std::function<void(const CallId &)> cancelRelayedCall;
+        std::function<void(const StreamBegan &)> streamBegan;
+        std::function<void(const LocateStream &)> locateStream;
     };
 
     /// All references must outlive the worker.
@@ -80,6 +82,8 @@
     void handleEndpointEnded(const std::string &endpoint);
     /// Handles that an endpoint ended while it ran such a request; thread-safe.
     void handleSuspectedRequest(const RequestSuspected &event);
+    /// Handles the result of the lookup of a stream; thread-safe.
+    void handleStreamLocated(const StreamLocated &event);
     /// Handles the end of \p connection of a caller; thread-safe.
     void handleConnectionClosed(std::uint64_t connection);
     /// Makes further replies ask callers to open another connection; thread-safe.
@@ -134,6 +138,8 @@
     void perform(const CheckColdState &action);
     void perform(const BrokenCallReport &action);
     void perform(const RequestCleared &action);
+    void perform(const StreamBegan &action);
+    void perform(const LocateStream &action);
     static void logResumedStream(const SendStage &action);
     void forwardProxied(const SendStage &action);
     void sendCall(const SendStage &action, const HttpCall &http,
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -23,6 +23,7 @@
 #include "harelink/Kernel/peerrelay.h"
 #include "harelink/Kernel/piecebatcher.h"
 #include "harelink/Kernel/rateshares.h"
+#include "harelink/Kernel/streamorigins.h"
 
 #include <map>
 #include <set>
@@ -63,6 +64,7 @@
     std::vector<PieceBacklog> backlogs;     ///< As reported by peers.
     /// Tokens that peers have sent to model engines; only totals that have changed.
     std::vector<PromptBacklog> prompts;
+    std::vector<StreamLookup> streamLookups; ///< That have ended; for the workers.
 };
 
 /// The parameters of a control machine.
@@ -106,6 +108,8 @@
     void handle(const EndpointProbeResult &event) { m_crashes.handle(event); }
     void handle(const EndpointLimitAnnounced &event);
     void handle(const RequestCleared &event) { m_crashes.handle(event); }
+    void handle(const StreamBegan &event) { m_streams.handle(event); }
+    void handle(const LocateStream &event) { m_streams.handle(event); }
     /// Sets this daemon's usage since the last call, for the next heartbeats.
     void recordUsage(std::vector<UsageReport> usage) { m_ownUsage = std::move(usage); }
     /// Sets the backlogs of the pools that this daemon batches for, for the next heartbeats.
@@ -129,10 +133,17 @@
     /// Handles an endpoint's own announcement that it is leaving.
     void handleEndpointLeaving(const std::string &endpoint) { recordLeaving(endpoint); }
     [[nodiscard]] const EndpointLimits &limits() const { return m_limits; }
+    /// Returns the number of streams whose origin this daemon knows.
+    [[nodiscard]] std::size_t knownStreams() const { return m_streams.size(); }
     /// Returns the endpoints that are leaving, as far as this daemon knows.
     [[nodiscard]] std::vector<std::string> leavingEndpoints() const;
-    /// Begins a planned stop: announces it to the peers and gives up owned buckets.
-    void leave() { m_membership.leave(); }
+    /// Begins a planned stop: announces it to the peers, gives up owned buckets, and hands over the
+    /// origins of streams.
+    void leave()
+    {
+        m_membership.leave();
+        m_streams.handOver();
+    }
     /// Performs periodic work. If heartbeatsDue() is true, it sends heartbeats; usage, backlogs
     /// and prompts shall be recorded before.
     void tick();
@@ -181,7 +192,11 @@
     void handle(const PeerMessage &message, const ConfigDigest &content);
     void handle(const PeerMessage &message, const CrashReports &content);
     void handle(const PeerMessage &message, const CrashesCleared &content);
+    void handle(const PeerMessage &message, const StreamRecords &content);
+    void handle(const PeerMessage &message, const StreamQuery &content);
+    void handle(const PeerMessage &message, const StreamReply &content);
     void drainCrashWatch();
+    void drainStreams();
     template <PieceContent Content>
     void handle(const PeerMessage &message, const Content &content);
     template <RelayContent Content>
@@ -220,6 +235,7 @@
     BasicClaimLedger<G> m_ledger;
     BasicClaimRouter<G> m_router;
     CrashDetector m_crashes;
+    StreamOrigins m_streams;
     std::uint64_t m_nextCallId = 1;
     std::uint64_t m_storeEra = 0;
     std::uint64_t m_lowestRevision = 0; ///< That the store is known to have had; 0 if unknown.
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -65,6 +65,7 @@
           options.claims)
     , m_router(clock, m_membership, m_ledger)
     , m_crashes(clock, m_membership, options.objects->quarantineKind(), options.quarantineDuration)
+    , m_streams(clock, m_membership)
     , m_startedAt(clock.now())
     , m_keepsClaims(options.keepsClaims)
     , m_hostKind(options.hostKind)
@@ -154,6 +155,7 @@
 {
     forwardLedgerReplies();
     drainCrashWatch();
+    drainStreams();
     publishConfig();
     for (PeerSend &send : m_router.drainSends()) {
         m_output.sends.push_back(std::move(send));
@@ -185,6 +187,19 @@
     m_configPending = m_configPending || !m_output.quarantines.empty();
 }
 
+/// Moves the messages about streams and the results of lookups to the output.
+template <GuardPolicy G>
+void BasicControlMachine<G>::drainStreams()
+{
+    for (PeerSend &send : m_streams.drainSends()) {
+        const bool isRecord = std::holds_alternative<StreamRecords>(send.message.content);
+        if (G::sharesStreamOrigins || !isRecord) {
+            m_output.sends.push_back(std::move(send));
+        }
+    }
+    m_output.streamLookups = m_streams.drainLookups();
+}
+
 template <GuardPolicy G>
 ActiveResources BasicControlMachine<G>::resources() const
 {
@@ -297,6 +312,7 @@
     m_router.tick();
     m_ledger.tick(m_output.calls, m_nextCallId);
     m_crashes.tick(m_config.entries(), m_storeEra, m_output.calls, m_nextCallId);
+    m_streams.tick();
     m_dueAt = nextTick();
 }
 
@@ -375,7 +391,7 @@
     }
     return std::min({watch, publish, m_gossip.nextTick(), m_membership.nextTick(),
                      m_router.nextTick(), m_ledger.nextTick(), m_crashes.nextTick(),
-                     m_hostList.nextTick()});
+                     m_hostList.nextTick(), m_streams.nextTick()});
 }
 
 /// Records an era of the store that an answer or a peer states, with the lowest revision that the
@@ -673,6 +689,25 @@
     m_crashes.handle(content);
 }
 
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const StreamRecords &content)
+{
+    (void)message;
+    m_streams.handle(content);
+}
+
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const StreamQuery &content)
+{
+    m_streams.handle(message.host, content);
+}
+
+template <GuardPolicy G>
+void BasicControlMachine<G>::handle(const PeerMessage &message, const StreamReply &content)
+{
+    m_streams.handle(message.host, content);
+}
+
 template <GuardPolicy G>
 template <PieceContent Content>
 void BasicControlMachine<G>::handle(const PeerMessage &message, const Content &content)
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -83,6 +83,8 @@
     static constexpr bool pollsInOutages = true;
     /// Continues a stream only at endpoints of the software version that sent its first event.
     static constexpr bool keepsStreamVersion = true;
+    /// Reports where streams began to other hosts, at which callers may take them up again.
+    static constexpr bool sharesStreamOrigins = true;
 };
 
 /// A policy that enables or disables each mechanism.
@@ -182,6 +184,9 @@
     {
         G::keepsStreamVersion
         } -> std::convertible_to<bool>;
+    {
+        G::sharesStreamOrigins
+        } -> std::convertible_to<bool>;
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -15,6 +15,7 @@
 #include "harelink/Kernel/pieces.h"
 #include "harelink/Kernel/platform.h"
 #include "harelink/Kernel/relays.h"
+#include "harelink/Kernel/streams.h"
 #include "harelink/Kernel/types.h"
 
 #include <concepts>
@@ -173,7 +174,8 @@
     Incarnation incarnation = 0; ///< Of the sender.
     std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
                  ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees, PeerSummary,
-                 CrashReports, CrashesCleared, RelayCall, RelayPart, RelayCancel>
+                 CrashReports, CrashesCleared, RelayCall, RelayPart, RelayCancel, StreamRecords,
+                 StreamQuery, StreamReply>
         content;
 };
 
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -293,15 +293,6 @@
     }
 }
 
-/// Binds a stream that has got its first event to the endpoints that may continue it.
-template <GuardPolicy G>
-void BasicRequestMachine<G>::bindStream(Request &request)
-{
-    if (!request.origin) {
-        request.origin = StreamOrigin{request.stageSpec().pool, request.softwareVersion};
-    }
-}
-
 template <GuardPolicy G>
 void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
                                          const Snapshot &snapshot)
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -26,6 +26,7 @@
 #include "harelink/Kernel/routing.h"
 #include "harelink/Kernel/slotshares.h"
 #include "harelink/Kernel/snapshot.h"
+#include "harelink/Kernel/streams.h"
 #include "harelink/Kernel/types.h"
 #include "harelink/Support/random.h"
 
@@ -238,7 +239,8 @@
 using RequestAction =
     std::variant<SendStage, CancelStage, StreamChunk, AnswerCaller, ClaimRequest, ClaimFinish,
                  OrderPieces, WithdrawPieces, FreeResults, StreamEvents, EndpointReplaced,
-                 EndpointNoticed, BrokenCallReport, RequestCleared, CheckColdState>;
+                 EndpointNoticed, BrokenCallReport, RequestCleared, CheckColdState, StreamBegan,
+                 LocateStream>;
 
 /// Counters of one machine.
 struct RequestCounters
@@ -286,6 +288,7 @@
     void handle(const CallerGone &event, const Snapshot &snapshot);
     void handle(const EndpointEnded &event, const Snapshot &snapshot);
     void handle(const RequestSuspected &event, const Snapshot &snapshot);
+    void handle(const StreamLocated &event, const Snapshot &snapshot);
     /// Fails requests that are due and dispatches queued requests.
     void tick(const Snapshot &snapshot);
     /// Refuses new requests from now on; those in progress continue.
@@ -322,6 +325,11 @@
     static bool hasServingEndpoint(const Request &request, const Snapshot &snapshot);
     void failWithoutEndpoint(Request &request, const Snapshot &snapshot);
     void bindStream(Request &request);
+    static Hash128 streamKeyOf(const Request &request, const std::string &callerId);
+    static bool takesUpStream(const Request &request);
+    void locateStream(Request &request, const Snapshot &snapshot);
+    void failUnknownStream(Request &request, std::string_view message, const Snapshot &snapshot);
+    void startRequest(Request &request, const Snapshot &snapshot);
     bool rejectQuarantined(Request &request, const Snapshot &snapshot);
     void claim(Request &request);
     static void resolveRoute(RequestArrived &event, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -16,6 +16,7 @@
 #include "harelink/Kernel/requestdispatchimpl.h"
 #include "harelink/Kernel/requestmachinestate.h"
 #include "harelink/Kernel/requestproxiedimpl.h"
+#include "harelink/Kernel/requeststreamsimpl.h"
 
 #include "harelink/Support/error.h"
 
@@ -196,6 +197,7 @@
     request.streams = event.streams;
     request.arrivedAt = now;
     request.deadline = now + event.timeAllowed.value_or(request.pipeline.deadline);
+    request.callerDeadline = request.deadline;
     request.proxied = std::move(event.proxied);
     if (request.proxied) {
         applyRoute(request, snapshot);
@@ -205,6 +207,18 @@
     (void)added;
 
     request.demandFrom = static_cast<std::uint32_t>(request.pipeline.stages.size());
+    if (G::keepsStreamVersion && takesUpStream(request)) {
+        locateStream(request, snapshot);
+        return;
+    }
+    startRequest(request, snapshot);
+}
+
+/// Admits \p request and begins its first stage.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::startRequest(Request &request, const Snapshot &snapshot)
+{
+    const TimePoint now = m_clock.now();
     if (const StageSpec *stage = stageWithoutSendSlot(request, snapshot)) {
         failWithoutSendSlot(request, stage->pool, snapshot);
         return;
@@ -296,7 +310,9 @@
         return;
     }
     std::string step = "stage " + request.stageSpec().name;
-    if (request.phase == Request::Phase::Claiming) {
+    if (request.phase == Request::Phase::Locating) {
+        step = "stream lookup";
+    } else if (request.phase == Request::Phase::Claiming) {
         step = "claim";
     } else if (request.phase == Request::Phase::Preparing) {
         step = "pieces";
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -91,6 +91,8 @@
 
 /// Maximum number of digests whose completion is awaited; beyond it, all are dropped.
 inline constexpr std::size_t maxSuspects = 4096;
+/// A caller may take up its stream until its deadline, as it arrives at another host.
+inline constexpr std::chrono::milliseconds takeUpMargin{1000};
 inline constexpr std::string_view quarantineMessage =
     "endpoints have ended under such requests, which are not run any more";
 
@@ -110,7 +112,7 @@
 template <GuardPolicy G>
 struct BasicRequestMachine<G>::Request
 {
-    enum class Phase { Claiming, Preparing, Queued, Running };
+    enum class Phase { Locating, Claiming, Preparing, Queued, Running };
 
     RequestId id;
     std::string account;
@@ -122,6 +124,7 @@
     Hash128 key;
     TimePoint arrivedAt;
     TimePoint deadline;
+    TimePoint callerDeadline; ///< Not limited by the pipeline.
     Phase phase = Phase::Queued;
     std::uint32_t stage = 0;
     std::uint32_t attempt = 0;
@@ -160,7 +163,8 @@
     bool headForwarded = false;      ///< The head of the stream was sent to the caller.
     /// ID of the last event that the caller has received.
     std::optional<std::uint64_t> lastEventId;
-    /// Where the stream began; set by its first event.
+    /// Where the stream began; set by its first event, or by the lookup of a stream that the
+    /// caller takes up.
     std::optional<StreamOrigin> origin;
     std::uint32_t possibleRuns = 0;   ///< Sends that an endpoint may have started to run.
     std::uint32_t deliveredSends = 0; ///< Sends that reached an endpoint.
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -63,6 +63,10 @@
     }
     request.pipeline.stages = {{"serve", pool}};
     request.timeSpent = m_clientTimeouts[request.pipeline.name].record(request.deadline - now);
+    if (takesUpStream(request)) {
+        // Its first event has met the objective already.
+        request.timeSpent = Duration::zero();
+    }
     request.deadline = std::min<TimePoint>(request.deadline, now + request.pipeline.deadline);
     request.objectiveAt =
         std::min<TimePoint>(request.deadline, now + route.objective - request.timeSpent);
--- a/include/harelink/Kernel/types.h
+++ b/include/harelink/Kernel/types.h
@@ -78,9 +78,11 @@
     CallerGone,       ///< The caller disconnected; the answer is not delivered.
     /// No endpoint of the software version at which the stream began accepts work.
     StreamVersionGone,
+    /// The caller takes up a stream, and no host that was asked knows where it began.
+    StreamUnknown,
 };
 /// The number of enumerators of Reason.
-inline constexpr std::size_t reasonCount = static_cast<std::size_t>(Reason::StreamVersionGone) + 1;
+inline constexpr std::size_t reasonCount = static_cast<std::size_t>(Reason::StreamUnknown) + 1;
 
 /// Returns the name used in metrics, such as "cannot-finish".
 [[nodiscard]] std::string_view toText(Reason reason);
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -132,6 +132,21 @@
     to.set_path_lost(from.isPathLost);
 }
 
+void write(const StreamRecord &from, wire::StreamRecord &to)
+{
+    write(from.stream, *to.mutable_stream());
+    to.set_pool(from.origin.pool);
+    to.set_software_version(from.origin.softwareVersion.value_or(std::string()));
+    to.set_ttl_micros(toMicros(from.ttl));
+}
+
+StreamRecord read(const wire::StreamRecord &from)
+{
+    return {read(from.stream()),
+            {from.pool(), from.software_version()},
+            microseconds(from.ttl_micros())};
+}
+
 void write(const CallId &from, wire::CallId &to)
 {
     write(from.request, *to.mutable_request());
@@ -333,6 +348,25 @@
             write(digest, *to.add_digests());
         }
     }
+    void operator()(const StreamRecords &from) const
+    {
+        wire::StreamRecords &to = *m_message.mutable_stream_records();
+        for (const StreamRecord &record : from.records) {
+            write(record, *to.add_records());
+        }
+    }
+    void operator()(const StreamQuery &from) const
+    {
+        write(from.stream, *m_message.mutable_stream_query()->mutable_stream());
+    }
+    void operator()(const StreamReply &from) const
+    {
+        wire::StreamReply &to = *m_message.mutable_stream_reply();
+        write(from.stream, *to.mutable_stream());
+        if (from.record) {
+            write(*from.record, *to.mutable_record());
+        }
+    }
     void operator()(const RelayCall &from) const
     {
         wire::RelayCall &to = *m_message.mutable_relay_call();
@@ -530,6 +564,25 @@
     return to;
 }
 
+StreamRecords read(const wire::StreamRecords &from)
+{
+    StreamRecords to;
+    for (const wire::StreamRecord &record : from.records()) {
+        to.records.push_back(read(record));
+    }
+    return to;
+}
+
+StreamReply read(const wire::StreamReply &from)
+{
+    StreamReply to;
+    to.stream = read(from.stream());
+    if (from.has_record()) {
+        to.record = read(from.record());
+    }
+    return to;
+}
+
 PieceWithdrawal read(const wire::PieceWithdrawal &from)
 {
     PieceWithdrawal to;
@@ -693,6 +746,15 @@
     case wire::PeerMessage::kRelayCancel:
         to.content = RelayCancel{read(from.relay_cancel().call())};
         return true;
+    case wire::PeerMessage::kStreamRecords:
+        to.content = read(from.stream_records());
+        return true;
+    case wire::PeerMessage::kStreamQuery:
+        to.content = StreamQuery{read(from.stream_query().stream())};
+        return true;
+    case wire::PeerMessage::kStreamReply:
+        to.content = read(from.stream_reply());
+        return true;
     case wire::PeerMessage::CONTENT_NOT_SET:
         return false;
     }
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -420,6 +420,35 @@
     });
 }
 
+template <typename Event>
+void Control::handleStream(const Event &event)
+{
+    m_loop.post([this, event] {
+        m_machine.handle(event);
+        performActions();
+    });
+}
+
+template void Control::handleStream(const StreamBegan &event);
+template void Control::handleStream(const LocateStream &event);
+
+/// Passes the result of a lookup on to its worker.
+void Control::endLookup(const StreamLookup &lookup)
+{
+    const std::optional<StreamOrigin> &origin = lookup.located.origin;
+    ++(origin ? m_streamsLocated : m_streamsUnknown);
+    logger.record(LogLevel::Info, "stream-located")
+        .field("request", lookup.callerId)
+        .field("stream", toHex(lookup.stream))
+        .field("outcome", origin ? "known" : "unknown")
+        .field("by", origin && lookup.host.empty() ? m_settings.host : lookup.host)
+        .field("asked", lookup.askedHosts)
+        .field("elapsedMs", fmt::format("{:.1f}", toMilliseconds(lookup.elapsed)))
+        .field("pool", origin ? origin->pool : "")
+        .field("version", origin ? origin->softwareVersion.value_or("unknown") : "");
+    m_workers.streamLocated(lookup.located);
+}
+
 void Control::handleRequestCleared(const RequestCleared &request)
 {
     m_loop.post([this, request] {
@@ -487,7 +516,10 @@
 
 void Control::leave()
 {
-    m_loop.post([this] { m_machine.leave(); });
+    m_loop.post([this] {
+        m_machine.leave();
+        performActions();
+    });
 }
 
 void Control::queryIdle(std::function<void(bool)> callback)
@@ -680,6 +712,9 @@
     for (const EndpointProbe &next : output.probes) {
         probe(next);
     }
+    for (const StreamLookup &lookup : output.streamLookups) {
+        endLookup(lookup);
+    }
     for (const RequestSuspected &suspect : output.suspects) {
         m_workers.requestSuspected(suspect);
     }
@@ -967,6 +1002,9 @@
         counter("harelink_peer_connections_refused_total", m_peers.refusedConnections());
         counter("harelink_quarantines_total", m_quarantines);
         counter("harelink_cold_checks_total", m_coldChecks);
+        counter("harelink_streams_located_total", m_streamsLocated);
+        counter("harelink_streams_unknown_total", m_streamsUnknown);
+        gauge("harelink_known_streams", static_cast<double>(m_machine.knownStreams()));
         const CallRelayCounters &relays = m_callRelay.counters();
         gauge("harelink_lost_paths", static_cast<double>(m_lostPools.size()));
         counter("harelink_relayed_calls_requested_total", relays.requested);
@@ -1008,6 +1046,13 @@
         for (const EndpointLimitAnnounced &limit : m_machine.limits().inForce()) {
             status["limitedEndpoints"][limit.endpoint] = *limit.announcement.perSecond;
         }
+        for (const auto &[name, pool] : m_snapshot.current().pools) {
+            nlohmann::json &versions = status["softwareVersions"][name];
+            for (const EndpointEntry &endpoint : pool.endpoints) {
+                const std::string version = endpoint.spec->softwareVersion.value_or("unknown");
+                versions[version] = versions.value(version, 0) + 1;
+            }
+        }
         for (const auto &[key, entry] : m_machine.config().entries()) {
             nlohmann::json &object = status["objects"][key.first + "/" + key.second];
             object["seen"] = entry.seenVersion.revision;
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -153,6 +153,9 @@
         const std::uint64_t sequence = part.part.call.request.sequence;
         workerFor(sequence).handleRelayedPart(std::move(part));
     };
+    workers.streamLocated = [this](const StreamLocated &event) {
+        workerFor(event.request.sequence).handleStreamLocated(event);
+    };
     m_control = std::make_unique<Control>(m_settings, m_clock, m_snapshot, *m_dialect,
                                           m_incarnation, m_liveDaemons, std::move(workers));
     Worker::ControlSink control;
@@ -182,6 +185,8 @@
     };
     control.relayCall = [this](const RelayRequest &request) { m_control->relayCall(request); };
     control.cancelRelayedCall = [this](const CallId &call) { m_control->cancelRelayedCall(call); };
+    control.streamBegan = [this](const StreamBegan &event) { m_control->handleStream(event); };
+    control.locateStream = [this](const LocateStream &event) { m_control->handleStream(event); };
     for (int i = 0; i < m_settings.workers; ++i) {
         m_workers.push_back(std::make_unique<Worker>(m_settings, m_clock, m_snapshot, *m_dialect,
                                                      m_incarnation + static_cast<std::uint64_t>(i),
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -144,6 +144,11 @@
     m_loop.post([this, event] { dispatch(event); });
 }
 
+void Worker::handleStreamLocated(const StreamLocated &event)
+{
+    m_loop.post([this, event] { dispatch(event); });
+}
+
 void Worker::handlePieceEnded(PieceEnded event)
 {
     m_loop.post([this, event = std::move(event)] { dispatch(event); });
@@ -513,6 +518,16 @@
     m_control.callBroken(broken);
 }
 
+void Worker::perform(const StreamBegan &action)
+{
+    m_control.streamBegan(action);
+}
+
+void Worker::perform(const LocateStream &action)
+{
+    m_control.locateStream(action);
+}
+
 void Worker::perform(const RequestCleared &action)
 {
     m_control.requestCleared(action);
--- a/lib/Kernel/types.cpp
+++ b/lib/Kernel/types.cpp
@@ -66,7 +66,8 @@
         "cannot-finish", "no-endpoint",       "deadline-exceeded",
         "stage-failed",  "claim-unavailable", "key-reused",
         "may-have-run",  "draining",          "not-ready",
-        "quarantined",   "caller-gone",       "stream-version-gone"};
+        "quarantined",   "caller-gone",       "stream-version-gone",
+        "stream-unknown"};
     return names[static_cast<std::size_t>(reason)];
 }
 
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -240,6 +240,25 @@
     CHECK(std::get<CrashesCleared>(cleared->content).digests.at(0) == hash128("b"));
 }
 
+TEST(PeerLink, OriginsOfStreamsSurviveEncoding)
+{
+    const StreamRecord record{hash128("stream"), {"engines", "v1"}, std::chrono::seconds(7)};
+    const auto records = decodePeerMessage(encodePeerMessage({"h1", 7, StreamRecords{{record}}}));
+    const StreamRecord &read = std::get<StreamRecords>(records->content).records.at(0);
+    CHECK(read.stream == record.stream);
+    CHECK(read.origin == record.origin);
+    CHECK(read.ttl == record.ttl);
+    const auto query = decodePeerMessage(encodePeerMessage({"h1", 7, StreamQuery{record.stream}}));
+    CHECK(std::get<StreamQuery>(query->content).stream == record.stream);
+    const auto known =
+        decodePeerMessage(encodePeerMessage({"h1", 7, StreamReply{record.stream, record}}));
+    CHECK(std::get<StreamReply>(known->content).record->origin == record.origin);
+    const auto unknown =
+        decodePeerMessage(encodePeerMessage({"h1", 7, StreamReply{record.stream, std::nullopt}}));
+    CHECK(std::get<StreamReply>(unknown->content).stream == record.stream);
+    CHECK_FALSE(std::get<StreamReply>(unknown->content).record.has_value());
+}
+
 TEST(PeerLink, CallsMadeForPeersKeepTheirFields)
 {
     RelayCall call;
--- a/unittests/Kernel/fleetfixture.h
+++ b/unittests/Kernel/fleetfixture.h
@@ -207,6 +207,20 @@
         call.sentAt = call.brokeAt - std::chrono::milliseconds(100);
         m_hosts.at(host)->handle(call);
     }
+    /// Begins a planned stop of \p host.
+    void leave(const std::string &host) { m_hosts.at(host)->leave(); }
+    /// Lets a stream begin at \p host.
+    void beginStream(const std::string &host, const StreamBegan &event)
+    {
+        m_hosts.at(host)->handle(event);
+    }
+    /// Lets \p host look for the origin of \p stream.
+    void locate(const std::string &host, const Hash128 &stream)
+    {
+        m_hosts.at(host)->handle(LocateStream{{1, ++m_lookupCount}, "caller", stream});
+    }
+    /// Returns and clears the lookups that have ended.
+    [[nodiscard]] std::vector<StreamLookup> drainLookups() { return std::exchange(m_lookups, {}); }
     /// Returns the number of hosts with a quarantine of \p digest.
     [[nodiscard]] std::size_t hostsWithQuarantine(const Hash128 &digest) const
     {
@@ -259,6 +273,7 @@
             count(name, send, bytes);
             m_inTransit.push_back({std::move(send), bytes});
         }
+        m_lookups.insert(m_lookups.end(), output.streamLookups.begin(), output.streamLookups.end());
     }
     void count(const std::string &name, const PeerSend &send, std::size_t size)
     {
@@ -282,6 +297,11 @@
             return content.hasUsage ? "summary, whole" : "summary";
         } else if constexpr (std::same_as<Content, ConfigPush>) {
             return "push";
+        } else if constexpr (std::same_as<Content, StreamRecords>) {
+            return "origins of streams";
+        } else if constexpr (std::same_as<Content,
+                                          StreamQuery> || std::same_as<Content, StreamReply>) {
+            return "lookups of streams";
         } else if constexpr (std::same_as<Content, CrashReports>) {
             return "crash reports";
         } else if constexpr (std::same_as<Content, ConfigDigest>) {
@@ -403,6 +423,8 @@
     std::uint64_t m_hostRevision = 0;
     bool m_isStoreUnavailable = false;
     FleetTraffic m_traffic;
+    std::vector<StreamLookup> m_lookups;
+    std::uint64_t m_lookupCount = 0;
 };
 
 /// The fleet of the product.
--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -112,6 +112,34 @@
         collect();
         return id;
     }
+    /// Takes up a stream behind \p lastEvent that began with the attempt \p firstAttempt.
+    RequestId takeUp(const std::string &path, std::uint64_t lastEvent,
+                     const std::string &firstAttempt,
+                     std::optional<Duration> timeAllowed = std::nullopt)
+    {
+        auto proxied = std::make_shared<ProxiedRequest>();
+        proxied->callerId = fmt::format("caller-{}", ++lastSequence);
+        proxied->method = "POST";
+        proxied->target = path;
+        proxied->host = "api.example";
+        proxied->path = path;
+        proxied->apiKey = "key-1";
+        proxied->lastEventSeen = lastEvent;
+        proxied->resumedAttempt = firstAttempt;
+        RequestArrived event;
+        event.id = {9, lastSequence};
+        event.proxied = std::move(proxied);
+        event.timeAllowed = timeAllowed;
+        const RequestId id = event.id;
+        machine.handle(std::move(event), *snapshot);
+        collect();
+        return id;
+    }
+    void locate(const RequestId &id, const std::optional<StreamOrigin> &origin)
+    {
+        machine.handle(StreamLocated{id, origin}, *snapshot);
+        collect();
+    }
     void answer(const SendStage &stage, int status = 200)
     {
         StageAnswered event;
@@ -173,6 +201,8 @@
         append(broken, only<BrokenCallReport>(actions));
         append(cleared, only<RequestCleared>(actions));
         append(coldChecks, only<CheckColdState>(actions));
+        append(began, only<StreamBegan>(actions));
+        append(lookups, only<LocateStream>(actions));
     }
 
     ManualClock clock;
@@ -191,6 +221,8 @@
     std::vector<BrokenCallReport> broken;
     std::vector<RequestCleared> cleared;
     std::vector<CheckColdState> coldChecks;
+    std::vector<StreamBegan> began;
+    std::vector<LocateStream> lookups;
 };
 
 } // namespace harelink::testing
--- a/unittests/Kernel/streamversionstest.cpp
+++ b/unittests/Kernel/streamversionstest.cpp
@@ -130,3 +130,105 @@
     LONGS_EQUAL(2, fixture.sends.size());
     CHECK(fixture.sends[0].softwareVersion != fixture.sends[1].softwareVersion);
 }
+
+// Streams that their callers take up again --------------------------------------
+
+TEST(StreamVersions, StreamThatIsTakenUpGoesToTheVersionThatBeganIt)
+{
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        VersionFixture fixture({"v1", "v1", "v2", "v2"}, seed);
+        const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+        CHECK(fixture.sends.empty());
+        LONGS_EQUAL(1, fixture.lookups.size());
+        fixture.locate(id, StreamOrigin{"engines", "v2"});
+        LONGS_EQUAL(1, fixture.sends.size());
+        CHECK(fixture.sends[0].softwareVersion == "v2");
+        // A break before its first event changes nothing.
+        fixture.breakCall(fixture.sends[0]);
+        LONGS_EQUAL(2, fixture.sends.size());
+        CHECK(fixture.sends[1].softwareVersion == "v2");
+        fixture.event(fixture.sends[1], 4);
+        CHECK(fixture.began.empty());
+    }
+}
+
+TEST(StreamVersions, StreamIsReportedUnderTheAttemptThatBeganIt)
+{
+    VersionFixture fixture({"v1", "v2"});
+    fixture.arrive("/talk/1");
+    CHECK(fixture.began.empty());
+    fixture.event(fixture.sends[0], 1);
+    fixture.event(fixture.sends[0], 2);
+    LONGS_EQUAL(1, fixture.began.size());
+    CHECK(fixture.began[0].origin == (StreamOrigin{"engines", fixture.sends[0].softwareVersion}));
+    fixture.takeUp("/talk/1", 2, "caller-1");
+    CHECK(fixture.began[0].stream == fixture.lookups[0].stream);
+    // Neither another account nor another route names the same stream.
+    fixture.takeUp("/talk/pieces/1", 2, "caller-1");
+    CHECK(fixture.began[0].stream != fixture.lookups[1].stream);
+}
+
+TEST(StreamVersions, StreamOfUnknownOriginIsRefusedAtOnce)
+{
+    VersionFixture fixture({"v1"});
+    const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+    fixture.locate(id, std::nullopt);
+    CHECK(fixture.sends.empty());
+    CHECK(fixture.answers[0].reason == Reason::StreamUnknown);
+    CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    CHECK(fixture.answers[0].retryAfter > Duration::zero());
+}
+
+TEST(StreamVersions, StreamWithoutANamedAttemptIsRefusedAtOnce)
+{
+    VersionFixture fixture({"v1"});
+    fixture.takeUp("/talk/1", 3, "");
+    CHECK(fixture.lookups.empty());
+    CHECK(fixture.answers[0].reason == Reason::StreamUnknown);
+    CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+}
+
+TEST(StreamVersions, StreamWhoseVersionIsGoneIsRefusedAtOnce)
+{
+    VersionFixture fixture({"v2", "v2"});
+    const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+    fixture.locate(id, StreamOrigin{"engines", "v1"});
+    CHECK(fixture.sends.empty());
+    CHECK(fixture.answers[0].reason == Reason::StreamVersionGone);
+    CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    // The caller can only begin anew, so it shall not wait.
+    CHECK(fixture.answers[0].retryAfter == Duration::zero());
+}
+
+TEST(StreamVersions, StreamIsNotContinuedInAnotherPoolThanItsOwn)
+{
+    VersionFixture fixture({"v1", "v1"});
+    const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+    fixture.locate(id, StreamOrigin{"former-engines", "v1"});
+    CHECK(fixture.sends.empty());
+    CHECK(fixture.answers[0].reason == Reason::StreamVersionGone);
+}
+
+TEST(StreamVersions, StreamIsNotRefusedForAnObjectiveThatItsFirstEventMet)
+{
+    VersionFixture fixture({"v1", "v1"});
+    // Callers of the route usually wait for 4 s; this one has 1.5 s left.
+    for (int i = 0; i < 5; ++i) {
+        fixture.arrive("/talk/1", "key-1", {}, 100, milliseconds(4000));
+    }
+    fixture.sends.clear();
+    const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host", milliseconds(1500));
+    fixture.locate(id, StreamOrigin{"engines", "v1"});
+    LONGS_EQUAL(1, fixture.sends.size());
+}
+
+TEST(StreamVersions, CallerThatLeavesDuringTheLookupIsForgotten)
+{
+    VersionFixture fixture({"v1"});
+    const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+    fixture.machine.handle(CallerGone{id}, *fixture.snapshot);
+    fixture.locate(id, StreamOrigin{"engines", "v1"});
+    CHECK(fixture.sends.empty());
+    LONGS_EQUAL(1, fixture.answers.size());
+    LONGS_EQUAL(0, fixture.machine.inProgress());
+}
--- a/unittests/Platform/manifesttest.cpp
+++ b/unittests/Platform/manifesttest.cpp
@@ -109,6 +109,23 @@
     STRCMP_EQUAL("z", endpoint.dataCentre.c_str());
 }
 
+TEST(Manifest, EndpointWithoutAValidSoftwareVersionIsOfAnUnknownOne)
+{
+    const auto versionOf = [this](const std::string &field) {
+        const std::string entry = R"({"service": "m1", "addr": "10.0.0.1:80", "zone": "z",
+                                      "slots": 64, "state": "ready", "seq": 4)"
+                                  + field + "}";
+        const auto resources = reader.read("servers", "i-1", entry);
+        CHECK_TEXT(resources.ok(), field.c_str());
+        return std::get<EndpointSpec>(resources->front().spec).softwareVersion;
+    };
+    CHECK(versionOf(R"(, "version": "v1.1")") == "v1.1");
+    for (const char *invalid :
+         {"", R"(, "version": "")", R"(, "version": 1)", R"(, "version": null)"}) {
+        CHECK(versionOf(invalid) == std::nullopt);
+    }
+}
+
 TEST(Manifest, EndpointReportsRemainingColdTime)
 {
     const auto coldTimeOf = [this](const std::string &field) {
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -2,6 +2,8 @@
 
 #include "requests.h"
 
+#include "harelink/Support/text.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
@@ -99,6 +101,25 @@
     LONGS_EQUAL(16, proxied.pieceCounts[2]);
 }
 
+TEST(Requests, ReadsWhichStreamACallerTakesUp)
+{
+    HttpRequest taken = request();
+    for (const auto &[name, value] :
+         {std::pair("Last-Event-Id", "7"), std::pair("Resumes", "9c41d07be2a35f68")}) {
+        taken.fields.emplace_back(name, value);
+        taken.headers[lowerCase(name)] = value;
+    }
+    const auto arrival = dialect.read(taken);
+    CHECK(arrival.ok());
+    CHECK(arrival->proxied->lastEventSeen == 7);
+    STRCMP_EQUAL("9c41d07be2a35f68", arrival->proxied->resumedAttempt.c_str());
+    // The endpoint gets both, as the caller sent them.
+    SendStage sent = stage(dialect);
+    sent.proxied = arrival->proxied;
+    CHECK(hasHeader(dialect.encode(sent), "Last-Event-Id: 7"));
+    CHECK(hasHeader(dialect.encode(sent), "Resumes: 9c41d07be2a35f68"));
+}
+
 TEST(Requests, RejectsInvalidRequests)
 {
     HttpRequest broken = request();
