[Kernel] A host that has just started looks for the origins of streams for longer

Cause: such a host may not know all data centres, nor the capacity of its peers, by which the holders are ranked; it asked others, or was told too late. Change: in the 3 s after its start it asks in all data centres that it knows, again as more hosts become known, for 1 s at most.

--- a/include/harelink/Kernel/streamorigins.h
+++ b/include/harelink/Kernel/streamorigins.h
@@ -81,6 +81,8 @@
 public:
     /// A lookup without an answer ends after this time.
     static constexpr std::chrono::milliseconds lookupTimeout{400};
+    /// The same for a daemon that has just started and may not know its peers yet.
+    static constexpr std::chrono::milliseconds startLookupTimeout{1000};
 
     /// Both references must outlive the object.
     StreamOrigins(const Clock &clock, const Membership &membership);
@@ -114,8 +116,10 @@
         TimePoint queriedAt; ///< When the silent hosts were last queried.
     };
 
+    [[nodiscard]] bool isStarting() const;
     void refreshHolders();
-    [[nodiscard]] std::vector<std::string> dataCentresFor(const Hash128 &stream) const;
+    [[nodiscard]] std::vector<std::string> dataCentresFor(const Hash128 &stream,
+                                                          std::size_t count) const;
     [[nodiscard]] std::vector<std::string> receiversOf(const Hash128 &stream) const;
     void query(const Hash128 &stream, Pending &pending);
     [[nodiscard]] bool hasEnded(const Pending &pending) const;
--- a/lib/Kernel/streamorigins.cpp
+++ b/lib/Kernel/streamorigins.cpp
@@ -37,7 +37,7 @@
 /// Interval at which hosts that have not replied are queried again: a message to a peer whose
 /// connection was reset is lost.
 constexpr milliseconds requeryInterval{100};
-/// Time in which a daemon that has just started may not know its peers yet.
+/// Time in which a daemon that has just started may not know its peers and their capacity yet.
 constexpr milliseconds startPeriod{3000};
 
 /// Returns the first \p count of \p items by a hash of \p stream and item.
@@ -231,9 +231,17 @@
 
 bool StreamOrigins::hasEnded(const Pending &pending) const
 {
-    const TimePoint now = m_clock.now();
-    const bool knowsPeers = now - m_startedAt >= startPeriod;
-    return now - pending.startedAt >= lookupTimeout || (knowsPeers && pending.silent.empty());
+    const Duration elapsed = m_clock.now() - pending.startedAt;
+    if (isStarting()) {
+        return elapsed >= startLookupTimeout;
+    }
+    return elapsed >= lookupTimeout || pending.silent.empty();
+}
+
+/// Returns whether this daemon may not know its peers yet.
+bool StreamOrigins::isStarting() const
+{
+    return m_clock.now() - m_startedAt < startPeriod;
 }
 
 void StreamOrigins::end(const Hash128 &stream, const Pending &pending,
@@ -255,7 +263,9 @@
 {
     const TimePoint now = m_clock.now();
     const bool isDue = now - pending.queriedAt >= requeryInterval;
-    for (const std::string &dataCentre : dataCentresFor(stream)) {
+    // While some data centres may not be known, their order by hash is not known either.
+    const std::size_t remote = isStarting() ? m_holders.size() : remoteDataCentres + 1;
+    for (const std::string &dataCentre : dataCentresFor(stream, remote)) {
         for (const std::string &host : m_holders.at(dataCentre)) {
             const bool isNew = pending.asked.insert(host).second;
             if (isNew) {
@@ -277,8 +287,7 @@
     if (now < m_nextRefresh) {
         return;
     }
-    const bool isStarting = now - m_startedAt < startPeriod;
-    m_nextRefresh = now + (isStarting ? queryInterval : refreshInterval);
+    m_nextRefresh = now + (isStarting() ? queryInterval : refreshInterval);
     m_holders.clear();
     m_holders[m_membership.dataCentre()];
     for (const std::string &host : m_membership.candidates()) {
@@ -293,8 +302,9 @@
     }
 }
 
-/// Returns the own data centre and those others in which the record of \p stream may be held.
-std::vector<std::string> StreamOrigins::dataCentresFor(const Hash128 &stream) const
+/// Returns the own data centre, and the first \p count others by a hash of \p stream.
+std::vector<std::string> StreamOrigins::dataCentresFor(const Hash128 &stream,
+                                                       std::size_t count) const
 {
     std::vector<std::string> others;
     for (const auto &[dataCentre, hosts] : m_holders) {
@@ -302,8 +312,7 @@
             others.push_back(dataCentre);
         }
     }
-    std::vector<std::string> selected =
-        selectByHash(std::move(others), stream, remoteDataCentres + 1);
+    std::vector<std::string> selected = selectByHash(std::move(others), stream, count);
     selected.push_back(m_membership.dataCentre());
     return selected;
 }
@@ -311,12 +320,8 @@
 /// Returns the hosts to which the record of \p stream is sent.
 std::vector<std::string> StreamOrigins::receiversOf(const Hash128 &stream) const
 {
-    std::vector<std::string> dataCentres = dataCentresFor(stream);
-    if (dataCentres.size() > remoteDataCentres + 1) {
-        dataCentres.erase(dataCentres.begin() + remoteDataCentres);
-    }
     std::vector<std::string> receivers;
-    for (const std::string &dataCentre : dataCentres) {
+    for (const std::string &dataCentre : dataCentresFor(stream, remoteDataCentres)) {
         std::vector<std::string> holders = m_holders.at(dataCentre);
         holders.resize(std::min(holders.size(), holdersPerDataCentre));
         const bool isLocal = dataCentre == m_membership.dataCentre();
--- a/unittests/Kernel/streamoriginstest.cpp
+++ b/unittests/Kernel/streamoriginstest.cpp
@@ -46,7 +46,7 @@
     for (int i = 0; i < count; ++i) {
         fleet.locate(host, hash128(fmt::format("stream-{}", i)));
     }
-    fleet.run(StreamOrigins::lookupTimeout + milliseconds(200));
+    fleet.run(StreamOrigins::startLookupTimeout + milliseconds(200));
     int known = 0;
     const std::vector<StreamLookup> lookups = fleet.drainLookups();
     LONGS_EQUAL(count, lookups.size());
