--- a/utils/bench/fleet.cpp
+++ b/utils/bench/fleet.cpp
@@ -23,6 +23,10 @@
 DEFINE_int32(data_centres, 5, "Number of data centres over which the daemons are spread.");
 DEFINE_int32(able, 3,
              "Number of hosts per data centre with four times the capacity of the others.");
+DEFINE_int32(streams, 330,
+             "Streams that begin in one second. Afterwards hosts are killed, and the streams are "
+             "looked up at one that has just started.");
+DEFINE_int32(kill_every, 2, "Every host of this rank is killed; 0 for the first host only.");
 DEFINE_int32(endpoints, 285, "Number of declared endpoints.");
 
 namespace {
@@ -64,6 +68,41 @@
     print(fleet.drainTraffic());
 }
 
+Hash128 streamNumber(int number)
+{
+    return hash128(fmt::format("stream-{}", number));
+}
+
+void beginStreams(ControlFleet &fleet)
+{
+    const std::vector<std::string> hosts = fleet.hosts();
+    for (int i = 0; i < FLAGS_streams; ++i) {
+        fleet.beginStream(hosts[static_cast<std::size_t>(i) % hosts.size()],
+                          {streamNumber(i), {"engines", "v1"}, std::chrono::seconds(20)});
+    }
+}
+
+void locateStreams(ControlFleet &fleet)
+{
+    const std::vector<std::string> hosts = fleet.hosts();
+    const std::size_t step =
+        FLAGS_kill_every > 0 ? static_cast<std::size_t>(FLAGS_kill_every) : hosts.size();
+    for (std::size_t i = 0; i < hosts.size(); i += step) {
+        fleet.kill(hosts[i]);
+    }
+    fleet.start(hosts.front());
+    (void)fleet.drainTraffic();
+    for (int i = 0; i < FLAGS_streams; ++i) {
+        fleet.locate(hosts.front(), streamNumber(i));
+    }
+    runPhase(fleet, "streams are looked up", milliseconds(1000));
+    int known = 0;
+    for (const harelink::StreamLookup &lookup : fleet.drainLookups()) {
+        known += lookup.located.origin ? 1 : 0;
+    }
+    fmt::print("  located: {} of {}\n", known, FLAGS_streams);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -80,5 +119,8 @@
     runPhase(fleet, "settled", milliseconds(5000));
     fleet.declare("ClientAccount", "drivers", R"({"weight": 2})");
     runPhase(fleet, "a change", milliseconds(1000));
+    beginStreams(fleet);
+    runPhase(fleet, "streams begin", milliseconds(1000));
+    locateStreams(fleet);
     return 0;
 }
