[Daemon] Count the endpoints of a pool by software version in the status

Cause: /v1/status ended the daemon where a pool has endpoints: a null JSON value was read as an object (processes and processes-crashes failed, three daemons aborted). Change: counted in a map.

--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
 
 #include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
@@ -1047,11 +1048,11 @@
             status["limitedEndpoints"][limit.endpoint] = *limit.announcement.perSecond;
         }
         for (const auto &[name, pool] : m_snapshot.current().pools) {
-            nlohmann::json &versions = status["softwareVersions"][name];
+            std::map<std::string, int> versions;
             for (const EndpointEntry &endpoint : pool.endpoints) {
-                const std::string version = endpoint.spec->softwareVersion.value_or("unknown");
-                versions[version] = versions.value(version, 0) + 1;
+                ++versions[endpoint.spec->softwareVersion.value_or("unknown")];
             }
+            status["softwareVersions"][name] = versions;
         }
         for (const auto &[key, entry] : m_machine.config().entries()) {
             nlohmann::json &object = status["objects"][key.first + "/" + key.second];
--- a/utils/standin/endpoint.cpp
+++ b/utils/standin/endpoint.cpp
@@ -8,10 +8,12 @@
 ///
 ///   POST /control  {"slowFactor": F, "failing": bool, "hanging": bool,
 ///                   "refusing": bool, "breakAfterTokens": N, "rateLimit": "R",
-///                   "retryAfter": "S", "leaving": bool, "coldMs": N}
-///     (rateLimit and retryAfter are sent verbatim; empty for none)
+///                   "retryAfter": "S", "leaving": bool, "coldMs": N, "brittle": "R"}
+///     (rateLimit, retryAfter and brittle are sent verbatim; empty for none)
 ///   GET  /status    reports in a header how long it stays cold
-///   GET  /counters  runs, runs per idempotency key, prefix hits, broken streams
+///   GET  /counters  runs, runs per idempotency key, prefix hits, broken and resumed streams
+///
+/// While it is brittle, it queues no calls, and exits if it rejects more than R in a second.
 ///
 /// A model engine streams its answer on request: token N of an answer is " wN-NONCE".
 /// If the prompt ends in such tokens, the stream continues after the last of them, as a
@@ -61,6 +63,7 @@
     std::string rateLimit;    ///< Announced in all answers; empty for none.
     std::string retryAfter;   ///< Sent in refusals; empty for none.
     bool leaving = false;     ///< Announced in all answers.
+    std::string brittle;      ///< Bearable rejections per second, announced in all answers.
     std::chrono::steady_clock::time_point coldUntil; ///< Reported by /status.
 };
 
@@ -87,7 +90,7 @@
     std::list<std::uint64_t> m_recent;
 };
 
-/// Exit status after a request that matches --crash_on.
+/// Exit status after a request that matches --crash_on, and after too many rejections.
 constexpr int crashStatus = 70;
 
 struct Job
@@ -157,8 +160,11 @@
             return;
         }
         const auto most = static_cast<std::size_t>(FLAGS_slots);
-        if (m_switches.refusing || m_queue.size() >= most) {
+        const bool hasRoom =
+            m_switches.brittle.empty() ? m_queue.size() < most : m_active < FLAGS_slots;
+        if (m_switches.refusing || !hasRoom) {
             ++m_refused;
+            recordRejection();
             responder(reply(request, 429, {{"error", "full"}}));
             return;
         }
@@ -181,6 +187,7 @@
         m_switches.rateLimit = body.value("rateLimit", m_switches.rateLimit);
         m_switches.retryAfter = body.value("retryAfter", m_switches.retryAfter);
         m_switches.leaving = body.value("leaving", m_switches.leaving);
+        m_switches.brittle = body.value("brittle", m_switches.brittle);
         if (body.contains("coldMs")) {
             m_switches.coldUntil = std::chrono::steady_clock::now()
                                    + std::chrono::milliseconds(body.value("coldMs", 0));
@@ -211,6 +218,7 @@
                                {"prefixHits", m_prefixHits},
                                {"keys", m_runsByKey.size()},
                                {"brokenStreams", m_brokenStreams},
+                               {"resumedStreams", m_resumedStreams},
                                {"mostRunsOfAKey", most}};
         HttpReply answer;
         answer.body = body.dump();
@@ -232,10 +240,27 @@
         if (m_switches.leaving) {
             answer.headers.emplace_back(leavingHeader, "1");
         }
+        if (!m_switches.brittle.empty()) {
+            answer.headers.emplace_back(brittleHeader, m_switches.brittle);
+        }
         answer.body = body.dump();
         return answer;
     }
 
+    /// Exits if a brittle endpoint has rejected more calls within a second than it bears.
+    void recordRejection()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        m_rejections.push_back(now);
+        while (now - m_rejections.front() > std::chrono::seconds(1)) {
+            m_rejections.pop_front();
+        }
+        const double bearable = std::strtod(m_switches.brittle.c_str(), nullptr);
+        if (!m_switches.brittle.empty() && static_cast<double>(m_rejections.size()) > bearable) {
+            std::_Exit(crashStatus);
+        }
+    }
+
     void startNext()
     {
         while (m_active < FLAGS_slots && !m_queue.empty()) {
@@ -297,6 +322,7 @@
         stream->head.contentType = "text/event-stream";
         stream->nonce = quotedTextAfter(prompt, "\"nonce\":\"");
         stream->next = countTokens(prompt, stream->nonce);
+        m_resumedStreams += stream->next > 0 ? 1 : 0;
         stream->end = stream->next + body.value("max_tokens", 0);
         if (m_switches.breakAfterTokens > 0) {
             const int breakAt = stream->next + m_switches.breakAfterTokens;
@@ -360,6 +386,8 @@
     std::uint64_t m_refused = 0;
     std::uint64_t m_prefixHits = 0;
     std::uint64_t m_brokenStreams = 0;
+    std::uint64_t m_resumedStreams = 0;
+    std::deque<std::chrono::steady_clock::time_point> m_rejections; ///< Of the last second.
     std::map<std::string, std::uint64_t> m_runsByKey;
 };
 
