--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -90,32 +90,26 @@
                      std::vector<std::uint32_t> pieces = {}, std::uint64_t tokens = 0,
                      std::optional<Duration> timeAllowed = std::nullopt)
     {
-        auto proxied = std::make_shared<ProxiedRequest>();
-        proxied->callerId = fmt::format("caller-{}", ++lastSequence);
-        proxied->method = "POST";
-        proxied->target = path;
-        proxied->host = "api.example";
-        proxied->path = path;
-        proxied->apiKey = key;
+        std::shared_ptr<ProxiedRequest> proxied = makeRequest(path, key);
         proxied->pieceCounts = std::move(pieces);
         proxied->pieceKey = "piece-key";
         proxied->promptTokens = tokens;
         if (tokens > 0) {
             proxied->prompt = {{"shared", tokens / 2}, {"own", tokens - tokens / 2}};
         }
-        RequestArrived event;
-        event.id = {9, lastSequence};
-        event.proxied = std::move(proxied);
-        event.timeAllowed = timeAllowed;
-        const RequestId id = event.id;
-        machine.handle(std::move(event), *snapshot);
-        collect();
-        return id;
+        return handleArrival(std::move(proxied), timeAllowed);
     }
     /// Takes up a stream behind \p lastEvent that began with the attempt \p firstAttempt.
     RequestId takeUp(const std::string &path, std::uint64_t lastEvent,
                      const std::string &firstAttempt,
                      std::optional<Duration> timeAllowed = std::nullopt)
+    {
+        std::shared_ptr<ProxiedRequest> proxied = makeRequest(path, "key-1");
+        proxied->lastEventSeen = lastEvent;
+        proxied->resumedAttempt = firstAttempt;
+        return handleArrival(std::move(proxied), timeAllowed);
+    }
+    std::shared_ptr<ProxiedRequest> makeRequest(const std::string &path, const std::string &key)
     {
         auto proxied = std::make_shared<ProxiedRequest>();
         proxied->callerId = fmt::format("caller-{}", ++lastSequence);
@@ -123,9 +117,12 @@
         proxied->target = path;
         proxied->host = "api.example";
         proxied->path = path;
-        proxied->apiKey = "key-1";
-        proxied->lastEventSeen = lastEvent;
-        proxied->resumedAttempt = firstAttempt;
+        proxied->apiKey = key;
+        return proxied;
+    }
+    RequestId handleArrival(std::shared_ptr<const ProxiedRequest> proxied,
+                            std::optional<Duration> timeAllowed)
+    {
         RequestArrived event;
         event.id = {9, lastSequence};
         event.proxied = std::move(proxied);
--- a/unittests/Kernel/streamoriginstest.cpp
+++ b/unittests/Kernel/streamoriginstest.cpp
@@ -27,6 +27,18 @@
     static constexpr bool sharesStreamOrigins = false;
 };
 
+/// A fleet that has been running for some seconds.
+template <GuardPolicy G>
+struct StartedFleet : BasicControlFleet<G>
+{
+    StartedFleet(int hosts, int dataCentres)
+        : BasicControlFleet<G>({.hosts = hosts, .dataCentres = dataCentres, .endpoints = 4})
+    {
+        this->startAll();
+        this->run(seconds(5));
+    }
+};
+
 /// Begins \p count streams, at each host in turn.
 template <typename Fleet>
 void beginStreams(Fleet &fleet, int count)
@@ -64,9 +76,7 @@
 {
     constexpr int streams = 40;
     for (const int hosts : {2, 8, 40}) {
-        ControlFleet fleet({.hosts = hosts, .dataCentres = 3, .endpoints = 4});
-        fleet.startAll();
-        fleet.run(seconds(5));
+        StartedFleet<AllGuards> fleet(hosts, 3);
         beginStreams(fleet, streams);
         LONGS_EQUAL(streams, locateStreams(fleet, fleet.hosts().back(), streams));
     }
@@ -75,9 +85,7 @@
 TEST(StreamOrigins, HostThatHasJustStartedLocatesStreams)
 {
     constexpr int streams = 40;
-    ControlFleet fleet({.hosts = 8, .dataCentres = 3, .endpoints = 4});
-    fleet.startAll();
-    fleet.run(seconds(5));
+    StartedFleet<AllGuards> fleet(8, 3);
     beginStreams(fleet, streams);
     fleet.kill("h0003");
     fleet.start("h0003");
@@ -87,9 +95,7 @@
 TEST(StreamOrigins, StreamsOfAKilledDataCentreAreLocatedInOthers)
 {
     constexpr int streams = 40;
-    ControlFleet fleet({.hosts = 9, .dataCentres = 3, .endpoints = 4});
-    fleet.startAll();
-    fleet.run(seconds(5));
+    StartedFleet<AllGuards> fleet(9, 3);
     beginStreams(fleet, streams);
     for (const char *host : {"h0000", "h0003", "h0006"}) {
         fleet.kill(host);
@@ -100,9 +106,7 @@
 TEST(StreamOrigins, StreamsAreKnownAfterAllHostsWereRestartedInTurn)
 {
     constexpr int streams = 40;
-    ControlFleet fleet({.hosts = 8, .dataCentres = 3, .endpoints = 4});
-    fleet.startAll();
-    fleet.run(seconds(5));
+    StartedFleet<AllGuards> fleet(8, 3);
     beginStreams(fleet, streams);
     for (const std::string &host : fleet.hosts()) {
         fleet.leave(host);
@@ -117,10 +121,7 @@
 TEST(StreamOrigins, WithoutReportsOnlyTheHostOfAStreamKnowsIt)
 {
     constexpr int streams = 40;
-    constexpr int hosts = 8;
-    BasicControlFleet<SharesNoOrigins> fleet({.hosts = hosts, .dataCentres = 3, .endpoints = 4});
-    fleet.startAll();
-    fleet.run(seconds(5));
+    StartedFleet<SharesNoOrigins> fleet(8, 3);
     beginStreams(fleet, streams);
     fleet.kill("h0003");
     fleet.start("h0003");
@@ -129,9 +130,7 @@
 
 TEST(StreamOrigins, LookupOfAnUnknownStreamEndsInTime)
 {
-    ControlFleet fleet({.hosts = 8, .dataCentres = 3, .endpoints = 4});
-    fleet.startAll();
-    fleet.run(seconds(5));
+    StartedFleet<AllGuards> fleet(8, 3);
     fleet.locate("h0001", hash128("unknown"));
     // A round trip suffices if all hosts reply.
     fleet.run(milliseconds(150));
@@ -149,9 +148,7 @@
 {
     constexpr int hosts = 100;
     constexpr int streams = 400;
-    ControlFleet fleet({.hosts = hosts, .dataCentres = 5, .endpoints = 4});
-    fleet.startAll();
-    fleet.run(seconds(5));
+    StartedFleet<AllGuards> fleet(hosts, 5);
     (void)fleet.drainTraffic();
     for (int i = 0; i < streams; ++i) {
         fleet.beginStream("h0050", {hash128(fmt::format("stream-{}", i)), origin, seconds(10)});
