--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -91,7 +91,7 @@
 
 /// Maximum number of digests whose completion is awaited; beyond it, all are dropped.
 inline constexpr std::size_t maxSuspects = 4096;
-/// A caller may take up its stream until its deadline, as it arrives at another host.
+/// How long the origin of a stream is kept beyond its caller's deadline.
 inline constexpr std::chrono::milliseconds takeUpMargin{1000};
 inline constexpr std::string_view quarantineMessage =
     "endpoints have ended under such requests, which are not run any more";
--- a/test/sim/streamcallers.cpp
+++ b/test/sim/streamcallers.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 
+#include <cassert>
 #include <cmath>
 
 #include <fmt/format.h>
--- a/test/sim/streamcallers.h
+++ b/test/sim/streamcallers.h
@@ -16,7 +16,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace harelink::sim {
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -124,7 +124,7 @@
                  {"coldMs", coldTime.count()},
                  {"coldRequestsPerSecond", coldRate},
                  {"statusPath", "/status"}});
-        for (int i = 0; i < m_dataCentres * endpointsPerVersion; ++i) {
+        for (int i = 0; i < m_dataCentres * streamEndpointsPerDataCentre; ++i) {
             startStreamEndpoint(i % m_dataCentres, i < m_dataCentres * 2 ? "v1" : "v2");
         }
         declare("Pipeline", "talk",
@@ -464,7 +464,7 @@
 
     static constexpr const char *streamPool = "talkers";
     static constexpr const char *streamHost = "talk.example";
-    static constexpr int endpointsPerVersion = 4;
+    static constexpr int streamEndpointsPerDataCentre = 4;
     /// Time from which on an endpoint is leaving until it ends.
     static constexpr std::chrono::seconds departureTime{2};
 
