[Daemon] Compare a refused probe with more than one other endpoint

Cause: An endpoint that refuses a connection counts as ended only if another one of its pool accepts one. One other endpoint was asked; while a request crashes an endpoint every second, that one has often crashed too, unknown to this host, and the crash was not counted. The request was not quarantined before all endpoints had ended. Class: one sample as the evidence for a whole path. Change: Ask up to eight usable endpoints, one after the other, until one accepts.

--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -24,6 +24,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace harelink {
 
@@ -123,6 +124,7 @@
     void logUnreadableNotice(const EndpointNoticed &event);
     void probe(const EndpointProbe &probe);
     void confirmRefusal(const EndpointProbe &probe);
+    void compareWithOthers(const std::string &endpoint, std::vector<std::string> others);
     void recordProbe(const std::string &endpoint, ProbeOutcome outcome, const std::string &detail);
     void sendColdCheck(const CheckColdState &check);
     void recordColdState(const ColdStateChecked &state);
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -23,6 +23,9 @@
 /// Timeout of connection probes. A connection is accepted or refused within a round trip; a
 /// probe without a result by then is inconclusive.
 constexpr std::chrono::milliseconds probeTimeout{500};
+/// Maximum number of endpoints that must refuse a connection, after the one that is probed, until
+/// the path is taken for lost.
+constexpr std::size_t maxComparedEndpoints = 8;
 /// Timeout of cold state checks, short because requests wait for the result. A check that takes
 /// longer is inconclusive.
 constexpr std::chrono::milliseconds coldCheckTimeout{200};
@@ -481,27 +484,41 @@
 void Control::confirmRefusal(const EndpointProbe &probe)
 {
     const PoolEntry *pool = m_snapshot.current().poolOfEndpoint(probe.endpoint);
-    const EndpointEntry *other = nullptr;
+    std::vector<std::string> others;
     for (std::size_t i = 0; pool != nullptr && i < pool->endpoints.size(); ++i) {
         const EndpointEntry &entry = pool->endpoints[(m_pathProbes + i) % pool->endpoints.size()];
         if (entry.spec->name != probe.endpoint && isUsable(entry, m_clock.now())) {
-            other = &entry;
-            break;
+            others.push_back(entry.spec->address);
         }
     }
     ++m_pathProbes;
-    if (other == nullptr) {
+    if (others.empty()) {
         recordProbe(probe.endpoint, ProbeOutcome::Refused, "no other endpoint to compare with");
         return;
     }
+    others.resize(std::min(others.size(), maxComparedEndpoints));
+    compareWithOthers(probe.endpoint, std::move(others));
+}
+
+/// Opens connections to \p others, one after the other, until one is accepted: other endpoints
+/// may have ended too.
+void Control::compareWithOthers(const std::string &endpoint, std::vector<std::string> others)
+{
     HttpCall call;
-    call.url = fmt::format("http://{}", other->spec->address);
+    call.url = fmt::format("http://{}", others.back());
     call.timeout = probeTimeout;
     call.connectOnly = true;
-    m_loop.http().send(call, [this, name = probe.endpoint](const HttpResult &result) {
-        const bool hasPath = result.connection == HttpConnection::Established;
-        recordProbe(name, hasPath ? ProbeOutcome::Refused : ProbeOutcome::Unknown, result.error);
-    });
+    others.pop_back();
+    m_loop.http().send(
+        call, [this, endpoint, others = std::move(others)](const HttpResult &result) mutable {
+            const bool hasPath = result.connection == HttpConnection::Established;
+            if (!hasPath && !others.empty()) {
+                compareWithOthers(endpoint, std::move(others));
+                return;
+            }
+            recordProbe(endpoint, hasPath ? ProbeOutcome::Refused : ProbeOutcome::Unknown,
+                        result.error);
+        });
 }
 
 void Control::recordProbe(const std::string &endpoint, ProbeOutcome outcome,
