[Kernel] Repeat the probe of an endpoint that accepts a connection

Cause: A process that exits may close the connection of the call before its listening socket. The probe that follows the broken call is then accepted for some milliseconds, and the crash was not counted against the request. Change: An accepted probe is repeated after 50 ms and after another 200 ms, less than any restart takes; a refusal counts at once as before. Simulated endpoints accept connections for 20 ms while they exit.

--- a/include/harelink/Kernel/crashdetector.h
+++ b/include/harelink/Kernel/crashdetector.h
@@ -76,7 +76,7 @@
     }
     /// Quarantines decided by this daemon that are not visible in the platform yet.
     [[nodiscard]] std::vector<Resource> unpublished() const { return m_publisher.unpublished(); }
-    [[nodiscard]] TimePoint nextTick() const { return m_publisher.nextTick(); }
+    [[nodiscard]] TimePoint nextTick() const;
 
 private:
     void reportConfirmed();
--- a/lib/Kernel/crashdetector.cpp
+++ b/lib/Kernel/crashdetector.cpp
@@ -18,6 +18,7 @@
                              std::chrono::milliseconds quarantineDuration)
     : m_clock(clock)
     , m_membership(membership)
+    , m_confirmer(clock)
     , m_counter(clock)
     , m_publisher(clock, quarantineKind, quarantineDuration)
 {
@@ -98,9 +99,15 @@
 void CrashDetector::tick(const ConfigEntries &declared, std::uint64_t storeEra,
                          std::vector<PlatformCall> &calls, std::uint64_t &nextCallId)
 {
+    m_confirmer.tick();
     m_publisher.tick(declared, storeEra, calls, nextCallId);
 }
 
+TimePoint CrashDetector::nextTick() const
+{
+    return std::min(m_confirmer.nextTick(), m_publisher.nextTick());
+}
+
 std::vector<std::string> CrashDetector::countingHostsOf(const Hash128 &digest) const
 {
     std::vector<std::string> hosts =
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -177,6 +177,7 @@
     std::string dataCentre;
     std::string softwareVersion; ///< Empty if it declares none.
     bool down = false;
+    TimePoint exitsUntil; ///< Until then it accepts connections, though it is down.
     double slowFactor = 1;
     double failing = 0;           ///< Share of calls that break after they ran.
     std::uint64_t generation = 0; ///< Incremented on each crash; running calls of older ones end.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -263,6 +263,7 @@
         m_trace.add("kill " + name);
         FakeEndpoint &endpoint = m_endpoints.at(name);
         endpoint.down = true;
+        endpoint.exitsUntil = m_queue.now() + endpointExit;
         ++endpoint.generation;
     }
     /// Marks the endpoint as leaving in the platform's host list.
@@ -477,6 +478,8 @@
     static constexpr double brittleSlowFactor = 15;
     static constexpr int slotsPerEndpoint = 8;
     static constexpr std::chrono::seconds brittleDowntime{3};
+    /// Time in which the listening socket of an endpoint that exits still accepts connections.
+    static constexpr std::chrono::milliseconds endpointExit{20};
     /// Time within which operators and endpoints write again what the store has lost.
     static constexpr std::chrono::milliseconds rewriteTime{1500};
     /// Characters per token of an answer.
@@ -913,7 +916,7 @@
         EndpointProbeResult event{probe.endpoint, ProbeOutcome::Accepted};
         if (isCutFrom(host, endpoint)) {
             event.outcome = ProbeOutcome::Unknown;
-        } else if (endpoint.down) {
+        } else if (endpoint.down && m_queue.now() >= endpoint.exitsUntil) {
             event.outcome = ProbeOutcome::Refused;
         }
         m_queue.after(networkDelay(), [=, this, name = host.name, start = host.incarnation] {
--- a/unittests/Kernel/crashcountertest.cpp
+++ b/unittests/Kernel/crashcountertest.cpp
@@ -118,33 +118,73 @@
     CHECK_TRUE(fixture.crash(crashingRequest, "e4"));
 }
 
-TEST_GROUP(CrashConfirmer){};
+TEST_GROUP(CrashConfirmer)
+{
+    /// Answers the probe in progress and returns the number of probes that follow at once.
+    std::size_t answer(ProbeOutcome outcome)
+    {
+        confirmer.handle(EndpointProbeResult{"e1", outcome});
+        return confirmer.drainProbes().size();
+    }
+
+    /// Advances the clock to the next probe that is due and returns the number of probes.
+    std::size_t probeWhenDue()
+    {
+        clock.advance(confirmer.nextTick() - clock.now());
+        confirmer.tick();
+        return confirmer.drainProbes().size();
+    }
+
+    ManualClock clock;
+    CrashConfirmer confirmer{clock};
+};
 
 TEST(CrashConfirmer, ConfirmsACrashOnlyIfTheConnectionIsRefused)
 {
-    CrashConfirmer confirmer;
     confirmer.add(brokenCall(unrelatedRequest));
     LONGS_EQUAL(1, confirmer.drainProbes().size());
-    confirmer.handle(EndpointProbeResult{"e1", ProbeOutcome::Accepted});
+    LONGS_EQUAL(0, answer(ProbeOutcome::Accepted));
+    LONGS_EQUAL(1, probeWhenDue());
+    LONGS_EQUAL(0, answer(ProbeOutcome::Accepted));
+    LONGS_EQUAL(1, probeWhenDue());
+    LONGS_EQUAL(0, answer(ProbeOutcome::Accepted));
+    CHECK(confirmer.nextTick() == TimePoint::max());
     LONGS_EQUAL(0, confirmer.drainConfirmed().size());
     confirmer.add(brokenCall(unrelatedRequest));
-    confirmer.handle(EndpointProbeResult{"e1", ProbeOutcome::Unknown});
+    LONGS_EQUAL(1, confirmer.drainProbes().size());
+    LONGS_EQUAL(0, answer(ProbeOutcome::Unknown));
+    CHECK(confirmer.nextTick() == TimePoint::max());
     LONGS_EQUAL(0, confirmer.drainConfirmed().size());
     confirmer.add(brokenCall(crashingRequest));
-    confirmer.handle(EndpointProbeResult{"e1", ProbeOutcome::Refused});
+    LONGS_EQUAL(1, confirmer.drainProbes().size());
+    LONGS_EQUAL(0, answer(ProbeOutcome::Refused));
+    CHECK(confirmer.drainConfirmed().at(0).digest == crashingRequest);
+}
+
+TEST(CrashConfirmer, ConfirmsACrashOfAnEndpointThatAcceptsConnectionsWhileItExits)
+{
+    confirmer.add(brokenCall(crashingRequest));
+    LONGS_EQUAL(1, confirmer.drainProbes().size());
+    LONGS_EQUAL(0, answer(ProbeOutcome::Accepted));
+    confirmer.tick();
+    LONGS_EQUAL(0, confirmer.drainProbes().size());
+    LONGS_EQUAL(1, probeWhenDue());
+    LONGS_EQUAL(0, answer(ProbeOutcome::Refused));
     CHECK(confirmer.drainConfirmed().at(0).digest == crashingRequest);
 }
 
 // The probe may have reached the endpoint before it crashed.
 TEST(CrashConfirmer, ProbesAgainForACallThatBreaksDuringAProbe)
 {
-    CrashConfirmer confirmer;
     confirmer.add(brokenCall(unrelatedRequest));
     confirmer.add(brokenCall(crashingRequest));
     LONGS_EQUAL(1, confirmer.drainProbes().size());
-    confirmer.handle(EndpointProbeResult{"e1", ProbeOutcome::Accepted});
-    LONGS_EQUAL(1, confirmer.drainProbes().size());
-    confirmer.handle(EndpointProbeResult{"e1", ProbeOutcome::Refused});
+    LONGS_EQUAL(0, answer(ProbeOutcome::Accepted));
+    LONGS_EQUAL(1, probeWhenDue());
+    LONGS_EQUAL(0, answer(ProbeOutcome::Accepted));
+    LONGS_EQUAL(1, probeWhenDue());
+    LONGS_EQUAL(1, answer(ProbeOutcome::Accepted));
+    LONGS_EQUAL(0, answer(ProbeOutcome::Refused));
     const std::vector<BrokenCall> confirmed = confirmer.drainConfirmed();
     LONGS_EQUAL(1, confirmed.size());
     CHECK(confirmed.at(0).digest == crashingRequest);
@@ -152,7 +192,6 @@
 
 TEST(CrashConfirmer, DoesNotProbeAnEndpointKnownToBeGone)
 {
-    CrashConfirmer confirmer;
     confirmer.add(brokenCall(crashingRequest, ""));
     LONGS_EQUAL(0, confirmer.drainProbes().size());
     LONGS_EQUAL(1, confirmer.drainConfirmed().size());
