[Kernel] Do not resolve an update in doubt by the same revision of a later era

Cause: The store compares revisions only. When it returned from a copy with the revision on which an update in doubt rests, the versions differed by their era, and the update counted as settled though it could still arrive. Change: Compare revisions only. Measured: the test holds what the code lacked by reading; it was not run on the code before.

--- a/include/harelink/Kernel/claimledgerimpl.h
+++ b/include/harelink/Kernel/claimledgerimpl.h
@@ -450,9 +450,9 @@
     bucket.platformDown = false;
     bucket.failures = 0;
     bucket.backOff = {};
-    // If the version changed, the records just read contain the update in doubt, or it will
-    // never take effect.
-    const bool isResolved = !bucket.updateInDoubt || version != bucket.version;
+    // If the revision changed, the records just read contain the update in doubt, or it will
+    // never take effect. The store compares no eras.
+    const bool isResolved = !bucket.updateInDoubt || version.revision != bucket.version.revision;
     bucket.loaded = true;
     bucket.version = version;
     bucket.records = records ? *std::move(records) : ClaimRecords();
--- a/unittests/Kernel/claimledgertest.cpp
+++ b/unittests/Kernel/claimledgertest.cpp
@@ -144,3 +144,16 @@
     fixture.answer(put, PlatformOutcome::Ok, firstVersion);
     CHECK(fixture.ledger.drainReplies().empty());
 }
+
+TEST(ClaimLedger, AnUpdateInDoubtIsNotResolvedByTheSameRevisionOfALaterEra)
+{
+    const std::string empty = encodeRecords({});
+    fixture.claim(1);
+    fixture.answer(fixture.nextCall(), PlatformOutcome::Ok, Version(1, 1), empty);
+    fixture.answer(fixture.nextCall(), PlatformOutcome::Unanswered);
+    fixture.ledger.handleStoreReturn();
+    fixture.answer(fixture.nextCall(), PlatformOutcome::Ok, Version(2, 1), empty);
+    const PlatformCall repeated = fixture.nextCall();
+    CHECK(repeated.operation == PlatformOperation::Put);
+    LONGS_EQUAL(1, repeated.ifVersion.revision);
+}
