[Kernel] State Retry-After for a stream at a host that gets no updates of endpoints

Cause: A host that is cut from the platform may not know a new endpoint of the stream's version. It refused the caller with stream-version-gone and without Retry-After, as if no host could continue the stream. Change: Such a host states a Retry-After; the caller may come to another one. Measured: StreamVersions.CallerMayRetryElsewhereIfTheHostGetsNoUpdatesOfEndpoints passes; found by reading.

--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -251,6 +251,10 @@
                       fmt::format("no endpoint of software version {}, at which the stream began, "
                                   "takes new work",
                                   request.origin->softwareVersion.value_or("unknown")));
+        // Another host may know of one.
+        if (request.origin->softwareVersion && !receivesEndpointUpdates(snapshot, m_clock.now())) {
+            action.retryAfter = retryAfter(request, snapshot);
+        }
         answer(request, std::move(action));
         return;
     }
--- a/unittests/Kernel/streamversionstest.cpp
+++ b/unittests/Kernel/streamversionstest.cpp
@@ -8,6 +8,8 @@
 
 #include "proxiedfixture.h"
 
+#include "harelink/Kernel/coldstart.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace harelink;
@@ -83,6 +85,22 @@
     CHECK(fixture.answers[0].outcome == Outcome::Unknown);
 }
 
+TEST(StreamVersions, CallerMayRetryElsewhereIfTheHostGetsNoUpdatesOfEndpoints)
+{
+    for (const bool getsUpdates : {true, false}) {
+        VersionFixture fixture({"v1", "v2", "v3"});
+        fixture.arrive("/talk/1");
+        fixture.event(fixture.sends[0], 1);
+        markLeaving(*fixture.snapshot, fixture.sends[0].endpoint);
+        if (!getsUpdates) {
+            recordEndpointUpdatesUntil(*fixture.snapshot, fixture.clock.now(), {});
+        }
+        fixture.breakCall(fixture.sends[0]);
+        CHECK(fixture.answers[0].reason == Reason::StreamVersionGone);
+        CHECK_EQUAL(getsUpdates, fixture.answers[0].retryAfter == Duration::zero());
+    }
+}
+
 TEST(StreamVersions, VersionIsThatOfTheEndpointWhenTheCallWasSent)
 {
     VersionFixture fixture({"v1", "v1", "v2", "v2"});
