--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -337,6 +337,13 @@
             }
         }
     }
+    /// Returns whether a host finishes its work before it stops.
+    [[nodiscard]] bool anyHostStopping() const
+    {
+        return std::any_of(m_hosts.begin(), m_hosts.end(), [](const auto &entry) {
+            return entry.second.alive && entry.second.drainSent;
+        });
+    }
     /// Returns whether each running host has the platform's version of each object in force.
     [[nodiscard]] bool converged()
     {
