--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -3,7 +3,7 @@
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
 ///                  [--restores] [--silences] [--partitions] [--brittle] [--versions]
-///                  [--hosts H] [--lines L] [--without MECHANISM]
+///                  [--retries] [--hosts H] [--lines L] [--without MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
 /// On a violation, also prints the seed and the last lines of its trace. With --without
@@ -14,6 +14,8 @@
 
 #include "players.h"
 
+#include <algorithm>
+
 #include <gflags/gflags.h>
 
 #include <fmt/format.h>
@@ -35,6 +37,9 @@
 DEFINE_bool(versions, false,
             "Run callers that take up broken streams at other hosts, and endpoints of several "
             "software versions.");
+DEFINE_bool(retries, false,
+            "Break many streams while hosts are killed together, and compare the repeats of all "
+            "hosts with the retry budget.");
 DEFINE_int32(hosts, 0, "Number of hosts; 0 for the default of the run's kind.");
 DEFINE_uint64(lines, 60, "Number of trace lines to print on a violation.");
 DEFINE_string(without, "", "The mechanism to disable; empty for none.");
@@ -92,11 +97,12 @@
     int faults = 0;
     int streamsTakenUp = 0;
     int streamsWentOn = 0;
+    double budgetUse = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result = player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts,
-                                                 FLAGS_lines, FLAGS_restores, FLAGS_brittle,
-                                                 FLAGS_partitions, FLAGS_silences, FLAGS_versions});
+        const RunResult result = player->second(
+            {FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines, FLAGS_restores,
+             FLAGS_brittle, FLAGS_partitions, FLAGS_silences, FLAGS_versions, FLAGS_retries});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
@@ -109,6 +115,7 @@
         faults += result.faults;
         streamsTakenUp += result.streamsTakenUp;
         streamsWentOn += result.streamsWentOn;
+        budgetUse = std::max(budgetUse, result.budgetUse);
         for (const auto &[outcome, count] : result.outcomes) {
             outcomes[outcome] += count;
         }
@@ -121,6 +128,9 @@
     if (FLAGS_versions) {
         fmt::print("  streams taken up {}, of these went on {}\n", streamsTakenUp, streamsWentOn);
     }
+    if (FLAGS_retries) {
+        fmt::print("  largest use of the retry budget {:.2f}\n", budgetUse);
+    }
     fmt::print("violations: {}\n", violations);
     const bool control = !FLAGS_without.empty();
     return (violations > 0) == control ? 0 : 1;
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -33,14 +33,18 @@
         , m_partitions(options.partitions)
         , m_silences(options.silences)
         , m_versions(options.versions)
+        , m_retries(options.retries)
     {
         m_world.trace().setMaxLines(options.traceLines);
         if (m_silences) {
             m_world.allowLongOutages();
         }
-        if (m_versions) {
+        if (m_versions || m_retries) {
             m_world.declareStreams();
         }
+        if (m_retries) {
+            m_world.streamCallers().setMaxAttempts(2);
+        }
     }
 
     /// Runs until \p steps events were handled or an invariant is violated, then heals all
@@ -48,7 +52,7 @@
     RunResult run(std::uint64_t steps)
     {
         m_result.steps += m_world.run(std::chrono::seconds(2));
-        m_world.faults() = {0.02, 0.05, 0.05, 0.05, 0.5};
+        m_world.faults() = {0.02, 0.05, 0.05, brokenCallShare, 0.5};
         while (m_result.steps < steps && m_world.checks().violations().empty()) {
             m_result.steps += m_world.run(std::chrono::milliseconds(1 + random().below(20)));
             for (int i = 0; i < (m_brittle ? brittleLoad : 1); ++i) {
@@ -68,7 +72,7 @@
                 changePauses();
             }
             const bool isCalm =
-                m_kind == RunKind::CrashesAndSuspensions || m_silences || m_versions;
+                m_kind == RunKind::CrashesAndSuspensions || m_silences || m_versions || m_retries;
             if (random().chance(isCalm ? 0.005 : 0.03)) {
                 injectFault();
             }
@@ -88,6 +92,9 @@
             if (m_versions) {
                 runStreams();
             }
+            if (m_retries) {
+                runBrokenStreams();
+            }
         }
         captureTrace();
         settle();
@@ -99,7 +106,8 @@
 
 private:
     static constexpr int hostCount = 4;
-    static constexpr int hostCountOfLimits = 9;
+    static constexpr int manyHosts = 9;
+    static constexpr double brokenCallShare = 0.05;
     static constexpr int dataCentreCount = 2;
     /// Time to settle after all faults were healed: longer than any deadline, backoff or
     /// heartbeat timeout.
@@ -123,7 +131,8 @@
         if (options.hosts > 0) {
             return options.hosts;
         }
-        return options.kind == RunKind::Limits ? hostCountOfLimits : hostCount;
+        const bool needsMany = options.kind == RunKind::Limits || options.retries;
+        return needsMany ? manyHosts : hostCount;
     }
 
     Random &random() { return m_world.random(); }
@@ -333,6 +342,57 @@
         }
     }
 
+    /// Begins streams. From time to time many of them break for seconds, while several hosts or
+    /// endpoints at once end again and again.
+    void runBrokenStreams()
+    {
+        using std::chrono::milliseconds;
+        if (random().chance(0.3)) {
+            m_world.beginStream();
+        }
+        const TimePoint now = m_world.queue().now();
+        if (now >= m_breaksUntil) {
+            m_world.faults().brokenCall = brokenCallShare;
+            if (random().chance(0.002)) {
+                m_breaksUntil = now + milliseconds(4000 + random().below(12'000));
+                m_world.faults().brokenCall = 0.2 + 0.6 * random().unit();
+            }
+            return;
+        }
+        if (random().chance(0.004)) {
+            ++m_result.faults;
+            m_world.crashStreamEndpoints(random().unit(), milliseconds(100 + random().below(3000)));
+        }
+        if (random().chance(0.008)) {
+            killSeveralHosts();
+        }
+        if (random().chance(0.0005)) {
+            cutDataCentresForLong();
+        }
+    }
+
+    void killSeveralHosts()
+    {
+        ++m_result.faults;
+        const double share = random().unit();
+        for (const std::string &host : m_world.hostNames()) {
+            if (random().chance(share)) {
+                m_world.killHost(host);
+                m_world.queue().after(std::chrono::milliseconds(100 + random().below(400)),
+                                      [=, this] { m_world.startHost(host); });
+            }
+        }
+    }
+
+    /// Cuts the data centres from each other for longer than the window of a retry budget.
+    void cutDataCentresForLong()
+    {
+        ++m_result.faults;
+        m_world.trace().add("cut dc1 from dc2");
+        m_world.cuts().cut("dc1", "dc2");
+        scheduleHeal(std::chrono::seconds(12), [this] { m_world.cuts().heal("dc1", "dc2"); });
+    }
+
     void scheduleHeal(Duration minDelay, std::function<void()> heal)
     {
         m_world.queue().after(minDelay + std::chrono::milliseconds(random().below(1500)),
@@ -485,6 +545,9 @@
             m_result.streamsTakenUp = m_world.streamCallers().takenUp().attempts;
             m_result.streamsWentOn = m_world.streamCallers().takenUp().succeeded;
         }
+        if (m_versions || m_retries) {
+            m_result.budgetUse = m_world.checkRetryBudget();
+        }
         m_result.violations = m_world.checks().violations();
         m_result.outcomes = m_world.checks().outcomes();
         m_result.traceHash = m_world.trace().hash();
@@ -498,6 +561,8 @@
     bool m_partitions;
     bool m_silences;
     bool m_versions;
+    bool m_retries;
+    TimePoint m_breaksUntil;               ///< Until then many calls break.
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
     std::optional<TimePoint> m_restoredAt; ///< When it last returned from one.
     RunResult m_result;
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -39,6 +39,7 @@
     bool partitions = false;     ///< Hosts lose the path to all endpoints.
     bool silences = false;       ///< Outages of the platform last seconds, without answers.
     bool versions = false;       ///< Callers take up streams; endpoints have several versions.
+    bool retries = false;        ///< Many streams break, and many hosts are killed at once.
 };
 
 /// Result of a run.
@@ -51,6 +52,7 @@
     std::map<std::string, int> outcomes;
     int streamsTakenUp = 0; ///< At undisturbed hosts, while their version was served.
     int streamsWentOn = 0;  ///< Of these.
+    double budgetUse = 0;   ///< Repeats of the worst window, relative to the retry budget.
     std::vector<std::string> violations;
     std::vector<std::string> lastLines; ///< Last trace lines up to the first violation.
 };
--- a/test/sim/streamcallers.cpp
+++ b/test/sim/streamcallers.cpp
@@ -17,7 +17,6 @@
 
 constexpr std::chrono::milliseconds allowedTime{4000};
 constexpr std::chrono::milliseconds takeUpDelay{30};
-constexpr int maxAttempts = 5;
 /// Fewer attempts to take up a stream are not compared with new streams.
 constexpr int minTakenUp = 12;
 /// Share of the streams whose records or lookups are lost with messages of the network.
@@ -48,7 +47,7 @@
 {
     Stream &stream = m_streams.at(number);
     const Duration allowed = stream.deadline - m_queue.now();
-    if (allowed <= Duration::zero() || stream.attempts >= maxAttempts) {
+    if (allowed <= Duration::zero() || stream.attempts >= m_maxAttempts) {
         return;
     }
     StreamAttempt next;
--- a/test/sim/streamcallers.h
+++ b/test/sim/streamcallers.h
@@ -70,6 +70,8 @@
     {
     }
 
+    /// Sets how often a caller sends a stream, or what is left of it.
+    void setMaxAttempts(int attempts) { m_maxAttempts = attempts; }
     /// Begins a stream.
     void begin();
     /// Returns the body of an event of an endpoint with \p version.
@@ -117,6 +119,7 @@
     World m_world;
     std::map<int, Stream> m_streams;
     std::map<RequestId, int> m_streamsByRequest;
+    int m_maxAttempts = 5;
     StreamShare m_begun;
     StreamShare m_takenUp;
 };
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -12,6 +12,7 @@
 
 #include "checks.h"
 #include "fakes.h"
+#include "retryledger.h"
 #include "streamcallers.h"
 
 #include "harelink/Kernel/controlmachineimpl.h"
@@ -63,7 +64,6 @@
             Host &host = m_hosts[name];
             host.name = name;
             host.dataCentre = fmt::format("dc{}", i % dataCentres + 1);
-            ++m_daemonCount;
             m_platform.setHost(name, host.dataCentre, "live", true);
             startHost(name);
         }
@@ -169,6 +169,34 @@
         });
     }
     [[nodiscard]] StreamCallers &streamCallers() { return m_streamCallers; }
+    /// Crashes each endpoint with streams with probability \p share for \p downtime.
+    void crashStreamEndpoints(double share, Duration downtime)
+    {
+        for (const std::string &name : m_streamEndpoints) {
+            if (!m_endpoints.at(name).down && m_random.chance(share)) {
+                killEndpoint(name);
+                m_queue.after(downtime, [this, name] { startEndpoint(name); });
+            }
+        }
+    }
+    /// Reports a violation if the repeats of all hosts exceeded the budget in any window; returns
+    /// their number in the worst window, relative to the budget.
+    double checkRetryBudget()
+    {
+        const std::optional<RetryUse> worst = m_retries.worstWindow(retryBudget);
+        if (!worst) {
+            return 0;
+        }
+        if (worst->use() > 1) {
+            m_checks.violation(fmt::format(
+                "{} got {} repeats from all hosts in the {:.0f} s from {:.3f} s, of {} requests; "
+                "{:.0f} are allowed",
+                worst->pool, worst->repeats, toMilliseconds(retryBudget.window) / 1000,
+                toMilliseconds(worst->begin - m_startedAt) / 1000, worst->requests,
+                worst->allowed));
+        }
+        return worst->use();
+    }
     [[nodiscard]] const std::vector<std::string> &streamEndpoints() const
     {
         return m_streamEndpoints;
@@ -196,7 +224,9 @@
         options.incarnation = host.incarnation;
         options.maxMeshPeers = m_maxMeshPeers;
         RequestLimits limits;
-        limits.daemons = &m_daemonCount;
+        limits.retries = retryBudget;
+        host.daemonCount = 1;
+        limits.daemons = &host.daemonCount;
         host.clock = std::make_unique<HostClock>(m_queue.clock());
         host.control = std::make_unique<BasicControlMachine<G>>(*host.clock, options);
         host.requests = std::make_unique<BasicRequestMachine<G>>(
@@ -461,8 +491,9 @@
         std::uint64_t lastSequence = 0;
         bool isSuspended = false;
         std::optional<TimePoint> suspendedUntil;
-        TimePoint frozenAt;    ///< When the host was last seen frozen.
-        TimePoint disturbedAt; ///< When it was last unable to receive updates.
+        TimePoint frozenAt;              ///< When the host was last seen frozen.
+        TimePoint disturbedAt;           ///< When it was last unable to receive updates.
+        std::atomic<int> daemonCount{1}; ///< As this daemon knows it.
         std::unique_ptr<HostClock> clock;
         std::unique_ptr<BasicRequestMachine<G>> requests;
         std::unique_ptr<BasicControlMachine<G>> control;
@@ -471,6 +502,8 @@
     };
 
     static constexpr const char *streamPool = "talkers";
+    /// Of each pool, for all hosts together.
+    static constexpr RetryBudgetOptions retryBudget{0.2, 52, std::chrono::milliseconds(10'000)};
     static constexpr const char *streamHost = "talk.example";
     static constexpr int streamEndpointsPerDataCentre = 4;
     /// Time from which on an endpoint is leaving until it ends.
@@ -604,6 +637,7 @@
     {
         auto host = m_hosts.begin();
         std::advance(host, m_random.below(m_hosts.size()));
+        m_retries.requestSent(streamPool, m_queue.now());
         if (!host->second.alive) {
             return std::nullopt;
         }
@@ -694,6 +728,7 @@
                     updatePaths(host);
                 }
                 host.control->tick();
+                host.daemonCount = host.control->membership().recentHostCount();
                 recordEndpointUpdates(host);
                 host.requests->tick(*host.snapshot);
             });
@@ -1077,6 +1112,9 @@
             failStage(name, start, stage, SendEvidence::Sent);
             return;
         }
+        if (stage.proxied) {
+            m_retries.arrived(stage.pool, stage.call.request, m_queue.now());
+        }
         const bool excused = wasRecentlyFrozen(m_hosts.at(name));
         m_checks.arrivedAtPausing(stage, excused);
         if (rejectsForLackOfRoom(endpoint)) {
@@ -1407,6 +1445,7 @@
     }
 
     EventQueue m_queue;
+    const TimePoint m_startedAt = m_queue.now();
     Random m_random;
     Trace m_trace;
     FakePlatform m_platform;
@@ -1422,7 +1461,7 @@
     WorldFaults m_faults;
     std::size_t m_maxMeshPeers; ///< 0 for even seeds, so that heartbeats go through relays.
     int m_dataCentres;
-    std::atomic<int> m_daemonCount{0};
+    RetryLedger m_retries;
     bool m_hasLongOutages = false;
     std::size_t m_pathProbes = 0;
     std::uint64_t m_operatorWriteCount = 0; ///< Number of calls of changeWeight().
