[Kernel] Withhold the retry allowance for a window after a start

Cause: each daemon takes an equal share of a constant allowance, and counts its use in memory. A process that starts takes a full share, though its predecessor may have used it in the same window: a limit on the whole whose shares are forgotten with a process. Change: a daemon uses its share only when a window has passed since its start. The ratio of its own requests is not affected, since the requests that a predecessor counted still count for the whole.

--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -83,6 +83,9 @@
     static constexpr bool pollsInOutages = true;
     /// Continues a stream only at endpoints of the software version that sent its first event.
     static constexpr bool keepsStreamVersion = true;
+    /// A daemon that has started uses no share of the retry allowance that its predecessor may
+    /// have used. (Implemented by the options that are passed in.)
+    static constexpr bool withholdsRetriesAfterStart = true;
     /// Reports where streams began to other hosts, at which callers may take them up again.
     static constexpr bool sharesStreamOrigins = true;
 };
@@ -184,6 +187,9 @@
     {
         G::keepsStreamVersion
         } -> std::convertible_to<bool>;
+    {
+        G::withholdsRetriesAfterStart
+        } -> std::convertible_to<bool>;
     {
         G::sharesStreamOrigins
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/retrybudget.h
+++ b/include/harelink/Kernel/retrybudget.h
@@ -3,7 +3,8 @@
 /// \file
 /// Limits the retries to one pool over all daemons together. Daemons need not
 /// communicate for it: each may retry a ratio of its own requests plus an equal share
-/// of a constant allowance.
+/// of a constant allowance. A daemon that has started uses its share of the allowance only
+/// when all retries of its predecessor on the same host have left the window.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -24,6 +25,8 @@
     double ratio = 0.1;     ///< Retries per request of the window.
     double allowance = 200; ///< Additional retries, shared by all daemons.
     std::chrono::milliseconds window{10'000};
+    /// When this daemon started.
+    TimePoint startedAt = TimePoint::min();
 };
 
 /// The retry budget of one daemon for one pool.
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -148,8 +148,9 @@
     , m_daemons(daemons)
     , m_workers(std::move(workers))
     , m_machine(clock, makeControlOptions(settings, dialect, incarnation))
-    , m_pieceRouter(clock, m_machine.membership(),
-                    {settings.retryRatio, settings.retryAllowance, settings.retryWindow})
+    , m_pieceRouter(
+          clock, m_machine.membership(),
+          {settings.retryRatio, settings.retryAllowance, settings.retryWindow, clock.now()})
     , m_pieceBatcher(clock)
     , m_callRelay(clock, m_loop.http(),
                   {[this](const std::string &host, decltype(PeerMessage::content) content) {
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -14,12 +14,14 @@
 
 constexpr Logger logger("worker");
 
-RequestLimits makeRequestLimits(const Settings &settings, const std::atomic<int> &daemons)
+RequestLimits makeRequestLimits(const Settings &settings, const std::atomic<int> &daemons,
+                                TimePoint startedAt)
 {
     RequestLimits limits;
     limits.maxRequests = settings.maxRequests;
     limits.workers = settings.workers;
-    limits.retries = {settings.retryRatio, settings.retryAllowance, settings.retryWindow};
+    limits.retries = {settings.retryRatio, settings.retryAllowance, settings.retryWindow,
+                      startedAt};
     limits.daemons = &daemons;
     return limits;
 }
@@ -35,7 +37,7 @@
     , m_dialect(dialect)
     , m_control(std::move(control))
     , m_machine(clock, Registry<RoutingPolicy>::instance().make(settings.routingPolicy), seed,
-                makeRequestLimits(settings, daemons))
+                makeRequestLimits(settings, daemons, clock.now()))
 {
     for (const std::string &name : Registry<StageProtocol>::instance().names()) {
         m_protocols[name] = Registry<StageProtocol>::instance().make(name);
--- a/lib/Kernel/retrybudget.cpp
+++ b/lib/Kernel/retrybudget.cpp
@@ -50,7 +50,8 @@
         requests += slot.requests;
         repeats += slot.repeats;
     }
-    const double allowance = m_options.allowance / std::max(1, daemons);
+    const bool hasAllowance = now >= m_options.startedAt + m_options.window;
+    const double allowance = hasAllowance ? m_options.allowance / std::max(1, daemons) : 0;
     return repeats + 1 <= (m_options.ratio * requests + allowance) * usableFraction;
 }
 
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -225,6 +225,9 @@
         options.maxMeshPeers = m_maxMeshPeers;
         RequestLimits limits;
         limits.retries = retryBudget;
+        if (G::withholdsRetriesAfterStart) {
+            limits.retries.startedAt = m_queue.now();
+        }
         host.daemonCount = 1;
         limits.daemons = &host.daemonCount;
         host.clock = std::make_unique<HostClock>(m_queue.clock());
--- a/unittests/Kernel/retrybudgettest.cpp
+++ b/unittests/Kernel/retrybudgettest.cpp
@@ -51,6 +51,36 @@
     CHECK(budget.allows(start + milliseconds(1200), 1));
 }
 
+TEST(RetryBudget, RestartedDaemonsExceedTheLimit)
+{
+    // Each of four daemons uses what it may, and is killed, three times in a window.
+    const RetryBudgetOptions options{0, 40, milliseconds(10'000)};
+    const TimePoint start{std::chrono::hours(1)};
+    int retries = 0;
+    for (int daemon = 0; daemon < 4; ++daemon) {
+        for (int restart = 0; restart < 3; ++restart) {
+            const TimePoint startedAt = start + std::chrono::seconds(3) * restart;
+            RetryBudgetOptions own = options;
+            own.startedAt = restart == 0 ? TimePoint::min() : startedAt;
+            RetryBudget budget(own);
+            while (budget.allows(startedAt, 4)) {
+                budget.recordRetry(startedAt);
+                ++retries;
+            }
+        }
+    }
+    CHECK(retries > 0);
+    CHECK(retries <= options.allowance);
+}
+
+TEST(RetryBudget, StartedDaemonGetsItsShareAfterAWindow)
+{
+    const TimePoint start{std::chrono::hours(1)};
+    RetryBudget budget({0, 40, milliseconds(10'000), start});
+    CHECK_FALSE(budget.allows(start + milliseconds(9999), 4));
+    CHECK(budget.allows(start + milliseconds(10'000), 4));
+}
+
 TEST(RetryBudget, DaemonsShareTheAllowance)
 {
     RetryBudget budget({0, 8, milliseconds(1000)});
