[Kernel] Charge a retry to the budget when it is decided, not when it is sent

Callers saw: repeats beyond the retry budget of all hosts when endpoints crash or lose results while many streams run. Cause: the budget was asked when a call failed and charged when the next one was sent. In between a request waits for an endpoint, or for its pieces to be computed again; all others that failed meanwhile saw the same balance. A request whose results an endpoint no longer knew was sent again without asking at all. Change: a retry is reserved in the budget as long as it waits; lost results need one too. harelink_retries_over_budget_total counts the retries that were not sent for it.

--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -86,6 +86,8 @@
     /// A daemon that has started uses no share of the retry allowance that its predecessor may
     /// have used. (Implemented by the options that are passed in.)
     static constexpr bool withholdsRetriesAfterStart = true;
+    /// Keeps the retries of all daemons together within the retry budget.
+    static constexpr bool limitsRetries = true;
     /// Reports where streams began to other hosts, at which callers may take them up again.
     static constexpr bool sharesStreamOrigins = true;
 };
@@ -190,6 +192,9 @@
     {
         G::withholdsRetriesAfterStart
         } -> std::convertible_to<bool>;
+    {
+        G::limitsRetries
+        } -> std::convertible_to<bool>;
     {
         G::sharesStreamOrigins
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -325,7 +325,7 @@
 }
 
 template <GuardPolicy G>
-bool BasicRequestMachine<G>::mayRetry(const Request &request, SendEvidence evidence)
+bool BasicRequestMachine<G>::mayRetry(Request &request, SendEvidence evidence)
 {
     if (request.proxied) {
         return mayRetryProxied(request, evidence);
@@ -379,6 +379,7 @@
 void BasicRequestMachine<G>::answer(Request &request, AnswerCaller &&action)
 {
     cancelPieces(request);
+    releaseRetry(request);
     m_lateAdmissions -= request.isAdmittedLate ? 1 : 0;
     if (action.outcome == Outcome::Completed && !action.replayed
         && m_suspectDigests.erase(request.digest) > 0) {
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -404,6 +404,7 @@
     if (request.headForwarded) {
         action.resumeAfter = request.lastEventId;
     }
+    releaseRetry(request);
     if (request.proxied && request.deliveredSends > 0) {
         retryBudget(pool.spec.name).recordRetry(now);
     }
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -247,6 +247,7 @@
 {
     std::uint64_t sends = 0;
     std::uint64_t retries = 0;
+    std::uint64_t retriesOverBudget = 0; ///< Not sent, since the retry budget was used up.
     std::uint64_t staleAnswers = 0;      ///< Answers to an attempt that is no longer current.
     std::uint64_t mismatchedAnswers = 0; ///< Answers that contain another call's ID.
     std::uint64_t lateGrants = 0;        ///< Claims granted to a request that was already answered.
@@ -353,8 +354,10 @@
     void cancelPieces(Request &request);
     void releaseResults(Request &request);
     void handleLostResults(Request &request, const Snapshot &snapshot);
-    bool mayRetryProxied(const Request &request, SendEvidence evidence);
+    bool mayRetryProxied(Request &request, SendEvidence evidence);
     RetryBudget &retryBudget(const std::string &pool);
+    [[nodiscard]] bool reserveRetry(Request &request);
+    void releaseRetry(Request &request);
     [[nodiscard]] int daemonCount() const;
     bool fitsDeadline(const Request &request, Duration needed);
     static FairQueue::Waiter queueKey(const Request &request);
@@ -383,7 +386,7 @@
     void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
     void complete(Request &request);
     void retryOrFail(Request &request, const StageFailed &event, const Snapshot &snapshot);
-    bool mayRetry(const Request &request, SendEvidence evidence);
+    bool mayRetry(Request &request, SendEvidence evidence);
     void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
     void recordUnawaitedClaim(const Request &request);
     void finishClaim(const Request &request, Outcome outcome, const std::string &answer);
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -487,6 +487,13 @@
              snapshot);
         return;
     }
+    if (request.deliveredSends > 0 && !reserveRetry(request)) {
+        fail(request, Reason::StageFailed,
+             makeError(absl::StatusCode::kResourceExhausted, "pieces", request.endpoint,
+                       "the results were lost and the retry budget is used up"),
+             snapshot);
+        return;
+    }
     ++request.recomputations;
     request.pieces->recomputeFinalResults();
     request.phase = Request::Phase::Preparing;
@@ -567,7 +574,7 @@
 }
 
 template <GuardPolicy G>
-bool BasicRequestMachine<G>::mayRetryProxied(const Request &request, SendEvidence evidence)
+bool BasicRequestMachine<G>::mayRetryProxied(Request &request, SendEvidence evidence)
 {
     const bool mayHaveRun = evidence == SendEvidence::Sent;
     if (mayHaveRun && !request.pipeline.repeatable && G::retriesOnlyRepeatable) {
@@ -583,10 +590,29 @@
     if (!fitsDeadline(request, remainingTime(request))) {
         return false;
     }
-    if (request.deliveredSends == 0) {
+    return request.deliveredSends == 0 || reserveRetry(request);
+}
+
+/// Reserves the next send of \p request in the retry budget. It may take place much later, after
+/// other retries were decided on: the request may wait for an endpoint, or for its pieces.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::reserveRetry(Request &request)
+{
+    if (!G::limitsRetries || request.holdsRetry) {
         return true;
     }
-    return retryBudget(request.stageSpec().pool).allows(m_clock.now(), daemonCount());
+    request.holdsRetry =
+        retryBudget(request.stageSpec().pool).reserve(m_clock.now(), daemonCount());
+    m_counters.retriesOverBudget += request.holdsRetry ? 0 : 1;
+    return request.holdsRetry;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::releaseRetry(Request &request)
+{
+    if (std::exchange(request.holdsRetry, false)) {
+        retryBudget(request.stageSpec().pool).releaseReserved();
+    }
 }
 
 } // namespace harelink
--- a/include/harelink/Kernel/retrybudget.h
+++ b/include/harelink/Kernel/retrybudget.h
@@ -39,10 +39,14 @@
     void recordRequest(TimePoint now);
     /// Records a call beyond the first of its request.
     void recordRetry(TimePoint now);
-    /// Returns whether one more retry may be sent.
+    /// Returns whether one more retry may be sent, besides those that are reserved.
     ///
     /// \param daemons number of daemons that share the allowance; at least 1.
     [[nodiscard]] bool allows(TimePoint now, int daemons);
+    /// Reserves a retry that is sent later, if one more may be sent. Must be followed by
+    /// releaseReserved(), also before recordRetry().
+    [[nodiscard]] bool reserve(TimePoint now, int daemons);
+    void releaseReserved() { --m_reserved; }
 
 private:
     /// The window slides in steps of one slot. One extra slot is kept, so that no window of the
@@ -58,6 +62,7 @@
 
     RetryBudgetOptions m_options;
     std::int64_t m_current = 0; ///< Number of the newest slot.
+    std::uint32_t m_reserved = 0;
     std::array<Slot, slotCount> m_slots{};
 };
 
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -69,6 +69,7 @@
         m_metrics.merge(report.metrics);
         m_sends += report.counters.sends;
         m_retries += report.counters.retries;
+        m_retriesOverBudget += report.counters.retriesOverBudget;
         m_stale += report.counters.staleAnswers;
         m_mismatched += report.counters.mismatchedAnswers;
         m_broken += report.counters.brokenCalls;
@@ -96,6 +97,7 @@
         };
         value("harelink_stage_sends_total", "counter", m_sends);
         value("harelink_stage_retries_total", "counter", m_retries);
+        value("harelink_retries_over_budget_total", "counter", m_retriesOverBudget);
         value("harelink_stale_answers_total", "counter", m_stale);
         value("harelink_mismatched_answers_total", "counter", m_mismatched);
         value("harelink_broken_calls_total", "counter", m_broken);
@@ -112,6 +114,7 @@
     std::string m_text;
     std::uint64_t m_sends = 0;
     std::uint64_t m_retries = 0;
+    std::uint64_t m_retriesOverBudget = 0;
     std::uint64_t m_stale = 0;
     std::uint64_t m_mismatched = 0;
     std::uint64_t m_broken = 0;
--- a/lib/Kernel/retrybudget.cpp
+++ b/lib/Kernel/retrybudget.cpp
@@ -45,7 +45,7 @@
 {
     (void)slotAt(now);
     double requests = 0;
-    double repeats = 0;
+    double repeats = m_reserved;
     for (const Slot &slot : m_slots) {
         requests += slot.requests;
         repeats += slot.repeats;
@@ -55,4 +55,11 @@
     return repeats + 1 <= (m_options.ratio * requests + allowance) * usableFraction;
 }
 
+bool RetryBudget::reserve(TimePoint now, int daemons)
+{
+    const bool isAllowed = allows(now, daemons);
+    m_reserved += isAllowed ? 1 : 0;
+    return isAllowed;
+}
+
 } // namespace harelink
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -91,6 +91,52 @@
     CHECK(retries <= 300 * 0.1 + 200 / 3.0);
 }
 
+TEST(Proxied, RetriesThatAwaitPiecesStayWithinTheBudget)
+{
+    ProxiedFixture fixture(20);
+    constexpr std::size_t streams = 100;
+    for (std::size_t i = 0; i < streams; ++i) {
+        fixture.arrive("/talk/pieces/1", "key-1", {1});
+        fixture.pieceEnded(fixture.orders[i].orders[0].id, "a");
+        fixture.event(fixture.sends[i], 1);
+    }
+    for (std::size_t i = 0; i < streams; ++i) {
+        fixture.fail(fixture.sends[i], SendEvidence::Sent);
+    }
+    for (std::size_t i = streams; i < fixture.orders.size(); ++i) {
+        fixture.pieceEnded(fixture.orders[i].orders[0].id, "b");
+    }
+    CHECK(fixture.sends.size() > streams);
+    CHECK(static_cast<double>(fixture.sends.size() - streams) <= streams * 0.1 + 200 / 9.0);
+}
+
+TEST(Proxied, ResendsAfterLostResultsStayWithinTheBudget)
+{
+    ProxiedFixture fixture(20);
+    constexpr std::size_t requests = 100;
+    for (std::size_t i = 0; i < requests; ++i) {
+        fixture.arrive("/talk/pieces/1", "key-1", {1});
+        fixture.pieceEnded(fixture.orders.back().orders[0].id, "a");
+        StageFailed event;
+        event.call = fixture.sends.back().call;
+        event.evidence = SendEvidence::RefusedBeforeRun;
+        event.inputsGone = true;
+        event.status = absl::UnavailableError("test");
+        const std::size_t orders = fixture.orders.size();
+        fixture.machine.handle(event, *fixture.snapshot);
+        fixture.collect();
+        if (fixture.orders.size() > orders) {
+            fixture.pieceEnded(fixture.orders.back().orders[0].id, "b");
+        }
+        if (fixture.answers.size() <= i) {
+            fixture.answer(fixture.sends.back());
+        }
+        fixture.advance(milliseconds(50));
+    }
+    CHECK(fixture.sends.size() > requests);
+    CHECK(static_cast<double>(fixture.sends.size() - requests) <= requests * 0.1 + 200 / 9.0);
+}
+
 TEST(Proxied, DisconnectedCallerCancelsTheCall)
 {
     ProxiedFixture fixture;
--- a/unittests/Kernel/retrybudgettest.cpp
+++ b/unittests/Kernel/retrybudgettest.cpp
@@ -81,6 +81,20 @@
     CHECK(budget.allows(start + milliseconds(10'000), 4));
 }
 
+TEST(RetryBudget, ReservedRetriesCount)
+{
+    RetryBudget budget({0, 8, milliseconds(1000)});
+    const TimePoint start{std::chrono::hours(1)};
+    int reserved = 0;
+    while (budget.reserve(start, 1)) {
+        ++reserved;
+    }
+    LONGS_EQUAL(6, reserved);
+    CHECK_FALSE(budget.allows(start + milliseconds(1200), 1));
+    budget.releaseReserved();
+    CHECK(budget.allows(start + milliseconds(1200), 1));
+}
+
 TEST(RetryBudget, DaemonsShareTheAllowance)
 {
     RetryBudget budget({0, 8, milliseconds(1000)});
