[Daemon] Log the parts of the prompt of a call that broke

Change: call-broken lists the digests of all parts but the last, unless the endpoint had begun to answer. Measured: nothing; no change of logic.

--- a/include/harelink/Kernel/crashes.h
+++ b/include/harelink/Kernel/crashes.h
@@ -31,6 +31,9 @@
     TimePoint sentAt;
     TimePoint brokeAt;
     std::string requestHost; ///< The host that owns the request; empty for this host.
+    /// Digests of the parts of its prompt, as computed by promptPartDigests(); empty if the
+    /// endpoint had begun to answer.
+    std::vector<Hash128> promptParts;
 };
 
 /// Action: report a call whose connection closed before the response was complete, which
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -264,6 +264,9 @@
     action.broken.endpoint = request.endpoint;
     action.broken.sentAt = request.sentAt;
     action.broken.brokeAt = m_clock.now();
+    if (request.proxied && request.tokens == 0) {
+        action.broken.promptParts = promptPartDigests(*request.proxied);
+    }
     m_actions.emplace_back(std::move(action));
 }
 
--- a/include/harelink/Kernel/requestdigest.h
+++ b/include/harelink/Kernel/requestdigest.h
@@ -12,9 +12,11 @@
 #include "harelink/Support/hash.h"
 
 #include <string>
+#include <vector>
 
 namespace harelink {
 
+struct ProxiedRequest;
 struct RequestArrived;
 
 /// Returns the digest of \p request sent by \p account. It is the same at every daemon for
@@ -22,6 +24,13 @@
 /// so that no account can produce the digest of another: the hash is not cryptographic.
 [[nodiscard]] Hash128 digestOf(const RequestArrived &request, const std::string &account);
 
+/// Returns the digests of the parts of a prompt that other requests may share: all but the last,
+/// at most maxPromptParts of them. They are the same for all accounts.
+[[nodiscard]] std::vector<Hash128> promptPartDigests(const ProxiedRequest &request);
+
+/// Limits the work for a prompt with very many parts.
+inline constexpr std::size_t maxPromptParts = 16;
+
 } // namespace harelink
 
 #endif // HARELINK_KERNEL_REQUESTDIGEST_H
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -7,7 +7,11 @@
 #include "harelink/Support/log.h"
 #include "harelink/Support/text.h"
 
+#include <algorithm>
 #include <cassert>
+#include <iterator>
+
+#include <fmt/format.h>
 
 namespace harelink {
 namespace {
@@ -26,6 +30,14 @@
     return limits;
 }
 
+std::string hexList(const std::vector<Hash128> &digests)
+{
+    std::vector<std::string> texts;
+    std::transform(digests.begin(), digests.end(), std::back_inserter(texts),
+                   [](const Hash128 &digest) { return toHex(digest); });
+    return fmt::format("{}", fmt::join(texts, ","));
+}
+
 } // namespace
 
 Worker::Worker(const Settings &settings, const Clock &clock, const SnapshotCell &snapshot,
@@ -516,7 +528,8 @@
         .field("version", action.softwareVersion.value_or("unknown"))
         .field("attempt", action.call.attempt)
         .field("sentMsAgo", fmt::format("{:.1f}", toMilliseconds(sentAgo)))
-        .field("events", action.events);
+        .field("events", action.events)
+        .field("parts", hexList(broken.promptParts));
     m_control.callBroken(broken);
 }
 
--- a/lib/Kernel/requestdigest.cpp
+++ b/lib/Kernel/requestdigest.cpp
@@ -20,4 +20,13 @@
         fmt::format("{}\n{}\n{}", request.pipeline, account, toHex(hash128(request.body))));
 }
 
+std::vector<Hash128> promptPartDigests(const ProxiedRequest &request)
+{
+    std::vector<Hash128> digests;
+    for (std::size_t i = 0; i + 1 < request.prompt.size() && i < maxPromptParts; ++i) {
+        digests.push_back(hash128(fmt::format("prompt-part\n{}", request.prompt[i].id)));
+    }
+    return digests;
+}
+
 } // namespace harelink
