[Tests] Random runs with prompt parts that crash endpoints

Cause: no run of ours had requests that share only a part of their prompt with others that crash endpoints.

--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -3,7 +3,7 @@
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
 ///                  [--restores] [--silences] [--partitions] [--brittle] [--versions]
-///                  [--retries] [--hosts H] [--lines L] [--without MECHANISM]
+///                  [--parts] [--retries] [--hosts H] [--lines L] [--without MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
 /// On a violation, also prints the seed and the last lines of its trace. With --without
@@ -37,6 +37,9 @@
 DEFINE_bool(versions, false,
             "Run callers that take up broken streams at other hosts, and endpoints of several "
             "software versions.");
+DEFINE_bool(parts, false,
+            "Run requests with parts in their prompts that crash endpoints, no two requests alike, "
+            "beside streams that share all other parts.");
 DEFINE_bool(retries, false,
             "Break many streams while hosts are killed together, and compare the repeats of all "
             "hosts with the retry budget.");
@@ -100,9 +103,10 @@
     double budgetUse = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result = player->second(
-            {FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines, FLAGS_restores,
-             FLAGS_brittle, FLAGS_partitions, FLAGS_silences, FLAGS_versions, FLAGS_retries});
+        const RunResult result =
+            player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines,
+                            FLAGS_restores, FLAGS_brittle, FLAGS_partitions, FLAGS_silences,
+                            FLAGS_versions, FLAGS_parts, FLAGS_retries});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -33,15 +33,20 @@
         , m_partitions(options.partitions)
         , m_silences(options.silences)
         , m_versions(options.versions)
+        , m_parts(options.parts)
         , m_retries(options.retries)
     {
         m_world.trace().setMaxLines(options.traceLines);
         if (m_silences) {
             m_world.allowLongOutages();
         }
-        if (m_versions || m_retries) {
+        if (m_versions || m_retries || m_parts) {
             m_world.declareStreams();
         }
+        if (m_parts) {
+            m_world.usePrompts();
+            m_world.streamCallers().allowNoQuarantine();
+        }
         if (m_retries) {
             m_world.streamCallers().setMaxAttempts(2);
         }
@@ -71,8 +76,8 @@
             if (m_kind == RunKind::Pauses) {
                 changePauses();
             }
-            const bool isCalm =
-                m_kind == RunKind::CrashesAndSuspensions || m_silences || m_versions || m_retries;
+            const bool isCalm = m_kind == RunKind::CrashesAndSuspensions || m_silences || m_versions
+                                || m_retries || m_parts;
             if (random().chance(isCalm ? 0.005 : 0.03)) {
                 injectFault();
             }
@@ -95,6 +100,9 @@
             if (m_retries) {
                 runBrokenStreams();
             }
+            if (m_parts) {
+                runCrashingParts();
+            }
         }
         captureTrace();
         settle();
@@ -108,6 +116,8 @@
     static constexpr int hostCount = 4;
     static constexpr int manyHosts = 9;
     static constexpr double brokenCallShare = 0.05;
+    /// Number of sends after which a new part crashes endpoints.
+    static constexpr std::uint64_t sendsPerCrashingPart = 40;
     static constexpr int dataCentreCount = 2;
     /// Time to settle after all faults were healed: longer than any deadline, backoff or
     /// heartbeat timeout.
@@ -371,6 +381,19 @@
         }
     }
 
+    /// Begins streams, and sends requests with one of two parts that crash endpoints; each part
+    /// is replaced by a new one from time to time.
+    void runCrashingParts()
+    {
+        if (random().chance(0.5)) {
+            m_world.beginStream();
+        }
+        if (random().chance(0.015)) {
+            const std::uint64_t newest = m_crashingParts++ / sendsPerCrashingPart;
+            m_world.submitCrashingPart(newest + random().below(2));
+        }
+    }
+
     void killSeveralHosts()
     {
         ++m_result.faults;
@@ -561,7 +584,9 @@
     bool m_partitions;
     bool m_silences;
     bool m_versions;
+    bool m_parts;
     bool m_retries;
+    std::uint64_t m_crashingParts = 0;     ///< Sends of requests with parts that crash endpoints.
     TimePoint m_breaksUntil;               ///< Until then many calls break.
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
     std::optional<TimePoint> m_restoredAt; ///< When it last returned from one.
--- a/test/sim/checks.cpp
+++ b/test/sim/checks.cpp
@@ -37,10 +37,19 @@
 constexpr std::chrono::milliseconds timeoutTolerance{500};
 /// Number of endpoint crashes after which a request counts as crashing ...
 constexpr int crashThreshold = 3;
+/// The same for a part of prompts.
+constexpr int partCrashThreshold = 5;
 /// ... and the number of sends by stable hosts that are tolerated from stabilizationTime
 /// after that on.
 constexpr int maxSendsAfterThreshold = 3;
 
+/// Returns the number of crashes after which \p cause, a body or a part of prompts, counts as
+/// crashing.
+int crashThresholdOf(const std::string &cause)
+{
+    return cause.starts_with(crashingPartPrefix) ? partCrashThreshold : crashThreshold;
+}
+
 /// Returns the only correct answer to a request.
 std::string expectedAnswer(const Submission &submission)
 {
@@ -270,7 +279,7 @@
     CrashRecord &record = m_crashes[body];
     ++record.crashes;
     m_trace.add(fmt::format("an endpoint ends under {}, number {}", body, record.crashes));
-    if (record.crashes == crashThreshold) {
+    if (record.crashes == crashThresholdOf(body)) {
         record.thresholdReachedAt = m_queue.now();
     }
 }
@@ -278,7 +287,7 @@
 void Checks::crashingArrived(const std::string &body, bool fromStableHost)
 {
     CrashRecord &record = m_crashes[body];
-    const bool isKnownToCrash = record.crashes >= crashThreshold
+    const bool isKnownToCrash = record.crashes >= crashThresholdOf(body)
                                 && m_queue.now() - record.thresholdReachedAt > stabilizationTime;
     if (!isKnownToCrash || !fromStableHost) {
         return;
--- a/test/sim/fakes.h
+++ b/test/sim/fakes.h
@@ -21,6 +21,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace harelink::sim {
@@ -201,6 +202,9 @@
 inline constexpr double coldRate = 1;
 inline constexpr std::chrono::milliseconds coldTime{3000};
 
+/// Parts of prompts that begin so crash every endpoint that runs a request with them.
+inline constexpr std::string_view crashingPartPrefix = "crashing-part-";
+
 /// Returns whether a request with \p body crashes every endpoint that starts to run it.
 [[nodiscard]] bool isCrashing(const std::string &body);
 /// Returns the answer of a simulated endpoint to \p stage.
--- a/test/sim/streamcallers.cpp
+++ b/test/sim/streamcallers.cpp
@@ -140,6 +140,10 @@
     m_trace.add(fmt::format("stream {}, attempt {}: {} {} {}, {} events", number, stream.attempts,
                             toText(answer.outcome), toText(answer.reason),
                             errorMessage(answer.error), stream.lastEvent));
+    if (m_allowsNoQuarantine && answer.reason == Reason::Quarantined) {
+        m_checks.violation(
+            fmt::format("stream {}, which crashes no endpoint, was put under quarantine", number));
+    }
     const bool isWhole = stream.lastEvent == eventCount;
     if (answer.outcome == Outcome::Completed && !isWhole) {
         m_checks.violation(
--- a/test/sim/streamcallers.h
+++ b/test/sim/streamcallers.h
@@ -72,6 +72,8 @@
 
     /// Sets how often a caller sends a stream, or what is left of it.
     void setMaxAttempts(int attempts) { m_maxAttempts = attempts; }
+    /// Reports a violation if a stream is put under quarantine.
+    void allowNoQuarantine() { m_allowsNoQuarantine = true; }
     /// Begins a stream.
     void begin();
     /// Returns the body of an event of an endpoint with \p version.
@@ -120,6 +122,7 @@
     std::map<int, Stream> m_streams;
     std::map<RequestId, int> m_streamsByRequest;
     int m_maxAttempts = 5;
+    bool m_allowsNoQuarantine = false;
     StreamShare m_begun;
     StreamShare m_takenUp;
 };
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -27,6 +27,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace harelink::sim {
 
@@ -169,6 +170,35 @@
         });
     }
     [[nodiscard]] StreamCallers &streamCallers() { return m_streamCallers; }
+    /// Gives the requests of streams prompts whose parts other streams share.
+    void usePrompts() { m_usesPrompts = true; }
+    /// Sends a request with a part in its prompt that crashes endpoints, to any host. All else of
+    /// its content is shared with streams, or new.
+    void submitCrashingPart(std::uint64_t number)
+    {
+        const std::vector<std::string> names = hostNames();
+        Host &host = m_hosts.at(names[m_random.below(names.size())]);
+        if (!host.alive) {
+            return;
+        }
+        auto proxied = std::make_shared<ProxiedRequest>();
+        proxied->callerId = fmt::format("p{}", ++m_crashingPartRequestCount);
+        proxied->method = "POST";
+        proxied->target = proxied->path = "/";
+        proxied->host = streamHost;
+        proxied->body = proxied->callerId;
+        proxied->prompt = {{sharedPart(number), partTokens},
+                           {fmt::format("{}{}", crashingPartPrefix, number), partTokens},
+                           {proxied->callerId, partTokens}};
+        RequestArrived event;
+        event.id = {host.incarnation, ++host.lastSequence};
+        event.timeAllowed = std::chrono::seconds(2);
+        event.proxied = std::move(proxied);
+        m_crashingPartRequests.insert(event.id);
+        m_trace.add(
+            fmt::format("request {} with part {} -> {}", toText(event.id), number, host.name));
+        toRequestsSoon(host.name, event.id.incarnation, event);
+    }
     /// Crashes each endpoint with streams with probability \p share for \p downtime.
     void crashStreamEndpoints(double share, Duration downtime)
     {
@@ -508,6 +538,13 @@
     /// Of each pool, for all hosts together.
     static constexpr RetryBudgetOptions retryBudget{0.2, 52, std::chrono::milliseconds(10'000)};
     static constexpr const char *streamHost = "talk.example";
+    static constexpr std::uint64_t partTokens = 400;
+    static constexpr std::uint64_t sharedPartCount = 4;
+    static constexpr int documentCount = 12;
+    static std::string sharedPart(std::uint64_t number)
+    {
+        return fmt::format("shared-{}", number % sharedPartCount);
+    }
     static constexpr int streamEndpointsPerDataCentre = 4;
     /// Time from which on an endpoint is leaving until it ends.
     static constexpr std::chrono::seconds departureTime{2};
@@ -651,6 +688,13 @@
         proxied->host = streamHost;
         proxied->lastEventSeen = attempt.lastEvent;
         proxied->resumedAttempt = attempt.resumedAttempt;
+        if (m_usesPrompts) {
+            proxied->body = attempt.callerId;
+            proxied->prompt = {
+                {sharedPart(static_cast<std::uint64_t>(attempt.stream)), partTokens},
+                {fmt::format("document-{}", attempt.stream % documentCount), partTokens},
+                {attempt.callerId, partTokens}};
+        }
         RequestArrived event;
         event.id = {host->second.incarnation, ++host->second.lastSequence};
         event.timeAllowed = attempt.allowed;
@@ -855,6 +899,9 @@
 
     void perform(Host &, const AnswerCaller &action)
     {
+        if (m_crashingPartRequests.contains(action.id)) {
+            return;
+        }
         if (m_streamCallers.owns(action.id)) {
             m_streamCallers.handle(action);
         } else {
@@ -1138,8 +1185,9 @@
             m_checks.arrivedAtLimited(endpoint, stage, wasRecentlyFrozen(m_hosts.at(name)));
         }
         m_checks.ranAtEndpoint(stage);
-        if (isCrashing(stage.request)) {
-            m_checks.crashingArrived(stage.request, isStable(m_hosts.at(name)));
+        const std::string cause = crashCauseOf(stage);
+        if (!cause.empty()) {
+            m_checks.crashingArrived(cause, isStable(m_hosts.at(name)));
             crashSoon(name, start, stage);
             return;
         }
@@ -1253,6 +1301,22 @@
         }
     }
 
+    /// Returns the body or the part of the prompt under which endpoints crash; empty if none.
+    static std::string crashCauseOf(const SendStage &stage)
+    {
+        if (isCrashing(stage.request)) {
+            return stage.request;
+        }
+        if (!stage.proxied) {
+            return {};
+        }
+        const auto &prompt = stage.proxied->prompt;
+        const auto part = std::find_if(prompt.begin(), prompt.end(), [](const auto &segment) {
+            return segment.id.starts_with(crashingPartPrefix);
+        });
+        return part == prompt.end() ? std::string() : part->id;
+    }
+
     /// Crashes the endpoint while it runs \p stage, and restarts it 2 to 4 seconds later.
     void crashSoon(const std::string &name, Incarnation start, const SendStage &stage)
     {
@@ -1262,7 +1326,7 @@
         m_queue.after(run, [=, this] {
             FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
             if (endpoint.generation == generation) {
-                m_checks.crashed(stage.request);
+                m_checks.crashed(crashCauseOf(stage));
                 killEndpoint(stage.endpoint);
                 m_queue.after(downtime, [this, name = stage.endpoint] { startEndpoint(name); });
             }
@@ -1465,6 +1529,9 @@
     std::size_t m_maxMeshPeers; ///< 0 for even seeds, so that heartbeats go through relays.
     int m_dataCentres;
     RetryLedger m_retries;
+    bool m_usesPrompts = false;
+    std::uint64_t m_crashingPartRequestCount = 0;
+    std::set<RequestId> m_crashingPartRequests;
     bool m_hasLongOutages = false;
     std::size_t m_pathProbes = 0;
     std::uint64_t m_operatorWriteCount = 0; ///< Number of calls of changeWeight().
