[Tests] Probe lost paths in the same order in each process

Cause: the simulation went over a hash map whose order differs between processes, and a counter that all pools share chose the endpoint to probe. Change: pools are visited by name.

--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -1126,7 +1126,13 @@
     void updatePaths(Host &host)
     {
         host.control->recordLostPools(updateLostPools(*host.snapshot, host.control->hasRelay()));
+        // The order of the hash map differs between processes.
+        std::map<std::string, const PoolEntry *> pools;
         for (const auto &[name, pool] : host.snapshot->pools) {
+            pools[name] = &pool;
+        }
+        for (const auto &[name, poolEntry] : pools) {
+            const PoolEntry &pool = *poolEntry;
             if (!pool.endpoints.empty() && pool.path->claimProbe(m_queue.now())) {
                 const EndpointEntry &entry = pool.endpoints[m_pathProbes++ % pool.endpoints.size()];
                 const FakeEndpoint &endpoint = m_endpoints.at(entry.spec->name);
