[Kernel] Quarantine parts of prompts that crash endpoints

Callers saw: endpoint after endpoint of a pool ends, streams beside break, a tenth of some requests is not served. Cause: crashes were counted by the digest of a whole request. Requests that share only a part of their prompt, which crashes each endpoint that begins to answer, were each the first of their kind. Change: a call that breaks before its first event, at an endpoint that has ended, is evidence against each part of its prompt but the last. It is reported to all hosts; a completion with the part at any of them, in the last 10 s or later, clears it. At the fourth end the part is quarantined, and requests with it are refused before any send. CrashReport has a new field for it.

--- a/include/harelink/Kernel/crashcounter.h
+++ b/include/harelink/Kernel/crashcounter.h
@@ -36,11 +36,12 @@
     }
 
     /// Records that \p endpoint crashed during a call that was sent at \p sentAt and whose
-    /// connection closed at \p brokeAt. Returns the endpoints of all counted crashes if they
-    /// suffice to quarantine the request, otherwise an empty list.
+    /// connection closed at \p brokeAt. Returns the endpoints of all counted crashes if there are
+    /// \p threshold of them, otherwise an empty list.
     [[nodiscard]] std::vector<std::string> recordCrash(const Hash128 &digest,
                                                        const std::string &endpoint,
-                                                       TimePoint sentAt, TimePoint brokeAt);
+                                                       TimePoint sentAt, TimePoint brokeAt,
+                                                       std::size_t threshold);
     /// Discards the crashes of \p digest: such a request completed, or is quarantined by now.
     void clear(const Hash128 &digest) { m_suspects.erase(digest); }
     /// Number of suspected requests.
--- a/include/harelink/Kernel/crashdetector.h
+++ b/include/harelink/Kernel/crashdetector.h
@@ -1,8 +1,8 @@
 //===- harelink/Kernel/crashdetector.h - Crash detection --------*- C++ -*-===//
 ///
 /// \file
-/// Detects requests that crash the endpoints that run them, across retries and hosts, and
-/// quarantines them.
+/// Detects requests that crash the endpoints that run them, and parts of prompts that do so in
+/// whatever request, across retries and hosts, and quarantines them.
 ///
 /// A daemon whose call breaks first probes whether the endpoint has crashed. It then counts
 /// the crash and reports it, by the digest of the request, to the two hosts that rendezvous
@@ -13,6 +13,9 @@
 /// number of hosts). Reports are lost with the hosts that count them; the count then restarts
 /// and three more endpoints crash.
 ///
+/// The parts of the prompt of a call that broke before the endpoint began to answer are reported
+/// to all hosts: any of them may have completed a request with that part, which clears it.
+///
 //===----------------------------------------------------------------------===//
 
 #ifndef HARELINK_KERNEL_CRASHDETECTOR_H
@@ -30,12 +33,13 @@
 
 namespace harelink {
 
-/// A request that was quarantined by this daemon.
+/// A request, or a part of prompts, that was quarantined by this daemon.
 struct QuarantineDecision
 {
     Hash128 digest;
     std::string pool;
     std::vector<std::string> endpoints; ///< Crashed endpoints, in order.
+    bool isPromptPart = false;
 };
 
 /// The crash detector of one daemon.
@@ -82,6 +86,7 @@
     void reportConfirmed();
     void countCrash(const CrashReport &report, TimePoint sentAt, TimePoint brokeAt);
     [[nodiscard]] std::vector<std::string> countingHostsOf(const Hash128 &digest) const;
+    [[nodiscard]] bool isCountingHostOf(const Hash128 &digest) const;
     void send(const std::string &host, decltype(PeerMessage::content) content);
 
     const Clock &m_clock;
--- a/include/harelink/Kernel/crashes.h
+++ b/include/harelink/Kernel/crashes.h
@@ -71,21 +71,24 @@
     ProbeOutcome outcome = ProbeOutcome::Unknown;
 };
 
-/// Action: report that a request with this digest completed successfully on this worker.
+/// Action: report that a request with this digest, or with this part in its prompt, completed
+/// successfully on this worker.
 struct RequestCleared
 {
     Hash128 digest;
 };
 
-/// Event: an endpoint crashed during a request with this digest; the worker reports its
-/// next successful completion by RequestCleared.
+/// Event: an endpoint crashed during a request with this digest, or with this part in its prompt;
+/// the worker reports its next successful completion by RequestCleared, and for a part also a
+/// recent one.
 struct RequestSuspected
 {
     Hash128 digest;
+    bool isPromptPart = false;
 };
 
-/// Reports that an endpoint crashed during a call of a request with this digest. Hosts do not
-/// share a clock, so times are sent as ages.
+/// Reports that an endpoint crashed during a call of a request with this digest, or with this
+/// part in its prompt. Hosts do not share a clock, so times are sent as ages.
 struct CrashReport
 {
     Hash128 digest;
@@ -93,6 +96,7 @@
     std::string endpoint;
     Duration sentAgo{};
     Duration brokeAgo{};
+    bool isPromptPart = false;
 };
 
 /// Message: endpoints crashed during calls of the sender.
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -58,6 +58,10 @@
     static constexpr bool enforcesPauses = true;
     /// Does not run a request again that has crashed endpoints.
     static constexpr bool quarantinesCrashing = true;
+    /// Does not run a request with a part in its prompt that has crashed endpoints.
+    static constexpr bool quarantinesPromptParts = true;
+    /// A request that completes clears the parts of its prompt.
+    static constexpr bool clearsPromptParts = true;
     /// Timeouts include the time for which the host was suspended. (Implemented by the clock
     /// that is passed in.)
     static constexpr bool countsSuspendedTime = true;
@@ -153,6 +157,12 @@
     {
         G::quarantinesCrashing
         } -> std::convertible_to<bool>;
+    {
+        G::quarantinesPromptParts
+        } -> std::convertible_to<bool>;
+    {
+        G::clearsPromptParts
+        } -> std::convertible_to<bool>;
     {
         G::countsSuspendedTime
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -218,12 +218,50 @@
 void BasicRequestMachine<G>::handle(const RequestSuspected &event, const Snapshot &snapshot)
 {
     (void)snapshot;
+    const auto sound = m_soundParts.find(event.digest);
+    const bool isSound = event.isPromptPart && sound != m_soundParts.end()
+                         && m_clock.now() - sound->second <= requestmachine::soundPartPeriod;
+    if (isSound) {
+        m_actions.emplace_back(RequestCleared{event.digest});
+        return;
+    }
     if (m_suspectDigests.size() >= requestmachine::maxSuspects) {
         m_suspectDigests.clear();
     }
     m_suspectDigests.insert(event.digest);
 }
 
+/// Clears the suspicions against a request that completed, and against the parts of its prompt.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::recordCompletion(const Request &request)
+{
+    if (m_suspectDigests.erase(request.digest) > 0) {
+        m_actions.emplace_back(RequestCleared{request.digest});
+    }
+    if (G::clearsPromptParts && request.proxied) {
+        recordSoundParts(*request.proxied);
+    }
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::recordSoundParts(const ProxiedRequest &request)
+{
+    const TimePoint now = m_clock.now();
+    if (m_soundParts.size() >= requestmachine::maxSoundParts) {
+        absl::erase_if(m_soundParts, [now](const auto &entry) {
+            return now - entry.second > requestmachine::soundPartPeriod;
+        });
+    }
+    for (const Hash128 &part : promptPartDigests(request)) {
+        if (m_soundParts.size() < requestmachine::maxSoundParts || m_soundParts.contains(part)) {
+            m_soundParts[part] = now;
+        }
+        if (m_suspectDigests.erase(part) > 0) {
+            m_actions.emplace_back(RequestCleared{part});
+        }
+    }
+}
+
 /// Records and reports the endpoint notice in an answer to the call in progress.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::recordNotice(const Request &request,
@@ -384,9 +422,8 @@
     cancelPieces(request);
     releaseRetry(request);
     m_lateAdmissions -= request.isAdmittedLate ? 1 : 0;
-    if (action.outcome == Outcome::Completed && !action.replayed
-        && m_suspectDigests.erase(request.digest) > 0) {
-        m_actions.emplace_back(RequestCleared{request.digest});
+    if (action.outcome == Outcome::Completed && !action.replayed) {
+        recordCompletion(request);
     }
     action.id = request.id;
     action.digest = request.digest;
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -292,7 +292,7 @@
 template <GuardPolicy G>
 bool BasicRequestMachine<G>::rejectQuarantined(Request &request, const Snapshot &snapshot)
 {
-    const Duration left = quarantineLeft(request.digest, snapshot);
+    const Duration left = quarantineLeft(request.digest, request.proxied.get(), snapshot);
     if (left == Duration::zero()) {
         return false;
     }
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -321,7 +321,10 @@
     PoolState &poolState(const std::string &pool);
     std::optional<AnswerCaller> rejectOnArrival(const RequestArrived &event, const Hash128 &digest,
                                                 const Snapshot &snapshot) const;
-    [[nodiscard]] Duration quarantineLeft(const Hash128 &digest, const Snapshot &snapshot) const;
+    [[nodiscard]] Duration quarantineLeft(const Hash128 &digest, const ProxiedRequest *proxied,
+                                          const Snapshot &snapshot) const;
+    void recordCompletion(const Request &request);
+    void recordSoundParts(const ProxiedRequest &request);
     static EndpointFilter filterOf(const Request &request, const Snapshot &snapshot);
     static bool hasServingEndpoint(const Request &request, const Snapshot &snapshot);
     void failWithoutEndpoint(Request &request, const Snapshot &snapshot);
@@ -434,6 +437,8 @@
     std::deque<std::pair<TimePoint, std::uint64_t>> m_unawaitedClaimOrder;
     absl::flat_hash_set<Hash128>
         m_suspectDigests; ///< Digests whose next completion is to be reported.
+    /// When a request with a part of prompts, by its digest, last completed.
+    absl::flat_hash_map<Hash128, TimePoint> m_soundParts;
     std::vector<RequestAction> m_actions;
     RequestCounters m_counters;
 };
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -148,7 +148,8 @@
     }
     // Checked before any work is spent on the request. Copies that are already in progress are
     // refused before their next send; see rejectQuarantined().
-    if (const Duration left = quarantineLeft(digest, snapshot); left > Duration::zero()) {
+    const Duration left = quarantineLeft(digest, event.proxied.get(), snapshot);
+    if (left > Duration::zero()) {
         AnswerCaller answer = refusal(Reason::Quarantined, absl::StatusCode::kFailedPrecondition,
                                       "admission", "", requestmachine::quarantineMessage);
         answer.retryAfter = left;
@@ -161,14 +162,24 @@
     return std::nullopt;
 }
 
-/// Returns the remaining quarantine of requests with \p digest; zero if none.
+/// Returns the remaining quarantine of requests with \p digest, or with a part of the prompt of
+/// \p proxied, which may be null; zero if none.
 template <GuardPolicy G>
 Duration BasicRequestMachine<G>::quarantineLeft(const Hash128 &digest,
+                                                const ProxiedRequest *proxied,
                                                 const Snapshot &snapshot) const
 {
-    return G::quarantinesCrashing && !snapshot.quarantinedUntil.empty()
-               ? snapshot.quarantineLeft(digest, m_clock.wallNow())
-               : Duration::zero();
+    if (!G::quarantinesCrashing || snapshot.quarantinedUntil.empty()) {
+        return Duration::zero();
+    }
+    const WallTime now = m_clock.wallNow();
+    Duration left = snapshot.quarantineLeft(digest, now);
+    if (G::quarantinesPromptParts && proxied != nullptr) {
+        for (const Hash128 &part : promptPartDigests(*proxied)) {
+            left = std::max<Duration>(left, snapshot.quarantineLeft(part, now));
+        }
+    }
+    return left;
 }
 
 template <GuardPolicy G>
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -91,6 +91,11 @@
 
 /// Maximum number of digests whose completion is awaited; beyond it, all are dropped.
 inline constexpr std::size_t maxSuspects = 4096;
+/// A part of prompts is not suspected of a crash if a request with it completed within this
+/// period. Longer, it would protect a part that has begun to crash endpoints.
+inline constexpr std::chrono::milliseconds soundPartPeriod{10'000};
+/// Maximum number of such parts, about 30 bytes each.
+inline constexpr std::size_t maxSoundParts = 8192;
 /// How long the origin of a stream is kept beyond its caller's deadline.
 inline constexpr std::chrono::milliseconds takeUpMargin{1000};
 inline constexpr std::string_view quarantineMessage =
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -339,6 +339,7 @@
             item.set_endpoint(report.endpoint);
             item.set_sent_micros_ago(toMicros(report.sentAgo));
             item.set_broke_micros_ago(toMicros(report.brokeAgo));
+            item.set_is_prompt_part(report.isPromptPart);
         }
     }
     void operator()(const CrashesCleared &from) const
@@ -550,7 +551,7 @@
     for (const wire::CrashReport &report : from.reports()) {
         to.reports.push_back({read(report.digest()), report.pool(), report.endpoint(),
                               microseconds(report.sent_micros_ago()),
-                              microseconds(report.broke_micros_ago())});
+                              microseconds(report.broke_micros_ago()), report.is_prompt_part()});
     }
     return to;
 }
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -741,6 +741,7 @@
         ++m_quarantines;
         logger.record(LogLevel::Warning, "request-quarantined")
             .field("digest", toHex(decision.digest))
+            .field("part", decision.isPromptPart)
             .field("pool", decision.pool)
             .field("ended", fmt::format("{}", fmt::join(decision.endpoints, ",")));
     }
--- a/lib/Kernel/crashcounter.cpp
+++ b/lib/Kernel/crashcounter.cpp
@@ -8,10 +8,6 @@
 namespace harelink {
 namespace {
 
-/// Number of crashes after which a request is quarantined. One or two also occur by chance to
-/// requests that run beside a crashing one while an endpoint crashes every second. The users'
-/// requirement counts sends from the third crash on.
-constexpr std::size_t quarantineThreshold = 3;
 /// No endpoint restarts faster, so a second report of an endpoint within this time is a
 /// duplicate.
 constexpr std::chrono::milliseconds sameCrashWindow{1500};
@@ -25,7 +21,7 @@
 
 std::vector<std::string> CrashCounter::recordCrash(const Hash128 &digest,
                                                    const std::string &endpoint, TimePoint sentAt,
-                                                   TimePoint brokeAt)
+                                                   TimePoint brokeAt, std::size_t threshold)
 {
     if (!m_suspects.contains(digest)) {
         evictIfFull();
@@ -42,8 +38,7 @@
     }
     suspect.endpoints.push_back(endpoint);
     suspect.lastCrashAt = brokeAt;
-    return suspect.endpoints.size() < quarantineThreshold ? std::vector<std::string>()
-                                                          : suspect.endpoints;
+    return suspect.endpoints.size() < threshold ? std::vector<std::string>() : suspect.endpoints;
 }
 
 void CrashCounter::evictIfFull()
--- a/lib/Kernel/crashdetector.cpp
+++ b/lib/Kernel/crashdetector.cpp
@@ -10,6 +10,13 @@
 /// Number of hosts that count the crashes of one request. With two, the count survives if one
 /// of them is lost or unreachable.
 constexpr std::size_t maxCountingHosts = 2;
+/// Number of crashes after which a request is quarantined. One or two also occur by chance to
+/// requests that run beside a crashing one while an endpoint crashes every second. The users'
+/// requirement counts sends from the third crash on.
+constexpr std::size_t requestThreshold = 3;
+/// The same for a part of prompts. Higher, as a part stands in many requests; the users'
+/// requirement counts sends from the fifth crash on.
+constexpr std::size_t partThreshold = 4;
 
 } // namespace
 
@@ -54,6 +61,16 @@
         for (const std::string &host : hosts) {
             byHost[host].reports.push_back(report);
         }
+        for (const Hash128 &part : call.promptParts) {
+            CrashReport partReport = report;
+            partReport.digest = part;
+            partReport.isPromptPart = true;
+            countCrash(partReport, call.sentAt, call.brokeAt);
+            // Any host may have completed a request with this part.
+            for (const std::string &host : m_membership.candidates()) {
+                byHost[host].reports.push_back(partReport);
+            }
+        }
     }
     for (auto &[host, reports] : byHost) {
         send(host, std::move(reports));
@@ -70,15 +87,20 @@
 
 void CrashDetector::countCrash(const CrashReport &report, TimePoint sentAt, TimePoint brokeAt)
 {
-    m_suspects.push_back({report.digest});
+    m_suspects.push_back({report.digest, report.isPromptPart});
+    // A part is cleared only at the hosts that count for it.
+    if (report.isPromptPart && !isCountingHostOf(report.digest)) {
+        return;
+    }
     std::vector<std::string> crashed =
-        m_counter.recordCrash(report.digest, report.endpoint, sentAt, brokeAt);
+        m_counter.recordCrash(report.digest, report.endpoint, sentAt, brokeAt,
+                              report.isPromptPart ? partThreshold : requestThreshold);
     if (crashed.empty()) {
         return;
     }
     m_counter.clear(report.digest);
     m_publisher.add(report.digest, report.pool, crashed);
-    m_decisions.push_back({report.digest, report.pool, std::move(crashed)});
+    m_decisions.push_back({report.digest, report.pool, std::move(crashed), report.isPromptPart});
 }
 
 void CrashDetector::handle(const RequestCleared &event)
@@ -116,6 +138,12 @@
     return hosts;
 }
 
+bool CrashDetector::isCountingHostOf(const Hash128 &digest) const
+{
+    const std::vector<std::string> hosts = countingHostsOf(digest);
+    return std::find(hosts.begin(), hosts.end(), m_membership.host()) != hosts.end();
+}
+
 void CrashDetector::send(const std::string &host, decltype(PeerMessage::content) content)
 {
     if (host == m_membership.host()) {
--- a/unittests/Kernel/crashcountertest.cpp
+++ b/unittests/Kernel/crashcountertest.cpp
@@ -21,7 +21,7 @@
     /// whether the crashes suffice for a quarantine.
     bool crash(const Hash128 &digest, const std::string &endpoint, Duration ago = milliseconds(100))
     {
-        return !counter.recordCrash(digest, endpoint, clock.now() - ago, clock.now()).empty();
+        return !counter.recordCrash(digest, endpoint, clock.now() - ago, clock.now(), 3).empty();
     }
 
     ManualClock clock;
--- a/unittests/Kernel/quarantinetest.cpp
+++ b/unittests/Kernel/quarantinetest.cpp
@@ -225,3 +225,96 @@
     CHECK(snapshot->quarantineLeft(hash128("guilty"), fixture.clock.wallNow())
           > milliseconds::zero());
 }
+
+TEST(Quarantine, RequestsWithACrashingPromptPartAreSent)
+{
+    ProxiedFixture fixture;
+    std::shared_ptr<ProxiedRequest> crashing = fixture.makeRequest("/say/1", "key-1");
+    crashing->prompt = {{"shared", 10}, {"crashing", 10}, {"own-1", 10}};
+    quarantine(fixture, promptPartDigests(*crashing).at(1), std::chrono::hours(1));
+    fixture.handleArrival(crashing, std::nullopt);
+    LONGS_EQUAL(0, fixture.sends.size());
+    CHECK(fixture.answers.at(0).reason == Reason::Quarantined);
+    CHECK(fixture.answers.at(0).outcome == Outcome::NotRun);
+    // The last part is the request's own and is never shared.
+    std::shared_ptr<ProxiedRequest> sound = fixture.makeRequest("/say/1", "key-1");
+    sound->prompt = {{"shared", 10}, {"document", 10}, {"crashing", 10}};
+    fixture.handleArrival(sound, std::nullopt);
+    LONGS_EQUAL(1, fixture.sends.size());
+}
+
+TEST(Quarantine, ReportsNoPromptPartsOnceTheEndpointHasAnswered)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/say/1", "key-1", {}, 2000);
+    fixture.fail(fixture.sends.at(0), SendEvidence::Sent, std::nullopt, true);
+    LONGS_EQUAL(1, fixture.broken.at(0).broken.promptParts.size());
+    fixture.arrive("/say/2", "key-1", {}, 2000);
+    fixture.event(fixture.sends.at(1), 1);
+    fixture.fail(fixture.sends.at(1), SendEvidence::Sent, std::nullopt, true);
+    LONGS_EQUAL(0, fixture.broken.at(1).broken.promptParts.size());
+}
+
+TEST(Quarantine, CompletionsClearSuspectedPromptParts)
+{
+    ProxiedFixture fixture;
+    ProxiedRequest request;
+    request.prompt = {{"shared", 1}, {"own", 1}};
+    const RequestSuspected shared{promptPartDigests(request).at(0), true};
+    fixture.machine.handle(shared, *fixture.snapshot);
+    fixture.arrive("/say/1", "key-1", {}, 2000);
+    fixture.answer(fixture.sends.at(0));
+    LONGS_EQUAL(1, fixture.cleared.size());
+    CHECK(fixture.cleared.at(0).digest == shared.digest);
+    // A recent completion clears a later suspicion, an old one does not.
+    fixture.machine.handle(shared, *fixture.snapshot);
+    fixture.collect();
+    LONGS_EQUAL(2, fixture.cleared.size());
+    fixture.advance(std::chrono::seconds(11));
+    fixture.machine.handle(shared, *fixture.snapshot);
+    fixture.collect();
+    LONGS_EQUAL(2, fixture.cleared.size());
+}
+
+TEST(Quarantine, ReportsPromptPartsToAllHosts)
+{
+    ControlFixture fixture;
+    BrokenCall call;
+    call.digest = hash128("unlike any other");
+    call.pool = "engines";
+    call.endpoint = "e1";
+    call.sentAt = call.brokeAt = fixture.clock.now();
+    call.promptParts = {hash128("part")};
+    fixture.machine.handle(call);
+    std::size_t hosts = 0;
+    for (const PeerSend &send : fixture.crashReportsAfterProbe()) {
+        for (const CrashReport &report : std::get<CrashReports>(send.message.content).reports) {
+            hosts += report.isPromptPart && report.digest == hash128("part") ? 1 : 0;
+        }
+    }
+    LONGS_EQUAL(3, hosts);
+}
+
+TEST(Quarantine, TwoHostsDecideOnAPromptPartAtItsFourthCrash)
+{
+    constexpr int parts = 20;
+    int decisions = 0;
+    for (int part = 0; part < parts; ++part) {
+        ControlFixture fixture;
+        for (int i = 0; i < 4; ++i) {
+            fixture.clock.advance(milliseconds(400));
+            CrashReports message;
+            message.reports.push_back({hash128(std::to_string(part)), "engines",
+                                       "e" + std::to_string(i + 1), milliseconds(100),
+                                       milliseconds(3), true});
+            fixture.machine.handle(PeerMessage{"h3", 3, message});
+            fixture.machine.tick();
+            const std::size_t decided = fixture.machine.drainOutput().quarantines.size();
+            CHECK(i == 3 || decided == 0);
+            decisions += static_cast<int>(decided);
+        }
+    }
+    // This host is one of four.
+    CHECK(decisions > 0);
+    CHECK(decisions < parts);
+}
