[Kernel] State pieces, first event and bias where a forecast refuses a request

Cause: a refusal gave only the predicted time, so the forecast of the pools and the bias that multiplies it could not be told apart. Change: the detail of the refusal has them too.

--- a/include/harelink/Kernel/requestadmissionimpl.h
+++ b/include/harelink/Kernel/requestadmissionimpl.h
@@ -132,10 +132,13 @@
     AnswerCaller action;
     action.outcome = outcomeOfFailure(request);
     action.reason = Reason::CannotFinish;
-    action.error = makeError(absl::StatusCode::kDeadlineExceeded, "admission", "",
-                             fmt::format("predicted to take {:.0f} ms, wanted in {:.0f} ms",
-                                         toMilliseconds(request.predicted),
-                                         toMilliseconds(request.objectiveAt - now)));
+    action.error = makeError(
+        absl::StatusCode::kDeadlineExceeded, "admission", "",
+        fmt::format("predicted to take {:.0f} ms, wanted in {:.0f} ms; pieces "
+                    "{:.0f} ms, first event {:.0f} ms, bias {:.2f}",
+                    toMilliseconds(request.predicted), toMilliseconds(request.objectiveAt - now),
+                    toMilliseconds(forecastPieces(request, snapshot)),
+                    toMilliseconds(forecastFirstEvent(request, snapshot)), forecastBias(request)));
     action.retryAfter = retryAfter(request, snapshot);
     if (!request.pipeline.route->pieceStages.empty()) {
         const Duration latest =
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -355,6 +355,7 @@
     void orderPieces(Request &request, const Snapshot &snapshot);
     [[nodiscard]] std::string preferredResultDataCentre(const Request &request,
                                                         const Snapshot &snapshot) const;
+    [[nodiscard]] double forecastBias(const Request &request) const;
     Duration forecast(const Request &request, const Snapshot &snapshot);
     std::vector<Duration> stageTimes(const Request &request, const Snapshot &snapshot) const;
     Duration forecastPieces(const Request &request, const Snapshot &snapshot) const;
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -254,14 +254,20 @@
     return (best < never ? best : bestCold) + requestmachine::firstEventOverhead;
 }
 
+/// Returns the factor by which forecasts of the pipeline of \p request were too short recently.
+template <GuardPolicy G>
+double BasicRequestMachine<G>::forecastBias(const Request &request) const
+{
+    const auto bias = m_forecastBias.find(request.pipeline.name);
+    return bias == m_forecastBias.end() ? 1 : bias->second.value(m_clock.now());
+}
+
 template <GuardPolicy G>
 Duration BasicRequestMachine<G>::forecast(const Request &request, const Snapshot &snapshot)
 {
     const Duration pieces = forecastPieces(request, snapshot);
     const Duration first = forecastFirstEvent(request, snapshot);
-    const auto bias = m_forecastBias.find(request.pipeline.name);
-    const double factor = bias == m_forecastBias.end() ? 1 : bias->second.value(m_clock.now());
-    return std::chrono::duration_cast<Duration>((pieces + first) * factor);
+    return std::chrono::duration_cast<Duration>((pieces + first) * forecastBias(request));
 }
 
 /// Returns whether this daemon may admit \p request late: the stages that it needs have idle
