[Daemon] Measure the load of the host: use of the link and delays of the event loops

Cause: an overloaded host and slow endpoints looked alike, in logs and in metrics. Change: HostLoadMeter counts bytes and how long events wait for each loop; the line host-loaded, at most once a second from half of the link or 10 ms on; gauges and counters. Setting limits.linkMbps.

--- a/include/harelink/Adapters/eventloop.h
+++ b/include/harelink/Adapters/eventloop.h
@@ -28,10 +28,8 @@
     /// must start, std::nullopt if there is none.
     using IterationCallback = std::function<std::optional<TimePoint>()>;
 
-    explicit EventLoop(const HttpClientOptions &options = {})
-        : m_http(options)
-    {
-    }
+    /// \param loop the loop whose delays \c options.load records.
+    explicit EventLoop(const HttpClientOptions &options = {}, HostLoop loop = HostLoop::Worker);
     /// Queues \p task for the loop's thread. Thread-safe.
     void post(Task task);
     /// Runs the loop until stop() is called.
@@ -47,9 +45,13 @@
 private:
     bool runTasks();
 
+    const Clock &m_clock;
+    HostLoadMeter *m_load;
+    HostLoop m_loop;
     HttpClient m_http;
-    std::mutex m_mutex; ///< Guards m_tasks; held only for a push or a swap.
+    std::mutex m_mutex; ///< Guards the members below; held only for a push or a swap.
     std::vector<Task> m_tasks;
+    TimePoint m_waitingSince; ///< When the first task was queued.
     std::atomic<bool> m_stopped{false};
 };
 
--- a/include/harelink/Adapters/httpclient.h
+++ b/include/harelink/Adapters/httpclient.h
@@ -9,6 +9,7 @@
 #define HARELINK_ADAPTERS_HTTPCLIENT_H
 
 #include "harelink/Adapters/bufferbudget.h"
+#include "harelink/Kernel/hostload.h"
 #include "harelink/Support/clock.h"
 
 #include <cstdint>
@@ -81,6 +82,7 @@
     AnswerBounds bounds;
     BufferBudget *budget = nullptr; ///< Must outlive the client; null for none.
     const Clock *clock = nullptr;   ///< Must outlive the client; null for the system's clock.
+    HostLoadMeter *load = nullptr;  ///< Must outlive the client; null for none.
 };
 
 /// Makes HTTP calls. All methods except wakeUp() must be called from one thread.
--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -9,6 +9,7 @@
 #define HARELINK_ADAPTERS_HTTPSERVER_H
 
 #include "harelink/Adapters/replybacklog.h"
+#include "harelink/Kernel/hostload.h"
 #include "harelink/Support/clock.h"
 
 #include <absl/status/statusor.h>
@@ -84,6 +85,7 @@
     std::chrono::milliseconds writeLimit{5'000};
     /// Called for each closed connection on a thread of the server; may be empty.
     std::function<void(std::uint64_t connection)> onClosed;
+    HostLoadMeter *load = nullptr; ///< Must outlive the server; null for none.
 };
 
 /// A running server; the destructor stops it.
--- a/include/harelink/Adapters/peerlink.h
+++ b/include/harelink/Adapters/peerlink.h
@@ -11,6 +11,7 @@
 #define HARELINK_ADAPTERS_PEERLINK_H
 
 #include "harelink/Config/settings.h"
+#include "harelink/Kernel/hostload.h"
 #include "harelink/Kernel/peers.h"
 #include "harelink/Support/clock.h"
 
@@ -39,6 +40,7 @@
     std::uint64_t dropped = 0;    ///< Could not be sent in time.
     std::uint64_t unreadable = 0; ///< Received, but not a valid message.
     std::uint64_t sentBytes = 0;
+    std::uint64_t receivedBytes = 0;
 };
 
 /// Generates a key pair that accepts no other keys.
@@ -56,6 +58,8 @@
 
     /// Requires CURVE for all connections. Must be called before listen().
     void enableCurve(const PeerKeys &keys);
+    /// Counts the bytes of messages in \p load, which must outlive the link.
+    void setLoadMeter(HostLoadMeter &load) { m_load = &load; }
     /// Expects receivers to use the key pair of \p publicKey instead of this daemon's pair,
     /// for key rotation. Must be called after enableCurve().
     void trustServer(const std::string &publicKey);
@@ -105,6 +109,7 @@
     std::shared_ptr<const std::vector<PlatformObject>> m_encodedObjects;
     TimePoint m_nextFlush = TimePoint::max();
     PeerLinkCounters m_counters;
+    HostLoadMeter *m_load = nullptr; ///< Null for none.
 };
 
 } // namespace harelink
--- a/include/harelink/Config/settings.h
+++ b/include/harelink/Config/settings.h
@@ -76,6 +76,8 @@
     std::chrono::milliseconds balancerGrace{500};
     /// Max. size of an endpoint's answer that is not a stream.
     std::size_t responseBodyBytes = 8'388'608;
+    /// Bandwidth of the host's link in each direction, in megabits per second, if stated.
+    std::optional<double> linkMbps;
     /// Memory limit of the host, if stated.
     std::optional<std::size_t> memoryBytes;
     /// Max. size of what waits for all callers and endpoints. By default an eighth of memoryBytes,
--- a/include/harelink/Daemon/daemon.h
+++ b/include/harelink/Daemon/daemon.h
@@ -12,10 +12,12 @@
 #include "harelink/Adapters/httpserver.h"
 #include "harelink/Daemon/control.h"
 #include "harelink/Daemon/worker.h"
+#include "harelink/Kernel/hostload.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <vector>
 
 namespace harelink {
@@ -47,6 +49,8 @@
 private:
     void handleCaller(HttpRequest request, const Responder &responder);
     void handleOperator(const HttpRequest &request, const Responder &responder);
+    void scheduleLoadSample();
+    void recordLoad(const HostLoadSample &sample, TimePoint now);
     void handleDrain(const HttpRequest &request, const Responder &responder);
     void replyMetrics(const Responder &responder);
     void handleProxied(const HttpRequest &request, const Responder &responder);
@@ -57,6 +61,10 @@
     std::atomic<bool> m_stopRequested{false};
     SystemClock m_clock;
     BufferBudget m_buffers;
+    HostLoadMeter m_load;
+    std::mutex m_averageMutex; ///< Guards m_average.
+    HostLoadAverage m_average;
+    TimePoint m_loadLoggedAt; ///< Used by one thread of the callers' listener at a time.
     Incarnation m_incarnation;
     std::unique_ptr<const Dialect> m_dialect;
     std::atomic<int> m_liveDaemons{1};
--- a/include/harelink/Support/clock.h
+++ b/include/harelink/Support/clock.h
@@ -40,6 +40,9 @@
     [[nodiscard]] WallTime wallNow() const override;
 };
 
+/// Returns the clock of the system, for objects that are given no other.
+[[nodiscard]] const Clock &systemClock();
+
 /// A clock that advances only when a test advances it.
 class ManualClock final : public Clock
 {
--- a/lib/Adapters/eventloop.cpp
+++ b/lib/Adapters/eventloop.cpp
@@ -12,12 +12,23 @@
 
 } // namespace
 
+EventLoop::EventLoop(const HttpClientOptions &options, HostLoop loop)
+    : m_clock(options.clock != nullptr ? *options.clock : systemClock())
+    , m_load(options.load)
+    , m_loop(loop)
+    , m_http(options)
+{
+}
+
 void EventLoop::post(Task task)
 {
     bool wasEmpty = false;
     {
         const std::lock_guard<std::mutex> guard(m_mutex);
         wasEmpty = m_tasks.empty();
+        if (wasEmpty) {
+            m_waitingSince = m_clock.now();
+        }
         m_tasks.push_back(std::move(task));
     }
     if (wasEmpty) {
@@ -28,9 +39,14 @@
 bool EventLoop::runTasks()
 {
     std::vector<Task> tasks;
+    TimePoint waitingSince;
     {
         const std::lock_guard<std::mutex> guard(m_mutex);
         tasks.swap(m_tasks);
+        waitingSince = m_waitingSince;
+    }
+    if (m_load != nullptr && !tasks.empty()) {
+        m_load->recordDelay(m_loop, m_clock.now() - waitingSince);
     }
     for (const Task &task : tasks) {
         task();
--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -36,12 +36,6 @@
     std::call_once(once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
 }
 
-const Clock &systemClock()
-{
-    static const SystemClock clock;
-    return clock;
-}
-
 std::string trimmed(std::string_view text)
 {
     const auto isSpace = [](char c) { return std::isspace(static_cast<unsigned char>(c)) != 0; };
@@ -136,6 +130,7 @@
         , m_budget(options.budget)
         , m_buffered(options.budget)
         , m_clock(options.clock != nullptr ? *options.clock : systemClock())
+        , m_load(options.load)
         , m_onDone(std::move(onDone))
         , m_onBody(std::move(onBody))
         , m_withBody(withBody)
@@ -172,8 +167,13 @@
             curl_easy_setopt(m_easy, CURLOPT_FRESH_CONNECT, 1L);
             curl_easy_setopt(m_easy, CURLOPT_FORBID_REUSE, 1L);
         }
+        std::size_t sentBytes = call.url.size() + call.body.size();
         for (const std::string &header : call.headers) {
             m_headers = curl_slist_append(m_headers, header.c_str());
+            sentBytes += header.size();
+        }
+        if (m_load != nullptr) {
+            m_load->recordSent(sentBytes);
         }
         m_headers = curl_slist_append(m_headers, "Expect:");
         for (const char *added : {"accept", "content-type"}) {
@@ -290,6 +290,9 @@
     /// Returns the size of \p bytes, or another number to pause or to end the transfer.
     std::size_t addBody(std::string_view bytes)
     {
+        if (m_load != nullptr) {
+            m_load->recordReceived(bytes.size());
+        }
         std::string &body = m_result.body;
         if (m_onBody && !body.empty() && body.size() + bytes.size() > maxUndeliveredBytes) {
             m_isHeldBack = true;
@@ -312,6 +315,9 @@
     /// Returns the size of \p line, or 0 to end the transfer.
     std::size_t addHeader(std::string_view line)
     {
+        if (m_load != nullptr) {
+            m_load->recordReceived(line.size());
+        }
         m_headBytes += line.size();
         const std::size_t colon = line.find(':');
         const bool isStatusLine = line.starts_with("HTTP/");
@@ -378,6 +384,7 @@
     BufferBudget *m_budget;
     BufferedBytes m_buffered; ///< The received part of the body.
     const Clock &m_clock;
+    HostLoadMeter *m_load;
     TimePoint m_pausedAt;
     std::size_t m_headBytes = 0;
     std::size_t m_headFields = 0;
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -34,14 +34,20 @@
 class ConnectionListener
 {
 public:
-    explicit ConnectionListener(std::function<void(std::uint64_t)> onClosed)
+    ConnectionListener(std::function<void(std::uint64_t)> onClosed, HostLoadMeter *load)
         : m_onClosed(std::move(onClosed))
+        , m_load(load)
     {
     }
     // RESTinio requires this name.
     // NOLINTNEXTLINE(readability-identifier-naming)
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept
     {
+        const bool accepted =
+            restinio::holds_alternative<restinio::connection_state::accepted_t>(notice.cause());
+        if (accepted && m_load != nullptr) {
+            m_load->recordConnection();
+        }
         const bool closed =
             restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause());
         if (closed && m_onClosed) {
@@ -51,6 +57,7 @@
 
 private:
     std::function<void(std::uint64_t)> m_onClosed;
+    HostLoadMeter *m_load;
 };
 
 struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
@@ -112,6 +119,16 @@
     return request;
 }
 
+/// Returns the size of \p request on the wire, without the characters between its fields.
+std::size_t sizeOf(const HttpRequest &request)
+{
+    std::size_t bytes = request.method.size() + request.target.size() + request.body.size();
+    for (const auto &[name, value] : request.fields) {
+        bytes += name.size() + value.size();
+    }
+    return bytes;
+}
+
 class ReplySender;
 
 /// Keeps the senders that have pieces left, since callers may release theirs after the last part.
@@ -156,9 +173,11 @@
 class ReplySender : public std::enable_shared_from_this<ReplySender>
 {
 public:
-    ReplySender(restinio::request_handle_t request, std::shared_ptr<ActiveSenders> active)
+    ReplySender(restinio::request_handle_t request, std::shared_ptr<ActiveSenders> active,
+                HostLoadMeter *load)
         : m_request(std::move(request))
         , m_active(std::move(active))
+        , m_load(load)
     {
     }
     ~ReplySender()
@@ -172,6 +191,9 @@
 
     void send(HttpReply reply)
     {
+        if (m_load != nullptr) {
+            m_load->recordSent(reply.body.size());
+        }
         const bool isFirst = std::holds_alternative<std::monostate>(m_response);
         const bool isWhole = isFirst && !reply.more && !reply.abort;
         if (isWhole && reply.body.size() <= pieceBytes) {
@@ -366,6 +388,7 @@
 
     restinio::request_handle_t m_request;
     std::shared_ptr<ActiveSenders> m_active;
+    HostLoadMeter *m_load; ///< Null for none.
     /// Set by the first part, then used by queuePieces() only.
     std::variant<std::monostate, Chunked, Whole> m_response;
     std::mutex m_mutex; ///< Guards the members below.
@@ -430,31 +453,37 @@
     const auto port = static_cast<std::uint16_t>(std::stoul(options.address.substr(colon + 1)));
     auto state = std::make_unique<State>();
     State *raw = state.get();
-    auto settings =
-        restinio::server_settings_t<Traits>()
-            .address(ip)
-            .port(port)
-            .handle_request_timeout(maxHandlingTime)
-            .read_next_http_message_timelimit(options.idleLimit)
-            .write_http_response_timelimit(options.writeLimit)
-            .max_pipelined_requests(pipelinedRequests)
-            .timer_manager(timerInterval)
-            .connection_state_listener(std::make_shared<ConnectionListener>(options.onClosed))
-            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
-                                          .max_field_value_size(maxHeaderFieldBytes)
-                                          .max_body_size(options.maxBodyBytes))
-            .socket_options_setter(
-                [](auto &socket) { socket.set_option(asio::ip::tcp::no_delay{true}); })
-            .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor &acceptor) {
-                raw->port = acceptor.local_endpoint().port();
-            })
-            .request_handler(
-                [handler = std::move(handler), senders = state->senders](const auto &request) {
-                    const auto sender = std::make_shared<ReplySender>(request, senders);
-                    handler(readRequest(*request),
-                            [sender](HttpReply reply) { sender->send(std::move(reply)); });
-                    return restinio::request_accepted();
-                });
+    auto settings = restinio::server_settings_t<Traits>()
+                        .address(ip)
+                        .port(port)
+                        .handle_request_timeout(maxHandlingTime)
+                        .read_next_http_message_timelimit(options.idleLimit)
+                        .write_http_response_timelimit(options.writeLimit)
+                        .max_pipelined_requests(pipelinedRequests)
+                        .timer_manager(timerInterval)
+                        .connection_state_listener(
+                            std::make_shared<ConnectionListener>(options.onClosed, options.load))
+                        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                                      .max_field_value_size(maxHeaderFieldBytes)
+                                                      .max_body_size(options.maxBodyBytes))
+                        .socket_options_setter(
+                            [](auto &socket) { socket.set_option(asio::ip::tcp::no_delay{true}); })
+                        .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor &acceptor) {
+                            raw->port = acceptor.local_endpoint().port();
+                        })
+                        .request_handler([handler = std::move(handler), senders = state->senders,
+                                          load = options.load](const auto &request) {
+                            const auto sender =
+                                std::make_shared<ReplySender>(request, senders, load);
+                            HttpRequest read = readRequest(*request);
+                            if (load != nullptr) {
+                                load->recordRequest();
+                                load->recordReceived(sizeOf(read));
+                            }
+                            handler(std::move(read),
+                                    [sender](HttpReply reply) { sender->send(std::move(reply)); });
+                            return restinio::request_accepted();
+                        });
     try {
         state->server = restinio::run_async<Traits>(restinio::external_io_context(state->context),
                                                     std::move(settings),
--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -146,6 +146,9 @@
     }
     ++m_counters.sent;
     m_counters.sentBytes += bytes.size();
+    if (m_load != nullptr) {
+        m_load->recordSent(bytes.size());
+    }
     return true;
 }
 
@@ -222,6 +225,10 @@
         if (!m_sockets->receiver.recv(bytes, zmq::recv_flags::dontwait)) {
             return std::nullopt;
         }
+        m_counters.receivedBytes += bytes.size();
+        if (m_load != nullptr) {
+            m_load->recordReceived(bytes.size());
+        }
         std::optional<PeerMessage> message = decodePeerMessage(bytes.to_string());
         if (message) {
             ++m_counters.received;
--- a/lib/Config/settings.cpp
+++ b/lib/Config/settings.cpp
@@ -27,6 +27,9 @@
 constexpr std::int64_t maxResponseBodyBytes = 1'073'741'824;
 constexpr std::int64_t minMemoryBytes = 16'777'216;
 constexpr std::int64_t maxMemoryBytes = 1'099'511'627'776;
+/// Bounds of a link's bandwidth, in megabits per second.
+constexpr double minLinkMbps = 0.1;
+constexpr double maxLinkMbps = 1'000'000;
 constexpr std::int64_t minBufferedBytes = 1'048'576;
 /// Part of the host's memory that buffers for callers and endpoints may take.
 constexpr std::size_t bufferedShare = 8;
@@ -66,6 +69,9 @@
     settings.balancerGrace =
         reader.milliseconds("balancerGraceMs", milliseconds(0), oneMinute, settings.balancerGrace);
     readBufferLimits(reader, settings);
+    if (reader.has("linkMbps")) {
+        settings.linkMbps = reader.number("linkMbps", minLinkMbps, maxLinkMbps, maxLinkMbps);
+    }
     // Requests admitted at the end of the grace period need time to complete: the drain limit
     // cuts off what is still running (seen with a stream that was admitted 2.1 s before it).
     if (settings.balancerGrace * 2 > settings.drainLimit) {
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -50,11 +50,13 @@
 /// Bound on an answer of the platform: eight times what 12,000 endpoints take at 700 bytes each.
 constexpr std::size_t maxPlatformBodyBytes = 67'108'864;
 
-HttpClientOptions makeHttpOptions(const Settings &settings, BufferBudget &buffers)
+HttpClientOptions makeHttpOptions(const Settings &settings, BufferBudget &buffers,
+                                  HostLoadMeter &load)
 {
     HttpClientOptions options;
     options.bounds.bodyBytes = settings.responseBodyBytes;
     options.budget = &buffers;
+    options.load = &load;
     return options;
 }
 
@@ -161,14 +163,14 @@
 
 Control::Control(const Settings &settings, const Clock &clock, SnapshotCell &snapshot,
                  const Dialect &dialect, Incarnation incarnation, std::atomic<int> &daemons,
-                 BufferBudget &buffers, WorkerSink workers)
+                 BufferBudget &buffers, HostLoadMeter &load, WorkerSink workers)
     : m_settings(settings)
     , m_clock(clock)
     , m_snapshot(snapshot)
     , m_dialect(dialect)
     , m_daemons(daemons)
     , m_workers(std::move(workers))
-    , m_loop(makeHttpOptions(settings, buffers))
+    , m_loop(makeHttpOptions(settings, buffers, load), HostLoop::Control)
     , m_machine(clock, makeControlOptions(settings, dialect, incarnation))
     , m_pieceRouter(
           clock, m_machine.membership(),
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -53,6 +53,37 @@
     return reply;
 }
 
+/// Interval in which the load of the host is sampled.
+constexpr std::chrono::milliseconds loadSampleInterval{100};
+/// The load is logged from these values on, at most once per interval.
+constexpr double minLoggedLinkUse = 0.5;
+constexpr std::chrono::milliseconds minLoggedDelay{10};
+constexpr std::chrono::seconds loadLogInterval{1};
+
+/// Returns the part of the link that is in use; 0 if its bandwidth is not stated.
+double linkUseOf(const HostLoadSample &load, const Settings &settings)
+{
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    return settings.linkMbps ? load.linkUse(*settings.linkMbps * bytesPerMegabit) : 0;
+}
+
+/// Renders the load of this host.
+void renderLoad(const HostLoadMeter &meter, const HostLoadSample &average, double linkUse,
+                std::string &out)
+{
+    renderValue("harelink_received_bytes_total", "counter",
+                static_cast<double>(meter.receivedBytes()), out);
+    renderValue("harelink_sent_bytes_total", "counter", static_cast<double>(meter.sentBytes()),
+                out);
+    renderValue("harelink_link_use", "gauge", linkUse, out);
+    out += "# TYPE harelink_loop_delay_seconds gauge\n";
+    for (std::size_t i = 0; i < hostLoopCount; ++i) {
+        out += fmt::format("harelink_loop_delay_seconds{{loop=\"{}\"}} {:.6f}\n",
+                           toText(static_cast<HostLoop>(i)),
+                           std::chrono::duration<double>(average.delays[i]).count());
+    }
+}
+
 /// Merges the reports of all threads and replies after the last one.
 class MetricsCollector
 {
@@ -182,7 +213,7 @@
     };
     m_control =
         std::make_unique<Control>(m_settings, m_clock, m_snapshot, *m_dialect, m_incarnation,
-                                  m_liveDaemons, m_buffers, std::move(workers));
+                                  m_liveDaemons, m_buffers, m_load, std::move(workers));
     Worker::ControlSink control;
     control.requestClaim = [this](const ClaimRequest &request) {
         m_control->handleClaimRequest(request);
@@ -223,7 +254,7 @@
         };
         m_workers.push_back(std::make_unique<Worker>(m_settings, m_clock, m_snapshot, *m_dialect,
                                                      m_incarnation + static_cast<std::uint64_t>(i),
-                                                     m_liveDaemons, m_buffers, control));
+                                                     m_liveDaemons, m_buffers, m_load, control));
     }
 }
 
@@ -262,6 +293,7 @@
     options.maxBodyBytes = maxCallerBodyBytes;
     // Later than the workers' limit, so that a request ends with its reason before its connection.
     options.writeLimit = Worker::callerStallLimit + std::chrono::seconds(1);
+    options.load = &m_load;
     options.onClosed = [this](std::uint64_t connection) {
         for (const auto &worker : m_workers) {
             worker->handleConnectionClosed(connection);
@@ -275,6 +307,7 @@
         return callers.status();
     }
     m_callers = *std::move(callers);
+    scheduleLoadSample();
     logger.info("Host {} in data centre {} listens for callers on port {}, for operators on {}, "
                 "for peers on {}.",
                 m_settings.host, m_settings.dataCentre, m_callers->port(), m_operators->port(),
@@ -282,6 +315,49 @@
     return absl::OkStatus();
 }
 
+/// Samples the load of this host repeatedly, on the listener's threads: how late the timer fires is
+/// the delay of that loop.
+void Daemon::scheduleLoadSample()
+{
+    const TimePoint due = m_clock.now() + loadSampleInterval;
+    m_callers->runAfter(loadSampleInterval, [this, due] {
+        const TimePoint now = m_clock.now();
+        m_load.recordDelay(HostLoop::Listener, now - due);
+        if (const std::optional<HostLoadSample> sample = m_load.sample(now)) {
+            recordLoad(*sample, now);
+        }
+        scheduleLoadSample();
+    });
+}
+
+void Daemon::recordLoad(const HostLoadSample &sample, TimePoint now)
+{
+    HostLoadSample average;
+    {
+        const std::lock_guard<std::mutex> guard(m_averageMutex);
+        m_average.add(sample);
+        average = m_average.value();
+    }
+    const double linkUse = linkUseOf(average, m_settings);
+    const bool isLoaded = linkUse >= minLoggedLinkUse || average.maxDelay() >= minLoggedDelay;
+    if (!isLoaded || now - m_loadLoggedAt < loadLogInterval) {
+        return;
+    }
+    m_loadLoggedAt = now;
+    const auto delayOf = [&average](HostLoop loop) {
+        return toMilliseconds(average.delays[static_cast<std::size_t>(loop)]);
+    };
+    logger.record(LogLevel::Info, "host-loaded")
+        .field("linkUse", fmt::format("{:.2f}", linkUse))
+        .field("receivedPerS", fmt::format("{:.0f}", average.receivedPerSecond))
+        .field("sentPerS", fmt::format("{:.0f}", average.sentPerSecond))
+        .field("listenerDelayMs", fmt::format("{:.1f}", delayOf(HostLoop::Listener)))
+        .field("workerDelayMs", fmt::format("{:.1f}", delayOf(HostLoop::Worker)))
+        .field("controlDelayMs", fmt::format("{:.1f}", delayOf(HostLoop::Control)))
+        .field("connections", average.connections)
+        .field("requests", average.requests);
+}
+
 void Daemon::announceStop()
 {
     m_draining = true;
@@ -379,7 +455,14 @@
     for (const auto &worker : m_workers) {
         worker->collectReport([collector](const WorkerReport &report) { collector->add(report); });
     }
-    m_control->collectMetrics([collector](const std::string &text) { collector->add(text); });
+    std::string load;
+    {
+        const std::lock_guard<std::mutex> guard(m_averageMutex);
+        renderLoad(m_load, m_average.value(), linkUseOf(m_average.value(), m_settings), load);
+    }
+    m_control->collectMetrics([collector, load = std::move(load)](const std::string &text) {
+        collector->add(load + text);
+    });
 }
 
 void Daemon::drain()
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -58,7 +58,7 @@
 
 Worker::Worker(const Settings &settings, const Clock &clock, const SnapshotCell &snapshot,
                const Dialect &dialect, std::uint64_t seed, const std::atomic<int> &daemons,
-               BufferBudget &buffers, ControlSink control)
+               BufferBudget &buffers, HostLoadMeter &load, ControlSink control)
     : m_settings(settings)
     , m_clock(clock)
     , m_snapshot(snapshot)
@@ -66,7 +66,7 @@
     , m_buffers(buffers)
     , m_bounds(makeAnswerBounds(settings))
     , m_control(std::move(control))
-    , m_loop(HttpClientOptions{m_bounds, &buffers, &clock})
+    , m_loop(HttpClientOptions{m_bounds, &buffers, &clock, &load}, HostLoop::Worker)
     , m_machine(clock, Registry<RoutingPolicy>::instance().make(settings.routingPolicy), seed,
                 makeRequestLimits(settings, daemons, clock.now()))
 {
--- a/lib/Support/clock.cpp
+++ b/lib/Support/clock.cpp
@@ -34,4 +34,10 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+const Clock &systemClock()
+{
+    static const SystemClock clock;
+    return clock;
+}
+
 } // namespace harelink
