--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -3,7 +3,8 @@
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
 ///                  [--restores] [--silences] [--partitions] [--brittle] [--versions]
-///                  [--parts] [--retries [--uneven]] [--hosts H] [--lines L] [--without MECHANISM]
+///                  [--parts] [--retries [--uneven]] [--crowds] [--hosts H] [--lines L] [--without
+///                  MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
 /// On a violation, also prints the seed and the last lines of its trace. With --without
@@ -46,6 +47,9 @@
 DEFINE_bool(uneven, false,
             "With --retries: let most streams, then all, begin at one host, which borrows retries "
             "of the others.");
+DEFINE_bool(
+    crowds, false,
+    "Direct most new connections of a data centre, then of all, to one host, then to another.");
 DEFINE_int32(hosts, 0, "Number of hosts; 0 for the default of the run's kind.");
 DEFINE_uint64(lines, 60, "Number of trace lines to print on a violation.");
 DEFINE_string(without, "", "The mechanism to disable; empty for none.");
@@ -106,12 +110,14 @@
     double budgetUse = 0;
     double lentRetries = 0;
     double borrowedRetries = 0;
+    double servedRatio = 1;
+    int turnedAway = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result =
-            player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines,
-                            FLAGS_restores, FLAGS_brittle, FLAGS_partitions, FLAGS_silences,
-                            FLAGS_versions, FLAGS_parts, FLAGS_retries, FLAGS_uneven});
+        const RunResult result = player->second(
+            {FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines, FLAGS_restores,
+             FLAGS_brittle, FLAGS_partitions, FLAGS_silences, FLAGS_versions, FLAGS_parts,
+             FLAGS_retries, FLAGS_uneven, FLAGS_crowds});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
@@ -127,6 +133,8 @@
         budgetUse = std::max(budgetUse, result.budgetUse);
         lentRetries += result.lentRetries;
         borrowedRetries += result.borrowedRetries;
+        servedRatio = std::min(servedRatio, result.servedRatio);
+        turnedAway += result.turnedAway;
         for (const auto &[outcome, count] : result.outcomes) {
             outcomes[outcome] += count;
         }
@@ -144,6 +152,11 @@
         fmt::print("  retries lent {:.1f}, of these borrowed in time {:.1f}\n", lentRetries,
                    borrowedRetries);
     }
+    if (FLAGS_crowds) {
+        fmt::print("  served of what crowded hosts read, at least {:.2f} of the share before; {} "
+                   "connections turned away\n",
+                   servedRatio, turnedAway);
+    }
     if (FLAGS_uneven && borrowedRetries == 0) {
         // Without loans, the run would show nothing about them.
         fmt::print("no retries were borrowed\n");
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -44,6 +44,7 @@
         , m_parts(options.parts)
         , m_retries(options.retries)
         , m_uneven(options.uneven)
+        , m_crowds(options.crowds)
     {
         m_world.trace().setMaxLines(options.traceLines);
         if (m_silences) {
@@ -62,12 +63,18 @@
         if (m_uneven) {
             m_world.setUnevenShare(mostStreams);
         }
+        if (m_crowds) {
+            m_world.setEventTime(crowdEventTime);
+        }
     }
 
     /// Runs until \p steps events were handled or an invariant is violated, then heals all
     /// faults and does the final checks.
     RunResult run(std::uint64_t steps)
     {
+        if (m_crowds) {
+            return runCrowds(steps);
+        }
         m_result.steps += m_world.run(std::chrono::seconds(2));
         m_world.faults() = {0.02, 0.05, 0.05, brokenCallShare, 0.5};
         while (m_result.steps < steps && m_world.checks().violations().empty()) {
@@ -128,6 +135,56 @@
     }
 
 private:
+    /// Runs periods in which most connections go to one host, between others without: at first
+    /// those of one data centre, then those of all, then all to another host, which may be killed.
+    RunResult runCrowds(std::uint64_t steps)
+    {
+        using std::chrono::seconds;
+        m_result.steps += m_world.run(seconds(2));
+        m_world.faults() = {0.02, 0.05, 0.05, 0, 0};
+        while (m_result.steps < steps && m_world.checks().violations().empty()) {
+            const std::string host = randomHost();
+            const std::string next = randomHost();
+            runCallers(seconds(6));
+            runCrowd(Crowd{host, m_world.dataCentreOf(host)});
+            runCallers(seconds(6));
+            runCrowd(Crowd{host, ""});
+            if (random().chance(0.5)) {
+                killHostForShort(host);
+            }
+            runCrowd(Crowd{next, ""});
+            m_world.crowdCallers().setCrowd(std::nullopt);
+        }
+        m_world.crowdCallers().setCrowd(std::nullopt);
+        captureTrace();
+        m_world.healAll();
+        m_result.steps += m_world.run(settleTime);
+        m_world.crowdCallers().finish();
+        m_result.servedRatio = m_world.crowdCallers().worstServedRatio();
+        m_result.turnedAway = m_world.crowdCallers().turnedAway();
+        return collectResult();
+    }
+
+    void runCrowd(const Crowd &crowd)
+    {
+        m_world.crowdCallers().setCrowd(crowd);
+        runCallers(crowdTime);
+    }
+
+    /// Lets callers send requests for \p time.
+    void runCallers(Duration time)
+    {
+        const TimePoint end = m_world.queue().now() + time;
+        while (m_world.queue().now() < end) {
+            m_result.steps += m_world.run(std::chrono::microseconds(random().below(8000)));
+            ++m_result.requests;
+            m_world.crowdCallers().begin(fmt::format("dc{}", 1 + random().below(dataCentreCount)));
+        }
+    }
+
+    static constexpr std::chrono::seconds crowdTime{10};
+    /// At 9 hosts and 250 requests a second, a host has about a third of its processor in use.
+    static constexpr std::chrono::microseconds crowdEventTime{3000};
     static constexpr int hostCount = 4;
     static constexpr int manyHosts = 9;
     static constexpr double brokenCallShare = 0.05;
@@ -158,7 +215,7 @@
         if (options.hosts > 0) {
             return options.hosts;
         }
-        const bool needsMany = options.kind == RunKind::Limits || options.retries;
+        const bool needsMany = options.kind == RunKind::Limits || options.retries || options.crowds;
         return needsMany ? manyHosts : hostCount;
     }
 
@@ -615,6 +672,7 @@
     bool m_parts;
     bool m_retries;
     bool m_uneven;
+    bool m_crowds;
     std::uint64_t m_crashingParts = 0;     ///< Sends of requests with parts that crash endpoints.
     TimePoint m_breaksUntil;               ///< Until then many calls break.
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -42,6 +42,7 @@
     bool parts = false;          ///< Parts of prompts crash endpoints.
     bool retries = false;        ///< Many streams break, and many hosts are killed at once.
     bool uneven = false;         ///< Most streams, then all, begin at one host.
+    bool crowds = false;         ///< Most connections go to one host, then to another.
 };
 
 /// Result of a run.
@@ -57,6 +58,8 @@
     double budgetUse = 0;   ///< Repeats of the worst window, relative to the retry budget.
     double lentRetries = 0;
     double borrowedRetries = 0; ///< Of these, those that reached their borrowers in time.
+    double servedRatio = 1;     ///< Of the worst crowd; see CrowdCallers.
+    int turnedAway = 0;         ///< Connections of callers.
     std::vector<std::string> violations;
     std::vector<std::string> lastLines; ///< Last trace lines up to the first violation.
 };
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -11,6 +11,7 @@
 #define HARELINK_TEST_SIM_WORLD_H
 
 #include "checks.h"
+#include "crowdcallers.h"
 #include "fakes.h"
 #include "retryledger.h"
 #include "streamcallers.h"
@@ -64,6 +65,9 @@
                                return submitStream(attempt, version);
                            },
                            [this] { return m_disturbedAt; }})
+        , m_crowdCallers(m_queue, m_checks, m_trace, m_random,
+                         {[this] { return runningHosts(); },
+                          [this](const std::string &host) { return submitOfCrowd(host); }})
         , m_dataCentres(dataCentres)
         , m_maxMeshPeers(seed % 2 == 0 ? 0 : ControlOptions{}.maxMeshPeers)
     {
@@ -183,6 +187,9 @@
         });
     }
     [[nodiscard]] StreamCallers &streamCallers() { return m_streamCallers; }
+    /// Makes each event from the network or another thread take \p time of its host's processor.
+    void setEventTime(Duration time) { m_eventTime = time; }
+    [[nodiscard]] CrowdCallers &crowdCallers() { return m_crowdCallers; }
     /// Gives the requests of streams prompts whose parts other streams share.
     void usePrompts() { m_usesPrompts = true; }
     /// Sends a request with a part in its prompt that crashes endpoints, to any host. All else of
@@ -260,6 +267,7 @@
         host.incarnation = m_random.bits();
         host.lastSequence = 0;
         host.disturbedAt = m_queue.now();
+        host.busyUntil = m_queue.now();
         ControlOptions options;
         options.host = name;
         options.peerAddress = name;
@@ -509,6 +517,10 @@
     /// Outages of the platform may last longer than an endpoint takes to leave.
     void allowLongOutages() { m_hasLongOutages = true; }
 
+    [[nodiscard]] const std::string &dataCentreOf(const std::string &host) const
+    {
+        return m_hosts.at(host).dataCentre;
+    }
     [[nodiscard]] bool isAlive(const std::string &host) const { return m_hosts.at(host).alive; }
     [[nodiscard]] EventQueue &queue() { return m_queue; }
     [[nodiscard]] Random &random() { return m_random; }
@@ -548,6 +560,7 @@
         std::optional<TimePoint> suspendedUntil;
         TimePoint frozenAt;              ///< When the host was last seen frozen.
         TimePoint disturbedAt;           ///< When it was last unable to receive updates.
+        TimePoint busyUntil;             ///< Until when its processor handles earlier events.
         std::atomic<int> daemonCount{1}; ///< As this daemon knows it.
         std::unique_ptr<HostClock> clock;
         std::unique_ptr<BasicRequestMachine<G>> requests;
@@ -557,6 +570,8 @@
     };
 
     static constexpr const char *streamPool = "talkers";
+    /// For which the callers of a crowd wait.
+    static constexpr std::chrono::milliseconds crowdTimeAllowed{1500};
     /// Of each pool, for all hosts together.
     static constexpr std::chrono::milliseconds retryWindow{10'000};
     static constexpr RetryBudgetOptions retryBudget{0.2, 52, retryWindow, TimePoint::min(),
@@ -757,6 +772,35 @@
         return StreamCallers::Submitted{event.id, isStable(host->second) && isServed(version)};
     }
 
+    [[nodiscard]] std::vector<std::string> runningHosts() const
+    {
+        std::vector<std::string> running;
+        for (const auto &[name, host] : m_hosts) {
+            if (host.alive && !host.drainSent) {
+                running.push_back(name);
+            }
+        }
+        return running;
+    }
+
+    /// Opens a connection to \p name and sends a request; std::nullopt if it is turned away.
+    std::optional<RequestId> submitOfCrowd(const std::string &name)
+    {
+        Host &host = m_hosts.at(name);
+        RequestArrived event;
+        event.id = {host.incarnation, ++host.lastSequence};
+        event.account = "drivers";
+        event.pipeline = "answer";
+        event.body = fmt::format("crowd {}", toText(event.id));
+        event.timeAllowed = crowdTimeAllowed;
+        m_checks.submitted({event.id, name, event.pipeline, event.body, "", false});
+        onProcessor(name, host.incarnation, [this, event](Host &at) {
+            m_checks.admitted(event.id, *event.timeAllowed);
+            at.requests->handle(event, *at.snapshot);
+        });
+        return event.id;
+    }
+
     /// Delivers an event that a caller causes, after the network's delay.
     template <typename Event>
     void toRequestsSoon(const std::string &name, Incarnation incarnation, const Event &event)
@@ -805,17 +849,31 @@
         pump(host);
     }
 
+    /// Calls \p event on the host when its processor has handled all earlier events.
+    void onProcessor(const std::string &name, Incarnation incarnation,
+                     const std::function<void(Host &)> &event)
+    {
+        Host &host = m_hosts.at(name);
+        if (m_eventTime == Duration::zero() || !host.alive || host.incarnation != incarnation) {
+            onHost(name, incarnation, event);
+            return;
+        }
+        const TimePoint now = m_queue.now();
+        host.busyUntil = std::max(now, host.busyUntil) + m_eventTime;
+        m_queue.after(host.busyUntil - now, [=, this] { onHost(name, incarnation, event); });
+    }
+
     template <typename Event>
     void toRequests(const std::string &name, Incarnation incarnation, const Event &event)
     {
-        onHost(name, incarnation,
-               [event](Host &host) { host.requests->handle(event, *host.snapshot); });
+        onProcessor(name, incarnation,
+                    [event](Host &host) { host.requests->handle(event, *host.snapshot); });
     }
 
     template <typename Event>
     void toControl(const std::string &name, Incarnation incarnation, const Event &event)
     {
-        onHost(name, incarnation, [event](Host &host) { host.control->handle(event); });
+        onProcessor(name, incarnation, [event](Host &host) { host.control->handle(event); });
     }
 
     void scheduleTick(const std::string &name, Incarnation incarnation)
@@ -968,6 +1026,7 @@
         if (m_streamCallers.owns(action.id)) {
             m_streamCallers.handle(action);
         } else {
+            m_crowdCallers.handle(action);
             m_checks.answered(action);
         }
     }
@@ -1615,6 +1674,8 @@
     Checks m_checks;
     TimePoint m_disturbedAt; ///< When areHostsCalm() last did not hold.
     StreamCallers m_streamCallers;
+    CrowdCallers m_crowdCallers;
+    Duration m_eventTime{}; ///< Of a host's processor, for each event; zero for none.
     std::vector<std::string> m_streamEndpoints; ///< Oldest first.
     int m_streamEndpointCount = 0;
     Cuts m_cuts;
