[Kernel] Limit what an overloaded host reads, and turn further connections away unread

Cause: callers at a host that got most new connections were refused, or served late, while its peers were idle: a host accepted every connection, read every request and said that it was ready, whatever its link and its processor bore. Waits in the host made calls late; requests read were refused by forecasts and came back to the same host. Change: ConnectionGate limits the requests read per second while the link or the event loops are overloaded, not below the mean of its peers' reads. Why it works: what is read fits the host, so it is served; what does not fit costs its caller one connection, and the next meets another host.

--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -86,6 +86,13 @@
     /// Called for each closed connection on a thread of the server; may be empty.
     std::function<void(std::uint64_t connection)> onClosed;
     HostLoadMeter *load = nullptr; ///< Must outlive the server; null for none.
+    /// Returns whether a new connection is accepted; others are closed unread. May be empty, as the
+    /// next ones.
+    std::function<bool()> mayAccept;
+    /// Called for each request on a connection, except for the first one.
+    std::function<void()> onFurtherRequest;
+    /// Returns whether a reply closes its connection, besides those with HttpReply::close.
+    std::function<bool()> closesConnections;
 };
 
 /// A running server; the destructor stops it.
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -60,7 +60,7 @@
     /// \param daemons receives the number of live daemons.
     Control(const Settings &settings, const Clock &clock, SnapshotCell &snapshot,
             const Dialect &dialect, Incarnation incarnation, std::atomic<int> &daemons,
-            BufferBudget &buffers, HostLoadMeter &load, WorkerSink workers);
+            BufferBudget &buffers, HostLoad &load, WorkerSink workers);
     ~Control();
 
     /// Listens for peers and starts the thread. Fails if the peer address cannot be bound.
@@ -162,6 +162,7 @@
     SnapshotCell &m_snapshot;
     const Dialect &m_dialect;
     std::atomic<int> &m_daemons;
+    HostLoad &m_load;
     WorkerSink m_workers;
     EventLoop m_loop;
     PeerLink m_peers;
--- a/include/harelink/Daemon/daemon.h
+++ b/include/harelink/Daemon/daemon.h
@@ -12,6 +12,7 @@
 #include "harelink/Adapters/httpserver.h"
 #include "harelink/Daemon/control.h"
 #include "harelink/Daemon/worker.h"
+#include "harelink/Kernel/connectiongate.h"
 #include "harelink/Kernel/hostload.h"
 
 #include <atomic>
@@ -61,9 +62,10 @@
     std::atomic<bool> m_stopRequested{false};
     SystemClock m_clock;
     BufferBudget m_buffers;
-    HostLoadMeter m_load;
-    std::mutex m_averageMutex; ///< Guards m_average.
+    HostLoad m_load;
+    std::mutex m_gateMutex; ///< Guards m_average and m_gate.
     HostLoadAverage m_average;
+    ConnectionGate m_gate;
     TimePoint m_loadLoggedAt; ///< Used by one thread of the callers' listener at a time.
     Incarnation m_incarnation;
     std::unique_ptr<const Dialect> m_dialect;
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -16,6 +16,7 @@
 #include "harelink/Kernel/coldstart.h"
 #include "harelink/Kernel/configgossip.h"
 #include "harelink/Kernel/configmachine.h"
+#include "harelink/Kernel/connectiongate.h"
 #include "harelink/Kernel/crashdetector.h"
 #include "harelink/Kernel/endpointlimits.h"
 #include "harelink/Kernel/hostlistpoller.h"
@@ -133,6 +134,11 @@
     void recordPaces(std::vector<EndpointPaceReport> paces) { m_paces = std::move(paces); }
     /// Sets the pools to which this daemon has no path, for the next heartbeats.
     void recordLostPools(std::vector<std::string> pools) { m_lostPools = std::move(pools); }
+    /// Sets whether this daemon is overloaded and how many requests it reads, for the next
+    /// heartbeats.
+    void recordReads(bool isCrowded, double perSecond);
+    /// Returns the peers heard of recently, with what they reported of their load.
+    [[nodiscard]] PeerRoom peerRoom() const;
     /// Records that \p host has reported that it has no path to \p pool.
     void recordLostPool(const std::string &host, const std::string &pool)
     {
@@ -273,6 +279,11 @@
     std::vector<PromptBacklog> m_prompts;
     std::vector<EndpointPaceReport> m_paces;
     std::vector<std::string> m_lostPools;
+    bool m_isCrowded = false;
+    std::uint32_t m_readsPerSecond = 0;
+    enum class ReadTotal { CrowdedHosts, ReadsPerSecond };
+    PeerTotals<ReadTotal> m_peerReads;
+    std::map<ReadTotal, std::int64_t> m_peerReadTotals;
     std::size_t m_nextRelay = 0;
     PeerTotals<std::string> m_peerPrompts;
     PeerTotals<std::string> m_peerCalls; ///< At model engines.
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -48,6 +48,11 @@
 inline constexpr std::size_t maxRewriteRank = 10;
 /// Maximum time for which a daemon that starts waits to learn which endpoints are leaving.
 inline constexpr std::chrono::milliseconds maxLeavingWait{5000};
+/// What a peer reported of its reads counts for this period: some summaries come once a second.
+inline constexpr std::chrono::milliseconds readTotalsTtl{2500};
+/// Maximum numbers that one report is believed to state: of overloaded hosts, and of requests.
+inline constexpr std::uint32_t maxCrowdedHosts = 100'000;
+inline constexpr std::uint32_t maxReadsPerSecond = 1'000'000'000;
 
 } // namespace controlmachine
 
@@ -71,6 +76,7 @@
     , m_keepsClaims(options.keepsClaims)
     , m_hostKind(options.hostKind)
     , m_nextAnnounce(clock.now())
+    , m_peerReads(clock)
     , m_peerPrompts(clock)
     , m_peerCalls(clock)
     , m_peerDemand(clock)
@@ -302,6 +308,9 @@
         sendHeartbeats();
     }
     m_output.demands = m_peerDemand.changes();
+    for (const auto &[total, value] : m_peerReads.changes()) {
+        m_peerReadTotals[total] = value;
+    }
     for (const auto &[endpoint, tokens] : m_peerPrompts.changes()) {
         m_output.prompts.push_back({endpoint, tokens});
     }
@@ -323,6 +332,24 @@
     m_dueAt = nextTick();
 }
 
+template <GuardPolicy G>
+void BasicControlMachine<G>::recordReads(bool isCrowded, double perSecond)
+{
+    m_isCrowded = isCrowded;
+    m_readsPerSecond = static_cast<std::uint32_t>(std::lround(perSecond));
+}
+
+template <GuardPolicy G>
+PeerRoom BasicControlMachine<G>::peerRoom() const
+{
+    const auto totalOf = [this](ReadTotal total) {
+        const auto found = m_peerReadTotals.find(total);
+        return found == m_peerReadTotals.end() ? 0 : found->second;
+    };
+    return {m_membership.recentHostCount() - 1, static_cast<int>(totalOf(ReadTotal::CrowdedHosts)),
+            static_cast<double>(totalOf(ReadTotal::ReadsPerSecond))};
+}
+
 template <GuardPolicy G>
 void BasicControlMachine<G>::sendHeartbeats()
 {
@@ -334,6 +361,8 @@
     own.prompts = m_prompts;
     own.paces = std::exchange(m_paces, {});
     own.lostPools = m_lostPools;
+    own.crowdedHosts = m_isCrowded ? 1 : 0;
+    own.readsPerSecond = m_readsPerSecond;
     own.limits = m_limits.reports(m_clock.now());
     own.configSummary = m_config.summary();
     own.storeEra = m_storeEra;
@@ -351,6 +380,8 @@
         content.prompts = own.prompts;
         content.paces = own.paces;
         content.lostPools = own.lostPools;
+        content.crowdedHosts = own.crowdedHosts;
+        content.readsPerSecond = own.readsPerSecond;
         content.limits = own.limits;
         content.configSummary = own.configSummary;
         content.storeEra = own.storeEra;
@@ -569,6 +600,12 @@
         prompts[prompt.endpoint] = prompt.tokens;
         calls[prompt.endpoint] = std::clamp(prompt.calls, 0, maxReportedCalls);
     }
+    m_peerReads.update(
+        source,
+        {{ReadTotal::CrowdedHosts, std::min(content.crowdedHosts, controlmachine::maxCrowdedHosts)},
+         {ReadTotal::ReadsPerSecond,
+          std::min(content.readsPerSecond, controlmachine::maxReadsPerSecond)}},
+        controlmachine::readTotalsTtl);
     m_peerPrompts.update(source, std::move(prompts));
     m_peerCalls.update(source, std::move(calls));
     for (PaceFault &fault : paceFaultsIn(source, content)) {
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -76,6 +76,8 @@
     static constexpr bool ordersByPriority = true;
     /// Guarantees each priority class and account a minimum of the dispatches.
     static constexpr bool guaranteesMinimum = true;
+    /// Limits the requests that an overloaded host reads; see ConnectionGate.
+    static constexpr bool limitsReads = true;
     /// Takes no samples of pools from requests that met an overload of this host.
     static constexpr bool learnsOnlyAtEase = true;
     /// Divides the slots of a pool among the accounts with demand for them.
@@ -190,6 +192,9 @@
     {
         G::guaranteesMinimum
         } -> std::convertible_to<bool>;
+    {
+        G::limitsReads
+        } -> std::convertible_to<bool>;
     {
         G::learnsOnlyAtEase
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/hostload.h
+++ b/include/harelink/Kernel/hostload.h
@@ -109,6 +109,20 @@
     std::optional<TimePoint> m_sampledAt;
 };
 
+/// The load of this host and of its peers, shared by the threads of a daemon.
+struct HostLoad
+{
+    HostLoadMeter meter;
+    /// See ConnectionGate.
+    std::atomic<bool> isCrowded{false};
+    std::atomic<bool> isReady{true};
+    std::atomic<double> readsPerSecond{0};
+    /// See PeerRoom.
+    std::atomic<int> peers{0};
+    std::atomic<int> crowdedPeers{0};
+    std::atomic<double> peerReadsPerSecond{0};
+};
+
 } // namespace harelink
 
 #endif // HARELINK_KERNEL_HOSTLOAD_H
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -30,7 +30,7 @@
     }
 };
 
-/// Reports closed connections.
+/// Reports new and closed connections, and tells the first request of a connection from others.
 class ConnectionListener
 {
 public:
@@ -43,21 +43,53 @@
     // NOLINTNEXTLINE(readability-identifier-naming)
     void state_changed(const restinio::connection_state::notice_t &notice) noexcept
     {
-        const bool accepted =
-            restinio::holds_alternative<restinio::connection_state::accepted_t>(notice.cause());
-        if (accepted && m_load != nullptr) {
-            m_load->recordConnection();
+        using restinio::holds_alternative;
+        const std::uint64_t connection = notice.connection_id();
+        if (holds_alternative<restinio::connection_state::accepted_t>(notice.cause())) {
+            if (m_load != nullptr) {
+                m_load->recordConnection();
+            }
+            const std::lock_guard<std::mutex> guard(m_mutex);
+            m_unread.insert(connection);
         }
-        const bool closed =
-            restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause());
-        if (closed && m_onClosed) {
-            m_onClosed(notice.connection_id());
+        if (holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+            (void)takeFirst(connection);
+            if (m_onClosed) {
+                m_onClosed(connection);
+            }
         }
     }
+    /// Returns whether no request was read from \p connection before.
+    bool takeFirst(std::uint64_t connection)
+    {
+        const std::lock_guard<std::mutex> guard(m_mutex);
+        return m_unread.erase(connection) > 0;
+    }
 
 private:
     std::function<void(std::uint64_t)> m_onClosed;
-    HostLoadMeter *m_load;
+    HostLoadMeter *m_load;            ///< Null for none.
+    std::mutex m_mutex;               ///< Guards m_unread.
+    std::set<std::uint64_t> m_unread; ///< Open connections without a request so far.
+};
+
+/// Closes new connections that are not accepted, before anything is read from them.
+class ConnectionFilter
+{
+public:
+    explicit ConnectionFilter(std::function<bool()> mayAccept)
+        : m_mayAccept(std::move(mayAccept))
+    {
+    }
+    [[nodiscard]] restinio::ip_blocker::inspection_result_t
+    inspect(const restinio::ip_blocker::incoming_info_t &) const noexcept
+    {
+        return !m_mayAccept || m_mayAccept() ? restinio::ip_blocker::allow()
+                                             : restinio::ip_blocker::deny();
+    }
+
+private:
+    std::function<bool()> m_mayAccept;
 };
 
 struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
@@ -66,6 +98,8 @@
     // RESTinio requires this name.
     // NOLINTNEXTLINE(readability-identifier-naming)
     using connection_state_listener_t = ConnectionListener;
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using ip_blocker_t = ConnectionFilter;
 };
 
 /// Exceeds the maximum deadline of a pipeline.
@@ -174,10 +208,11 @@
 {
 public:
     ReplySender(restinio::request_handle_t request, std::shared_ptr<ActiveSenders> active,
-                HostLoadMeter *load)
+                HostLoadMeter *load, std::function<bool()> closesConnections)
         : m_request(std::move(request))
         , m_active(std::move(active))
         , m_load(load)
+        , m_closesConnections(std::move(closesConnections))
     {
     }
     ~ReplySender()
@@ -374,7 +409,7 @@
             restinio::http_status_code_t{static_cast<std::uint16_t>(reply.status)},
             reply.status < 400 ? "OK" : "Error"};
         auto response = m_request->template create_response<Output>(status);
-        if (reply.close) {
+        if (reply.close || (m_closesConnections && m_closesConnections())) {
             response.connection_close();
         }
         if (!reply.contentType.empty()) {
@@ -388,7 +423,8 @@
 
     restinio::request_handle_t m_request;
     std::shared_ptr<ActiveSenders> m_active;
-    HostLoadMeter *m_load; ///< Null for none.
+    HostLoadMeter *m_load;                     ///< Null for none.
+    std::function<bool()> m_closesConnections; ///< May be empty.
     /// Set by the first part, then used by queuePieces() only.
     std::variant<std::monostate, Chunked, Whole> m_response;
     std::mutex m_mutex; ///< Guards the members below.
@@ -453,6 +489,22 @@
     const auto port = static_cast<std::uint16_t>(std::stoul(options.address.substr(colon + 1)));
     auto state = std::make_unique<State>();
     State *raw = state.get();
+    const auto listener = std::make_shared<ConnectionListener>(options.onClosed, options.load);
+    auto onRequest = [handler = std::move(handler), senders = state->senders, listener,
+                      load = options.load, onFurtherRequest = options.onFurtherRequest,
+                      closes = options.closesConnections](const auto &request) {
+        const auto sender = std::make_shared<ReplySender>(request, senders, load, closes);
+        HttpRequest read = readRequest(*request);
+        if (load != nullptr) {
+            load->recordRequest();
+            load->recordReceived(sizeOf(read));
+        }
+        if (!listener->takeFirst(read.connection) && onFurtherRequest) {
+            onFurtherRequest();
+        }
+        handler(std::move(read), [sender](HttpReply reply) { sender->send(std::move(reply)); });
+        return restinio::request_accepted();
+    };
     auto settings = restinio::server_settings_t<Traits>()
                         .address(ip)
                         .port(port)
@@ -461,8 +513,8 @@
                         .write_http_response_timelimit(options.writeLimit)
                         .max_pipelined_requests(pipelinedRequests)
                         .timer_manager(timerInterval)
-                        .connection_state_listener(
-                            std::make_shared<ConnectionListener>(options.onClosed, options.load))
+                        .connection_state_listener(listener)
+                        .ip_blocker(std::make_shared<ConnectionFilter>(options.mayAccept))
                         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                                       .max_field_value_size(maxHeaderFieldBytes)
                                                       .max_body_size(options.maxBodyBytes))
@@ -471,19 +523,7 @@
                         .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor &acceptor) {
                             raw->port = acceptor.local_endpoint().port();
                         })
-                        .request_handler([handler = std::move(handler), senders = state->senders,
-                                          load = options.load](const auto &request) {
-                            const auto sender =
-                                std::make_shared<ReplySender>(request, senders, load);
-                            HttpRequest read = readRequest(*request);
-                            if (load != nullptr) {
-                                load->recordRequest();
-                                load->recordReceived(sizeOf(read));
-                            }
-                            handler(std::move(read),
-                                    [sender](HttpReply reply) { sender->send(std::move(reply)); });
-                            return restinio::request_accepted();
-                        });
+                        .request_handler(std::move(onRequest));
     try {
         state->server = restinio::run_async<Traits>(restinio::external_io_context(state->context),
                                                     std::move(settings),
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -311,6 +311,8 @@
         to.set_hosts_known(from.knownHostsHash);
         to.set_accepts_host_changes(from.acceptsHostChanges);
         to.mutable_lost_pools()->Add(from.lostPools.begin(), from.lostPools.end());
+        to.set_crowded_hosts(from.crowdedHosts);
+        to.set_reads_per_second(from.readsPerSecond);
         writeSharedLists(from, to);
     }
     void operator()(const PeerSummary &from) const
@@ -321,6 +323,8 @@
         to.set_store_era(from.storeEra);
         to.set_lowest_revision(from.lowestRevision);
         to.set_watched(from.hasWatcher);
+        to.set_crowded_hosts(from.crowdedHosts);
+        to.set_reads_per_second(from.readsPerSecond);
         to.set_hosts_hash(from.hostsHash);
         to.set_has_hosts(from.hasHosts);
         to.set_changes_hosts_from(from.changesHostsFrom);
@@ -555,6 +559,8 @@
     to.knownHostsHash = from.hosts_known();
     to.acceptsHostChanges = from.accepts_host_changes();
     to.lostPools.assign(from.lost_pools().begin(), from.lost_pools().end());
+    to.crowdedHosts = from.crowded_hosts();
+    to.readsPerSecond = from.reads_per_second();
     readSharedLists(from, to);
     return to;
 }
@@ -567,6 +573,8 @@
     to.storeEra = from.store_era();
     to.lowestRevision = from.lowest_revision();
     to.hasWatcher = from.watched();
+    to.crowdedHosts = from.crowded_hosts();
+    to.readsPerSecond = from.reads_per_second();
     to.hostsHash = from.hosts_hash();
     to.hasHosts = from.has_hosts();
     to.changesHostsFrom = from.changes_hosts_from();
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -163,14 +163,15 @@
 
 Control::Control(const Settings &settings, const Clock &clock, SnapshotCell &snapshot,
                  const Dialect &dialect, Incarnation incarnation, std::atomic<int> &daemons,
-                 BufferBudget &buffers, HostLoadMeter &load, WorkerSink workers)
+                 BufferBudget &buffers, HostLoad &load, WorkerSink workers)
     : m_settings(settings)
     , m_clock(clock)
     , m_snapshot(snapshot)
     , m_dialect(dialect)
     , m_daemons(daemons)
+    , m_load(load)
     , m_workers(std::move(workers))
-    , m_loop(makeHttpOptions(settings, buffers, load), HostLoop::Control)
+    , m_loop(makeHttpOptions(settings, buffers, load.meter), HostLoop::Control)
     , m_machine(clock, makeControlOptions(settings, dialect, incarnation))
     , m_pieceRouter(
           clock, m_machine.membership(),
@@ -198,6 +199,7 @@
     if (m_settings.peerKeys) {
         m_peers.enableCurve(*m_settings.peerKeys);
     }
+    m_peers.setLoadMeter(m_load.meter);
     absl::Status listening = m_peers.listen(m_settings.peerAddress);
     if (!listening.ok()) {
         return listening;
@@ -698,6 +700,12 @@
         applyLimits(m_snapshot.current());
         updatePaths();
         logLoadReporting();
+        m_machine.recordReads(m_load.isCrowded.load(std::memory_order_relaxed),
+                              m_load.readsPerSecond.load(std::memory_order_relaxed));
+        const PeerRoom room = m_machine.peerRoom();
+        m_load.peers.store(room.peers, std::memory_order_relaxed);
+        m_load.crowdedPeers.store(room.crowded, std::memory_order_relaxed);
+        m_load.peerReadsPerSecond.store(room.readsPerSecond, std::memory_order_relaxed);
         m_daemons.store(m_machine.membership().recentHostCount(), std::memory_order_relaxed);
     }
     m_machine.tick();
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -55,22 +55,51 @@
 
 /// Interval in which the load of the host is sampled.
 constexpr std::chrono::milliseconds loadSampleInterval{100};
-/// The load is logged from these values on, at most once per interval.
-constexpr double minLoggedLinkUse = 0.5;
-constexpr std::chrono::milliseconds minLoggedDelay{10};
+/// The load is logged from this pressure on, at most once per interval.
+constexpr double minLoggedPressure = 0.5;
 constexpr std::chrono::seconds loadLogInterval{1};
 
+/// Returns the bandwidth of the link in bytes per second, if stated.
+std::optional<double> linkBytesOf(const Settings &settings)
+{
+    constexpr double bytesPerMegabit = 1e6 / 8;
+    return settings.linkMbps ? std::optional<double>(*settings.linkMbps * bytesPerMegabit)
+                             : std::nullopt;
+}
+
 /// Returns the part of the link that is in use; 0 if its bandwidth is not stated.
 double linkUseOf(const HostLoadSample &load, const Settings &settings)
 {
-    constexpr double bytesPerMegabit = 1e6 / 8;
-    return settings.linkMbps ? load.linkUse(*settings.linkMbps * bytesPerMegabit) : 0;
+    const std::optional<double> link = linkBytesOf(settings);
+    return link ? load.linkUse(*link) : 0;
+}
+
+/// What logs and metrics state of a gate.
+struct GateState
+{
+    bool isCrowded = false;
+    bool isReady = true;
+    double pressure = 0;
+    double readsPerSecond = 0;
+    std::optional<double> limit;
+    std::uint64_t turnedAway = 0;
+};
+
+GateState stateOf(const ConnectionGate &gate)
+{
+    return {gate.isCrowded(),      gate.isReady(), gate.pressure(),
+            gate.readsPerSecond(), gate.limit(),   gate.turnedAway()};
 }
 
 /// Renders the load of this host.
 void renderLoad(const HostLoadMeter &meter, const HostLoadSample &average, double linkUse,
-                std::string &out)
+                const GateState &gate, std::string &out)
 {
+    renderValue("harelink_host_crowded", "gauge", gate.isCrowded ? 1 : 0, out);
+    renderValue("harelink_host_ready", "gauge", gate.isReady ? 1 : 0, out);
+    renderValue("harelink_host_pressure", "gauge", gate.pressure, out);
+    renderValue("harelink_connections_turned_away_total", "counter",
+                static_cast<double>(gate.turnedAway), out);
     renderValue("harelink_received_bytes_total", "counter",
                 static_cast<double>(meter.receivedBytes()), out);
     renderValue("harelink_sent_bytes_total", "counter", static_cast<double>(meter.sentBytes()),
@@ -174,6 +203,7 @@
     : m_settings(std::move(settings))
     , m_requestStop(std::move(requestStop))
     , m_buffers(m_settings.bufferedBytes)
+    , m_gate(linkBytesOf(m_settings))
     , m_incarnation(generateIncarnation())
     , m_dialect(Registry<Dialect>::instance().make(m_settings.dialect))
 {
@@ -293,7 +323,19 @@
     options.maxBodyBytes = maxCallerBodyBytes;
     // Later than the workers' limit, so that a request ends with its reason before its connection.
     options.writeLimit = Worker::callerStallLimit + std::chrono::seconds(1);
-    options.load = &m_load;
+    options.load = &m_load.meter;
+    options.mayAccept = [this] {
+        const std::lock_guard<std::mutex> guard(m_gateMutex);
+        return m_draining || m_gate.admit(m_clock.now());
+    };
+    options.onFurtherRequest = [this] {
+        const std::lock_guard<std::mutex> guard(m_gateMutex);
+        m_gate.recordRequest(m_clock.now());
+    };
+    options.closesConnections = [this] {
+        const std::lock_guard<std::mutex> guard(m_gateMutex);
+        return m_gate.closesConnections(m_clock.now());
+    };
     options.onClosed = [this](std::uint64_t connection) {
         for (const auto &worker : m_workers) {
             worker->handleConnectionClosed(connection);
@@ -322,8 +364,8 @@
     const TimePoint due = m_clock.now() + loadSampleInterval;
     m_callers->runAfter(loadSampleInterval, [this, due] {
         const TimePoint now = m_clock.now();
-        m_load.recordDelay(HostLoop::Listener, now - due);
-        if (const std::optional<HostLoadSample> sample = m_load.sample(now)) {
+        m_load.meter.recordDelay(HostLoop::Listener, now - due);
+        if (const std::optional<HostLoadSample> sample = m_load.meter.sample(now)) {
             recordLoad(*sample, now);
         }
         scheduleLoadSample();
@@ -332,30 +374,47 @@
 
 void Daemon::recordLoad(const HostLoadSample &sample, TimePoint now)
 {
+    const PeerRoom room{m_load.peers.load(std::memory_order_relaxed),
+                        m_load.crowdedPeers.load(std::memory_order_relaxed),
+                        m_load.peerReadsPerSecond.load(std::memory_order_relaxed)};
     HostLoadSample average;
+    GateState gate;
     {
-        const std::lock_guard<std::mutex> guard(m_averageMutex);
+        const std::lock_guard<std::mutex> guard(m_gateMutex);
         m_average.add(sample);
         average = m_average.value();
-    }
-    const double linkUse = linkUseOf(average, m_settings);
-    const bool isLoaded = linkUse >= minLoggedLinkUse || average.maxDelay() >= minLoggedDelay;
-    if (!isLoaded || now - m_loadLoggedAt < loadLogInterval) {
+        m_gate.update(average, room, now);
+        gate = stateOf(m_gate);
+    }
+    m_load.isReady.store(gate.isReady, std::memory_order_relaxed);
+    m_load.readsPerSecond.store(gate.readsPerSecond, std::memory_order_relaxed);
+    const bool wasCrowded = m_load.isCrowded.exchange(gate.isCrowded, std::memory_order_relaxed);
+    const bool isLoaded = gate.isCrowded || gate.pressure >= minLoggedPressure;
+    const bool isDue = isLoaded && now - m_loadLoggedAt >= loadLogInterval;
+    if (!isDue && wasCrowded == gate.isCrowded) {
         return;
     }
     m_loadLoggedAt = now;
     const auto delayOf = [&average](HostLoop loop) {
-        return toMilliseconds(average.delays[static_cast<std::size_t>(loop)]);
+        return fmt::format("{:.1f}",
+                           toMilliseconds(average.delays[static_cast<std::size_t>(loop)]));
     };
     logger.record(LogLevel::Info, "host-loaded")
-        .field("linkUse", fmt::format("{:.2f}", linkUse))
+        .field("pressure", fmt::format("{:.2f}", gate.pressure))
+        .field("linkUse", fmt::format("{:.2f}", linkUseOf(average, m_settings)))
         .field("receivedPerS", fmt::format("{:.0f}", average.receivedPerSecond))
         .field("sentPerS", fmt::format("{:.0f}", average.sentPerSecond))
-        .field("listenerDelayMs", fmt::format("{:.1f}", delayOf(HostLoop::Listener)))
-        .field("workerDelayMs", fmt::format("{:.1f}", delayOf(HostLoop::Worker)))
-        .field("controlDelayMs", fmt::format("{:.1f}", delayOf(HostLoop::Control)))
+        .field("listenerDelayMs", delayOf(HostLoop::Listener))
+        .field("workerDelayMs", delayOf(HostLoop::Worker))
+        .field("controlDelayMs", delayOf(HostLoop::Control))
         .field("connections", average.connections)
-        .field("requests", average.requests);
+        .field("readsPerS", fmt::format("{:.1f}", gate.readsPerSecond))
+        .field("limitPerS", gate.limit ? fmt::format("{:.1f}", *gate.limit) : "none")
+        .field("turnedAway", gate.turnedAway)
+        .field("peers", room.peers)
+        .field("crowdedPeers", room.crowded)
+        .field("peerReadsPerS", fmt::format("{:.1f}", room.readsPerSecond))
+        .field("ready", gate.isReady);
 }
 
 void Daemon::announceStop()
@@ -412,7 +471,8 @@
         return;
     }
     if (request.path == m_settings.readyPath) {
-        const bool ready = m_control->ready() && !m_draining;
+        const bool ready =
+            m_control->ready() && !m_draining && m_load.isReady.load(std::memory_order_relaxed);
         responder(
             makePlainReply(ready ? 200 : statusUnavailable, ready ? "ready\n" : "not ready\n"));
         return;
@@ -457,8 +517,9 @@
     }
     std::string load;
     {
-        const std::lock_guard<std::mutex> guard(m_averageMutex);
-        renderLoad(m_load, m_average.value(), linkUseOf(m_average.value(), m_settings), load);
+        const std::lock_guard<std::mutex> guard(m_gateMutex);
+        renderLoad(m_load.meter, m_average.value(), linkUseOf(m_average.value(), m_settings),
+                   stateOf(m_gate), load);
     }
     m_control->collectMetrics([collector, load = std::move(load)](const std::string &text) {
         collector->add(load + text);
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -28,7 +28,7 @@
 constexpr std::chrono::milliseconds stallCheckInterval{250};
 
 RequestLimits makeRequestLimits(const Settings &settings, const std::atomic<int> &daemons,
-                                TimePoint startedAt)
+                                const HostLoad &load, TimePoint startedAt)
 {
     RequestLimits limits;
     limits.maxRequests = settings.maxRequests;
@@ -36,6 +36,7 @@
     limits.retries = {settings.retryRatio, settings.retryAllowance, settings.retryWindow, startedAt,
                       budgetloans::termFor(settings.retryWindow)};
     limits.daemons = &daemons;
+    limits.isCrowded = &load.isCrowded;
     return limits;
 }
 
@@ -58,7 +59,7 @@
 
 Worker::Worker(const Settings &settings, const Clock &clock, const SnapshotCell &snapshot,
                const Dialect &dialect, std::uint64_t seed, const std::atomic<int> &daemons,
-               BufferBudget &buffers, HostLoadMeter &load, ControlSink control)
+               BufferBudget &buffers, HostLoad &load, ControlSink control)
     : m_settings(settings)
     , m_clock(clock)
     , m_snapshot(snapshot)
@@ -66,9 +67,9 @@
     , m_buffers(buffers)
     , m_bounds(makeAnswerBounds(settings))
     , m_control(std::move(control))
-    , m_loop(HttpClientOptions{m_bounds, &buffers, &clock, &load}, HostLoop::Worker)
+    , m_loop(HttpClientOptions{m_bounds, &buffers, &clock, &load.meter}, HostLoop::Worker)
     , m_machine(clock, Registry<RoutingPolicy>::instance().make(settings.routingPolicy), seed,
-                makeRequestLimits(settings, daemons, clock.now()))
+                makeRequestLimits(settings, daemons, load, clock.now()))
 {
     for (const std::string &name : Registry<StageProtocol>::instance().names()) {
         m_protocols[name] = Registry<StageProtocol>::instance().make(name);
--- a/lib/Kernel/loadaggregator.cpp
+++ b/lib/Kernel/loadaggregator.cpp
@@ -10,6 +10,10 @@
 /// Paces that were not sent for this period are dropped: nobody has requested summaries, and they
 /// would be too old for the next ones.
 constexpr std::chrono::seconds maxPaceAge{4};
+/// Maximum number of hosts of a data centre, and of requests that one reads per second, that are
+/// believed.
+constexpr std::uint32_t maxReportedHosts = 100'000;
+constexpr std::uint32_t maxReportedReads = 1'000'000;
 
 /// Returns the sum of \p calls and \p more, limited to what can be reported.
 int addCalls(int calls, int more)
@@ -57,6 +61,8 @@
     update(load, heartbeat.prompts, heartbeat.backlogs, m_clock.now());
     update(load, heartbeat.usage);
     update(load, heartbeat.paces);
+    load.crowdedHosts = std::min(heartbeat.crowdedHosts, 1U);
+    load.readsPerSecond = std::min(heartbeat.readsPerSecond, maxReportedReads);
 }
 
 void LoadAggregator::record(const std::string &dataCentre, const PeerSummary &summary)
@@ -67,6 +73,8 @@
         update(load, summary.usage);
     }
     update(load, summary.paces);
+    load.crowdedHosts = std::min(summary.crowdedHosts, maxReportedHosts);
+    load.readsPerSecond = std::min(summary.readsPerSecond, maxReportedReads);
 }
 
 void LoadAggregator::recordOwn(const Heartbeat &own)
@@ -74,6 +82,8 @@
     update(m_own, own.prompts, own.backlogs, m_clock.now());
     update(m_own, own.usage);
     update(m_own, own.paces);
+    m_own.crowdedHosts = own.crowdedHosts;
+    m_own.readsPerSecond = own.readsPerSecond;
 }
 
 void LoadAggregator::removeExpired(Duration ttl)
@@ -100,6 +110,8 @@
         sum.time += accountUsage.time;
         sum.demand += accountUsage.demand;
     }
+    total.crowdedHosts += load.crowdedHosts;
+    total.readsPerSecond += load.readsPerSecond;
 }
 
 void LoadAggregator::beginRound()
@@ -190,6 +202,12 @@
     const Load &excluded = found == m_local.end() ? none : found->second;
     const Load &total = isLocal ? m_globalTotal : m_localTotal;
     addPrompts(total, excluded, summary);
+    // The receiver may have reported again since the round began.
+    const auto without = [](std::uint32_t sum, std::uint32_t part) {
+        return sum - std::min(sum, part);
+    };
+    summary.crowdedHosts = without(total.crowdedHosts, excluded.crowdedHosts);
+    summary.readsPerSecond = without(total.readsPerSecond, excluded.readsPerSecond);
     summary.hasUsage = hasUsage;
     if (hasUsage) {
         addUsage(total, excluded, summary);
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -17,6 +17,7 @@
 #include "streamcallers.h"
 
 #include "harelink/Config/objectwriter.h"
+#include "harelink/Kernel/connectiongate.h"
 #include "harelink/Kernel/controlmachineimpl.h"
 #include "harelink/Kernel/registry.h"
 #include "harelink/Kernel/requestmachineimpl.h"
@@ -188,7 +189,13 @@
     }
     [[nodiscard]] StreamCallers &streamCallers() { return m_streamCallers; }
     /// Makes each event from the network or another thread take \p time of its host's processor.
-    void setEventTime(Duration time) { m_eventTime = time; }
+    void setEventTime(Duration time)
+    {
+        m_eventTime = time;
+        for (const auto &[name, host] : m_hosts) {
+            scheduleLoadSample(name, host.incarnation);
+        }
+    }
     [[nodiscard]] CrowdCallers &crowdCallers() { return m_crowdCallers; }
     /// Gives the requests of streams prompts whose parts other streams share.
     void usePrompts() { m_usesPrompts = true; }
@@ -268,6 +275,12 @@
         host.lastSequence = 0;
         host.disturbedAt = m_queue.now();
         host.busyUntil = m_queue.now();
+        host.meter = std::make_unique<HostLoadMeter>();
+        host.average = {};
+        host.gate = ConnectionGate(std::nullopt);
+        if (m_eventTime > Duration::zero()) {
+            scheduleLoadSample(name, host.incarnation);
+        }
         ControlOptions options;
         options.host = name;
         options.peerAddress = name;
@@ -558,9 +571,12 @@
         std::uint64_t lastSequence = 0;
         bool isSuspended = false;
         std::optional<TimePoint> suspendedUntil;
-        TimePoint frozenAt;              ///< When the host was last seen frozen.
-        TimePoint disturbedAt;           ///< When it was last unable to receive updates.
-        TimePoint busyUntil;             ///< Until when its processor handles earlier events.
+        TimePoint frozenAt;    ///< When the host was last seen frozen.
+        TimePoint disturbedAt; ///< When it was last unable to receive updates.
+        TimePoint busyUntil;   ///< Until when its processor handles earlier events.
+        std::unique_ptr<HostLoadMeter> meter;
+        HostLoadAverage average;
+        ConnectionGate gate{std::nullopt};
         std::atomic<int> daemonCount{1}; ///< As this daemon knows it.
         std::unique_ptr<HostClock> clock;
         std::unique_ptr<BasicRequestMachine<G>> requests;
@@ -570,6 +586,7 @@
     };
 
     static constexpr const char *streamPool = "talkers";
+    static constexpr std::chrono::milliseconds loadSampleInterval{100};
     /// For which the callers of a crowd wait.
     static constexpr std::chrono::milliseconds crowdTimeAllowed{1500};
     /// Of each pool, for all hosts together.
@@ -772,6 +789,24 @@
         return StreamCallers::Submitted{event.id, isStable(host->second) && isServed(version)};
     }
 
+    /// Does what the daemon does in each interval with the load of its host.
+    void scheduleLoadSample(const std::string &name, Incarnation incarnation)
+    {
+        m_queue.after(loadSampleInterval, [=, this] {
+            Host &host = m_hosts.at(name);
+            if (!host.alive || host.incarnation != incarnation) {
+                return;
+            }
+            const TimePoint now = m_queue.now();
+            if (const std::optional<HostLoadSample> sample = host.meter->sample(now)) {
+                host.average.add(*sample);
+                host.gate.update(host.average.value(), host.control->peerRoom(), now);
+                host.control->recordReads(host.gate.isCrowded(), host.gate.readsPerSecond());
+            }
+            scheduleLoadSample(name, incarnation);
+        });
+    }
+
     [[nodiscard]] std::vector<std::string> runningHosts() const
     {
         std::vector<std::string> running;
@@ -787,6 +822,9 @@
     std::optional<RequestId> submitOfCrowd(const std::string &name)
     {
         Host &host = m_hosts.at(name);
+        if (G::limitsReads && !host.gate.admit(m_queue.now())) {
+            return std::nullopt;
+        }
         RequestArrived event;
         event.id = {host.incarnation, ++host.lastSequence};
         event.account = "drivers";
@@ -859,6 +897,7 @@
             return;
         }
         const TimePoint now = m_queue.now();
+        host.meter->recordDelay(HostLoop::Worker, std::max(now, host.busyUntil) - now);
         host.busyUntil = std::max(now, host.busyUntil) + m_eventTime;
         m_queue.after(host.busyUntil - now, [=, this] { onHost(name, incarnation, event); });
     }
--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -44,6 +44,9 @@
         options.writeLimit = writeLimit;
         options.address = "127.0.0.1:0";
         options.onClosed = [this](std::uint64_t connection) { closed = connection; };
+        options.mayAccept = [this] { return accepts.load(); };
+        options.onFurtherRequest = [this] { ++furtherRequests; };
+        options.closesConnections = [this] { return closes.load(); };
         server = *HttpServer::start(options, [this](HttpRequest request, Responder respond) {
             const std::lock_guard<std::mutex> guard(mutex);
             requests.push_back(std::move(request));
@@ -77,6 +80,9 @@
     std::vector<HttpRequest> requests;
     Responder responder;
     std::atomic<std::uint64_t> closed{0};
+    std::atomic<bool> accepts{true};
+    std::atomic<bool> closes{false};
+    std::atomic<int> furtherRequests{0};
     std::unique_ptr<HttpServer> server;
 };
 
@@ -106,6 +112,39 @@
     server.responder(makePart("done", false));
 }
 
+TEST(HttpServer, ConnectionThatIsNotAcceptedIsClosedUnread)
+{
+    Server server;
+    server.accepts = false;
+    const HttpCaller caller(server.server->port());
+    caller.write(get);
+    STRCMP_EQUAL("", caller.readAll().c_str());
+    CHECK(server.requests.empty());
+    server.accepts = true;
+    const HttpCaller next(server.server->port());
+    next.write(get);
+    CHECK(server.waitForRequest());
+    server.responder(makePart("done", false));
+}
+
+TEST(HttpServer, ReportsFurtherRequestsAndClosesConnectionsOnRequest)
+{
+    Server server;
+    const HttpCaller caller(server.server->port());
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    server.sendLast(makePart("first", false));
+    CHECK(caller.readUntil("first").find("Connection: close") == std::string::npos);
+    LONGS_EQUAL(0, server.furtherRequests.load());
+    server.requests.clear();
+    server.closes = true;
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    LONGS_EQUAL(1, server.furtherRequests.load());
+    server.sendLast(makePart("second", false));
+    CHECK(caller.readAll().find("Connection: close") != std::string::npos);
+}
+
 TEST(HttpServer, DetectsDisconnectDuringHandling)
 {
     Server server;
--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -62,6 +62,15 @@
     void setTokens(const std::string &host, std::int64_t tokens) { m_tokens[host] = tokens; }
     /// Has \p host report \p calls calls at the engine.
     void setCalls(const std::string &host, int calls) { m_calls[host] = calls; }
+    /// Has \p host report that it reads \p perSecond requests, and whether it is overloaded.
+    void setReads(const std::string &host, bool isCrowded, double perSecond)
+    {
+        m_hosts.at(host)->recordReads(isCrowded, perSecond);
+    }
+    [[nodiscard]] PeerRoom peerRoom(const std::string &host) const
+    {
+        return m_hosts.at(host)->peerRoom();
+    }
     /// Has \p host report, or no longer report, samples of the engine's pace with each heartbeat.
     void setSamples(const std::string &host, const std::vector<EndpointPaceReport> &samples)
     {
@@ -291,6 +300,30 @@
     }
 }
 
+TEST(PeerRelay, ReportsTheReadsOfAllPeersAndHowManyAreOverloaded)
+{
+    for (const std::size_t maxMeshPeers : {std::size_t{16}, std::size_t{1000}}) {
+        RelayFixture fixture(30, maxMeshPeers);
+        int reads = 0;
+        for (const std::string &host : fixture.hosts()) {
+            fixture.setReads(host, reads < 3, ++reads);
+        }
+        fixture.run(propagationTime);
+        reads = 0;
+        for (const std::string &host : fixture.hosts()) {
+            const PeerRoom room = fixture.peerRoom(host);
+            LONGS_EQUAL(29, room.peers);
+            LONGS_EQUAL(reads < 3 ? 2 : 3, room.crowded);
+            DOUBLES_EQUAL(30 * 31 / 2 - ++reads, room.readsPerSecond, 0.001);
+        }
+        // Hosts that nobody hears of any more count no longer.
+        fixture.cut("dc0");
+        fixture.run(std::chrono::seconds(12));
+        const PeerRoom room = fixture.peerRoom(fixture.hosts().front());
+        CHECK(room.peers < 29 && room.readsPerSecond < 30 * 31 / 2 - 1);
+    }
+}
+
 /// Guards against samples that return to their sender, that are counted twice, or that are lost on
 /// the way through relays.
 TEST(PeerRelay, EachSampleOfAPaceArrivesOnceAndNotAtItsSender)
