--- a/include/harelink/Kernel/connectiongate.h
+++ b/include/harelink/Kernel/connectiongate.h
@@ -9,10 +9,10 @@
 /// caller can safely try again at another host, even with a request that must not be repeated.
 ///
 /// The host limits the rate of the requests that it reads while its link or its event loops are
-/// overloaded, but never to less than its peers read on average: an even overload is no reason to
-/// turn callers away, nor is other work of the host. Of the excess it turns away no larger part
-/// than the part of its peers that are not overloaded. A host that knows no peers turns nothing
-/// away.
+/// overloaded, but never to less than twice what a peer reads on average: an overload of all hosts
+/// is no reason to turn callers away, nor is other work of this one. Of the excess it turns away no
+/// larger part than the part of its peers that are not overloaded. A host that knows no peers turns
+/// nothing away.
 ///
 /// A connection that is turned away may still cost the bytes that its caller sent at once. So a
 /// host that has turned connections away for a while reports that it is not ready, while most peers
--- a/lib/Kernel/connectiongate.cpp
+++ b/lib/Kernel/connectiongate.cpp
@@ -22,8 +22,9 @@
 constexpr double increaseFactor = 1.1;
 /// The limit rises below this pressure.
 constexpr double lowPressure = 0.7;
-/// Minimum limit in requests per second.
+/// Minimum limit in requests per second, and relative to what a peer reads on average.
 constexpr double minLimit = 2;
+constexpr double minUnevenness = 2;
 /// A host is not ready from the time on for which it was offered more than its limit, for
 /// minUnreadyTime, or twice as long as before if that was recently. The balancer needs two seconds
 /// to notice.
@@ -74,7 +75,7 @@
     m_freePart = room.freePart();
     m_pressure = pressureOf(load);
     refill(now);
-    m_lowestLimit = std::max(minLimit, room.meanReads());
+    m_lowestLimit = std::max(minLimit, room.meanReads() * minUnevenness);
     if (!m_limit && m_pressure > 1 && m_readPerSecond > m_lowestLimit) {
         m_limit = m_readPerSecond;
         m_tokens = 0;
