[Test] Fix the order of arguments in the test of reads that relays report

Cause: the test read and incremented a counter in two arguments of one call, whose order is unspecified; it expected one host more to be overloaded than it had set. Change: the counter is incremented in a statement of its own; the checks are the same.

--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -306,7 +306,8 @@
         RelayFixture fixture(30, maxMeshPeers);
         int reads = 0;
         for (const std::string &host : fixture.hosts()) {
-            fixture.setReads(host, reads < 3, ++reads);
+            fixture.setReads(host, reads < 3, reads + 1);
+            ++reads;
         }
         fixture.run(propagationTime);
         reads = 0;
@@ -314,7 +315,8 @@
             const PeerRoom room = fixture.peerRoom(host);
             LONGS_EQUAL(29, room.peers);
             LONGS_EQUAL(reads < 3 ? 2 : 3, room.crowded);
-            DOUBLES_EQUAL(30 * 31 / 2 - ++reads, room.readsPerSecond, 0.001);
+            ++reads;
+            DOUBLES_EQUAL(30 * 31 / 2 - reads, room.readsPerSecond, 0.001);
         }
         // Hosts that nobody hears of any more count no longer.
         fixture.cut("dc0");
