--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -79,7 +79,7 @@
     /// Limits the requests that an overloaded host reads; see ConnectionGate.
     static constexpr bool limitsReads = true;
     /// Takes no samples of pools from requests that met an overload of this host.
-    static constexpr bool learnsOnlyAtEase = true;
+    static constexpr bool excludesOverloadSamples = true;
     /// Divides the slots of a pool among the accounts with demand for them.
     static constexpr bool sharesSlots = true;
     /// Publishes changes of endpoints that follow each other closely as one configuration.
@@ -196,7 +196,7 @@
         G::limitsReads
         } -> std::convertible_to<bool>;
     {
-        G::learnsOnlyAtEase
+        G::excludesOverloadSamples
         } -> std::convertible_to<bool>;
     {
         G::sharesSlots
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -464,7 +464,7 @@
         }
     }
     m_lastEventAt = now;
-    if (G::learnsOnlyAtEase && m_limits.isCrowded != nullptr
+    if (G::excludesOverloadSamples && m_limits.isCrowded != nullptr
         && m_limits.isCrowded->load(std::memory_order_relaxed)) {
         m_crowdedAt = now;
     }
--- a/test/sim/crowdcallers.h
+++ b/test/sim/crowdcallers.h
@@ -79,7 +79,6 @@
     {
         TimePoint sentAt;
         std::string reader; ///< The host that read it; empty if all turned it away.
-        bool isFirstAttempt = true;
         bool isServed = false;
     };
     /// A period in which the balancer preferred one host.
