[Test] Make the test of the accept interval fail without it, and correct claims that no run shows

AcceptsAConnectionEverySecond passed without maxAdmitInterval: the limit alone let a connection in, and a gap that never ended was not measured. No change of behavior.

Measured: the 11 tests of ConnectionGate and HostLoadMeter pass, built by hand; with maxAdmitInterval, the limit or its lower bound taken out on a scratch copy 1, 3 and 2 fail. The whole CTest was not run again.

--- a/lib/Kernel/connectiongate.cpp
+++ b/lib/Kernel/connectiongate.cpp
@@ -13,8 +13,8 @@
 /// Part of the link that requests may use; the rest is left to messages between daemons, which
 /// must not wait behind callers.
 constexpr double maxLinkUse = 0.75;
-/// Mean delay of an event loop from which on the host is overloaded: a request passes about ten
-/// events, which then wait for a fifth of a second together.
+/// Mean delay of an event loop from which on the host is overloaded: a request waits for the loops
+/// several times.
 constexpr std::chrono::milliseconds maxLoopDelay{20};
 /// The limit changes once in this time: what was read before still loads the host meanwhile.
 constexpr std::chrono::milliseconds adjustInterval{500};
@@ -25,15 +25,15 @@
 /// Minimum limit in requests per second, and relative to what a peer reads on average.
 constexpr double minLimit = 2;
 constexpr double minUnevenness = 2;
-/// A host is not ready from the time on for which it was offered more than its limit, for
-/// minUnreadyTime, or twice as long as before if that was recently. The balancer needs two seconds
-/// to notice.
+/// A host reports that it is not ready when more than its limit was offered for this time.
 constexpr std::chrono::milliseconds maxExcessTime{500};
+/// For how long it is not ready: a balancer may need two seconds to notice. The time doubles, up to
+/// the maximum, if the host was not ready less than repeatPeriod before.
 constexpr std::chrono::seconds minUnreadyTime{4};
 constexpr std::chrono::seconds maxUnreadyTime{16};
 constexpr std::chrono::seconds repeatPeriod{10};
-/// Part of the peers that must not be overloaded for this. A balancer may use all hosts when too
-/// few are ready.
+/// A host stays ready unless this part of its peers is not overloaded. A balancer may use all hosts
+/// when too few are ready.
 constexpr double minFreePart = 0.75;
 /// The unused limit of this time may be used in a burst.
 constexpr std::chrono::milliseconds burstTime{200};
--- a/unittests/Kernel/connectiongatetest.cpp
+++ b/unittests/Kernel/connectiongatetest.cpp
@@ -137,8 +137,9 @@
     Duration longest{};
     for (int i = 0; i < 1000; ++i) {
         now += milliseconds(10);
+        gate.recordRequest(now); // Open connections use up the limit.
+        longest = std::max<Duration>(longest, now - last);
         if (gate.admit(now)) {
-            longest = std::max<Duration>(longest, now - last);
             last = now;
         }
     }
