[Kernel] Take only peers that state that they serve for peers with room

Cause: a host counted each peer that it had heard of as free and as reading nothing, unless the peer's report said otherwise. The part of the peers that have room is the part that states it and is not overloaded; the mean of what peers read is that of the ones that state it. Both are ratios of sums of the same reports, so a report that counts twice, as another relay sums it now, changes neither; reports therefore count for 5 s instead of 2.5 s.

--- a/include/harelink/Kernel/connectiongate.h
+++ b/include/harelink/Kernel/connectiongate.h
@@ -11,8 +11,8 @@
 /// The host limits the rate of the requests that it reads while its link or its event loops are
 /// overloaded, but never to less than twice what a peer reads on average: an overload of all hosts
 /// is no reason to turn callers away, nor is other work of this one. Of the excess it turns away no
-/// larger part than the part of its peers that are not overloaded. A host that knows no peers turns
-/// nothing away.
+/// larger part than the part of its peers that are known to serve and not to be overloaded. A host
+/// that knows no such peer turns nothing away.
 ///
 /// A connection that is turned away may still cost the bytes that its caller sent at once. So a
 /// host that has turned connections away for a while reports that it is not ready, while most peers
@@ -31,16 +31,18 @@
 
 namespace harelink {
 
-/// The peers that were heard of recently.
+/// The peers that were heard of recently. What they report of their load may be missing, or counted
+/// twice where another relay reports it.
 struct PeerRoom
 {
     int peers = 0;
-    int crowded = 0;           ///< Of these, overloaded ones.
-    double readsPerSecond = 0; ///< Requests that all of them together read.
+    int serving = 0;           ///< That take requests, by their reports.
+    int crowded = 0;           ///< Of the serving ones, overloaded ones.
+    double readsPerSecond = 0; ///< Requests that all serving ones together read.
 
-    /// Returns the part of the peers that are not overloaded; 0 without peers.
+    /// Returns the part of the peers that serve and are not overloaded; 0 if no peer reports.
     [[nodiscard]] double freePart() const;
-    /// Returns the mean of what a peer reads per second.
+    /// Returns the mean of what a serving peer reads per second.
     [[nodiscard]] double meanReads() const;
 };
 
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -134,9 +134,10 @@
     void recordPaces(std::vector<EndpointPaceReport> paces) { m_paces = std::move(paces); }
     /// Sets the pools to which this daemon has no path, for the next heartbeats.
     void recordLostPools(std::vector<std::string> pools) { m_lostPools = std::move(pools); }
-    /// Sets whether this daemon is overloaded and how many requests it reads, for the next
-    /// heartbeats.
-    void recordReads(bool isCrowded, double perSecond);
+    /// Sets what the next heartbeats state of the requests that this daemon reads.
+    ///
+    /// \param isServing whether it is configured to take requests.
+    void recordReads(bool isServing, bool isCrowded, double perSecond);
     /// Returns the peers heard of recently, with what they reported of their load.
     [[nodiscard]] PeerRoom peerRoom() const;
     /// Records that \p host has reported that it has no path to \p pool.
@@ -279,9 +280,10 @@
     std::vector<PromptBacklog> m_prompts;
     std::vector<EndpointPaceReport> m_paces;
     std::vector<std::string> m_lostPools;
+    bool m_isServing = false;
     bool m_isCrowded = false;
     std::uint32_t m_readsPerSecond = 0;
-    enum class ReadTotal { CrowdedHosts, ReadsPerSecond };
+    enum class ReadTotal { ServingHosts, CrowdedHosts, ReadsPerSecond };
     PeerTotals<ReadTotal> m_peerReads;
     std::map<ReadTotal, std::int64_t> m_peerReadTotals;
     std::size_t m_nextRelay = 0;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -48,10 +48,11 @@
 inline constexpr std::size_t maxRewriteRank = 10;
 /// Maximum time for which a daemon that starts waits to learn which endpoints are leaving.
 inline constexpr std::chrono::milliseconds maxLeavingWait{5000};
-/// What a peer reported of its reads counts for this period: some summaries come once a second.
-inline constexpr std::chrono::milliseconds readTotalsTtl{2500};
-/// Maximum numbers that one report is believed to state: of overloaded hosts, and of requests.
-inline constexpr std::uint32_t maxCrowdedHosts = 100'000;
+/// What a peer reported of its reads counts for this period: some summaries come once a second, and
+/// those of a relay that was lost come from another one after a while.
+inline constexpr std::chrono::milliseconds readTotalsTtl{5000};
+/// Maximum numbers that one report is believed to state: of hosts, and of requests.
+inline constexpr std::uint32_t maxReportedHosts = 100'000;
 inline constexpr std::uint32_t maxReadsPerSecond = 1'000'000'000;
 
 } // namespace controlmachine
@@ -333,8 +334,9 @@
 }
 
 template <GuardPolicy G>
-void BasicControlMachine<G>::recordReads(bool isCrowded, double perSecond)
+void BasicControlMachine<G>::recordReads(bool isServing, bool isCrowded, double perSecond)
 {
+    m_isServing = isServing;
     m_isCrowded = isCrowded;
     m_readsPerSecond = static_cast<std::uint32_t>(std::lround(perSecond));
 }
@@ -346,7 +348,8 @@
         const auto found = m_peerReadTotals.find(total);
         return found == m_peerReadTotals.end() ? 0 : found->second;
     };
-    return {m_membership.recentHostCount() - 1, static_cast<int>(totalOf(ReadTotal::CrowdedHosts)),
+    return {m_membership.recentHostCount() - 1, static_cast<int>(totalOf(ReadTotal::ServingHosts)),
+            static_cast<int>(totalOf(ReadTotal::CrowdedHosts)),
             static_cast<double>(totalOf(ReadTotal::ReadsPerSecond))};
 }
 
@@ -361,8 +364,10 @@
     own.prompts = m_prompts;
     own.paces = std::exchange(m_paces, {});
     own.lostPools = m_lostPools;
-    own.crowdedHosts = m_isCrowded ? 1 : 0;
-    own.readsPerSecond = m_readsPerSecond;
+    const bool isServing = m_isServing && !m_membership.leaving();
+    own.servingHosts = isServing ? 1 : 0;
+    own.crowdedHosts = isServing && m_isCrowded ? 1 : 0;
+    own.readsPerSecond = isServing ? m_readsPerSecond : 0;
     own.limits = m_limits.reports(m_clock.now());
     own.configSummary = m_config.summary();
     own.storeEra = m_storeEra;
@@ -380,6 +385,7 @@
         content.prompts = own.prompts;
         content.paces = own.paces;
         content.lostPools = own.lostPools;
+        content.servingHosts = own.servingHosts;
         content.crowdedHosts = own.crowdedHosts;
         content.readsPerSecond = own.readsPerSecond;
         content.limits = own.limits;
@@ -600,12 +606,14 @@
         prompts[prompt.endpoint] = prompt.tokens;
         calls[prompt.endpoint] = std::clamp(prompt.calls, 0, maxReportedCalls);
     }
-    m_peerReads.update(
-        source,
-        {{ReadTotal::CrowdedHosts, std::min(content.crowdedHosts, controlmachine::maxCrowdedHosts)},
-         {ReadTotal::ReadsPerSecond,
-          std::min(content.readsPerSecond, controlmachine::maxReadsPerSecond)}},
-        controlmachine::readTotalsTtl);
+    m_peerReads.update(source,
+                       {{ReadTotal::ServingHosts,
+                         std::min(content.servingHosts, controlmachine::maxReportedHosts)},
+                        {ReadTotal::CrowdedHosts,
+                         std::min(content.crowdedHosts, controlmachine::maxReportedHosts)},
+                        {ReadTotal::ReadsPerSecond,
+                         std::min(content.readsPerSecond, controlmachine::maxReadsPerSecond)}},
+                       controlmachine::readTotalsTtl);
     m_peerPrompts.update(source, std::move(prompts));
     m_peerCalls.update(source, std::move(calls));
     for (PaceFault &fault : paceFaultsIn(source, content)) {
--- a/include/harelink/Kernel/hostload.h
+++ b/include/harelink/Kernel/hostload.h
@@ -119,6 +119,7 @@
     std::atomic<double> readsPerSecond{0};
     /// See PeerRoom.
     std::atomic<int> peers{0};
+    std::atomic<int> servingPeers{0};
     std::atomic<int> crowdedPeers{0};
     std::atomic<double> peerReadsPerSecond{0};
 };
--- a/include/harelink/Kernel/loadaggregator.h
+++ b/include/harelink/Kernel/loadaggregator.h
@@ -72,6 +72,7 @@
         std::string nextLastPace; ///< The same of this round's batch.
         std::map<AccountPool, AccountUsage> usage;
         std::vector<PieceBacklog> backlogs;
+        std::uint32_t servingHosts = 0;
         std::uint32_t crowdedHosts = 0;
         std::uint32_t readsPerSecond = 0;
     };
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -64,6 +64,8 @@
     std::vector<EndpointLimitReport> limits;   ///< As far as the sender knows.
     /// Pools and pool partitions to which the sender has no path.
     std::vector<std::string> lostPools;
+    /// 1 if the sender takes requests of callers, does not stop, and states the next two fields.
+    std::uint32_t servingHosts = 0;
     std::uint32_t crowdedHosts = 0;   ///< 1 if the sender is overloaded; see ConnectionGate.
     std::uint32_t readsPerSecond = 0; ///< Requests that the sender reads from callers.
     std::uint64_t configSummary = 0;  ///< See ConfigDigest::summary.
@@ -104,7 +106,8 @@
     std::uint64_t configSummary = 0;  ///< See ConfigDigest::summary.
     std::uint64_t storeEra = 0;       ///< See ConfigDigest::storeEra.
     std::uint64_t lowestRevision = 0; ///< See ConfigDigest::lowestRevision.
-    std::uint32_t crowdedHosts = 0;   ///< Sum over the heartbeats, as the next one.
+    std::uint32_t servingHosts = 0;   ///< Sum over the heartbeats, as the next two.
+    std::uint32_t crowdedHosts = 0;
     std::uint32_t readsPerSecond = 0;
     bool hasWatcher = false; ///< A daemon of the sender's data centre watches the platform.
     /// A hash over the live hosts that the sender reports. The list itself, about 55 bytes per
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -311,6 +311,7 @@
         to.set_hosts_known(from.knownHostsHash);
         to.set_accepts_host_changes(from.acceptsHostChanges);
         to.mutable_lost_pools()->Add(from.lostPools.begin(), from.lostPools.end());
+        to.set_serving_hosts(from.servingHosts);
         to.set_crowded_hosts(from.crowdedHosts);
         to.set_reads_per_second(from.readsPerSecond);
         writeSharedLists(from, to);
@@ -323,6 +324,7 @@
         to.set_store_era(from.storeEra);
         to.set_lowest_revision(from.lowestRevision);
         to.set_watched(from.hasWatcher);
+        to.set_serving_hosts(from.servingHosts);
         to.set_crowded_hosts(from.crowdedHosts);
         to.set_reads_per_second(from.readsPerSecond);
         to.set_hosts_hash(from.hostsHash);
@@ -559,6 +561,7 @@
     to.knownHostsHash = from.hosts_known();
     to.acceptsHostChanges = from.accepts_host_changes();
     to.lostPools.assign(from.lost_pools().begin(), from.lost_pools().end());
+    to.servingHosts = from.serving_hosts();
     to.crowdedHosts = from.crowded_hosts();
     to.readsPerSecond = from.reads_per_second();
     readSharedLists(from, to);
@@ -573,6 +576,7 @@
     to.storeEra = from.store_era();
     to.lowestRevision = from.lowest_revision();
     to.hasWatcher = from.watched();
+    to.servingHosts = from.serving_hosts();
     to.crowdedHosts = from.crowded_hosts();
     to.readsPerSecond = from.reads_per_second();
     to.hostsHash = from.hosts_hash();
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -700,10 +700,11 @@
         applyLimits(m_snapshot.current());
         updatePaths();
         logLoadReporting();
-        m_machine.recordReads(m_load.isCrowded.load(std::memory_order_relaxed),
+        m_machine.recordReads(ready(), m_load.isCrowded.load(std::memory_order_relaxed),
                               m_load.readsPerSecond.load(std::memory_order_relaxed));
         const PeerRoom room = m_machine.peerRoom();
         m_load.peers.store(room.peers, std::memory_order_relaxed);
+        m_load.servingPeers.store(room.serving, std::memory_order_relaxed);
         m_load.crowdedPeers.store(room.crowded, std::memory_order_relaxed);
         m_load.peerReadsPerSecond.store(room.readsPerSecond, std::memory_order_relaxed);
         m_daemons.store(m_machine.membership().recentHostCount(), std::memory_order_relaxed);
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -375,6 +375,7 @@
 void Daemon::recordLoad(const HostLoadSample &sample, TimePoint now)
 {
     const PeerRoom room{m_load.peers.load(std::memory_order_relaxed),
+                        m_load.servingPeers.load(std::memory_order_relaxed),
                         m_load.crowdedPeers.load(std::memory_order_relaxed),
                         m_load.peerReadsPerSecond.load(std::memory_order_relaxed)};
     HostLoadSample average;
@@ -412,6 +413,7 @@
         .field("limitPerS", gate.limit ? fmt::format("{:.1f}", *gate.limit) : "none")
         .field("turnedAway", gate.turnedAway)
         .field("peers", room.peers)
+        .field("servingPeers", room.serving)
         .field("crowdedPeers", room.crowded)
         .field("peerReadsPerS", fmt::format("{:.1f}", room.readsPerSecond))
         .field("ready", gate.isReady);
--- a/lib/Kernel/connectiongate.cpp
+++ b/lib/Kernel/connectiongate.cpp
@@ -49,12 +49,16 @@
 
 double PeerRoom::freePart() const
 {
-    return peers <= 0 ? 0 : std::clamp(1 - static_cast<double>(crowded) / peers, 0.0, 1.0);
+    if (peers <= 0 || serving <= 0) {
+        return 0;
+    }
+    const double knownPart = std::min(1.0, static_cast<double>(serving) / peers);
+    return knownPart * std::clamp(1 - static_cast<double>(crowded) / serving, 0.0, 1.0);
 }
 
 double PeerRoom::meanReads() const
 {
-    return peers <= 0 ? 0 : readsPerSecond / peers;
+    return serving <= 0 ? 0 : readsPerSecond / serving;
 }
 
 double ConnectionGate::pressureOf(const HostLoadSample &load) const
--- a/lib/Kernel/loadaggregator.cpp
+++ b/lib/Kernel/loadaggregator.cpp
@@ -61,6 +61,7 @@
     update(load, heartbeat.prompts, heartbeat.backlogs, m_clock.now());
     update(load, heartbeat.usage);
     update(load, heartbeat.paces);
+    load.servingHosts = std::min(heartbeat.servingHosts, 1U);
     load.crowdedHosts = std::min(heartbeat.crowdedHosts, 1U);
     load.readsPerSecond = std::min(heartbeat.readsPerSecond, maxReportedReads);
 }
@@ -73,6 +74,7 @@
         update(load, summary.usage);
     }
     update(load, summary.paces);
+    load.servingHosts = std::min(summary.servingHosts, maxReportedHosts);
     load.crowdedHosts = std::min(summary.crowdedHosts, maxReportedHosts);
     load.readsPerSecond = std::min(summary.readsPerSecond, maxReportedReads);
 }
@@ -82,6 +84,7 @@
     update(m_own, own.prompts, own.backlogs, m_clock.now());
     update(m_own, own.usage);
     update(m_own, own.paces);
+    m_own.servingHosts = own.servingHosts;
     m_own.crowdedHosts = own.crowdedHosts;
     m_own.readsPerSecond = own.readsPerSecond;
 }
@@ -110,6 +113,7 @@
         sum.time += accountUsage.time;
         sum.demand += accountUsage.demand;
     }
+    total.servingHosts += load.servingHosts;
     total.crowdedHosts += load.crowdedHosts;
     total.readsPerSecond += load.readsPerSecond;
 }
@@ -206,6 +210,7 @@
     const auto without = [](std::uint32_t sum, std::uint32_t part) {
         return sum - std::min(sum, part);
     };
+    summary.servingHosts = without(total.servingHosts, excluded.servingHosts);
     summary.crowdedHosts = without(total.crowdedHosts, excluded.crowdedHosts);
     summary.readsPerSecond = without(total.readsPerSecond, excluded.readsPerSecond);
     summary.hasUsage = hasUsage;
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -801,7 +801,7 @@
             if (const std::optional<HostLoadSample> sample = host.meter->sample(now)) {
                 host.average.add(*sample);
                 host.gate.update(host.average.value(), host.control->peerRoom(), now);
-                host.control->recordReads(host.gate.isCrowded(), host.gate.readsPerSecond());
+                host.control->recordReads(true, host.gate.isCrowded(), host.gate.readsPerSecond());
             }
             scheduleLoadSample(name, incarnation);
         });
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -368,16 +368,20 @@
 
     Heartbeat heartbeat;
     heartbeat.lostPools = {"engines", "stages/dc1"};
+    heartbeat.servingHosts = 1;
     heartbeat.crowdedHosts = 1;
     heartbeat.readsPerSecond = 240;
     const auto readHeartbeat = decodePeerMessage(encodePeerMessage({"h1", 7, heartbeat}));
     CHECK(std::get<Heartbeat>(readHeartbeat->content).lostPools == heartbeat.lostPools);
+    LONGS_EQUAL(1, std::get<Heartbeat>(readHeartbeat->content).servingHosts);
     LONGS_EQUAL(1, std::get<Heartbeat>(readHeartbeat->content).crowdedHosts);
     LONGS_EQUAL(240, std::get<Heartbeat>(readHeartbeat->content).readsPerSecond);
     PeerSummary summary;
+    summary.servingHosts = 5;
     summary.crowdedHosts = 3;
     summary.readsPerSecond = 900;
     const auto readSummary = decodePeerMessage(encodePeerMessage({"h1", 7, summary}));
+    LONGS_EQUAL(5, std::get<PeerSummary>(readSummary->content).servingHosts);
     LONGS_EQUAL(3, std::get<PeerSummary>(readSummary->content).crowdedHosts);
     LONGS_EQUAL(900, std::get<PeerSummary>(readSummary->content).readsPerSecond);
     const auto readCancel = decodePeerMessage(encodePeerMessage({"h1", 7, RelayCancel{call.call}}));
--- a/unittests/Kernel/connectiongatetest.cpp
+++ b/unittests/Kernel/connectiongatetest.cpp
@@ -23,7 +23,7 @@
 {
     ConnectionGate gate{linkBytes};
     TimePoint now = TimePoint(seconds(100));
-    PeerRoom room{85, 0, 20};
+    PeerRoom room{85, 85, 0, 20};
     double ownBytesPerSecond = 0; ///< Of other work.
     int read = 0;
     int offered = 0;
@@ -103,7 +103,7 @@
 
 TEST(ConnectionGate, AnEvenOverloadTurnsNothingAway)
 {
-    room = {85, 0, 240.0 * 85};
+    room = {85, 85, 0, 240.0 * 85};
     offer(240, seconds(10));
     LONGS_EQUAL(offered, read);
     CHECK(gate.isReady());
@@ -111,7 +111,7 @@
 
 TEST(ConnectionGate, TurnsAwayNoMoreThanThePartOfThePeersThatHaveRoom)
 {
-    room = {10, 8, 100};
+    room = {10, 10, 8, 100};
     offer(400, seconds(10));
     CHECK(read >= offered * 0.79);
     CHECK(read < offered);
@@ -121,10 +121,38 @@
     LONGS_EQUAL(offered, read);
 }
 
+TEST(ConnectionGate, PeersThatStateNoLoadAreNotTakenForFree)
+{
+    // Reports were lost, or the peers start, or are of an older version.
+    room = {85, 0, 0, 0};
+    offer(240, seconds(10));
+    LONGS_EQUAL(offered, read);
+    CHECK(gate.isReady());
+    // Half of them state it.
+    room = {10, 5, 0, 100};
+    offer(400, seconds(10));
+    CHECK(read >= offered * 0.49);
+    CHECK(read < offered);
+    CHECK(gate.isReady());
+}
+
+TEST(ConnectionGate, ReportsThatCountTwiceDoNotChangeTheLimit)
+{
+    ConnectionGate twice{linkBytes};
+    offer(240, seconds(10));
+    const double limit = gate.limit().value();
+    const bool isReady = gate.isReady();
+    room = {85, 170, 0, 40};
+    gate = twice;
+    offer(240, seconds(10));
+    DOUBLES_EQUAL(limit, gate.limit().value(), 0.001);
+    CHECK(isReady == gate.isReady());
+}
+
 TEST(ConnectionGate, OtherWorkOfTheHostDoesNotStopItsReads)
 {
     ownBytesPerSecond = linkBytes;
-    room = {85, 0, 85.0 * 15};
+    room = {85, 85, 0, 85.0 * 15};
     offer(15, seconds(10));
     LONGS_EQUAL(offered, read);
 }
--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -65,8 +65,10 @@
     /// Has \p host report that it reads \p perSecond requests, and whether it is overloaded.
     void setReads(const std::string &host, bool isCrowded, double perSecond)
     {
-        m_hosts.at(host)->recordReads(isCrowded, perSecond);
+        m_hosts.at(host)->recordReads(true, isCrowded, perSecond);
     }
+    /// Has \p host report that it takes no requests.
+    void setStarting(const std::string &host) { m_hosts.at(host)->recordReads(false, true, 1000); }
     [[nodiscard]] PeerRoom peerRoom(const std::string &host) const
     {
         return m_hosts.at(host)->peerRoom();
@@ -315,10 +317,19 @@
         for (const std::string &host : fixture.hosts()) {
             const PeerRoom room = fixture.peerRoom(host);
             LONGS_EQUAL(29, room.peers);
+            LONGS_EQUAL(29, room.serving);
             LONGS_EQUAL(reads < 3 ? 2 : 3, room.crowded);
             ++reads;
             DOUBLES_EQUAL(allReads - reads, room.readsPerSecond, 0.001);
         }
+        // A host that starts is known, but has no room.
+        fixture.setStarting(fixture.hosts().back());
+        fixture.run(propagationTime);
+        const PeerRoom known = fixture.peerRoom(fixture.hosts().front());
+        LONGS_EQUAL(29, known.peers);
+        LONGS_EQUAL(28, known.serving);
+        LONGS_EQUAL(2, known.crowded);
+        DOUBLES_EQUAL(allReads - 1 - 30, known.readsPerSecond, 0.001);
         // Hosts that nobody hears of any more count no longer.
         fixture.cut("dc0");
         fixture.run(std::chrono::seconds(12));
