[Kernel] Count a request once in the retry budget of a pool of pieces

Change: a request counts when it orders from the pool for the first time; the record of that is kept for 20 s. Measured: PieceRouter.ARequestThatOrdersAgainEarnsNoFurtherRetries: four orders of one request, ratio 1: no retry now; four requests: three, as four orders of one had before.

--- a/include/harelink/Kernel/piecerouter.h
+++ b/include/harelink/Kernel/piecerouter.h
@@ -119,7 +119,8 @@
     void resubmit(const PieceId &id, PieceFault fault, const Snapshot &snapshot);
     void reportFault(const PieceId &id, PieceFault fault);
     RetryBudget &budgetOf(const std::string &pool);
-    void dropOldResults();
+    void countRequest(const std::string &pool, const RequestId &request);
+    void dropOldRecords();
 
     /// The cached batcher of a partition, with the version of the host lists it was selected from.
     struct Batcher
@@ -133,6 +134,8 @@
     const Membership &m_membership;
     RetryBudgetOptions m_budgetOptions;
     std::map<std::string, RetryBudget> m_budgets; ///< By pool.
+    /// When each request ordered pieces from a pool for the first time.
+    std::map<std::pair<RequestId, std::string>, TimePoint> m_countedRequests;
     std::map<PieceId, Pending> m_pending;
     std::map<std::string, Result> m_results; ///< By handle.
     std::vector<OutgoingPieceOrders> m_orders;
--- a/lib/Kernel/piecerouter.cpp
+++ b/lib/Kernel/piecerouter.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds pendingCheckInterval{50};
 /// Records of results are dropped after this time, longer than any endpoint keeps a result.
 constexpr milliseconds resultRecordTtl{20'000};
+/// A request that orders pieces of a pool again after this time counts as a new one.
+constexpr milliseconds requestRecordTtl{20'000};
 constexpr milliseconds sweepInterval{1000};
 
 } // namespace
@@ -49,11 +51,24 @@
     return m_budgets.try_emplace(pool, m_budgetOptions).first->second;
 }
 
+/// Counts \p request in the budget of \p pool once: further stages in the same pool, and lost
+/// results that are computed again, earn no further retries.
+void PieceRouter::countRequest(const std::string &pool, const RequestId &request)
+{
+    const TimePoint now = m_clock.now();
+    if (m_countedRequests.try_emplace({request, pool}, now).second) {
+        budgetOf(pool).recordRequest(now);
+    }
+}
+
 void PieceRouter::submit(const std::string &pool, const std::vector<PieceOrder> &orders,
                          const Snapshot &snapshot)
 {
+    if (orders.empty()) {
+        return;
+    }
     const TimePoint now = m_clock.now();
-    budgetOf(pool).recordRequest(now);
+    countRequest(pool, orders.front().id.request);
     std::vector<Pending> group;
     for (const PieceOrder &order : orders) {
         Pending pending;
@@ -215,7 +230,7 @@
     }
 }
 
-void PieceRouter::dropOldResults()
+void PieceRouter::dropOldRecords()
 {
     const TimePoint now = m_clock.now();
     if (now < m_nextSweep) {
@@ -225,6 +240,8 @@
     std::erase_if(m_results, [now](const auto &entry) {
         return now - entry.second.completedAt > resultRecordTtl;
     });
+    std::erase_if(m_countedRequests,
+                  [now](const auto &entry) { return now - entry.second > requestRecordTtl; });
 }
 
 void PieceRouter::handle(const PieceOutcomes &outcomes, const Snapshot &snapshot)
@@ -308,7 +325,7 @@
 void PieceRouter::tick(const Snapshot &snapshot)
 {
     const TimePoint now = m_clock.now();
-    dropOldResults();
+    dropOldRecords();
     std::vector<PieceId> overdue;
     for (const auto &[id, pending] : m_pending) {
         const bool isUnreachable = pending.batcher != m_membership.host()
--- a/unittests/Kernel/pieceroutertest.cpp
+++ b/unittests/Kernel/pieceroutertest.cpp
@@ -137,6 +137,29 @@
     CHECK(router.drainOrders()[0].host == fixture.orders[0].host);
 }
 
+TEST(PieceRouter, ARequestThatOrdersAgainEarnsNoFurtherRetries)
+{
+    // Four requests allow three retries; a request that orders four times counts once.
+    for (const bool isOneRequest : {false, true}) {
+        Fixture fixture;
+        PieceRouter router(fixture.clock, fixture.membership, {1, 0, milliseconds(10'000)});
+        int retries = 0;
+        for (std::uint32_t i = 0; i < 4; ++i) {
+            const PieceOrder order = isOneRequest ? pieceOrder(1, i) : pieceOrder(1 + i);
+            router.submit("pieces", {order}, *fixture.snapshot);
+            (void)router.drainOrders();
+        }
+        for (std::uint32_t i = 0; i < 4; ++i) {
+            const PieceOrder order = isOneRequest ? pieceOrder(1, i) : pieceOrder(1 + i);
+            PieceOutcomes message;
+            message.outcomes.push_back({order.id, "maker-0", "", PieceFault::Failed});
+            router.handle(message, *fixture.snapshot);
+            retries += static_cast<int>(router.drainOrders().size());
+        }
+        LONGS_EQUAL(isOneRequest ? 0 : 3, retries);
+    }
+}
+
 TEST(PieceRouter, KeepsWaitingIfResubmissionIsNotAllowed)
 {
     // The retry budget is empty. The only order may just be slow, so no fault is reported.
