[Daemon] Return large blocks to the system as soon as they are freed

Cause: glibc raises the size from which blocks are mapped by themselves to the largest block that was freed. The bodies of endless answers grow by doubling, each in turn, so after the first ones had ended all others grew in the heap and left gaps. A daemon with limits.bufferedBytes of 16 MiB grew by 56 to 87 MiB while 100 callers asked for endless bodies; small hosts have 120 MB. The budget counts contents, so no metric showed it.

--- a/tools/harelinkd/harelinkd.cpp
+++ b/tools/harelinkd/harelinkd.cpp
@@ -23,6 +23,7 @@
 #include <sstream>
 #include <thread>
 
+#include <malloc.h>
 #include <unistd.h>
 
 DEFINE_string(config, "", "The settings file, JSON with comments.");
@@ -39,6 +40,18 @@
 constexpr std::chrono::milliseconds drainPollInterval{20};
 /// Delay after the last answer, so that it reaches its caller.
 constexpr std::chrono::milliseconds lastAnswerGrace{100};
+/// Larger blocks are returned to the system as soon as they are freed.
+constexpr int maxHeapBlock = 128 * 1024;
+
+/// Keeps large blocks out of the heap. By default glibc raises the threshold to the largest block
+/// that was freed, and growing answers then leave gaps of several times limits.bufferedBytes.
+void limitHeap()
+{
+#ifdef __GLIBC__
+    mallopt(M_MMAP_THRESHOLD, maxHeapBlock);
+    mallopt(M_TRIM_THRESHOLD, maxHeapBlock);
+#endif
+}
 
 absl::StatusOr<Settings> loadSettings(const std::string &path)
 {
@@ -158,6 +171,7 @@
         fmt::print("{}: the settings are valid\n", FLAGS_config);
         return 0;
     }
+    limitHeap();
     applyLogLevel(settings->logLevel);
     blockSignals();
     // A stop requested over the operator API is handled like the signal.
