[Adapters] Bound what the kernel holds unsent for a caller

Cause: a caller that takes less than 16 KiB in 5 s is disconnected as one that reads nothing, which is seen by writes that complete. Change: TCP_NOTSENT_LOWAT of 64 KiB on connections of callers. What is in flight is not limited by it, so fast callers get as much as before. Measured: HttpServer.ACallerThatReadsSteadilyIsNotTakenForOneThatReadsNothing: stalled after 2.0 s before, never in 8 s now.

--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -17,9 +17,17 @@
 
 #include <restinio/all.hpp>
 
+#include <netinet/tcp.h>
+
 namespace harelink {
 namespace {
 
+/// Maximum number of bytes that the kernel holds for a connection besides those in flight. Without
+/// it, the kernel takes megabytes of a reply at once, and then nothing until a third of its buffer
+/// is free: a caller that reads all the time looks as if it read nothing.
+constexpr int maxUnsentBytes = 65'536;
+using NotSentLowWatermark = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+
 /// Thrown in a connection's write notification so that RESTinio closes the connection.
 class ReplyAborted : public std::runtime_error
 {
@@ -518,8 +526,10 @@
                         .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                                       .max_field_value_size(maxHeaderFieldBytes)
                                                       .max_body_size(options.maxBodyBytes))
-                        .socket_options_setter(
-                            [](auto &socket) { socket.set_option(asio::ip::tcp::no_delay{true}); })
+                        .socket_options_setter([](auto &socket) {
+                            socket.set_option(asio::ip::tcp::no_delay{true});
+                            socket.set_option(NotSentLowWatermark(maxUnsentBytes));
+                        })
                         .acceptor_post_bind_hook([raw](asio::ip::tcp::acceptor &acceptor) {
                             raw->port = acceptor.local_endpoint().port();
                         })
--- a/unittests/Adapters/httpcaller.h
+++ b/unittests/Adapters/httpcaller.h
@@ -82,6 +82,16 @@
         }
         return received;
     }
+    /// Reads up to \p size bytes, waiting up to two seconds for the first. Returns their number.
+    [[nodiscard]] std::size_t readSome(std::size_t size) const
+    {
+        std::vector<char> buffer(size);
+        pollfd ready{m_socket, POLLIN, 0};
+        const int timeout = static_cast<int>(idleTime.count());
+        const ssize_t count =
+            poll(&ready, 1, timeout) > 0 ? recv(m_socket, buffer.data(), size, 0) : 0;
+        return static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+    }
     void disconnect()
     {
         if (m_socket >= 0) {
--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -229,6 +229,26 @@
     CHECK(metrics.find("harelink_slow_callers_total 1\n") != std::string::npos);
 }
 
+TEST(HttpServer, ACallerThatReadsSteadilyIsNotTakenForOneThatReadsNothing)
+{
+    Server server;
+    SystemClock clock;
+    BufferBudget budget(longBody);
+    const auto backlog = std::make_shared<ReplyBacklog>(clock, budget, "r1", 2s);
+    const HttpCaller caller(server.server->port());
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    HttpReply reply = makePart(std::string(longBody, 'x'), true);
+    reply.backlog = backlog;
+    server.responder(std::move(reply));
+    // 200 kB a second.
+    for (int i = 0; i < 80; ++i) {
+        CHECK(caller.readSome(20'000) > 0);
+        CHECK_FALSE(backlog->isStalled());
+        std::this_thread::sleep_for(100ms);
+    }
+}
+
 // Only some pieces of a reply are queued in RESTinio; the others must follow in the same order,
 // also those of parts that are sent during the writes.
 TEST(HttpServer, PartsSentDuringWritesArriveWholeAndInOrder)
