[Test] Destroy the server before the clock of its replies

Cause: in the new test of a steady reader the server was destroyed last, and reported what it could not send to a backlog whose clock was gone: "pure virtual method called" under the address sanitizer. Daemons destroy their clock after the server. Change: the test declares the server last.

--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -231,10 +231,11 @@
 
 TEST(HttpServer, ACallerThatReadsSteadilyIsNotTakenForOneThatReadsNothing)
 {
-    Server server;
+    // The server reports what it could not send when it stops.
     SystemClock clock;
     BufferBudget budget(longBody);
     const auto backlog = std::make_shared<ReplyBacklog>(clock, budget, "r1", 2s);
+    Server server;
     const HttpCaller caller(server.server->port());
     caller.write(get);
     CHECK(server.waitForRequest());
