--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -3,8 +3,8 @@
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
 ///                  [--restores] [--silences] [--partitions] [--brittle] [--versions]
-///                  [--parts] [--retries [--uneven]] [--crowds] [--hosts H] [--lines L] [--without
-///                  MECHANISM]
+///                  [--parts] [--retries [--uneven]] [--crowds [--crowded_hosts C] [--readiness]]
+///                  [--hosts H] [--lines L] [--without MECHANISM]
 ///
 /// Executes K runs of M steps each, with the seeds from N on, and prints "violations: V".
 /// On a violation, also prints the seed and the last lines of its trace. With --without
@@ -49,7 +49,9 @@
             "of the others.");
 DEFINE_bool(
     crowds, false,
-    "Direct most new connections of a data centre, then of all, to one host, then to another.");
+    "Direct most new connections of a data centre, then of all, to a few hosts, then to others.");
+DEFINE_int32(crowded_hosts, 1, "With --crowds: the number of these hosts.");
+DEFINE_bool(readiness, false, "With --crowds: the balancer takes out hosts that are not ready.");
 DEFINE_int32(hosts, 0, "Number of hosts; 0 for the default of the run's kind.");
 DEFINE_uint64(lines, 60, "Number of trace lines to print on a violation.");
 DEFINE_string(without, "", "The mechanism to disable; empty for none.");
@@ -114,10 +116,11 @@
     int turnedAway = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result = player->second(
-            {FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines, FLAGS_restores,
-             FLAGS_brittle, FLAGS_partitions, FLAGS_silences, FLAGS_versions, FLAGS_parts,
-             FLAGS_retries, FLAGS_uneven, FLAGS_crowds});
+        const RunResult result =
+            player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines,
+                            FLAGS_restores, FLAGS_brittle, FLAGS_partitions, FLAGS_silences,
+                            FLAGS_versions, FLAGS_parts, FLAGS_retries, FLAGS_uneven, FLAGS_crowds,
+                            std::max(1, FLAGS_crowded_hosts), FLAGS_readiness});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -11,6 +11,7 @@
 #include "runresult.h"
 #include "world.h"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -45,6 +46,8 @@
         , m_retries(options.retries)
         , m_uneven(options.uneven)
         , m_crowds(options.crowds)
+        , m_crowdedHosts(static_cast<std::size_t>(options.crowdedHosts))
+        , m_readiness(options.readiness)
     {
         m_world.trace().setMaxLines(options.traceLines);
         if (m_silences) {
@@ -64,7 +67,7 @@
             m_world.setUnevenShare(mostStreams);
         }
         if (m_crowds) {
-            m_world.setEventTime(crowdEventTime);
+            m_world.setEventTime(crowdEventTime * options.crowdedHosts);
         }
     }
 
@@ -135,24 +138,28 @@
     }
 
 private:
-    /// Runs periods in which most connections go to one host, between others without: at first
-    /// those of one data centre, then those of all, then all to another host, which may be killed.
+    /// Runs periods in which most connections go to a few hosts, between others without: at first
+    /// those of one data centre, then those of all, then all to other hosts, while one of the first
+    /// may be killed.
     RunResult runCrowds(std::uint64_t steps)
     {
         using std::chrono::seconds;
         m_result.steps += m_world.run(seconds(2));
         m_world.faults() = {0.02, 0.05, 0.05, 0, 0};
+        if (m_readiness) {
+            m_world.crowdCallers().askReadiness();
+        }
         while (m_result.steps < steps && m_world.checks().violations().empty()) {
             const std::string host = randomHost();
             const std::string next = randomHost();
             runCallers(seconds(6));
-            runCrowd(Crowd{host, m_world.dataCentreOf(host)});
+            runCrowd(host, m_world.dataCentreOf(host));
             runCallers(seconds(6));
-            runCrowd(Crowd{host, ""});
+            runCrowd(host, "");
             if (random().chance(0.5)) {
                 killHostForShort(host);
             }
-            runCrowd(Crowd{next, ""});
+            runCrowd(next, "");
             m_world.crowdCallers().setCrowd(std::nullopt);
         }
         m_world.crowdCallers().setCrowd(std::nullopt);
@@ -165,9 +172,16 @@
         return collectResult();
     }
 
-    void runCrowd(const Crowd &crowd)
+    /// Directs most connections of \p dataCentre, or of all if it is empty, to a few of its hosts,
+    /// \p first before the others.
+    void runCrowd(const std::string &first, const std::string &dataCentre)
     {
-        m_world.crowdCallers().setCrowd(crowd);
+        std::vector<std::string> order = m_world.hostNames();
+        std::rotate(order.begin(), std::find(order.begin(), order.end(), first), order.end());
+        std::erase_if(order, [&](const std::string &host) {
+            return !dataCentre.empty() && m_world.dataCentreOf(host) != dataCentre;
+        });
+        m_world.crowdCallers().setCrowd(Crowd{std::move(order), m_crowdedHosts, dataCentre});
         runCallers(crowdTime);
     }
 
@@ -183,7 +197,8 @@
     }
 
     static constexpr std::chrono::seconds crowdTime{10};
-    /// At 9 hosts and 250 requests a second, a host has about a third of its processor in use.
+    /// For each host that gets most connections. At 9 hosts for each of these and 250 requests a
+    /// second, a host has about a third of its processor in use.
     static constexpr std::chrono::microseconds crowdEventTime{3000};
     static constexpr int hostCount = 4;
     static constexpr int manyHosts = 9;
@@ -216,7 +231,8 @@
             return options.hosts;
         }
         const bool needsMany = options.kind == RunKind::Limits || options.retries || options.crowds;
-        return needsMany ? manyHosts : hostCount;
+        const int crowdedHosts = options.crowds ? options.crowdedHosts : 1;
+        return needsMany ? manyHosts * crowdedHosts : hostCount;
     }
 
     Random &random() { return m_world.random(); }
@@ -673,6 +689,8 @@
     bool m_retries;
     bool m_uneven;
     bool m_crowds;
+    std::size_t m_crowdedHosts;
+    bool m_readiness;
     std::uint64_t m_crashingParts = 0;     ///< Sends of requests with parts that crash endpoints.
     TimePoint m_breaksUntil;               ///< Until then many calls break.
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -42,7 +42,9 @@
     bool parts = false;          ///< Parts of prompts crash endpoints.
     bool retries = false;        ///< Many streams break, and many hosts are killed at once.
     bool uneven = false;         ///< Most streams, then all, begin at one host.
-    bool crowds = false;         ///< Most connections go to one host, then to another.
+    bool crowds = false;         ///< Most connections go to a few hosts, then to others.
+    int crowdedHosts = 1;        ///< How many of them.
+    bool readiness = false;      ///< The balancer takes out hosts that are not ready.
 };
 
 /// Result of a run.
--- a/test/sim/crowdcallers.cpp
+++ b/test/sim/crowdcallers.cpp
@@ -14,51 +14,36 @@
         m_periods.back().end = m_queue.now();
     }
     m_crowd = std::move(crowd);
+    m_balancer.setCrowd(m_crowd.value_or(Crowd()));
     if (m_crowd) {
         m_periods.push_back({*m_crowd, m_queue.now()});
-        m_trace.add(fmt::format("most connections of {} go to {}",
+        m_trace.add(fmt::format("most connections of {} go to {} hosts from {} on",
                                 m_crowd->dataCentre.empty() ? "all" : m_crowd->dataCentre,
-                                m_crowd->host));
+                                m_crowd->hosts, m_crowd->order.front()));
     } else {
         m_trace.add("connections are spread evenly");
     }
 }
 
-std::string CrowdCallers::chooseHost(const std::string &dataCentre)
-{
-    const std::vector<std::string> hosts = m_world.hosts();
-    const bool isConcerned =
-        m_crowd && (m_crowd->dataCentre.empty() || m_crowd->dataCentre == dataCentre);
-    const bool isRunning =
-        m_crowd && std::find(hosts.begin(), hosts.end(), m_crowd->host) != hosts.end();
-    if (isConcerned && isRunning && m_random.chance(crowdedShare)) {
-        return m_crowd->host;
-    }
-    return hosts.empty() ? std::string() : hosts[m_random.below(hosts.size())];
-}
-
 void CrowdCallers::begin(const std::string &dataCentre)
 {
     Request request;
     request.sentAt = m_queue.now();
-    const std::string first = chooseHost(dataCentre);
-    std::optional<RequestId> id = first.empty() ? std::nullopt : m_world.submit(first);
-    request.reader = first;
-    if (!id) {
-        // The balancer sends a caller that returns to another host.
+    std::string tried;
+    for (int i = 0; i < maxAttempts; ++i) {
+        const Balancer::Choice choice = m_balancer.choose(dataCentre, tried);
+        const std::optional<RequestId> id =
+            choice.host.empty() ? std::nullopt : m_world.submit(choice.host);
+        if (id) {
+            request.isRead = true;
+            request.isReadByCrowded = choice.isCrowded;
+            m_inProgress[*id] = m_requests.size();
+            break;
+        }
         ++m_turnedAway;
-        std::vector<std::string> others = m_world.hosts();
-        std::erase(others, first);
-        request.reader = others.empty() ? std::string() : others[m_random.below(others.size())];
-        id = others.empty() ? std::nullopt : m_world.submit(request.reader);
-        m_turnedAway += id ? 0 : 1;
-    }
-    if (id) {
-        m_inProgress[*id] = m_requests.size();
-    } else {
-        request.reader.clear();
+        tried = choice.host;
     }
-    m_requests.push_back(std::move(request));
+    m_requests.push_back(request);
 }
 
 void CrowdCallers::handle(const AnswerCaller &answer)
@@ -91,10 +76,8 @@
     if (from >= period.end) {
         return;
     }
-    const auto isRead = [](const Request &request) { return !request.reader.empty(); };
-    const auto isReadByCrowded = [&period](const Request &request) {
-        return request.reader == period.crowd.host;
-    };
+    const auto isRead = [](const Request &request) { return request.isRead; };
+    const auto isReadByCrowded = [](const Request &request) { return request.isReadByCrowded; };
     const auto isAny = [](const Request &) { return true; };
     const Share before = shareOf(period.begin - adjustTime, period.begin, isRead);
     const Share crowded = shareOf(from, period.end, isReadByCrowded);
@@ -103,10 +86,10 @@
     m_worstServedRatio = std::min(m_worstServedRatio, ratio);
     if (ratio < minServedRatio) {
         m_checks.violation(fmt::format(
-            "{} got most connections: {} of {} requests that it read were served, and {} of {} of "
-            "all; before, {} of {}",
-            period.crowd.host, crowded.served, crowded.requests, all.served, all.requests,
-            before.served, before.requests));
+            "{} hosts from {} on got most connections: {} of {} requests that they read were "
+            "served, and {} of {} of all; before, {} of {}",
+            period.crowd.hosts, period.crowd.order.front(), crowded.served, crowded.requests,
+            all.served, all.requests, before.served, before.requests));
     }
 }
 
--- a/test/sim/crowdcallers.h
+++ b/test/sim/crowdcallers.h
@@ -1,15 +1,16 @@
 //===- crowdcallers.h - Callers that a balancer sends to few hosts -*- C++ -*-===//
 ///
 /// \file
-/// Callers whose balancer sends most new connections to one host at times. Checks that requests
-/// which that host reads are served at the first attempt about as often as before, and that those
-/// whose connections it turned away are served elsewhere.
+/// Callers whose balancer sends most new connections to a few hosts at times. Checks that requests
+/// which these hosts read are served at the first attempt about as often as before, and that those
+/// whose connections they turned away are served elsewhere.
 ///
 //===----------------------------------------------------------------------===//
 
 #ifndef HARELINK_TEST_SIM_CROWDCALLERS_H
 #define HARELINK_TEST_SIM_CROWDCALLERS_H
 
+#include "balancer.h"
 #include "checks.h"
 
 #include "harelink/Kernel/requestmachine.h"
@@ -23,30 +24,22 @@
 
 namespace harelink::sim {
 
-/// Where the balancer sends new connections.
-struct Crowd
-{
-    std::string host;
-    std::string dataCentre; ///< Whose callers are concerned; empty for all.
-};
-
 /// The callers of a simulation.
 class CrowdCallers
 {
 public:
-    /// Share of the concerned connections that go to the crowded host.
-    static constexpr double crowdedShare = 0.9;
     /// Time after the begin of a crowd from which on requests count.
     static constexpr std::chrono::seconds adjustTime{4};
-    /// Requests that the crowded host reads are served at the first attempt at least this often,
+    /// Requests that the crowded hosts read are served at the first attempt at least this often,
     /// relative to those of all hosts in the adjustTime before; and so are those of all callers.
     static constexpr double minServedRatio = 0.75;
+    /// Connections that a caller opens for a request, at different hosts, until one reads it.
+    static constexpr int maxAttempts = 2;
 
     /// What the callers need of the simulation.
     struct World
     {
-        /// Returns the names of the running hosts, by name.
-        std::function<std::vector<std::string>()> hosts;
+        Balancer::World balancer;
         /// Opens a connection to the host and sends a request; std::nullopt if the connection was
         /// turned away.
         std::function<std::optional<RequestId>(const std::string &host)> submit;
@@ -56,13 +49,15 @@
         : m_queue(queue)
         , m_checks(checks)
         , m_trace(trace)
-        , m_random(random)
         , m_world(std::move(world))
+        , m_balancer(queue, random, m_world.balancer)
     {
     }
 
-    /// Makes the balancer send most new connections to \p crowd.host, or evenly to all hosts.
+    /// Makes the balancer send most new connections to \p crowd, or evenly to all hosts.
     void setCrowd(std::optional<Crowd> crowd);
+    /// Makes the balancer ask hosts whether they are ready.
+    void askReadiness() { m_balancer.askReadiness(); }
     /// Sends the request of a new caller.
     void begin(const std::string &dataCentre);
     void handle(const AnswerCaller &answer);
@@ -78,10 +73,11 @@
     struct Request
     {
         TimePoint sentAt;
-        std::string reader; ///< The host that read it; empty if all turned it away.
+        bool isRead = false;          ///< By any host.
+        bool isReadByCrowded = false; ///< By one that the balancer preferred then.
         bool isServed = false;
     };
-    /// A period in which the balancer preferred one host.
+    /// A period in which the balancer preferred some hosts.
     struct Period
     {
         Crowd crowd;
@@ -98,7 +94,6 @@
         }
     };
 
-    std::string chooseHost(const std::string &dataCentre);
     template <typename Predicate>
     [[nodiscard]] Share shareOf(TimePoint begin, TimePoint end, const Predicate &counts) const;
     void check(const Period &period);
@@ -106,8 +101,8 @@
     EventQueue &m_queue;
     Checks &m_checks;
     Trace &m_trace;
-    Random &m_random;
     World m_world;
+    Balancer m_balancer;
     std::optional<Crowd> m_crowd;
     std::vector<Period> m_periods;
     std::deque<Request> m_requests; ///< By the time at which they were sent.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -67,7 +67,8 @@
                            },
                            [this] { return m_disturbedAt; }})
         , m_crowdCallers(m_queue, m_checks, m_trace, m_random,
-                         {[this] { return runningHosts(); },
+                         {{[this] { return runningHosts(); },
+                           [this](const std::string &host) { return isReady(host); }},
                           [this](const std::string &host) { return submitOfCrowd(host); }})
         , m_dataCentres(dataCentres)
         , m_maxMeshPeers(seed % 2 == 0 ? 0 : ControlOptions{}.maxMeshPeers)
@@ -818,6 +819,12 @@
         return running;
     }
 
+    /// Returns what the host answers to the balancer.
+    [[nodiscard]] bool isReady(const std::string &name) const
+    {
+        return !G::limitsReads || m_hosts.at(name).gate.isReady();
+    }
+
     /// Opens a connection to \p name and sends a request; std::nullopt if it is turned away.
     std::optional<RequestId> submitOfCrowd(const std::string &name)
     {
