[Kernel] Keep what is known of all peers when a summary covers few hosts

Cause: from 16 peers on, a host takes the load of its peers from the last summary of its data centre. A host that passes over its relays, as their answers are late or lost, asks a host that is no relay, whose summary covers hardly more than itself and replaced the sums of all peers. A crowded host then knew one peer with room, turned hardly any connection away, became overloaded, and found its relays late again: callers got refusals and late answers of a host whose peers were idle. Change: SummaryCoverage: for 5 s after a complete summary, one that covers less than half as many hosts replaces neither the reads, prompts and calls of peers nor the demand of accounts. What adds to what is known is taken from it as before. Guard keepsCompleteSummaries with a control. PeerRelay.HostsThatAreNoRelaysYetDoNotHideTheLoadOfTheOthers fails without the change.

--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -26,6 +26,7 @@
 #include "harelink/Kernel/piecebatcher.h"
 #include "harelink/Kernel/rateshares.h"
 #include "harelink/Kernel/streamorigins.h"
+#include "harelink/Kernel/summarycoverage.h"
 
 #include <map>
 #include <set>
@@ -238,6 +239,8 @@
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
     void sendHeartbeats();
     template <typename Content>
+    void updatePeerTotals(const std::string &source, const Content &content);
+    template <typename Content>
     void handleLoad(const std::string &source, const Content &content);
     [[nodiscard]] bool mayCall(const BasicConfigWatcher<G> &watcher) const;
     void handleHostList(const std::vector<PlatformObject> &hosts);
@@ -291,6 +294,7 @@
     PeerTotals<std::string> m_peerCalls; ///< At model engines.
     std::vector<UsageReport> m_ownUsage;
     PeerDemand m_peerDemand;
+    SummaryCoverage m_coverage;
     /// Reported as leaving before their declaration was received, as happens after a start.
     std::set<std::string> m_undeclaredLeaving;
     bool m_leavingKnown = false;      ///< The host list or a peer has reported leaving endpoints.
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -81,6 +81,7 @@
     , m_peerPrompts(clock)
     , m_peerCalls(clock)
     , m_peerDemand(clock)
+    , m_coverage(clock)
 {
     m_membership.setCapacity(options.capacity);
     if (options.hostKind.empty()) {
@@ -595,10 +596,10 @@
     std::visit([&](const auto &content) { handle(message, content); }, message.content);
 }
 
-/// Handles the load that \p source, a daemon or a data centre, reported.
+/// Replaces what is known of the load at \p source, a daemon or a data centre.
 template <GuardPolicy G>
 template <typename Content>
-void BasicControlMachine<G>::handleLoad(const std::string &source, const Content &content)
+void BasicControlMachine<G>::updatePeerTotals(const std::string &source, const Content &content)
 {
     PeerTotals<std::string>::Values prompts;
     PeerTotals<std::string>::Values calls;
@@ -616,6 +617,13 @@
                        controlmachine::readTotalsTtl);
     m_peerPrompts.update(source, std::move(prompts));
     m_peerCalls.update(source, std::move(calls));
+}
+
+/// Passes on the parts of the load that \p source reported which add to what is known.
+template <GuardPolicy G>
+template <typename Content>
+void BasicControlMachine<G>::handleLoad(const std::string &source, const Content &content)
+{
     for (PaceFault &fault : paceFaultsIn(source, content)) {
         m_output.paceFaults.push_back(std::move(fault));
     }
@@ -638,6 +646,7 @@
     }
     if (m_relay.usesHeartbeatsFrom(content.dataCentre)) {
         m_peerDemand.update(message.host, content.usage);
+        updatePeerTotals(message.host, content);
         handleLoad(message.host, content);
     }
     m_leavingKnown = m_leavingKnown || content.leavingKnown;
@@ -683,10 +692,14 @@
     m_gossip.handle(message.host, digestOf(content, content.hasWatcher));
     if (m_relay.usesSummariesFrom(dataCentre)) {
         const std::string source = "summary of " + dataCentre;
-        handleLoad(source, content);
-        if (content.hasUsage) {
-            m_peerDemand.updateFromSummary(source, content.usage);
+        const bool isComplete = m_coverage.record(dataCentre, content.servingHosts);
+        if (isComplete || !G::keepsCompleteSummaries) {
+            updatePeerTotals(source, content);
+            if (content.hasUsage) {
+                m_peerDemand.updateFromSummary(source, content.usage);
+            }
         }
+        handleLoad(source, content);
     }
     m_leavingKnown = m_leavingKnown || content.leavingKnown;
     recordLimitReports(content.limits);
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -78,6 +78,8 @@
     static constexpr bool guaranteesMinimum = true;
     /// Limits the requests that an overloaded host reads; see ConnectionGate.
     static constexpr bool limitsReads = true;
+    /// Does not let summaries of few hosts replace what is known of all peers; see SummaryCoverage.
+    static constexpr bool keepsCompleteSummaries = true;
     /// Takes no samples of pools from requests that met an overload of this host.
     static constexpr bool excludesOverloadSamples = true;
     /// Divides the slots of a pool among the accounts with demand for them.
@@ -195,6 +197,9 @@
     {
         G::limitsReads
         } -> std::convertible_to<bool>;
+    {
+        G::keepsCompleteSummaries
+        } -> std::convertible_to<bool>;
     {
         G::excludesOverloadSamples
         } -> std::convertible_to<bool>;
--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -338,6 +338,25 @@
     }
 }
 
+TEST(PeerRelay, HostsThatAreNoRelaysYetDoNotHideTheLoadOfTheOthers)
+{
+    RelayFixture fixture(30, 16);
+    for (const std::string &host : fixture.hosts()) {
+        fixture.setReads(host, false, 10);
+    }
+    fixture.run(propagationTime);
+    // The hosts with high capacity are the relays.
+    for (const char *relay : {"h00", "h01", "h02", "h03", "h04", "h05"}) {
+        fixture.kill(relay);
+    }
+    for (Duration passed{}; passed < std::chrono::seconds(8); passed += milliseconds(100)) {
+        fixture.run(milliseconds(100));
+        for (const std::string &host : fixture.hosts()) {
+            CHECK(fixture.peerRoom(host).serving >= 12);
+        }
+    }
+}
+
 /// Guards against samples that return to their sender, that are counted twice, or that are lost on
 /// the way through relays.
 TEST(PeerRelay, EachSampleOfAPaceArrivesOnceAndNotAtItsSender)
