[Kernel] Keep one retry and what is used when lending while in need of loans

Cause: where all daemons retry, each requested loans and lent half of its own share, which left less than one retry at 66 daemons and was withheld for 13 s; the loans that it got ended after 3 s. Change: within a window of a request of its own, a daemon lends half of what is left beyond one retry and its use of the window. A rule by the requests of peers was not taken: streams in progress, which need the retries, do not show in what is read.

--- a/include/harelink/Kernel/retrybudget.h
+++ b/include/harelink/Kernel/retrybudget.h
@@ -71,7 +71,8 @@
     void releaseReserved(const RetryReservation &reservation = {});
 
     /// Returns how much may be lent now: half of what is unused of this daemon's share of the
-    /// allowance. The ratio of its own requests is never lent.
+    /// allowance; within a window of a request for loans, of what is left of it beyond one retry
+    /// and the use of the last window. The ratio of its own requests is never lent.
     [[nodiscard]] double lendable(TimePoint now, int daemons);
     /// Withholds \p retries that are being lent, until no window can contain both a retry that
     /// was paid with them and one that is sent here afterwards.
@@ -111,7 +112,7 @@
     std::array<Slot, slotCount> m_slots{};
     std::vector<Part> m_lent;
     std::vector<Part> m_borrowed;
-    TimePoint m_nextLoanRequest = TimePoint::min();
+    std::optional<TimePoint> m_loanRequestedAt;
 };
 
 } // namespace harelink
--- a/lib/Kernel/retrybudget.cpp
+++ b/lib/Kernel/retrybudget.cpp
@@ -136,7 +136,10 @@
 double RetryBudget::lendable(TimePoint now, int daemons)
 {
     const double unlent = allowanceShare(now, daemons) - lent(now);
-    return std::max(0.0, std::min(unlent, ownUnused(now, daemons)) / 2);
+    const double unused = ownUnused(now, daemons);
+    const bool needsLoans = m_loanRequestedAt && now - *m_loanRequestedAt < m_options.window;
+    const double kept = needsLoans ? std::max(1.0, unlent - unused) : 0;
+    return std::max(0.0, (std::min(unlent, unused) - kept) / 2);
 }
 
 void RetryBudget::lend(double retries, TimePoint now)
@@ -153,11 +156,11 @@
 
 bool RetryBudget::claimLoanRequest(TimePoint now, int daemons)
 {
-    const bool isDue = m_options.loanTerm > std::chrono::milliseconds::zero()
-                       && now >= m_nextLoanRequest
+    const bool hasRequested = m_loanRequestedAt && now - *m_loanRequestedAt < loanRequestInterval;
+    const bool isDue = m_options.loanTerm > std::chrono::milliseconds::zero() && !hasRequested
                        && std::max(ownUnused(now, daemons), 0.0) + borrowed(now) < minUnused;
     if (isDue) {
-        m_nextLoanRequest = now + loanRequestInterval;
+        m_loanRequestedAt = now;
     }
     return isDue;
 }
--- a/unittests/Kernel/budgetloanstest.cpp
+++ b/unittests/Kernel/budgetloanstest.cpp
@@ -52,6 +52,7 @@
     double restarts = 0;        ///< Probability that a host restarts, per step of 20 ms.
     bool withholdsLent = true;  ///< Otherwise lenders use what they have lent.
     bool withholdsStart = true; ///< Otherwise hosts use their share from their start on.
+    bool hasLoans = true;       ///< Otherwise hosts request none.
     double elsewhere = 0;       ///< Share of the retries that are wanted at other hosts.
     std::uint64_t seed = 1;
 };
@@ -99,6 +100,8 @@
         }
         return most;
     }
+    /// Returns the number of retries of all hosts.
+    [[nodiscard]] std::size_t retries() const { return m_retries.size(); }
     [[nodiscard]] std::uint64_t loansTaken() const { return m_taken; }
 
 private:
@@ -122,7 +125,8 @@
     void start(Host &host, bool isRestart)
     {
         host.incarnation = m_random.bits();
-        RetryBudgetOptions options{0, m_options.allowance, window, TimePoint::min(), term};
+        RetryBudgetOptions options{0, m_options.allowance, window, TimePoint::min(),
+                                   m_options.hasLoans ? term : milliseconds::zero()};
         if (isRestart && m_options.withholdsStart) {
             options.startedAt = host.clock->now();
         }
@@ -305,6 +309,21 @@
     CHECK(static_cast<double>(worstWindowOf(options)) > options.allowance);
 }
 
+TEST(BudgetLoans, HostsThatAllNeedRetriesKeepTheirShares)
+{
+    const auto retriesOf = [](bool hasLoans) {
+        FleetOptions options;
+        options.elsewhere = 1;
+        options.hasLoans = hasLoans;
+        LoanFleet fleet(options);
+        fleet.run(2 * window); // Loans of the time before all hosts needed retries have ended.
+        const std::size_t before = fleet.retries();
+        fleet.run(6 * window);
+        return fleet.retries() - before;
+    };
+    CHECK(retriesOf(true) >= retriesOf(false));
+}
+
 TEST(BudgetLoans, AsksThreeDifferentPeers)
 {
     const auto sends = borrower.request({"p", 1}, {"a", "b", "c", "d", "e"});
--- a/unittests/Kernel/retrybudgettest.cpp
+++ b/unittests/Kernel/retrybudgettest.cpp
@@ -190,3 +190,16 @@
     RetryBudget withoutLoans({0, 0, milliseconds(1000)});
     CHECK_FALSE(withoutLoans.claimLoanRequest(start, 1));
 }
+
+TEST(RetryBudget, KeepsWhatItUsesWhileItNeedsLoansItself)
+{
+    const TimePoint start{std::chrono::hours(1)};
+    RetryBudget budget({0, 8, milliseconds(1000), TimePoint::min(), milliseconds(300)});
+    for (int i = 0; i < 3; ++i) {
+        budget.recordRetry(start);
+    }
+    CHECK(budget.lendable(start, 1) > 0);
+    CHECK(budget.claimLoanRequest(start, 1));
+    DOUBLES_EQUAL(0, budget.lendable(start + milliseconds(999), 1), 0);
+    CHECK(budget.lendable(start + milliseconds(1000), 1) > 0);
+}
