--- a/include/harelink/Kernel/summarycoverage.h
+++ b/include/harelink/Kernel/summarycoverage.h
@@ -2,9 +2,8 @@
 ///
 /// \file
 /// Tells complete summaries of a data centre's load from partial ones. Any host sends a summary on
-/// request, so a daemon that passes over unresponsive relays may ask one that receives no
-/// heartbeats of others. Its summary covers hardly more than its own load, and must not replace
-/// what is known of all peers.
+/// request, so a daemon that passes over its relays may ask one that receives no heartbeats of
+/// others. Its summary covers hardly more than its own load, and must not replace what is known.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -19,6 +18,7 @@
 
 namespace harelink {
 
+/// Compares the summaries of each data centre with the last complete one.
 class SummaryCoverage
 {
 public:
