--- a/test/sim/balancer.h
+++ b/test/sim/balancer.h
@@ -30,6 +30,7 @@
     std::string dataCentre;         ///< Whose callers are concerned; empty for all.
 };
 
+/// The balancer of one simulation.
 class Balancer
 {
 public:
@@ -45,8 +46,8 @@
     };
     struct Choice
     {
-        std::string host; ///< Empty if no host runs.
-        bool isCrowded = false;
+        std::string host;       ///< Empty if no host runs.
+        bool isCrowded = false; ///< One of those that get the crowd.
     };
 
     Balancer(EventQueue &queue, Random &random, World world)
@@ -58,6 +59,7 @@
 
     /// Begins to ask hosts whether they are ready; until then all are taken for ready.
     void askReadiness();
+    /// Sends most new connections to the hosts of \p crowd from now on.
     void setCrowd(Crowd crowd) { m_crowd = std::move(crowd); }
     /// Returns the host of a new connection. A caller that \p tried a host before is sent to any
     /// other one.
