--- a/include/harelink/Kernel/summarycoverage.h
+++ b/include/harelink/Kernel/summarycoverage.h
@@ -33,7 +33,7 @@
     }
 
     /// Records a summary from a relay of \p dataCentre that covers \p hosts. Returns whether it is
-    /// complete: it covers at least half as many as the last complete one of comparedPeriod.
+    /// complete: it covers at least half as many, rounded down, as the last one of comparedPeriod.
     [[nodiscard]] bool record(const std::string &dataCentre, std::uint32_t hosts);
 
 private:
