[Kernel] Let hosts of high capacity send at each interval only where they are few

Cause: a host of at least half the largest capacity sends a heartbeat at each interval to both relays, and is sent summaries as often, as such hosts are few. Where all hosts of a data centre have the same capacity, or the large ones are lost, all are such hosts, and the interval that stretches with the number of hosts applies to none: relays, then small hosts themselves, spend on heartbeats what they need for callers, whose requests are late or refused there. Change: with over twelve hosts of high capacity in a data centre, they send like the others. A relay sends its summaries at each interval whatever its capacity. PeerRelay.HostsOfEqualCapacityDoNotOverloadTheirRelays fails without the change.

--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -377,7 +377,8 @@
     // any daemon of its data centre does.
     own.watches = m_gossip.hasWatcher();
     const bool watches = m_gossip.watchesConnected();
-    for (PeerSend &send : m_membership.dueHeartbeats(m_relay.targets())) {
+    const std::vector<HeartbeatTarget> targets = m_relay.targets();
+    for (PeerSend &send : m_membership.dueHeartbeats(targets, m_relay.isRelay())) {
         auto &content = std::get<Heartbeat>(send.message.content);
         content.usage = own.usage;
         content.leavingEndpoints = own.leavingEndpoints;
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -76,20 +76,23 @@
     /// Returns the factor by which hosts without high capacity stretch the heartbeat interval,
     /// both for what they send and for what they are sent. It is 1 in a small data centre and
     /// rises with the number of hosts, so that the load of a relay grows more slowly than that.
-    /// The few hosts with high capacity send at each interval.
+    /// Hosts with high capacity send at each interval if they are few.
     [[nodiscard]] std::uint32_t heartbeatMultiplier() const { return m_heartbeatMultiplier; }
-    /// Returns whether \p peer has high capacity; see highCapacityHosts().
-    [[nodiscard]] bool hasHighCapacity(const PeerHost &peer) const
+    /// Returns whether \p peer sends and is sent messages at each interval, since it is one of few
+    /// hosts with high capacity.
+    [[nodiscard]] bool sendsEachInterval(const PeerHost &peer) const
     {
-        return hasHighCapacity(peer.capacity);
+        return sendsEachInterval(peer.capacity);
     }
-    /// Returns whether this host has high capacity.
-    [[nodiscard]] bool hasHighCapacity() const { return hasHighCapacity(m_capacity); }
+    /// Returns the same of this host.
+    [[nodiscard]] bool sendsEachInterval() const { return sendsEachInterval(m_capacity); }
     /// Returns whether heartbeats are due, in which case dueHeartbeats() shall be called.
     [[nodiscard]] bool heartbeatsDue() const { return m_clock.now() >= m_nextHeartbeat; }
     /// Returns heartbeats to \p targets with only the membership fields set, and schedules
     /// the next ones.
-    std::vector<PeerSend> dueHeartbeats(const std::vector<HeartbeatTarget> &targets);
+    ///
+    /// \param isRelay whether this host sends summaries to others, with its heartbeats.
+    std::vector<PeerSend> dueHeartbeats(const std::vector<HeartbeatTarget> &targets, bool isRelay);
     /// Returns the value of this host's object in the platform, as handleHostList() reads it.
     [[nodiscard]] std::string ownDeclaration() const;
     /// Returns whether \p declaration equals ownDeclaration() except for the incarnation.
@@ -194,7 +197,7 @@
     void applyHostReport(const HostReport &report);
     [[nodiscard]] TimePoint liveUntil(const PeerHost &peer) const;
     [[nodiscard]] Duration livenessTimeoutOf(const PeerHost &peer) const;
-    [[nodiscard]] bool hasHighCapacity(double capacity) const;
+    [[nodiscard]] bool sendsEachInterval(double capacity) const;
     [[nodiscard]] bool hasInitialView() const;
     template <typename Condition>
     [[nodiscard]] std::vector<std::string> selectHosts(const Condition &condition,
@@ -216,7 +219,8 @@
     std::map<std::string, PeerHost> m_peers;
     mutable Lists m_lists;
     mutable std::uint32_t m_heartbeatMultiplier = 1;
-    mutable double m_largestCapacity = 0; ///< Among the live hosts of this data centre.
+    mutable double m_largestCapacity = 0;        ///< Among the live hosts of this data centre.
+    mutable std::size_t m_highCapacityHosts = 0; ///< Number of these with high capacity.
 };
 
 /// Returns the one of \p hosts that normally writes \p bucket, by rendezvous hashing: when a
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds recentHostPeriod{10'000};
 /// A host has high capacity from this fraction of the largest host's capacity on.
 constexpr double highCapacityRatio = 0.5;
+/// With more hosts of high capacity in a data centre, these send no more often than the others.
+constexpr std::size_t maxHighCapacitySenders = 12;
 /// From the first number of hosts in a data centre on, hosts without high capacity send every
 /// second heartbeat only, from the second number on every fourth. A relay then receives about
 /// 100 messages per second, as with 24 hosts.
@@ -285,12 +287,14 @@
     return sum;
 }
 
-std::vector<PeerSend> Membership::dueHeartbeats(const std::vector<HeartbeatTarget> &targets)
+std::vector<PeerSend> Membership::dueHeartbeats(const std::vector<HeartbeatTarget> &targets,
+                                                bool isRelay)
 {
     m_lastHeartbeat = m_clock.now();
     m_nextHeartbeat =
         m_lastHeartbeat
-        + heartbeatInterval * (hasHighCapacity() ? 1 : static_cast<int>(m_heartbeatMultiplier));
+        + heartbeatInterval
+              * (isRelay || sendsEachInterval() ? 1 : static_cast<int>(m_heartbeatMultiplier));
     std::vector<PeerSend> sends;
     for (const HeartbeatTarget &target : targets) {
         Heartbeat heartbeat;
@@ -339,12 +343,14 @@
 
 Duration Membership::livenessTimeoutOf(const PeerHost &peer) const
 {
-    return livenessTimeout * (hasHighCapacity(peer) ? 1 : static_cast<int>(m_heartbeatMultiplier));
+    return livenessTimeout
+           * (sendsEachInterval(peer) ? 1 : static_cast<int>(m_heartbeatMultiplier));
 }
 
-bool Membership::hasHighCapacity(double capacity) const
+bool Membership::sendsEachInterval(double capacity) const
 {
-    return capacity >= m_largestCapacity * highCapacityRatio;
+    return m_highCapacityHosts <= maxHighCapacitySenders
+           && capacity >= m_largestCapacity * highCapacityRatio;
 }
 
 bool Membership::isReported(const PeerHost &peer) const
@@ -386,7 +392,7 @@
         }
     };
     bool isAdded = m_leaving;
-    double largest = m_capacity;
+    std::vector<double> capacities{m_capacity};
     for (const auto &[name, peer] : m_peers) {
         if (!isAdded && m_host < name) {
             add(m_host, m_dataCentre);
@@ -398,7 +404,7 @@
         lists.validUntil = std::min(lists.validUntil, liveUntil(peer));
         lists.livePeers.push_back(name);
         if (peer.dataCentre == m_dataCentre) {
-            largest = std::max(largest, peer.capacity);
+            capacities.push_back(peer.capacity);
         }
         if (!peer.leaving) {
             add(name, peer.dataCentre);
@@ -409,7 +415,11 @@
     }
     const std::size_t local = lists.localCandidates.size();
     m_heartbeatMultiplier = heartbeatMultiplierFor(local);
-    m_largestCapacity = largest;
+    m_largestCapacity = *std::max_element(capacities.begin(), capacities.end());
+    m_highCapacityHosts = static_cast<std::size_t>(
+        std::count_if(capacities.begin(), capacities.end(), [this](double capacity) {
+            return capacity >= m_largestCapacity * highCapacityRatio;
+        }));
     m_lists = std::move(lists);
 }
 
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -211,7 +211,7 @@
         // The second relay has to know all hosts when the first one dies. Until then it does
         // not need every heartbeat of the many hosts without high capacity.
         const bool isDue =
-            m_isRelay || announcesLeave || m_membership.hasHighCapacity()
+            m_isRelay || announcesLeave || m_membership.sendsEachInterval()
             || ++m_secondRelayHeartbeats % (usageRoundInterval / m_membership.heartbeatMultiplier())
                    == 0;
         if (host == hosts.front()) {
@@ -273,7 +273,7 @@
 {
     const auto peer = m_membership.peers().find(host);
     const bool isEveryRound = peer == m_membership.peers().end()
-                              || m_membership.hasHighCapacity(peer->second)
+                              || m_membership.sendsEachInterval(peer->second)
                               || !m_membership.isLocal(host);
     return isUrgent || isEveryRound || m_round % m_membership.heartbeatMultiplier() == 0;
 }
--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -93,6 +93,8 @@
         }
     }
 
+    /// Returns and clears the numbers of heartbeats received, by host.
+    std::map<std::string, int> drainHeartbeats() { return std::exchange(m_heartbeats, {}); }
     /// Returns and clears the numbers of messages sent, by host.
     std::map<std::string, int> drainSent() { return std::exchange(m_sent, {}); }
     [[nodiscard]] std::size_t livePeers(const std::string &host) const
@@ -150,6 +152,7 @@
     {
         const auto to = m_hosts.find(send.host);
         if (to != m_hosts.end() && passes(send.message.host, send.host)) {
+            m_heartbeats[send.host] += std::holds_alternative<Heartbeat>(send.message.content);
             to->second->handle(send.message);
         }
     }
@@ -211,6 +214,7 @@
     std::map<std::string, std::unique_ptr<ControlMachine>> m_hosts;
     std::vector<PeerSend> m_inTransit;
     std::map<std::string, int> m_sent;
+    std::map<std::string, int> m_heartbeats;
     std::map<std::string, std::int64_t> m_tokens;
     std::map<std::string, std::int64_t> m_peerTokens;
     std::map<std::string, int> m_calls;
@@ -243,6 +247,21 @@
     return total(fixture.drainSent());
 }
 
+/// Returns the largest number of heartbeats that one of \p hosts daemons receives per second in
+/// steady state.
+int maxHeartbeatsPerSecond(int hosts, int highCapacityHosts)
+{
+    RelayFixture fixture(hosts, 16, highCapacityHosts);
+    fixture.run(propagationTime);
+    (void)fixture.drainHeartbeats();
+    fixture.run(std::chrono::seconds(1));
+    int most = 0;
+    for (const auto &[host, count] : fixture.drainHeartbeats()) {
+        most = std::max(most, count);
+    }
+    return most;
+}
+
 } // namespace
 
 TEST_GROUP(PeerRelay){};
@@ -259,6 +278,13 @@
     CHECK(messagesPerSecond(60, 1000) > mesh * 7 / 2);
 }
 
+TEST(PeerRelay, HostsOfEqualCapacityDoNotOverloadTheirRelays)
+{
+    for (const int hosts : {90, 180}) {
+        CHECK(maxHeartbeatsPerSecond(hosts, 0) <= maxHeartbeatsPerSecond(hosts, 2));
+    }
+}
+
 TEST(PeerRelay, EveryDaemonKnowsAllLiveHosts)
 {
     RelayFixture fixture(60, 16);
