[Kernel] Let an overloaded relay request fewer heartbeats

Cause: hosts send their relays heartbeats at an interval that follows from the number of hosts. Callers got late answers and failures of all that these hosts read, for 40 s, while others had two thirds of their processors free; hosts knew 17 to 25 live peers of 35. Change: HeartbeatThrottle: a relay whose pressure is 1 or more asks in its summaries for an interval of twice, then four times the length, until it was not overloaded for 30 s. Requests end after 2.5 s without summaries. All timeouts of heartbeats follow the interval, as they do in large data centres. Older daemons ignore the field. host-loaded states relayMultiplier. Guard stretchesHeartbeats with a control.

--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -139,6 +139,17 @@
     ///
     /// \param isServing whether it is configured to take requests.
     void recordReads(bool isServing, bool isCrowded, double perSecond);
+    /// Sets whether this host is overloaded, for which a relay requests fewer heartbeats.
+    void recordOverload(bool isOverloaded)
+    {
+        m_relay.recordOverload(G::stretchesHeartbeats && isOverloaded);
+    }
+    /// Returns the factor of PeerRelay::requestedMultiplier(); std::nullopt if this daemon is no
+    /// relay.
+    [[nodiscard]] std::optional<std::uint32_t> requestedMultiplier() const
+    {
+        return m_relay.isRelay() ? std::optional(m_relay.requestedMultiplier()) : std::nullopt;
+    }
     /// Returns the peers heard of recently, with what they reported of their load.
     [[nodiscard]] PeerRoom peerRoom() const;
     /// Records that \p host has reported that it has no path to \p pool.
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -378,6 +378,7 @@
     own.watches = m_gossip.hasWatcher();
     const bool watches = m_gossip.watchesConnected();
     const std::vector<HeartbeatTarget> targets = m_relay.targets();
+    m_membership.requestMultiplierAsRelay(m_relay.requestedMultiplier());
     for (PeerSend &send : m_membership.dueHeartbeats(targets, m_relay.isRelay())) {
         auto &content = std::get<Heartbeat>(send.message.content);
         content.usage = own.usage;
@@ -679,6 +680,9 @@
     }
     const std::string dataCentre = sender->second.dataCentre;
     m_relay.handle(dataCentre, content);
+    if (dataCentre == m_membership.dataCentre()) {
+        m_membership.recordRequestedMultiplier(content.heartbeatMultiplier);
+    }
     const std::string scope = m_relay.hostListScope(dataCentre);
     if (content.hasHosts) {
         m_membership.handleHostReports(content.hosts, scope);
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -80,6 +80,8 @@
     static constexpr bool limitsReads = true;
     /// Does not let summaries of few hosts replace what is known of all peers; see SummaryCoverage.
     static constexpr bool keepsCompleteSummaries = true;
+    /// Lets an overloaded relay request fewer heartbeats; see HeartbeatThrottle.
+    static constexpr bool stretchesHeartbeats = true;
     /// Takes no samples of pools from requests that met an overload of this host.
     static constexpr bool excludesOverloadSamples = true;
     /// Divides the slots of a pool among the accounts with demand for them.
@@ -200,6 +202,9 @@
     {
         G::keepsCompleteSummaries
         } -> std::convertible_to<bool>;
+    {
+        G::stretchesHeartbeats
+        } -> std::convertible_to<bool>;
     {
         G::excludesOverloadSamples
         } -> std::convertible_to<bool>;
--- a/include/harelink/Kernel/hostload.h
+++ b/include/harelink/Kernel/hostload.h
@@ -115,6 +115,7 @@
     HostLoadMeter meter;
     /// See ConnectionGate.
     std::atomic<bool> isCrowded{false};
+    std::atomic<bool> isOverloaded{false}; ///< The pressure is 1 or more.
     std::atomic<bool> isReady{true};
     std::atomic<double> readsPerSecond{0};
     /// See PeerRoom.
@@ -122,6 +123,8 @@
     std::atomic<int> servingPeers{0};
     std::atomic<int> crowdedPeers{0};
     std::atomic<double> peerReadsPerSecond{0};
+    /// See PeerRelay::requestedMultiplier(); 0 if this host is no relay.
+    std::atomic<std::uint32_t> relayMultiplier{0};
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -77,7 +77,14 @@
     /// both for what they send and for what they are sent. It is 1 in a small data centre and
     /// rises with the number of hosts, so that the load of a relay grows more slowly than that.
     /// Hosts with high capacity send at each interval if they are few.
-    [[nodiscard]] std::uint32_t heartbeatMultiplier() const { return m_heartbeatMultiplier; }
+    ///
+    /// An overloaded relay of this data centre may request a higher factor.
+    [[nodiscard]] std::uint32_t heartbeatMultiplier() const;
+    /// Records the factor that a relay of this data centre requests: this host if it is one, or the
+    /// one that sent a summary, whose request is valid for reportTtl. A factor that is no power of
+    /// two up to HeartbeatThrottle::maxMultiplier counts as the next lower one.
+    void requestMultiplierAsRelay(std::uint32_t multiplier);
+    void recordRequestedMultiplier(std::uint32_t multiplier);
     /// Returns whether \p peer sends and is sent messages at each interval, since it is one of few
     /// hosts with high capacity.
     [[nodiscard]] bool sendsEachInterval(const PeerHost &peer) const
@@ -217,8 +224,11 @@
     TimePoint m_lastHeartbeat;
     TimePoint m_nextHeartbeat;
     std::map<std::string, PeerHost> m_peers;
+    std::uint32_t m_ownRequest = 1;   ///< See requestMultiplierAsRelay().
+    std::uint32_t m_relayRequest = 1; ///< See recordRequestedMultiplier().
+    TimePoint m_relayRequestUntil;    ///< Until when the latter is valid.
     mutable Lists m_lists;
-    mutable std::uint32_t m_heartbeatMultiplier = 1;
+    mutable std::uint32_t m_sizeMultiplier = 1;  ///< The part of the factor that the size requires.
     mutable double m_largestCapacity = 0;        ///< Among the live hosts of this data centre.
     mutable std::size_t m_highCapacityHosts = 0; ///< Number of these with high capacity.
 };
--- a/include/harelink/Kernel/peerrelay.h
+++ b/include/harelink/Kernel/peerrelay.h
@@ -19,6 +19,7 @@
 #ifndef HARELINK_KERNEL_PEERRELAY_H
 #define HARELINK_KERNEL_PEERRELAY_H
 
+#include "harelink/Kernel/heartbeatthrottle.h"
 #include "harelink/Kernel/hostlistlog.h"
 #include "harelink/Kernel/loadaggregator.h"
 #include "harelink/Kernel/membership.h"
@@ -68,6 +69,11 @@
     [[nodiscard]] bool holdsBaseOf(const std::string &host, const PeerSummary &summary) const;
     /// Returns whether this daemon is a relay of its data centre.
     [[nodiscard]] bool isRelay() const { return m_isRelay; }
+    /// Sets whether this host is overloaded. As a relay it then requests fewer heartbeats.
+    void recordOverload(bool isOverloaded) { m_isOverloaded = isOverloaded; }
+    /// Returns the factor by which this daemon requests that the hosts of its data centre stretch
+    /// their heartbeat interval; 1 unless it is a relay.
+    [[nodiscard]] std::uint32_t requestedMultiplier() const { return m_throttle.multiplier(); }
     /// Returns the summaries that are due with the heartbeats.
     ///
     /// \param own the load and configuration state of this daemon.
@@ -106,6 +112,8 @@
     const Membership &m_membership;
     std::size_t m_maxMeshPeers;
     bool m_isRelay = false;
+    bool m_isOverloaded = false;
+    HeartbeatThrottle m_throttle;
     std::uint32_t m_leaveAnnouncements = 0; ///< Heartbeats to all peers that this host leaves.
     std::uint32_t m_introductions = 0;
     std::uint32_t m_secondRelayHeartbeats = 0; ///< Due to the second relay, sent or skipped.
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -109,6 +109,9 @@
     std::uint32_t servingHosts = 0;   ///< Sum over the heartbeats, as the next two.
     std::uint32_t crowdedHosts = 0;
     std::uint32_t readsPerSecond = 0;
+    /// Factor by which the receiver shall stretch its heartbeat interval at least, as the relay is
+    /// overloaded; 0 at older daemons.
+    std::uint32_t heartbeatMultiplier = 0;
     bool hasWatcher = false; ///< A daemon of the sender's data centre watches the platform.
     /// A hash over the live hosts that the sender reports. The list itself, about 55 bytes per
     /// host, is included only if the receiver's differs: with 300 hosts it made up 94% of the
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -327,6 +327,7 @@
         to.set_serving_hosts(from.servingHosts);
         to.set_crowded_hosts(from.crowdedHosts);
         to.set_reads_per_second(from.readsPerSecond);
+        to.set_heartbeat_multiplier(from.heartbeatMultiplier);
         to.set_hosts_hash(from.hostsHash);
         to.set_has_hosts(from.hasHosts);
         to.set_changes_hosts_from(from.changesHostsFrom);
@@ -579,6 +580,7 @@
     to.servingHosts = from.serving_hosts();
     to.crowdedHosts = from.crowded_hosts();
     to.readsPerSecond = from.reads_per_second();
+    to.heartbeatMultiplier = from.heartbeat_multiplier();
     to.hostsHash = from.hosts_hash();
     to.hasHosts = from.has_hosts();
     to.changesHostsFrom = from.changes_hosts_from();
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -702,6 +702,9 @@
         logLoadReporting();
         m_machine.recordReads(ready(), m_load.isCrowded.load(std::memory_order_relaxed),
                               m_load.readsPerSecond.load(std::memory_order_relaxed));
+        m_machine.recordOverload(m_load.isOverloaded.load(std::memory_order_relaxed));
+        m_load.relayMultiplier.store(m_machine.requestedMultiplier().value_or(0),
+                                     std::memory_order_relaxed);
         const PeerRoom room = m_machine.peerRoom();
         m_load.peers.store(room.peers, std::memory_order_relaxed);
         m_load.servingPeers.store(room.serving, std::memory_order_relaxed);
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -388,6 +388,7 @@
         gate = stateOf(m_gate);
     }
     m_load.isReady.store(gate.isReady, std::memory_order_relaxed);
+    m_load.isOverloaded.store(gate.pressure >= 1, std::memory_order_relaxed);
     m_load.readsPerSecond.store(gate.readsPerSecond, std::memory_order_relaxed);
     const bool wasCrowded = m_load.isCrowded.exchange(gate.isCrowded, std::memory_order_relaxed);
     const bool isLoaded = gate.isCrowded || gate.pressure >= minLoggedPressure;
@@ -416,6 +417,7 @@
         .field("servingPeers", room.serving)
         .field("crowdedPeers", room.crowded)
         .field("peerReadsPerS", fmt::format("{:.1f}", room.readsPerSecond))
+        .field("relayMultiplier", m_load.relayMultiplier.load(std::memory_order_relaxed))
         .field("ready", gate.isReady);
 }
 
@@ -522,6 +524,8 @@
         const std::lock_guard<std::mutex> guard(m_gateMutex);
         renderLoad(m_load.meter, m_average.value(), linkUseOf(m_average.value(), m_settings),
                    stateOf(m_gate), load);
+        renderValue("harelink_relay_heartbeat_multiplier", "gauge",
+                    m_load.relayMultiplier.load(std::memory_order_relaxed), load);
     }
     m_control->collectMetrics([collector, load = std::move(load)](const std::string &text) {
         collector->add(load + text);
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -3,9 +3,11 @@
 #include "harelink/Kernel/membership.h"
 
 #include "harelink/Config/jsonreader.h"
+#include "harelink/Kernel/heartbeatthrottle.h"
 #include "harelink/Support/hash.h"
 
 #include <algorithm>
+#include <bit>
 #include <functional>
 #include <set>
 #include <utility>
@@ -57,6 +59,12 @@
     return hosts >= minMediumFleetHosts ? mediumFleetMultiplier : 1;
 }
 
+/// Returns the greatest factor that a relay may request and that is not above \p multiplier.
+std::uint32_t usableMultiplier(std::uint32_t multiplier)
+{
+    return std::bit_floor(std::clamp(multiplier, 1U, HeartbeatThrottle::maxMultiplier));
+}
+
 /// Returns whether \p where is in scope of \p dataCentre; empty stands for all data centres.
 bool isWithin(const std::string &where, const std::string &dataCentre)
 {
@@ -294,7 +302,7 @@
     m_nextHeartbeat =
         m_lastHeartbeat
         + heartbeatInterval
-              * (isRelay || sendsEachInterval() ? 1 : static_cast<int>(m_heartbeatMultiplier));
+              * (isRelay || sendsEachInterval() ? 1 : static_cast<int>(heartbeatMultiplier()));
     std::vector<PeerSend> sends;
     for (const HeartbeatTarget &target : targets) {
         Heartbeat heartbeat;
@@ -344,7 +352,24 @@
 Duration Membership::livenessTimeoutOf(const PeerHost &peer) const
 {
     return livenessTimeout
-           * (sendsEachInterval(peer) ? 1 : static_cast<int>(m_heartbeatMultiplier));
+           * (sendsEachInterval(peer) ? 1 : static_cast<int>(heartbeatMultiplier()));
+}
+
+std::uint32_t Membership::heartbeatMultiplier() const
+{
+    const bool isRequested = m_clock.now() < m_relayRequestUntil;
+    return std::max({m_sizeMultiplier, m_ownRequest, isRequested ? m_relayRequest : 1});
+}
+
+void Membership::requestMultiplierAsRelay(std::uint32_t multiplier)
+{
+    m_ownRequest = usableMultiplier(multiplier);
+}
+
+void Membership::recordRequestedMultiplier(std::uint32_t multiplier)
+{
+    m_relayRequest = usableMultiplier(multiplier);
+    m_relayRequestUntil = m_clock.now() + reportTtl;
 }
 
 bool Membership::sendsEachInterval(double capacity) const
@@ -414,7 +439,7 @@
         add(m_host, m_dataCentre);
     }
     const std::size_t local = lists.localCandidates.size();
-    m_heartbeatMultiplier = heartbeatMultiplierFor(local);
+    m_sizeMultiplier = heartbeatMultiplierFor(local);
     m_largestCapacity = *std::max_element(capacities.begin(), capacities.end());
     m_highCapacityHosts = static_cast<std::size_t>(
         std::count_if(capacities.begin(), capacities.end(), [this](double capacity) {
--- a/lib/Kernel/peerrelay.cpp
+++ b/lib/Kernel/peerrelay.cpp
@@ -185,6 +185,7 @@
         m_membership.leaving() && m_leaveAnnouncements++ < maxLeaveAnnouncements;
     if (!isRelayed()) {
         m_isRelay = false;
+        m_throttle = {};
         for (const auto &[name, peer] : m_membership.peers()) {
             targets.push_back({name, false});
         }
@@ -198,7 +199,10 @@
     if (wasRelay != m_isRelay) {
         m_hostLists.clear(); // Their scope depends on the role.
     }
-    if (m_isRelay) {
+    if (!m_isRelay) {
+        m_throttle = {};
+    } else {
+        m_throttle.update(m_isOverloaded, m_clock.now());
         requestRemoteSummaries(targets);
         addIntroduction(targets);
     }
@@ -346,6 +350,7 @@
         summary.storeEra = own.storeEra;
         summary.lowestRevision = own.lowestRevision;
         summary.hasWatcher = own.watches;
+        summary.heartbeatMultiplier = isLocal ? m_throttle.multiplier() : 1;
         addHostList(subscriber, isLocal, summary);
         if (std::optional<PeerSend> send = m_membership.messageTo(host, std::move(summary))) {
             sends.push_back(*std::move(send));
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -803,6 +803,7 @@
                 host.average.add(*sample);
                 host.gate.update(host.average.value(), host.control->peerRoom(), now);
                 host.control->recordReads(true, host.gate.isCrowded(), host.gate.readsPerSecond());
+                host.control->recordOverload(host.gate.pressure() >= 1);
             }
             scheduleLoadSample(name, incarnation);
         });
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -380,10 +380,12 @@
     summary.servingHosts = 5;
     summary.crowdedHosts = 3;
     summary.readsPerSecond = 900;
+    summary.heartbeatMultiplier = 4;
     const auto readSummary = decodePeerMessage(encodePeerMessage({"h1", 7, summary}));
     LONGS_EQUAL(5, std::get<PeerSummary>(readSummary->content).servingHosts);
     LONGS_EQUAL(3, std::get<PeerSummary>(readSummary->content).crowdedHosts);
     LONGS_EQUAL(900, std::get<PeerSummary>(readSummary->content).readsPerSecond);
+    LONGS_EQUAL(4, std::get<PeerSummary>(readSummary->content).heartbeatMultiplier);
     const auto readCancel = decodePeerMessage(encodePeerMessage({"h1", 7, RelayCancel{call.call}}));
     CHECK(std::get<RelayCancel>(readCancel->content).call == call.call);
 }
--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -67,6 +67,11 @@
     {
         m_hosts.at(host)->recordReads(true, isCrowded, perSecond);
     }
+    /// Makes \p hosts, and no others, overloaded.
+    void setOverloaded(std::vector<std::string> hosts)
+    {
+        m_overloaded = {hosts.begin(), hosts.end()};
+    }
     /// Has \p host report that it takes no requests.
     void setStarting(const std::string &host) { m_hosts.at(host)->recordReads(false, true, 1000); }
     [[nodiscard]] PeerRoom peerRoom(const std::string &host) const
@@ -142,6 +147,17 @@
         return m_options.at(host).dataCentre;
     }
     [[nodiscard]] const std::set<std::string> &requestedRelays() const { return m_requestedRelays; }
+    /// Returns the hosts that act as relays.
+    [[nodiscard]] std::vector<std::string> relays() const
+    {
+        std::vector<std::string> names;
+        for (const auto &[name, host] : m_hosts) {
+            if (host->requestedMultiplier()) {
+                names.push_back(name);
+            }
+        }
+        return names;
+    }
 
 private:
     [[nodiscard]] bool passes(const std::string &from, const std::string &to) const
@@ -158,6 +174,7 @@
     }
     void tick(const std::string &name, ControlMachine &host)
     {
+        host.recordOverload(m_overloaded.contains(name));
         if (host.heartbeatsDue()) {
             host.recordPrompts({{"engine", m_tokens[name], m_calls[name]}});
             host.recordPaces(m_samples[name]);
@@ -223,6 +240,7 @@
     std::map<std::string, std::chrono::microseconds> m_sampledTime;
     std::map<std::string, std::chrono::microseconds> m_receivedTime;
     std::size_t m_faults = 0;
+    std::set<std::string> m_overloaded;
     std::set<std::string> m_requestedRelays;
     std::string m_cut;
     std::set<std::string> m_unlisted;
@@ -247,12 +265,9 @@
     return total(fixture.drainSent());
 }
 
-/// Returns the largest number of heartbeats that one of \p hosts daemons receives per second in
-/// steady state.
-int maxHeartbeatsPerSecond(int hosts, int highCapacityHosts)
+/// Returns the largest number of heartbeats that a daemon receives in the next second.
+int maxHeartbeatsPerSecond(RelayFixture &fixture)
 {
-    RelayFixture fixture(hosts, 16, highCapacityHosts);
-    fixture.run(propagationTime);
     (void)fixture.drainHeartbeats();
     fixture.run(std::chrono::seconds(1));
     int most = 0;
@@ -262,6 +277,14 @@
     return most;
 }
 
+/// Returns the same of \p hosts daemons in steady state.
+int maxHeartbeatsPerSecond(int hosts, int highCapacityHosts)
+{
+    RelayFixture fixture(hosts, 16, highCapacityHosts);
+    fixture.run(propagationTime);
+    return maxHeartbeatsPerSecond(fixture);
+}
+
 } // namespace
 
 TEST_GROUP(PeerRelay){};
@@ -285,6 +308,41 @@
     }
 }
 
+TEST(PeerRelay, OverloadedRelaysReceiveFewerHeartbeatsAndStillKnowAllHosts)
+{
+    RelayFixture fixture(48, 16, 0);
+    fixture.run(propagationTime);
+    const int before = maxHeartbeatsPerSecond(fixture);
+    fixture.setOverloaded(fixture.hosts());
+    for (Duration passed{}; passed < std::chrono::seconds(8); passed += milliseconds(100)) {
+        fixture.run(milliseconds(100));
+        for (const std::string &host : fixture.hosts()) {
+            LONGS_EQUAL(47, fixture.livePeers(host));
+        }
+    }
+    CHECK(maxHeartbeatsPerSecond(fixture) * 2 <= before);
+    fixture.setOverloaded({});
+    fixture.run(HeartbeatThrottle::calmPeriod * 2 + propagationTime);
+    LONGS_EQUAL(before, maxHeartbeatsPerSecond(fixture));
+}
+
+TEST(PeerRelay, RequestsOfARelayEndWithIt)
+{
+    RelayFixture fixture(48, 16, 0);
+    fixture.run(propagationTime);
+    const int before = maxHeartbeatsPerSecond(fixture);
+    fixture.setOverloaded(fixture.hosts());
+    fixture.run(propagationTime * 2);
+    fixture.setOverloaded({});
+    for (const std::string &relay : fixture.relays()) {
+        fixture.kill(relay);
+    }
+    LONGS_EQUAL(42, fixture.hosts().size());
+    fixture.run(std::chrono::seconds(8));
+    // Each data centre has lost two hosts that sent four heartbeats a second.
+    LONGS_EQUAL(before - 8, maxHeartbeatsPerSecond(fixture));
+}
+
 TEST(PeerRelay, EveryDaemonKnowsAllLiveHosts)
 {
     RelayFixture fixture(60, 16);
