[Kernel] Bound the hosts that a summary states by those that are known

Cause: the number of serving hosts in a summary was bounded by 100,000 only, and not at all where summaries are compared. One with nonsense made honest ones of its data centre count as partial for 5 s, longer if repeated, so a host did not know what its peers read and turned no connection away. Found by reading. Change: a heartbeat states one host at most, a summary those of the data centres that it covers.

--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -250,7 +250,8 @@
     void sendTo(const std::string &host, decltype(PeerMessage::content) content);
     void sendHeartbeats();
     template <typename Content>
-    void updatePeerTotals(const std::string &source, const Content &content);
+    void updatePeerTotals(const std::string &source, const Content &content,
+                          std::uint32_t maxHosts);
     template <typename Content>
     void handleLoad(const std::string &source, const Content &content);
     [[nodiscard]] bool mayCall(const BasicConfigWatcher<G> &watcher) const;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -51,8 +51,7 @@
 /// What a peer reported of its reads counts for this period: some summaries come once a second, and
 /// those of a relay that was lost come from another one after a while.
 inline constexpr std::chrono::milliseconds readTotalsTtl{5000};
-/// Maximum numbers that one report is believed to state: of hosts, and of requests.
-inline constexpr std::uint32_t maxReportedHosts = 100'000;
+/// Maximum number of requests that one report is believed to state.
 inline constexpr std::uint32_t maxReadsPerSecond = 1'000'000'000;
 
 } // namespace controlmachine
@@ -598,10 +597,12 @@
     std::visit([&](const auto &content) { handle(message, content); }, message.content);
 }
 
-/// Replaces what is known of the load at \p source, a daemon or a data centre.
+/// Replaces what is known of the load at \p source, a daemon or a data centre, which cannot know
+/// more than \p maxHosts hosts.
 template <GuardPolicy G>
 template <typename Content>
-void BasicControlMachine<G>::updatePeerTotals(const std::string &source, const Content &content)
+void BasicControlMachine<G>::updatePeerTotals(const std::string &source, const Content &content,
+                                              std::uint32_t maxHosts)
 {
     PeerTotals<std::string>::Values prompts;
     PeerTotals<std::string>::Values calls;
@@ -610,10 +611,8 @@
         calls[prompt.endpoint] = std::clamp(prompt.calls, 0, maxReportedCalls);
     }
     m_peerReads.update(source,
-                       {{ReadTotal::ServingHosts,
-                         std::min(content.servingHosts, controlmachine::maxReportedHosts)},
-                        {ReadTotal::CrowdedHosts,
-                         std::min(content.crowdedHosts, controlmachine::maxReportedHosts)},
+                       {{ReadTotal::ServingHosts, std::min(content.servingHosts, maxHosts)},
+                        {ReadTotal::CrowdedHosts, std::min(content.crowdedHosts, maxHosts)},
                         {ReadTotal::ReadsPerSecond,
                          std::min(content.readsPerSecond, controlmachine::maxReadsPerSecond)}},
                        controlmachine::readTotalsTtl);
@@ -648,7 +647,7 @@
     }
     if (m_relay.usesHeartbeatsFrom(content.dataCentre)) {
         m_peerDemand.update(message.host, content.usage);
-        updatePeerTotals(message.host, content);
+        updatePeerTotals(message.host, content, 1);
         handleLoad(message.host, content);
     }
     m_leavingKnown = m_leavingKnown || content.leavingKnown;
@@ -697,9 +696,11 @@
     m_gossip.handle(message.host, digestOf(content, content.hasWatcher));
     if (m_relay.usesSummariesFrom(dataCentre)) {
         const std::string source = "summary of " + dataCentre;
-        const bool isComplete = m_coverage.record(dataCentre, content.servingHosts);
+        const auto maxHosts = static_cast<std::uint32_t>(m_membership.knownHostCount(scope));
+        const bool isComplete =
+            m_coverage.record(dataCentre, std::min(content.servingHosts, maxHosts));
         if (isComplete || !G::keepsCompleteSummaries) {
-            updatePeerTotals(source, content);
+            updatePeerTotals(source, content, maxHosts);
             if (content.hasUsage) {
                 m_peerDemand.updateFromSummary(source, content.usage);
             }
--- a/include/harelink/Kernel/membership.h
+++ b/include/harelink/Kernel/membership.h
@@ -160,6 +160,9 @@
     /// same at every daemon.
     [[nodiscard]] std::vector<std::string> ranked(std::vector<std::string> hosts,
                                                   const std::string &purpose) const;
+    /// Returns the number of hosts of \p dataCentre that are declared or live, or of all if that is
+    /// empty; includes this host if it is one of them.
+    [[nodiscard]] std::size_t knownHostCount(const std::string &dataCentre) const;
     /// Returns the number of hosts seen recently, including this one. It rises at once when a
     /// host joins and falls with a delay.
     [[nodiscard]] int recentHostCount() const;
--- a/lib/Kernel/membership.cpp
+++ b/lib/Kernel/membership.cpp
@@ -560,6 +560,15 @@
     return hosts;
 }
 
+std::size_t Membership::knownHostCount(const std::string &dataCentre) const
+{
+    const auto counts = [&dataCentre](const auto &entry) {
+        return isWithin(entry.second.dataCentre, dataCentre);
+    };
+    const auto peers = std::count_if(m_peers.begin(), m_peers.end(), counts);
+    return static_cast<std::size_t>(peers) + (isWithin(m_dataCentre, dataCentre) ? 1 : 0);
+}
+
 int Membership::recentHostCount() const
 {
     const TimePoint now = m_clock.now();
--- a/unittests/Kernel/peerrelaytest.cpp
+++ b/unittests/Kernel/peerrelaytest.cpp
@@ -72,6 +72,13 @@
     {
         m_overloaded = {hosts.begin(), hosts.end()};
     }
+    /// Delivers \p summary to \p to as one of \p from.
+    void deliverSummary(const std::string &from, const std::string &to, PeerSummary summary)
+    {
+        deliver({to,
+                 m_options.at(to).peerAddress,
+                 {from, m_options.at(from).incarnation, std::move(summary)}});
+    }
     /// Has \p host report that it takes no requests.
     void setStarting(const std::string &host) { m_hosts.at(host)->recordReads(false, true, 1000); }
     [[nodiscard]] PeerRoom peerRoom(const std::string &host) const
@@ -441,6 +448,23 @@
     }
 }
 
+TEST(PeerRelay, ASummaryWithTooManyHostsDoesNotHideTheLoadOfTheOthers)
+{
+    RelayFixture fixture(30, 16);
+    for (const std::string &host : fixture.hosts()) {
+        fixture.setReads(host, false, 10);
+    }
+    fixture.run(propagationTime);
+    PeerSummary invalid;
+    invalid.servingHosts = std::numeric_limits<std::uint32_t>::max();
+    invalid.crowdedHosts = invalid.servingHosts;
+    fixture.deliverSummary("h02", "h29", invalid);
+    LONGS_EQUAL(29, fixture.peerRoom("h29").peers);
+    CHECK(fixture.peerRoom("h29").serving <= 29);
+    fixture.run(propagationTime);
+    DOUBLES_EQUAL(29 * 10, fixture.peerRoom("h29").readsPerSecond, 0.001);
+}
+
 /// Guards against samples that return to their sender, that are counted twice, or that are lost on
 /// the way through relays.
 TEST(PeerRelay, EachSampleOfAPaceArrivesOnceAndNotAtItsSender)
