--- a/review/standins.py
+++ b/review/standins.py
@@ -5,12 +5,15 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -483,18 +486,18 @@
 def run_script(folder, play):
     """Runs play(record, work, daemons); it returns whether the rule held. Exits as the review
     asks: 0 if it held, 1 if it was broken, 2 if the case couldn't run."""
-    import shutil
-    import tempfile
-    import traceback
     record = Record(folder)
     work = tempfile.mkdtemp()
     daemons = []
     code = 2
+    # Ends the daemons also when the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         code = 0 if play(record, work, daemons) else 1
     except Exception:
         traceback.print_exc()
     finally:
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         for daemon in daemons:
             daemon.kill()
         if os.environ.get("KEEP_LOGS"):
