--- a/review/5/play.py
+++ b/review/5/play.py
@@ -88,4 +88,4 @@
     return not late
 
 
-run_script(FOLDER, play)
+run_script(os.path.join(FOLDER, "record.txt"), play)
--- a/review/notes/request-id-bytes.py
+++ b/review/request-id-bytes.py
@@ -9,11 +9,11 @@
 
 sys.dont_write_bytecode = True
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
+sys.path.insert(0, FOLDER)
 from standins import (SITES, Daemon, Engine, Store, manifest, read_answer, request_bytes,
                       run_script)
 
-SITE = SITES["recolha-norte"]
+SITE = SITES["siriwan-match"]
 HOST = "jepu9.example"
 IS_ORDER = "order" in sys.argv
 PIECES = {"slots": 1, "queue": 2, "batch": 8, "call-ms": 150.0, "item-ms": 16.0,
@@ -50,4 +50,4 @@
     return answer.status == 200 and codes == [None, None, None]
 
 
-run_script(FOLDER, play)
+run_script(os.devnull, play)
--- a/review/notes/slow-reader.py
+++ b/review/slow-reader.py
@@ -10,11 +10,11 @@
 
 sys.dont_write_bytecode = True
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.dirname(FOLDER))
+sys.path.insert(0, FOLDER)
 from standins import (SITES, Daemon, Engine, Handler, Store, manifest, now, request_bytes,
                       run_script)
 
-SITE = SITES["convida-ne-grown"]
+SITE = SITES["siriwan-match"]
 HOST = "h.example"
 RATE = int(sys.argv[1])
 TOTAL = int(sys.argv[2])
@@ -89,4 +89,4 @@
     return all(end.startswith("complete") for end in ends)
 
 
-run_script(FOLDER, play)
+run_script(os.devnull, play)
