[Daemon] Log what told the end of an answer, and its bytes

Cause: The logs of the incident don't say whether an answer that was passed on had a length, chunks or neither, nor how much of it was received, so they can't tell an answer without framing from a stream that ended with another answer. Change: HttpResult::framing(), passed on in ProxiedAnswer; `framing` and `bytes` in request-answered, harelink_endpoint_answers_total by framing and status.

--- a/include/harelink/Adapters/httpclient.h
+++ b/include/harelink/Adapters/httpclient.h
@@ -10,6 +10,7 @@
 
 #include "harelink/Adapters/bufferbudget.h"
 #include "harelink/Kernel/hostload.h"
+#include "harelink/Kernel/proxied.h"
 #include "harelink/Support/clock.h"
 
 #include <cstdint>
@@ -74,6 +75,8 @@
 
     /// Returns the header \p name (lower case); empty if absent.
     [[nodiscard]] std::string header(const std::string &name) const;
+    /// Returns what tells the end of the answer, by its head.
+    [[nodiscard]] AnswerFraming framing() const;
 };
 
 /// Options of a client.
--- a/include/harelink/Daemon/metrics.h
+++ b/include/harelink/Daemon/metrics.h
@@ -50,9 +50,10 @@
     void render(std::string &out) const;
 
 private:
-    std::map<std::string, std::uint64_t> m_requests; // By labels.
-    std::map<std::string, std::uint64_t> m_attained; // Completed within the deadline.
-    std::map<std::string, double> m_cost;            // By stage and account.
+    std::map<std::string, std::uint64_t> m_requests;         // By labels.
+    std::map<std::string, std::uint64_t> m_attained;         // Completed within the deadline.
+    std::map<std::string, double> m_cost;                    // By stage and account.
+    std::map<std::string, std::uint64_t> m_answersByFraming; // Of proxied requests.
     std::map<std::string, SecondsHistogram> m_stageSeconds;
     std::map<std::string, SecondsHistogram> m_requestSeconds;
     std::map<std::string, SecondsHistogram> m_firstTokenSeconds; // Of streams only.
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -126,6 +126,7 @@
         /// What a part of the endpoint's answer gave. Sent as one part of the reply, since a part
         /// takes more memory than the shortest events.
         std::optional<HttpReply> unsent;
+        std::size_t forwardedBytes = 0; ///< Of the events of a proxied stream.
         /// Gets nothing more, while its request continues for a retry of the caller.
         bool isDisconnected = false;
     };
@@ -186,7 +187,7 @@
     void disconnectStalledCallers();
     void answerProxied(const Caller &caller, const AnswerCaller &action);
     void removeCaller(std::uint64_t sequence);
-    void logAnswer(const AnswerCaller &action) const;
+    void logAnswer(const Caller &caller, const AnswerCaller &action) const;
     void stream(const SendStage &action, const HttpCall &http,
                 const std::shared_ptr<StageStream> &stream);
     void dispatchResult(StageResult event);
--- a/include/harelink/Kernel/proxied.h
+++ b/include/harelink/Kernel/proxied.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -67,12 +68,22 @@
     }
 };
 
+/// What tells the end of an answer.
+enum class AnswerFraming {
+    Connection, ///< The end of its connection only, which may also come early.
+    Length,
+    Chunks,
+};
+
+[[nodiscard]] std::string_view toText(AnswerFraming framing);
+
 /// An endpoint's answer that is forwarded unchanged.
 struct ProxiedAnswer
 {
     int status = 0;
     HeaderFields headers; ///< End-to-end fields.
     std::string body;     ///< Empty for the head of a stream.
+    AnswerFraming framing = AnswerFraming::Connection;
 };
 
 } // namespace harelink
--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -29,6 +29,9 @@
 /// 100 times its buffer of 16 KiB from a fast endpoint.
 constexpr std::size_t maxUndeliveredBytes = 65'536;
 
+constexpr int statusNoContent = 204;
+constexpr int statusNotModified = 304;
+
 /// libcurl requires global initialization before any thread uses it.
 void initializeLibrary()
 {
@@ -115,6 +118,18 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
+AnswerFraming HttpResult::framing() const
+{
+    // Any other transfer coding ends with the connection, and takes precedence over a length.
+    const std::string coding = lowerCase(header("transfer-encoding"));
+    if (!coding.empty()) {
+        return coding.ends_with("chunked") ? AnswerFraming::Chunks : AnswerFraming::Connection;
+    }
+    const bool hasNoBody = headStatus == statusNoContent || headStatus == statusNotModified;
+    const bool isLength = hasNoBody || !header("content-length").empty();
+    return isLength ? AnswerFraming::Length : AnswerFraming::Connection;
+}
+
 /// One call in progress; owns the data that libcurl refers to.
 class HttpClient::Transfer
 {
--- a/lib/Daemon/metrics.cpp
+++ b/lib/Daemon/metrics.cpp
@@ -105,6 +105,11 @@
     if (answer.tokens > 0) {
         m_firstTokenSeconds[accountLabels].add(answer.timeToFirstChunk);
     }
+    if (answer.proxied) {
+        ++m_answersByFraming[fmt::format("framing=\"{}\",status=\"{}xx\"",
+                                         toText(answer.proxied->framing),
+                                         answer.proxied->status / 100)];
+    }
     for (const StageCost &cost : answer.costs) {
         const std::string stageLabels = fmt::format("{},stage=\"{}\"", accountLabels, cost.stage);
         m_cost[stageLabels] += cost.cost;
@@ -117,6 +122,7 @@
     addAll(m_requests, other.m_requests);
     addAll(m_attained, other.m_attained);
     addAll(m_cost, other.m_cost);
+    addAll(m_answersByFraming, other.m_answersByFraming);
     mergeAll(m_stageSeconds, other.m_stageSeconds);
     mergeAll(m_requestSeconds, other.m_requestSeconds);
     mergeAll(m_firstTokenSeconds, other.m_firstTokenSeconds);
@@ -127,6 +133,7 @@
     renderCounters("harelink_requests_total", m_requests, out);
     renderCounters("harelink_requests_attained_total", m_attained, out);
     renderCounters("harelink_stage_cost_total", m_cost, out);
+    renderCounters("harelink_endpoint_answers_total", m_answersByFraming, out);
     renderHistograms("harelink_stage_seconds", m_stageSeconds, out);
     renderHistograms("harelink_request_seconds", m_requestSeconds, out);
     renderHistograms("harelink_first_token_seconds", m_firstTokenSeconds, out);
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -592,8 +592,8 @@
     const auto found = m_callers.find(action.id.sequence);
     assert(found != m_callers.end() && "a caller must be answered exactly once");
     m_metrics.observe(action);
-    logAnswer(action);
     Caller &caller = found->second;
+    logAnswer(caller, action);
     sendParts(caller);
     if (caller.proxied) {
         answerProxied(caller, action);
@@ -649,7 +649,7 @@
     }
 }
 
-void Worker::logAnswer(const AnswerCaller &action) const
+void Worker::logAnswer(const Caller &caller, const AnswerCaller &action) const
 {
     const bool completed = action.outcome == Outcome::Completed;
     logger.record(LogLevel::Info, "request-answered")
@@ -660,6 +660,9 @@
         .field("class", action.priorityClass)
         .field("outcome", toText(action.outcome))
         .field("status", action.proxied ? fmt::format("{}", action.proxied->status) : "")
+        .field("framing", action.proxied ? toText(action.proxied->framing) : "")
+        .field("bytes", action.proxied ? caller.forwardedBytes + action.proxied->body.size()
+                                       : caller.forwardedBytes)
         .field("reason", completed ? std::string_view() : toText(action.reason))
         .field("step", completed ? std::string() : errorStep(action.error))
         .field("peer", completed ? action.endpoint : errorPeer(action.error))
@@ -689,6 +692,7 @@
         caller.streamStarted = true;
     }
     part.body = action.bytes;
+    caller.forwardedBytes += action.bytes.size();
     appendPart(caller, std::move(part));
 }
 
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -1678,7 +1678,7 @@
             if (id > StreamCallers::eventCount) {
                 StageAnswered event;
                 event.call = event.echoed = stream.stage.call;
-                event.proxied = ProxiedAnswer{200, {}, ""};
+                event.proxied = ProxiedAnswer{200, {}, "", AnswerFraming::Length};
                 toRequests(stream.host, stream.start, event);
                 return;
             }
--- a/unittests/Kernel/prioritiestest.cpp
+++ b/unittests/Kernel/prioritiestest.cpp
@@ -100,7 +100,7 @@
             StageAnswered event;
             event.call = sends[i].call;
             event.echoed = sends[i].call;
-            event.proxied = ProxiedAnswer{200, {}, "body"};
+            event.proxied = ProxiedAnswer{200, {}, "body", AnswerFraming::Length};
             machine.handle(std::move(event), *snapshot);
             collect();
         }
--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -144,7 +144,7 @@
         StageAnswered event;
         event.call = stage.call;
         event.echoed = stage.call;
-        event.proxied = ProxiedAnswer{status, {}, "body"};
+        event.proxied = ProxiedAnswer{status, {}, "body", AnswerFraming::Length};
         event.notice = std::move(notice);
         machine.handle(std::move(event), *snapshot);
         collect();
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -66,7 +66,7 @@
     ProxiedFixture fixture;
     fixture.arrive("/read/1");
     fixture.fail(fixture.sends[0], SendEvidence::Sent);
-    fixture.fail(fixture.sends[1], SendEvidence::Sent, ProxiedAnswer{500, {}, "own failure"});
+    fixture.fail(fixture.sends[1], SendEvidence::Sent, ProxiedAnswer{500, {}, "own failure", AnswerFraming::Length});
     LONGS_EQUAL(2, fixture.sends.size());
     CHECK(fixture.answers[0].outcome == Outcome::Unknown);
     LONGS_EQUAL(500, fixture.answers[0].proxied->status);
