[Daemon] A planned stop waits until callers have their answers

Cause: a stop ended as soon as no request was in progress in the workers. A request leaves its worker when its reply is handed to the HTTP server, so neither the pieces that the server still held for a slow reader nor the bytes in the system's send buffers were counted, and closing the server cut them off. Change: the server counts requests from their arrival until their replies are written whole, also those that are read and not yet with a worker, and asks the system for the unacknowledged bytes of its sockets. A stop waits for both, within drainLimitMs; a second SIGTERM no longer ends this wait. Once nothing is in progress, new connections are closed unread, as they are after the exit. The stop logs what it waits for and what it cuts off.

--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -95,6 +95,16 @@
     std::function<bool()> closesConnections;
 };
 
+/// What callers of a server may not have received.
+struct UndeliveredReplies
+{
+    std::size_t requests = 0;    ///< Requests whose replies aren't written whole.
+    std::size_t connections = 0; ///< Connections with bytes that aren't acknowledged.
+    std::size_t bytes = 0;       ///< Bytes that are written and not acknowledged.
+
+    [[nodiscard]] bool isEmpty() const { return requests == 0 && bytes == 0; }
+};
+
 /// A running server; the destructor stops it.
 class HttpServer
 {
@@ -108,6 +118,9 @@
 
     /// Returns the port that the server listens on.
     [[nodiscard]] std::uint16_t port() const;
+    /// Returns what is undelivered now. Where the system doesn't report what is acknowledged, only
+    /// requests are counted. Thread-safe.
+    [[nodiscard]] UndeliveredReplies undelivered() const;
     /// Calls \p task on a thread of the server after \p delay.
     void runAfter(Duration delay, std::function<void()> task);
     /// Stops listening and closes all connections.
--- a/include/harelink/Daemon/daemon.h
+++ b/include/harelink/Daemon/daemon.h
@@ -41,6 +41,10 @@
     /// Returns whether no request is in progress and the control thread is idle. Blocks until
     /// the workers and the control thread have replied.
     [[nodiscard]] bool idle();
+    /// Closes new connections of callers unread.
+    void closeNewConnections();
+    /// Returns what callers may not have received. Complete only while no request is in progress.
+    [[nodiscard]] UndeliveredReplies undelivered() const;
     /// Answers all requests in progress immediately.
     void abandonAll();
     /// Stops the listeners, the workers and the control thread.
@@ -73,6 +77,7 @@
     SnapshotCell m_snapshot;
     std::atomic<std::uint64_t> m_nextSequence{1};
     std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_closesNewConnections{false};
     std::unique_ptr<Control> m_control;
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::unique_ptr<HttpServer> m_callers;
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -5,6 +5,8 @@
 #include "harelink/Support/error.h"
 #include "harelink/Support/text.h"
 
+#include "callersocket.h"
+
 #include <algorithm>
 #include <atomic>
 #include <cctype>
@@ -101,7 +103,8 @@
 };
 
 struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
-                                          restinio::default_request_handler_t>
+                                          restinio::default_request_handler_t,
+                                          restinio::default_strand_t, CallerSocket>
 {
     // RESTinio requires this name.
     // NOLINTNEXTLINE(readability-identifier-naming)
@@ -171,6 +174,25 @@
     return bytes;
 }
 
+/// Counts a request from its arrival until its reply is written or can't be.
+class PendingReply
+{
+public:
+    using Count = std::shared_ptr<std::atomic<std::size_t>>;
+
+    explicit PendingReply(Count count)
+        : m_count(std::move(count))
+    {
+        ++*m_count;
+    }
+    ~PendingReply() { --*m_count; }
+    PendingReply(const PendingReply &) = delete;
+    PendingReply &operator=(const PendingReply &) = delete;
+
+private:
+    Count m_count;
+};
+
 class ReplySender;
 
 /// Keeps the senders that have pieces left, since callers may release theirs after the last part.
@@ -215,9 +237,11 @@
 class ReplySender : public std::enable_shared_from_this<ReplySender>
 {
 public:
-    ReplySender(restinio::request_handle_t request, std::shared_ptr<ActiveSenders> active,
-                HostLoadMeter *load, std::function<bool()> closesConnections)
-        : m_request(std::move(request))
+    ReplySender(restinio::request_handle_t request, PendingReply::Count pendingReplies,
+                std::shared_ptr<ActiveSenders> active, HostLoadMeter *load,
+                std::function<bool()> closesConnections)
+        : m_pending(std::make_shared<const PendingReply>(std::move(pendingReplies)))
+        , m_request(std::move(request))
         , m_active(std::move(active))
         , m_load(load)
         , m_closesConnections(std::move(closesConnections))
@@ -285,7 +309,12 @@
         auto response = begin<restinio::restinio_controlled_output_t>(reply);
         Notification notification = makeNotification(reply, reply.body.size());
         response.set_body(std::move(reply.body));
-        response.done(std::move(notification));
+        response.done([pending = m_pending,
+                       notification = std::move(notification)](const std::error_code &error) {
+            if (notification) {
+                notification(error);
+            }
+        });
     }
 
     /// Divides the body into pieces. The last of them ends the reply unless more parts follow.
@@ -360,7 +389,7 @@
     void write(Response &response, Piece piece)
     {
         const PieceKind kind = piece.kind;
-        auto onWritten = [sender = weak_from_this(),
+        auto onWritten = [pending = m_pending, sender = weak_from_this(),
                           piece = std::move(piece)](const std::error_code &error) {
             piece.report(error);
             if (!error && piece.kind == PieceKind::Abort) {
@@ -429,6 +458,8 @@
         return response;
     }
 
+    /// Also held by the write notifications, since RESTinio may write longer than this exists.
+    std::shared_ptr<const PendingReply> m_pending;
     restinio::request_handle_t m_request;
     std::shared_ptr<ActiveSenders> m_active;
     HostLoadMeter *m_load;                     ///< Null for none.
@@ -475,6 +506,7 @@
 {
     asio::io_context context;
     std::atomic<std::uint16_t> port{0};
+    PendingReply::Count pendingReplies = std::make_shared<std::atomic<std::size_t>>(0);
     std::shared_ptr<ActiveSenders> senders = std::make_shared<ActiveSenders>();
     restinio::running_server_handle_t<Traits> server;
 };
@@ -498,10 +530,12 @@
     auto state = std::make_unique<State>();
     State *raw = state.get();
     const auto listener = std::make_shared<ConnectionListener>(options.onClosed, options.load);
-    auto onRequest = [handler = std::move(handler), senders = state->senders, listener,
-                      load = options.load, onFurtherRequest = options.onFurtherRequest,
+    auto onRequest = [handler = std::move(handler), pendingReplies = state->pendingReplies,
+                      senders = state->senders, listener, load = options.load,
+                      onFurtherRequest = options.onFurtherRequest,
                       closes = options.closesConnections](const auto &request) {
-        const auto sender = std::make_shared<ReplySender>(request, senders, load, closes);
+        const auto sender =
+            std::make_shared<ReplySender>(request, pendingReplies, senders, load, closes);
         HttpRequest read = readRequest(*request);
         if (load != nullptr) {
             load->recordRequest();
@@ -550,6 +584,14 @@
     return m_state->port;
 }
 
+UndeliveredReplies HttpServer::undelivered() const
+{
+    const UnacknowledgedBytes left =
+        asio::use_service<OpenSockets>(static_cast<asio::execution_context &>(m_state->context))
+            .unacknowledged();
+    return {m_state->pendingReplies->load(), left.sockets, left.bytes};
+}
+
 void HttpServer::runAfter(Duration delay, std::function<void()> task)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_state->context, delay);
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -325,6 +325,9 @@
     options.writeLimit = Worker::callerStallLimit + std::chrono::seconds(1);
     options.load = &m_load.meter;
     options.mayAccept = [this] {
+        if (m_closesNewConnections) {
+            return false;
+        }
         const std::lock_guard<std::mutex> guard(m_gateMutex);
         return m_draining || m_gate.admit(m_clock.now());
     };
@@ -559,6 +562,16 @@
     return settled.get_future().get();
 }
 
+void Daemon::closeNewConnections()
+{
+    m_closesNewConnections = true;
+}
+
+UndeliveredReplies Daemon::undelivered() const
+{
+    return m_callers->undelivered();
+}
+
 void Daemon::abandonAll()
 {
     for (const auto &worker : m_workers) {
--- a/tools/harelinkd/harelinkd.cpp
+++ b/tools/harelinkd/harelinkd.cpp
@@ -1,8 +1,8 @@
 //===- harelinkd.cpp - Daemon executable ----------------------------------===//
 ///
 /// \file
-/// Serves callers' requests. SIGTERM begins a planned stop. A second SIGTERM stops at
-/// once; requests in progress are then answered with their actual outcome.
+/// Serves callers' requests. SIGTERM begins a planned stop. On a second SIGTERM, requests in
+/// progress are answered at once with their actual outcome. Both deliver the answers.
 /// SIGHUP reloads the settings file.
 ///
 /// Exit codes: 0 after a planned stop, 78 if the settings are invalid, 1 otherwise.
@@ -38,8 +38,11 @@
 constexpr int exitBadSettings = 78;
 /// Interval at which a stopping daemon checks whether it is idle.
 constexpr std::chrono::milliseconds drainPollInterval{20};
-/// Delay after the last answer, so that it reaches its caller.
+/// Minimum delay after the last answer, so that it reaches its caller where the system doesn't
+/// report what is acknowledged.
 constexpr std::chrono::milliseconds lastAnswerGrace{100};
+/// Interval at which a stopping daemon logs what it waits for.
+constexpr std::chrono::milliseconds drainLogInterval{1000};
 /// Larger blocks are returned to the system as soon as they are freed.
 constexpr int maxHeapBlock = 128 * 1024;
 
@@ -128,6 +131,13 @@
     }
 }
 
+sigset_t noSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    return signals;
+}
+
 /// Waits up to \p time for a stop signal; returns whether one arrived.
 bool waitForSignal(const sigset_t &signals, std::chrono::milliseconds time)
 {
@@ -137,21 +147,65 @@
     return sigtimedwait(&signals, nullptr, &limit) > 0;
 }
 
+/// Logs what callers may not have received as \p event.
+void logUndelivered(LogLevel level, std::string_view event, const UndeliveredReplies &left,
+                    Duration since)
+{
+    logger.record(level, event)
+        .field("afterMs", static_cast<std::int64_t>(toMilliseconds(since)))
+        .field("unwrittenReplies", left.requests)
+        .field("unacknowledgedConnections", left.connections)
+        .field("unacknowledgedBytes", left.bytes);
+}
+
+/// Waits until \p isDone returns true, for a stop signal, or until \p limit. Returns whether a
+/// signal arrived.
+template <typename Condition>
+bool waitUntil(const Condition &isDone, const Daemon &daemon, const sigset_t &signals,
+               TimePoint limit)
+{
+    const SystemClock clock;
+    const TimePoint start = clock.now();
+    TimePoint logAt = start + drainLogInterval;
+    while (!isDone()) {
+        const TimePoint now = clock.now();
+        if (now >= limit) {
+            return false;
+        }
+        if (now >= logAt) {
+            logAt += drainLogInterval;
+            logUndelivered(LogLevel::Info, "stop-waits", daemon.undelivered(), now - start);
+        }
+        if (waitForSignal(signals, drainPollInterval)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void stopAsPlanned(Daemon &daemon, const sigset_t &signals)
 {
     const SystemClock clock;
-    const TimePoint limit = clock.now() + daemon.settings().drainLimit;
+    const TimePoint start = clock.now();
+    const TimePoint limit = start + daemon.settings().drainLimit;
     daemon.announceStop();
     logger.info(
         "Stopping: reporting not ready to the balancer, then finishing the requests in progress.");
-    bool stopNow = waitForSignal(signals, daemon.settings().balancerGrace);
+    const bool stopNow = waitForSignal(signals, daemon.settings().balancerGrace);
     daemon.drain();
-    while (!stopNow && !daemon.idle() && clock.now() < limit) {
-        stopNow = waitForSignal(signals, drainPollInterval);
+    if (!stopNow) {
+        waitUntil([&daemon] { return daemon.idle(); }, daemon, signals, limit);
     }
+    daemon.closeNewConnections();
     daemon.abandonAll();
     std::this_thread::sleep_for(lastAnswerGrace);
+    // A further signal doesn't cut off what callers are reading.
+    const sigset_t none = noSignals();
+    waitUntil([&daemon] { return daemon.undelivered().isEmpty(); }, daemon, none, limit);
+    const UndeliveredReplies left = daemon.undelivered();
     daemon.stop();
+    logUndelivered(left.isEmpty() ? LogLevel::Info : LogLevel::Warning, "stopped", left,
+                   clock.now() - start);
     logger.info("Stopped.");
 }
 
--- a/unittests/Adapters/httpcaller.h
+++ b/unittests/Adapters/httpcaller.h
@@ -27,9 +27,13 @@
 class HttpCaller
 {
 public:
-    explicit HttpCaller(std::uint16_t port)
+    /// \param receiveBuffer size of the socket's receive buffer; 0 for the default.
+    explicit HttpCaller(std::uint16_t port, int receiveBuffer = 0)
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
+        if (receiveBuffer > 0) {
+            (void)setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        }
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -34,6 +34,9 @@
 
 /// More than the kernel buffers for a caller that does not read.
 constexpr std::size_t longBody = 33'554'432;
+/// For a caller that takes in only a part of heldBody, the rest of which the server's system holds.
+constexpr int smallReceiveBuffer = 4'096;
+constexpr std::size_t heldBody = 60'000;
 
 /// A server that stores requests and lets the test send the replies.
 struct Server
@@ -324,6 +327,50 @@
     LONGS_EQUAL(0, budget.used());
 }
 
+// A stop that ignores replies in progress, or bytes that the system holds, cuts off slow readers.
+TEST(HttpServer, AReplyIsUndeliveredUntilItsCallerHasReadIt)
+{
+    Server server;
+    const HttpCaller caller(server.server->port(), smallReceiveBuffer);
+    CHECK(server.server->undelivered().isEmpty());
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    LONGS_EQUAL(1, server.server->undelivered().requests);
+    server.sendLast(makePart(std::string(longBody, 'x'), false));
+    std::this_thread::sleep_for(300ms);
+    LONGS_EQUAL(1, server.server->undelivered().requests);
+    CHECK(server.server->undelivered().bytes > 0);
+    (void)caller.readAll();
+    CHECK(waitUntil([&] { return server.server->undelivered().isEmpty(); }));
+}
+
+TEST(HttpServer, AReplyThatTheSystemHoldsIsUndelivered)
+{
+    Server server;
+    const HttpCaller caller(server.server->port(), smallReceiveBuffer);
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    server.sendLast(makePart(std::string(heldBody, 'x') + "end", false));
+    CHECK(waitUntil([&] { return server.server->undelivered().requests == 0; }));
+    LONGS_EQUAL(1, server.server->undelivered().connections);
+    CHECK(server.server->undelivered().bytes > heldBody / 2);
+    CHECK(caller.readUntilEnd("end", 0us).ends_with("end"));
+    CHECK(waitUntil([&] { return server.server->undelivered().isEmpty(); }));
+}
+
+TEST(HttpServer, ARequestWhoseCallerLeavesIsNotUndeliveredForever)
+{
+    Server server;
+    HttpCaller caller(server.server->port(), smallReceiveBuffer);
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    server.responder(makePart(std::string(longBody, 'x'), true));
+    caller.disconnect();
+    CHECK(waitUntil([&] { return server.closed != 0; }));
+    server.sendLast(makePart("", false));
+    CHECK(waitUntil([&] { return server.server->undelivered().isEmpty(); }));
+}
+
 // Guards against a cycle of references between a connection and what is left of its reply.
 TEST(HttpServer, AStopReleasesRepliesInProgress)
 {
