[Adapters] Close caller connections without a reset that cuts off replies

Cause: a connection that the server closes was shut down in both directions and closed at once. With bytes of a further request unread, or arriving later, the system resets it and drops what it hasn't sent of the last reply. Change: closing ends the own direction, discards what still arrives, and closes the socket when the caller has ended its direction, 1 s after it has acknowledged everything, or when it acknowledges nothing for 5 s. Until then its bytes count as undelivered.

--- a/lib/Adapters/callersocket.cpp
+++ b/lib/Adapters/callersocket.cpp
@@ -2,6 +2,10 @@
 
 #include "callersocket.h"
 
+#include "harelink/Support/clock.h"
+
+#include <array>
+#include <memory>
 #include <utility>
 
 #include <linux/sockios.h>
@@ -19,6 +23,108 @@
                                                                    : 0;
 }
 
+/// Interval at which a socket that is being closed is checked.
+constexpr std::chrono::milliseconds closeCheckInterval{250};
+/// A socket is closed at once when its peer has neither acknowledged anything nor ended its
+/// direction for this time.
+constexpr std::chrono::seconds closeLimit{5};
+/// The same when the peer has acknowledged everything.
+constexpr std::chrono::seconds acknowledgedCloseLimit{1};
+
+/// Closes a socket in the way that CallerSocket describes. Keeps itself until it is done.
+class OrderlyClose : public std::enable_shared_from_this<OrderlyClose>
+{
+public:
+    OrderlyClose(asio::ip::tcp::socket socket, OpenSocketEntry entry)
+        : m_socket(std::move(socket))
+        , m_entry(std::move(entry))
+        , m_strand(asio::make_strand(m_socket.get_executor()))
+        , m_timer(m_socket.get_executor())
+        , m_unacknowledged(unacknowledgedBytes(m_socket.native_handle()))
+    {
+    }
+
+    void start()
+    {
+        std::error_code error;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+        if (error) {
+            return; // The peer has ended the connection.
+        }
+        asio::dispatch(m_strand, [self = shared_from_this()] {
+            self->discard();
+            self->check();
+        });
+    }
+
+private:
+    void discard()
+    {
+        m_socket.async_read_some(
+            asio::buffer(m_discarded),
+            asio::bind_executor(
+                m_strand, [self = shared_from_this()](const std::error_code &error, std::size_t) {
+                    if (!error) {
+                        self->discard();
+                    } else {
+                        self->handleEnd(error);
+                    }
+                }));
+    }
+
+    void check()
+    {
+        m_timer.expires_after(closeCheckInterval);
+        m_timer.async_wait(asio::bind_executor(
+            m_strand, [self = shared_from_this()](const std::error_code &error) {
+                if (!error) {
+                    self->handleTimer();
+                }
+            }));
+    }
+
+    /// Handles the end of the peer's direction, or of the connection.
+    void handleEnd(const std::error_code &error)
+    {
+        m_hasPeerEnded = true;
+        if (error != asio::error::eof || unacknowledgedBytes(m_socket.native_handle()) == 0) {
+            close();
+        }
+    }
+
+    void handleTimer()
+    {
+        const std::size_t left = unacknowledgedBytes(m_socket.native_handle());
+        m_idleTime = left == m_unacknowledged ? m_idleTime + closeCheckInterval
+                                              : std::chrono::milliseconds(0);
+        m_unacknowledged = left;
+        const bool isOver = left == 0 ? m_hasPeerEnded || m_idleTime >= acknowledgedCloseLimit
+                                      : m_idleTime >= closeLimit;
+        if (isOver) {
+            close();
+        } else {
+            check();
+        }
+    }
+
+    void close()
+    {
+        std::error_code ignored;
+        m_timer.cancel(ignored);
+        m_entry = OpenSocketEntry();
+        m_socket.close(ignored);
+    }
+
+    asio::ip::tcp::socket m_socket;
+    OpenSocketEntry m_entry; // Destroyed before the socket.
+    asio::strand<asio::ip::tcp::socket::executor_type> m_strand;
+    asio::basic_waitable_timer<std::chrono::steady_clock> m_timer;
+    std::size_t m_unacknowledged;            ///< At the last check.
+    std::chrono::milliseconds m_idleTime{0}; ///< Since m_unacknowledged changed.
+    bool m_hasPeerEnded = false;
+    std::array<char, 4096> m_discarded{};
+};
+
 } // namespace
 
 asio::execution_context::id OpenSockets::id;
@@ -94,8 +200,13 @@
 
 void CallerSocket::close()
 {
-    m_entry = OpenSocketEntry();
-    asio::ip::tcp::socket::close();
+    if (!is_open()) {
+        return;
+    }
+    std::error_code ignored;
+    cancel(ignored);
+    std::make_shared<OrderlyClose>(asio::ip::tcp::socket(std::move(*this)), std::move(m_entry))
+        ->start();
 }
 
 } // namespace harelink
--- a/lib/Adapters/callersocket.h
+++ b/lib/Adapters/callersocket.h
@@ -62,6 +62,10 @@
 };
 
 /// A socket of a RESTinio server that is counted among the open ones while it is connected.
+///
+/// Closing ends the own direction and discards what still arrives until the peer has received
+/// everything: the system resets a connection that is closed with unread bytes, and the peer then
+/// loses the end of the last reply.
 class CallerSocket : public asio::ip::tcp::socket
 {
 public:
@@ -69,7 +73,8 @@
 
     /// Must be called once the socket is connected.
     void handleConnected();
-    /// Hides the function of the base class for RESTinio.
+    /// Hide the functions of the base class for RESTinio, which calls one after the other.
+    void shutdown(shutdown_type, std::error_code &) {}
     void close();
 
 private:
--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -53,13 +53,17 @@
         server = *HttpServer::start(options, [this](HttpRequest request, Responder respond) {
             const std::lock_guard<std::mutex> guard(mutex);
             requests.push_back(std::move(request));
+            if (requests.size() == 1) {
+                firstResponder = respond;
+            }
             responder = std::move(respond);
         });
     }
     ~Server()
     {
-        // Releases its connection, which must not outlive the server.
+        // Release their connection, which must not outlive the server.
         responder = {};
+        firstResponder = {};
     }
     Server(const Server &) = delete;
     Server &operator=(const Server &) = delete;
@@ -70,6 +74,7 @@
         const std::lock_guard<std::mutex> guard(mutex);
         responder(std::move(reply));
         responder = {};
+        firstResponder = {};
     }
     bool waitForRequest()
     {
@@ -81,7 +86,8 @@
 
     std::mutex mutex;
     std::vector<HttpRequest> requests;
-    Responder responder;
+    Responder responder;      ///< Of the last request.
+    Responder firstResponder; ///< Of the first request.
     std::atomic<std::uint64_t> closed{0};
     std::atomic<bool> accepts{true};
     std::atomic<bool> closes{false};
@@ -371,6 +377,39 @@
     CHECK(waitUntil([&] { return server.server->undelivered().isEmpty(); }));
 }
 
+// The system resets a connection that is closed with unread bytes, or gets some after it.
+TEST(HttpServer, ARequestBehindTheLastReplyDoesNotCutItOff)
+{
+    for (const bool isEarly : {true, false}) {
+        Server server;
+        const HttpCaller caller(server.server->port(), smallReceiveBuffer);
+        caller.write(get);
+        CHECK(server.waitForRequest());
+        if (isEarly) {
+            // More than the server reads ahead.
+            for (int i = 0; i < 500; ++i) {
+                caller.write(get);
+            }
+            std::this_thread::sleep_for(50ms);
+        }
+        HttpReply reply = makePart(std::string(heldBody, 'x') + "end", false);
+        reply.close = true;
+        {
+            const std::lock_guard<std::mutex> guard(server.mutex);
+            server.firstResponder(std::move(reply));
+            server.firstResponder = {};
+            server.responder = {};
+        }
+        CHECK(waitUntil([&] { return server.closed != 0; }));
+        caller.write(get);
+        std::this_thread::sleep_for(50ms);
+        const bool isCounted = server.server->undelivered().bytes > 0;
+        CHECK(caller.readUntilEnd("end", 1ms).ends_with("end"));
+        CHECK(isCounted);
+        CHECK(waitUntil([&] { return server.server->undelivered().isEmpty(); }));
+    }
+}
+
 // Guards against a cycle of references between a connection and what is left of its reply.
 TEST(HttpServer, AStopReleasesRepliesInProgress)
 {
