[Daemon] A planned stop waits for the calls that are made for peers

Cause: the control thread counted as idle without regard to the calls that it makes for peers without a path to an endpoint. A stop broke them off, and the peer's callers got failures. Change: the control thread is idle only when no call is made for a peer. Peers choose no leaving host for further calls, as before. Measured: CallRelay.IsNotIdleWhileACallIsMadeForAPeer (new) passes, with the other 9 of the group. Found by reading; no run of whole daemons shows it, as their tests can't take one daemon's path to endpoints away.

--- a/include/harelink/Daemon/callrelay.h
+++ b/include/harelink/Daemon/callrelay.h
@@ -76,6 +76,8 @@
     void handle(const PeerMessage &message);
     /// Ends the calls that peers make for which \p isLive returns false.
     void dropLostPeers(const std::function<bool(const std::string &)> &isLive);
+    /// Returns whether no call is made for a peer.
+    [[nodiscard]] bool idle() const { return m_served.empty(); }
     [[nodiscard]] const CallRelayCounters &counters() const { return m_counters; }
 
 private:
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -682,7 +682,7 @@
 void Control::queryIdle(std::function<void(bool)> callback)
 {
     m_loop.post([this, callback = std::move(callback)] {
-        callback(m_machine.idle() && m_pieceBatcher.idle());
+        callback(m_machine.idle() && m_pieceBatcher.idle() && m_callRelay.idle());
     });
 }
 
--- a/unittests/Daemon/callrelaytest.cpp
+++ b/unittests/Daemon/callrelaytest.cpp
@@ -184,6 +184,18 @@
     LONGS_EQUAL(0, fixture.origin.delivered.size());
 }
 
+// A planned stop that ignores such calls breaks off requests of another daemon's callers.
+TEST(CallRelay, IsNotIdleWhileACallIsMadeForAPeer)
+{
+    Fixture fixture;
+    fixture.origin.relay.request("h2", fixture.request());
+    CHECK(fixture.peer.relay.idle());
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    CHECK_FALSE(fixture.peer.relay.idle());
+    fixture.peer.await(2);
+    CHECK(fixture.peer.relay.idle());
+}
+
 TEST(CallRelay, ACancelledCallIsEndedAtThePeer)
 {
     Fixture fixture;
