[Adapters] A suspended daemon doesn't take its callers for stalled

Cause: the limits for callers that read nothing were measured on the clock alone. A process that gets no processor for longer than a limit found, when it went on, that nothing had been sent in that time, and disconnected callers that had read everything: the workers for streams of which data waited, RESTinio's timer, which races with the writes on another thread, for all others. Change: a check that comes late leaves out the time by which it is late. The server measures writes itself, in its sockets, since RESTinio's limit can't leave out time; acknowledged bytes count as progress too.

--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -80,8 +80,8 @@
     std::size_t maxBodyBytes = 1'100'000; ///< Larger bodies close the connection.
     /// Connections that are idle for longer than this between two requests are closed.
     std::chrono::milliseconds idleLimit{120'000};
-    /// A connection is closed if it takes longer than this to send 16 KiB, or less if a reply is
-    /// shorter.
+    /// A connection is closed if its caller takes nothing for this time although data waits for it.
+    /// The time for which the process is suspended doesn't count.
     std::chrono::milliseconds writeLimit{5'000};
     /// Called for each closed connection on a thread of the server; may be empty.
     std::function<void(std::uint64_t connection)> onClosed;
--- a/include/harelink/Adapters/replybacklog.h
+++ b/include/harelink/Adapters/replybacklog.h
@@ -10,6 +10,7 @@
 #define HARELINK_ADAPTERS_REPLYBACKLOG_H
 
 #include "harelink/Adapters/bufferbudget.h"
+#include "harelink/Adapters/stalltimer.h"
 #include "harelink/Support/clock.h"
 
 #include <functional>
@@ -39,6 +40,9 @@
     [[nodiscard]] std::size_t waiting() const;
     /// Returns whether data waits of which nothing was sent for the stall limit.
     [[nodiscard]] bool isStalled() const;
+    /// Leaves out the last \p time, in which this process was suspended, in the time that the
+    /// caller has read nothing.
+    void excludeTime(Duration time);
     /// Counts and logs that the caller is disconnected as too slow; once.
     void reportTooSlow();
     /// Calls \p callback once, on any thread, as soon as at most \p bytes wait. Replaces an earlier
@@ -52,10 +56,9 @@
     const Clock &m_clock;
     BufferBudget &m_budget;
     const std::string m_name;
-    const Duration m_stallLimit;
     mutable std::mutex m_mutex; ///< Guards the members below; never held while a callback runs.
     std::size_t m_waiting = 0;
-    TimePoint m_progressAt; ///< When data was sent last, or began to wait.
+    StallTimer m_timer;
     std::size_t m_threshold = 0;
     std::function<void()> m_callback;
     bool m_isReported = false;
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -184,6 +184,7 @@
     static void respond(const Caller &caller, HttpReply reply);
     void disconnectSlowCaller(std::uint64_t sequence);
     void disconnectStalledCallers();
+    void excludeSuspension(TimePoint now);
     void answerProxied(const Caller &caller, const AnswerCaller &action);
     void removeCaller(std::uint64_t sequence);
     void logAnswer(const AnswerCaller &action) const;
--- a/lib/Adapters/callersocket.cpp
+++ b/lib/Adapters/callersocket.cpp
@@ -10,6 +10,7 @@
 
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace harelink {
 namespace {
@@ -137,20 +138,67 @@
 void OpenSockets::add(int descriptor)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    m_descriptors.insert(descriptor);
+    m_sockets.insert_or_assign(descriptor, Writes{StallTimer(m_writeLimit)});
 }
 
 void OpenSockets::remove(int descriptor)
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    m_descriptors.erase(descriptor);
+    m_sockets.erase(descriptor);
+}
+
+void OpenSockets::beginWrite(int descriptor)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const auto found = m_sockets.find(descriptor);
+    if (found != m_sockets.end()) {
+        found->second.isWriting = true;
+        found->second.timer.start(m_clock.now());
+    }
+}
+
+void OpenSockets::endWrite(int descriptor)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const auto found = m_sockets.find(descriptor);
+    if (found != m_sockets.end()) {
+        found->second.isWriting = false;
+        found->second.timer.recordProgress(m_clock.now());
+    }
+}
+
+void OpenSockets::endStalledWrites()
+{
+    const TimePoint now = m_clock.now();
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    const Duration late = m_checkedAt == TimePoint{}
+                              ? Duration::zero()
+                              : now - m_checkedAt - Duration(writeCheckInterval);
+    m_checkedAt = now;
+    for (auto &[descriptor, writes] : m_sockets) {
+        if (!writes.isWriting) {
+            continue;
+        }
+        if (late > writeCheckInterval) {
+            writes.timer.excludeTime(late, now);
+        }
+        const std::size_t left = unacknowledgedBytes(descriptor);
+        if (left < writes.unacknowledged) {
+            writes.timer.recordProgress(now);
+        }
+        writes.unacknowledged = left;
+        if (writes.timer.isStalled(now)) {
+            // The write fails, and RESTinio closes the connection.
+            ::shutdown(descriptor, SHUT_RDWR);
+        }
+    }
 }
 
 UnacknowledgedBytes OpenSockets::unacknowledged() const
 {
     UnacknowledgedBytes all;
     const std::lock_guard<std::mutex> guard(m_mutex);
-    for (const int descriptor : m_descriptors) {
+    for (const auto &[descriptor, writes] : m_sockets) {
         const std::size_t bytes = unacknowledgedBytes(descriptor);
         all.sockets += bytes > 0 ? 1 : 0;
         all.bytes += bytes;
@@ -187,6 +235,20 @@
     }
 }
 
+void OpenSocketEntry::beginWrite() const
+{
+    if (m_sockets != nullptr) {
+        m_sockets->beginWrite(m_descriptor);
+    }
+}
+
+void OpenSocketEntry::endWrite() const
+{
+    if (m_sockets != nullptr) {
+        m_sockets->endWrite(m_descriptor);
+    }
+}
+
 CallerSocket::CallerSocket(asio::io_context &context)
     : asio::ip::tcp::socket(context)
     , m_sockets(&asio::use_service<OpenSockets>(static_cast<asio::execution_context &>(context)))
--- a/lib/Adapters/callersocket.h
+++ b/lib/Adapters/callersocket.h
@@ -8,9 +8,12 @@
 #ifndef HARELINK_LIB_ADAPTERS_CALLERSOCKET_H
 #define HARELINK_LIB_ADAPTERS_CALLERSOCKET_H
 
+#include "harelink/Adapters/stalltimer.h"
+
 #include <cstddef>
+#include <map>
 #include <mutex>
-#include <set>
+#include <utility>
 
 #include <asio.hpp>
 
@@ -32,16 +35,39 @@
 
     explicit OpenSockets(asio::execution_context &context);
 
+    /// Limits the time for which a write may make no progress.
+    void setWriteLimit(Duration limit) { m_writeLimit = limit; }
     void add(int descriptor);
     /// Must be called before \p descriptor is closed.
     void remove(int descriptor);
+    void beginWrite(int descriptor);
+    /// Ends a write of which the system took a part at least, or that failed.
+    void endWrite(int descriptor);
+    /// Ends the connections with a write that makes no progress. Must be called each
+    /// writeCheckInterval; the time by which a call is late is left out, since this process was
+    /// suspended.
+    void endStalledWrites();
+
+    static constexpr std::chrono::milliseconds writeCheckInterval{500};
+
     [[nodiscard]] UnacknowledgedBytes unacknowledged() const;
 
 private:
+    /// The writes to a socket, one at a time.
+    struct Writes
+    {
+        StallTimer timer;
+        bool isWriting = false;
+        std::size_t unacknowledged = 0; ///< At the last check.
+    };
+
     void shutdown() override {}
 
-    mutable std::mutex m_mutex; ///< Guards m_descriptors; held during queries of the system.
-    std::set<int> m_descriptors;
+    const SystemClock m_clock;
+    Duration m_writeLimit = std::chrono::seconds(5);
+    mutable std::mutex m_mutex; ///< Guards the members below; held during queries of the system.
+    std::map<int, Writes> m_sockets; ///< By descriptor.
+    TimePoint m_checkedAt;
 };
 
 /// Keeps a descriptor among the open ones.
@@ -56,6 +82,9 @@
     OpenSocketEntry &operator=(const OpenSocketEntry &) = delete;
     ~OpenSocketEntry();
 
+    void beginWrite() const;
+    void endWrite() const;
+
 private:
     OpenSockets *m_sockets = nullptr;
     int m_descriptor = -1;
@@ -76,6 +105,21 @@
     /// Hide the functions of the base class for RESTinio, which calls one after the other.
     void shutdown(shutdown_type, std::error_code &) {}
     void close();
+    /// Measures the writes of RESTinio.
+    template <typename Buffers, typename Handler>
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    void async_write_some(const Buffers &buffers, Handler &&handler)
+    {
+        m_entry.beginWrite();
+        const auto executor = asio::get_associated_executor(handler, get_executor());
+        asio::ip::tcp::socket::async_write_some(
+            buffers, asio::bind_executor(
+                         executor, [this, handler = std::forward<Handler>(handler)](
+                                       const std::error_code &error, std::size_t written) mutable {
+                             m_entry.endWrite();
+                             std::move(handler)(error, written);
+                         }));
+    }
 
 private:
     OpenSockets *m_sockets;
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -118,7 +118,8 @@
 /// With room for a second request, the connection is read while a request is handled;
 /// otherwise a disconnecting caller would not be noticed.
 constexpr std::size_t pipelinedRequests = 2;
-/// Interval in which RESTinio checks its time limits, which are all several seconds.
+/// Interval in which RESTinio checks its time limits, which are all several seconds. Those of
+/// writes are checked here, since RESTinio's include the time for which the process was suspended.
 constexpr std::chrono::milliseconds timerInterval{1000};
 constexpr std::size_t maxHeaderFieldBytes = 16'384;
 /// Size of the pieces in which replies are sent. RESTinio limits the time of each write: with a
@@ -509,6 +510,23 @@
     PendingReply::Count pendingReplies = std::make_shared<std::atomic<std::size_t>>(0);
     std::shared_ptr<ActiveSenders> senders = std::make_shared<ActiveSenders>();
     restinio::running_server_handle_t<Traits> server;
+    asio::steady_timer writeCheck{context};
+
+    OpenSockets &sockets()
+    {
+        return asio::use_service<OpenSockets>(static_cast<asio::execution_context &>(context));
+    }
+    /// Checks the writes now and each writeCheckInterval.
+    void checkWrites()
+    {
+        sockets().endStalledWrites();
+        writeCheck.expires_after(OpenSockets::writeCheckInterval);
+        writeCheck.async_wait([this](const std::error_code &error) {
+            if (!error) {
+                checkWrites();
+            }
+        });
+    }
 };
 
 HttpServer::HttpServer(std::unique_ptr<State> state)
@@ -552,7 +570,7 @@
                         .port(port)
                         .handle_request_timeout(maxHandlingTime)
                         .read_next_http_message_timelimit(options.idleLimit)
-                        .write_http_response_timelimit(options.writeLimit)
+                        .write_http_response_timelimit(maxHandlingTime)
                         .max_pipelined_requests(pipelinedRequests)
                         .timer_manager(timerInterval)
                         .connection_state_listener(listener)
@@ -568,6 +586,8 @@
                             raw->port = acceptor.local_endpoint().port();
                         })
                         .request_handler(std::move(onRequest));
+    state->sockets().setWriteLimit(options.writeLimit);
+    state->checkWrites();
     try {
         state->server = restinio::run_async<Traits>(restinio::external_io_context(state->context),
                                                     std::move(settings),
@@ -586,9 +606,7 @@
 
 UndeliveredReplies HttpServer::undelivered() const
 {
-    const UnacknowledgedBytes left =
-        asio::use_service<OpenSockets>(static_cast<asio::execution_context &>(m_state->context))
-            .unacknowledged();
+    const UnacknowledgedBytes left = m_state->sockets().unacknowledged();
     return {m_state->pendingReplies->load(), left.sockets, left.bytes};
 }
 
--- a/lib/Adapters/replybacklog.cpp
+++ b/lib/Adapters/replybacklog.cpp
@@ -19,7 +19,7 @@
     : m_clock(clock)
     , m_budget(budget)
     , m_name(std::move(name))
-    , m_stallLimit(stallLimit)
+    , m_timer(stallLimit)
 {
 }
 
@@ -33,7 +33,7 @@
     m_budget.add(bytes);
     const std::lock_guard<std::mutex> guard(m_mutex);
     if (m_waiting == 0) {
-        m_progressAt = m_clock.now();
+        m_timer.start(m_clock.now());
     }
     m_waiting += bytes;
 }
@@ -44,7 +44,7 @@
     const std::size_t removed = std::min(bytes, m_waiting);
     m_waiting -= removed;
     m_budget.remove(removed);
-    m_progressAt = m_clock.now();
+    m_timer.recordProgress(m_clock.now());
     if (!m_callback || m_waiting > m_threshold) {
         return {};
     }
@@ -75,24 +75,32 @@
 bool ReplyBacklog::isStalled() const
 {
     const std::lock_guard<std::mutex> guard(m_mutex);
-    return m_waiting > 0 && m_clock.now() - m_progressAt >= m_stallLimit;
+    return m_waiting > 0 && m_timer.isStalled(m_clock.now());
+}
+
+void ReplyBacklog::excludeTime(Duration time)
+{
+    const std::lock_guard<std::mutex> guard(m_mutex);
+    m_timer.excludeTime(time, m_clock.now());
 }
 
 void ReplyBacklog::reportTooSlow()
 {
     std::size_t waiting = 0;
+    Duration limit{};
     {
         const std::lock_guard<std::mutex> guard(m_mutex);
         if (std::exchange(m_isReported, true)) {
             return;
         }
         waiting = m_waiting;
+        limit = m_timer.limit();
     }
     m_budget.recordSlowCaller();
     logger.record(LogLevel::Warning, "caller-too-slow")
         .field("request", m_name)
         .field("waitingBytes", waiting)
-        .field("limitMs", static_cast<std::int64_t>(toMilliseconds(m_stallLimit)));
+        .field("limitMs", static_cast<std::int64_t>(toMilliseconds(limit)));
 }
 
 void ReplyBacklog::whenAtMost(std::size_t bytes, std::function<void()> callback)
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -26,6 +26,8 @@
 /// The same for an answer that a peer relays, which cannot be paused: the caller is disconnected.
 constexpr std::size_t maxRelayedWaitingBytes = 4 * maxWaitingBytes;
 constexpr std::chrono::milliseconds stallCheckInterval{250};
+/// This process was suspended if a check is later than this.
+constexpr std::chrono::milliseconds maxCheckDelay{1000};
 
 RequestLimits makeRequestLimits(const Settings &settings, const std::atomic<int> &daemons,
                                 const HostLoad &load, TimePoint startedAt)
@@ -556,6 +558,7 @@
     if (now < m_nextStallCheck) {
         return;
     }
+    excludeSuspension(now);
     m_nextStallCheck = now + stallCheckInterval;
     std::vector<std::uint64_t> stalled;
     for (const auto &[sequence, caller] : m_callers) {
@@ -568,6 +571,21 @@
     }
 }
 
+/// Leaves out the time since the check was due, if this process was suspended: the server's threads
+/// have sent nothing either.
+void Worker::excludeSuspension(TimePoint now)
+{
+    const Duration delay = now - m_nextStallCheck;
+    if (m_nextStallCheck == TimePoint{} || delay <= maxCheckDelay) {
+        return;
+    }
+    logger.record(LogLevel::Info, "worker-suspended")
+        .field("ms", static_cast<std::int64_t>(toMilliseconds(delay)));
+    for (const auto &[sequence, caller] : m_callers) {
+        caller.backlog->excludeTime(delay);
+    }
+}
+
 void Worker::dispatchResult(StageResult event)
 {
     std::visit(
