[Kernel] Complete a stream only by the end of a stream

Cause: The request machine took every answer but a 5xx for the end of the request, whatever the caller had received before. The same for an answer without events to a stream that its caller takes up, which got a Content-Length, and for whole answers to resumed completions of the own API. Change: An answer states its kind: a body, the regular end of a stream, or an error. A caller that has a part of a stream is answered by the end of a stream only; anything else is a failure of that call, which is retried by the usual rules, or the reply is aborted. Errors still answer callers that take up a stream, as their status says what they are.

--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -19,6 +19,23 @@
 
 namespace harelink {
 
+namespace requestmachine {
+
+/// Returns whether an answer of \p kind may complete a request. A caller that has received a part
+/// of a stream would take any end of its answer for the end of the stream.
+///
+/// \param hasBegun if the caller has received a part in this answer.
+/// \param isTakenUp if it received one in an earlier answer.
+inline bool mayComplete(AnswerKind kind, bool hasBegun, bool isTakenUp)
+{
+    if (hasBegun) {
+        return kind == AnswerKind::Stream;
+    }
+    return !isTakenUp || kind != AnswerKind::Body;
+}
+
+} // namespace requestmachine
+
 /// Returns the request that waits for an answer to \p call; null if there is none.
 template <GuardPolicy G>
 auto BasicRequestMachine<G>::findCurrent(const CallId &call) -> Request *
@@ -87,6 +104,18 @@
         rejectAnswer(*request, "the answer carries another call's identity", snapshot);
         return;
     }
+    const bool hasBegun = request->headForwarded || request->tokens > 0;
+    const bool isTakenUp = request->streams && request->lastEventId;
+    if (!requestmachine::mayComplete(event.kind, hasBegun, isTakenUp)) {
+        StageFailed failure;
+        failure.call = event.call;
+        failure.status =
+            makeError(absl::StatusCode::kUnavailable, "stage " + request->stageSpec().name,
+                      request->endpoint, "the answer does not continue the stream");
+        failure.notice = std::move(event.notice);
+        handle(failure, snapshot);
+        return;
+    }
     const Duration elapsed = m_clock.now() - request->sentAt;
     const std::string poolName = request->stageSpec().pool;
     recordNotice(*request, event.notice, snapshot);
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -67,11 +67,19 @@
     std::shared_ptr<const ProxiedRequest> proxied;
 };
 
+/// What the answer to a call is.
+enum class AnswerKind {
+    Body,   ///< A success with a body.
+    Stream, ///< The regular end of a streamed success.
+    Error,  ///< Anything but a success. Only proxied requests have it; other calls fail.
+};
+
 /// Event: an endpoint answered a call.
 struct StageAnswered
 {
     CallId call;   ///< The call on whose connection the answer was received.
     CallId echoed; ///< The call ID contained in the answer.
+    AnswerKind kind = AnswerKind::Body;
     std::string body;
     Duration busy{}; ///< Service time reported by the endpoint; zero if absent.
     std::optional<ProxiedAnswer> proxied; ///< The complete answer to a proxied request.
--- a/lib/Adapters/stageprotocol.cpp
+++ b/lib/Adapters/stageprotocol.cpp
@@ -232,7 +232,10 @@
         failure.isBroken = !result.mayBeCutOff;
         return failure;
     }
-    return answered(m_stage, result, m_protocol.wholeAnswer(m_stage.textDelivered + m_text));
+    StageAnswered end =
+        answered(m_stage, result, m_protocol.wholeAnswer(m_stage.textDelivered + m_text));
+    end.kind = AnswerKind::Stream;
+    return end;
 }
 
 } // namespace harelink
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -1644,6 +1644,7 @@
                 StageAnswered event;
                 event.call = stream.stage.call;
                 event.echoed = stream.stage.call;
+                event.kind = AnswerKind::Stream;
                 event.body = whole;
                 event.notice = noticeOf(stream.stage.endpoint);
                 toRequests(stream.host, stream.start, event);
@@ -1678,6 +1679,7 @@
             if (id > StreamCallers::eventCount) {
                 StageAnswered event;
                 event.call = event.echoed = stream.stage.call;
+                event.kind = AnswerKind::Stream;
                 event.proxied = ProxiedAnswer{200, {}, ""};
                 toRequests(stream.host, stream.start, event);
                 return;
--- a/unittests/Kernel/kernelfixture.h
+++ b/unittests/Kernel/kernelfixture.h
@@ -89,11 +89,13 @@
         collect();
         return id;
     }
-    void answer(const CallId &call, const std::string &body = "{}")
+    void answer(const CallId &call, const std::string &body = "{}",
+                AnswerKind kind = AnswerKind::Body)
     {
         StageAnswered event;
         event.call = call;
         event.echoed = call;
+        event.kind = kind;
         event.body = body;
         machine.handle(std::move(event), *snapshot);
         collect();
--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -138,12 +138,20 @@
         machine.handle(StreamLocated{id, origin}, *snapshot);
         collect();
     }
+    /// Ends the stream or the body of a success, or sends an error.
     void answer(const SendStage &stage, int status = 200,
                 std::optional<EndpointNotice> notice = std::nullopt)
+    {
+        const AnswerKind success = stage.streams ? AnswerKind::Stream : AnswerKind::Body;
+        answer(stage, status < 300 ? success : AnswerKind::Error, status, std::move(notice));
+    }
+    void answer(const SendStage &stage, AnswerKind kind, int status,
+                std::optional<EndpointNotice> notice = std::nullopt)
     {
         StageAnswered event;
         event.call = stage.call;
         event.echoed = stage.call;
+        event.kind = kind;
         event.proxied = ProxiedAnswer{status, {}, "body"};
         event.notice = std::move(notice);
         machine.handle(std::move(event), *snapshot);
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -195,6 +195,42 @@
     CHECK(fixture.answers[0].outcome == Outcome::Completed);
 }
 
+// The caller would take the end of its chunked answer for the end of the stream.
+TEST(Proxied, StreamIsNotCompletedByAnAnswerThatDoesNotContinueIt)
+{
+    const std::vector<std::pair<AnswerKind, int>> answers = {
+        {AnswerKind::Error, 404}, {AnswerKind::Error, 302}, {AnswerKind::Error, 304},
+        {AnswerKind::Body, 200},  {AnswerKind::Body, 204},
+    };
+    for (const auto &[kind, status] : answers) {
+        ProxiedFixture fixture;
+        fixture.arrive("/talk/1");
+        fixture.event(fixture.sends[0], 1);
+        fixture.fail(fixture.sends[0], SendEvidence::Sent);
+        fixture.answer(fixture.sends[1], kind, status);
+        LONGS_EQUAL(1, fixture.answers.size());
+        CHECK(fixture.answers[0].outcome == Outcome::Unknown);
+        CHECK_FALSE(fixture.answers[0].proxied.has_value());
+        LONGS_EQUAL(0, fixture.machine.inProgress());
+    }
+}
+
+TEST(Proxied, StreamContinuesElsewhereAfterAnAnswerThatDoesNotContinueIt)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/talk/1");
+    fixture.event(fixture.sends[0], 1);
+    // A refusal leaves one more run.
+    fixture.fail(fixture.sends[0], SendEvidence::RefusedBeforeRun);
+    fixture.answer(fixture.sends[1], 404);
+    LONGS_EQUAL(3, fixture.sends.size());
+    CHECK(fixture.sends[2].endpoint != fixture.sends[1].endpoint);
+    LONGS_EQUAL(1, fixture.sends[2].resumeAfter.value());
+    fixture.event(fixture.sends[2], 2);
+    fixture.answer(fixture.sends[2]);
+    CHECK(fixture.answers[0].outcome == Outcome::Completed);
+}
+
 TEST(Proxied, StreamThatIsNotResumableEndsWhenBroken)
 {
     ProxiedFixture fixture;
--- a/unittests/Kernel/streamtest.cpp
+++ b/unittests/Kernel/streamtest.cpp
@@ -62,7 +62,7 @@
     fixture.sendChunk(second, 2, "c");
     fixture.sendChunk(first, 2, "c");
     fixture.sendChunk(second, 3, "d");
-    fixture.answer(second, "\"abcd\"");
+    fixture.answer(second, "\"abcd\"", AnswerKind::Stream);
     return fixture.streamed();
 }
 
@@ -107,6 +107,22 @@
     CHECK_EQUAL(1u, fixture.sends.back().tokensDelivered);
 }
 
+TEST(Stream, WholeAnswerToAResumedCallEndsNoStream)
+{
+    StreamFixture<AllGuards> fixture;
+    const CallId first = fixture.sends.back().call;
+    fixture.sendChunk(first, 0, "a");
+    fixture.failCall(first, SendEvidence::Sent);
+    const CallId second = fixture.sends.back().call;
+    fixture.answer(second, "\"abcd\"");
+    CHECK(fixture.answers.empty());
+    const CallId third = fixture.sends.back().call;
+    CHECK(third != second);
+    fixture.sendChunk(third, 1, "b");
+    fixture.answer(third, "\"ab\"", AnswerKind::Stream);
+    CHECK(fixture.answers.at(0).outcome == Outcome::Completed);
+}
+
 TEST(Stream, InterruptedStreamEndsWithUnknownOutcome)
 {
     StreamFixture<AllGuards> fixture;
--- a/unittests/Kernel/streamversionstest.cpp
+++ b/unittests/Kernel/streamversionstest.cpp
@@ -240,6 +240,33 @@
     LONGS_EQUAL(1, fixture.sends.size());
 }
 
+// The caller has the first events and would take the end of this body for the end of the stream.
+TEST(StreamVersions, BodyWithoutEventsDoesNotCompleteAStreamThatIsTakenUp)
+{
+    for (const int status : {200, 204}) {
+        VersionFixture fixture({"v1", "v1", "v1"});
+        const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+        fixture.locate(id, StreamOrigin{"engines", "v1"});
+        fixture.answer(fixture.sends[0], AnswerKind::Body, status);
+        LONGS_EQUAL(2, fixture.sends.size());
+        fixture.answer(fixture.sends[1], AnswerKind::Body, status);
+        CHECK(fixture.answers[0].outcome == Outcome::Unknown);
+        CHECK_FALSE(fixture.answers[0].proxied.has_value());
+    }
+}
+
+TEST(StreamVersions, EndOrErrorOfTheEndpointAnswersAStreamThatIsTakenUp)
+{
+    for (const AnswerKind kind : {AnswerKind::Stream, AnswerKind::Error}) {
+        VersionFixture fixture({"v1", "v1"});
+        const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+        fixture.locate(id, StreamOrigin{"engines", "v1"});
+        const int status = kind == AnswerKind::Stream ? 200 : 404;
+        fixture.answer(fixture.sends[0], kind, status);
+        LONGS_EQUAL(status, fixture.answers[0].proxied->status);
+    }
+}
+
 TEST(StreamVersions, CallerThatLeavesDuringTheLookupIsForgotten)
 {
     VersionFixture fixture({"v1"});
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -268,6 +268,27 @@
     CHECK(std::holds_alternative<StageFailed>(stream.finish(head)));
 }
 
+TEST(Requests, OnlyAnEventStreamIsTheEndOfAStream)
+{
+    const SendStage sent = stage(dialect);
+    const auto kindOf = [&](int status, const std::string &contentType, const std::string &body) {
+        ProxiedStream stream(dialect, sent);
+        const HttpResult head = result(status, {{"X-Request-Id", "r-1"},
+                                                {"X-Server-Seal", "s"},
+                                                {"Content-Type", contentType},
+                                                {"Transfer-Encoding", "chunked"}});
+        (void)stream.handleBody(head, body);
+        return std::get<StageAnswered>(stream.finish(head)).kind;
+    };
+    CHECK(kindOf(200, "text/event-stream", "id: 1\n\n") == AnswerKind::Stream);
+    CHECK(kindOf(200, "Text/Event-Stream; charset=utf-8", "") == AnswerKind::Stream);
+    CHECK(kindOf(200, "text/plain", "id: 1\n\n") == AnswerKind::Body);
+    CHECK(kindOf(204, "", "") == AnswerKind::Body);
+    for (const int status : {302, 304, 404}) {
+        CHECK(kindOf(status, "text/event-stream", "id: 1\n\n") == AnswerKind::Error);
+    }
+}
+
 // Endpoints that send neither a length nor chunks end their answers by closing the connection.
 // Taking such an end for a break cut the caller's reply and ran repeatable requests again.
 TEST(Requests, UnframedStreamIsCompleteIfItEndsBetweenTwoEvents)
