[Kernel] Refuse streams whose last event cannot be read

After all hosts were killed, callers that took up streams got the first part from one software version and the rest from another.

Cause: Only a Last-Event-Id that is one whole number made a request a stream that is taken up. Any other form ("+2", "2.0", a second field that is empty) counted as a new stream, was routed at any version, and was forwarded as it came: an endpoint that reads it goes on there. Change: A caller that states a last event in another form is refused like one whose stream is unknown ("not run").

--- a/include/harelink/Kernel/proxied.h
+++ b/include/harelink/Kernel/proxied.h
@@ -52,6 +52,8 @@
 
     /// ID of the last event that the caller received before its stream broke.
     std::optional<std::uint64_t> lastEventSeen;
+    /// The caller states a last event, but not as a single number.
+    bool isLastEventUnreadable = false;
     /// The caller's ID of its attempt that brought the first event of that stream; empty if the
     /// caller names none.
     std::string resumedAttempt;
--- a/include/harelink/Kernel/requeststreamsimpl.h
+++ b/include/harelink/Kernel/requeststreamsimpl.h
@@ -44,8 +44,12 @@
 template <GuardPolicy G>
 bool BasicRequestMachine<G>::takesUpStream(const Request &request)
 {
-    return request.proxied && request.pipeline.route->streams
-           && (request.proxied->lastEventSeen || !request.proxied->resumedAttempt.empty());
+    if (!request.proxied || !request.pipeline.route->streams) {
+        return false;
+    }
+    const ProxiedRequest &proxied = *request.proxied;
+    return proxied.lastEventSeen || proxied.isLastEventUnreadable
+           || !proxied.resumedAttempt.empty();
 }
 
 template <GuardPolicy G>
@@ -57,6 +61,10 @@
                           snapshot);
         return;
     }
+    if (proxied.isLastEventUnreadable) {
+        failUnknownStream(request, "the id of the last event cannot be read", snapshot);
+        return;
+    }
     request.phase = Request::Phase::Locating;
     schedule(request, request.deadline - requestmachine::answerMargin);
     m_actions.emplace_back(
--- a/test/processes/standins.py
+++ b/test/processes/standins.py
@@ -21,6 +21,7 @@
         self.lock = threading.Condition()
         self.revision = 0
         self.objects = {}
+        self.removed = {}
 
     def put(self, kind, name, spec):
         with self.lock:
@@ -28,18 +29,36 @@
             meta = {"name": name, "rev": self.revision, "create-revision": self.revision,
                     "finalizers": [], "deleting": False}
             self.objects[(kind, name)] = {"meta": meta, "spec": spec, "status": None}
+            self.removed.pop((kind, name), None)
             self.lock.notify_all()
             return self.objects[(kind, name)]
 
+    def remove(self, kind, name):
+        with self.lock:
+            self.revision += 1
+            entry = self.objects.pop((kind, name))
+            entry["meta"]["rev"] = self.revision
+            self.removed[(kind, name)] = entry
+            self.lock.notify_all()
+
     def list(self, kind, after=-1):
-        return [entry for (of, _), entry in self.objects.items()
+        return self.entries(self.objects, kind, after)
+
+    @staticmethod
+    def entries(objects, kind, after):
+        return [entry for (of, _), entry in objects.items()
                 if of == kind and entry["meta"]["rev"] > after]
 
+    def events(self, kind, after):
+        events = [{"object": entry, "removed": is_removed}
+                  for is_removed, objects in ((False, self.objects), (True, self.removed))
+                  for entry in self.entries(objects, kind, after)]
+        return sorted(events, key=lambda event: event["object"]["meta"]["rev"])
+
     def watch(self, kind, after, wait_s):
         with self.lock:
-            self.lock.wait_for(lambda: self.list(kind, after), timeout=wait_s)
-            events = [{"object": entry, "removed": False} for entry in self.list(kind, after)]
-            return {"events": events, "store-revision": self.revision}
+            self.lock.wait_for(lambda: self.events(kind, after), timeout=wait_s)
+            return {"events": self.events(kind, after), "store-revision": self.revision}
 
 
 class Handler(http.server.BaseHTTPRequestHandler):
@@ -61,8 +80,15 @@
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
 
-def store_handler(store):
+def store_handler(store, is_away=None):
+    """While the event is_away is set, connections end without an answer."""
     class StoreHandler(Handler):
+        def reply(self, status, body, headers=()):
+            if is_away is not None and is_away.is_set():
+                self.close_connection = True
+                return
+            super().reply(status, body, headers)
+
         def do_GET(self):
             parts = urlsplit(self.path)
             query = {name: values[0] for name, values in parse_qs(parts.query).items()}
--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -110,6 +110,14 @@
         proxied->resumedAttempt = firstAttempt;
         return handleArrival(std::move(proxied), timeAllowed);
     }
+    /// Takes up a stream behind an event whose ID cannot be read.
+    RequestId takeUpBehindUnreadable(const std::string &path, const std::string &firstAttempt)
+    {
+        std::shared_ptr<ProxiedRequest> proxied = makeRequest(path, "key-1");
+        proxied->isLastEventUnreadable = true;
+        proxied->resumedAttempt = firstAttempt;
+        return handleArrival(std::move(proxied), std::nullopt);
+    }
     std::shared_ptr<ProxiedRequest> makeRequest(const std::string &path, const std::string &key)
     {
         auto proxied = std::make_shared<ProxiedRequest>();
--- a/unittests/Kernel/streamversionstest.cpp
+++ b/unittests/Kernel/streamversionstest.cpp
@@ -206,6 +206,22 @@
     CHECK(fixture.answers[0].outcome == Outcome::NotRun);
 }
 
+// An endpoint might read what the daemon cannot, and continue a stream of another version.
+TEST(StreamVersions, StreamIsRefusedIfItsLastEventCannotBeRead)
+{
+    for (const char *firstAttempt : {"", "caller-of-another-host"}) {
+        VersionFixture fixture({"v1"});
+        fixture.takeUpBehindUnreadable("/talk/1", firstAttempt);
+        CHECK(fixture.sends.empty());
+        LONGS_EQUAL(1, fixture.answers.size());
+        CHECK(fixture.answers[0].reason == Reason::StreamUnknown);
+        CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    }
+    VersionFixture fixture({"v1"});
+    fixture.takeUpBehindUnreadable("/read/1", "");
+    LONGS_EQUAL(1, fixture.sends.size());
+}
+
 TEST(StreamVersions, StreamWhoseVersionIsGoneIsRefusedAtOnce)
 {
     VersionFixture fixture({"v2", "v2"});
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -131,6 +131,44 @@
     CHECK(hasHeader(dialect.encode(sent), "Resumes: 9c41d07be2a35f68"));
 }
 
+TEST(Requests, EndpointOfAStreamGetsNoLastEventButTheOneThatWasRead)
+{
+    using Values = std::vector<std::string>;
+    const auto read = [this](const Values &values) {
+        HttpRequest taken = request();
+        for (const std::string &value : values) {
+            taken.fields.emplace_back("Last-Event-ID", value);
+            taken.headers["last-event-id"] = value;
+        }
+        return dialect.read(taken)->proxied;
+    };
+    const auto fieldsOf = [this](const std::shared_ptr<const ProxiedRequest> &proxied) {
+        SendStage sent = stage(dialect);
+        sent.proxied = proxied;
+        sent.streams = true;
+        std::vector<std::string> fields = dialect.encode(sent).headers;
+        std::erase_if(fields, [](const std::string &field) {
+            return !lowerCase(field).starts_with("last-event-id");
+        });
+        return fields;
+    };
+    for (const char *value : {"7", "07"}) {
+        CHECK(read({value})->lastEventSeen == 7);
+        CHECK_FALSE(read({value})->isLastEventUnreadable);
+        CHECK(fieldsOf(read({value})) == Values{"Last-Event-Id: 7"});
+    }
+    CHECK_FALSE(read({""})->isLastEventUnreadable);
+    CHECK(fieldsOf(read({""})).empty());
+    const std::vector<Values> unreadable = {
+        {"+7"}, {"7.0"}, {"-7"},     {"0x7"},   {"7, 7"},
+        {"x"},  {"7 7"}, {"7", "8"}, {"7", ""}, {"18446744073709551616"},
+    };
+    for (const Values &values : unreadable) {
+        CHECK_TEXT(read(values)->isLastEventUnreadable, values.front().c_str());
+        CHECK_TEXT(fieldsOf(read(values)).empty(), values.front().c_str());
+    }
+}
+
 TEST(Requests, RejectsInvalidRequests)
 {
     HttpRequest broken = request();
