[Kernel] Do not join events whose position is unknown

Cause: Events without an ID were forwarded anywhere. A stream with such events that broke was sent again with the last ID known, or without any, so its events came twice; a continuation that began with one was appended unchecked. Change: A continuation states its position by the ID of its first event, else it is a failure of that call. A stream that has brought events without an ID is not sent again. Comments, which have neither ID nor data, change nothing.

--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -367,6 +367,10 @@
 void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
                                          const Snapshot &snapshot)
 {
+    if (request.hasUnnumberedEvents) {
+        fail(request, Reason::StageFailed, event.status, snapshot);
+        return;
+    }
     const bool canContinue = !request.origin || hasServingEndpoint(request, snapshot);
     if (canContinue && hasSendSlot(request, snapshot, 0) && mayRetry(request, event.evidence)) {
         ++m_counters.retries;
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -404,6 +404,7 @@
                             || (pool.path->hasRelay()
                                 && request.connectFailures >= requestmachine::maxConnectFailures));
     request.sentAt = now;
+    request.isPlaced = false;
     ++request.attempt;
     if (request.costs.size() <= request.stage) {
         request.costs.push_back({request.stageSpec().name, pool.spec.name, {}, {}, 0, 0});
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -93,6 +93,7 @@
     CallId echoed;      ///< As in StageAnswered.
     ProxiedAnswer head; ///< Head of the answer that the event belongs to.
     std::optional<std::uint64_t> eventId;
+    bool isComment = false;               ///< It has neither an ID nor data.
     std::string bytes;                    ///< The complete event as received.
     std::optional<EndpointNotice> notice; ///< As in StageAnswered.
 };
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -189,6 +189,9 @@
     bool headForwarded = false;      ///< The head of the stream was sent to the caller.
     /// ID of the last event that the caller has received.
     std::optional<std::uint64_t> lastEventId;
+    bool isPlaced = false; ///< The current call has brought an event with an ID.
+    /// The caller has events without an ID, so no other call can continue the stream.
+    bool hasUnnumberedEvents = false;
     /// Where the stream began; set by its first event, or by the lookup of a stream that the
     /// caller takes up.
     std::optional<StreamOrigin> origin;
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -582,6 +582,11 @@
         rejectAnswer(*request, "the stream repeats or leaves out an event", snapshot);
         return;
     }
+    const bool isUnnumbered = !event.eventId && !event.isComment;
+    if (G::matchesAttempts && isUnnumbered && request->lastEventId && !request->isPlaced) {
+        rejectAnswer(*request, "the stream does not state where it continues", snapshot);
+        return;
+    }
     if (const EndpointEntry *endpoint = endpointOf(*request, snapshot)) {
         recordProgress(*endpoint, m_clock.now());
     }
@@ -611,7 +616,9 @@
     }
     if (event.eventId) {
         request->lastEventId = event.eventId;
+        request->isPlaced = true;
     }
+    request->hasUnnumberedEvents = request->hasUnnumberedEvents || isUnnumbered;
     ++request->tokens;
     m_actions.emplace_back(std::move(action));
 }
--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -183,12 +183,23 @@
                std::optional<EndpointNotice> notice = std::nullopt)
     {
         StageEvent event;
-        event.call = stage.call;
-        event.echoed = stage.call;
-        event.head.status = 200;
         event.eventId = id;
         event.bytes = fmt::format("id: {}\n\n", id);
         event.notice = std::move(notice);
+        handleEvent(stage, std::move(event));
+    }
+    void eventWithoutId(const SendStage &stage, bool isComment = false)
+    {
+        StageEvent event;
+        event.isComment = isComment;
+        event.bytes = isComment ? ":\n\n" : "data: x\n\n";
+        handleEvent(stage, std::move(event));
+    }
+    void handleEvent(const SendStage &stage, StageEvent event)
+    {
+        event.call = stage.call;
+        event.echoed = stage.call;
+        event.head.status = 200;
         machine.handle(event, *snapshot);
         collect();
     }
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -231,6 +231,49 @@
     CHECK(fixture.answers[0].outcome == Outcome::Completed);
 }
 
+// The next call would repeat events that the caller has.
+TEST(Proxied, StreamWithAnEventOfUnknownPositionEndsWhenBroken)
+{
+    for (const bool isNumberedBefore : {true, false}) {
+        ProxiedFixture fixture;
+        fixture.arrive("/talk/1");
+        if (isNumberedBefore) {
+            fixture.event(fixture.sends[0], 1);
+        }
+        fixture.eventWithoutId(fixture.sends[0]);
+        fixture.fail(fixture.sends[0], SendEvidence::Sent);
+        LONGS_EQUAL(1, fixture.sends.size());
+        CHECK(fixture.answers[0].outcome == Outcome::Unknown);
+        CHECK(fixture.answers[0].reason == Reason::StageFailed);
+    }
+}
+
+TEST(Proxied, ContinuationOfUnknownPositionIsNotForwarded)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/talk/1");
+    fixture.event(fixture.sends[0], 1);
+    fixture.fail(fixture.sends[0], SendEvidence::Sent);
+    fixture.eventWithoutId(fixture.sends[1]);
+    LONGS_EQUAL(1, fixture.events.size());
+    CHECK(fixture.answers[0].outcome == Outcome::Unknown);
+}
+
+TEST(Proxied, CommentsDoNotChangeThePositionOfAStream)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/talk/1");
+    fixture.event(fixture.sends[0], 1);
+    fixture.eventWithoutId(fixture.sends[0], true);
+    fixture.fail(fixture.sends[0], SendEvidence::Sent);
+    fixture.eventWithoutId(fixture.sends[1], true);
+    fixture.event(fixture.sends[1], 2);
+    fixture.eventWithoutId(fixture.sends[1]);
+    LONGS_EQUAL(5, fixture.events.size());
+    fixture.answer(fixture.sends[1]);
+    CHECK(fixture.answers[0].outcome == Outcome::Completed);
+}
+
 TEST(Proxied, StreamThatIsNotResumableEndsWhenBroken)
 {
     ProxiedFixture fixture;
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -327,6 +327,19 @@
     }
 }
 
+TEST(Requests, ReadsThePositionOfEvents)
+{
+    const auto decode = [&](std::string_view event) {
+        return dialect.decodeEvent(stage(dialect), unframedStream(), event);
+    };
+    CHECK(decode("id: 4\ndata: x\n\n").eventId == 4);
+    CHECK_FALSE(decode("id: 4\n\n").isComment);
+    CHECK_FALSE(decode("data: x\n\n").isComment);
+    CHECK_FALSE(decode("id: four\n\n").isComment);
+    CHECK(decode(": ping\n\n").isComment);
+    CHECK(decode("event: ping\nretry: 5\n\n").isComment);
+}
+
 // Endpoints that send neither a length nor chunks end their answers by closing the connection.
 // Taking such an end for a break cut the caller's reply and ran repeatable requests again.
 TEST(Requests, UnframedStreamIsCompleteIfItEndsBetweenTwoEvents)
