--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -131,6 +131,44 @@
     CHECK(hasHeader(dialect.encode(sent), "Resumes: 9c41d07be2a35f68"));
 }
 
+TEST(Requests, EndpointOfAStreamGetsNoLastEventButTheOneThatWasRead)
+{
+    using Values = std::vector<std::string>;
+    const auto read = [this](const Values &values) {
+        HttpRequest taken = request();
+        for (const std::string &value : values) {
+            taken.fields.emplace_back("Last-Event-ID", value);
+            taken.headers["last-event-id"] = value;
+        }
+        return dialect.read(taken)->proxied;
+    };
+    const auto fieldsOf = [this](const std::shared_ptr<const ProxiedRequest> &proxied) {
+        SendStage sent = stage(dialect);
+        sent.proxied = proxied;
+        sent.streams = true;
+        std::vector<std::string> fields = dialect.encode(sent).headers;
+        std::erase_if(fields, [](const std::string &field) {
+            return !lowerCase(field).starts_with("last-event-id");
+        });
+        return fields;
+    };
+    for (const char *value : {"7", "07"}) {
+        CHECK(read({value})->lastEventSeen == 7);
+        CHECK_FALSE(read({value})->isLastEventUnreadable);
+        CHECK(fieldsOf(read({value})) == Values{"Last-Event-Id: 7"});
+    }
+    CHECK_FALSE(read({""})->isLastEventUnreadable);
+    CHECK(fieldsOf(read({""})).empty());
+    const std::vector<Values> unreadable = {
+        {"+7"}, {"7.0"}, {"-7"},     {"0x7"},   {"7, 7"},
+        {"x"},  {"7 7"}, {"7", "8"}, {"7", ""}, {"18446744073709551616"},
+    };
+    for (const Values &values : unreadable) {
+        CHECK_TEXT(read(values)->isLastEventUnreadable, values.front().c_str());
+        CHECK_TEXT(fieldsOf(read(values)).empty(), values.front().c_str());
+    }
+}
+
 TEST(Requests, RejectsInvalidRequests)
 {
     HttpRequest broken = request();
@@ -268,6 +306,40 @@
     CHECK(std::holds_alternative<StageFailed>(stream.finish(head)));
 }
 
+TEST(Requests, OnlyAnEventStreamIsTheEndOfAStream)
+{
+    const SendStage sent = stage(dialect);
+    const auto kindOf = [&](int status, const std::string &contentType, const std::string &body) {
+        ProxiedStream stream(dialect, sent);
+        const HttpResult head = result(status, {{"X-Request-Id", "r-1"},
+                                                {"X-Server-Seal", "s"},
+                                                {"Content-Type", contentType},
+                                                {"Transfer-Encoding", "chunked"}});
+        (void)stream.handleBody(head, body);
+        return std::get<StageAnswered>(stream.finish(head)).kind;
+    };
+    CHECK(kindOf(200, "text/event-stream", "id: 1\n\n") == AnswerKind::Stream);
+    CHECK(kindOf(200, "Text/Event-Stream; charset=utf-8", "") == AnswerKind::Stream);
+    CHECK(kindOf(200, "text/plain", "id: 1\n\n") == AnswerKind::Body);
+    CHECK(kindOf(204, "", "") == AnswerKind::Body);
+    for (const int status : {302, 304, 404}) {
+        CHECK(kindOf(status, "text/event-stream", "id: 1\n\n") == AnswerKind::Error);
+    }
+}
+
+TEST(Requests, ReadsThePositionOfEvents)
+{
+    const auto decode = [&](std::string_view event) {
+        return dialect.decodeEvent(stage(dialect), unframedStream(), event);
+    };
+    CHECK(decode("id: 4\ndata: x\n\n").eventId == 4);
+    CHECK_FALSE(decode("id: 4\n\n").isComment);
+    CHECK_FALSE(decode("data: x\n\n").isComment);
+    CHECK_FALSE(decode("id: four\n\n").isComment);
+    CHECK(decode(": ping\n\n").isComment);
+    CHECK(decode("event: ping\nretry: 5\n\n").isComment);
+}
+
 // Endpoints that send neither a length nor chunks end their answers by closing the connection.
 // Taking such an end for a break cut the caller's reply and ran repeatable requests again.
 TEST(Requests, UnframedStreamIsCompleteIfItEndsBetweenTwoEvents)
