[Adapters] Take only a length that delimits the body for one

Cause: The framing of an answer was read from the presence of a field. A Content-Length that is out of range or no number delimits nothing, and two that differ name two ends. Change: HttpResult::framing() wants a number in range, or the coding 'chunked' alone; an answer with two lengths that differ fails. Measured: harelink-unittests -sg AnswerEnds before: WhatDoesNotDelimitTheBodyIsNoFraming 'Content-Length: part CHECK(result.status == 0 || result.framing() == AnswerFraming::Connection) failed'; after: passes.

--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -12,6 +12,8 @@
 #include <charconv>
 #include <limits>
 #include <mutex>
+#include <optional>
+#include <system_error>
 #include <utility>
 
 #include <curl/curl.h>
@@ -52,6 +54,17 @@
     return std::string(text);
 }
 
+/// Returns the value of a Content-Length field; std::nullopt if it is not a number that libcurl
+/// takes for a length.
+std::optional<std::int64_t> readLength(std::string_view text)
+{
+    std::int64_t length = 0;
+    const char *const end = text.data() + text.size();
+    const std::from_chars_result read = std::from_chars(text.data(), end, length);
+    const bool isNumber = read.ec == std::errc() && read.ptr == end && length >= 0;
+    return isNumber ? std::optional(length) : std::nullopt;
+}
+
 int parseStatusLine(std::string_view line)
 {
     const std::size_t space = line.find(' ');
@@ -121,14 +134,16 @@
 
 AnswerFraming HttpResult::framing() const
 {
+    if (headStatus == statusNoContent || headStatus == statusNotModified) {
+        return AnswerFraming::Length;
+    }
     // Any other transfer coding ends with the connection, and takes precedence over a length.
-    const std::string coding = lowerCase(header("transfer-encoding"));
-    if (!coding.empty()) {
-        return coding.ends_with("chunked") ? AnswerFraming::Chunks : AnswerFraming::Connection;
+    if (headers.contains("transfer-encoding")) {
+        return lowerCase(header("transfer-encoding")) == "chunked" ? AnswerFraming::Chunks
+                                                                   : AnswerFraming::Connection;
     }
-    const bool hasNoBody = headStatus == statusNoContent || headStatus == statusNotModified;
-    const bool isLength = hasNoBody || !header("content-length").empty();
-    return isLength ? AnswerFraming::Length : AnswerFraming::Connection;
+    const std::string length = header("content-length");
+    return readLength(length) ? AnswerFraming::Length : AnswerFraming::Connection;
 }
 
 /// One call in progress; owns the data that libcurl refers to.
@@ -235,6 +250,10 @@
             reportExceeded(*m_result.exceeded);
             return;
         }
+        if (m_hasTwoLengths) {
+            m_result.error = "the answer states two lengths";
+            return;
+        }
         // libcurl takes the end of the connection within a head for the end of the head.
         if (code == CURLE_OK && m_result.sent && !m_isHeadComplete) {
             m_result.error = "the connection ended within the head of the answer";
@@ -360,12 +379,15 @@
         } else if (isField) {
             const std::string name = trimmed(line.substr(0, colon));
             const std::string value = trimmed(line.substr(colon + 1));
-            m_result.headers[lowerCase(name)] = value;
+            const std::string before = std::exchange(m_result.headers[lowerCase(name)], value);
+            m_hasTwoLengths =
+                m_hasTwoLengths
+                || (lowerCase(name) == "content-length" && !before.empty() && before != value);
             m_result.fields.emplace_back(name, value);
         } else if (trimmed(line).empty()) {
             m_isHeadComplete = m_result.headStatus >= statusOk;
         }
-        return line.size();
+        return m_hasTwoLengths ? 0 : line.size();
     }
 
     void reportExceeded(AnswerPart part)
@@ -416,6 +438,7 @@
     std::size_t m_headBytes = 0;
     std::size_t m_headFields = 0;
     bool m_isHeadComplete = false; ///< That of the final answer.
+    bool m_hasTwoLengths = false;
     bool m_isPaused = false;
     bool m_isResuming = false;
     bool m_isHeldBack = false; ///< Until the received part of the body was delivered.
--- a/unittests/Adapters/answerendstest.cpp
+++ b/unittests/Adapters/answerendstest.cpp
@@ -110,6 +110,32 @@
     checkWhole(callGetting("HTTP/1.1 200 OK\r\n\r\n"), "", AnswerFraming::Connection);
 }
 
+// A length or a coding that libcurl ignores ends nothing.
+TEST(AnswerEnds, WhatDoesNotDelimitTheBodyIsNoFraming)
+{
+    const std::vector<std::string> heads = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999999\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: five\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length:\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4, 9\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4 9\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0x4\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\nContent-Length: 4\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nContent-Length: 4\r\n",
+    };
+    for (const std::string &head : heads) {
+        const HttpResult result = callGetting(head + "\r\npart");
+        CHECK_TEXT(result.status == 0 || result.framing() == AnswerFraming::Connection,
+                   (head + result.body).c_str());
+    }
+}
+
 // A head that was cut off has not got all of its fields, its framing among them.
 TEST(AnswerEnds, AHeadThatIsCutOffIsNoAnswer)
 {
