[Kernel] Leave an answer's end open if its endpoint left it open

Cause: An endpoint's answer with neither length nor chunks ends with its connection, which an endpoint that breaks off may close in order as well. Such a part was taken for the whole, and its reply got a length that the daemon had counted, or a last chunk: the caller could not see that nothing told its end. It explains streams that end "by length" as well: one whose head came and no event is answered like any other answer. Change: What told the end of a call travels with its answer. A success whose end is not marked is sent once more if the request may be; the stream goes on behind its last event. If that can't be, or confirms nothing, the reply has the endpoint's framing: no length, no chunks, 'Connection: close', and ends with an orderly close. A reply in chunks is aborted instead. A reply of this kind that ends early for any reason, the end of the process included, is reset; the linger option is set before its head and taken back with its last byte. The endpoint is not counted as failed. The pause after which an unframed end counts as a cut-off stays: it is evidence, the framing is none.

--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -57,8 +57,11 @@
     /// Closes the connection without completing the reply, so that the caller can't take
     /// the part sent so far for a complete one.
     bool abort = false;
-    /// More parts follow: the reply is sent in chunks, one per call of the responder.
-    /// Only the status and headers of the first part are used.
+    /// Sends neither a length nor chunks: an orderly close of the connection ends the reply. If it
+    /// ends early, the connection is reset.
+    bool endsWithConnection = false;
+    /// More parts follow: the reply is sent in chunks, one per call of the responder, unless it
+    /// ends with its connection. Only the status, headers and framing of the first part are used.
     bool more = false;
     /// Called on a server's thread if this part cannot be sent; may be empty.
     std::function<void()> onSendFailed;
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -106,10 +106,7 @@
         charge(*request, busy - request->charged, snapshot);
     }
     if (event.proxied) {
-        AnswerCaller action;
-        action.outcome = Outcome::Completed;
-        action.proxied = std::move(event.proxied);
-        answer(*request, std::move(action));
+        completeProxied(*request, *std::move(event.proxied), snapshot);
     } else {
         advance(*request, std::move(event.body), snapshot);
     }
@@ -334,18 +331,29 @@
     }
 }
 
+/// Returns whether \p request is sent again, or was answered as that turned out impossible.
 template <GuardPolicy G>
-void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
-                                         const Snapshot &snapshot)
+bool BasicRequestMachine<G>::sendAgain(Request &request, SendEvidence evidence,
+                                       const Snapshot &snapshot)
 {
     const bool canContinue = !request.origin || hasServingEndpoint(request, snapshot);
-    if (canContinue && hasSendSlot(request, snapshot, 0) && mayRetry(request, event.evidence)) {
-        ++m_counters.retries;
-        if (request.pieces && request.pieces->finalResultsReleased()) {
-            handleLostResults(request, snapshot);
-            return;
-        }
+    if (!canContinue || !hasSendSlot(request, snapshot, 0) || !mayRetry(request, evidence)) {
+        return false;
+    }
+    ++m_counters.retries;
+    if (request.pieces && request.pieces->finalResultsReleased()) {
+        handleLostResults(request, snapshot);
+    } else {
         enqueue(request, snapshot);
+    }
+    return true;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
+                                         const Snapshot &snapshot)
+{
+    if (sendAgain(request, event.evidence, snapshot)) {
         return;
     }
     if (event.proxied && !request.headForwarded) {
@@ -358,7 +366,7 @@
         answer(request, std::move(action));
         return;
     }
-    if (!canContinue) {
+    if (request.origin && !hasServingEndpoint(request, snapshot)) {
         failWithoutEndpoint(request, snapshot);
         return;
     }
@@ -419,6 +427,7 @@
 template <GuardPolicy G>
 void BasicRequestMachine<G>::answer(Request &request, AnswerCaller &&action)
 {
+    replaceByUnconfirmed(request, action);
     cancelPieces(request);
     releaseRetry(request);
     m_lateAdmissions -= request.isAdmittedLate ? 1 : 0;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -412,6 +412,10 @@
     void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
     void complete(Request &request);
     void retryOrFail(Request &request, const StageFailed &event, const Snapshot &snapshot);
+    bool sendAgain(Request &request, SendEvidence evidence, const Snapshot &snapshot);
+    void completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
+                         const Snapshot &snapshot);
+    void replaceByUnconfirmed(Request &request, AnswerCaller &action);
     bool mayRetry(Request &request, SendEvidence evidence);
     void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
     void recordUnawaitedClaim(const Request &request);
--- a/include/harelink/Kernel/requestmachineimpl.h
+++ b/include/harelink/Kernel/requestmachineimpl.h
@@ -374,6 +374,7 @@
         return;
     }
     withdraw(*request, snapshot);
+    request->unconfirmed.reset();
     fail(
         *request, event.isTooSlow ? Reason::CallerTooSlow : Reason::CallerGone,
         makeError(absl::StatusCode::kCancelled, "answering", "caller",
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -59,6 +59,8 @@
 /// Maximum number of sends of one proxied request, including those refused before running:
 /// each costs a connection and a share of the common retry budget.
 inline constexpr std::uint32_t maxProxiedSends = 4;
+/// Longer answers are not kept while the request is sent again to confirm their end.
+inline constexpr std::size_t maxUnconfirmedBytes = 65'536;
 /// After this number of failures to connect, another call of a request is made by a peer.
 inline constexpr std::uint32_t maxConnectFailures = 2;
 /// Minimum number of daemons assumed when the retry budget is divided.
@@ -187,6 +189,10 @@
     std::size_t tokensAhead = 0;     ///< Prompt tokens queued there before it.
     std::uint32_t loadClass = 0;     ///< Of its endpoint with it; see loadClassOf().
     bool headForwarded = false;      ///< The head of the stream was sent to the caller.
+    /// Framing of the caller's reply, if its head was forwarded.
+    AnswerFraming replyFraming = AnswerFraming::Connection;
+    /// An answer that may be a part of the endpoint's, as only the end of its connection ended it.
+    std::optional<ProxiedAnswer> unconfirmed;
     /// ID of the last event that the caller has received.
     std::optional<std::uint64_t> lastEventId;
     /// Where the stream began; set by its first event, or by the lookup of a stream that the
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -599,6 +599,7 @@
     action.bytes = event.bytes;
     if (!request->headForwarded) {
         request->headForwarded = true;
+        request->replyFraming = event.head.framing;
         bindStream(*request);
         action.head = event.head;
         // The engine has read the results before the first event. Keeping them until the end,
@@ -612,10 +613,63 @@
     if (event.eventId) {
         request->lastEventId = event.eventId;
     }
+    request->unconfirmed.reset();
     ++request->tokens;
     m_actions.emplace_back(std::move(action));
 }
 
+// Answers ---------------------------------------------------------------------
+
+/// Completes \p request with \p endpointAnswer, or sends it once more if nothing proves that the
+/// answer is whole: an endpoint that breaks off may close its connection in order as well.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
+                                             const Snapshot &snapshot)
+{
+    const bool isSuccess = endpointAnswer.status >= 200 && endpointAnswer.status < 300;
+    if (endpointAnswer.framing != AnswerFraming::Connection || !isSuccess) {
+        AnswerCaller action;
+        action.outcome = Outcome::Completed;
+        action.proxied = std::move(endpointAnswer);
+        answer(request, std::move(action));
+        return;
+    }
+    const bool isConfirmable =
+        !request.unconfirmed && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
+    // Of two parts of an answer, the longer one has more of it.
+    if (!request.unconfirmed || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
+        request.unconfirmed = std::move(endpointAnswer);
+    }
+    request.phase = Request::Phase::Queued;
+    request.stageMayHaveRun = true;
+    ++request.possibleRuns;
+    ++request.deliveredSends;
+    if (isConfirmable && sendAgain(request, SendEvidence::Sent, snapshot)) {
+        return;
+    }
+    fail(request, Reason::StageFailed,
+         makeError(absl::StatusCode::kDataLoss, "stage " + request.stageSpec().name,
+                   request.endpoint, "nothing tells whether the answer is whole"),
+         snapshot);
+}
+
+/// Replaces a failure by the answer that could not be confirmed. Its end stays as open to the
+/// caller as the endpoint left it, which a reply in chunks can't.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::replaceByUnconfirmed(Request &request, AnswerCaller &action)
+{
+    const bool leavesEndOpen =
+        !request.headForwarded || request.replyFraming == AnswerFraming::Connection;
+    if (!request.unconfirmed || !leavesEndOpen || action.outcome == Outcome::Completed) {
+        return;
+    }
+    action.outcome = Outcome::Completed;
+    action.reason = Reason::None;
+    action.error = absl::OkStatus();
+    action.retryAfter = Duration::zero();
+    action.proxied = std::move(request.unconfirmed);
+}
+
 // Retries ---------------------------------------------------------------------
 
 template <GuardPolicy G>
--- a/lib/Adapters/dialect.cpp
+++ b/lib/Adapters/dialect.cpp
@@ -16,12 +16,6 @@
 /// Shorter pauses are frequent, as each caller slower than its endpoint causes them.
 constexpr std::chrono::seconds cutOffPause{1};
 
-/// Returns whether the end of the answer \p result can be told from the end of its connection.
-bool isFramed(const HttpResult &result)
-{
-    return !result.header("transfer-encoding").empty() || !result.header("content-length").empty();
-}
-
 } // namespace
 
 ProxiedStream::ProxiedStream(const ProxiedDialect &dialect, const SendStage &stage,
@@ -102,7 +96,8 @@
     // An answer without length or chunks ends with an orderly close of its connection, which has a
     // status here; a reset connection has none. Since the close may be the regular end, it is no
     // evidence of a crash either.
-    if (!isFramed(result) && result.longestPause >= cutOffPause) {
+    const bool isUnframed = result.framing() == AnswerFraming::Connection;
+    if (isUnframed && result.longestPause >= cutOffPause) {
         return stageFailure(m_stage, SendEvidence::Sent,
                             "the stream without length ended after it was left unread");
     }
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -18,6 +18,7 @@
 #include <restinio/all.hpp>
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace harelink {
 namespace {
@@ -100,8 +101,35 @@
     std::function<bool()> m_mayAccept;
 };
 
+/// The socket of a caller's connection.
+class CallerSocket : public asio::ip::tcp::socket
+{
+public:
+    using asio::ip::tcp::socket::socket;
+
+    /// Sets whether the connection is reset when it is closed, also by the end of this process.
+    void setResetOnClose(bool resets)
+    {
+        m_resetsOnClose = resets;
+        // Asio's destructor would revoke the option if it had been set by set_option().
+        const ::linger option{resets ? 1 : 0, 0};
+        (void)setsockopt(native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    }
+    /// Sends no FIN before a reset, as the caller would take it for an orderly close.
+    void shutdown(shutdown_type what, std::error_code &error)
+    {
+        if (!m_resetsOnClose) {
+            asio::ip::tcp::socket::shutdown(what, error);
+        }
+    }
+
+private:
+    bool m_resetsOnClose = false;
+};
+
 struct Traits : public restinio::traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t,
-                                          restinio::default_request_handler_t>
+                                          restinio::default_request_handler_t,
+                                          restinio::default_strand_t, CallerSocket>
 {
     // RESTinio requires this name.
     // NOLINTNEXTLINE(readability-identifier-naming)
@@ -110,6 +138,73 @@
     using ip_blocker_t = ConnectionFilter;
 };
 
+using Connection = restinio::impl::connection_t<Traits>;
+
+/// Gives access to the socket of a connection, which RESTinio keeps private. An explicit
+/// instantiation may name private members.
+template <auto Socket>
+struct SocketAccess
+{
+    friend CallerSocket &socketOf(Connection &connection) { return connection.*Socket; }
+};
+template struct SocketAccess<&Connection::m_socket>;
+CallerSocket &socketOf(Connection &connection);
+
+/// Builds a reply that ends with its connection, like RESTinio's builders of other replies.
+class UnframedResponse
+{
+public:
+    UnframedResponse(restinio::http_response_header_t head,
+                     restinio::impl::connection_handle_t connection, restinio::request_id_t request)
+        : m_head(std::move(head))
+        , m_connection(std::move(connection))
+        , m_request(request)
+    {
+    }
+    /// Must only be used in a write notification, which runs on the connection's strand.
+    [[nodiscard]] Connection *connection() const
+    {
+        return dynamic_cast<Connection *>(m_connection.get());
+    }
+    void append(std::string bytes)
+    {
+        if (!std::exchange(m_isHeadSent, true)) {
+            m_unsent.emplace_back(restinio::impl::create_header_string(
+                m_head, restinio::impl::content_length_field_presence_t::skip_content_length));
+        }
+        if (!bytes.empty()) {
+            m_unsent.emplace_back(std::move(bytes));
+        }
+    }
+    void flush(restinio::write_status_cb_t onWritten)
+    {
+        write(restinio::response_parts_attr_t::not_final_parts, std::move(onWritten));
+    }
+    void done(restinio::write_status_cb_t onWritten)
+    {
+        write(restinio::response_parts_attr_t::final_parts, std::move(onWritten));
+    }
+
+private:
+    void write(restinio::response_parts_attr_t part, restinio::write_status_cb_t onWritten)
+    {
+        restinio::write_group_t group(std::exchange(m_unsent, {}));
+        group.after_write_notificator(std::move(onWritten));
+        const bool isLast = part == restinio::response_parts_attr_t::final_parts;
+        const restinio::impl::connection_handle_t connection =
+            isLast ? std::move(m_connection) : m_connection;
+        connection->write_response_parts(
+            m_request, {part, restinio::response_connection_attr_t::connection_close},
+            std::move(group));
+    }
+
+    restinio::http_response_header_t m_head;
+    restinio::impl::connection_handle_t m_connection;
+    restinio::request_id_t m_request;
+    restinio::writable_items_container_t m_unsent;
+    bool m_isHeadSent = false;
+};
+
 /// Exceeds the maximum deadline of a pipeline.
 constexpr std::chrono::minutes maxHandlingTime{11};
 /// With room for a second request, the connection is read while a request is handled;
@@ -239,11 +334,14 @@
         }
         const bool isFirst = std::holds_alternative<std::monostate>(m_response);
         const bool isWhole = isFirst && !reply.more && !reply.abort;
-        if (isWhole && reply.body.size() <= pieceBytes) {
+        const bool isUnframed = isFirst && reply.endsWithConnection;
+        if (isWhole && !isUnframed && reply.body.size() <= pieceBytes) {
             sendAtOnce(reply);
             return;
         }
-        if (isWhole) {
+        if (isUnframed) {
+            m_response.emplace<UnframedResponse>(beginUnframed(reply));
+        } else if (isWhole) {
             Whole &response =
                 m_response.emplace<Whole>(begin<restinio::user_controlled_output_t>(reply));
             response.set_content_length(reply.body.size());
@@ -252,6 +350,9 @@
         }
         const std::shared_ptr<ReplySender> self = shared_from_this();
         std::unique_lock<std::mutex> lock(m_mutex);
+        if (isUnframed) {
+            m_pieces.push_back({PieceKind::Begin, {}, {}});
+        }
         addPieces(reply);
         queuePieces(lock, 1);
     }
@@ -262,6 +363,7 @@
     using Whole = restinio::response_builder_t<restinio::user_controlled_output_t>;
 
     enum class PieceKind {
+        Begin, ///< Precedes a reply that ends with its connection, and sends nothing.
         Inner,
         Last,  ///< Completes the reply.
         Abort, ///< Closes the connection without completing the reply.
@@ -349,9 +451,34 @@
         } else if (auto *whole = std::get_if<Whole>(&m_response)) {
             whole->append_body(std::move(piece.bytes));
             write(*whole, std::move(piece));
+        } else if (auto *unframed = std::get_if<UnframedResponse>(&m_response)) {
+            writeUnframed(*unframed, std::move(piece));
         }
     }
 
+    /// Makes a close that comes before the last piece was written, for any reason, reset the
+    /// connection.
+    void writeUnframed(UnframedResponse &response, Piece piece)
+    {
+        if (piece.kind != PieceKind::Begin && piece.kind != PieceKind::Abort) {
+            response.append(std::move(piece.bytes));
+        }
+        if (piece.kind == PieceKind::Begin || piece.kind == PieceKind::Last) {
+            // The sender may be gone by then; the connection exists while it calls this.
+            piece.notification =
+                [connection = response.connection(), resets = piece.kind == PieceKind::Begin,
+                 notification = std::move(piece.notification)](const std::error_code &error) {
+                    if (!error) {
+                        socketOf(*connection).setResetOnClose(resets);
+                    }
+                    if (notification) {
+                        notification(error);
+                    }
+                };
+        }
+        write(response, std::move(piece));
+    }
+
     /// Aborting is possible since RESTinio closes a connection whose write notification throws; it
     /// has no function for this. Notifications run on the strand of their connection, so that no
     /// other socket is affected and a connection that closed in the meantime is ignored. Aborting
@@ -429,12 +556,21 @@
         return response;
     }
 
+    UnframedResponse beginUnframed(const HttpReply &reply)
+    {
+        restinio::impl::connection_handle_t connection =
+            restinio::impl::access_req_connection(*m_request);
+        auto response = begin<restinio::user_controlled_output_t>(reply);
+        response.connection_close();
+        return {std::move(response.header()), std::move(connection), m_request->request_id()};
+    }
+
     restinio::request_handle_t m_request;
     std::shared_ptr<ActiveSenders> m_active;
     HostLoadMeter *m_load;                     ///< Null for none.
     std::function<bool()> m_closesConnections; ///< May be empty.
     /// Set by the first part, then used by queuePieces() only.
-    std::variant<std::monostate, Chunked, Whole> m_response;
+    std::variant<std::monostate, Chunked, Whole, UnframedResponse> m_response;
     std::mutex m_mutex; ///< Guards the members below.
     std::deque<Piece> m_pieces;
     std::size_t m_queuedPieces = 0; ///< In RESTinio.
--- a/unittests/Adapters/answerendstest.cpp
+++ b/unittests/Adapters/answerendstest.cpp
@@ -155,6 +155,23 @@
     checkIncomplete(callGetting(interim));
 }
 
+// Bytes behind a whole answer must not become the answer to the next call.
+TEST(AnswerEnds, BytesBehindAnAnswerAreNotTakenForTheNextOne)
+{
+    const RawEndpoint endpoint([&](const RawConnection &connection, const std::string &) {
+        const std::string extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+        const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright";
+        (void)connection.write(answer + extra);
+        while (!connection.readRequest().empty()) {
+            (void)connection.write(answer);
+        }
+    });
+    HttpClient client;
+    for (int i = 0; i < 3; ++i) {
+        STRCMP_EQUAL("right", callWith(client, endpoint.url(), true).body.c_str());
+    }
+}
+
 // The rest of such a request must not be read by the endpoint as the next one.
 TEST(AnswerEnds, AnAnswerBeforeTheRequestWasReadEndsItsConnection)
 {
--- a/unittests/Adapters/httpcaller.h
+++ b/unittests/Adapters/httpcaller.h
@@ -19,6 +19,7 @@
 #include <cstdlib>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace harelink {
@@ -82,6 +83,21 @@
         }
         return received;
     }
+    /// Reads to the end of the connection, waiting \p pause between two reads. Returns what was
+    /// received, and whether the connection was closed in order.
+    [[nodiscard]] std::pair<std::string, bool> readToEnd(std::chrono::microseconds pause = {}) const
+    {
+        std::string received;
+        std::vector<char> buffer(65'536);
+        for (;;) {
+            const ssize_t count = recv(m_socket, buffer.data(), buffer.size(), 0);
+            if (count <= 0) {
+                return {received, count == 0};
+            }
+            received.append(buffer.data(), static_cast<std::size_t>(count));
+            std::this_thread::sleep_for(pause);
+        }
+    }
     /// Reads up to \p size bytes, waiting up to two seconds for the first. Returns their number.
     [[nodiscard]] std::size_t readSome(std::size_t size) const
     {
--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -94,6 +94,13 @@
     return reply;
 }
 
+HttpReply makeUnframedPart(const std::string &body, bool more)
+{
+    HttpReply reply = makePart(body, more);
+    reply.endsWithConnection = true;
+    return reply;
+}
+
 } // namespace
 
 TEST_GROUP(HttpServer){};
@@ -186,6 +193,85 @@
     CHECK(caller.readAll().find("\r\n0\r\n") != std::string::npos);
 }
 
+// An endpoint's answer without length or chunks got both from the server, so that an answer that
+// was cut off looked complete.
+TEST(HttpServer, AReplyThatEndsWithItsConnectionClaimsNoEnd)
+{
+    for (const bool isWhole : {true, false}) {
+        Server server;
+        const HttpCaller caller(server.server->port());
+        caller.write(get);
+        CHECK(server.waitForRequest());
+        if (!isWhole) {
+            server.responder(makeUnframedPart("first ", true));
+        }
+        server.sendLast(makeUnframedPart("last", false));
+        const auto [received, isOrderly] = caller.readToEnd();
+        CHECK(isOrderly);
+        CHECK(received.find("Connection: close\r\n") != std::string::npos);
+        CHECK(received.find("Content-Length") == std::string::npos);
+        CHECK(received.find("Transfer-Encoding") == std::string::npos);
+        CHECK(received.ends_with(isWhole ? "\r\n\r\nlast" : "\r\n\r\nfirst last"));
+    }
+}
+
+TEST(HttpServer, ALongReplyThatEndsWithItsConnectionArrivesWhole)
+{
+    Server server;
+    const HttpCaller caller(server.server->port());
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    server.sendLast(makeUnframedPart(std::string(4'000'000, 'x') + "end", false));
+    std::this_thread::sleep_for(50ms);
+    const auto [received, isOrderly] = caller.readToEnd();
+    CHECK(isOrderly);
+    LONGS_EQUAL(4'000'003, received.size() - received.find("\r\n\r\n") - 4);
+}
+
+// An orderly close would be the regular end of such a reply.
+TEST(HttpServer, AReplyThatEndsWithItsConnectionIsResetIfItEndsEarly)
+{
+    enum class Cause { Abort, Stop, WriteLimit };
+    for (const Cause cause : {Cause::Abort, Cause::Stop, Cause::WriteLimit}) {
+        Server server(1s);
+        const HttpCaller caller(server.server->port());
+        caller.write(get);
+        CHECK(server.waitForRequest());
+        server.responder(makeUnframedPart("first", true));
+        CHECK(caller.readUntil("first").ends_with("\r\n\r\nfirst"));
+        if (cause == Cause::Abort) {
+            HttpReply aborted;
+            aborted.abort = true;
+            server.sendLast(aborted);
+        } else if (cause == Cause::Stop) {
+            server.responder = {};
+            server.server.reset();
+        } else {
+            server.responder(makePart(std::string(longBody, 'x'), true));
+            CHECK(waitUntil([&] { return server.closed != 0; }));
+        }
+        CHECK_FALSE(caller.readToEnd().second);
+    }
+}
+
+// The order in which an earlier reply and the close are written must hold.
+TEST(HttpServer, AReplyBeforeOneThatIsResetArrivesWhole)
+{
+    Server server;
+    const HttpCaller caller(server.server->port());
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    server.sendLast(makePart("before", false));
+    CHECK(caller.readUntil("before").find("Content-Length: 6\r\n") != std::string::npos);
+    server.requests.clear();
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    server.sendLast(makeUnframedPart("after", false));
+    const auto [received, isOrderly] = caller.readToEnd();
+    CHECK(isOrderly);
+    CHECK(received.ends_with("\r\n\r\nafter"));
+}
+
 // The server limits the time of each write. A reply sent in one write would be cut off for a
 // caller that takes longer than the limit for all of it, although it reads all the time.
 TEST(HttpServer, ASlowReaderGetsAReplyThatTakesLongerThanTheWriteLimit)
--- a/unittests/Daemon/callrelaytest.cpp
+++ b/unittests/Daemon/callrelaytest.cpp
@@ -2,6 +2,7 @@
 
 #include "harelink/Daemon/callrelay.h"
 #include "harelink/Adapters/httpserver.h"
+#include "harelink/Support/text.h"
 
 #include "Adapters/rawendpoint.h"
 
@@ -228,3 +229,33 @@
         CHECK_EQUAL(isReset, last.isBroken);
     }
 }
+
+// What tells the end of an answer must be the same at the daemon that asked for the call.
+TEST(CallRelay, AnEndThatIsNotMarkedStaysSo)
+{
+    for (const auto &[field, framing] :
+         {std::pair("Connection: close", AnswerFraming::Connection),
+          std::pair("Content-Length: 5", AnswerFraming::Length),
+          std::pair("Transfer-Encoding: chunked", AnswerFraming::Chunks)}) {
+        Fixture fixture;
+        const RawEndpoint endpoint([field = field, framing = framing](
+                                       const RawConnection &connection, const std::string &) {
+            const bool isChunked = framing == AnswerFraming::Chunks;
+            (void)connection.write(std::string("HTTP/1.1 200 OK\r\n") + field + "\r\n\r\n"
+                                   + (isChunked ? "5\r\nwhole\r\n0\r\n\r\n" : "whole"));
+        });
+        RelayRequest request = fixture.request();
+        request.http.url = endpoint.url();
+        fixture.origin.relay.request("h2", request);
+        fixture.peer.receive("h1", fixture.origin.sent.at(0));
+        fixture.peer.await(2);
+        for (const auto &message : fixture.peer.sent) {
+            HttpResult result;
+            result.headStatus = partIn(message).headStatus;
+            for (const auto &[name, value] : partIn(message).fields) {
+                result.headers[lowerCase(name)] = value;
+            }
+            CHECK_TEXT(result.framing() == framing, field);
+        }
+    }
+}
--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -149,6 +149,16 @@
         machine.handle(std::move(event), *snapshot);
         collect();
     }
+    /// Answers without length or chunks.
+    void answerUnframed(const SendStage &stage, std::string body = {}, int status = 200)
+    {
+        StageAnswered event;
+        event.call = stage.call;
+        event.echoed = stage.call;
+        event.proxied = ProxiedAnswer{status, {}, std::move(body), AnswerFraming::Connection};
+        machine.handle(std::move(event), *snapshot);
+        collect();
+    }
     void fail(const SendStage &stage, SendEvidence evidence,
               std::optional<ProxiedAnswer> own = std::nullopt, bool isBroken = false,
               std::optional<EndpointNotice> notice = std::nullopt)
@@ -164,12 +174,14 @@
         collect();
     }
     void event(const SendStage &stage, std::uint64_t id,
-               std::optional<EndpointNotice> notice = std::nullopt)
+               std::optional<EndpointNotice> notice = std::nullopt,
+               AnswerFraming framing = AnswerFraming::Chunks)
     {
         StageEvent event;
         event.call = stage.call;
         event.echoed = stage.call;
         event.head.status = 200;
+        event.head.framing = framing;
         event.eventId = id;
         event.bytes = fmt::format("id: {}\n\n", id);
         event.notice = std::move(notice);
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -8,6 +8,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
 
 using namespace harelink;
 using std::chrono::milliseconds;
@@ -270,7 +274,7 @@
 
 // Endpoints that send neither a length nor chunks end their answers by closing the connection.
 // Taking such an end for a break cut the caller's reply and ran repeatable requests again.
-TEST(Requests, UnframedStreamIsCompleteIfItEndsBetweenTwoEvents)
+TEST(Requests, UnframedStreamMayBeCompleteIfItEndsBetweenTwoEvents)
 {
     const SendStage sent = stage(dialect);
     ProxiedStream stream(dialect, sent);
@@ -282,6 +286,47 @@
     CHECK(std::get<StageAnswered>(end).echoed == sent.call);
     LONGS_EQUAL(200, std::get<StageAnswered>(end).proxied->status);
     CHECK(std::get<StageAnswered>(end).proxied->body.empty());
+    CHECK(std::get<StageAnswered>(end).proxied->framing == AnswerFraming::Connection);
+}
+
+// The daemon gave its own length or chunks to answers whose end their endpoint had left open.
+TEST(Requests, ARepliesEndIsMarkedOnlyIfItsEndpointMarkedIt)
+{
+    struct Case
+    {
+        std::string method;
+        int status;
+        std::pair<std::string, std::string> field;
+        bool isMarked;
+    };
+    const std::vector<Case> cases = {{"POST", 200, {"X-Own", "1"}, false},
+                                     {"POST", 200, {"Content-Length", "6"}, true},
+                                     {"POST", 200, {"Transfer-Encoding", "chunked"}, true},
+                                     {"POST", 200, {"Transfer-Encoding", "identity"}, false},
+                                     {"POST", 503, {"X-Own", "1"}, false},
+                                     {"POST", 204, {"X-Own", "1"}, true},
+                                     {"GET", 304, {"X-Own", "1"}, true},
+                                     {"HEAD", 200, {"X-Own", "1"}, true}};
+    for (const Case &item : cases) {
+        SendStage sent = stage(dialect);
+        auto proxied = std::make_shared<ProxiedRequest>(*sent.proxied);
+        proxied->method = item.method;
+        sent.proxied = proxied;
+        const HttpResult given =
+            result(item.status, {{"X-Request-Id", "r-1"}, {"X-Server-Seal", "s"}, item.field});
+        AnswerCaller answer;
+        std::visit([&](const auto &end) { answer.proxied = end.proxied; },
+                   dialect.decode(sent, given));
+        const std::string text =
+            item.method + " " + std::to_string(item.status) + " " + item.field.first;
+        CHECK_TEXT(answer.proxied.has_value(), text.c_str());
+        CHECK_EQUAL_TEXT(!item.isMarked, dialect.makeReply(answer).endsWithConnection,
+                         text.c_str());
+        const StageEvent event = dialect.decodeEvent(sent, given, "id: 1\n\n");
+        CHECK_EQUAL_TEXT(!item.isMarked, dialect.makeHead(event.head).endsWithConnection,
+                         text.c_str());
+    }
+    CHECK_FALSE(dialect.makeReply(AnswerCaller{}).endsWithConnection);
 }
 
 // A torn event must never reach the caller as the end of a complete answer.
@@ -338,9 +383,10 @@
     CHECK_FALSE(std::get<StageFailed>(end).isBroken);
     const auto afterShortPause = finish(unframedStream(), std::chrono::milliseconds(999));
     CHECK(std::holds_alternative<StageAnswered>(afterShortPause));
-    for (const char *framing : {"transfer-encoding", "content-length"}) {
+    for (const auto &[framing, value] :
+         {std::pair("transfer-encoding", "chunked"), std::pair("content-length", "14")}) {
         HttpResult framed = unframedStream();
-        framed.headers[framing] = "x";
+        framed.headers[framing] = value;
         CHECK_TEXT(std::holds_alternative<StageAnswered>(
                        finish(framed, std::chrono::milliseconds(60'000))),
                    framing);
