--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -135,10 +135,7 @@
         charge(*request, busy - request->charged, snapshot);
     }
     if (event.proxied) {
-        AnswerCaller action;
-        action.outcome = Outcome::Completed;
-        action.proxied = std::move(event.proxied);
-        answer(*request, std::move(action));
+        completeProxied(*request, *std::move(event.proxied), snapshot);
     } else {
         advance(*request, std::move(event.body), snapshot);
     }
@@ -363,22 +360,30 @@
     }
 }
 
+/// Returns whether \p request is sent again, or was answered as that turned out impossible.
 template <GuardPolicy G>
-void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
-                                         const Snapshot &snapshot)
+bool BasicRequestMachine<G>::sendAgain(Request &request, SendEvidence evidence,
+                                       const Snapshot &snapshot)
 {
-    if (request.hasUnnumberedEvents) {
-        fail(request, Reason::StageFailed, event.status, snapshot);
-        return;
+    const bool canContinue =
+        !request.hasUnnumberedEvents && (!request.origin || hasServingEndpoint(request, snapshot));
+    if (!canContinue || !hasSendSlot(request, snapshot, 0) || !mayRetry(request, evidence)) {
+        return false;
     }
-    const bool canContinue = !request.origin || hasServingEndpoint(request, snapshot);
-    if (canContinue && hasSendSlot(request, snapshot, 0) && mayRetry(request, event.evidence)) {
-        ++m_counters.retries;
-        if (request.pieces && request.pieces->finalResultsReleased()) {
-            handleLostResults(request, snapshot);
-            return;
-        }
+    ++m_counters.retries;
+    if (request.pieces && request.pieces->finalResultsReleased()) {
+        handleLostResults(request, snapshot);
+    } else {
         enqueue(request, snapshot);
+    }
+    return true;
+}
+
+template <GuardPolicy G>
+void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
+                                         const Snapshot &snapshot)
+{
+    if (sendAgain(request, event.evidence, snapshot)) {
         return;
     }
     if (event.proxied && !request.headForwarded) {
@@ -391,7 +396,7 @@
         answer(request, std::move(action));
         return;
     }
-    if (!canContinue) {
+    if (request.origin && !hasServingEndpoint(request, snapshot)) {
         failWithoutEndpoint(request, snapshot);
         return;
     }
@@ -452,6 +457,7 @@
 template <GuardPolicy G>
 void BasicRequestMachine<G>::answer(Request &request, AnswerCaller &&action)
 {
+    replaceByUnconfirmed(request, action);
     cancelPieces(request);
     releaseRetry(request);
     m_lateAdmissions -= request.isAdmittedLate ? 1 : 0;
--- a/lib/Adapters/callersocket.h
+++ b/lib/Adapters/callersocket.h
@@ -102,6 +102,8 @@
 
     /// Must be called once the socket is connected.
     void handleConnected();
+    /// Sets whether the connection is reset when it is closed, also by the end of this process.
+    void setResetOnClose(bool resets);
     /// Hide the functions of the base class for RESTinio, which calls one after the other.
     void shutdown(shutdown_type, std::error_code &) {}
     void close();
@@ -123,6 +125,7 @@
 
 private:
     OpenSockets *m_sockets;
+    bool m_resetsOnClose = false;
     OpenSocketEntry m_entry; // Destroyed before the base class closes the descriptor.
 };
 
