[Kernel] Pass on no unmarked end where answers usually have a marked one

Cause: A success without length or chunks that cannot be confirmed was passed on with an open end in any pool. Change: A request machine learns for each pool whether recent answers had a marked end. Where they usually have, an answer without is a failure of the call (sent again where it may be, else 502 or an aborted stream). Where they usually have none, it is passed on with an open end at once, as another run would confirm nothing.

--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -424,6 +424,7 @@
     bool sendAgain(Request &request, SendEvidence evidence, const Snapshot &snapshot);
     void completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                          const Snapshot &snapshot);
+    AnswerFraming replyFraming(const Request &request, AnswerFraming framing);
     void replaceByUnconfirmed(Request &request, AnswerCaller &action);
     bool mayRetry(Request &request, SendEvidence evidence);
     void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -9,6 +9,7 @@
 #ifndef HARELINK_KERNEL_REQUESTMACHINESTATE_H
 #define HARELINK_KERNEL_REQUESTMACHINESTATE_H
 
+#include "harelink/Kernel/framinghabit.h"
 #include "harelink/Kernel/piecegraph.h"
 #include "harelink/Kernel/queuepace.h"
 #include "harelink/Kernel/requestmachine.h"
@@ -230,6 +231,7 @@
     /// Estimated prefill rate of an engine.
     double tokensPerSecond = requestmachine::defaultPrefillRate;
     QueuePace pace;
+    FramingHabit framing;
     TimePoint nextColdCheck;       ///< Earliest time of the next cold check.
     TimePoint nextLoadProbeSearch; ///< Earliest time of the next search; see above.
 };
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -604,9 +604,10 @@
     action.bytes = event.bytes;
     if (!request->headForwarded) {
         request->headForwarded = true;
-        request->replyFraming = event.head.framing;
+        request->replyFraming = replyFraming(*request, event.head.framing);
         bindStream(*request);
         action.head = event.head;
+        action.head->framing = request->replyFraming;
         // The engine has read the results before the first event. Keeping them until the end,
         // in case the stream breaks, let results of 1.5 MB fill the result buffers of a stage;
         // releasing them here raised the requests served at four endpoints with space for 48
@@ -627,12 +628,25 @@
 
 // Answers ---------------------------------------------------------------------
 
+/// Returns the framing of the reply to \p request whose endpoint streams with \p framing. Where
+/// streams usually have a marked end, the reply leaves room for saying that this one had none.
+template <GuardPolicy G>
+AnswerFraming BasicRequestMachine<G>::replyFraming(const Request &request, AnswerFraming framing)
+{
+    const bool isMarked =
+        poolState(request.stageSpec().pool).framing.isUsuallyMarked(m_clock.now());
+    return framing == AnswerFraming::Connection && isMarked ? AnswerFraming::Chunks : framing;
+}
+
 /// Completes \p request with \p endpointAnswer, or sends it once more if nothing proves that the
 /// answer is whole: an endpoint that breaks off may close its connection in order as well.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                                              const Snapshot &snapshot)
 {
+    const TimePoint now = m_clock.now();
+    FramingHabit &habit = poolState(request.stageSpec().pool).framing;
+    habit.record(endpointAnswer.framing, now);
     const bool isSuccess = endpointAnswer.status >= 200 && endpointAnswer.status < 300;
     if (endpointAnswer.framing != AnswerFraming::Connection || !isSuccess) {
         AnswerCaller action;
@@ -641,11 +655,18 @@
         answer(request, std::move(action));
         return;
     }
-    const bool isConfirmable =
-        !request.unconfirmed && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
-    // Of two parts of an answer, the longer one has more of it.
-    if (!request.unconfirmed || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
-        request.unconfirmed = std::move(endpointAnswer);
+    bool isConfirmable = true;
+    if (habit.isUsuallyMarked(now)) {
+        // Most likely broken off. Callers take any close for the end, so it is no answer for them.
+        request.unconfirmed.reset();
+    } else {
+        isConfirmable = !request.unconfirmed && !habit.isUsuallyOpen(now)
+                        && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
+        // Of two parts of an answer, the longer one has more of it.
+        if (!request.unconfirmed
+            || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
+            request.unconfirmed = std::move(endpointAnswer);
+        }
     }
     request.phase = Request::Phase::Queued;
     request.stageMayHaveRun = true;
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -1,5 +1,7 @@
 //===- proxiedtest.cpp - Tests of proxied requests ------------------------===//
 
+#include "harelink/Kernel/framinghabit.h"
+
 #include "proxiedfixture.h"
 
 #include <CppUTest/TestHarness.h>
@@ -419,6 +421,55 @@
     CHECK(fixture.answers[0].outcome == Outcome::Completed);
 }
 
+// Most callers take any close of a connection for the end of the answer.
+TEST(Proxied, AnUnmarkedEndIsNoSuccessWhereEndsAreUsuallyMarked)
+{
+    ProxiedFixture fixture;
+    const auto arriveAndAnswer = [&fixture](bool isMarked) {
+        fixture.arrive("/record/1");
+        if (isMarked) {
+            fixture.answer(fixture.sends.back());
+        } else {
+            fixture.answerUnframed(fixture.sends.back(), "part");
+        }
+        return fixture.answers.back().outcome;
+    };
+    for (int i = 0; i < FramingHabit::minAnswers; ++i) {
+        CHECK(arriveAndAnswer(true) == Outcome::Completed);
+    }
+    CHECK(arriveAndAnswer(false) == Outcome::Unknown);
+    CHECK_FALSE(fixture.answers.back().proxied);
+}
+
+TEST(Proxied, AnswersOfAPoolThatMarksNoEndsArePassedOnWithoutAnotherRun)
+{
+    ProxiedFixture fixture;
+    for (int i = 0; i < FramingHabit::minAnswers; ++i) {
+        fixture.arrive("/record/1");
+        fixture.answerUnframed(fixture.sends.back(), "all");
+        CHECK(fixture.answers.back().outcome == Outcome::Completed);
+    }
+    const std::size_t sends = fixture.sends.size();
+    fixture.arrive("/read/1");
+    fixture.answerUnframed(fixture.sends.back(), "all");
+    LONGS_EQUAL(sends + 1, fixture.sends.size());
+    CHECK(fixture.answers.back().outcome == Outcome::Completed);
+}
+
+TEST(Proxied, AStreamWithAnUnmarkedEndIsAbortedWhereEndsAreUsuallyMarked)
+{
+    ProxiedFixture fixture;
+    for (int i = 0; i < FramingHabit::minAnswers; ++i) {
+        fixture.arrive("/say/1");
+        fixture.answer(fixture.sends.back(), AnswerKind::Stream, 200);
+    }
+    fixture.arrive("/say/1");
+    fixture.event(fixture.sends.back(), 1, std::nullopt, AnswerFraming::Connection);
+    CHECK(fixture.events.back().head->framing == AnswerFraming::Chunks);
+    fixture.endUnframed(fixture.sends.back());
+    CHECK(fixture.answers.back().outcome == Outcome::Unknown);
+}
+
 // Pieces ----------------------------------------------------------------------
 
 TEST(Proxied, SendsTheRequestWithTheResultsOfItsPieces)
