[Kernel] Confirm no answers of endpoints that never mark an end

Cause: Answers without a marked end are sent once more where they may be. At endpoints that always answer so the second run confirms nothing, and such runs used up the retries that are meant for failures. Change: Each worker learns, by endpoint, the share of framed answers (0 to 2, fades to 1); where it is low, an answer is passed on with an open end at once. The share chooses the retry; it marks no end.

--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -415,6 +415,7 @@
     bool sendAgain(Request &request, SendEvidence evidence, const Snapshot &snapshot);
     void completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                          const Snapshot &snapshot);
+    bool recordFraming(const std::string &endpoint, AnswerFraming framing);
     void replaceByUnconfirmed(Request &request, AnswerCaller &action);
     bool mayRetry(Request &request, SendEvidence evidence);
     void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
@@ -454,8 +455,9 @@
     std::map<std::string, ClientTimeoutModel> m_clientTimeouts; ///< By pipeline.
     /// By pipeline: ratio of real to predicted time.
     std::map<std::string, FadingRatio> m_forecastBias;
-    TimePoint m_crowdedAt = TimePoint::min();         ///< When the host was last overloaded.
-    std::map<std::string, ReturnSlots> m_returnSlots; ///< By pipeline.
+    std::map<std::string, FadingRatio> m_framingRatios; ///< By endpoint; see framingWeight.
+    TimePoint m_crowdedAt = TimePoint::min();           ///< When the host was last overloaded.
+    std::map<std::string, ReturnSlots> m_returnSlots;   ///< By pipeline.
     std::size_t m_lateAdmissions = 0; ///< Requests in progress that were admitted late.
     RecentRefusals m_refusals;        ///< Of requests that were predicted to be late.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -61,6 +61,13 @@
 inline constexpr std::uint32_t maxProxiedSends = 4;
 /// Longer answers are not kept while the request is sent again to confirm their end.
 inline constexpr std::size_t maxUnconfirmedBytes = 65'536;
+/// Weight of an answer in what is known of the framing of its endpoint's answers: 2 if all of them
+/// are framed, 0 if none is, 1 if there were none recently.
+inline constexpr double framingWeight = 0.1;
+/// Up to this value an endpoint usually sends neither length nor chunks.
+inline constexpr double maxUnframedRatio = 0.8;
+/// Endpoints whose framing is known; if exceeded, all are forgotten.
+inline constexpr std::size_t maxFramingRatios = 4096;
 /// After this number of failures to connect, another call of a request is made by a peer.
 inline constexpr std::uint32_t maxConnectFailures = 2;
 /// Minimum number of daemons assumed when the retry budget is divided.
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -620,13 +620,32 @@
 
 // Answers ---------------------------------------------------------------------
 
+/// Records the framing of a success of \p endpoint. Returns whether the answers before it usually
+/// had neither length nor chunks.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::recordFraming(const std::string &endpoint, AnswerFraming framing)
+{
+    if (m_framingRatios.size() >= requestmachine::maxFramingRatios) {
+        m_framingRatios.clear();
+    }
+    const TimePoint now = m_clock.now();
+    FadingRatio &ratio = m_framingRatios[endpoint];
+    const bool isUsuallyUnframed = ratio.value(now) <= requestmachine::maxUnframedRatio;
+    ratio.add(framing == AnswerFraming::Connection ? 0 : 2, requestmachine::framingWeight, 0, 2,
+              now);
+    return isUsuallyUnframed;
+}
+
 /// Completes \p request with \p endpointAnswer, or sends it once more if nothing proves that the
-/// answer is whole: an endpoint that breaks off may close its connection in order as well.
+/// answer is whole: an endpoint that breaks off may close its connection in order as well. Runs
+/// at an endpoint that never marks the end of its answers would confirm nothing.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                                              const Snapshot &snapshot)
 {
     const bool isSuccess = endpointAnswer.status >= 200 && endpointAnswer.status < 300;
+    const bool isUsuallyUnframed =
+        isSuccess && recordFraming(request.endpoint, endpointAnswer.framing);
     if (endpointAnswer.framing != AnswerFraming::Connection || !isSuccess) {
         AnswerCaller action;
         action.outcome = Outcome::Completed;
@@ -634,8 +653,8 @@
         answer(request, std::move(action));
         return;
     }
-    const bool isConfirmable =
-        !request.unconfirmed && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
+    const bool isConfirmable = !isUsuallyUnframed && !request.unconfirmed
+                               && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
     // Of two parts of an answer, the longer one has more of it.
     if (!request.unconfirmed || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
         request.unconfirmed = std::move(endpointAnswer);
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -340,6 +340,34 @@
     CHECK(fixture.answers[0].outcome == Outcome::Completed);
 }
 
+// Confirming the answers of endpoints that never mark an end used up the retries for failures.
+TEST(Proxied, AnswersOfEndpointsThatNeverMarkTheirEndAreNotConfirmedAgainAndAgain)
+{
+    ProxiedFixture fixture;
+    fixture.advance(std::chrono::seconds(20)); // No retries are allowed just after the start.
+    for (std::size_t i = 1; i <= 300; ++i) {
+        fixture.arrive("/read/1");
+        while (fixture.answers.size() < i) {
+            fixture.answerUnframed(fixture.sends.back(), "whole");
+        }
+        CHECK(fixture.answers.back().outcome == Outcome::Completed);
+        CHECK(fixture.answers.back().proxied->framing == AnswerFraming::Connection);
+        fixture.advance(milliseconds(10));
+    }
+    CHECK(fixture.sends.size() > 300);
+    CHECK_TEXT(fixture.sends.size() <= 300 + 3 * 3, std::to_string(fixture.sends.size()).c_str());
+    // What is known fades, and one answer in ten is no habit.
+    fixture.advance(std::chrono::seconds(60));
+    for (int i = 0; i < 30; ++i) {
+        fixture.arrive("/read/1");
+        fixture.answer(fixture.sends.back());
+    }
+    const std::size_t sends = fixture.sends.size();
+    fixture.arrive("/read/1");
+    fixture.answerUnframed(fixture.sends.back(), "part");
+    LONGS_EQUAL(sends + 2, fixture.sends.size());
+}
+
 // Pieces ----------------------------------------------------------------------
 
 TEST(Proxied, SendsTheRequestWithTheResultsOfItsPieces)
