--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -639,7 +639,8 @@
 }
 
 /// Completes \p request with \p endpointAnswer, or sends it once more if nothing proves that the
-/// answer is whole: an endpoint that breaks off may close its connection in order as well.
+/// answer is whole: an endpoint that breaks off may close its connection in order as well. Runs
+/// at an endpoint that never marks the end of its answers would confirm nothing.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                                              const Snapshot &snapshot)
