--- a/test/randrun/main.cpp
+++ b/test/randrun/main.cpp
@@ -2,7 +2,7 @@
 ///
 /// \file
 /// harelink-randrun --seed N --steps M [--seeds K] [--crashes | --drains | --limits | --pauses]
-///                  [--restores] [--silences] [--partitions] [--brittle] [--versions]
+///                  [--restores] [--silences] [--partitions] [--brittle] [--versions [--releases]]
 ///                  [--parts] [--retries [--uneven]] [--crowds [--crowded_hosts C] [--readiness]]
 ///                  [--hosts H] [--lines L] [--without MECHANISM]
 ///
@@ -38,6 +38,9 @@
 DEFINE_bool(versions, false,
             "Run callers that take up broken streams at other hosts, and endpoints of several "
             "software versions.");
+DEFINE_bool(releases, false,
+            "With --versions: replace all endpoints by ones of a new version, while all hosts are "
+            "killed at once or single hosts are out of step.");
 DEFINE_bool(parts, false,
             "Run requests with parts in their prompts that crash endpoints, no two requests alike, "
             "beside streams that share all other parts.");
@@ -116,11 +119,11 @@
     int turnedAway = 0;
     std::map<std::string, int> outcomes;
     for (std::uint64_t i = 0; i < FLAGS_seeds; ++i) {
-        const RunResult result =
-            player->second({FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines,
-                            FLAGS_restores, FLAGS_brittle, FLAGS_partitions, FLAGS_silences,
-                            FLAGS_versions, FLAGS_parts, FLAGS_retries, FLAGS_uneven, FLAGS_crowds,
-                            std::max(1, FLAGS_crowded_hosts), FLAGS_readiness});
+        const RunResult result = player->second(
+            {FLAGS_seed + i, FLAGS_steps, kind, FLAGS_hosts, FLAGS_lines, FLAGS_restores,
+             FLAGS_brittle, FLAGS_partitions, FLAGS_silences, FLAGS_versions,
+             FLAGS_versions && FLAGS_releases, FLAGS_parts, FLAGS_retries, FLAGS_uneven,
+             FLAGS_crowds, std::max(1, FLAGS_crowded_hosts), FLAGS_readiness});
         if (!result.violations.empty()) {
             if (violations == 0) {
                 printViolation(FLAGS_seed + i, result);
--- a/test/randrun/randrun.h
+++ b/test/randrun/randrun.h
@@ -42,6 +42,7 @@
         , m_partitions(options.partitions)
         , m_silences(options.silences)
         , m_versions(options.versions)
+        , m_releases(options.releases)
         , m_parts(options.parts)
         , m_retries(options.retries)
         , m_uneven(options.uneven)
@@ -63,6 +64,12 @@
         if (m_retries) {
             m_world.streamCallers().setMaxAttempts(2);
         }
+        if (m_releases) {
+            m_world.streamCallers().setMaxAttempts(attemptsInReleases);
+            m_world.allowLongOutages();
+            // Streams whose version has only cold endpoints would wait too long.
+            m_world.startStreamEndpointsWarm();
+        }
         if (m_uneven) {
             m_world.setUnevenShare(mostStreams);
         }
@@ -119,6 +126,9 @@
             if (m_versions) {
                 runStreams();
             }
+            if (m_releases) {
+                runReleases();
+            }
             if (m_retries) {
                 runBrokenStreams();
             }
@@ -205,6 +215,8 @@
     static constexpr double brokenCallShare = 0.05;
     /// Share of the streams that begin at one host in the first half of uneven runs.
     static constexpr double mostStreams = 0.9;
+    /// Time after the last endpoint of a release began to leave.
+    static constexpr std::chrono::seconds releaseMargin{3};
     /// Number of sends after which a new part crashes endpoints.
     static constexpr std::uint64_t sendsPerCrashingPart = 40;
     static constexpr int dataCentreCount = 2;
@@ -222,6 +234,8 @@
     static constexpr std::uint64_t maxSilenceMs = 10'000;
     static constexpr std::uint64_t versionCount = 3;
     static constexpr int maxLeavingEndpoints = 2;
+    /// Callers come again until their deadline, also while no host runs.
+    static constexpr int attemptsInReleases = 100;
     /// Number of times that a request that crashes endpoints is sent before the next one is.
     static constexpr std::uint64_t sendsPerCrashingRequest = 20;
 
@@ -442,6 +456,46 @@
         }
     }
 
+    /// Replaces all endpoints with streams by ones of a new version, one after the other. All hosts
+    /// are killed at once during or just after it, or single ones are out of step as it begins.
+    void runReleases()
+    {
+        using std::chrono::milliseconds;
+        const TimePoint now = m_world.queue().now();
+        if (now < m_releaseEndsAt || !random().chance(0.01)) {
+            return;
+        }
+        ++m_result.faults;
+        const std::string version = fmt::format("r{}", ++m_releaseCount);
+        const Duration interval = milliseconds(20 + random().below(300));
+        const std::size_t endpoints = m_world.streamEndpoints().size();
+        for (std::size_t i = 0; i < endpoints; ++i) {
+            m_world.queue().after(interval * static_cast<int>(i),
+                                  [=, this] { m_world.releaseStreamEndpoint(version); });
+        }
+        const Duration length = interval * static_cast<int>(endpoints) + releaseMargin;
+        m_releaseEndsAt = now + length;
+        const auto lengthMillis = static_cast<std::uint64_t>(length / milliseconds(1));
+        if (random().chance(0.6)) {
+            m_world.queue().after(milliseconds(random().below(lengthMillis)),
+                                  [this] { m_world.killAllHosts(milliseconds(1500)); });
+        } else {
+            putOutOfStep(randomHost(), milliseconds(500 + random().below(lengthMillis)));
+        }
+    }
+
+    /// Cuts \p host off, or suspends it.
+    void putOutOfStep(const std::string &host, Duration time)
+    {
+        if (random().chance(0.5)) {
+            m_world.setOutOfStep(host, true);
+            m_world.queue().after(time, [=, this] { m_world.setOutOfStep(host, false); });
+            return;
+        }
+        m_world.suspend(host);
+        m_world.queue().after(time, [=, this] { m_world.thaw(host); });
+    }
+
     /// Begins streams. From time to time many of them break for seconds, while several hosts or
     /// endpoints at once end again and again.
     void runBrokenStreams()
@@ -685,14 +739,17 @@
     bool m_partitions;
     bool m_silences;
     bool m_versions;
+    bool m_releases;
     bool m_parts;
     bool m_retries;
     bool m_uneven;
     bool m_crowds;
     std::size_t m_crowdedHosts;
     bool m_readiness;
-    std::uint64_t m_crashingParts = 0;     ///< Sends of requests with parts that crash endpoints.
-    TimePoint m_breaksUntil;               ///< Until then many calls break.
+    std::uint64_t m_crashingParts = 0; ///< Sends of requests with parts that crash endpoints.
+    TimePoint m_breaksUntil;           ///< Until then many calls break.
+    int m_releaseCount = 0;
+    TimePoint m_releaseEndsAt;             ///< Of the last release.
     bool m_isStoreCopied = false;          ///< The store will return from a copy.
     std::optional<TimePoint> m_restoredAt; ///< When it last returned from one.
     RunResult m_result;
--- a/test/randrun/runresult.h
+++ b/test/randrun/runresult.h
@@ -39,6 +39,7 @@
     bool partitions = false;     ///< Hosts lose the path to all endpoints.
     bool silences = false;       ///< Outages of the platform last seconds, without answers.
     bool versions = false;       ///< Callers take up streams; endpoints have several versions.
+    bool releases = false;       ///< With versions: releases beside which hosts are killed.
     bool parts = false;          ///< Parts of prompts crash endpoints.
     bool retries = false;        ///< Many streams break, and many hosts are killed at once.
     bool uneven = false;         ///< Most streams, then all, begin at one host.
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -153,6 +153,8 @@
                    {"public", true},
                    {"mostEndpoints", 3}}}});
     }
+    /// Lets endpoints with streams report from now on that they start warm.
+    void startStreamEndpointsWarm() { m_startsWarm = true; }
     /// Begins a stream at any host.
     void beginStream() { m_streamCallers.begin(); }
     /// Sends \p share of the streams to the first host, and the others to any.
@@ -368,6 +370,32 @@
         endpoint.exitsUntil = m_queue.now() + endpointExit;
         ++endpoint.generation;
     }
+    /// Kills all hosts at once; each starts again within \p downtime.
+    void killAllHosts(Duration downtime)
+    {
+        // No host is left that would record it.
+        m_disturbedAt = m_queue.now();
+        for (const std::string &name : hostNames()) {
+            killHost(name);
+            const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(downtime);
+            const auto delay = m_random.below(static_cast<std::uint64_t>(millis.count()));
+            m_queue.after(std::chrono::milliseconds(delay), [this, name] { startHost(name); });
+        }
+    }
+    /// Cuts \p host from all other hosts and from the platform, or ends this.
+    void setOutOfStep(const std::string &host, bool isOutOfStep)
+    {
+        m_trace.add((isOutOfStep ? "cut " : "reconnect ") + host);
+        for (const char *target : {"peers", "platform"}) {
+            if (isOutOfStep) {
+                m_cuts.cut(host, target);
+            } else {
+                m_cuts.heal(host, target);
+            }
+        }
+        // Until the hosts know each other again, records may not reach others.
+        m_calmFrom = m_queue.now() + stabilizationTime;
+    }
     /// Marks the endpoint as leaving in the platform's host list.
     void markEndpointLeaving(const std::string &name)
     {
@@ -746,12 +774,15 @@
         endpoint.softwareVersion = version;
         m_streamEndpoints.push_back(name);
         m_trace.add(fmt::format("{} starts at version {}", name, version));
-        declare("Endpoint", name,
-                {{"pool", streamPool},
-                 {"address", "127.0.0.1:1"},
-                 {"dataCentre", endpoint.dataCentre},
-                 {"slots", slotsPerEndpoint},
-                 {"softwareVersion", version}});
+        nlohmann::json spec = {{"pool", streamPool},
+                               {"address", "127.0.0.1:1"},
+                               {"dataCentre", endpoint.dataCentre},
+                               {"slots", slotsPerEndpoint},
+                               {"softwareVersion", version}};
+        if (m_startsWarm) {
+            spec["coldMs"] = 0;
+        }
+        declare("Endpoint", name, spec);
     }
 
     /// Sends an attempt of a stream's caller to any running host.
@@ -1211,7 +1242,7 @@
     {
         const std::string name = host.name;
         const Incarnation start = host.incarnation;
-        if (m_cuts.isCut(host.dataCentre, "platform")) {
+        if (isCutFromPlatform(host)) {
             m_queue.after(std::chrono::milliseconds(300), [=, this] {
                 PlatformResult unanswered;
                 unanswered.id = call.id;
@@ -1226,7 +1257,7 @@
     void perform(Host &host, const PeerSend &send)
     {
         const Host &to = m_hosts.at(send.host);
-        if (m_cuts.isCut(host.dataCentre, to.dataCentre) || m_random.chance(m_faults.loseMessage)) {
+        if (areCut(host, to) || m_random.chance(m_faults.loseMessage)) {
             return;
         }
         const int copies = m_random.chance(m_faults.doubleMessage) ? 2 : 1;
@@ -1286,8 +1317,8 @@
         }
         const Host &peer = m_hosts.at(*relay);
         const FakeEndpoint &endpoint = m_endpoints.at(stage.endpoint);
-        const bool isLost = m_cuts.isCut(host.dataCentre, peer.dataCentre) || !peer.alive
-                            || peer.frozen || m_random.chance(m_faults.loseMessage);
+        const bool isLost = areCut(host, peer) || !peer.alive || peer.frozen
+                            || m_random.chance(m_faults.loseMessage);
         if (isLost) {
             m_queue.after(relayTimeout, [=, this] {
                 StageFailed event;
@@ -1327,6 +1358,17 @@
         }
     }
 
+    [[nodiscard]] bool isCutFromPlatform(const Host &host) const
+    {
+        return m_cuts.isCut(host.dataCentre, "platform") || m_cuts.isCut(host.name, "platform");
+    }
+
+    [[nodiscard]] bool areCut(const Host &a, const Host &b) const
+    {
+        return m_cuts.isCut(a.dataCentre, b.dataCentre) || m_cuts.isCut(a.name, "peers")
+               || m_cuts.isCut(b.name, "peers");
+    }
+
     /// Returns whether \p host cannot connect to \p endpoint.
     [[nodiscard]] bool isCutFrom(const Host &host, const FakeEndpoint &endpoint) const
     {
@@ -1553,7 +1595,10 @@
             const Host &host = entry.second;
             return !host.alive || host.frozen || host.draining;
         };
-        return !m_cuts.isCut("dc1", "dc2")
+        const bool isAnyCut =
+            std::any_of(m_hosts.begin(), m_hosts.end(),
+                        [this](const auto &entry) { return m_cuts.isCut(entry.first, "peers"); });
+        return !m_cuts.isCut("dc1", "dc2") && !isAnyCut && m_queue.now() >= m_calmFrom
                && std::count_if(m_hosts.begin(), m_hosts.end(), isDisturbed) <= 1;
     }
 
@@ -1568,8 +1613,7 @@
         const FakePlatform::Faults &faults = m_platform.faults();
         const bool isHealthy = !faults.outage && faults.slow == Duration::zero()
                                && faults.loseAnswers == 0 && faults.applyLate == 0;
-        if (host.frozen || host.draining || !isHealthy
-            || m_cuts.isCut(host.dataCentre, "platform")) {
+        if (host.frozen || host.draining || !isHealthy || isCutFromPlatform(host)) {
             host.disturbedAt = m_queue.now();
         }
     }
@@ -1722,11 +1766,13 @@
     std::set<std::string> m_drainedDataCentres;
     Checks m_checks;
     TimePoint m_disturbedAt; ///< When areHostsCalm() last did not hold.
+    TimePoint m_calmFrom;    ///< areHostsCalm() does not hold before.
     StreamCallers m_streamCallers;
     CrowdCallers m_crowdCallers;
     Duration m_eventTime{}; ///< Of a host's processor, for each event; zero for none.
     std::vector<std::string> m_streamEndpoints; ///< Oldest first.
     int m_streamEndpointCount = 0;
+    bool m_startsWarm = false; ///< Endpoints with streams.
     Cuts m_cuts;
     WorldFaults m_faults;
     std::size_t m_maxMeshPeers; ///< 0 for even seeds, so that heartbeats go through relays.
