--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -19,6 +19,23 @@
 
 namespace harelink {
 
+namespace requestmachine {
+
+/// Returns whether an answer of \p kind may complete a request. A caller that has received a part
+/// of a stream would take any end of its answer for the end of the stream.
+///
+/// \param hasBegun if the caller has received a part in this answer.
+/// \param isTakenUp if it received one in an earlier answer.
+inline bool mayComplete(AnswerKind kind, bool hasBegun, bool isTakenUp)
+{
+    if (hasBegun) {
+        return kind == AnswerKind::Stream;
+    }
+    return !isTakenUp || kind != AnswerKind::Body;
+}
+
+} // namespace requestmachine
+
 /// Returns the request that waits for an answer to \p call; null if there is none.
 template <GuardPolicy G>
 auto BasicRequestMachine<G>::findCurrent(const CallId &call) -> Request *
@@ -87,6 +104,18 @@
         rejectAnswer(*request, "the answer carries another call's identity", snapshot);
         return;
     }
+    const bool hasBegun = request->headForwarded || request->tokens > 0;
+    const bool isTakenUp = request->streams && request->lastEventId;
+    if (!requestmachine::mayComplete(event.kind, hasBegun, isTakenUp)) {
+        StageFailed failure;
+        failure.call = event.call;
+        failure.status =
+            makeError(absl::StatusCode::kUnavailable, "stage " + request->stageSpec().name,
+                      request->endpoint, "the answer does not continue the stream");
+        failure.notice = std::move(event.notice);
+        handle(failure, snapshot);
+        return;
+    }
     const Duration elapsed = m_clock.now() - request->sentAt;
     const std::string poolName = request->stageSpec().pool;
     recordNotice(*request, event.notice, snapshot);
@@ -106,10 +135,7 @@
         charge(*request, busy - request->charged, snapshot);
     }
     if (event.proxied) {
-        AnswerCaller action;
-        action.outcome = Outcome::Completed;
-        action.proxied = std::move(event.proxied);
-        answer(*request, std::move(action));
+        completeProxied(*request, *std::move(event.proxied), snapshot);
     } else {
         advance(*request, std::move(event.body), snapshot);
     }
@@ -334,18 +360,30 @@
     }
 }
 
+/// Returns whether \p request is sent again, or was answered as that turned out impossible.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::sendAgain(Request &request, SendEvidence evidence,
+                                       const Snapshot &snapshot)
+{
+    const bool canContinue =
+        !request.hasUnnumberedEvents && (!request.origin || hasServingEndpoint(request, snapshot));
+    if (!canContinue || !hasSendSlot(request, snapshot, 0) || !mayRetry(request, evidence)) {
+        return false;
+    }
+    ++m_counters.retries;
+    if (request.pieces && request.pieces->finalResultsReleased()) {
+        handleLostResults(request, snapshot);
+    } else {
+        enqueue(request, snapshot);
+    }
+    return true;
+}
+
 template <GuardPolicy G>
 void BasicRequestMachine<G>::retryOrFail(Request &request, const StageFailed &event,
                                          const Snapshot &snapshot)
 {
-    const bool canContinue = !request.origin || hasServingEndpoint(request, snapshot);
-    if (canContinue && hasSendSlot(request, snapshot, 0) && mayRetry(request, event.evidence)) {
-        ++m_counters.retries;
-        if (request.pieces && request.pieces->finalResultsReleased()) {
-            handleLostResults(request, snapshot);
-            return;
-        }
-        enqueue(request, snapshot);
+    if (sendAgain(request, event.evidence, snapshot)) {
         return;
     }
     if (event.proxied && !request.headForwarded) {
@@ -358,7 +396,7 @@
         answer(request, std::move(action));
         return;
     }
-    if (!canContinue) {
+    if (request.origin && !hasServingEndpoint(request, snapshot)) {
         failWithoutEndpoint(request, snapshot);
         return;
     }
@@ -419,6 +457,7 @@
 template <GuardPolicy G>
 void BasicRequestMachine<G>::answer(Request &request, AnswerCaller &&action)
 {
+    replaceByUnconfirmed(request, action);
     cancelPieces(request);
     releaseRetry(request);
     m_lateAdmissions -= request.isAdmittedLate ? 1 : 0;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -67,11 +67,19 @@
     std::shared_ptr<const ProxiedRequest> proxied;
 };
 
+/// What the answer to a call is.
+enum class AnswerKind {
+    Body,   ///< A success with a body.
+    Stream, ///< The regular end of a streamed success.
+    Error,  ///< Anything but a success. Only proxied requests have it; other calls fail.
+};
+
 /// Event: an endpoint answered a call.
 struct StageAnswered
 {
     CallId call;   ///< The call on whose connection the answer was received.
     CallId echoed; ///< The call ID contained in the answer.
+    AnswerKind kind = AnswerKind::Body;
     std::string body;
     Duration busy{}; ///< Service time reported by the endpoint; zero if absent.
     std::optional<ProxiedAnswer> proxied; ///< The complete answer to a proxied request.
@@ -85,6 +93,7 @@
     CallId echoed;      ///< As in StageAnswered.
     ProxiedAnswer head; ///< Head of the answer that the event belongs to.
     std::optional<std::uint64_t> eventId;
+    bool isComment = false;               ///< It has neither an ID nor data.
     std::string bytes;                    ///< The complete event as received.
     std::optional<EndpointNotice> notice; ///< As in StageAnswered.
 };
@@ -412,6 +421,10 @@
     void advance(Request &request, std::string &&stageAnswer, const Snapshot &snapshot);
     void complete(Request &request);
     void retryOrFail(Request &request, const StageFailed &event, const Snapshot &snapshot);
+    bool sendAgain(Request &request, SendEvidence evidence, const Snapshot &snapshot);
+    void completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
+                         const Snapshot &snapshot);
+    void replaceByUnconfirmed(Request &request, AnswerCaller &action);
     bool mayRetry(Request &request, SendEvidence evidence);
     void fail(Request &request, Reason reason, absl::Status error, const Snapshot &snapshot);
     void recordUnawaitedClaim(const Request &request);
--- a/lib/Adapters/callersocket.cpp
+++ b/lib/Adapters/callersocket.cpp
@@ -24,6 +24,21 @@
                                                                    : 0;
 }
 
+/// Ends the connection of \p descriptor, with a reset if it is to be reset when it is closed.
+void disconnect(int descriptor)
+{
+    ::linger option{};
+    socklen_t size = sizeof option;
+    (void)::getsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, &size);
+    if (option.l_onoff == 0) {
+        ::shutdown(descriptor, SHUT_RDWR);
+        return;
+    }
+    sockaddr unspecified{};
+    unspecified.sa_family = AF_UNSPEC;
+    (void)::connect(descriptor, &unspecified, sizeof unspecified);
+}
+
 /// Interval at which a socket that is being closed is checked.
 constexpr std::chrono::milliseconds closeCheckInterval{250};
 /// A socket is closed at once when its peer has neither acknowledged anything nor ended its
@@ -189,7 +204,7 @@
         writes.unacknowledged = left;
         if (writes.timer.isStalled(now)) {
             // The write fails, and RESTinio closes the connection.
-            ::shutdown(descriptor, SHUT_RDWR);
+            disconnect(descriptor);
         }
     }
 }
@@ -260,12 +275,25 @@
     m_entry = OpenSocketEntry(*m_sockets, native_handle());
 }
 
+void CallerSocket::setResetOnClose(bool resets)
+{
+    m_resetsOnClose = resets;
+    // Asio's destructor would revoke the option if it had been set by set_option().
+    const ::linger option{resets ? 1 : 0, 0};
+    (void)::setsockopt(native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
 void CallerSocket::close()
 {
     if (!is_open()) {
         return;
     }
     std::error_code ignored;
+    if (m_resetsOnClose) {
+        m_entry = OpenSocketEntry();
+        asio::ip::tcp::socket::close(ignored);
+        return;
+    }
     cancel(ignored);
     std::make_shared<OrderlyClose>(asio::ip::tcp::socket(std::move(*this)), std::move(m_entry))
         ->start();
--- a/test/sim/world.h
+++ b/test/sim/world.h
@@ -1644,6 +1644,7 @@
                 StageAnswered event;
                 event.call = stream.stage.call;
                 event.echoed = stream.stage.call;
+                event.kind = AnswerKind::Stream;
                 event.body = whole;
                 event.notice = noticeOf(stream.stage.endpoint);
                 toRequests(stream.host, stream.start, event);
@@ -1678,7 +1679,8 @@
             if (id > StreamCallers::eventCount) {
                 StageAnswered event;
                 event.call = event.echoed = stream.stage.call;
-                event.proxied = ProxiedAnswer{200, {}, ""};
+                event.kind = AnswerKind::Stream;
+                event.proxied = ProxiedAnswer{200, {}, "", AnswerFraming::Length};
                 toRequests(stream.host, stream.start, event);
                 return;
             }
--- a/unittests/Kernel/proxiedfixture.h
+++ b/unittests/Kernel/proxiedfixture.h
@@ -110,6 +110,14 @@
         proxied->resumedAttempt = firstAttempt;
         return handleArrival(std::move(proxied), timeAllowed);
     }
+    /// Takes up a stream behind an event whose ID cannot be read.
+    RequestId takeUpBehindUnreadable(const std::string &path, const std::string &firstAttempt)
+    {
+        std::shared_ptr<ProxiedRequest> proxied = makeRequest(path, "key-1");
+        proxied->isLastEventUnreadable = true;
+        proxied->resumedAttempt = firstAttempt;
+        return handleArrival(std::move(proxied), std::nullopt);
+    }
     std::shared_ptr<ProxiedRequest> makeRequest(const std::string &path, const std::string &key)
     {
         auto proxied = std::make_shared<ProxiedRequest>();
@@ -138,17 +146,39 @@
         machine.handle(StreamLocated{id, origin}, *snapshot);
         collect();
     }
+    /// Ends the stream or the body of a success, or sends an error.
     void answer(const SendStage &stage, int status = 200,
                 std::optional<EndpointNotice> notice = std::nullopt)
+    {
+        const AnswerKind success = stage.streams ? AnswerKind::Stream : AnswerKind::Body;
+        answer(stage, status < 300 ? success : AnswerKind::Error, status, std::move(notice));
+    }
+    void answer(const SendStage &stage, AnswerKind kind, int status,
+                std::optional<EndpointNotice> notice = std::nullopt)
     {
         StageAnswered event;
         event.call = stage.call;
         event.echoed = stage.call;
-        event.proxied = ProxiedAnswer{status, {}, "body"};
+        event.kind = kind;
+        event.proxied = ProxiedAnswer{status, {}, "body", AnswerFraming::Length};
         event.notice = std::move(notice);
         machine.handle(std::move(event), *snapshot);
         collect();
     }
+    /// Answers without length or chunks.
+    void answerUnframed(const SendStage &stage, std::string body, int status = 200,
+                        AnswerKind kind = AnswerKind::Body)
+    {
+        StageAnswered event;
+        event.call = stage.call;
+        event.echoed = stage.call;
+        event.kind = kind;
+        event.proxied = ProxiedAnswer{status, {}, std::move(body), AnswerFraming::Connection};
+        machine.handle(std::move(event), *snapshot);
+        collect();
+    }
+    /// Ends a stream without length or chunks.
+    void endUnframed(const SendStage &stage) { answerUnframed(stage, {}, 200, AnswerKind::Stream); }
     void fail(const SendStage &stage, SendEvidence evidence,
               std::optional<ProxiedAnswer> own = std::nullopt, bool isBroken = false,
               std::optional<EndpointNotice> notice = std::nullopt)
@@ -164,15 +194,31 @@
         collect();
     }
     void event(const SendStage &stage, std::uint64_t id,
-               std::optional<EndpointNotice> notice = std::nullopt)
+               std::optional<EndpointNotice> notice = std::nullopt,
+               AnswerFraming framing = AnswerFraming::Chunks)
     {
         StageEvent event;
         event.call = stage.call;
         event.echoed = stage.call;
         event.head.status = 200;
+        event.head.framing = framing;
         event.eventId = id;
         event.bytes = fmt::format("id: {}\n\n", id);
         event.notice = std::move(notice);
+        handleEvent(stage, std::move(event));
+    }
+    void eventWithoutId(const SendStage &stage, bool isComment = false)
+    {
+        StageEvent event;
+        event.isComment = isComment;
+        event.bytes = isComment ? ":\n\n" : "data: x\n\n";
+        handleEvent(stage, std::move(event));
+    }
+    void handleEvent(const SendStage &stage, StageEvent event)
+    {
+        event.call = stage.call;
+        event.echoed = stage.call;
+        event.head.status = 200;
         machine.handle(event, *snapshot);
         collect();
     }
--- a/unittests/Kernel/streamversionstest.cpp
+++ b/unittests/Kernel/streamversionstest.cpp
@@ -206,6 +206,22 @@
     CHECK(fixture.answers[0].outcome == Outcome::NotRun);
 }
 
+// An endpoint might read what the daemon cannot, and continue a stream of another version.
+TEST(StreamVersions, StreamIsRefusedIfItsLastEventCannotBeRead)
+{
+    for (const char *firstAttempt : {"", "caller-of-another-host"}) {
+        VersionFixture fixture({"v1"});
+        fixture.takeUpBehindUnreadable("/talk/1", firstAttempt);
+        CHECK(fixture.sends.empty());
+        LONGS_EQUAL(1, fixture.answers.size());
+        CHECK(fixture.answers[0].reason == Reason::StreamUnknown);
+        CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    }
+    VersionFixture fixture({"v1"});
+    fixture.takeUpBehindUnreadable("/read/1", "");
+    LONGS_EQUAL(1, fixture.sends.size());
+}
+
 TEST(StreamVersions, StreamWhoseVersionIsGoneIsRefusedAtOnce)
 {
     VersionFixture fixture({"v2", "v2"});
@@ -240,6 +256,33 @@
     LONGS_EQUAL(1, fixture.sends.size());
 }
 
+// The caller has the first events and would take the end of this body for the end of the stream.
+TEST(StreamVersions, BodyWithoutEventsDoesNotCompleteAStreamThatIsTakenUp)
+{
+    for (const int status : {200, 204}) {
+        VersionFixture fixture({"v1", "v1", "v1"});
+        const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+        fixture.locate(id, StreamOrigin{"engines", "v1"});
+        fixture.answer(fixture.sends[0], AnswerKind::Body, status);
+        LONGS_EQUAL(2, fixture.sends.size());
+        fixture.answer(fixture.sends[1], AnswerKind::Body, status);
+        CHECK(fixture.answers[0].outcome == Outcome::Unknown);
+        CHECK_FALSE(fixture.answers[0].proxied.has_value());
+    }
+}
+
+TEST(StreamVersions, EndOrErrorOfTheEndpointAnswersAStreamThatIsTakenUp)
+{
+    for (const AnswerKind kind : {AnswerKind::Stream, AnswerKind::Error}) {
+        VersionFixture fixture({"v1", "v1"});
+        const RequestId id = fixture.takeUp("/talk/1", 3, "caller-of-another-host");
+        fixture.locate(id, StreamOrigin{"engines", "v1"});
+        const int status = kind == AnswerKind::Stream ? 200 : 404;
+        fixture.answer(fixture.sends[0], kind, status);
+        LONGS_EQUAL(status, fixture.answers[0].proxied->status);
+    }
+}
+
 TEST(StreamVersions, CallerThatLeavesDuringTheLookupIsForgotten)
 {
     VersionFixture fixture({"v1"});
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -8,6 +8,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <memory>
+#include <utility>
+#include <variant>
+#include <vector>
 
 using namespace harelink;
 using std::chrono::milliseconds;
@@ -131,6 +135,44 @@
     CHECK(hasHeader(dialect.encode(sent), "Resumes: 9c41d07be2a35f68"));
 }
 
+TEST(Requests, EndpointOfAStreamGetsNoLastEventButTheOneThatWasRead)
+{
+    using Values = std::vector<std::string>;
+    const auto read = [this](const Values &values) {
+        HttpRequest taken = request();
+        for (const std::string &value : values) {
+            taken.fields.emplace_back("Last-Event-ID", value);
+            taken.headers["last-event-id"] = value;
+        }
+        return dialect.read(taken)->proxied;
+    };
+    const auto fieldsOf = [this](const std::shared_ptr<const ProxiedRequest> &proxied) {
+        SendStage sent = stage(dialect);
+        sent.proxied = proxied;
+        sent.streams = true;
+        std::vector<std::string> fields = dialect.encode(sent).headers;
+        std::erase_if(fields, [](const std::string &field) {
+            return !lowerCase(field).starts_with("last-event-id");
+        });
+        return fields;
+    };
+    for (const char *value : {"7", "07"}) {
+        CHECK(read({value})->lastEventSeen == 7);
+        CHECK_FALSE(read({value})->isLastEventUnreadable);
+        CHECK(fieldsOf(read({value})) == Values{"Last-Event-Id: 7"});
+    }
+    CHECK_FALSE(read({""})->isLastEventUnreadable);
+    CHECK(fieldsOf(read({""})).empty());
+    const std::vector<Values> unreadable = {
+        {"+7"}, {"7.0"}, {"-7"},     {"0x7"},   {"7, 7"},
+        {"x"},  {"7 7"}, {"7", "8"}, {"7", ""}, {"18446744073709551616"},
+    };
+    for (const Values &values : unreadable) {
+        CHECK_TEXT(read(values)->isLastEventUnreadable, values.front().c_str());
+        CHECK_TEXT(fieldsOf(read(values)).empty(), values.front().c_str());
+    }
+}
+
 TEST(Requests, RejectsInvalidRequests)
 {
     HttpRequest broken = request();
@@ -268,9 +310,43 @@
     CHECK(std::holds_alternative<StageFailed>(stream.finish(head)));
 }
 
+TEST(Requests, OnlyAnEventStreamIsTheEndOfAStream)
+{
+    const SendStage sent = stage(dialect);
+    const auto kindOf = [&](int status, const std::string &contentType, const std::string &body) {
+        ProxiedStream stream(dialect, sent);
+        const HttpResult head = result(status, {{"X-Request-Id", "r-1"},
+                                                {"X-Server-Seal", "s"},
+                                                {"Content-Type", contentType},
+                                                {"Transfer-Encoding", "chunked"}});
+        (void)stream.handleBody(head, body);
+        return std::get<StageAnswered>(stream.finish(head)).kind;
+    };
+    CHECK(kindOf(200, "text/event-stream", "id: 1\n\n") == AnswerKind::Stream);
+    CHECK(kindOf(200, "Text/Event-Stream; charset=utf-8", "") == AnswerKind::Stream);
+    CHECK(kindOf(200, "text/plain", "id: 1\n\n") == AnswerKind::Body);
+    CHECK(kindOf(204, "", "") == AnswerKind::Body);
+    for (const int status : {302, 304, 404}) {
+        CHECK(kindOf(status, "text/event-stream", "id: 1\n\n") == AnswerKind::Error);
+    }
+}
+
+TEST(Requests, ReadsThePositionOfEvents)
+{
+    const auto decode = [&](std::string_view event) {
+        return dialect.decodeEvent(stage(dialect), unframedStream(), event);
+    };
+    CHECK(decode("id: 4\ndata: x\n\n").eventId == 4);
+    CHECK_FALSE(decode("id: 4\n\n").isComment);
+    CHECK_FALSE(decode("data: x\n\n").isComment);
+    CHECK_FALSE(decode("id: four\n\n").isComment);
+    CHECK(decode(": ping\n\n").isComment);
+    CHECK(decode("event: ping\nretry: 5\n\n").isComment);
+}
+
 // Endpoints that send neither a length nor chunks end their answers by closing the connection.
 // Taking such an end for a break cut the caller's reply and ran repeatable requests again.
-TEST(Requests, UnframedStreamIsCompleteIfItEndsBetweenTwoEvents)
+TEST(Requests, UnframedStreamMayBeCompleteIfItEndsBetweenTwoEvents)
 {
     const SendStage sent = stage(dialect);
     ProxiedStream stream(dialect, sent);
@@ -282,6 +358,47 @@
     CHECK(std::get<StageAnswered>(end).echoed == sent.call);
     LONGS_EQUAL(200, std::get<StageAnswered>(end).proxied->status);
     CHECK(std::get<StageAnswered>(end).proxied->body.empty());
+    CHECK(std::get<StageAnswered>(end).proxied->framing == AnswerFraming::Connection);
+}
+
+// The daemon gave its own length or chunks to answers whose end their endpoint had left open.
+TEST(Requests, ARepliesEndIsMarkedOnlyIfItsEndpointMarkedIt)
+{
+    struct Case
+    {
+        std::string method;
+        int status;
+        std::pair<std::string, std::string> field;
+        bool isMarked;
+    };
+    const std::vector<Case> cases = {{"POST", 200, {"X-Own", "1"}, false},
+                                     {"POST", 200, {"Content-Length", "6"}, true},
+                                     {"POST", 200, {"Transfer-Encoding", "chunked"}, true},
+                                     {"POST", 200, {"Transfer-Encoding", "identity"}, false},
+                                     {"POST", 503, {"X-Own", "1"}, false},
+                                     {"POST", 204, {"X-Own", "1"}, true},
+                                     {"GET", 304, {"X-Own", "1"}, true},
+                                     {"HEAD", 200, {"X-Own", "1"}, true}};
+    for (const Case &item : cases) {
+        SendStage sent = stage(dialect);
+        auto proxied = std::make_shared<ProxiedRequest>(*sent.proxied);
+        proxied->method = item.method;
+        sent.proxied = proxied;
+        const HttpResult given =
+            result(item.status, {{"X-Request-Id", "r-1"}, {"X-Server-Seal", "s"}, item.field});
+        AnswerCaller answer;
+        std::visit([&](const auto &end) { answer.proxied = end.proxied; },
+                   dialect.decode(sent, given));
+        const std::string text =
+            item.method + " " + std::to_string(item.status) + " " + item.field.first;
+        CHECK_TEXT(answer.proxied.has_value(), text.c_str());
+        CHECK_EQUAL_TEXT(!item.isMarked, dialect.makeReply(answer).endsWithConnection,
+                         text.c_str());
+        const StageEvent event = dialect.decodeEvent(sent, given, "id: 1\n\n");
+        CHECK_EQUAL_TEXT(!item.isMarked, dialect.makeHead(event.head).endsWithConnection,
+                         text.c_str());
+    }
+    CHECK_FALSE(dialect.makeReply(AnswerCaller{}).endsWithConnection);
 }
 
 // A torn event must never reach the caller as the end of a complete answer.
@@ -338,9 +455,10 @@
     CHECK_FALSE(std::get<StageFailed>(end).isBroken);
     const auto afterShortPause = finish(unframedStream(), std::chrono::milliseconds(999));
     CHECK(std::holds_alternative<StageAnswered>(afterShortPause));
-    for (const char *framing : {"transfer-encoding", "content-length"}) {
+    for (const auto &[framing, value] :
+         {std::pair("transfer-encoding", "chunked"), std::pair("content-length", "14")}) {
         HttpResult framed = unframedStream();
-        framed.headers[framing] = "x";
+        framed.headers[framing] = value;
         CHECK_TEXT(std::holds_alternative<StageAnswered>(
                        finish(framed, std::chrono::milliseconds(60'000))),
                    framing);
