--- a/lib/Support/log.cpp
+++ b/lib/Support/log.cpp
@@ -2,6 +2,8 @@
 
 #include "harelink/Support/log.h"
 
+#include "harelink/Support/text.h"
+
 #include <fmt/chrono.h>
 
 #include <atomic>
@@ -14,6 +16,9 @@
 namespace harelink {
 namespace {
 
+/// Maximum length of a value in a log line; others may have written the value.
+constexpr std::size_t maxValueBytes = 4096;
+
 std::atomic<LogLevel> minimumLevel{LogLevel::Info};
 std::atomic<std::uint64_t> droppedLines{0};
 std::atomic<std::uint64_t> unreportedDrops{0};
@@ -88,22 +93,23 @@
 
 std::string logValue(std::string_view value)
 {
-    const auto needsQuotes = [](char c) {
-        return c == ' ' || c == '"' || c == '=' || static_cast<unsigned char>(c) < ' ';
+    const auto isControl = [](char c) {
+        return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
     };
-    bool quoted = value.empty();
-    for (const char c : value) {
-        quoted = quoted || needsQuotes(c);
+    const std::string valid = toUnicode(value.substr(0, maxValueBytes));
+    bool quoted = valid.empty();
+    for (const char c : valid) {
+        quoted = quoted || c == ' ' || c == '"' || c == '=' || isControl(c);
     }
     if (!quoted) {
-        return std::string(value);
+        return valid;
     }
     std::string text = "\"";
-    for (const char c : value) {
+    for (const char c : valid) {
         if (c == '"' || c == '\\') {
             text += '\\';
         }
-        text += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+        text += isControl(c) ? ' ' : c;
     }
     return text + '"';
 }
--- a/unittests/Platform/requeststest.cpp
+++ b/unittests/Platform/requeststest.cpp
@@ -143,6 +143,50 @@
     CHECK_FALSE(dialect.read(broken).ok());
 }
 
+TEST(Requests, AnIdThatPieceCallsCannotStateIsRejectedAtOnce)
+{
+    for (const char *name : {"x-request-id", "x-piece-key"}) {
+        for (const char *value : {"caf\xe9", "\xff", "\xed\xa0\x80", "\xc3"}) {
+            HttpRequest odd = request();
+            odd.headers[name] = value;
+            CHECK_FALSE_TEXT(dialect.read(odd).ok(), value);
+            odd.headers.erase("x-pieces");
+            const auto plain = dialect.read(odd);
+            CHECK_TEXT(plain.ok(), value);
+            CHECK(std::string(name) != "x-request-id" || plain->proxied->callerId == value);
+        }
+        HttpRequest unicode = request();
+        unicode.headers[name] = "caf\xc3\xa9";
+        CHECK(dialect.read(unicode).ok());
+    }
+}
+
+TEST(Requests, MorePiecesThanARequestMayHaveAreRejected)
+{
+    for (const char *counts : {"4294967295", "10001", "5000,5001", "4294967295,4294967295,1"}) {
+        HttpRequest large = request();
+        large.headers["x-pieces"] = counts;
+        CHECK_FALSE_TEXT(dialect.read(large).ok(), counts);
+    }
+    HttpRequest most = request();
+    most.headers["x-pieces"] = "5000,5000";
+    CHECK(dialect.read(most).ok());
+}
+
+TEST(Requests, NumbersOfCallersAreBounded)
+{
+    HttpRequest odd = request();
+    odd.headers["x-deadline-ms"] = "9223372036854775807";
+    odd.headers["x-token-count"] = "18446744073709551615,18446744073709551615";
+    odd.headers["x-prompt-prefix"] = "5c:18446744073709551615,91:9223372036854775807,e4:1";
+    const auto arrival = dialect.read(odd);
+    CHECK(arrival.ok());
+    CHECK(arrival->timeAllowed == std::chrono::hours(24));
+    CHECK(arrival->proxied->promptTokens <= 1'000'000'000);
+    CHECK(arrival->proxied->maxAnswerTokens <= 1'000'000'000);
+    CHECK(arrival->proxied->sharedTokens() <= 2'000'000'000);
+}
+
 TEST(Requests, ForwardsTheRequestWithoutApiKey)
 {
     const HttpCall call = dialect.encode(stage(dialect));
--- a/unittests/Platform/storetest.cpp
+++ b/unittests/Platform/storetest.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -133,6 +134,55 @@
           != http.headers.end());
 }
 
+TEST(Store, BytesThatAreNotUnicodeDoNotEndThePieceCall)
+{
+    PieceCall call = pieceCall();
+    call.orders[0].callerId = "caf\xe9";
+    call.orders[0].key = "\xff\xfe";
+    call.orders[1].inputs = {"10.0.0.1:80/\xc3("};
+    const nlohmann::json items = nlohmann::json::parse(stages.encode(call).body)["items"];
+    LONGS_EQUAL(2, items.size());
+    LONGS_EQUAL(1, stages.encodeFree({"10.0.0.1:80/\xff"}).size());
+}
+
+TEST(Store, UnreadableResultsOfPiecesAreAFailedCall)
+{
+    const std::string nested(100'000, '[');
+    const std::string closing(100'000, ']');
+    for (const std::string &other :
+         {nested + closing, std::string(R"({"handle": "\udcff"})"), std::string("1e400"),
+          std::string(R"({"handle": 7})"), std::string(R"({"handle": "a\r\nX-Tenant: t1"})"),
+          std::string(R"({"handle": "a\u0000b"})"), std::string(R"({"reason": 7})"),
+          std::string("null"), std::string("7")}) {
+        const std::string body = R"({"items": [{"handle": "10.0.0.9:80/x"}, )" + other + "]}";
+        CHECK_FALSE_TEXT(stages.decode(pieceCall(), ok(body)).answered, body.substr(0, 60).c_str());
+    }
+}
+
+TEST(Store, NamesOfObjectsAreEscapedInAddresses)
+{
+    PlatformCall call;
+    call.operation = PlatformOperation::List;
+    call.kind = "servers";
+    call.name = "i 1&watch=3\r\n\xc3\xa9";
+    STRCMP_EQUAL("http://10.0.0.1:80/objects/servers?since-rev=i%201%26watch%3D3%0D%0A%C3%A9",
+                 store.encode(call, "10.0.0.1:80", milliseconds(500)).url.c_str());
+    call.operation = PlatformOperation::Get;
+    call.name = "a/../b";
+    STRCMP_EQUAL("http://10.0.0.1:80/objects/servers/a%2F..%2Fb",
+                 store.encode(call, "10.0.0.1:80", milliseconds(500)).url.c_str());
+}
+
+TEST(Store, AnswersWithoutAValidRevisionCountAsUnanswered)
+{
+    PlatformCall call;
+    call.operation = PlatformOperation::List;
+    for (const char *revision : {"-1", "1.5", "1e400", "\"9\"", "null", "18446744073709551616"}) {
+        const std::string body = fmt::format(R"({{"items": [], "store-revision": {}}})", revision);
+        CHECK_TEXT(store.decode(call, ok(body)).outcome == PlatformOutcome::Unanswered, revision);
+    }
+}
+
 TEST(Store, DecodesResultsInOrder)
 {
     const PieceCallEnded ended = stages.decode(
--- a/unittests/Support/logtest.cpp
+++ b/unittests/Support/logtest.cpp
@@ -22,6 +22,18 @@
     STRCMP_EQUAL("\"a b\"", logValue("a\nb").c_str());
 }
 
+TEST(Log, ValuesOfOthersAreOneShortLineOfText)
+{
+    STRCMP_EQUAL("\"a b c\"", logValue("a\x7f"
+                                       "b\x1b"
+                                       "c")
+                                  .c_str());
+    STRCMP_EQUAL("caf\xef\xbf\xbd", logValue("caf\xe9").c_str());
+    STRCMP_EQUAL("caf\xc3\xa9", logValue("caf\xc3\xa9").c_str());
+    CHECK(logValue(std::string(1'000'000, 'x')).size() < 5000);
+    CHECK(logValue(std::string(1'000'000, '\xff')).size() < 15'000);
+}
+
 TEST(Log, FullPipeDoesNotBlockAndDroppedLinesAreCounted)
 {
     int pipeEnds[2];
