[Kernel] Hosts that do not watch the platform are ready after a restart

Cause: A host that starts waits for the drains until it has listed them, or an exchange with a peer has transferred a whole configuration. In a data centre of three hosts or more only two watch and list. In a small fleet the others get all objects by pushes, and since nothing differs afterwards no exchange follows: a restarted host knew everything and was never ready. Change: Digests state whether the sender's configuration is whole, in a field that digests by bucket have already. A host whose hash equals that of such a digest has a whole configuration too. Peers of an older version don't state it, beside them all is as before.

--- a/include/harelink/Kernel/configgossip.h
+++ b/include/harelink/Kernel/configgossip.h
@@ -81,7 +81,10 @@
     /// Sets that a host list was read. It contains this host if it has been declared before.
     void recordHostList(bool containsSelf);
     /// Returns whether this daemon has the complete configuration of the platform or of a peer.
-    [[nodiscard]] bool isComplete() const { return m_hasListed || m_exchange.hasCompleted(); }
+    [[nodiscard]] bool isComplete() const
+    {
+        return m_hasListed || m_exchange.hasCompleted() || m_matchesComplete;
+    }
     /// Returns whether this daemon has started a short time ago and expects the configuration
     /// from a peer. What it has so far is a part of one, which must not be put in force.
     [[nodiscard]] bool awaitsConfiguration() const;
@@ -144,7 +147,9 @@
     bool m_isNewHost = true; ///< The host list did not contain this host.
     std::uint64_t m_storeEra = 0;
     std::uint64_t m_lowestRevision = 0; ///< 0 if unknown.
-    bool m_hasCompared = false;         ///< A peer's hash was equal to this daemon's.
+    /// A peer's whole configuration was equal to this daemon's, which pushes had completed.
+    bool m_matchesComplete = false;
+    bool m_hasCompared = false; ///< A peer's hash was equal to this daemon's.
     std::uint64_t m_round = 0;
     std::vector<PeerSend> m_sends;
 };
--- a/include/harelink/Kernel/configgossipimpl.h
+++ b/include/harelink/Kernel/configgossipimpl.h
@@ -237,6 +237,7 @@
     digest.watches = watchesConnected();
     digest.detailed = detailed;
     digest.reply = reply;
+    digest.complete = isComplete();
     if (detailed) {
         for (const auto &[key, entry] : m_table.entries()) {
             digest.entries.push_back({key.first, key.second, entry.seenVersion});
@@ -264,6 +265,9 @@
         m_exchange.handle(host, peerDigest, passesOn);
         return;
     }
+    m_matchesComplete =
+        m_matchesComplete
+        || (isCurrent && peerDigest.complete && peerDigest.summary == m_table.summary());
     if (!peerDigest.detailed) {
         recordSummary(host, peerDigest.summary);
         return;
--- a/unittests/Kernel/datacentredraintest.cpp
+++ b/unittests/Kernel/datacentredraintest.cpp
@@ -278,6 +278,27 @@
     CHECK(fixture.answer("drains", PlatformOutcome::Ok));
 }
 
+/// Guards against hosts that do not watch the platform and never become ready after a restart.
+TEST(DataCentreDrain, AHostWithTheWholeConfigurationOfAPeerStarts)
+{
+    StartFixture fixture;
+    CHECK(!fixture.push("routes", "main"));
+    CHECK(!fixture.push("endpoints", "e1"));
+    ConfigDigest digest;
+    digest.watches = true;
+    digest.summary = fixture.machine.config().summary();
+    const auto startsWith = [&fixture](const ConfigDigest &digest) {
+        fixture.machine.handle(PeerMessage{"h2", 2, digest});
+        return fixture.machine.drainOutput().configChanged;
+    };
+    CHECK(!startsWith(digest));
+    digest.complete = true;
+    ConfigDigest other = digest;
+    ++other.summary;
+    CHECK(!startsWith(other));
+    CHECK(startsWith(digest));
+}
+
 /// Guards against this failure: a host that started while the platform refused its calls used the
 /// configuration of its peers. When the platform answered again, the host delayed all updates
 /// because it had not read the drains, and applied a drain 12 s late.
