--- a/include/harelink/Kernel/piecegraph.h
+++ b/include/harelink/Kernel/piecegraph.h
@@ -95,6 +95,8 @@
         bool isUpcomingTaken = false; ///< See takeUpcoming().
     };
 
+    [[nodiscard]] Piece *find(PieceIndex index);
+
     using BytesByDataCentre = std::map<std::string, std::uint64_t>;
 
     static void addCompletedBytes(const Stage &stage, BytesByDataCentre &bytes);
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -26,6 +26,10 @@
 constexpr int maxUnpackedBytes = 64'000'000;
 /// Results expire much sooner.
 constexpr std::chrono::minutes maxHoldTime{1};
+/// Times of peers are added to points in time.
+constexpr std::chrono::hours maxTime{24 * 365};
+/// Ratios of peers are stored as whole percentages.
+constexpr float maxRatio = 10'000;
 
 std::string compress(const wire::ConfigPush &push)
 {
@@ -88,6 +92,17 @@
     return std::chrono::duration_cast<microseconds>(time).count();
 }
 
+Duration fromMicros(std::int64_t micros)
+{
+    return std::clamp<microseconds>(microseconds(micros), -maxTime, maxTime);
+}
+
+/// Returns \p ratio as a number from 0 to maxRatio; 0 if it isn't one.
+double readRatio(float ratio)
+{
+    return std::isfinite(ratio) ? static_cast<double>(std::clamp(ratio, 0.0F, maxRatio)) : 0;
+}
+
 void write(const RequestId &from, wire::RequestId &to)
 {
     to.set_incarnation(from.incarnation);
@@ -158,9 +173,8 @@
 
 StreamRecord read(const wire::StreamRecord &from)
 {
-    return {read(from.stream()),
-            {from.pool(), from.software_version()},
-            microseconds(from.ttl_micros())};
+    return {
+        read(from.stream()), {from.pool(), from.software_version()}, fromMicros(from.ttl_micros())};
 }
 
 void write(const CallId &from, wire::CallId &to)
@@ -188,11 +202,11 @@
 {
     PieceBacklog to;
     to.pool = from.pool();
-    to.freeIn = microseconds(from.free_in_micros());
+    to.freeIn = fromMicros(from.free_in_micros());
     to.endpoints = from.endpoints();
-    to.slowness = from.slowness();
+    to.slowness = readRatio(from.slowness());
     to.isPathLost = from.path_lost();
-    to.correction = from.correction() > 0 ? static_cast<double>(from.correction()) : 1.0;
+    to.correction = readRatio(from.correction()) > 0 ? readRatio(from.correction()) : 1.0;
     copyPrefix(from.waiting(), maxReportedPieces, to.waiting);
     copyPrefix(from.waiting_bytes(), maxReportedBytes, to.waitingBytes);
     to.bufferedBytes = std::min(from.buffered_bytes(), maxReportedBytes);
@@ -256,7 +270,7 @@
     to.leavingKnown = from.leaving_known();
     for (const wire::Usage &usage : from.usage()) {
         to.usage.push_back(
-            {usage.account(), usage.pool(), microseconds(usage.micros()), usage.demand()});
+            {usage.account(), usage.pool(), fromMicros(usage.micros()), usage.demand()});
     }
     to.leavingEndpoints.assign(from.leaving_endpoints().begin(), from.leaving_endpoints().end());
     for (const wire::PieceBacklog &backlog : from.backlogs()) {
@@ -271,12 +285,13 @@
                             microseconds(pace.measured_micros())});
     }
     for (const wire::EndpointLimit &limit : from.limits()) {
-        const bool isValid = limit.per_second() >= 0 && limit.stated_micros_ago() >= 0;
+        const bool isValid = std::isfinite(limit.per_second()) && limit.per_second() >= 0
+                             && limit.stated_micros_ago() >= 0;
         if (isValid) {
             to.limits.push_back(
                 {limit.endpoint(),
                  limit.lifted() ? std::nullopt : std::optional<double>(limit.per_second()),
-                 microseconds(limit.stated_micros_ago())});
+                 fromMicros(limit.stated_micros_ago())});
         }
     }
 }
@@ -284,7 +299,7 @@
 /// Returns the capacity of a daemon; 1 if absent, as in messages of older versions.
 double capacityOf(float reported)
 {
-    return reported > 0 ? static_cast<double>(reported) : 1.0;
+    return std::isfinite(reported) && reported > 0 ? static_cast<double>(reported) : 1.0;
 }
 
 /// Writes each kind of content to its protobuf field.
@@ -605,8 +620,8 @@
         order.key = item.key();
         order.inputs.assign(item.inputs().begin(), item.inputs().end());
         order.priority = item.priority();
-        order.untilObjective = microseconds(item.wanted_in_micros());
-        order.untilDeadline = microseconds(item.due_in_micros());
+        order.untilObjective = fromMicros(item.wanted_in_micros());
+        order.untilDeadline = fromMicros(item.due_in_micros());
         order.resultBytes = std::min(item.result_bytes(), maxReportedBytes);
         order.dataCentre = item.data_centre();
         order.avoid = item.avoid();
@@ -646,8 +661,8 @@
     CrashReports to;
     for (const wire::CrashReport &report : from.reports()) {
         to.reports.push_back({read(report.digest()), report.pool(), report.endpoint(),
-                              microseconds(report.sent_micros_ago()),
-                              microseconds(report.broke_micros_ago()), report.is_prompt_part()});
+                              fromMicros(report.sent_micros_ago()),
+                              fromMicros(report.broke_micros_ago()), report.is_prompt_part()});
     }
     return to;
 }
@@ -735,8 +750,8 @@
     to.target = from.target();
     to.headers.assign(from.headers().begin(), from.headers().end());
     to.body = from.body();
-    to.timeout = microseconds(from.timeout_micros());
-    to.connectTimeout = microseconds(from.connect_timeout_micros());
+    to.timeout = fromMicros(from.timeout_micros());
+    to.connectTimeout = fromMicros(from.connect_timeout_micros());
     to.omitsDefaultHeaders = from.omits_default_headers();
     return to;
 }
@@ -776,7 +791,7 @@
     case wire::PeerMessage::kClaimRequest: {
         const wire::ClaimRequest &claim = from.claim_request();
         to.content = ClaimRequest{read(claim.claimant()), read(claim.key()), read(claim.digest()),
-                                  microseconds(claim.patience_micros())};
+                                  fromMicros(claim.patience_micros())};
         return true;
     }
     case wire::PeerMessage::kClaimDecision: {
--- a/lib/Kernel/piecegraph.cpp
+++ b/lib/Kernel/piecegraph.cpp
@@ -107,24 +107,32 @@
     return ready;
 }
 
+/// Returns the piece at \p index, which a peer may have stated; nullptr if there is none.
+PieceGraph::Piece *PieceGraph::find(PieceIndex index)
+{
+    const bool exists =
+        index.stage < m_stages.size() && index.piece < m_stages[index.stage].pieces.size();
+    return exists ? &m_stages[index.stage].pieces[index.piece] : nullptr;
+}
+
 bool PieceGraph::markCompleted(PieceIndex index, const std::string &handle,
                                const std::string &dataCentre)
 {
-    Piece &piece = m_stages.at(index.stage).pieces.at(index.piece);
-    if (piece.state == State::Completed) {
+    Piece *piece = find(index);
+    if (piece == nullptr || piece->state == State::Completed) {
         return false;
     }
-    piece.state = State::Completed;
-    piece.handle = handle;
-    piece.dataCentre = dataCentre;
+    piece->state = State::Completed;
+    piece->handle = handle;
+    piece->dataCentre = dataCentre;
     return true;
 }
 
 void PieceGraph::reschedule(PieceIndex index)
 {
-    Piece &piece = m_stages.at(index.stage).pieces.at(index.piece);
-    if (piece.state == State::Scheduled) {
-        piece.state = State::Waiting;
+    Piece *piece = find(index);
+    if (piece != nullptr && piece->state == State::Scheduled) {
+        piece->state = State::Waiting;
     }
 }
 
@@ -142,7 +150,10 @@
 
 void PieceGraph::recomputeInputs(std::uint32_t stage)
 {
-    for (const std::uint32_t before : m_stages.at(stage).spec.after) {
+    if (stage >= m_stages.size()) {
+        return;
+    }
+    for (const std::uint32_t before : m_stages[stage].spec.after) {
         recompute(before);
     }
 }
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -2,10 +2,13 @@
 
 #include "harelink/Adapters/peerlink.h"
 
+#include "harelink.pb.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <fmt/format.h>
 
+#include <limits>
 #include <thread>
 
 using namespace harelink;
@@ -217,13 +220,14 @@
     CHECK(receiver.listen("127.0.0.1:0").ok());
     PeerLink sender;
     TimePoint now{};
-    for (const char *address : {"x", "", "1.2.3.4", "1.2.3.4:port"}) {
+    for (const char *address : {"x", "", "1.2.3.4", "1.2.3.4:port", "localhost:80", "127.0.0.1:0",
+                                "127.0.0.1:1;127.0.0.1:2"}) {
         PeerSend send;
         send.address = address;
         send.message = {"h1", 1, Heartbeat{}};
         sender.send(send, now);
     }
-    LONGS_EQUAL(4, sender.counters().dropped);
+    LONGS_EQUAL(7, sender.counters().dropped);
     PeerSend send;
     send.address = fmt::format("127.0.0.1:{}", receiver.port());
     send.message = {"h1", 1, Heartbeat{}};
@@ -239,6 +243,34 @@
     CHECK(message.has_value());
 }
 
+TEST(PeerLink, NumbersOfPeersAreBounded)
+{
+    constexpr std::int64_t largest = std::numeric_limits<std::int64_t>::max();
+    wire::PeerMessage message;
+    message.set_host("h2");
+    wire::Heartbeat &sent = *message.mutable_heartbeat();
+    sent.set_capacity(std::numeric_limits<float>::infinity());
+    sent.add_usage()->set_micros(largest);
+    wire::EndpointLimit &limit = *sent.add_limits();
+    limit.set_per_second(1);
+    limit.set_stated_micros_ago(largest);
+    sent.add_limits()->set_per_second(std::numeric_limits<double>::infinity());
+    wire::PieceBacklog &backlog = *sent.add_backlogs();
+    backlog.set_free_in_micros(-largest);
+    backlog.set_slowness(std::numeric_limits<float>::quiet_NaN());
+    backlog.set_correction(1e30F);
+    const std::optional<PeerMessage> decoded = decodePeerMessage(message.SerializeAsString());
+    const auto &heartbeat = std::get<Heartbeat>(decoded->content);
+    constexpr std::chrono::hours year{24 * 365};
+    DOUBLES_EQUAL(1, heartbeat.capacity, 0);
+    CHECK(heartbeat.usage[0].time == year);
+    LONGS_EQUAL(1, heartbeat.limits.size());
+    CHECK(heartbeat.limits[0].age == year);
+    CHECK(heartbeat.backlogs[0].freeIn == -year);
+    DOUBLES_EQUAL(0, heartbeat.backlogs[0].slowness, 0);
+    CHECK(heartbeat.backlogs[0].correction <= 10'000);
+}
+
 TEST(PeerLink, CrashReportsSurviveEncoding)
 {
     CrashReports reports;
--- a/unittests/Kernel/piecegraphtest.cpp
+++ b/unittests/Kernel/piecegraphtest.cpp
@@ -129,3 +129,14 @@
     LONGS_EQUAL(0, graph.takeUpcoming(0).size());
     LONGS_EQUAL(5, graph.takeUpcoming(1).at(0).pieces);
 }
+
+TEST(PieceGraph, ResultsOfPiecesThatDoNotExistAreIgnored)
+{
+    PieceGraph graph(sequence, {2, 1, 1});
+    for (const PieceIndex index : {PieceIndex{3, 0}, PieceIndex{0, 2}, PieceIndex{0xffffffff, 0}}) {
+        CHECK_FALSE(graph.markCompleted(index, "x"));
+        graph.reschedule(index);
+    }
+    graph.recomputeInputs(3);
+    LONGS_EQUAL(2, graph.scheduleReady().size());
+}
