[Plugins] Answers of endpoints with other types end no daemon

Cause: In the own dialect a "finish_reason" that is null or a number threw in the worker's thread, and bodies of callers were copied and dumped recursively however deeply they were nested.

--- a/lib/Daemon/callerapi.cpp
+++ b/lib/Daemon/callerapi.cpp
@@ -3,6 +3,7 @@
 #include "harelink/Daemon/callerapi.h"
 
 #include "harelink/Adapters/eventstream.h"
+#include "harelink/Config/jsontext.h"
 #include "harelink/Support/error.h"
 
 #include <array>
@@ -92,11 +93,6 @@
     return 500;
 }
 
-std::string toJsonLine(const nlohmann::json &value)
-{
-    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 std::string formatStageCosts(const std::vector<StageCost> &costs)
 {
     std::string text;
@@ -138,8 +134,9 @@
     if (!deadline.ok()) {
         return deadline;
     }
-    if (!nlohmann::json::accept(request.body)) {
-        return badRequest("the body is not valid json");
+    if (!nlohmann::json::accept(request.body) || isNestedTooDeeply(request.body)) {
+        return badRequest(
+            fmt::format("the body is not valid json, or nested deeper than {}", maxJsonDepth));
     }
     const std::string authorization = request.header("authorization");
     if (authorization.compare(0, bearerPrefix.size(), bearerPrefix) == 0) {
@@ -163,7 +160,7 @@
     HttpReply reply;
     reply.status = status;
     reply.contentType = "application/problem+json";
-    reply.body = toJsonLine(problem);
+    reply.body = dumpJson(problem);
     return reply;
 }
 
@@ -180,7 +177,7 @@
 {
     const nlohmann::json data = {{"token", chunk.firstToken}, {"text", chunk.text}};
     HttpReply reply;
-    reply.body = formatEvent("token", toJsonLine(data));
+    reply.body = formatEvent("token", dumpJson(data));
     reply.more = true;
     return reply;
 }
@@ -198,15 +195,15 @@
         data["peer"] = errorPeer(answer.error);
     }
     HttpReply reply;
-    reply.body = formatEvent("outcome", toJsonLine(data));
+    reply.body = formatEvent("outcome", dumpJson(data));
     return reply;
 }
 
 HttpReply makeCompleteStream(const AnswerCaller &answer)
 {
     HttpReply reply = makeCallerReply(answer);
-    const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
-    const std::string whole = toJsonLine(body.is_discarded() ? nlohmann::json(answer.body) : body);
+    const nlohmann::json body = parseJsonText(answer.body);
+    const std::string whole = dumpJson(body.is_discarded() ? nlohmann::json(answer.body) : body);
     reply.contentType = std::string(eventStreamType);
     reply.body = formatEvent("answer", whole) + makeStreamEnd(answer).body;
     return reply;
--- a/lib/Plugins/stageprotocols.cpp
+++ b/lib/Plugins/stageprotocols.cpp
@@ -8,6 +8,7 @@
 //===----------------------------------------------------------------------===//
 
 #include "harelink/Adapters/stageprotocol.h"
+#include "harelink/Config/jsontext.h"
 #include "harelink/Kernel/registry.h"
 #include "harelink/Support/error.h"
 
@@ -23,7 +24,7 @@
 /// Parses \p text as JSON; returns it as a JSON string if it is not JSON.
 nlohmann::json asJson(const std::string &text)
 {
-    nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false);
+    nlohmann::json parsed = parseJsonText(text);
     return parsed.is_discarded() ? nlohmann::json(text) : parsed;
 }
 
@@ -33,11 +34,6 @@
                      "the answer is not of the protocol");
 }
 
-std::string dump(const nlohmann::json &value)
-{
-    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 class ModelEngine final : public StageProtocol
 {
 public:
@@ -57,7 +53,7 @@
             body["stream"] = true;
             resume(stage, body);
         }
-        call.body = dump(body);
+        call.body = dumpJson(body);
     }
     [[nodiscard]] bool streams() const override { return true; }
     absl::StatusOr<StreamEvent> decodeEvent(const std::string &data) const override
@@ -67,7 +63,7 @@
             event.isLast = true;
             return event;
         }
-        const nlohmann::json answer = nlohmann::json::parse(data, nullptr, false);
+        const nlohmann::json answer = parseJsonText(data);
         const nlohmann::json *choice = firstChoice(answer);
         if (choice == nullptr || !choice->contains("text") || !(*choice)["text"].is_string()) {
             return decodeError();
@@ -77,21 +73,21 @@
     }
     [[nodiscard]] std::string wholeAnswer(const std::string &text) const override
     {
-        return dump(text);
+        return dumpJson(text);
     }
     absl::StatusOr<std::string> decode(const std::string &body) const override
     {
-        const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+        const nlohmann::json answer = parseJsonText(body);
         const nlohmann::json *choice = firstChoice(answer);
         if (choice == nullptr || !choice->contains("text") || !(*choice)["text"].is_string()) {
             return decodeError();
         }
         // A completion that ended for another reason is incomplete.
-        const std::string reason = choice->value("finish_reason", "");
-        if (reason != "stop" && reason != "length") {
+        const auto reason = choice->find("finish_reason");
+        if (reason == choice->end() || (*reason != "stop" && *reason != "length")) {
             return decodeError();
         }
-        return dump((*choice)["text"]);
+        return dumpJson((*choice)["text"]);
     }
 
 private:
@@ -101,7 +97,8 @@
     {
         body["prompt"] = body["prompt"].get<std::string>() + stage.textDelivered;
         if (body["max_tokens"].is_number_integer()) {
-            const auto tokenLimit = body["max_tokens"].get<std::int64_t>();
+            const auto tokenLimit =
+                std::max<std::int64_t>(0, body["max_tokens"].get<std::int64_t>());
             const auto delivered = static_cast<std::int64_t>(stage.tokensDelivered);
             body["max_tokens"] = std::max<std::int64_t>(0, tokenLimit - delivered);
         }
@@ -126,15 +123,15 @@
         if (!stage.previous.empty()) {
             body["previous"] = asJson(stage.previous);
         }
-        call.body = dump(body);
+        call.body = dumpJson(body);
     }
     absl::StatusOr<std::string> decode(const std::string &body) const override
     {
-        const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+        const nlohmann::json answer = parseJsonText(body);
         if (!answer.is_object() || !answer.contains("output")) {
             return decodeError();
         }
-        return dump(answer["output"]);
+        return dumpJson(answer["output"]);
     }
 };
 
--- a/unittests/Daemon/callerapitest.cpp
+++ b/unittests/Daemon/callerapitest.cpp
@@ -1,7 +1,10 @@
 //===- callerapitest.cpp - Tests of the HTTP API for callers --------------===//
 
 #include "harelink/Daemon/callerapi.h"
+
 #include "harelink/Adapters/eventstream.h"
+#include "harelink/Adapters/stageprotocol.h"
+#include "harelink/Kernel/registry.h"
 #include "harelink/Support/error.h"
 
 #include <nlohmann/json.hpp>
@@ -160,3 +163,27 @@
     STRCMP_CONTAINS("completed", reader.next().value_or("").c_str());
     CHECK(!reader.next());
 }
+
+TEST(CallerApi, RejectsABodyThatIsNestedTooDeeply)
+{
+    constexpr std::size_t nesting = 100'000;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/pipelines/record/requests";
+    request.headers["harelink-account"] = "lab";
+    request.body = "{}";
+    CHECK(readCallerRequest(request).ok());
+    request.body = std::string(nesting, '[') + std::string(nesting, ']');
+    CHECK_FALSE(readCallerRequest(request).ok());
+}
+
+TEST(CallerApi, AnswersOfEndpointsWithOtherTypesAreErrors)
+{
+    const auto protocol = Registry<StageProtocol>::instance().make("model-engine");
+    for (const char *reason : {"null", "7", "[]", "{}", "\"error\""}) {
+        const std::string body =
+            std::string(R"({"choices":[{"text":"x","finish_reason":)") + reason + "}]}";
+        CHECK_FALSE_TEXT(protocol->decode(body).ok(), reason);
+    }
+    CHECK(protocol->decode(R"({"choices":[{"text":"x","finish_reason":"stop"}]})").ok());
+}
