--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -169,7 +169,7 @@
     std::vector<std::uint32_t> buckets; ///< To which the entries are limited; empty for all.
     bool endsPage = false;              ///< Ends the reply to bucket hashes.
     bool more = false;                  ///< With endsPage: further buckets differ.
-    bool complete = false; ///< The sender has a whole configuration.
+    bool complete = false;              ///< The sender has a whole configuration.
 };
 
 /// Messages that concern pieces; the control forwards them unread.
