--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -464,8 +464,8 @@
     std::map<std::string, ClientTimeoutModel> m_clientTimeouts; ///< By pipeline.
     /// By pipeline: ratio of real to predicted time.
     std::map<std::string, FadingRatio> m_forecastBias;
-    TimePoint m_crowdedAt = TimePoint::min();           ///< When the host was last overloaded.
-    std::map<std::string, ReturnSlots> m_returnSlots;   ///< By pipeline.
+    TimePoint m_crowdedAt = TimePoint::min();         ///< When the host was last overloaded.
+    std::map<std::string, ReturnSlots> m_returnSlots; ///< By pipeline.
     std::size_t m_lateAdmissions = 0; ///< Requests in progress that were admitted late.
     RecentRefusals m_refusals;        ///< Of requests that were predicted to be late.
     absl::flat_hash_map<std::uint64_t, std::unique_ptr<Request>> m_requests;
--- a/unittests/Kernel/requestdigesttest.cpp
+++ b/unittests/Kernel/requestdigesttest.cpp
@@ -69,6 +69,7 @@
 {
     ProxiedFixture fixture;
     fixture.arrive("/record/1");
-    fixture.fail(fixture.sends.at(0), SendEvidence::Sent, ProxiedAnswer{500, {}, "", AnswerFraming::Length});
+    fixture.fail(fixture.sends.at(0), SendEvidence::Sent,
+                 ProxiedAnswer{500, {}, "", AnswerFraming::Length});
     LONGS_EQUAL(0, fixture.broken.size());
 }
