[Test] Close the test before the next one

Cause: A brace was lost when two tests were joined. Change: The brace, and the indentation that followed from it. Measured: The file compiles (build of the unit tests).

--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -468,327 +468,327 @@
     CHECK(fixture.events.back().head->framing == AnswerFraming::Chunks);
     fixture.endUnframed(fixture.sends.back());
     CHECK(fixture.answers.back().outcome == Outcome::Unknown);
+}
 
-    // Confirming the answers of endpoints that never mark an end used up the retries for failures.
-    TEST(Proxied, AnswersOfEndpointsThatNeverMarkTheirEndAreNotConfirmedAgainAndAgain)
-    {
-        ProxiedFixture fixture;
-        fixture.advance(std::chrono::seconds(20)); // No retries are allowed just after the start.
-        for (std::size_t i = 1; i <= 300; ++i) {
-            fixture.arrive("/read/1");
-            while (fixture.answers.size() < i) {
-                fixture.answerUnframed(fixture.sends.back(), "whole");
-            }
-            CHECK(fixture.answers.back().outcome == Outcome::Completed);
-            CHECK(fixture.answers.back().proxied->framing == AnswerFraming::Connection);
-            fixture.advance(milliseconds(10));
-        }
-        CHECK(fixture.sends.size() > 300);
-        CHECK_TEXT(fixture.sends.size() <= 300 + 3 * 3,
-                   std::to_string(fixture.sends.size()).c_str());
-        // What is known fades, and one answer in ten is no habit.
-        fixture.advance(std::chrono::seconds(60));
-        for (int i = 0; i < 30; ++i) {
-            fixture.arrive("/read/1");
-            fixture.answer(fixture.sends.back());
+// Confirming the answers of endpoints that never mark an end used up the retries for failures.
+TEST(Proxied, AnswersOfEndpointsThatNeverMarkTheirEndAreNotConfirmedAgainAndAgain)
+{
+    ProxiedFixture fixture;
+    fixture.advance(std::chrono::seconds(20)); // No retries are allowed just after the start.
+    for (std::size_t i = 1; i <= 300; ++i) {
+        fixture.arrive("/read/1");
+        while (fixture.answers.size() < i) {
+            fixture.answerUnframed(fixture.sends.back(), "whole");
         }
-        const std::size_t sends = fixture.sends.size();
+        CHECK(fixture.answers.back().outcome == Outcome::Completed);
+        CHECK(fixture.answers.back().proxied->framing == AnswerFraming::Connection);
+        fixture.advance(milliseconds(10));
+    }
+    CHECK(fixture.sends.size() > 300);
+    CHECK_TEXT(fixture.sends.size() <= 300 + 3 * 3, std::to_string(fixture.sends.size()).c_str());
+    // What is known fades, and one answer in ten is no habit.
+    fixture.advance(std::chrono::seconds(60));
+    for (int i = 0; i < 30; ++i) {
         fixture.arrive("/read/1");
-        fixture.answerUnframed(fixture.sends.back(), "part");
-        LONGS_EQUAL(sends + 2, fixture.sends.size());
+        fixture.answer(fixture.sends.back());
     }
+    const std::size_t sends = fixture.sends.size();
+    fixture.arrive("/read/1");
+    fixture.answerUnframed(fixture.sends.back(), "part");
+    LONGS_EQUAL(sends + 2, fixture.sends.size());
+}
 
-    // Pieces ----------------------------------------------------------------------
-
-    TEST(Proxied, SendsTheRequestWithTheResultsOfItsPieces)
-    {
-        ProxiedFixture fixture;
-        fixture.arrive("/brief/1", "key-1", {2, 1});
-        CHECK(fixture.sends.empty());
-        LONGS_EQUAL(1, fixture.orders.size());
-        LONGS_EQUAL(2, fixture.orders[0].orders.size());
-        STRCMP_EQUAL("piece-key", fixture.orders[0].orders[0].key.c_str());
-        fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
-        fixture.pieceEnded(fixture.orders[0].orders[1].id, "b");
-        LONGS_EQUAL(2, fixture.orders.size());
-        const PieceOrder &second = fixture.orders[1].orders[0];
-        LONGS_EQUAL(2, second.inputs.size());
-        STRCMP_EQUAL("", second.key.c_str());
-        fixture.pieceEnded(second.id, "c");
-        // The results that only the second stage needed are kept until the answer.
-        LONGS_EQUAL(0, fixture.frees.size());
-        LONGS_EQUAL(1, fixture.sends.size());
-        LONGS_EQUAL(1, fixture.sends[0].inputs.size());
-        STRCMP_EQUAL("c", fixture.sends[0].inputs[0].c_str());
-        fixture.answer(fixture.sends[0]);
-        LONGS_EQUAL(1, fixture.frees.size());
-        LONGS_EQUAL(3, fixture.frees[0].handles.size());
-    }
+// Pieces ----------------------------------------------------------------------
 
-    TEST(Proxied, SkipsAStageWithoutPieces)
-    {
-        ProxiedFixture fixture;
-        fixture.arrive("/brief/1", "key-1", {0, 0});
-        LONGS_EQUAL(1, fixture.sends.size());
-        CHECK(fixture.sends[0].inputs.empty());
-    }
+TEST(Proxied, SendsTheRequestWithTheResultsOfItsPieces)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/brief/1", "key-1", {2, 1});
+    CHECK(fixture.sends.empty());
+    LONGS_EQUAL(1, fixture.orders.size());
+    LONGS_EQUAL(2, fixture.orders[0].orders.size());
+    STRCMP_EQUAL("piece-key", fixture.orders[0].orders[0].key.c_str());
+    fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
+    fixture.pieceEnded(fixture.orders[0].orders[1].id, "b");
+    LONGS_EQUAL(2, fixture.orders.size());
+    const PieceOrder &second = fixture.orders[1].orders[0];
+    LONGS_EQUAL(2, second.inputs.size());
+    STRCMP_EQUAL("", second.key.c_str());
+    fixture.pieceEnded(second.id, "c");
+    // The results that only the second stage needed are kept until the answer.
+    LONGS_EQUAL(0, fixture.frees.size());
+    LONGS_EQUAL(1, fixture.sends.size());
+    LONGS_EQUAL(1, fixture.sends[0].inputs.size());
+    STRCMP_EQUAL("c", fixture.sends[0].inputs[0].c_str());
+    fixture.answer(fixture.sends[0]);
+    LONGS_EQUAL(1, fixture.frees.size());
+    LONGS_EQUAL(3, fixture.frees[0].handles.size());
+}
 
-    TEST(Proxied, RecomputesLostInputs)
-    {
-        ProxiedFixture fixture;
-        fixture.arrive("/brief/1", "key-1", {2, 1});
-        fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
-        fixture.pieceEnded(fixture.orders[0].orders[1].id, "b");
-        fixture.pieceEnded(fixture.orders[1].orders[0].id, "", PieceFault::InputGone);
-        LONGS_EQUAL(3, fixture.orders.size());
-        LONGS_EQUAL(2, fixture.orders[2].orders.size());
-        CHECK(fixture.answers.empty());
-    }
+TEST(Proxied, SkipsAStageWithoutPieces)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/brief/1", "key-1", {0, 0});
+    LONGS_EQUAL(1, fixture.sends.size());
+    CHECK(fixture.sends[0].inputs.empty());
+}
 
-    TEST(Proxied, FailedPieceFailsTheRequestBeforeItRuns)
-    {
-        ProxiedFixture fixture;
-        fixture.arrive("/brief/1", "key-1", {2, 1});
-        fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
-        fixture.pieceEnded(fixture.orders[0].orders[1].id, "", PieceFault::Failed);
-        CHECK(fixture.answers[0].outcome == Outcome::NotRun);
-        LONGS_EQUAL(1, fixture.withdrawals.size());
-        STRCMP_EQUAL("a", fixture.frees[0].handles[0].c_str());
-    }
+TEST(Proxied, RecomputesLostInputs)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/brief/1", "key-1", {2, 1});
+    fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
+    fixture.pieceEnded(fixture.orders[0].orders[1].id, "b");
+    fixture.pieceEnded(fixture.orders[1].orders[0].id, "", PieceFault::InputGone);
+    LONGS_EQUAL(3, fixture.orders.size());
+    LONGS_EQUAL(2, fixture.orders[2].orders.size());
+    CHECK(fixture.answers.empty());
+}
 
-    TEST(Proxied, ReleasesALateResult)
-    {
-        ProxiedFixture fixture;
-        const RequestId id = fixture.arrive("/brief/1", "key-1", {1, 0});
-        fixture.machine.handle(CallerGone{id}, *fixture.snapshot);
-        fixture.collect();
-        fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
-        LONGS_EQUAL(1, fixture.frees.size());
-        STRCMP_EQUAL("a", fixture.frees[0].handles[0].c_str());
-    }
+TEST(Proxied, FailedPieceFailsTheRequestBeforeItRuns)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/brief/1", "key-1", {2, 1});
+    fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
+    fixture.pieceEnded(fixture.orders[0].orders[1].id, "", PieceFault::Failed);
+    CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    LONGS_EQUAL(1, fixture.withdrawals.size());
+    STRCMP_EQUAL("a", fixture.frees[0].handles[0].c_str());
+}
 
-    TEST(Proxied, ReleasesResultsAtTheFirstEventEvenIfResumable)
-    {
-        ProxiedFixture fixture;
-        fixture.arrive("/talk/pieces/1", "key-1", {1});
-        fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
-        fixture.event(fixture.sends[0], 1);
-        LONGS_EQUAL(1, fixture.frees.size());
-        STRCMP_EQUAL("a", fixture.frees[0].handles[0].c_str());
-        fixture.answer(fixture.sends[0]);
-        LONGS_EQUAL(1, fixture.frees.size());
-        CHECK(fixture.answers[0].outcome == Outcome::Completed);
-    }
+TEST(Proxied, ReleasesALateResult)
+{
+    ProxiedFixture fixture;
+    const RequestId id = fixture.arrive("/brief/1", "key-1", {1, 0});
+    fixture.machine.handle(CallerGone{id}, *fixture.snapshot);
+    fixture.collect();
+    fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
+    LONGS_EQUAL(1, fixture.frees.size());
+    STRCMP_EQUAL("a", fixture.frees[0].handles[0].c_str());
+}
 
-    TEST(Proxied, ResumedStreamRecomputesItsResults)
-    {
-        // The stream breaks after the initial preparation deadline of its pieces.
-        ProxiedFixture fixture;
-        fixture.arrive("/talk/pieces/1", "key-1", {1});
-        fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
-        fixture.event(fixture.sends[0], 1);
-        fixture.advance(milliseconds(2000));
-        fixture.fail(fixture.sends[0], SendEvidence::Sent);
-        LONGS_EQUAL(1, fixture.sends.size());
-        LONGS_EQUAL(2, fixture.orders.size());
-        CHECK(fixture.orders[1].orders[0].untilDeadline > milliseconds(1000));
-        fixture.advance(milliseconds(200));
-        CHECK(fixture.answers.empty());
-        fixture.pieceEnded(fixture.orders[1].orders[0].id, "b");
-        LONGS_EQUAL(2, fixture.sends.size());
-        STRCMP_EQUAL("b", fixture.sends[1].inputs[0].c_str());
-        LONGS_EQUAL(1, fixture.sends[1].resumeAfter.value());
-        fixture.event(fixture.sends[1], 2);
-        fixture.answer(fixture.sends[1]);
-        CHECK(fixture.answers[0].outcome == Outcome::Completed);
-        LONGS_EQUAL(2, fixture.frees.size());
-    }
+TEST(Proxied, ReleasesResultsAtTheFirstEventEvenIfResumable)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/talk/pieces/1", "key-1", {1});
+    fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
+    fixture.event(fixture.sends[0], 1);
+    LONGS_EQUAL(1, fixture.frees.size());
+    STRCMP_EQUAL("a", fixture.frees[0].handles[0].c_str());
+    fixture.answer(fixture.sends[0]);
+    LONGS_EQUAL(1, fixture.frees.size());
+    CHECK(fixture.answers[0].outcome == Outcome::Completed);
+}
 
-    // Admission -------------------------------------------------------------------
+TEST(Proxied, ResumedStreamRecomputesItsResults)
+{
+    // The stream breaks after the initial preparation deadline of its pieces.
+    ProxiedFixture fixture;
+    fixture.arrive("/talk/pieces/1", "key-1", {1});
+    fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
+    fixture.event(fixture.sends[0], 1);
+    fixture.advance(milliseconds(2000));
+    fixture.fail(fixture.sends[0], SendEvidence::Sent);
+    LONGS_EQUAL(1, fixture.sends.size());
+    LONGS_EQUAL(2, fixture.orders.size());
+    CHECK(fixture.orders[1].orders[0].untilDeadline > milliseconds(1000));
+    fixture.advance(milliseconds(200));
+    CHECK(fixture.answers.empty());
+    fixture.pieceEnded(fixture.orders[1].orders[0].id, "b");
+    LONGS_EQUAL(2, fixture.sends.size());
+    STRCMP_EQUAL("b", fixture.sends[1].inputs[0].c_str());
+    LONGS_EQUAL(1, fixture.sends[1].resumeAfter.value());
+    fixture.event(fixture.sends[1], 2);
+    fixture.answer(fixture.sends[1]);
+    CHECK(fixture.answers[0].outcome == Outcome::Completed);
+    LONGS_EQUAL(2, fixture.frees.size());
+}
 
-    TEST(Proxied, RefusesBeforeOrderingIfTheDeadlineCannotBeMet)
-    {
-        ProxiedFixture fixture;
-        fixture.snapshot->pool("pieces")->pieceLoad->waiting[0] = 200;
-        fixture.arrive("/brief/1", "key-1", {2, 1});
-        CHECK(fixture.orders.empty());
-        CHECK(fixture.answers[0].reason == Reason::CannotFinish);
-        CHECK(fixture.answers[0].outcome == Outcome::NotRun);
-        // The 200 pieces queued before it, in calls of four at one endpoint, take 9.5 s; the retry
-        // delay is limited to 5 s.
-        CHECK(fixture.answers[0].retryAfter == milliseconds(5000));
-    }
+// Admission -------------------------------------------------------------------
 
-    TEST(Proxied, FailsEarlyIfPiecesAreNotCompletedInTime)
-    {
-        // Objective 1000 ms, deadline 4000 ms: its pieces are not completed, so the request fails
-        // long before its deadline and its pieces are cancelled.
-        ProxiedFixture fixture;
-        fixture.arrive("/brief/1", "key-1", {2, 1});
-        fixture.advance(milliseconds(1400));
-        CHECK(fixture.answers.empty());
-        fixture.advance(milliseconds(200));
-        LONGS_EQUAL(1, fixture.answers.size());
-        CHECK(fixture.answers[0].outcome == Outcome::NotRun);
-        LONGS_EQUAL(1, fixture.withdrawals.size());
-    }
+TEST(Proxied, RefusesBeforeOrderingIfTheDeadlineCannotBeMet)
+{
+    ProxiedFixture fixture;
+    fixture.snapshot->pool("pieces")->pieceLoad->waiting[0] = 200;
+    fixture.arrive("/brief/1", "key-1", {2, 1});
+    CHECK(fixture.orders.empty());
+    CHECK(fixture.answers[0].reason == Reason::CannotFinish);
+    CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    // The 200 pieces queued before it, in calls of four at one endpoint, take 9.5 s; the retry
+    // delay is limited to 5 s.
+    CHECK(fixture.answers[0].retryAfter == milliseconds(5000));
+}
 
-    TEST(Proxied, AdmitsAFewLateRequestsAtTheLowestPriority)
-    {
-        ProxiedFixture fixture;
-        // A call takes 1.28 s; the objective is 1 s.
-        fixture.snapshot->pool("pieces")->pieceLoad->slownessPercent = 800;
-        for (int i = 0; i < 10; ++i) {
-            fixture.arrive("/brief/1", "key-1", {1, 0});
-        }
-        CHECK(!fixture.orders.empty());
-        CHECK(!fixture.answers.empty());
-        for (const OrderPieces &order : fixture.orders) {
-            LONGS_EQUAL(priorityClassCount - 1, priorityClass(order.orders[0].priority));
-        }
-    }
+TEST(Proxied, FailsEarlyIfPiecesAreNotCompletedInTime)
+{
+    // Objective 1000 ms, deadline 4000 ms: its pieces are not completed, so the request fails
+    // long before its deadline and its pieces are cancelled.
+    ProxiedFixture fixture;
+    fixture.arrive("/brief/1", "key-1", {2, 1});
+    fixture.advance(milliseconds(1400));
+    CHECK(fixture.answers.empty());
+    fixture.advance(milliseconds(200));
+    LONGS_EQUAL(1, fixture.answers.size());
+    CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    LONGS_EQUAL(1, fixture.withdrawals.size());
+}
 
-    TEST(Proxied, LateAdmissionsDoNotGrowWithTheNumberOfDaemons)
-    {
-        // At 360 daemons, each admits a late request with a probability of one in ten.
-        const auto admittedLate = [](int daemons) {
-            int admitted = 0;
-            for (int daemon = 0; daemon < 40; ++daemon) {
-                ProxiedFixture fixture(3, daemons, static_cast<std::uint64_t>(daemon));
-                fixture.snapshot->pool("pieces")->pieceLoad->slownessPercent = 800;
-                fixture.arrive("/brief/1", "key-1", {1, 0});
-                admitted += fixture.orders.empty() ? 0 : 1;
-            }
-            return admitted;
-        };
-        LONGS_EQUAL(40, admittedLate(9));
-        const int admittedByMany = admittedLate(360);
-        CHECK(admittedByMany > 0);
-        CHECK(admittedByMany < 12);
+TEST(Proxied, AdmitsAFewLateRequestsAtTheLowestPriority)
+{
+    ProxiedFixture fixture;
+    // A call takes 1.28 s; the objective is 1 s.
+    fixture.snapshot->pool("pieces")->pieceLoad->slownessPercent = 800;
+    for (int i = 0; i < 10; ++i) {
+        fixture.arrive("/brief/1", "key-1", {1, 0});
     }
-
-    TEST(Proxied, OverloadOfThisHostIsNotLearnedAsSlownessOfPools)
-    {
-        // A request is predicted to take 0.5 s and takes 0.9 s, a hundred times; the objective is 1
-        // s.
-        const auto isAdmittedAfterSlowAnswers = [](bool isCrowded) {
-            ProxiedFixture fixture;
-            fixture.isCrowded = isCrowded;
-            PieceLoad &load = *fixture.snapshot->pool("pieces")->pieceLoad;
-            load.slownessPercent = 300;
-            load.waiting[2] = 40; // Leaves no slots for late admissions.
-            for (int i = 0; i < 100 && fixture.answers.size() == fixture.sends.size(); ++i) {
-                fixture.arrive("/talk/pieces/1", "key-1", {1});
-                fixture.advance(milliseconds(450));
-                fixture.advance(milliseconds(450));
-                fixture.pieceEnded(fixture.orders.back().orders[0].id, "a");
-                fixture.event(fixture.sends.back(), 1);
-                fixture.answer(fixture.sends.back());
-            }
-            fixture.isCrowded = false;
-            fixture.advance(milliseconds(100));
-            const std::size_t before = fixture.orders.size();
-            fixture.arrive("/talk/pieces/1", "key-1", {1});
-            return fixture.orders.size() > before;
-        };
-        CHECK(isAdmittedAfterSlowAnswers(true));
-        CHECK_FALSE(isAdmittedAfterSlowAnswers(false));
+    CHECK(!fixture.orders.empty());
+    CHECK(!fixture.answers.empty());
+    for (const OrderPieces &order : fixture.orders) {
+        LONGS_EQUAL(priorityClassCount - 1, priorityClass(order.orders[0].priority));
     }
+}
 
-    TEST(Proxied, AdmitsNoLateRequestIfOthersWaitForItsSlots)
-    {
-        // The next calls of two endpoints have space for eight pieces.
-        const auto isAdmitted = [](int waiting) {
-            ProxiedFixture fixture;
+TEST(Proxied, LateAdmissionsDoNotGrowWithTheNumberOfDaemons)
+{
+    // At 360 daemons, each admits a late request with a probability of one in ten.
+    const auto admittedLate = [](int daemons) {
+        int admitted = 0;
+        for (int daemon = 0; daemon < 40; ++daemon) {
+            ProxiedFixture fixture(3, daemons, static_cast<std::uint64_t>(daemon));
             fixture.snapshot->pool("pieces")->pieceLoad->slownessPercent = 800;
-            fixture.snapshot->pool("pieces")->pieceLoad->waiting[2] = waiting;
-            fixture.snapshot->pool("pieces")->pieceLoad->endpoints = 2;
             fixture.arrive("/brief/1", "key-1", {1, 0});
-            return fixture.answers.empty();
-        };
-        CHECK(isAdmitted(3));
-        CHECK_FALSE(isAdmitted(4));
-        CHECK_FALSE(isAdmitted(40));
-    }
-
-    TEST(Proxied, RetriesRunAfterRequestsThatCanMeetTheirObjective)
-    {
-        // The objective is 1 s. The last caller retries 1.2 s after its first attempt.
-        ProxiedFixture fixture;
-        for (int i = 0; i < 10; ++i) {
-            fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(4000));
+            admitted += fixture.orders.empty() ? 0 : 1;
         }
-        fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(2800));
-        LONGS_EQUAL(11, fixture.orders.size());
-        LONGS_EQUAL(0, fixture.orders[9].orders[0].priority);
-        LONGS_EQUAL(priorityClassCount - 1, priorityClass(fixture.orders[10].orders[0].priority));
-        // If slots are scarce, it is refused immediately.
-        fixture.snapshot->pool("pieces")->pieceLoad->waiting[0] = 4;
-        fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(2800));
-        LONGS_EQUAL(1, fixture.answers.size());
-        CHECK(fixture.answers[0].outcome == Outcome::NotRun);
-        fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(4000));
-        LONGS_EQUAL(12, fixture.orders.size());
-    }
+        return admitted;
+    };
+    LONGS_EQUAL(40, admittedLate(9));
+    const int admittedByMany = admittedLate(360);
+    CHECK(admittedByMany > 0);
+    CHECK(admittedByMany < 12);
+}
 
-    TEST(Proxied, PromptsWithASharedPrefixUseOneEngine)
-    {
+TEST(Proxied, OverloadOfThisHostIsNotLearnedAsSlownessOfPools)
+{
+    // A request is predicted to take 0.5 s and takes 0.9 s, a hundred times; the objective is 1
+    // s.
+    const auto isAdmittedAfterSlowAnswers = [](bool isCrowded) {
         ProxiedFixture fixture;
-        for (int i = 0; i < 6; ++i) {
-            fixture.arrive("/say/1", "key-1", {}, 4000);
+        fixture.isCrowded = isCrowded;
+        PieceLoad &load = *fixture.snapshot->pool("pieces")->pieceLoad;
+        load.slownessPercent = 300;
+        load.waiting[2] = 40; // Leaves no slots for late admissions.
+        for (int i = 0; i < 100 && fixture.answers.size() == fixture.sends.size(); ++i) {
+            fixture.arrive("/talk/pieces/1", "key-1", {1});
+            fixture.advance(milliseconds(450));
+            fixture.advance(milliseconds(450));
+            fixture.pieceEnded(fixture.orders.back().orders[0].id, "a");
             fixture.event(fixture.sends.back(), 1);
             fixture.answer(fixture.sends.back());
         }
-        for (const SendStage &send : fixture.sends) {
-            CHECK(send.endpoint == fixture.sends[0].endpoint);
-        }
-    }
+        fixture.isCrowded = false;
+        fixture.advance(milliseconds(100));
+        const std::size_t before = fixture.orders.size();
+        fixture.arrive("/talk/pieces/1", "key-1", {1});
+        return fixture.orders.size() > before;
+    };
+    CHECK(isAdmittedAfterSlowAnswers(true));
+    CHECK_FALSE(isAdmittedAfterSlowAnswers(false));
+}
 
-    TEST(Proxied, PromptAvoidsItsPreferredEndpointIfTooBusy)
-    {
+TEST(Proxied, AdmitsNoLateRequestIfOthersWaitForItsSlots)
+{
+    // The next calls of two endpoints have space for eight pieces.
+    const auto isAdmitted = [](int waiting) {
         ProxiedFixture fixture;
+        fixture.snapshot->pool("pieces")->pieceLoad->slownessPercent = 800;
+        fixture.snapshot->pool("pieces")->pieceLoad->waiting[2] = waiting;
+        fixture.snapshot->pool("pieces")->pieceLoad->endpoints = 2;
+        fixture.arrive("/brief/1", "key-1", {1, 0});
+        return fixture.answers.empty();
+    };
+    CHECK(isAdmitted(3));
+    CHECK_FALSE(isAdmitted(4));
+    CHECK_FALSE(isAdmitted(40));
+}
+
+TEST(Proxied, RetriesRunAfterRequestsThatCanMeetTheirObjective)
+{
+    // The objective is 1 s. The last caller retries 1.2 s after its first attempt.
+    ProxiedFixture fixture;
+    for (int i = 0; i < 10; ++i) {
+        fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(4000));
+    }
+    fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(2800));
+    LONGS_EQUAL(11, fixture.orders.size());
+    LONGS_EQUAL(0, fixture.orders[9].orders[0].priority);
+    LONGS_EQUAL(priorityClassCount - 1, priorityClass(fixture.orders[10].orders[0].priority));
+    // If slots are scarce, it is refused immediately.
+    fixture.snapshot->pool("pieces")->pieceLoad->waiting[0] = 4;
+    fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(2800));
+    LONGS_EQUAL(1, fixture.answers.size());
+    CHECK(fixture.answers[0].outcome == Outcome::NotRun);
+    fixture.arrive("/talk/pieces/1", "key-1", {1}, 0, milliseconds(4000));
+    LONGS_EQUAL(12, fixture.orders.size());
+}
+
+TEST(Proxied, PromptsWithASharedPrefixUseOneEngine)
+{
+    ProxiedFixture fixture;
+    for (int i = 0; i < 6; ++i) {
         fixture.arrive("/say/1", "key-1", {}, 4000);
-        const std::string preferred = fixture.sends[0].endpoint;
-        fixture.snapshot->endpoint(preferred)->load->peerPrefillBacklog = 45'000;
-        fixture.arrive("/say/1", "key-1", {}, 4000);
-        CHECK(fixture.sends[1].endpoint != preferred);
+        fixture.event(fixture.sends.back(), 1);
+        fixture.answer(fixture.sends.back());
     }
+    for (const SendStage &send : fixture.sends) {
+        CHECK(send.endpoint == fixture.sends[0].endpoint);
+    }
+}
 
-    // A retry that is paid with a loan may wait until after the loan's end. Sent then, it would
-    // exceed the whole, as the lender uses its share again.
-    TEST(Proxied, ARetryIsNotSentAfterTheEndOfItsLoan)
-    {
-        for (const bool isEnded : {false, true}) {
-            ProxiedFixture fixture(20, 100'000); // So many daemons that their shares are tiny.
-            fixture.arrive("/talk/pieces/1", "key-1", {1});
-            fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
-            fixture.event(fixture.sends[0], 1);
-            const TimePoint until = fixture.clock.now() + milliseconds(200);
-            fixture.machine.handle(RetriesBorrowed{0, "h2", "engines", 1, until, {}},
-                                   *fixture.snapshot);
-            fixture.fail(fixture.sends[0], SendEvidence::Sent);
-            LONGS_EQUAL(2, fixture.orders.size());
-            fixture.advance(milliseconds(isEnded ? 200 : 199));
-            fixture.pieceEnded(fixture.orders[1].orders[0].id, "b");
-            LONGS_EQUAL(isEnded ? 1 : 2, fixture.sends.size());
-            LONGS_EQUAL(isEnded ? 1 : 0, fixture.answers.size());
-        }
+TEST(Proxied, PromptAvoidsItsPreferredEndpointIfTooBusy)
+{
+    ProxiedFixture fixture;
+    fixture.arrive("/say/1", "key-1", {}, 4000);
+    const std::string preferred = fixture.sends[0].endpoint;
+    fixture.snapshot->endpoint(preferred)->load->peerPrefillBacklog = 45'000;
+    fixture.arrive("/say/1", "key-1", {}, 4000);
+    CHECK(fixture.sends[1].endpoint != preferred);
+}
+
+// A retry that is paid with a loan may wait until after the loan's end. Sent then, it would
+// exceed the whole, as the lender uses its share again.
+TEST(Proxied, ARetryIsNotSentAfterTheEndOfItsLoan)
+{
+    for (const bool isEnded : {false, true}) {
+        ProxiedFixture fixture(20, 100'000); // So many daemons that their shares are tiny.
+        fixture.arrive("/talk/pieces/1", "key-1", {1});
+        fixture.pieceEnded(fixture.orders[0].orders[0].id, "a");
+        fixture.event(fixture.sends[0], 1);
+        const TimePoint until = fixture.clock.now() + milliseconds(200);
+        fixture.machine.handle(RetriesBorrowed{0, "h2", "engines", 1, until, {}},
+                               *fixture.snapshot);
+        fixture.fail(fixture.sends[0], SendEvidence::Sent);
+        LONGS_EQUAL(2, fixture.orders.size());
+        fixture.advance(milliseconds(isEnded ? 200 : 199));
+        fixture.pieceEnded(fixture.orders[1].orders[0].id, "b");
+        LONGS_EQUAL(isEnded ? 1 : 2, fixture.sends.size());
+        LONGS_EQUAL(isEnded ? 1 : 0, fixture.answers.size());
     }
+}
 
-    TEST(Proxied, LendsHalfOfWhatIsUnused)
-    {
-        ProxiedFixture fixture; // One of nine daemons that share an allowance of 200.
-        std::vector<RetriesLent> lent;
-        for (const char *pool : {"engines", "engines", "unknown"}) {
-            const BudgetLoanRequest request{pool, 8, std::chrono::microseconds(5)};
-            fixture.machine.handle(LendRetries{"h2", request}, *fixture.snapshot);
-            for (RetriesLent &loan : only<RetriesLent>(fixture.machine.drainActions())) {
-                lent.push_back(std::move(loan));
-            }
+TEST(Proxied, LendsHalfOfWhatIsUnused)
+{
+    ProxiedFixture fixture; // One of nine daemons that share an allowance of 200.
+    std::vector<RetriesLent> lent;
+    for (const char *pool : {"engines", "engines", "unknown"}) {
+        const BudgetLoanRequest request{pool, 8, std::chrono::microseconds(5)};
+        fixture.machine.handle(LendRetries{"h2", request}, *fixture.snapshot);
+        for (RetriesLent &loan : only<RetriesLent>(fixture.machine.drainActions())) {
+            lent.push_back(std::move(loan));
         }
-        LONGS_EQUAL(2, lent.size());
-        STRCMP_EQUAL("h2", lent[0].host.c_str());
-        DOUBLES_EQUAL(8, lent[0].loan.retries, 1e-9);
-        DOUBLES_EQUAL((200 * 0.75 / 9 - 8) / 2, lent[1].loan.retries, 0.001);
-        CHECK(lent[1].loan.stamp == std::chrono::microseconds(5));
     }
+    LONGS_EQUAL(2, lent.size());
+    STRCMP_EQUAL("h2", lent[0].host.c_str());
+    DOUBLES_EQUAL(8, lent[0].loan.retries, 1e-9);
+    DOUBLES_EQUAL((200 * 0.75 / 9 - 8) / 2, lent[1].loan.retries, 0.001);
+    CHECK(lent[1].loan.stamp == std::chrono::microseconds(5));
+}
