[Tests] Make the linter accept MutatedInputs and logValue()

Cause: The linter rejects concatenations of strings, const members of a test group and a const local that is returned. Change: fmt::format; members and local aren't const. Measured: ./utils/lint on both files passes; MutatedInputs: 6 tests, 20,401 checks pass.

--- a/lib/Support/log.cpp
+++ b/lib/Support/log.cpp
@@ -96,7 +96,7 @@
     const auto isControl = [](char c) {
         return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
     };
-    const std::string valid = toUnicode(value.substr(0, maxValueBytes));
+    std::string valid = toUnicode(value.substr(0, maxValueBytes));
     bool quoted = valid.empty();
     for (const char c : valid) {
         quoted = quoted || c == ' ' || c == '"' || c == '=' || isControl(c);
--- a/unittests/Platform/mutatedinputstest.cpp
+++ b/unittests/Platform/mutatedinputstest.cpp
@@ -24,6 +24,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <cstdlib>
@@ -184,9 +186,9 @@
 
 std::string objectWith(const std::string &spec)
 {
-    return R"({"meta":{"name":"x","rev":5,"create-revision":2,"finalizers":[],"deleting":false},)"
-           R"("spec":)"
-           + spec + R"(,"status":null})";
+    return fmt::format(R"({{"meta":{{"name":"x","rev":5,"create-revision":2,"finalizers":[],)"
+                       R"("deleting":false}},"spec":{},"status":null}})",
+                       spec);
 }
 
 HttpResult answer(int status, std::string body)
@@ -217,10 +219,10 @@
 
 TEST_GROUP(MutatedInputs)
 {
-    const fleet::StoreDialect store;
-    const fleet::ManifestReader reader;
-    const fleet::StageDialect stages;
-    const fleet::RequestDialect requests;
+    fleet::StoreDialect store;
+    fleet::ManifestReader reader;
+    fleet::StageDialect stages;
+    fleet::RequestDialect requests;
 };
 
 TEST(MutatedInputs, AnswersOfTheStore)
@@ -237,11 +239,12 @@
         const std::string object = objectWith(mutator.pick(specs));
         std::string body = object;
         if (call.operation == PlatformOperation::Watch) {
-            body = R"({"events":[{"object":)" + object + R"(,"removed":false},{"object":)" + object
-                   + R"(,"removed":true}],"store-revision":12})";
+            body = fmt::format(R"({{"events":[{{"object":{0},"removed":false}},)"
+                               R"({{"object":{0},"removed":true}}],"store-revision":12}})",
+                               object);
         } else if (call.operation != PlatformOperation::Get) {
-            body = R"({"items":[)" + object + "," + object
-                   + R"(],"truncated":false,"store-revision":9})";
+            body = fmt::format(R"({{"items":[{0},{0}],"truncated":false,"store-revision":9}})",
+                               object);
         }
         const PlatformResult result = store.decode(call, answer(200, mutator.mutate(body)));
         ConfigTable table(reader);
@@ -268,10 +271,11 @@
         std::erase_if(value, [](char c) {
             return std::string_view("[]{}\"\\,:").find(c) != std::string_view::npos;
         });
-        value = mutator.random().chance(0.5) ? "{\"a\":[" + value + "]}" : "\"" + value + "\"";
+        value = mutator.random().chance(0.5) ? fmt::format(R"({{"a":[{}]}})", value)
+                                             : fmt::format("\"{}\"", value);
         const PlatformResult result = store.decode(
-            call, answer(200, R"({"items":[)" + objectWith(entry) + "," + objectWith(value) + ","
-                                  + objectWith(entry) + R"(],"store-revision":9})"));
+            call, answer(200, fmt::format(R"({{"items":[{0},{1},{0}],"store-revision":9}})",
+                                          objectWith(entry), objectWith(value))));
         CHECK(result.outcome == PlatformOutcome::Ok);
         LONGS_EQUAL(3, result.objects.size());
         CHECK(reader.read("servers", "x", result.objects.front().value).ok());
