[Support] Copy text that is valid UTF-8 without decoding each character

Cause: Each value of a log line is checked, and most are ASCII; found by reading. Change: A character below 0x80 is one byte, and valid text is copied at once. Measured: Nothing of its speed; the tests of logValue() and isUnicode() cover both ways.

--- a/lib/Support/text.cpp
+++ b/lib/Support/text.cpp
@@ -11,10 +11,15 @@
 namespace {
 
 constexpr std::string_view replacementCharacter = "\xef\xbf\xbd";
+constexpr unsigned char firstOfSeveralBytes = 0x80;
 
-/// Returns the length of the character at the start of \p text; 0 if there is no valid one.
+/// Returns the length of the character at the start of \p text, which isn't empty; 0 if there is no
+/// valid one.
 std::size_t characterLength(std::string_view text)
 {
+    if (static_cast<unsigned char>(text.front()) < firstOfSeveralBytes) {
+        return 1;
+    }
     using Traits = boost::locale::utf::utf_traits<char>;
     const char *at = text.data();
     const boost::locale::utf::code_point point = Traits::decode(at, text.data() + text.size());
@@ -47,6 +52,9 @@
 
 std::string toUnicode(std::string_view text)
 {
+    if (isUnicode(text)) {
+        return std::string(text);
+    }
     std::string valid;
     while (!text.empty()) {
         const std::size_t length = characterLength(text);
