[Test] Release the first responder before a server is stopped

Cause: HttpServer.AReplyThatEndsWithItsConnectionIsResetIfItEndsEarly waited for ever: the fixture got a second reference to the first responder in another part, which kept the connection of the stopped server. Change: The test releases both. What it checks stays.

--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -254,6 +254,7 @@
             server.sendLast(aborted);
         } else if (cause == Cause::Stop) {
             server.responder = {};
+            server.firstResponder = {};
             server.server.reset();
         } else {
             server.responder(makePart(std::string(longBody, 'x'), true));
