[Kernel] Learn by endpoint and route whether answers have a marked end

Answers to HEAD, errors and other routes took part in it, so whole answers of routes without framing became 502; an endpoint that always breaks off turned it, so that nothing was confirmed any more; and the endpoint counted as healthy. Change: Learned by endpoint and pipeline from successes with a body only. An endpoint that has marked the end of eight answers and sends one without is taken to have broken off: a failure of the call and of the endpoint. Eight in a row without end the habit. Endpoints that never mark an end are passed on open, after two answers without a second run. A stalled write is shut down as before, which is enough for replies that are to be reset.

--- a/include/harelink/Kernel/framinghabit.h
+++ b/include/harelink/Kernel/framinghabit.h
@@ -1,62 +1,45 @@
 //===- harelink/Kernel/framinghabit.h - Usual framing of answers -*- C++ -*-===//
 ///
 /// \file
-/// Learns whether the answers of a pool usually have a marked end. Where they do, an answer without
-/// one was most likely broken off.
+/// Learns whether an endpoint marks the end of its answers by a length or chunks. An answer without
+/// a marked end of one that does was most likely broken off.
 ///
 //===----------------------------------------------------------------------===//
 
 #ifndef HARELINK_KERNEL_FRAMINGHABIT_H
 #define HARELINK_KERNEL_FRAMINGHABIT_H
 
-#include "harelink/Kernel/proxied.h"
-#include "harelink/Support/clock.h"
+#include <algorithm>
 
 namespace harelink {
 
-/// How often the recent answers of a pool had a length or came in chunks.
+/// How an endpoint has ended its answers to the requests of one route.
 class FramingHabit
 {
 public:
-    /// Answers from which on there is a habit.
+    /// Answers in a row from which on there is a habit, or none any more.
     static constexpr int minAnswers = 8;
-    /// What was learned is forgotten if no answer comes for this time.
-    static constexpr std::chrono::minutes maxAge{10};
 
-    void record(AnswerFraming framing, TimePoint now)
+    void record(bool isMarked)
     {
-        if (now - m_recordedAt > maxAge) {
-            m_answers = 0;
-            m_markedShare = unknownShare;
+        if (isMarked) {
+            m_marked = std::min(m_marked + 1, minAnswers);
+            m_unmarkedInRow = 0;
+            return;
+        }
+        m_unmarkedInRow = std::min(m_unmarkedInRow + 1, minAnswers);
+        if (m_unmarkedInRow == minAnswers) {
+            m_marked = 0;
         }
-        m_recordedAt = now;
-        m_answers += m_answers < minAnswers ? 1 : 0;
-        const double sample = framing == AnswerFraming::Connection ? 0 : 1;
-        m_markedShare += (sample - m_markedShare) * sampleWeight;
-    }
-    /// Returns whether most recent answers had a marked end.
-    [[nodiscard]] bool isUsuallyMarked(TimePoint now) const
-    {
-        return isKnown(now) && m_markedShare > unknownShare;
-    }
-    /// Returns whether most recent answers had none.
-    [[nodiscard]] bool isUsuallyOpen(TimePoint now) const
-    {
-        return isKnown(now) && m_markedShare < unknownShare;
     }
+    /// Returns whether the endpoint marks the end of its answers.
+    [[nodiscard]] bool isMarking() const { return m_marked == minAnswers; }
+    /// Returns whether it marks none.
+    [[nodiscard]] bool isOpen() const { return m_marked == 0 && m_unmarkedInRow > 1; }
 
 private:
-    static constexpr double unknownShare = 0.5;
-    static constexpr double sampleWeight = 1.0 / 16;
-
-    [[nodiscard]] bool isKnown(TimePoint now) const
-    {
-        return m_answers >= minAnswers && now - m_recordedAt <= maxAge;
-    }
-
-    int m_answers = 0; ///< Up to minAnswers.
-    double m_markedShare = unknownShare;
-    TimePoint m_recordedAt;
+    int m_marked = 0;
+    int m_unmarkedInRow = 0;
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -106,12 +106,14 @@
     }
     const bool hasBegun = request->headForwarded || request->tokens > 0;
     const bool isTakenUp = request->streams && request->lastEventId;
-    if (!requestmachine::mayComplete(event.kind, hasBegun, isTakenUp)) {
+    const bool mayComplete = requestmachine::mayComplete(event.kind, hasBegun, isTakenUp);
+    if (!mayComplete || (event.proxied && isBrokenOff(*request, *event.proxied))) {
         StageFailed failure;
         failure.call = event.call;
-        failure.status =
-            makeError(absl::StatusCode::kUnavailable, "stage " + request->stageSpec().name,
-                      request->endpoint, "the answer does not continue the stream");
+        failure.status = makeError(
+            absl::StatusCode::kUnavailable, "stage " + request->stageSpec().name, request->endpoint,
+            mayComplete ? "the answer has no marked end, unlike others of the endpoint"
+                        : "the answer does not continue the stream");
         failure.notice = std::move(event.notice);
         handle(failure, snapshot);
         return;
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -18,6 +18,7 @@
 #include "harelink/Kernel/endpointpace.h"
 #include "harelink/Kernel/fadingratio.h"
 #include "harelink/Kernel/fairqueue.h"
+#include "harelink/Kernel/framinghabit.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/latency.h"
 #include "harelink/Kernel/pieces.h"
@@ -424,6 +425,8 @@
     bool sendAgain(Request &request, SendEvidence evidence, const Snapshot &snapshot);
     void completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                          const Snapshot &snapshot);
+    FramingHabit &framingHabit(const Request &request);
+    bool isBrokenOff(const Request &request, const ProxiedAnswer &endpointAnswer);
     AnswerFraming replyFraming(const Request &request, AnswerFraming framing);
     void replaceByUnconfirmed(Request &request, AnswerCaller &action);
     bool mayRetry(Request &request, SendEvidence evidence);
@@ -464,6 +467,8 @@
     std::map<std::string, ClientTimeoutModel> m_clientTimeouts; ///< By pipeline.
     /// By pipeline: ratio of real to predicted time.
     std::map<std::string, FadingRatio> m_forecastBias;
+    /// By endpoint and pipeline.
+    std::map<std::pair<std::string, std::string>, FramingHabit> m_framingHabits;
     TimePoint m_crowdedAt = TimePoint::min();         ///< When the host was last overloaded.
     std::map<std::string, ReturnSlots> m_returnSlots; ///< By pipeline.
     std::size_t m_lateAdmissions = 0; ///< Requests in progress that were admitted late.
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -9,7 +9,6 @@
 #ifndef HARELINK_KERNEL_REQUESTMACHINESTATE_H
 #define HARELINK_KERNEL_REQUESTMACHINESTATE_H
 
-#include "harelink/Kernel/framinghabit.h"
 #include "harelink/Kernel/piecegraph.h"
 #include "harelink/Kernel/queuepace.h"
 #include "harelink/Kernel/requestmachine.h"
@@ -62,6 +61,8 @@
 inline constexpr std::uint32_t maxProxiedSends = 4;
 /// Longer answers are not kept while the request is sent again to confirm their end.
 inline constexpr std::size_t maxUnconfirmedBytes = 65'536;
+/// Endpoints and routes whose framing is known; if exceeded, all are forgotten.
+inline constexpr std::size_t maxFramingHabits = 8192;
 /// After this number of failures to connect, another call of a request is made by a peer.
 inline constexpr std::uint32_t maxConnectFailures = 2;
 /// Minimum number of daemons assumed when the retry budget is divided.
@@ -231,7 +232,6 @@
     /// Estimated prefill rate of an engine.
     double tokensPerSecond = requestmachine::defaultPrefillRate;
     QueuePace pace;
-    FramingHabit framing;
     TimePoint nextColdCheck;       ///< Earliest time of the next cold check.
     TimePoint nextLoadProbeSearch; ///< Earliest time of the next search; see above.
 };
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -628,26 +628,51 @@
 
 // Answers ---------------------------------------------------------------------
 
-/// Returns the framing of the reply to \p request whose endpoint streams with \p framing. Where
-/// streams usually have a marked end, the reply leaves room for saying that this one had none.
+/// Returns how the endpoint of \p request ends its answers to the pipeline's requests.
+template <GuardPolicy G>
+FramingHabit &BasicRequestMachine<G>::framingHabit(const Request &request)
+{
+    if (m_framingHabits.size() >= requestmachine::maxFramingHabits) {
+        m_framingHabits.clear();
+    }
+    return m_framingHabits[{request.endpoint, request.pipeline.name}];
+}
+
+/// Records the framing of a success. Returns whether it was most likely broken off: it has no
+/// marked end, and others of the endpoint have one. Callers take any close for the end.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::isBrokenOff(const Request &request,
+                                         const ProxiedAnswer &endpointAnswer)
+{
+    // Answers to HEAD and those without content have a certain end, whatever the endpoint does.
+    const bool hasBody = request.headForwarded || !endpointAnswer.body.empty();
+    const bool isMarked = endpointAnswer.framing != AnswerFraming::Connection;
+    if (endpointAnswer.status < 200 || endpointAnswer.status >= 300 || (isMarked && !hasBody)) {
+        return false;
+    }
+    FramingHabit &habit = framingHabit(request);
+    const bool wasMarking = habit.isMarking();
+    habit.record(isMarked);
+    return wasMarking && !isMarked;
+}
+
+/// Returns the framing of the reply to \p request whose endpoint streams with \p framing. If the
+/// endpoint usually marks the ends of its streams, the reply can be aborted visibly.
 template <GuardPolicy G>
 AnswerFraming BasicRequestMachine<G>::replyFraming(const Request &request, AnswerFraming framing)
 {
-    const bool isMarked =
-        poolState(request.stageSpec().pool).framing.isUsuallyMarked(m_clock.now());
-    return framing == AnswerFraming::Connection && isMarked ? AnswerFraming::Chunks : framing;
+    return framing == AnswerFraming::Connection && framingHabit(request).isMarking()
+               ? AnswerFraming::Chunks
+               : framing;
 }
 
 /// Completes \p request with \p endpointAnswer, or sends it once more if nothing proves that the
-/// answer is whole: an endpoint that breaks off may close its connection in order as well. Runs
-/// at an endpoint that never marks the end of its answers would confirm nothing.
+/// answer is whole: an endpoint that breaks off may close its connection in order as well. Another
+/// run at endpoints that never mark an end would confirm nothing.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                                              const Snapshot &snapshot)
 {
-    const TimePoint now = m_clock.now();
-    FramingHabit &habit = poolState(request.stageSpec().pool).framing;
-    habit.record(endpointAnswer.framing, now);
     const bool isSuccess = endpointAnswer.status >= 200 && endpointAnswer.status < 300;
     if (endpointAnswer.framing != AnswerFraming::Connection || !isSuccess) {
         AnswerCaller action;
@@ -656,18 +681,11 @@
         answer(request, std::move(action));
         return;
     }
-    bool isConfirmable = true;
-    if (habit.isUsuallyMarked(now)) {
-        // Most likely broken off. Callers take any close for the end, so it is no answer for them.
-        request.unconfirmed.reset();
-    } else {
-        isConfirmable = !request.unconfirmed && !habit.isUsuallyOpen(now)
-                        && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
-        // Of two parts of an answer, the longer one has more of it.
-        if (!request.unconfirmed
-            || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
-            request.unconfirmed = std::move(endpointAnswer);
-        }
+    const bool isConfirmable = !framingHabit(request).isOpen() && !request.unconfirmed
+                               && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
+    // Of two parts of an answer, the longer one has more of it.
+    if (!request.unconfirmed || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
+        request.unconfirmed = std::move(endpointAnswer);
     }
     request.phase = Request::Phase::Queued;
     request.stageMayHaveRun = true;
--- a/lib/Adapters/callersocket.cpp
+++ b/lib/Adapters/callersocket.cpp
@@ -24,21 +24,6 @@
                                                                    : 0;
 }
 
-/// Ends the connection of \p descriptor, with a reset if it is to be reset when it is closed.
-void disconnect(int descriptor)
-{
-    ::linger option{};
-    socklen_t size = sizeof option;
-    (void)::getsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, &size);
-    if (option.l_onoff == 0) {
-        ::shutdown(descriptor, SHUT_RDWR);
-        return;
-    }
-    sockaddr unspecified{};
-    unspecified.sa_family = AF_UNSPEC;
-    (void)::connect(descriptor, &unspecified, sizeof unspecified);
-}
-
 /// Interval at which a socket that is being closed is checked.
 constexpr std::chrono::milliseconds closeCheckInterval{250};
 /// A socket is closed at once when its peer has neither acknowledged anything nor ended its
@@ -203,8 +188,9 @@
         }
         writes.unacknowledged = left;
         if (writes.timer.isStalled(now)) {
-            // The write fails, and RESTinio closes the connection.
-            disconnect(descriptor);
+            // The write fails, and RESTinio closes the connection. What waits precedes the FIN, so
+            // a connection that is to be reset is reset before its peer receives one.
+            ::shutdown(descriptor, SHUT_RDWR);
         }
     }
 }
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -422,46 +422,27 @@
 }
 
 // Most callers take any close of a connection for the end of the answer.
-TEST(Proxied, AnUnmarkedEndIsNoSuccessWhereEndsAreUsuallyMarked)
+TEST(Proxied, AnUnmarkedEndIsNoSuccessIfTheEndpointUsuallyMarksEnds)
 {
-    ProxiedFixture fixture;
-    const auto arriveAndAnswer = [&fixture](bool isMarked) {
-        fixture.arrive("/record/1");
-        if (isMarked) {
-            fixture.answer(fixture.sends.back());
-        } else {
-            fixture.answerUnframed(fixture.sends.back(), "part");
-        }
-        return fixture.answers.back().outcome;
-    };
-    for (int i = 0; i < FramingHabit::minAnswers; ++i) {
-        CHECK(arriveAndAnswer(true) == Outcome::Completed);
-    }
-    CHECK(arriveAndAnswer(false) == Outcome::Unknown);
-    CHECK_FALSE(fixture.answers.back().proxied);
-}
-
-TEST(Proxied, AnswersOfAPoolThatMarksNoEndsArePassedOnWithoutAnotherRun)
-{
-    ProxiedFixture fixture;
+    ProxiedFixture fixture(1);
     for (int i = 0; i < FramingHabit::minAnswers; ++i) {
         fixture.arrive("/record/1");
-        fixture.answerUnframed(fixture.sends.back(), "all");
+        fixture.answer(fixture.sends.back());
         CHECK(fixture.answers.back().outcome == Outcome::Completed);
     }
-    const std::size_t sends = fixture.sends.size();
-    fixture.arrive("/read/1");
-    fixture.answerUnframed(fixture.sends.back(), "all");
-    LONGS_EQUAL(sends + 1, fixture.sends.size());
-    CHECK(fixture.answers.back().outcome == Outcome::Completed);
+    fixture.arrive("/record/1");
+    fixture.answerUnframed(fixture.sends.back(), "part");
+    CHECK(fixture.answers.back().outcome == Outcome::Unknown);
+    CHECK_FALSE(fixture.answers.back().proxied);
 }
 
-TEST(Proxied, AStreamWithAnUnmarkedEndIsAbortedWhereEndsAreUsuallyMarked)
+TEST(Proxied, AStreamWithAnUnmarkedEndIsAbortedIfTheEndpointUsuallyMarksEnds)
 {
-    ProxiedFixture fixture;
-    for (int i = 0; i < FramingHabit::minAnswers; ++i) {
+    ProxiedFixture fixture(1);
+    for (std::uint64_t i = 0; i < FramingHabit::minAnswers; ++i) {
         fixture.arrive("/say/1");
-        fixture.answer(fixture.sends.back(), AnswerKind::Stream, 200);
+        fixture.event(fixture.sends.back(), 1);
+        fixture.answer(fixture.sends.back());
     }
     fixture.arrive("/say/1");
     fixture.event(fixture.sends.back(), 1, std::nullopt, AnswerFraming::Connection);
@@ -470,6 +451,41 @@
     CHECK(fixture.answers.back().outcome == Outcome::Unknown);
 }
 
+// Whole answers became failures after HEAD requests, errors, or answers of another route.
+TEST(Proxied, AnswersThatSayNothingOfTheFramingOfOthersAreNoHabit)
+{
+    ProxiedFixture fixture(1);
+    for (int i = 0; i < 2 * FramingHabit::minAnswers; ++i) {
+        fixture.arrive("/record/1");
+        StageAnswered empty;
+        empty.call = empty.echoed = fixture.sends.back().call;
+        empty.proxied = ProxiedAnswer{200, {}, "", AnswerFraming::Length};
+        fixture.machine.handle(std::move(empty), *fixture.snapshot);
+        fixture.collect();
+        fixture.arrive("/record/1");
+        fixture.answer(fixture.sends.back(), 404);
+        fixture.arrive("/read/1");
+        fixture.answer(fixture.sends.back());
+    }
+    fixture.arrive("/record/1");
+    fixture.answerUnframed(fixture.sends.back(), "whole");
+    CHECK(fixture.answers.back().outcome == Outcome::Completed);
+}
+
+TEST(Proxied, AnEndpointThatMarksNoMoreEndsLosesItsHabit)
+{
+    FramingHabit habit;
+    for (int i = 0; i < FramingHabit::minAnswers; ++i) {
+        CHECK_FALSE(habit.isMarking());
+        habit.record(true);
+    }
+    for (int i = 0; i < FramingHabit::minAnswers; ++i) {
+        CHECK(habit.isMarking());
+        habit.record(false);
+    }
+    CHECK(habit.isOpen());
+}
+
 // Confirming the answers of endpoints that never mark an end used up the retries for failures.
 TEST(Proxied, AnswersOfEndpointsThatNeverMarkTheirEndAreNotConfirmedAgainAndAgain)
 {
