--- a/include/harelink/Kernel/framinghabit.h
+++ b/include/harelink/Kernel/framinghabit.h
@@ -17,7 +17,7 @@
 class FramingHabit
 {
 public:
-    /// Answers in a row from which on there is a habit, or none any more.
+    /// Marked answers that make a habit, and unmarked ones in a row that end it.
     static constexpr int minAnswers = 8;
 
     void record(bool isMarked)
@@ -34,7 +34,8 @@
     }
     /// Returns whether the endpoint marks the end of its answers.
     [[nodiscard]] bool isMarking() const { return m_marked == minAnswers; }
-    /// Returns whether it marks none.
+    /// Returns whether it has marked none so far, or no more, in several answers: another run there
+    /// would confirm nothing.
     [[nodiscard]] bool isOpen() const { return m_marked == 0 && m_unmarkedInRow > 1; }
 
 private:
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -637,8 +637,8 @@
 
 TEST(Proxied, FailsEarlyIfPiecesAreNotCompletedInTime)
 {
-    // Objective 1000 ms, deadline 4000 ms: its pieces are not completed, so the request fails
-    // long before its deadline and its pieces are cancelled.
+    // Objective 1000 ms, deadline 4000 ms: its pieces are not completed, so the request fails long
+    // before its deadline and its pieces are cancelled.
     ProxiedFixture fixture;
     fixture.arrive("/brief/1", "key-1", {2, 1});
     fixture.advance(milliseconds(1400));
@@ -685,8 +685,7 @@
 
 TEST(Proxied, OverloadOfThisHostIsNotLearnedAsSlownessOfPools)
 {
-    // A request is predicted to take 0.5 s and takes 0.9 s, a hundred times; the objective is 1
-    // s.
+    // A request is predicted to take 0.5 s and takes 0.9 s, a hundred times; the objective is 1 s.
     const auto isAdmittedAfterSlowAnswers = [](bool isCrowded) {
         ProxiedFixture fixture;
         fixture.isCrowded = isCrowded;
@@ -770,8 +769,8 @@
     CHECK(fixture.sends[1].endpoint != preferred);
 }
 
-// A retry that is paid with a loan may wait until after the loan's end. Sent then, it would
-// exceed the whole, as the lender uses its share again.
+// A retry that is paid with a loan may wait until after the loan's end. Sent then, it would exceed
+// the whole, as the lender uses its share again.
 TEST(Proxied, ARetryIsNotSentAfterTheEndOfItsLoan)
 {
     for (const bool isEnded : {false, true}) {
