[Adapters] Run the requests of a connection one after the other

Cause: A caller that sent three requests at once could end the daemon: the server read one request ahead, and replied to what it answers at once (invalid requests, /ready) within RESTinio's own call, which asserts afterwards that no reply has ended the connection. A request that was read behind a reply which closes the connection ran without an answer. Change: A request is held back until the one before it on its connection is answered, and dropped if the connection is closed by then. Handlers run as tasks of the connection's strand. The time for which a request is held back counts in the time its caller allows. Measured: before, unit test APipelinedReplyThatEndsItsConnectionDoesNotEndTheProcess ends with the assertion in connection.hpp:980, ARequestBehindAReplyThatEndsItsConnectionDoesNotRun and PipelinedRequestsRunOneAfterTheOther fail; the group HttpServer passes now (25 tests), BoundedMemory (9) too.

--- a/include/harelink/Adapters/httpserver.h
+++ b/include/harelink/Adapters/httpserver.h
@@ -37,6 +37,8 @@
     HttpFields fields;                          ///< All header fields, with names as sent.
     std::string body;
     std::uint64_t connection = 0; ///< Id of the connection.
+    /// For how long it waited until those before it on its connection were answered.
+    Duration heldBack{};
 
     /// Returns the header \p name (lower case); empty if absent.
     [[nodiscard]] std::string header(const std::string &name) const;
--- a/lib/Adapters/httpserver.cpp
+++ b/lib/Adapters/httpserver.cpp
@@ -3,9 +3,11 @@
 #include "harelink/Adapters/httpserver.h"
 
 #include "harelink/Support/error.h"
+#include "harelink/Support/log.h"
 #include "harelink/Support/text.h"
 
 #include "callersocket.h"
+#include "pipelinedrequests.h"
 
 #include <algorithm>
 #include <atomic>
@@ -25,6 +27,8 @@
 namespace harelink {
 namespace {
 
+constexpr Logger logger("httpserver");
+
 /// Maximum number of bytes that the kernel holds for a connection besides those in flight. Without
 /// it, the kernel takes megabytes of a reply at once, and then nothing until a third of its buffer
 /// is free: a caller that reads all the time looks as if it read nothing.
@@ -45,8 +49,10 @@
 class ConnectionListener
 {
 public:
-    ConnectionListener(std::function<void(std::uint64_t)> onClosed, HostLoadMeter *load)
+    ConnectionListener(std::function<void(std::uint64_t)> onClosed,
+                       std::shared_ptr<PipelinedRequests> requests, HostLoadMeter *load)
         : m_onClosed(std::move(onClosed))
+        , m_requests(std::move(requests))
         , m_load(load)
     {
     }
@@ -60,11 +66,13 @@
             if (m_load != nullptr) {
                 m_load->recordConnection();
             }
+            m_requests->open(connection);
             const std::lock_guard<std::mutex> guard(m_mutex);
             m_unread.insert(connection);
         }
         if (holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
             (void)takeFirst(connection);
+            m_requests->close(connection);
             if (m_onClosed) {
                 m_onClosed(connection);
             }
@@ -79,6 +87,7 @@
 
 private:
     std::function<void(std::uint64_t)> m_onClosed;
+    std::shared_ptr<PipelinedRequests> m_requests;
     HostLoadMeter *m_load;            ///< Null for none.
     std::mutex m_mutex;               ///< Guards m_unread.
     std::set<std::uint64_t> m_unread; ///< Open connections without a request so far.
@@ -190,6 +199,7 @@
 /// writes are checked here, since RESTinio's include the time for which the process was suspended.
 constexpr std::chrono::milliseconds timerInterval{1000};
 constexpr std::size_t maxHeaderFieldBytes = 16'384;
+constexpr int statusInternalError = 500;
 /// Size of the pieces in which replies are sent. RESTinio limits the time of each write: with a
 /// whole reply in one write, a caller that reads slowly would be taken for one that reads nothing.
 constexpr std::size_t pieceBytes = 16'384;
@@ -249,8 +259,10 @@
 public:
     using Count = std::shared_ptr<std::atomic<std::size_t>>;
 
-    explicit PendingReply(Count count)
+    /// \param onWritten is called on the connection's strand when the reply is written whole.
+    PendingReply(Count count, std::function<void()> onWritten)
         : m_count(std::move(count))
+        , m_onWritten(std::move(onWritten))
     {
         ++*m_count;
     }
@@ -258,8 +270,11 @@
     PendingReply(const PendingReply &) = delete;
     PendingReply &operator=(const PendingReply &) = delete;
 
+    void recordWritten() const { m_onWritten(); }
+
 private:
     Count m_count;
+    std::function<void()> m_onWritten;
 };
 
 class ReplySender;
@@ -306,10 +321,10 @@
 class ReplySender : public std::enable_shared_from_this<ReplySender>
 {
 public:
-    ReplySender(restinio::request_handle_t request, PendingReply::Count pendingReplies,
+    ReplySender(restinio::request_handle_t request, std::shared_ptr<const PendingReply> pending,
                 std::shared_ptr<ActiveSenders> active, HostLoadMeter *load,
                 std::function<bool()> closesConnections)
-        : m_pending(std::make_shared<const PendingReply>(std::move(pendingReplies)))
+        : m_pending(std::move(pending))
         , m_request(std::move(request))
         , m_active(std::move(active))
         , m_load(load)
@@ -390,6 +405,9 @@
             if (notification) {
                 notification(error);
             }
+            if (!error) {
+                pending->recordWritten();
+            }
         });
     }
 
@@ -496,6 +514,9 @@
             if (!error && piece.kind == PieceKind::Abort) {
                 throw ReplyAborted();
             }
+            if (!error && piece.kind == PieceKind::Last) {
+                pending->recordWritten();
+            }
             if (const std::shared_ptr<ReplySender> left = sender.lock()) {
                 left->handleWritten(error);
             }
@@ -583,6 +604,29 @@
     std::error_code m_error; ///< The first error of a piece.
 };
 
+/// Returns the strand of the connection of \p request.
+restinio::default_strand_t strandOf(restinio::request_t &request)
+{
+    return dynamic_cast<Connection &>(*restinio::impl::access_req_connection(request))
+        .get_executor();
+}
+
+/// Passes \p request to \p handler. Must not run within a call of RESTinio: it reads the next
+/// request after each write, and asserts that no reply that ends the connection is begun meanwhile.
+void handleRequest(const HttpHandler &handler, HttpRequest request,
+                   const std::shared_ptr<ReplySender> &sender)
+{
+    try {
+        handler(std::move(request), [sender](HttpReply reply) { sender->send(std::move(reply)); });
+    } catch (const std::exception &error) {
+        logger.record(LogLevel::Error, "request-handler-failed").field("detail", error.what());
+        HttpReply reply;
+        reply.status = statusInternalError;
+        reply.abort = true;
+        sender->send(std::move(reply));
+    }
+}
+
 } // namespace
 
 std::string HttpRequest::header(const std::string &name) const
@@ -618,6 +662,7 @@
     std::atomic<std::uint16_t> port{0};
     PendingReply::Count pendingReplies = std::make_shared<std::atomic<std::size_t>>(0);
     std::shared_ptr<ActiveSenders> senders = std::make_shared<ActiveSenders>();
+    std::shared_ptr<PipelinedRequests> pipelined = std::make_shared<PipelinedRequests>();
     restinio::running_server_handle_t<Traits> server;
     asio::steady_timer writeCheck{context};
 
@@ -656,14 +701,17 @@
     const auto port = static_cast<std::uint16_t>(std::stoul(options.address.substr(colon + 1)));
     auto state = std::make_unique<State>();
     State *raw = state.get();
-    const auto listener = std::make_shared<ConnectionListener>(options.onClosed, options.load);
+    const auto listener =
+        std::make_shared<ConnectionListener>(options.onClosed, state->pipelined, options.load);
     auto onRequest = [handler = std::move(handler), pendingReplies = state->pendingReplies,
-                      senders = state->senders, listener, load = options.load,
-                      onFurtherRequest = options.onFurtherRequest,
+                      senders = state->senders, pipelined = state->pipelined, listener,
+                      load = options.load, onFurtherRequest = options.onFurtherRequest,
                       closes = options.closesConnections](const auto &request) {
-        const auto sender =
-            std::make_shared<ReplySender>(request, pendingReplies, senders, load, closes);
         HttpRequest read = readRequest(*request);
+        const std::uint64_t connection = read.connection;
+        const auto pending = std::make_shared<const PendingReply>(
+            pendingReplies, [pipelined, connection] { pipelined->recordAnswered(connection); });
+        const auto sender = std::make_shared<ReplySender>(request, pending, senders, load, closes);
         if (load != nullptr) {
             load->recordRequest();
             load->recordReceived(sizeOf(read));
@@ -671,7 +719,17 @@
         if (!listener->takeFirst(read.connection) && onFurtherRequest) {
             onFurtherRequest();
         }
-        handler(std::move(read), [sender](HttpReply reply) { sender->send(std::move(reply)); });
+        const TimePoint receivedAt = SystemClock().now();
+        auto start = [handler, pipelined, sender, receivedAt, read = std::move(read)]() mutable {
+            if (pipelined->isOpen(read.connection)) {
+                read.heldBack = SystemClock().now() - receivedAt;
+                handleRequest(handler, std::move(read), sender);
+            }
+        };
+        pipelined->add(connection,
+                       [strand = strandOf(*request), start = std::move(start)]() mutable {
+                           asio::post(strand, std::move(start));
+                       });
         return restinio::request_accepted();
     };
     auto settings = restinio::server_settings_t<Traits>()
@@ -736,6 +794,7 @@
         m_state->server->wait();
         m_state->server.reset();
     }
+    m_state->pipelined->clear();
     m_state->senders->close();
 }
 
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -44,6 +44,15 @@
     }
 }
 
+/// Leaves out \p time, for which the server held \p request back, in the time that its caller
+/// allows for it.
+void excludeTime(RequestArrived &request, Duration time)
+{
+    if (request.timeAllowed) {
+        request.timeAllowed = std::max(Duration::zero(), *request.timeAllowed - time);
+    }
+}
+
 HttpReply makePlainReply(int status, std::string body)
 {
     HttpReply reply;
@@ -447,6 +456,7 @@
     }
     const std::uint64_t sequence = m_nextSequence++;
     parsed->id = {m_incarnation, sequence};
+    excludeTime(*parsed, request.heldBack);
     workerFor(sequence).submit({*std::move(parsed), {}, connection}, responder);
 }
 
@@ -457,6 +467,7 @@
         return;
     }
     const std::uint64_t connection = request.connection;
+    const Duration heldBack = request.heldBack;
     absl::StatusOr<CallerRequest> parsed = readCallerRequest(std::move(request));
     if (!parsed.ok()) {
         HttpReply reply =
@@ -467,6 +478,7 @@
     }
     const std::uint64_t sequence = m_nextSequence++;
     parsed->arrival.id = {m_incarnation, sequence};
+    excludeTime(parsed->arrival, heldBack);
     parsed->connection = connection;
     workerFor(sequence).submit(*std::move(parsed), responder);
 }
--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <chrono>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <utility>
@@ -497,6 +498,129 @@
     }
 }
 
+/// A server that replies at once, except to requests for "/held".
+struct ImmediateServer
+{
+    ImmediateServer()
+    {
+        HttpServerOptions options;
+        options.address = "127.0.0.1:0";
+        server = *HttpServer::start(options, [this](const HttpRequest &request, Responder respond) {
+            const std::lock_guard<std::mutex> guard(mutex);
+            handled.push_back(request);
+            if (request.path == "/held") {
+                held = std::move(respond);
+            } else {
+                respond(makePart("at once", false));
+            }
+        });
+    }
+    ~ImmediateServer() { held = {}; }
+    ImmediateServer(const ImmediateServer &) = delete;
+    ImmediateServer &operator=(const ImmediateServer &) = delete;
+
+    void replyToHeld(HttpReply reply)
+    {
+        CHECK(waitUntil([this] {
+            const std::lock_guard<std::mutex> guard(mutex);
+            return held != nullptr;
+        }));
+        const std::lock_guard<std::mutex> guard(mutex);
+        std::exchange(held, {})(std::move(reply));
+    }
+    std::size_t handledCount()
+    {
+        const std::lock_guard<std::mutex> guard(mutex);
+        return handled.size();
+    }
+
+    std::mutex mutex;
+    std::vector<HttpRequest> handled;
+    Responder held;
+    std::unique_ptr<HttpServer> server;
+};
+
+std::string makeGet(const std::string &path, const std::string &fields = {})
+{
+    return fmt::format("GET {} HTTP/1.1\r\nHost: x\r\n{}\r\n", path, fields);
+}
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+TEST(HttpServer, APipelinedReplyThatEndsItsConnectionDoesNotEndTheProcess)
+{
+    ImmediateServer server;
+    const HttpCaller caller(server.server->port());
+    caller.write(makeGet("/held") + makeGet("/b", "Connection: close\r\n") + makeGet("/c"));
+    std::this_thread::sleep_for(50ms);
+    server.replyToHeld(makePart("held", false));
+    const std::string received = caller.readAll();
+    LONGS_EQUAL(2, countOf(received, "HTTP/1.1 200"));
+    LONGS_EQUAL(2, server.handledCount());
+    const HttpCaller next(server.server->port());
+    next.write(makeGet("/d"));
+    CHECK(next.readUntil("at once").ends_with("at once"));
+}
+
+TEST(HttpServer, ARequestBehindAReplyThatEndsItsConnectionDoesNotRun)
+{
+    for (const bool isUnframed : {false, true}) {
+        ImmediateServer server;
+        const HttpCaller caller(server.server->port());
+        caller.write(makeGet("/held") + makeGet("/b"));
+        std::this_thread::sleep_for(50ms);
+        HttpReply reply = isUnframed ? makeUnframedPart("held", false) : makePart("held", false);
+        reply.close = true;
+        server.replyToHeld(std::move(reply));
+        CHECK(caller.readAll().ends_with("held"));
+        std::this_thread::sleep_for(50ms);
+        LONGS_EQUAL(1, server.handledCount());
+        CHECK(waitUntil([&] { return server.server->undelivered().isEmpty(); }));
+    }
+}
+
+TEST(HttpServer, PipelinedRequestsRunOneAfterTheOther)
+{
+    ImmediateServer server;
+    const HttpCaller caller(server.server->port());
+    caller.write(makeGet("/held") + makeGet("/b") + makeGet("/c") + makeGet("/d"));
+    std::this_thread::sleep_for(100ms);
+    LONGS_EQUAL(1, server.handledCount());
+    server.replyToHeld(makePart("held", false));
+    std::string received = caller.readAll();
+    LONGS_EQUAL(4, countOf(received, "HTTP/1.1 200"));
+    CHECK(received.find("held") < received.find("at once"));
+    STRCMP_EQUAL("/b", server.handled[1].path.c_str());
+    STRCMP_EQUAL("/d", server.handled[3].path.c_str());
+    CHECK(server.handled[1].heldBack >= 50ms);
+}
+
+TEST(HttpServer, AHandlerThatThrowsEndsItsConnectionOnly)
+{
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    const auto server =
+        *HttpServer::start(options, [](const HttpRequest &request, const Responder &respond) {
+            if (request.path == "/fails") {
+                throw std::runtime_error("unexpected");
+            }
+            respond(makePart("whole", false));
+        });
+    const HttpCaller caller(server->port());
+    caller.write(makeGet("/fails"));
+    CHECK(caller.readAll().find("HTTP/1.1 200") == std::string::npos);
+    const HttpCaller next(server->port());
+    next.write(makeGet("/a"));
+    CHECK(next.readUntil("whole").ends_with("whole"));
+}
+
 // Guards against a cycle of references between a connection and what is left of its reply.
 TEST(HttpServer, AStopReleasesRepliesInProgress)
 {
