[Adapters] Take no head with an invalid line for an answer

Cause: The client's own reading of a head differed from libcurl's: a space before the colon, a folded line or a second status line gave the answer a length, chunks or no body for the daemon, while libcurl read to the end of the connection. An answer that was broken off by an orderly close was then passed on as whole, with the daemon's own length or last chunk. Change: A line that isn't a field, and a status line within a head, fail the call. Measured: AnswerEnds.AHeadWithAnInvalidFieldIsNoAnswer fails before (status 200 instead of 0) and passes now, with the groups AnswerEnds (10 tests) and HttpClient (22).

--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -65,6 +65,14 @@
     return isNumber ? std::optional(length) : std::nullopt;
 }
 
+/// Returns whether \p line of a head begins with the name of a field. libcurl ignores other lines,
+/// or takes them for a part of the line before.
+bool hasFieldName(std::string_view line)
+{
+    const std::size_t colon = line.find(':');
+    return colon != 0 && line.substr(0, colon).find_first_of(" \t\v\f") == std::string_view::npos;
+}
+
 int parseStatusLine(std::string_view line)
 {
     const std::size_t space = line.find(' ');
@@ -260,8 +268,8 @@
             reportExceeded(*m_result.exceeded);
             return;
         }
-        if (m_hasTwoLengths) {
-            m_result.error = "the answer states two lengths";
+        if (!m_headFault.empty()) {
+            m_result.error = m_headFault;
             return;
         }
         // libcurl takes the end of the connection within a head for the end of the head.
@@ -381,6 +389,12 @@
         if (m_isHeadComplete) {
             return line.size(); // A trailer.
         }
+        const bool isEnd = line.find_first_not_of("\r\n") == std::string_view::npos;
+        if (isStatusLine ? m_isInHead : !isEnd && !hasFieldName(line)) {
+            m_headFault = "the head of the answer has an invalid line";
+            return 0;
+        }
+        m_isInHead = !isEnd;
         if (isStatusLine) {
             // Discards the fields of an interim response (1xx) that precedes the final one.
             m_result.headers.clear();
@@ -390,14 +404,15 @@
             const std::string name = trimmed(line.substr(0, colon));
             const std::string value = trimmed(line.substr(colon + 1));
             const std::string before = std::exchange(m_result.headers[lowerCase(name)], value);
-            m_hasTwoLengths =
-                m_hasTwoLengths
-                || (lowerCase(name) == "content-length" && !before.empty() && before != value);
+            if (lowerCase(name) == "content-length" && !before.empty() && before != value) {
+                m_headFault = "the answer states two lengths";
+                return 0;
+            }
             m_result.fields.emplace_back(name, value);
-        } else if (trimmed(line).empty()) {
+        } else if (isEnd) {
             m_isHeadComplete = m_result.headStatus >= statusOk;
         }
-        return m_hasTwoLengths ? 0 : line.size();
+        return line.size();
     }
 
     void reportExceeded(AnswerPart part)
@@ -448,7 +463,8 @@
     std::size_t m_headBytes = 0;
     std::size_t m_headFields = 0;
     bool m_isHeadComplete = false; ///< That of the final answer.
-    bool m_hasTwoLengths = false;
+    std::string m_headFault;       ///< Empty if the head is valid so far.
+    bool m_isInHead = false;       ///< Between a status line and the end of its head.
     bool m_isPaused = false;
     bool m_isResuming = false;
     bool m_isHeldBack = false; ///< Until the received part of the body was delivered.
--- a/unittests/Adapters/answerendstest.cpp
+++ b/unittests/Adapters/answerendstest.cpp
@@ -110,6 +110,26 @@
     checkWhole(callGetting("HTTP/1.1 200 OK\r\n\r\n"), "", AnswerFraming::Connection);
 }
 
+// libcurl ignores such lines, or reads them otherwise.
+TEST(AnswerEnds, AHeadWithAnInvalidFieldIsNoAnswer)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::vector<std::string> heads = {
+        status + "Content-Length : 9\r\n",
+        status + "Content-Length\t: 9\r\n",
+        status + " Content-Length: 9\r\n",
+        status + "Transfer-Encoding : chunked\r\n",
+        status + "X-Note: a\r\n\tContent-Length: 9\r\n",
+        status + "Content-Length: 4\r\n 9\r\n",
+        status + " \r\nContent-Length: 9\r\n",
+        status + ": 9\r\n",
+        status + "Content-Length: 9\r\nHTTP/1.1 304 Not Modified\r\n",
+    };
+    for (const std::string &head : heads) {
+        checkIncomplete(callGetting(head + "\r\npart"));
+    }
+}
+
 // A length or a coding that libcurl ignores ends nothing.
 TEST(AnswerEnds, WhatDoesNotDelimitTheBodyIsNoFraming)
 {
