[Kernel] Choose endpoints last whose answers may be parts

Callers beside an endpoint that breaks off every answer early, without length or chunks and by an orderly close, got parts with an open end: more than the endpoint's share, as it seemed fast, and also of repeatable requests, as two such answers were taken for its habit.

Cause: Nothing but an error counted against an endpoint, and an endpoint that marks no end was never compared with its pool. A second run of a request confirmed its answer, but what it showed of the first endpoint was dropped.

Change: An endpoint that marks no end, unlike at least two others and most of those known on the route, and one whose answer another run showed to be a part, is chosen only if no other is eligible, for 10 s. Its answers are confirmed where they may be, and don't make it or its pool seem fast. It isn't ejected and no answer is failed, since an endpoint may legitimately mark no end: the pool keeps its capacity, and the framing of an answer certifies nothing. harelink_doubtful_answers_total counts such answers.

--- a/include/harelink/Kernel/load.h
+++ b/include/harelink/Kernel/load.h
@@ -69,6 +69,7 @@
     std::atomic<int> concurrencyLimit{0};       ///< Adaptive; of calls of this daemon.
     std::atomic<std::int64_t> latencyMicros{0}; ///< Smoothed latency of a call.
     std::atomic<std::int64_t> ejectedUntil{0};  ///< Nanoseconds of the steady clock.
+    std::atomic<std::int64_t> doubtedUntil{0};  ///< See recordDoubt(); nanoseconds as above.
     std::atomic<std::int64_t> fullUntil{0};     ///< Set after a refusal; nanoseconds as above.
     std::atomic<std::int64_t> progressAt{0};    ///< Last answer, or first send after idle.
     std::atomic<std::int64_t> coldUntil{0};     ///< Nanoseconds of the steady clock.
--- a/include/harelink/Kernel/requestanswersimpl.h
+++ b/include/harelink/Kernel/requestanswersimpl.h
@@ -122,7 +122,12 @@
     const std::string poolName = request->stageSpec().pool;
     recordNotice(*request, event.notice, snapshot);
     settleCall(*request, snapshot);
-    recordLatency(*request, elapsed);
+    const bool isDoubtfulAnswer = event.proxied && mayBePart(*request, *event.proxied, snapshot);
+    if (isDoubtfulAnswer) {
+        ++m_counters.doubtfulAnswers;
+    } else {
+        recordLatency(*request, elapsed);
+    }
     if (const PoolEntry *pool = snapshot.pool(poolName)) {
         const Duration busy = event.busy == Duration{} ? elapsed : event.busy;
         StageCost &cost = request->costs[request->stage];
@@ -133,6 +138,9 @@
         }
         if (const EndpointEntry *endpoint = pool->find(request->endpoint)) {
             recordSuccess(*endpoint, elapsed, m_clock.now());
+            if (isDoubtfulAnswer) {
+                recordDoubt(*endpoint, usualLatency(*request), m_clock.now());
+            }
         }
         charge(*request, busy - request->charged, snapshot);
     }
--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -172,12 +172,19 @@
     if (query.requiresWarm && awaitsColdCheck(query)) {
         return nullptr;
     }
+    const auto hasDoubtful = [&query] {
+        const auto &endpoints = query.pool.endpoints;
+        return std::any_of(
+            endpoints.begin(), endpoints.end(),
+            [&query](const EndpointEntry &entry) { return isDoubtful(entry, query.now); });
+    };
     const EndpointEntry *endpoint = nullptr;
     do {
-        endpoint = m_policy->choose(query, m_random);
-        if (endpoint == nullptr && !query.coldOnly && query.pool.spec.coldRate > 0) {
-            query.coldOnly = true;
-            endpoint = m_policy->choose(query, m_random);
+        endpoint = chooseWarmFirst(query);
+        if (endpoint == nullptr && !query.allowsDoubtful && hasDoubtful()) {
+            query.coldOnly = false;
+            query.allowsDoubtful = true;
+            endpoint = chooseWarmFirst(query);
         }
         // Another worker may have claimed the slot first; then the endpoint is unavailable.
     } while (endpoint != nullptr && !claimSendSlot(*endpoint, query.now));
@@ -187,6 +194,18 @@
     return endpoint;
 }
 
+/// Chooses a cold endpoint only if no warm one is eligible, and sets this in \p query.
+template <GuardPolicy G>
+const EndpointEntry *BasicRequestMachine<G>::chooseWarmFirst(RoutingQuery &query)
+{
+    const EndpointEntry *endpoint = m_policy->choose(query, m_random);
+    if (endpoint == nullptr && !query.coldOnly && query.pool.spec.coldRate > 0) {
+        query.coldOnly = true;
+        endpoint = m_policy->choose(query, m_random);
+    }
+    return endpoint;
+}
+
 /// Probes the load of the endpoint that would be chosen next, or else that of \p chosen, if the
 /// reports of both are too old. The request itself does not wait: the result is for those that
 /// follow. \p chosen comes second, since its answer to the request contains a report.
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -265,6 +265,7 @@
     std::uint64_t retriesOverBudget = 0; ///< Not sent, since the retry budget was used up.
     std::uint64_t staleAnswers = 0;      ///< Answers to an attempt that is no longer current.
     std::uint64_t mismatchedAnswers = 0; ///< Answers that contain another call's ID.
+    std::uint64_t doubtfulAnswers = 0;   ///< Answers that may be parts; see recordDoubt().
     std::uint64_t lateGrants = 0;        ///< Claims granted to a request that was already answered.
     std::uint64_t brokenCalls = 0;       ///< Calls whose connection was lost.
     std::uint64_t resumedStreams = 0;    ///< Resends that resume a broken stream.
@@ -336,6 +337,13 @@
     struct Request;
     struct PoolState;
     struct Forecast;
+    struct FramingKey
+    {
+        std::string pool;
+        std::string pipeline;
+        std::string endpoint;
+        auto operator<=>(const FramingKey &) const = default;
+    };
     /// The queue that a new request would join at a pool.
     struct QueueForecast
     {
@@ -407,6 +415,7 @@
     void charge(const Request &request, Duration amount, const Snapshot &snapshot);
     void reportBrokenCall(const Request &request);
     [[nodiscard]] const EndpointEntry *chooseEndpoint(RoutingQuery query, const Snapshot &snapshot);
+    [[nodiscard]] const EndpointEntry *chooseWarmFirst(RoutingQuery &query);
     [[nodiscard]] bool awaitsColdCheck(const RoutingQuery &query);
     void probeStaleCandidates(const RoutingQuery &query, const EndpointEntry &chosen);
     [[nodiscard]] TimePoint latestStart(const Request &request);
@@ -426,7 +435,16 @@
     void completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                          const Snapshot &snapshot);
     FramingHabit &framingHabit(const Request &request);
+    FramingHabit &framingHabit(const Request &request, const std::string &endpoint);
     bool isBrokenOff(const Request &request, const ProxiedAnswer &endpointAnswer);
+    [[nodiscard]] bool mayBePart(const Request &request, const ProxiedAnswer &endpointAnswer,
+                                 const Snapshot &snapshot);
+    [[nodiscard]] bool isFramingOutlier(const Request &request, const Snapshot &snapshot);
+    void compareRuns(const Request &request, const ProxiedAnswer &endpointAnswer,
+                     const Snapshot &snapshot);
+    void recordComparison(const Request &request, const std::string &endpoint, bool isWhole,
+                          const Snapshot &snapshot);
+    Duration usualLatency(const Request &request);
     AnswerFraming replyFraming(const Request &request, AnswerFraming framing);
     void replaceByUnconfirmed(Request &request, AnswerCaller &action);
     bool mayRetry(Request &request, SendEvidence evidence);
@@ -467,8 +485,7 @@
     std::map<std::string, ClientTimeoutModel> m_clientTimeouts; ///< By pipeline.
     /// By pipeline: ratio of real to predicted time.
     std::map<std::string, FadingRatio> m_forecastBias;
-    /// By endpoint and pipeline.
-    std::map<std::pair<std::string, std::string>, FramingHabit> m_framingHabits;
+    std::map<FramingKey, FramingHabit> m_framingHabits;
     TimePoint m_crowdedAt = TimePoint::min();         ///< When the host was last overloaded.
     std::map<std::string, ReturnSlots> m_returnSlots; ///< By pipeline.
     std::size_t m_lateAdmissions = 0; ///< Requests in progress that were admitted late.
--- a/include/harelink/Kernel/requestmachinestate.h
+++ b/include/harelink/Kernel/requestmachinestate.h
@@ -63,6 +63,10 @@
 inline constexpr std::size_t maxUnconfirmedBytes = 65'536;
 /// Endpoints and routes whose framing is known; if exceeded, all are forgotten.
 inline constexpr std::size_t maxFramingHabits = 8192;
+/// Endpoints of a pool with which the framing of one is compared, and how many of them must differ
+/// from it.
+inline constexpr int maxFramingPeers = 64;
+inline constexpr int minFramingPeers = 2;
 /// After this number of failures to connect, another call of a request is made by a peer.
 inline constexpr std::uint32_t maxConnectFailures = 2;
 /// Minimum number of daemons assumed when the retry budget is divided.
@@ -203,6 +207,7 @@
     AnswerFraming replyFraming = AnswerFraming::Connection;
     /// An answer that may be a part of the endpoint's, as only the end of its connection ended it.
     std::optional<ProxiedAnswer> unconfirmed;
+    std::string unconfirmedBy; ///< Endpoint that sent it.
     /// ID of the last event that the caller has received.
     std::optional<std::uint64_t> lastEventId;
     bool isPlaced = false; ///< The current call has brought an event with an ID.
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -621,6 +621,9 @@
         request->isPlaced = true;
     }
     request->hasUnnumberedEvents = request->hasUnnumberedEvents || isUnnumbered;
+    if (request->unconfirmed && !event.isComment) {
+        recordComparison(*request, request->unconfirmedBy, false, snapshot);
+    }
     request->unconfirmed.reset();
     ++request->tokens;
     m_actions.emplace_back(std::move(action));
@@ -631,11 +634,19 @@
 /// Returns how the endpoint of \p request ends its answers to the pipeline's requests.
 template <GuardPolicy G>
 FramingHabit &BasicRequestMachine<G>::framingHabit(const Request &request)
+{
+    return framingHabit(request, request.endpoint);
+}
+
+/// \overload
+template <GuardPolicy G>
+FramingHabit &BasicRequestMachine<G>::framingHabit(const Request &request,
+                                                   const std::string &endpoint)
 {
     if (m_framingHabits.size() >= requestmachine::maxFramingHabits) {
         m_framingHabits.clear();
     }
-    return m_framingHabits[{request.endpoint, request.pipeline.name}];
+    return m_framingHabits[{request.stageSpec().pool, request.pipeline.name, endpoint}];
 }
 
 /// Records the framing of a success. Returns whether it was most likely broken off: it has no
@@ -656,6 +667,104 @@
     return wasMarking && !isMarked;
 }
 
+/// Returns whether \p endpointAnswer is a success that may be a part of the endpoint's, by what is
+/// known of that endpoint.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::mayBePart(const Request &request, const ProxiedAnswer &endpointAnswer,
+                                       const Snapshot &snapshot)
+{
+    return endpointAnswer.framing == AnswerFraming::Connection && endpointAnswer.status >= 200
+           && endpointAnswer.status < 300 && isFramingOutlier(request, snapshot);
+}
+
+/// Returns whether the endpoint of \p request breaks off answers without a marked end, or marks
+/// none unlike most others of its pool. An endpoint whose answers another run showed to be whole
+/// is none.
+template <GuardPolicy G>
+bool BasicRequestMachine<G>::isFramingOutlier(const Request &request, const Snapshot &snapshot)
+{
+    const FramingHabit &habit = framingHabit(request);
+    if (habit.brokeOff()) {
+        return true;
+    }
+    const PoolEntry *pool = snapshot.pool(request.stageSpec().pool);
+    if (pool == nullptr || !habit.isOpen() || habit.isTrusted()) {
+        return false;
+    }
+    const FramingKey own{request.stageSpec().pool, request.pipeline.name, request.endpoint};
+    int compared = 0;
+    int knownPeers = 0;
+    int markingPeers = 0;
+    auto peer = m_framingHabits.upper_bound(own);
+    while (compared < requestmachine::maxFramingPeers) {
+        const bool isOfPool = peer != m_framingHabits.end() && peer->first.pool == own.pool
+                              && peer->first.pipeline == own.pipeline;
+        if (!isOfPool) {
+            peer = m_framingHabits.lower_bound({own.pool, own.pipeline, ""});
+        }
+        if (peer->first == own) {
+            break;
+        }
+        if (pool->find(peer->first.endpoint) == nullptr) {
+            peer = m_framingHabits.erase(peer);
+            continue;
+        }
+        knownPeers += peer->second.isKnown() ? 1 : 0;
+        markingPeers += peer->second.markedLast() ? 1 : 0;
+        ++compared;
+        ++peer;
+    }
+    return markingPeers >= requestmachine::minFramingPeers && 2 * markingPeers > knownPeers;
+}
+
+/// Compares an answer that could not be confirmed with \p endpointAnswer, which another run of the
+/// request brought. Of two that begin alike, the shorter one without a marked end is a part, and a
+/// stream that has only an end left was whole.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::compareRuns(const Request &request,
+                                         const ProxiedAnswer &endpointAnswer,
+                                         const Snapshot &snapshot)
+{
+    const bool isMarked = endpointAnswer.framing != AnswerFraming::Connection;
+    const std::string &first = request.unconfirmed->body;
+    const std::string &second = endpointAnswer.body;
+    if (isMarked && (request.headForwarded || first == second)) {
+        recordComparison(request, request.unconfirmedBy, true, snapshot);
+    } else if (first.size() < second.size() && second.starts_with(first)) {
+        recordComparison(request, request.unconfirmedBy, false, snapshot);
+    } else if (!isMarked && second.size() < first.size() && first.starts_with(second)) {
+        recordComparison(request, request.endpoint, false, snapshot);
+    }
+}
+
+/// Records that another run of \p request showed an answer of \p endpointName without a marked end
+/// to be whole, or a part. Even if answers differ between runs, that endpoint is only chosen last.
+template <GuardPolicy G>
+void BasicRequestMachine<G>::recordComparison(const Request &request,
+                                              const std::string &endpointName, bool isWhole,
+                                              const Snapshot &snapshot)
+{
+    const std::string &poolName = request.stageSpec().pool;
+    framingHabit(request, endpointName).recordComparison(isWhole);
+    const PoolEntry *pool = snapshot.pool(poolName);
+    const EndpointEntry *endpoint = pool == nullptr ? nullptr : pool->find(endpointName);
+    if (endpoint == nullptr) {
+        return;
+    }
+    if (isWhole) {
+        recordTrust(*endpoint);
+    } else {
+        recordDoubt(*endpoint, usualLatency(request), m_clock.now());
+    }
+}
+
+/// Returns the typical time of a call to the pool of \p request.
+template <GuardPolicy G>
+Duration BasicRequestMachine<G>::usualLatency(const Request &request)
+{
+    return poolState(request.stageSpec().pool).latency.median(m_clock.now(), request.bytes());
+}
+
 /// Returns the framing of the reply to \p request whose endpoint streams with \p framing. If the
 /// endpoint usually marks the ends of its streams, the reply can be aborted visibly.
 template <GuardPolicy G>
@@ -668,12 +777,15 @@
 
 /// Completes \p request with \p endpointAnswer, or sends it once more if nothing proves that the
 /// answer is whole: an endpoint that breaks off may close its connection in order as well. Another
-/// run at endpoints that never mark an end would confirm nothing.
+/// run at endpoints that never mark an end would confirm nothing, unless others of the pool do.
 template <GuardPolicy G>
 void BasicRequestMachine<G>::completeProxied(Request &request, ProxiedAnswer &&endpointAnswer,
                                              const Snapshot &snapshot)
 {
     const bool isSuccess = endpointAnswer.status >= 200 && endpointAnswer.status < 300;
+    if (request.unconfirmed && isSuccess) {
+        compareRuns(request, endpointAnswer, snapshot);
+    }
     if (endpointAnswer.framing != AnswerFraming::Connection || !isSuccess) {
         AnswerCaller action;
         action.outcome = Outcome::Completed;
@@ -681,11 +793,15 @@
         answer(request, std::move(action));
         return;
     }
-    const bool isConfirmable = !framingHabit(request).isOpen() && !request.unconfirmed
+    const EndpointEntry *endpoint = endpointOf(request, snapshot);
+    const bool isDoubted = endpoint != nullptr && isDoubtful(*endpoint, m_clock.now());
+    const bool isConfirmable = (isDoubted || !framingHabit(request).isOpen())
+                               && !request.unconfirmed
                                && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
     // Of two parts of an answer, the longer one has more of it.
     if (!request.unconfirmed || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
         request.unconfirmed = std::move(endpointAnswer);
+        request.unconfirmedBy = request.endpoint;
     }
     request.phase = Request::Phase::Queued;
     request.stageMayHaveRun = true;
--- a/include/harelink/Kernel/routing.h
+++ b/include/harelink/Kernel/routing.h
@@ -45,6 +45,7 @@
     /// Selects only endpoints that are known to be warm, or that get no more from this daemon
     /// than its share of what they accept while cold.
     bool requiresWarm = false;
+    bool allowsDoubtful = false; ///< Also selects endpoints whose answers may be parts.
 };
 
 /// Returns whether \p entry is neither leaving nor ejected, and its data centre is not drained.
@@ -70,6 +71,9 @@
 /// Returns whether \p entry may get one more call now.
 [[nodiscard]] bool isEligible(const EndpointEntry &entry, TimePoint now);
 
+/// Returns whether the answers of \p entry may be parts, so that it is chosen last.
+[[nodiscard]] bool isDoubtful(const EndpointEntry &entry, TimePoint now);
+
 /// Returns whether \p entry may get one more call now and satisfies \p query. Cold endpoints
 /// are eligible only for a query with coldOnly set.
 [[nodiscard]] bool isEligible(const EndpointEntry &entry, const RoutingQuery &query);
@@ -99,6 +103,13 @@
 void recordProgress(const EndpointEntry &entry, TimePoint now);
 /// Records that a call to \p entry was answered after \p elapsed.
 void recordSuccess(const EndpointEntry &entry, Duration elapsed, TimePoint now);
+/// Records that an answer of \p entry may be a part, which no error shows. For some time other
+/// endpoints are chosen before it, and the short time of the part does not make it seem faster
+/// than \p usual, the typical time of a call to its pool. It is not ejected: endpoints that never
+/// mark the end of an answer are needed as much as others.
+void recordDoubt(const EndpointEntry &entry, Duration usual, TimePoint now);
+/// Records that an answer of \p entry without a marked end was whole.
+void recordTrust(const EndpointEntry &entry);
 /// Records how many rejections per second \p pool's endpoint \p entry bears from all daemons;
 /// std::nullopt if it states none. Endpoints of a pool are brittle together, so one that is makes
 /// all others so until they answer.
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -133,6 +133,7 @@
         m_retriesOverBudget += report.counters.retriesOverBudget;
         m_stale += report.counters.staleAnswers;
         m_mismatched += report.counters.mismatchedAnswers;
+        m_doubtful += report.counters.doubtfulAnswers;
         m_broken += report.counters.brokenCalls;
         m_resumed += report.counters.resumedStreams;
         m_inProgress += report.inProgress;
@@ -167,6 +168,7 @@
         value("harelink_retries_over_budget_total", "counter", m_retriesOverBudget);
         value("harelink_stale_answers_total", "counter", m_stale);
         value("harelink_mismatched_answers_total", "counter", m_mismatched);
+        value("harelink_doubtful_answers_total", "counter", m_doubtful);
         value("harelink_broken_calls_total", "counter", m_broken);
         value("harelink_resumed_streams_total", "counter", m_resumed);
         value("harelink_requests_in_progress", "gauge", m_inProgress);
@@ -188,6 +190,7 @@
     std::uint64_t m_retriesOverBudget = 0;
     std::uint64_t m_stale = 0;
     std::uint64_t m_mismatched = 0;
+    std::uint64_t m_doubtful = 0;
     std::uint64_t m_broken = 0;
     std::uint64_t m_resumed = 0;
     std::uint64_t m_inProgress = 0;
--- a/lib/Kernel/routing.cpp
+++ b/lib/Kernel/routing.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds maxEjection{10'000};
 /// Maximum ejection after refused connections, since another attempt is cheap.
 constexpr milliseconds maxUnreachableEjection{400};
+/// How long other endpoints are chosen before one whose answers may be parts.
+constexpr milliseconds doubtPeriod{10'000};
 /// An abandoned call counts as a failure if it took longer than this multiple of the usual time.
 constexpr int slowCallFactor = 2;
 /// After a refusal, an endpoint is assumed to be full for the latency of a call divided by this,
@@ -239,8 +241,16 @@
            && (brittleSlots == 0 || inFlight < brittleSlots);
 }
 
+bool isDoubtful(const EndpointEntry &entry, TimePoint now)
+{
+    return entry.load->doubtedUntil.load(std::memory_order_relaxed) > steadyNanos(now);
+}
+
 bool isEligible(const EndpointEntry &entry, const RoutingQuery &query)
 {
+    if (!query.allowsDoubtful && isDoubtful(entry, query.now)) {
+        return false;
+    }
     if (query.filter != nullptr && !query.filter->allows(entry)) {
         return false;
     }
@@ -315,6 +325,21 @@
     }
 }
 
+void recordDoubt(const EndpointEntry &entry, Duration usual, TimePoint now)
+{
+    using std::chrono::microseconds;
+    EndpointLoad &load = *entry.load;
+    const std::int64_t usualMicros = std::chrono::duration_cast<microseconds>(usual).count();
+    const std::int64_t latency = load.latencyMicros.load(std::memory_order_relaxed);
+    load.latencyMicros.store(std::max(latency, usualMicros), std::memory_order_relaxed);
+    load.doubtedUntil.store(steadyNanos(now + doubtPeriod), std::memory_order_relaxed);
+}
+
+void recordTrust(const EndpointEntry &entry)
+{
+    entry.load->doubtedUntil.store(0, std::memory_order_relaxed);
+}
+
 void recordRejectionLimit(const PoolEntry &pool, const EndpointEntry &entry,
                           std::optional<double> perSecond, int daemons)
 {
