[Test] Widen a product explicitly

Cause: The linter found an implicit widening of a multiplication. Change: The type of the first factor; the bound is the same.

--- a/unittests/Kernel/framingtest.cpp
+++ b/unittests/Kernel/framingtest.cpp
@@ -219,7 +219,7 @@
     // Nor is an answer of a pool in which none marks its ends confirmed for those that have left.
     const std::size_t before = play.sends.size();
     play.serve("/read/1", 300);
-    CHECK(play.sends.size() <= before + 300 + 2 * old);
+    CHECK(play.sends.size() <= before + 300 + std::size_t{2} * old);
 }
 
 // A habit was taken from HEAD requests, errors and answers of other routes.
