[Kernel] Report streams that begin just after a suspension of their host

Callers of streams that began within 0.3 s of the end of a suspension of their host were refused at other hosts (stream-unknown).

Cause: A host that was suspended takes its peers for silent until it has read their messages. When a stream began first, it selected anew the hosts that hold records, found none, and sent the record to nobody; the empty selection was kept for a second. Change: A data centre without a live host keeps its former holders for one more interval. Records to hosts that are really gone are lost as before.

--- a/include/harelink/Kernel/streamorigins.h
+++ b/include/harelink/Kernel/streamorigins.h
@@ -143,6 +143,7 @@
 
     [[nodiscard]] bool isStarting() const;
     void refreshHolders();
+    void keepSilentHolders(std::map<std::string, std::vector<std::string>> previous);
     [[nodiscard]] std::vector<std::string> dataCentresFor(const Hash128 &stream,
                                                           std::size_t count) const;
     [[nodiscard]] std::vector<std::string> receiversOf(const Hash128 &stream) const;
@@ -160,6 +161,8 @@
     StreamTable m_table;
     /// By data centre: the hosts that may hold records, in order of preference.
     std::map<std::string, std::vector<std::string>> m_holders;
+    /// Data centres without a live host, whose former holders are kept until the next refresh.
+    std::set<std::string> m_silentDataCentres;
     TimePoint m_nextRefresh = TimePoint::min();
     std::map<Hash128, Pending> m_pending;
     std::vector<PeerSend> m_sends;
--- a/lib/Kernel/streamorigins.cpp
+++ b/lib/Kernel/streamorigins.cpp
@@ -357,7 +357,7 @@
         return;
     }
     m_nextRefresh = now + (isStarting() ? queryInterval : refreshInterval);
-    m_holders.clear();
+    std::map<std::string, std::vector<std::string>> previous = std::exchange(m_holders, {});
     m_holders[m_membership.dataCentre()];
     for (const std::string &host : m_membership.candidates()) {
         const auto peer = m_membership.peers().find(host);
@@ -369,6 +369,23 @@
         hosts = m_membership.ranked(std::move(hosts), "streams/" + dataCentre);
         hosts.resize(std::min(hosts.size(), queriedPerDataCentre));
     }
+    keepSilentHolders(std::move(previous));
+}
+
+/// Keeps the \p previous holders of data centres without a live host for one more interval: if this
+/// process was suspended, its peers seem silent until their messages are read.
+void StreamOrigins::keepSilentHolders(std::map<std::string, std::vector<std::string>> previous)
+{
+    std::set<std::string> silent;
+    for (auto &[dataCentre, hosts] : previous) {
+        const auto found = m_holders.find(dataCentre);
+        const bool isSilent = found == m_holders.end() || found->second.empty();
+        if (isSilent && !hosts.empty() && !m_silentDataCentres.contains(dataCentre)) {
+            m_holders[dataCentre] = std::move(hosts);
+            silent.insert(dataCentre);
+        }
+    }
+    m_silentDataCentres = std::move(silent);
 }
 
 /// Returns the own data centre, and the first \p count others by a hash of \p stream.
--- a/unittests/Kernel/fleetfixture.h
+++ b/unittests/Kernel/fleetfixture.h
@@ -133,6 +133,9 @@
         std::erase_if(m_openWatches,
                       [&host](const OpenWatch &watch) { return watch.host == host; });
     }
+    /// Suspends the process of \p host. Messages to it wait until it is resumed.
+    void suspend(const std::string &host) { m_suspended.insert(host); }
+    void resume(const std::string &host) { m_suspended.erase(host); }
     /// Sets whether the store refuses all calls.
     void setStoreUnavailable(bool isUnavailable) { m_isStoreUnavailable = isUnavailable; }
 
@@ -154,7 +157,9 @@
             }
             answerWatches();
             for (auto &[name, host] : m_hosts) {
-                tick(name, *host);
+                if (!m_suspended.contains(name)) {
+                    tick(name, *host);
+                }
             }
         }
     }
@@ -255,6 +260,10 @@
 
     void deliver(const Transit &message)
     {
+        if (m_suspended.contains(message.send.host)) {
+            m_inTransit.push_back(message);
+            return;
+        }
         const auto to = m_hosts.find(message.send.host);
         if (to != m_hosts.end()) {
             m_traffic.receivedBytes[message.send.host] += message.bytes;
@@ -339,7 +348,7 @@
             const bool isDue =
                 m_clock.now() >= watch.until || !updatesFor(watch.call).objects.empty();
             const auto host = m_hosts.find(watch.host);
-            if (!isDue) {
+            if (!isDue || m_suspended.contains(watch.host)) {
                 m_openWatches.push_back(std::move(watch));
             } else if (host != m_hosts.end()) {
                 host->second->handle(updatesFor(watch.call));
@@ -415,6 +424,7 @@
     ManualClock m_clock;
     std::map<std::string, ControlOptions> m_options;
     std::map<std::string, std::unique_ptr<BasicControlMachine<G>>> m_hosts;
+    std::set<std::string> m_suspended;
     std::vector<Transit> m_inTransit;
     std::vector<OpenWatch> m_openWatches;
     std::map<std::pair<std::string, std::string>, PlatformObject> m_objects;
--- a/unittests/Kernel/streamoriginstest.cpp
+++ b/unittests/Kernel/streamoriginstest.cpp
@@ -124,6 +124,24 @@
     LONGS_EQUAL(streams, locateStreams(fleet, "h0000", streams));
 }
 
+// Its peers seem silent until their heartbeats are read.
+TEST(StreamOrigins, HostThatWasSuspendedReportsTheStreamsThatBeginAtOnce)
+{
+    constexpr int streams = 40;
+    StartedFleet<AllGuards> fleet(8, 3);
+    fleet.beginStream("h0003", {hash128("earlier"), origin, seconds(10), "", {}});
+    fleet.suspend("h0003");
+    fleet.run(seconds(5));
+    fleet.resume("h0003");
+    for (int i = 0; i < streams; ++i) {
+        fleet.beginStream("h0003",
+                          {hash128(fmt::format("stream-{}", i)), origin, seconds(10), "", {}});
+    }
+    fleet.run(milliseconds(100));
+    fleet.kill("h0003");
+    LONGS_EQUAL(streams, locateStreams(fleet, "h0001", streams));
+}
+
 TEST(StreamOrigins, WithoutReportsOnlyTheHostOfAStreamKnowsIt)
 {
     constexpr int streams = 40;
