--- a/unittests/Platform/storetest.cpp
+++ b/unittests/Platform/storetest.cpp
@@ -3,6 +3,8 @@
 #include "store.h"
 #include "pieces.h"
 
+#include "harelink/Config/jsontext.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <fmt/format.h>
@@ -111,6 +113,40 @@
     LONGS_EQUAL(6, result.version.revision);
 }
 
+// Another writer may have added values that a parser rejects.
+TEST(Store, UnrepresentableValuesOfOtherWritersAreWrittenBackUnchanged)
+{
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    PlatformCall call;
+    call.operation = PlatformOperation::Put;
+    call.kind = "harelink-hosts";
+    call.name = "h1";
+    call.ifVersion = 4;
+    for (const std::string &added :
+         {nested, std::string(R"({"a":1e999})"), std::string(R"("\ud800")")}) {
+        call.value = R"({"host": "h1", "added": )" + added + "}";
+        const HttpCall write = store.encode(call, "10.0.0.1:80", milliseconds(500));
+        const std::optional<JsonMembers> members = splitJsonObject(write.body);
+        CHECK(members.has_value());
+        CHECK(members->at("spec") == call.value);
+        CHECK(members->at("meta") == R"({"name":"h1","rev":4})");
+    }
+}
+
+TEST(Store, ValuesThatAreNotJsonAreWrittenAsStrings)
+{
+    PlatformCall call;
+    call.operation = PlatformOperation::Put;
+    call.kind = "k";
+    call.name = "n";
+    for (const std::string value : {"", "CgIIAQ==", "{", "{} {}", "[1] x", "\xff", R"("a" "b")"}) {
+        call.value = value;
+        const HttpCall write = store.encode(call, "10.0.0.1:80", milliseconds(500));
+        const nlohmann::json spec = nlohmann::json::parse(write.body)["spec"];
+        CHECK_TEXT(spec.is_string(), write.body.c_str());
+    }
+}
+
 TEST(Store, InvalidAnswerCountsAsUnanswered)
 {
     PlatformCall call;
