[Adapters] Bound the unusable addresses of peers that are remembered

Cause: PeerLink remembered each invalid address as text for ever, to log it once; an address comes from other daemons and may be as long as a message. Change: Whether an address is valid is checked each time. Of those that were logged a hash is kept, of 1,000 at most; further ones are only dropped. The metric harelink_peer_addresses_unusable_total counts them. An address that ZeroMQ can't connect to is tried again with the next message, as the reason may be a lack of sockets.

--- a/include/harelink/Adapters/peerlink.h
+++ b/include/harelink/Adapters/peerlink.h
@@ -14,6 +14,7 @@
 #include "harelink/Kernel/hostload.h"
 #include "harelink/Kernel/peers.h"
 #include "harelink/Support/clock.h"
+#include "harelink/Support/hash.h"
 
 #include <absl/status/status.h>
 
@@ -41,8 +42,12 @@
     std::uint64_t unreadable = 0; ///< Received, but not a valid message.
     std::uint64_t sentBytes = 0;
     std::uint64_t receivedBytes = 0;
+    std::uint64_t unusableAddresses = 0; ///< Different ones that were reported.
 };
 
+/// Maximum number of unusable addresses that are reported.
+inline constexpr std::uint64_t maxReportedAddresses = 1000;
+
 /// Generates a key pair that accepts no other keys.
 [[nodiscard]] PeerKeys makePeerKeys();
 
@@ -96,12 +101,13 @@
 
     struct Sender;
     Sender *findSender(const std::string &address, TimePoint now);
+    void reportUnusable(const std::string &address, const std::string &fault);
     bool sendNow(const std::string &address, const std::string &bytes);
     const std::string &encode(const PeerMessage &message);
 
     std::unique_ptr<Sockets> m_sockets;
     std::uint16_t m_port = 0; ///< Stored, since other threads must not use the sockets.
-    std::set<std::string> m_unusableAddresses;
+    std::set<Hash128> m_unusableAddresses; ///< Hashes of those that were reported.
     std::vector<PendingMessage> m_pending;
     std::string m_encoded; ///< The last message.
     /// Objects of the last message if it was a push: it goes to many peers in succession, and
--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -154,13 +154,10 @@
 }
 
 /// Returns the sender for \p address; null if the address, which other daemons report, is
-/// invalid. Each invalid address is logged once. Host names are invalid: ZeroMQ would resolve them
-/// in the thread that serves all connections.
+/// invalid. Host names are invalid: ZeroMQ would resolve them in the thread that serves all
+/// connections.
 PeerLink::Sender *PeerLink::findSender(const std::string &address, TimePoint now)
 {
-    if (m_unusableAddresses.contains(address)) {
-        return nullptr;
-    }
     std::string fault = "is not an IPv4 address and a port";
     try {
         if (isSocketAddress(address)) {
@@ -169,11 +166,23 @@
     } catch (const zmq::error_t &error) {
         fault = error.what();
     }
-    m_unusableAddresses.insert(address);
+    reportUnusable(address, fault);
+    return nullptr;
+}
+
+/// Logs each unusable address once, up to a number: peers may report any number of them.
+void PeerLink::reportUnusable(const std::string &address, const std::string &fault)
+{
+    if (m_counters.unusableAddresses >= maxReportedAddresses
+        || !m_unusableAddresses.insert(hash128(address)).second) {
+        return;
+    }
+    m_counters.unusableAddresses = m_unusableAddresses.size();
+    const bool isLast = m_counters.unusableAddresses == maxReportedAddresses;
     logger.record(LogLevel::Warning, "peer-address-unusable")
         .field("address", address)
-        .field("detail", fault);
-    return nullptr;
+        .field("detail", fault)
+        .field("further", isLast ? "not logged" : "");
 }
 
 void PeerLink::send(const PeerSend &send, TimePoint now)
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -1247,6 +1247,7 @@
         counter("harelink_peer_bytes_sent_total", m_peers.counters().sentBytes);
         counter("harelink_peer_messages_dropped_total", m_peers.counters().dropped);
         counter("harelink_peer_messages_unreadable_total", m_peers.counters().unreadable);
+        counter("harelink_peer_addresses_unusable_total", m_peers.counters().unusableAddresses);
         counter("harelink_peer_connections_refused_total", m_peers.refusedConnections());
         counter("harelink_quarantines_total", m_quarantines);
         counter("harelink_cold_checks_total", m_coldChecks);
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -243,6 +243,16 @@
     CHECK(message.has_value());
 }
 
+TEST(PeerLink, InvalidAddressesAreNotRememberedWithoutBound)
+{
+    PeerLink sender;
+    for (std::uint64_t i = 0; i < 3 * maxReportedAddresses; ++i) {
+        sender.send({"h2", fmt::format("host-{}:80", i), {"h1", 1, Heartbeat{}}}, {});
+    }
+    CHECK_EQUAL(3 * maxReportedAddresses, sender.counters().dropped);
+    CHECK_EQUAL(maxReportedAddresses, sender.counters().unusableAddresses);
+}
+
 TEST(PeerLink, NumbersOfPeersAreBounded)
 {
     constexpr std::int64_t largest = std::numeric_limits<std::int64_t>::max();
