[Adapters] Keep connections only for calls whose answers can't be mistaken

Cause: libcurl 7.88 takes an answer that arrives on an idle kept connection for the answer to the next call on it. An endpoint that answers twice, the second time late, so answered the next status check (cold state, load), or the next call that frees results, with the answer to the one before. Change: A call uses a kept connection only if it says so. Status checks and freeing results open one for each call. Checking a connection for unread bytes before its next use would leave the time between the check and the answer, and libcurl has no call to refuse a connection and take another. Cost: one connection for each status check and each freeing call, as requests and pieces have had. Not measured. Measured: before, harelink-unittests -sg AnswerEnds: ALateAnswerIsNotTakenForTheNextOne 'expected <right> but was <extra>'; -sg Store: CallsThatFreeResultsUseNoKeptConnection fails. After: AnswerEnds (10), Store (17), HttpClient (22) pass. No run of whole daemons with such endpoints.

--- a/include/harelink/Adapters/httpclient.h
+++ b/include/harelink/Adapters/httpclient.h
@@ -36,9 +36,10 @@
     std::string target;
     /// Sends only the given header fields and those that frame the body.
     bool omitDefaultHeaders = false;
-    /// Whether libcurl may resend the call when a reused connection breaks. If false,
-    /// the call gets a new connection and is never sent twice.
-    bool resendable = true;
+    /// Whether the call may use a connection that an earlier one has kept. libcurl resends it if
+    /// that connection breaks, and takes an answer that arrives late for an earlier call for its
+    /// own. If false, the call gets a new connection and is never sent twice.
+    bool resendable = false;
     /// Only opens a new connection, without sending a request.
     bool connectOnly = false;
     /// Replaces the client's bound on a body without body callback, unless zero. Such a body is
--- a/unittests/Adapters/answerendstest.cpp
+++ b/unittests/Adapters/answerendstest.cpp
@@ -16,15 +16,8 @@
 
 namespace {
 
-HttpResult callWith(HttpClient &client, const std::string &url, bool resendable = false,
-                    std::string body = "{}")
+HttpResult finish(HttpClient &client, const HttpCall &call)
 {
-    HttpCall call;
-    call.method = "POST";
-    call.url = url;
-    call.body = std::move(body);
-    call.timeout = std::chrono::seconds(5);
-    call.resendable = resendable;
     HttpResult result;
     bool done = false;
     client.send(call, [&](HttpResult finished) {
@@ -37,6 +30,18 @@
     return result;
 }
 
+HttpResult callWith(HttpClient &client, const std::string &url, bool resendable = false,
+                    std::string body = "{}")
+{
+    HttpCall call;
+    call.method = "POST";
+    call.url = url;
+    call.body = std::move(body);
+    call.timeout = std::chrono::seconds(5);
+    call.resendable = resendable;
+    return finish(client, call);
+}
+
 /// Makes a call to an endpoint that sends \p bytes and closes its connection in order.
 HttpResult callGetting(const std::string &bytes)
 {
@@ -172,6 +177,33 @@
     }
 }
 
+// An endpoint may answer twice, the second time when the connection is idle.
+TEST(AnswerEnds, ALateAnswerIsNotTakenForTheNextOne)
+{
+    std::atomic<bool> isAnswered{false};
+    std::atomic<bool> isAnsweredTwice{false};
+    const RawEndpoint endpoint([&](const RawConnection &connection, const std::string &) {
+        (void)connection.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright");
+        while (!isAnswered) {
+            std::this_thread::yield();
+        }
+        (void)connection.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+        isAnsweredTwice = true;
+        while (!connection.readRequest().empty()) {
+        }
+    });
+    HttpClient client;
+    HttpCall call;
+    call.url = endpoint.url();
+    call.timeout = std::chrono::seconds(5);
+    STRCMP_EQUAL("right", finish(client, call).body.c_str());
+    isAnswered = true;
+    while (!isAnsweredTwice) {
+        std::this_thread::yield();
+    }
+    STRCMP_EQUAL("right", finish(client, call).body.c_str());
+}
+
 // The rest of such a request must not be read by the endpoint as the next one.
 TEST(AnswerEnds, AnAnswerBeforeTheRequestWasReadEndsItsConnection)
 {
--- a/unittests/Platform/storetest.cpp
+++ b/unittests/Platform/storetest.cpp
@@ -147,6 +147,14 @@
     }
 }
 
+// The answers of endpoints to these calls don't state which call they answer.
+TEST(Store, CallsThatFreeResultsUseNoKeptConnection)
+{
+    for (const HttpCall &call : stages.encodeFree({"10.0.0.1:80/a", "10.0.0.2:80/b"})) {
+        CHECK_FALSE(call.resendable);
+    }
+}
+
 TEST(Store, InvalidAnswerCountsAsUnanswered)
 {
     PlatformCall call;
--- a/utils/bench/hop.cpp
+++ b/utils/bench/hop.cpp
@@ -47,6 +47,7 @@
                           "Harelink-Deadline-Ms: 30000"};
         m_call.body = R"({"nonce": "bench"})";
         m_call.timeout = std::chrono::seconds(40);
+        m_call.resendable = true; // Measures requests on kept connections.
     }
     void run()
     {
