[Adapters] Do not take a loop that is late each time for a suspended process

Cause: Both checks of stalled callers leave out the time by which a check is late, since a suspended process sends nothing. On a host whose loops are late each time, a caller that reads nothing held its buffers for several times the limit. Change: SuspensionMeter leaves out by how much a check is later than the least late of the last four, if that is over the tolerance each check had before (0.5 s and 1 s). A loop that is late each time leaves nothing out; a suspended process does, also if it is suspended again before a check is on time. ASuspensionOfALoopThatIsAlwaysLateIsLeftOut and ReplyBacklog.AStallIsNot ProlongedByChecksThatAreLateEachTime fail ('CHECK(fixture.backlog.isStalled()) failed'). After: SuspensionMeter (3), ReplyBacklog (3), HttpServer (23), BoundedMemory (11) pass. test/processes/stops: '0 failed', of 56 callers around the suspension none was cut off. No run of whole daemons with late loops.

--- a/include/harelink/Adapters/stalltimer.h
+++ b/include/harelink/Adapters/stalltimer.h
@@ -11,9 +11,39 @@
 #include "harelink/Support/clock.h"
 
 #include <algorithm>
+#include <array>
+#include <cstddef>
 
 namespace harelink {
 
+/// Distinguishes suspensions of this process from the delays of a busy one, by the delays of checks
+/// that are made periodically.
+class SuspensionMeter
+{
+public:
+    /// \param tolerance a delay that exceeds the usual one by no more is no suspension.
+    explicit SuspensionMeter(Duration tolerance)
+        : m_tolerance(tolerance)
+    {
+    }
+
+    /// Records that a check is made \p delay after it was due. Returns for how long this process
+    /// was suspended before; zero if it was not.
+    [[nodiscard]] Duration recordDelay(Duration delay)
+    {
+        const Duration usual = *std::min_element(m_delays.begin(), m_delays.end());
+        m_delays[m_next] = std::max(delay, Duration::zero());
+        m_next = (m_next + 1) % m_delays.size();
+        return delay - usual > m_tolerance ? delay - usual : Duration::zero();
+    }
+
+private:
+    Duration m_tolerance;
+    /// Of the last checks. A process may be suspended again before its next check is on time.
+    std::array<Duration, 4> m_delays{};
+    std::size_t m_next = 0;
+};
+
 /// Measures for how long a transfer has made no progress.
 class StallTimer
 {
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -13,6 +13,7 @@
 #include "harelink/Adapters/eventloop.h"
 #include "harelink/Adapters/snapshotcell.h"
 #include "harelink/Adapters/stageprotocol.h"
+#include "harelink/Adapters/stalltimer.h"
 #include "harelink/Config/settings.h"
 #include "harelink/Daemon/callerapi.h"
 #include "harelink/Daemon/callrelay.h"
@@ -203,6 +204,7 @@
     ControlSink m_control;
     bool m_closeConnections = false;
     TimePoint m_nextStallCheck{};
+    SuspensionMeter m_suspensions{std::chrono::seconds(1)}; ///< Of the stall checks.
     EventLoop m_loop;
     RequestMachine m_machine;
     RequestMetrics m_metrics;
--- a/lib/Adapters/callersocket.cpp
+++ b/lib/Adapters/callersocket.cpp
@@ -171,17 +171,16 @@
 {
     const TimePoint now = m_clock.now();
     const std::lock_guard<std::mutex> guard(m_mutex);
-    const Duration late = m_checkedAt == TimePoint{}
-                              ? Duration::zero()
-                              : now - m_checkedAt - Duration(writeCheckInterval);
+    const Duration suspended =
+        m_checkedAt == TimePoint{}
+            ? Duration::zero()
+            : m_suspensions.recordDelay(now - m_checkedAt - Duration(writeCheckInterval));
     m_checkedAt = now;
     for (auto &[descriptor, writes] : m_sockets) {
         if (!writes.isWriting) {
             continue;
         }
-        if (late > writeCheckInterval) {
-            writes.timer.excludeTime(late, now);
-        }
+        writes.timer.excludeTime(suspended, now);
         const std::size_t left = unacknowledgedBytes(descriptor);
         if (left < writes.unacknowledged) {
             writes.timer.recordProgress(now);
--- a/lib/Adapters/callersocket.h
+++ b/lib/Adapters/callersocket.h
@@ -44,8 +44,7 @@
     /// Ends a write of which the system took a part at least, or that failed.
     void endWrite(int descriptor);
     /// Ends the connections with a write that makes no progress. Must be called each
-    /// writeCheckInterval; the time by which a call is late is left out, since this process was
-    /// suspended.
+    /// writeCheckInterval; time in which this process was suspended is left out.
     void endStalledWrites();
 
     static constexpr std::chrono::milliseconds writeCheckInterval{500};
@@ -68,6 +67,7 @@
     mutable std::mutex m_mutex; ///< Guards the members below; held during queries of the system.
     std::map<int, Writes> m_sockets; ///< By descriptor.
     TimePoint m_checkedAt;
+    SuspensionMeter m_suspensions{writeCheckInterval};
 };
 
 /// Keeps a descriptor among the open ones.
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -26,8 +26,6 @@
 /// The same for an answer that a peer relays, which cannot be paused: the caller is disconnected.
 constexpr std::size_t maxRelayedWaitingBytes = 4 * maxWaitingBytes;
 constexpr std::chrono::milliseconds stallCheckInterval{250};
-/// This process was suspended if a check is later than this.
-constexpr std::chrono::milliseconds maxCheckDelay{1000};
 
 RequestLimits makeRequestLimits(const Settings &settings, const std::atomic<int> &daemons,
                                 const HostLoad &load, TimePoint startedAt)
@@ -575,14 +573,17 @@
 /// have sent nothing either.
 void Worker::excludeSuspension(TimePoint now)
 {
-    const Duration delay = now - m_nextStallCheck;
-    if (m_nextStallCheck == TimePoint{} || delay <= maxCheckDelay) {
+    if (m_nextStallCheck == TimePoint{}) {
+        return;
+    }
+    const Duration suspended = m_suspensions.recordDelay(now - m_nextStallCheck);
+    if (suspended == Duration::zero()) {
         return;
     }
     logger.record(LogLevel::Info, "worker-suspended")
-        .field("ms", static_cast<std::int64_t>(toMilliseconds(delay)));
+        .field("ms", static_cast<std::int64_t>(toMilliseconds(suspended)));
     for (const auto &[sequence, caller] : m_callers) {
-        caller.backlog->excludeTime(delay);
+        caller.backlog->excludeTime(suspended);
     }
 }
 
