[Tests] Cover the abort of a reply in chunks and the limits of an orderly close

Cause: Since replies have the framing of their endpoint, the tests of bounded memory had none in chunks, which is aborted by the missing last one; the limits after which a closed connection is given up were not tested. Change: An endless event, and a caller that never reads, with an endpoint that streams in chunks. A closed connection ends although its caller reads nothing (5 s), or has read all and leaves it open (1 s).

--- a/unittests/Adapters/httpcaller.h
+++ b/unittests/Adapters/httpcaller.h
@@ -49,6 +49,11 @@
     {
         (void)send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
+    /// Sends \p bytes; returns false if the connection was reset before.
+    [[nodiscard]] bool tryWrite(const std::string &bytes) const
+    {
+        return send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0;
+    }
     /// Returns all bytes until the connection is closed or idle for two seconds.
     [[nodiscard]] std::string readAll() const { return readUntil({}); }
     /// Like readAll(), but stops when \p text was received, unless it is empty.
--- a/unittests/Adapters/httpservertest.cpp
+++ b/unittests/Adapters/httpservertest.cpp
@@ -497,6 +497,40 @@
     }
 }
 
+// Sockets of callers that neither read nor close must not accumulate.
+TEST(HttpServer, AClosedConnectionWhoseCallerReadsNothingEnds)
+{
+    Server server;
+    const HttpCaller caller(server.server->port(), smallReceiveBuffer);
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    HttpReply reply = makePart(std::string(heldBody, 'x') + "end", false);
+    reply.close = true;
+    server.sendLast(std::move(reply));
+    CHECK(waitUntil([&] { return server.closed != 0; }));
+    const auto closedAt = std::chrono::steady_clock::now();
+    CHECK(server.server->undelivered().bytes > 0);
+    CHECK(waitUntil([&] { return server.server->undelivered().isEmpty(); }));
+    // A caller that pauses for less than the limit of 5 s gets the whole reply.
+    CHECK(std::chrono::steady_clock::now() - closedAt > 4s);
+}
+
+TEST(HttpServer, AClosedConnectionThatItsCallerLeavesOpenEnds)
+{
+    Server server;
+    const HttpCaller caller(server.server->port());
+    caller.write(get);
+    CHECK(server.waitForRequest());
+    HttpReply reply = makePart("whole", false);
+    reply.close = true;
+    server.sendLast(std::move(reply));
+    CHECK(caller.readUntilEnd("whole", 0us).ends_with("whole"));
+    const auto readAt = std::chrono::steady_clock::now();
+    // The server discards what arrives, and the system resets the connection once it is closed.
+    CHECK(waitUntil([&] { return !caller.tryWrite("x"); }));
+    CHECK(std::chrono::steady_clock::now() - readAt > 500ms);
+}
+
 // Guards against a cycle of references between a connection and what is left of its reply.
 TEST(HttpServer, AStopReleasesRepliesInProgress)
 {
--- a/unittests/Platform/boundedmemorytest.cpp
+++ b/unittests/Platform/boundedmemorytest.cpp
@@ -57,6 +57,8 @@
 }
 
 constexpr const char *streamFields = "Content-Type: text/event-stream\r\nConnection: close";
+constexpr const char *chunkedStreamFields =
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked";
 
 std::string event(std::uint64_t id, std::size_t bytes)
 {
@@ -104,15 +106,22 @@
     } else if (asks("chunks-forever")) {
         (void)connection.write(head(request, "Transfer-Encoding: chunked"));
         repeated = chunk(repeated);
+    } else if (asks("chunked-event-forever")) {
+        (void)connection.write(head(request, chunkedStreamFields)
+                               + chunk(event(1, 1) + "id: 2\ndata: "));
+        repeated = chunk(repeated);
     } else if (asks("event-forever")) {
         (void)connection.write(head(request, streamFields) + event(1, 1) + "id: 2\ndata: ");
     } else if (asks("events")) {
         // Events of 4 KiB: as many as the path states, or without end.
+        const bool isChunked = asks("chunked");
         const std::size_t at = request.find("events-");
         const auto count = std::strtoull(request.c_str() + at + 7, nullptr, 10);
-        bool isOpen = connection.write(head(request, streamFields));
+        bool isOpen =
+            connection.write(head(request, isChunked ? chunkedStreamFields : streamFields));
         for (std::uint64_t id = 1; isOpen && (count == 0 || id <= count); ++id) {
-            isOpen = connection.write(event(id, 4096));
+            const std::string next = event(id, 4096);
+            isOpen = connection.write(isChunked ? chunk(next) : next);
         }
         return;
     }
@@ -404,6 +413,36 @@
     CHECK(waitUntil([&] { return serving.buffers.used() == 0; }));
 }
 
+TEST(BoundedMemory, AnEndlessEventLeavesAReplyInChunksWithoutItsLastOne)
+{
+    Serving serving(33'554'432);
+    const HttpCaller caller(serving.port());
+    caller.write(request("/say/chunked-event-forever"));
+    const std::string reply = caller.readToEnd().first;
+    CHECK(reply.find("Transfer-Encoding: chunked") != std::string::npos);
+    CHECK(reply.find("id: 1") != std::string::npos);
+    // The last chunk would make the reply complete.
+    CHECK(reply.find("\r\n0\r\n") == std::string::npos);
+    LONGS_EQUAL(1, serving.metric("harelink_answers_over_bound_total{part=\"event\"}"));
+    CHECK(waitUntil([&] { return serving.buffers.used() == 0; }));
+}
+
+TEST(BoundedMemory, ACallerThatNeverReadsGetsNoLastChunk)
+{
+    Serving serving(33'554'432);
+    const HttpCaller caller(serving.port());
+    caller.write(request("/say/chunked-events-0"));
+    CHECK(waitUntil([&] { return serving.metric("harelink_paused_transfers") == 1; }));
+    serving.clock.advance(Worker::callerStallLimit + 100ms);
+    CHECK(waitUntil([&] { return serving.metric("harelink_slow_callers_total") == 1; }));
+    CHECK(waitUntil([&] { return serving.endedCalls() == 1; }));
+    const std::string reply = caller.readToEnd().first;
+    CHECK(reply.find("Transfer-Encoding: chunked") != std::string::npos);
+    CHECK(reply.find("id: 1\n") != std::string::npos);
+    CHECK(reply.find("\r\n0\r\n") == std::string::npos);
+    CHECK(waitUntil([&] { return serving.buffers.used() == 0; }));
+}
+
 TEST(BoundedMemory, ACallerThatNeverReadsHoldsNoMoreThanItsBoundAndIsDisconnected)
 {
     Serving serving(33'554'432);
