--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -30,6 +30,9 @@
 /// Interval between send attempts for queued messages: connecting takes a round trip of one
 /// or two milliseconds.
 constexpr std::chrono::milliseconds flushInterval{3};
+/// A connection that was not used for this time is closed when another one is opened. ZeroMQ has a
+/// limit of sockets, and would try to reach hosts that were replaced for ever.
+constexpr std::chrono::seconds senderIdleLimit{60};
 
 } // namespace
 
@@ -38,6 +41,7 @@
 {
     zmq::socket_t socket;
     TimePoint connectedAt;
+    TimePoint usedAt;
 };
 
 /// The sockets, which must be closed before their context.
@@ -65,8 +69,12 @@
     {
         const auto found = senders.find(address);
         if (found != senders.end()) {
+            found->second.usedAt = now;
             return found->second;
         }
+        std::erase_if(senders, [now](const auto &sender) {
+            return now - sender.second.usedAt > senderIdleLimit;
+        });
         zmq::socket_t socket(context, zmq::socket_type::push);
         socket.set(zmq::sockopt::linger, 0);
         socket.set(zmq::sockopt::sndhwm, sendQueueLength);
@@ -78,7 +86,7 @@
             socket.set(zmq::sockopt::curve_secretkey, keys->secretKey);
         }
         socket.connect("tcp://" + address);
-        return senders.emplace(address, Sender{std::move(socket), now}).first->second;
+        return senders.emplace(address, Sender{std::move(socket), now, now}).first->second;
     }
 };
 
@@ -141,8 +149,9 @@
 
 bool PeerLink::sendNow(const std::string &address, const std::string &bytes)
 {
-    zmq::socket_t &socket = m_sockets->senders.at(address).socket;
-    if (!socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+    const auto sender = m_sockets->senders.find(address);
+    if (sender == m_sockets->senders.end()
+        || !sender->second.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
         return false;
     }
     ++m_counters.sent;
@@ -154,13 +163,10 @@
 }
 
 /// Returns the sender for \p address; null if the address, which other daemons report, is
-/// invalid. Each invalid address is logged once. Host names are invalid: ZeroMQ would resolve them
-/// in the thread that serves all connections.
+/// invalid. Host names are invalid: ZeroMQ would resolve them in the thread that serves all
+/// connections.
 PeerLink::Sender *PeerLink::findSender(const std::string &address, TimePoint now)
 {
-    if (m_unusableAddresses.contains(address)) {
-        return nullptr;
-    }
     std::string fault = "is not an IPv4 address and a port";
     try {
         if (isSocketAddress(address)) {
@@ -169,11 +175,23 @@
     } catch (const zmq::error_t &error) {
         fault = error.what();
     }
-    m_unusableAddresses.insert(address);
+    reportUnusable(address, fault);
+    return nullptr;
+}
+
+/// Logs each unusable address once, up to a number: peers may report any number of them.
+void PeerLink::reportUnusable(const std::string &address, const std::string &fault)
+{
+    if (m_counters.unusableAddresses >= maxReportedAddresses
+        || !m_unusableAddresses.insert(hash128(address)).second) {
+        return;
+    }
+    m_counters.unusableAddresses = m_unusableAddresses.size();
+    const bool isLast = m_counters.unusableAddresses == maxReportedAddresses;
     logger.record(LogLevel::Warning, "peer-address-unusable")
         .field("address", address)
-        .field("detail", fault);
-    return nullptr;
+        .field("detail", fault)
+        .field("further", isLast ? "not logged" : "");
 }
 
 void PeerLink::send(const PeerSend &send, TimePoint now)
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -243,6 +243,40 @@
     CHECK(message.has_value());
 }
 
+TEST(PeerLink, InvalidAddressesAreNotRememberedWithoutBound)
+{
+    PeerLink sender;
+    for (std::uint64_t i = 0; i < 3 * maxReportedAddresses; ++i) {
+        sender.send({"h2", fmt::format("host-{}:80", i), {"h1", 1, Heartbeat{}}}, {});
+    }
+    CHECK_EQUAL(3 * maxReportedAddresses, sender.counters().dropped);
+    CHECK_EQUAL(maxReportedAddresses, sender.counters().unusableAddresses);
+}
+
+// Hosts are replaced, and ZeroMQ has a limit of 1,023 sockets.
+TEST(PeerLink, ConnectionsToReplacedHostsDoNotPreventOthers)
+{
+    PeerLink receiver;
+    CHECK(receiver.listen("127.0.0.1:0").ok());
+    PeerLink sender;
+    TimePoint now{};
+    for (int i = 0; i < 1'200; ++i) {
+        const std::string replaced = fmt::format("127.1.{}.{}:1", i / 250, 1 + i % 250);
+        sender.send({"h2", replaced, {"h1", 1, Heartbeat{}}}, now);
+        now += std::chrono::seconds(1);
+        sender.flush(now);
+    }
+    const std::string address = fmt::format("127.0.0.1:{}", receiver.port());
+    std::optional<PeerMessage> message;
+    for (int attempt = 0; attempt < maxAttempts && !message; ++attempt) {
+        sender.send({"h2", address, {"h1", 1, Heartbeat{}}}, now);
+        message = receiver.receive();
+        std::this_thread::sleep_for(milliseconds(message ? 0 : 1));
+    }
+    CHECK(message.has_value());
+    CHECK_EQUAL(0u, sender.counters().unusableAddresses);
+}
+
 TEST(PeerLink, NumbersOfPeersAreBounded)
 {
     constexpr std::int64_t largest = std::numeric_limits<std::int64_t>::max();
