[Kernel] Accept piece stages in any order

Change: dependencyOrder() gives an order in which each stage follows those that it depends on; the kernel and the check of the settings go by it. Stages keep their numbers, which callers and endpoints use. Stages that depend on each other or on one that does not exist are rejected. Measured: before, PieceGraph.StagesMayBeListedInAnyOrder and CountsAStageThatWaitsForTwoOthersInAnyOrderOnce ('expected <2> but was <0>') and Manifest.StagesMayBeListedInAnyOrder fail. After: PieceGraph (10), Manifest (12) pass in a program linked from these tests, the changed objects and the libraries of before.

--- a/include/harelink/Config/resources.h
+++ b/include/harelink/Config/resources.h
@@ -44,7 +44,7 @@
 struct PieceStageSpec
 {
     std::string pool;
-    std::vector<std::uint32_t> after; ///< Indexes of earlier stages whose results each piece needs.
+    std::vector<std::uint32_t> after; ///< Indexes of the stages whose results each piece needs.
     std::uint64_t resultBytes = 0;    ///< Approximate size of the result of a piece.
 };
 
@@ -244,7 +244,7 @@
                                                     std::string_view origin);
 
 /// Checks that all pools that the pipelines of \p resources refer to exist, and that piece
-/// stages only depend on earlier ones. For configurations that arrive as a whole. The error
+/// stages don't depend on each other. For configurations that arrive as a whole. The error
 /// lists each invalid reference.
 [[nodiscard]] absl::Status checkReferences(const std::vector<Resource> &resources);
 
--- a/include/harelink/Kernel/piecegraph.h
+++ b/include/harelink/Kernel/piecegraph.h
@@ -108,6 +108,7 @@
     void recompute(std::uint32_t stage);
 
     std::vector<Stage> m_stages;
+    std::vector<std::uint32_t> m_order; ///< See dependencyOrder().
 };
 
 } // namespace harelink
--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -10,6 +10,7 @@
 #ifndef HARELINK_KERNEL_REQUESTPROXIEDIMPL_H
 #define HARELINK_KERNEL_REQUESTPROXIEDIMPL_H
 
+#include "harelink/Config/stageorder.h"
 #include "harelink/Kernel/coldstart.h"
 #include "harelink/Kernel/endpointpace.h"
 #include "harelink/Kernel/pieceforecast.h"
@@ -170,7 +171,7 @@
     const std::string resultsDataCentre = preferredResultDataCentre(request, snapshot);
     std::vector<Duration> times(stages.size(), Duration::zero());
     std::vector<Duration> completedAt(stages.size(), Duration::zero());
-    for (std::size_t i = 0; i < stages.size(); ++i) {
+    for (const std::uint32_t i : dependencyOrder(stages)) {
         const std::uint32_t count = i < counts.size() ? counts[i] : 0;
         PieceDemand demand;
         for (const std::uint32_t before : stages[i].after) {
@@ -185,8 +186,7 @@
         group.count = count;
         group.priority = request.priority;
         group.transfers.resultsDataCentre = resultsDataCentre;
-        group.selectionHash =
-            PieceGroup::selectionHashOf(request.id, static_cast<std::uint32_t>(i));
+        group.selectionHash = PieceGroup::selectionHashOf(request.id, i);
         const PoolEntry &partition = choosePartition(snapshot, *pool, group, now);
         demand.pieces = count;
         demand.priority = request.priority;
@@ -210,7 +210,7 @@
     const std::vector<Duration> times = stageTimes(request, snapshot);
     std::vector<Duration> completedAt(stages.size(), Duration::zero());
     Duration allCompletedAt{};
-    for (std::size_t i = 0; i < stages.size(); ++i) {
+    for (const std::uint32_t i : dependencyOrder(stages)) {
         Duration startAt{};
         for (const std::uint32_t before : stages[i].after) {
             startAt = std::max(startAt, completedAt[before]);
--- a/lib/Config/configcheck.cpp
+++ b/lib/Config/configcheck.cpp
@@ -5,6 +5,7 @@
 #include "harelink/Config/jsonreader.h"
 #include "harelink/Config/objectreader.h"
 #include "harelink/Config/resources.h"
+#include "harelink/Config/stageorder.h"
 #include "harelink/Support/error.h"
 
 #include <fmt/format.h>
@@ -466,17 +467,17 @@
     /// \p route, for a request that has pieces in all of them.
     [[nodiscard]] microseconds shortestTime(const RouteSpec &route) const
     {
-        std::vector<microseconds> ends;
+        std::vector<microseconds> ends(route.pieceStages.size());
         microseconds latest{0};
-        for (const PieceStageSpec &stage : route.pieceStages) {
-            microseconds end{0};
+        for (const std::uint32_t index : dependencyOrder(route.pieceStages)) {
+            const PieceStageSpec &stage = route.pieceStages[index];
+            microseconds &end = ends[index];
             for (const std::uint32_t dependency : stage.after) {
                 end = std::max(end, ends[dependency]);
             }
             if (const PieceWorkSpec *work = pieceWork(stage.pool)) {
                 end += work->callTime;
             }
-            ends.push_back(end);
             latest = std::max(latest, end);
         }
         return latest;
--- a/lib/Config/resources.cpp
+++ b/lib/Config/resources.cpp
@@ -4,6 +4,7 @@
 
 #include "harelink/Config/jsonreader.h"
 #include "harelink/Config/objectwriter.h"
+#include "harelink/Config/stageorder.h"
 #include "harelink/Support/error.h"
 
 #include <fmt/format.h>
@@ -330,13 +331,18 @@
         for (std::size_t i = 0; i < stages.size(); ++i) {
             check(pipeline->name, stages[i].pool);
             for (const std::uint32_t dependency : stages[i].after) {
-                if (dependency >= i) {
+                if (dependency >= stages.size()) {
                     faults.push_back(fmt::format("pipeline {}: piece stage {} depends on stage {}, "
-                                                 "which is not an earlier one",
+                                                 "which does not exist",
                                                  pipeline->name, i, dependency));
                 }
             }
         }
+        if (dependencyOrder(stages).size() < stages.size()) {
+            faults.push_back(fmt::format("pipeline {}: piece stages have no order in which each "
+                                         "follows those that it depends on",
+                                         pipeline->name));
+        }
     }
     if (!faults.empty()) {
         return makeError(absl::StatusCode::kInvalidArgument, "checking", "", joinFaults(faults));
--- a/lib/Kernel/piecegraph.cpp
+++ b/lib/Kernel/piecegraph.cpp
@@ -2,6 +2,8 @@
 
 #include "harelink/Kernel/piecegraph.h"
 
+#include "harelink/Config/stageorder.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -10,6 +12,7 @@
 
 PieceGraph::PieceGraph(const std::vector<PieceStageSpec> &stages,
                        const std::vector<std::uint32_t> &counts)
+    : m_order(dependencyOrder(stages))
 {
     for (std::size_t i = 0; i < stages.size(); ++i) {
         Stage stage;
@@ -17,12 +20,12 @@
         stage.pieces.resize(i < counts.size() ? counts[i] : 0);
         m_stages.push_back(std::move(stage));
     }
+    assert(m_order.size() == m_stages.size() && "stages must not depend on each other");
     for (const Stage &stage : m_stages) {
         if (stage.pieces.empty()) {
             continue;
         }
         for (const std::uint32_t before : stage.spec.after) {
-            assert(before < m_stages.size() && "a stage may only depend on earlier stages");
             m_stages[before].isFinal = false;
         }
     }
@@ -47,8 +50,9 @@
 {
     std::vector<Duration> chains(m_stages.size(), Duration::zero());
     Duration longest{};
-    // Stages depend on earlier ones only, so in reverse order all later chains are known.
-    for (std::uint32_t i = static_cast<std::uint32_t>(m_stages.size()); i-- > 0;) {
+    // In reverse order, the chains of all stages that depend on a stage are known.
+    for (auto next = m_order.rbegin(); next != m_order.rend(); ++next) {
+        const std::uint32_t i = *next;
         const Stage &stage = m_stages[i];
         const bool isEmpty = stage.pieces.empty();
         if (!isEmpty) {
@@ -71,11 +75,19 @@
         return upcoming;
     }
     std::vector<bool> follows(m_stages.size(), false);
-    follows[stage] = true;
-    // Stages depend on earlier ones only.
-    for (std::size_t i = stage + 1; i < m_stages.size(); ++i) {
+    std::vector<std::size_t> positions(m_stages.size());
+    for (std::size_t position = 0; position < m_order.size(); ++position) {
+        positions[m_order[position]] = position;
+    }
+    for (const std::uint32_t i : m_order) {
         const Stage &later = m_stages[i];
-        const auto last = std::max_element(later.spec.after.begin(), later.spec.after.end());
+        const auto last = std::max_element(
+            later.spec.after.begin(), later.spec.after.end(),
+            [&](std::uint32_t a, std::uint32_t b) { return positions[a] < positions[b]; });
+        if (i == stage) {
+            follows[i] = true;
+            continue;
+        }
         follows[i] = last != later.spec.after.end() && follows[*last];
         const auto waiting = static_cast<std::uint32_t>(
             std::count_if(later.pieces.begin(), later.pieces.end(),
--- a/unittests/Kernel/piecegraphtest.cpp
+++ b/unittests/Kernel/piecegraphtest.cpp
@@ -130,6 +130,42 @@
     LONGS_EQUAL(5, graph.takeUpcoming(1).at(0).pieces);
 }
 
+// A stage may depend on one with a higher index.
+TEST(PieceGraph, StagesMayBeListedInAnyOrder)
+{
+    using std::chrono::milliseconds;
+    // A chain "a", "b", "c", and "f", which has no inputs and is read by no other stage.
+    const std::vector<PieceStageSpec> stages = {
+        {"c", {2}, 1}, {"f", {}, 1}, {"b", {3}, 1}, {"a", {}, 1}};
+    PieceGraph graph(stages, {1, 1, 2, 1});
+    const std::vector<UpcomingPieces> upcoming = graph.takeUpcoming(3);
+    LONGS_EQUAL(2, upcoming.size());
+    STRCMP_EQUAL("b", upcoming[0].pool.c_str());
+    LONGS_EQUAL(2, upcoming[0].pieces);
+    STRCMP_EQUAL("c", upcoming[1].pool.c_str());
+    const auto scheduled = [&graph] {
+        std::vector<std::uint32_t> scheduled;
+        for (const PieceIndex index : graph.scheduleReady(
+                 {milliseconds(300), milliseconds(500), milliseconds(300), milliseconds(300)})) {
+            scheduled.push_back(index.stage);
+            graph.markCompleted(index, "r" + std::to_string(index.stage));
+        }
+        return scheduled;
+    };
+    CHECK(scheduled() == std::vector<std::uint32_t>{3});
+    CHECK((scheduled() == std::vector<std::uint32_t>{1, 2, 2}));
+    CHECK(scheduled() == std::vector<std::uint32_t>{0});
+    CHECK(graph.isComplete());
+    CHECK((graph.finalResults() == std::vector<std::string>{"r0", "r1"}));
+}
+
+TEST(PieceGraph, CountsAStageThatWaitsForTwoOthersInAnyOrderOnce)
+{
+    PieceGraph graph({{"c", {1, 2}, 1}, {"b", {2}, 1}, {"a", {}, 1}}, {5, 1, 1});
+    LONGS_EQUAL(2, graph.takeUpcoming(2).size());
+    LONGS_EQUAL(5, graph.takeUpcoming(1).at(0).pieces);
+}
+
 TEST(PieceGraph, ResultsOfPiecesThatDoNotExistAreIgnored)
 {
     PieceGraph graph(sequence, {2, 1, 1});
--- a/unittests/Platform/manifesttest.cpp
+++ b/unittests/Platform/manifesttest.cpp
@@ -125,6 +125,30 @@
     }
 }
 
+TEST(Manifest, StagesMayBeListedInAnyOrder)
+{
+    std::string text = replaced("\"since-rev\": [], ", "\"since-rev\": [1], ");
+    const std::string from = "\"since-rev\": [0]";
+    const auto reversed = reader.read(
+        "config", "main", text.replace(text.find(from), from.size(), "\"since-rev\": []"));
+    CHECK(reversed.ok());
+    const std::vector<PieceStageSpec> &stages =
+        specOf<PipelineSpec>(*reversed, "r1").route->pieceStages;
+    LONGS_EQUAL(1, stages[0].after.at(0));
+    LONGS_EQUAL(3000000, stages[0].resultBytes);
+}
+
+TEST(Manifest, StagesThatDependOnEachOtherOrOnNoneAreRejected)
+{
+    for (const char *dependencies : {"[0]", "[1]", "[2]", "[1, 2]"}) {
+        const auto resources = reader.read(
+            "config", "main",
+            replaced("\"since-rev\": [], ", "\"since-rev\": " + std::string(dependencies) + ", "));
+        CHECK_FALSE_TEXT(resources.ok(), dependencies);
+        STRCMP_CONTAINS("piece stage", errorMessage(resources.status()).c_str());
+    }
+}
+
 TEST(Manifest, DrainingEndpointIsLeaving)
 {
     const char *server = R"({"service": "m1", "addr": "10.0.0.1:80", "zone": "z", "slots": 64,
