[Kernel] Do not become ready with a configuration that cannot be read

Cause: A daemon that starts became ready as soon as the store had listed the manifest, whether it could read it or not, and answered 404 to all requests, where 503 is true. Change: While objects of a group of kinds are declared and none could be read, the configuration counts as not received yet. Endpoints and quarantines are left out: a daemon without them answers 503.

--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -260,6 +260,7 @@
     void recordLimitReports(const std::vector<EndpointLimitReport> &reports);
     [[nodiscard]] bool hasAllKinds() const;
     [[nodiscard]] bool hasKindsOf(const BasicConfigWatcher<G> &watcher) const;
+    [[nodiscard]] bool isUnreadable(const BasicConfigWatcher<G> &watcher) const;
     void publishConfig();
     [[nodiscard]] bool mayPublish();
     [[nodiscard]] Duration publishInterval() const;
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -931,6 +931,9 @@
 bool BasicControlMachine<G>::hasKindsOf(const BasicConfigWatcher<G> &watcher) const
 {
     const ObjectReader &reader = m_config.reader();
+    if (isUnreadable(watcher)) {
+        return false;
+    }
     if (watcher.synced() || watcher.followsOnly(reader.quarantineKind())) {
         return true;
     }
@@ -943,6 +946,29 @@
     });
 }
 
+/// Returns whether objects that \p watcher follows are declared, but none could be read. Without
+/// objects that operators declare, a daemon would respond with 404.
+template <GuardPolicy G>
+bool BasicControlMachine<G>::isUnreadable(const BasicConfigWatcher<G> &watcher) const
+{
+    const ObjectReader &reader = m_config.reader();
+    if (watcher.followsOnly(reader.endpointKind())
+        || watcher.followsOnly(reader.quarantineKind())) {
+        return false;
+    }
+    bool isDeclared = false;
+    for (const auto &[key, entry] : m_config.entries()) {
+        if (entry.deleted || !watcher.follows(key.first)) {
+            continue;
+        }
+        if (entry.fault.empty() || entry.isActive()) {
+            return false;
+        }
+        isDeclared = true;
+    }
+    return isDeclared;
+}
+
 template <GuardPolicy G>
 RateShares BasicControlMachine<G>::rateShares() const
 {
--- a/unittests/Kernel/controlmachinetest.cpp
+++ b/unittests/Kernel/controlmachinetest.cpp
@@ -29,8 +29,11 @@
     }
     [[nodiscard]] bool endpointObjectsExpire() const override { return false; }
     [[nodiscard]] absl::StatusOr<std::vector<Resource>>
-    read(const std::string &, const std::string &, const std::string &) const override
+    read(const std::string &, const std::string &, const std::string &value) const override
     {
+        if (value == "invalid") {
+            return absl::InvalidArgumentError("the value is invalid");
+        }
         return std::vector<Resource>{};
     }
 };
@@ -43,9 +46,9 @@
         machine.handle(heartbeatOf(2));
     }
     /// Handles an update from a peer. Returns whether it puts a configuration in force.
-    bool push(const std::string &kind, const std::string &name)
+    bool push(const std::string &kind, const std::string &name, const std::string &value = "{}")
     {
-        const ConfigPush push({{kind, name, ++version, false, "{}"}});
+        const ConfigPush push({{kind, name, ++version, false, value}});
         machine.handle(PeerMessage{"h2", 2, push});
         return machine.drainOutput().configChanged;
     }
@@ -69,6 +72,18 @@
     CHECK(fixture.push("endpoints", "e3"));
 }
 
+// A daemon that is ready responds with 404 to requests for routes that it does not know.
+TEST(ControlMachine, PublishesNoConfigurationWhoseRoutesAreAllInvalid)
+{
+    Fixture fixture;
+    CHECK(!fixture.push("endpoints", "e1"));
+    CHECK(!fixture.push("routes", "main", "invalid"));
+    CHECK(!fixture.push("endpoints", "e2", "invalid"));
+    CHECK(fixture.push("routes", "main"));
+    CHECK(!fixture.push("routes", "main", "invalid"));
+    CHECK(fixture.push("endpoints", "e3"));
+}
+
 /// A peer that sends its configuration in pages may lose one of them.
 TEST(ControlMachine, PublishesNoFetchedConfigurationWithEndpointsOnly)
 {
