[Kernel] Do not replace a success by the error of the run that was to confirm it

Cause: A request whose first answer was a success without a marked end is sent once more. If the second run answered with an error that endpoints state on purpose (404, as after a deletion), that error replaced the success of the run that had taken place. Change: An error confirms nothing: the caller gets the first answer, its end as open as the endpoint left it. Measured: Proxied.AnAnswerWithoutAMarkedEndIsPassedOnAsItIsIfItCannotBeConfirmed with the new case fails before (404 instead of 200).

--- a/include/harelink/Kernel/requestproxiedimpl.h
+++ b/include/harelink/Kernel/requestproxiedimpl.h
@@ -786,7 +786,8 @@
     if (request.unconfirmed && isSuccess) {
         compareRuns(request, endpointAnswer, snapshot);
     }
-    if (endpointAnswer.framing != AnswerFraming::Connection || !isSuccess) {
+    const bool isMarked = endpointAnswer.framing != AnswerFraming::Connection;
+    if (isSuccess ? isMarked : !request.unconfirmed) {
         AnswerCaller action;
         action.outcome = Outcome::Completed;
         action.proxied = std::move(endpointAnswer);
@@ -798,8 +799,10 @@
     const bool isConfirmable = (isDoubted || !framingHabit(request).isOpen())
                                && !request.unconfirmed
                                && endpointAnswer.body.size() <= requestmachine::maxUnconfirmedBytes;
-    // Of two parts of an answer, the longer one has more of it.
-    if (!request.unconfirmed || endpointAnswer.body.size() >= request.unconfirmed->body.size()) {
+    // Of two parts of an answer, the longer one has more of it; an error confirms nothing.
+    const bool isLongest =
+        !request.unconfirmed || endpointAnswer.body.size() >= request.unconfirmed->body.size();
+    if (isSuccess && isLongest) {
         request.unconfirmed = std::move(endpointAnswer);
         request.unconfirmedBy = request.endpoint;
     }
--- a/unittests/Kernel/proxiedtest.cpp
+++ b/unittests/Kernel/proxiedtest.cpp
@@ -343,6 +343,12 @@
                  ProxiedAnswer{500, {}, "", AnswerFraming::Length});
     check(failing, 2, "one");
 
+    ProxiedFixture rejected;
+    rejected.arrive("/read/1");
+    rejected.answerUnframed(rejected.sends[0], "one");
+    rejected.answerUnframed(rejected.sends[1], "no such thing", 404, AnswerKind::Error);
+    check(rejected, 2, "one");
+
     ProxiedFixture late;
     late.arrive("/read/1");
     late.answerUnframed(late.sends[0], "one");
