[Kernel] Take no overdue call for a suspension of this process

Cause: The next tick of a daemon may be overdue for good, as when a watcher waits for its turn to call the store. Each tick then looked like one after a suspension. Since such a host polls the store at once, this made calls of all watchers each 200 ms after an outage. Change: A tick counts as late from the end of the one before at the earliest.

--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -425,7 +425,8 @@
     m_ledger.tick(m_output.calls, m_nextCallId);
     m_crashes.tick(m_config.entries(), m_storeEra, m_output.calls, m_nextCallId);
     m_streams.tick();
-    m_dueAt = nextTick();
+    // What is overdue for other reasons, such as a call that waits for its turn, is no suspension.
+    m_dueAt = std::max<TimePoint>(now, nextTick());
     recordEndpointUpdates();
 }
 
