--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -30,9 +30,6 @@
 /// Interval between send attempts for queued messages: connecting takes a round trip of one
 /// or two milliseconds.
 constexpr std::chrono::milliseconds flushInterval{3};
-/// A connection that was not used for this time is closed when another one is opened. ZeroMQ has a
-/// limit of sockets, and would try to reach hosts that were replaced for ever.
-constexpr std::chrono::seconds senderIdleLimit{60};
 
 } // namespace
 
@@ -41,7 +38,6 @@
 {
     zmq::socket_t socket;
     TimePoint connectedAt;
-    TimePoint usedAt;
 };
 
 /// The sockets, which must be closed before their context.
@@ -69,12 +65,8 @@
     {
         const auto found = senders.find(address);
         if (found != senders.end()) {
-            found->second.usedAt = now;
             return found->second;
         }
-        std::erase_if(senders, [now](const auto &sender) {
-            return now - sender.second.usedAt > senderIdleLimit;
-        });
         zmq::socket_t socket(context, zmq::socket_type::push);
         socket.set(zmq::sockopt::linger, 0);
         socket.set(zmq::sockopt::sndhwm, sendQueueLength);
@@ -86,7 +78,7 @@
             socket.set(zmq::sockopt::curve_secretkey, keys->secretKey);
         }
         socket.connect("tcp://" + address);
-        return senders.emplace(address, Sender{std::move(socket), now, now}).first->second;
+        return senders.emplace(address, Sender{std::move(socket), now}).first->second;
     }
 };
 
@@ -149,9 +141,8 @@
 
 bool PeerLink::sendNow(const std::string &address, const std::string &bytes)
 {
-    const auto sender = m_sockets->senders.find(address);
-    if (sender == m_sockets->senders.end()
-        || !sender->second.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+    zmq::socket_t &socket = m_sockets->senders.at(address).socket;
+    if (!socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
         return false;
     }
     ++m_counters.sent;
