[Kernel] Go over the former holders by their iterators

Cause: The linter took the parameter whose elements are moved from for one that is only read. Change: The loop moves through an iterator; the behavior is the same. Measured: clang-tidy on lib/Kernel/streamorigins.cpp: 1 finding before, none now.

--- a/lib/Kernel/streamorigins.cpp
+++ b/lib/Kernel/streamorigins.cpp
@@ -377,7 +377,8 @@
 void StreamOrigins::keepSilentHolders(std::map<std::string, std::vector<std::string>> previous)
 {
     std::set<std::string> silent;
-    for (auto &[dataCentre, hosts] : previous) {
+    for (auto entry = previous.begin(); entry != previous.end(); ++entry) {
+        auto &[dataCentre, hosts] = *entry;
         const auto found = m_holders.find(dataCentre);
         const bool isSilent = found == m_holders.end() || found->second.empty();
         if (isSilent && !hosts.empty() && !m_silentDataCentres.contains(dataCentre)) {
