[Platform] Give each call to the store a connection of its own

Cause: Reads of the store used kept connections. libcurl repeats a call once if a kept connection breaks, so a watch that the store cut after 1.6 s was sent again and then timed out after 2.8 s. A kept connection may also have gone silent, or bring the late answer to an earlier call. Connecting had no limit but that of the whole call, 2.8 s for a watch. Change: New connections for all calls, with the limit of an answer without waiting (0.8 s) for connecting. The same in the product's own object interface. Measured: Store.EachCallHasAConnectionOfItsOwn fails before by the fields that it reads.

--- a/lib/Adapters/platformclient.cpp
+++ b/lib/Adapters/platformclient.cpp
@@ -127,6 +127,7 @@
 {
     HttpCall http;
     http.timeout = timeout;
+    http.connectTimeout = timeout;
     switch (call.operation) {
     case PlatformOperation::Get:
         http.url = objectUrl(call, address);
@@ -157,9 +158,6 @@
         http.url = fmt::format("http://{}/v1/hosts", address);
         break;
     }
-    // The kernel resolves lost answers itself by comparing versions.
-    http.resendable =
-        call.operation != PlatformOperation::Put && call.operation != PlatformOperation::Delete;
     return http;
 }
 
--- a/unittests/Platform/storetest.cpp
+++ b/unittests/Platform/storetest.cpp
@@ -3,6 +3,7 @@
 #include "store.h"
 #include "pieces.h"
 
+#include "harelink/Adapters/platformclient.h"
 #include "harelink/Config/jsontext.h"
 
 #include <CppUTest/TestHarness.h>
@@ -54,6 +55,25 @@
     fleet::StageDialect stages;
 };
 
+// A kept connection may have gone silent, or bring the late answer to an earlier call. libcurl
+// would repeat a watch that is cut off on one, so that the cut is noticed late.
+TEST(Store, EachCallHasAConnectionOfItsOwn)
+{
+    for (const PlatformOperation operation :
+         {PlatformOperation::Get, PlatformOperation::Put, PlatformOperation::Delete,
+          PlatformOperation::List, PlatformOperation::Watch, PlatformOperation::Hosts}) {
+        PlatformCall call;
+        call.operation = operation;
+        call.wait = operation == PlatformOperation::Watch ? milliseconds(2000) : milliseconds(0);
+        for (const HttpCall &http : {store.encode(call, "10.0.0.1:80", milliseconds(800)),
+                                     encodePlatformCall(call, "10.0.0.1:80", milliseconds(800))}) {
+            CHECK_FALSE(http.resendable);
+            CHECK(http.connectTimeout == milliseconds(800));
+            CHECK(http.timeout == milliseconds(800) + call.wait);
+        }
+    }
+}
+
 TEST(Store, ListsInPages)
 {
     PlatformCall call;
