[Kernel] Take no lost call for an outage of the store

Cause: Any call without an answer counted as the begin of an outage in which entries may lapse, and the next answer as its end; removals were held until 2.3 s after the last such end. Each lost watch began that anew, without bound. A removal that is held gets its end when it arrives, and later failures don't move it. Held removals are logged (endpoint-deletion-held) and counted. ConfigWatcher.AWatchThatIsCut..., AWatchThatGoesSilent... and CallsThatNobodyRepeats... fail without the minimum of an outage, ADelayEnds... where a later report moves the end. The tests for real outages pass as they were, but for a parameter.

--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -151,6 +151,7 @@
     void recordEndpointUpdates();
     void logCall(const PlatformCall &call, const PlatformResult &result, const HttpResult &http);
     void logStoreReturns(const ControlOutput &output);
+    void logHeldDeletions(const ControlOutput &output);
     void logUpdates(const PlatformCall &call, const PlatformResult &result, std::uint64_t dropped);
     void handlePeerChanges();
     void logPlatformConnection();
@@ -177,6 +178,7 @@
     std::uint64_t m_platformCalls = 0;
     std::uint64_t m_storeReturns = 0;
     std::uint64_t m_retainedObjects = 0;
+    std::uint64_t m_heldDeletions = 0;
     std::optional<TimePoint> m_storeReturnedAt;
     std::uint64_t m_quarantines = 0; ///< Decided by this daemon.
     std::uint64_t m_coldChecks = 0;
--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -13,6 +13,7 @@
 #include "harelink/Config/resources.h"
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/objecthistory.h"
+#include "harelink/Kernel/outagedetector.h"
 #include "harelink/Kernel/platform.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -80,6 +81,16 @@
     Version retained;
 };
 
+/// A deletion that is held back, since its object may have expired in an outage of the store.
+struct HeldDeletion
+{
+    std::string kind;
+    std::string name;
+    Version version;
+    Duration outage{}; ///< Length of the outage.
+    Duration delay{};
+};
+
 /// The declared objects as one daemon knows them. Versions only increase. When the store has
 /// returned from an older copy, an object keeps a newer value than the copy's until its writer has
 /// written it again.
@@ -260,7 +271,13 @@
     [[nodiscard]] bool synced() const { return m_synced; }
     [[nodiscard]] TimePoint nextTick() const;
     /// Records the outcome of a call to the platform, of this watcher or not.
-    void recordPlatformAnswer(PlatformOutcome outcome);
+    ///
+    /// \param dueAt when the platform would have answered a call of a watcher at the latest;
+    ///     std::nullopt for other calls. Only watchers call again at once, which tells whether the
+    ///     platform fails.
+    void recordPlatformAnswer(PlatformOutcome outcome, std::optional<TimePoint> dueAt);
+    /// Returns when the platform would answer the call in progress at the latest.
+    [[nodiscard]] TimePoint answerDueAt() const { return m_callMadeAt + m_callWait; }
     /// Applies the updates whose grace period is over. Returns true if the configuration in force
     /// changed.
     bool applyDelayedUpdates();
@@ -272,6 +289,11 @@
     {
         return std::exchange(m_lostObjects, {});
     }
+    /// Returns and clears the deletions that were held back since the last call.
+    [[nodiscard]] std::vector<HeldDeletion> drainHeldDeletions()
+    {
+        return std::exchange(m_heldDeletions, {});
+    }
 
 private:
     [[nodiscard]] bool awaitsAnswer() const;
@@ -281,7 +303,8 @@
     [[nodiscard]] Duration updatePause() const;
     bool handleListing(const PlatformResult &result);
     bool handleUpdate(const PlatformObject &update);
-    [[nodiscard]] bool mustDelay(const PlatformObject &update) const;
+    [[nodiscard]] bool mayHaveLapsed(const PlatformObject &update) const;
+    void delayDeletion(const PlatformObject &deletion, TimePoint dueAt);
     [[nodiscard]] bool isLost(const PlatformObject &deletion) const;
     void delayCopy(const PlatformObject &copy);
     void delayLost(const PlatformObject &deletion);
@@ -292,15 +315,16 @@
     std::vector<std::string> m_kinds;
     std::vector<PlatformObject> m_listed; ///< By the answers so far, if a listing takes several.
     std::string m_lastListedName;         ///< From which the listing continues.
-    /// Deletions, by name, of endpoints that may only have lapsed while the platform was
-    /// unavailable.
-    std::map<std::string, PlatformObject> m_delayedDeletions;
     /// An update that is applied when its object has not been written again until then.
     struct DelayedUpdate
     {
         PlatformObject update;
         TimePoint dueAt;
     };
+    /// Deletions, by name, of endpoints that may only have lapsed in an outage. What happens later
+    /// does not delay them further: an endpoint that has left would get work without an end.
+    std::map<std::string, DelayedUpdate> m_delayedDeletions;
+    std::vector<HeldDeletion> m_heldDeletions; ///< For drainHeldDeletions().
     /// Copies that are older than the values in force, and deletions of objects that the store has
     /// lost.
     std::map<std::pair<std::string, std::string>, DelayedUpdate> m_delayedUpdates;
@@ -308,7 +332,8 @@
     bool m_isPlatformUnavailable = false; ///< The last call to it failed.
     /// When the first of the last calls got no answer; max() if the last one got any.
     TimePoint m_silentSince = TimePoint::max();
-    TimePoint m_reconnectedAt; ///< When it answered again after a failure.
+    OutageDetector m_outages;
+    TimePoint m_returnedAt = TimePoint::min(); ///< When the last outage or era of the store ended.
     Version m_since;
     bool m_mustList = true;
     bool m_isWatchGone = false; ///< The last watch got no answer but Gone.
@@ -316,6 +341,7 @@
     bool m_connected = false;
     std::uint64_t m_callId = 0;
     TimePoint m_callMadeAt;
+    Duration m_callWait{};     ///< For which the platform may hold that call.
     TimePoint m_listingMadeAt; ///< When the first call of the last listing was made.
     /// All updates up to this time have been reported.
     TimePoint m_answeredCallMadeAt = TimePoint::min();
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -59,7 +59,8 @@
 
 /// When the platform answers again after an outage, endpoints that are missing stay in force for
 /// this period: live endpoints declare themselves again within 2 s. The period starts at the
-/// first answer and not at the last failure, since a call may hang during the whole outage.
+/// first answer and not at the last failure, since a call may hang during the whole outage. No
+/// later event extends it.
 inline constexpr std::chrono::milliseconds lapseGracePeriod{2300};
 
 /// When the store has returned from an older copy, endpoints and operators write again what it has
@@ -440,7 +441,6 @@
     : m_clock(clock)
     , m_table(table)
     , m_kinds(std::move(kinds))
-    , m_reconnectedAt(TimePoint::min())
     , m_nextCall(clock.now())
     , m_backOff(configwatcher::firstBackOff)
 {
@@ -450,12 +450,13 @@
 TimePoint BasicConfigWatcher<G>::nextTick() const
 {
     const TimePoint call = awaitsAnswer() ? TimePoint::max() : m_nextCall;
+    TimePoint next = call;
+    for (const auto &[name, delayed] : m_delayedDeletions) {
+        next = std::min(next, delayed.dueAt);
+    }
     if (m_isPlatformUnavailable) {
-        return call;
+        return next;
     }
-    TimePoint next = m_delayedDeletions.empty()
-                         ? call
-                         : std::min(call, m_reconnectedAt + configwatcher::lapseGracePeriod);
     for (const auto &[key, delayed] : m_delayedUpdates) {
         next = delayed.dueAt > m_clock.now() ? std::min(next, delayed.dueAt) : next;
     }
@@ -520,7 +521,8 @@
     const bool isSilent = m_silentSince != TimePoint::max();
     const bool isPoll = std::exchange(m_mustPoll, false);
     call.wait = isPoll || (G::pollsInOutages && isSilent) ? Duration::zero() : watchWait();
-    m_isWaiting = !m_listing && call.wait > Duration::zero();
+    m_callWait = m_listing ? Duration::zero() : call.wait;
+    m_isWaiting = m_callWait > Duration::zero();
     m_polledAt = isPoll ? m_clock.now() : m_polledAt;
     calls.push_back(std::move(call));
 }
@@ -531,7 +533,7 @@
     m_callId = 0;
     m_connected =
         result.outcome != PlatformOutcome::Refused && result.outcome != PlatformOutcome::Unanswered;
-    recordPlatformAnswer(result.outcome);
+    recordPlatformAnswer(result.outcome, answerDueAt());
     if (result.outcome == PlatformOutcome::Gone) {
         m_mustList = true;
         // Another listing may not help, so they must not cause a flood of calls.
@@ -610,7 +612,7 @@
     m_callId = 0;
     m_delayedUpdates.clear();
     m_delayedDeletions.clear();
-    m_reconnectedAt = m_clock.now();
+    m_returnedAt = m_clock.now();
     m_nextCall = m_clock.now();
 }
 
@@ -645,7 +647,7 @@
 {
     const ObjectReader &reader = m_table.reader();
     if (deletion.kind == reader.endpointKind() && reader.endpointObjectsExpire()) {
-        m_delayedDeletions[deletion.name] = deletion;
+        delayDeletion(deletion, m_clock.now() + configwatcher::lapseGracePeriod);
         return;
     }
     m_lostObjects.push_back(deletion.name);
@@ -676,39 +678,53 @@
 template <GuardPolicy G>
 bool BasicConfigWatcher<G>::handleUpdate(const PlatformObject &update)
 {
-    if (mustDelay(update)) {
-        m_delayedDeletions[update.name] = update;
+    if (mayHaveLapsed(update)) {
+        delayDeletion(update, m_returnedAt + configwatcher::lapseGracePeriod);
         return false;
     }
     return m_table.apply(update);
 }
 
+/// Returns whether \p update deletes an endpoint that may only have lapsed in the last outage.
 template <GuardPolicy G>
-bool BasicConfigWatcher<G>::mustDelay(const PlatformObject &update) const
+bool BasicConfigWatcher<G>::mayHaveLapsed(const PlatformObject &update) const
 {
     const ObjectReader &reader = m_table.reader();
-    const bool mayHaveLapsed =
+    const bool canLapse =
         update.deleted && reader.endpointObjectsExpire() && update.kind == reader.endpointKind();
-    const bool justReconnected =
-        m_reconnectedAt != TimePoint::min()
-        && m_clock.now() - m_reconnectedAt < configwatcher::lapseGracePeriod;
-    return mayHaveLapsed && (m_isPlatformUnavailable || justReconnected);
+    return canLapse && m_returnedAt != TimePoint::min()
+           && m_clock.now() - m_returnedAt < configwatcher::lapseGracePeriod;
+}
+
+template <GuardPolicy G>
+void BasicConfigWatcher<G>::delayDeletion(const PlatformObject &deletion, TimePoint dueAt)
+{
+    // A deletion that is reported again is no reason to wait longer.
+    const auto [delayed, isNew] = m_delayedDeletions.try_emplace(deletion.name);
+    delayed->second = {deletion, isNew ? dueAt : std::min(dueAt, delayed->second.dueAt)};
+    if (isNew) {
+        m_heldDeletions.push_back({deletion.kind, deletion.name, deletion.version,
+                                   m_outages.lastOutage(), dueAt - m_clock.now()});
+    }
 }
 
 template <GuardPolicy G>
-void BasicConfigWatcher<G>::recordPlatformAnswer(PlatformOutcome outcome)
+void BasicConfigWatcher<G>::recordPlatformAnswer(PlatformOutcome outcome,
+                                                 std::optional<TimePoint> dueAt)
 {
     const TimePoint now = m_clock.now();
+    const bool isAnswered =
+        outcome != PlatformOutcome::Refused && outcome != PlatformOutcome::Unanswered;
+    if (!isAnswered && dueAt) {
+        m_outages.recordFailure(now, *dueAt);
+    } else if (isAnswered && m_outages.recordAnswer(now)) {
+        m_returnedAt = now;
+    }
+    m_isPlatformUnavailable = !isAnswered;
     if (outcome == PlatformOutcome::Unanswered) {
         m_silentSince = std::min(m_silentSince, now);
-        m_isPlatformUnavailable = true;
         return;
     }
-    const bool answered = outcome != PlatformOutcome::Refused;
-    if (answered && m_isPlatformUnavailable) {
-        m_reconnectedAt = now;
-    }
-    m_isPlatformUnavailable = !answered;
     const TimePoint silentSince = std::exchange(m_silentSince, TimePoint::max());
     if (G::pollsInOutages && silentSince != TimePoint::max()) {
         callAfterOutage(silentSince);
@@ -727,15 +743,14 @@
 template <GuardPolicy G>
 bool BasicConfigWatcher<G>::applyDelayedDeletions()
 {
-    if (m_delayedDeletions.empty() || m_isPlatformUnavailable
-        || m_clock.now() - m_reconnectedAt < configwatcher::lapseGracePeriod) {
-        return false;
-    }
+    const TimePoint now = m_clock.now();
     bool changed = false;
-    for (const auto &[name, deletion] : std::exchange(m_delayedDeletions, {})) {
+    std::erase_if(m_delayedDeletions, [&](const auto &entry) {
+        const bool isDue = entry.second.dueAt <= now;
         // An endpoint that was declared again has a higher version, so it stays.
-        changed = m_table.apply(deletion) || changed;
-    }
+        changed = (isDue && m_table.apply(entry.second.update)) || changed;
+        return isDue;
+    });
     return changed;
 }
 
--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -62,6 +62,7 @@
     std::vector<ConfigFault> faults;             ///< Newly found in declared objects.
     std::vector<StoreReturn> storeReturns;
     std::vector<RetainedObject> retained;   ///< Newly retained.
+    std::vector<HeldDeletion> heldDeletions;
     std::vector<PeerMessage> pieceMessages; ///< For the piece router and the batcher.
     std::vector<PeerMessage> relayMessages; ///< Concern calls that are made for peers.
     std::vector<PieceBacklog> backlogs;     ///< As reported by peers.
--- a/include/harelink/Kernel/controlmachineimpl.h
+++ b/include/harelink/Kernel/controlmachineimpl.h
@@ -198,6 +198,11 @@
     for (PeerSend &send : m_gossip.drainSends()) {
         m_output.sends.push_back(std::move(send));
     }
+    for (BasicConfigWatcher<G> &watcher : m_watchers) {
+        for (HeldDeletion &deletion : watcher.drainHeldDeletions()) {
+            m_output.heldDeletions.push_back(std::move(deletion));
+        }
+    }
     m_output.retained = m_config.drainRetained();
     m_output.faults = m_config.drainFaults();
     m_output.invalidLoanFields = m_loans.drainInvalidFields();
@@ -650,9 +655,11 @@
 {
     const auto owner = std::find_if(m_watchers.begin(), m_watchers.end(),
                                     [&](const auto &watcher) { return watcher.owns(result.id); });
+    const std::optional<TimePoint> dueAt =
+        owner != m_watchers.end() ? std::optional(owner->answerDueAt()) : std::nullopt;
     for (auto watcher = m_watchers.begin(); watcher != m_watchers.end(); ++watcher) {
         if (watcher != owner) {
-            watcher->recordPlatformAnswer(result.outcome);
+            watcher->recordPlatformAnswer(result.outcome, dueAt);
         }
     }
     if (owner != m_watchers.end()) {
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -878,6 +878,7 @@
     performPieceActions();
     ControlOutput output = m_machine.drainOutput();
     logStoreReturns(output);
+    logHeldDeletions(output);
     for (const PlatformCall &next : output.calls) {
         sendPlatformCall(next);
     }
@@ -1048,6 +1049,19 @@
     }
 }
 
+/// Logs the endpoints that stay in force for a while although their objects are gone.
+void Control::logHeldDeletions(const ControlOutput &output)
+{
+    for (const HeldDeletion &deletion : output.heldDeletions) {
+        ++m_heldDeletions;
+        logger.record(LogLevel::Warning, "endpoint-deletion-held")
+            .field("endpoint", deletion.name)
+            .field("version", deletion.version)
+            .field("outageMs", fmt::format("{:.0f}", toMilliseconds(deletion.outage)))
+            .field("delayMs", fmt::format("{:.0f}", toMilliseconds(deletion.delay)));
+    }
+}
+
 /// Logs the revision of each listing, each write of a daemon's own objects, and updates that were
 /// dropped because a newer version of the object had been received.
 void Control::logUpdates(const PlatformCall &call, const PlatformResult &result,
@@ -1240,6 +1254,7 @@
         counter("harelink_claim_detours_total", m_machine.claimLocalFallbacks());
         counter("harelink_config_dropped_news_total", m_machine.config().droppedUpdates());
         counter("harelink_config_retained_objects_total", m_retainedObjects);
+        counter("harelink_endpoint_deletions_held_total", m_heldDeletions);
         counter("harelink_store_returns_total", m_storeReturns);
         counter("harelink_store_stale_answers_total", m_machine.staleAnswers());
         gauge("harelink_store_era", static_cast<double>(m_machine.storeEra()));
--- a/unittests/Kernel/configwatchertest.cpp
+++ b/unittests/Kernel/configwatchertest.cpp
@@ -58,6 +58,26 @@
         result.more = more;
         return watcher.handle(result);
     }
+    /// Makes the next call as soon as the watcher wants to, and answers it after \p time. Returns
+    /// whether the configuration in force changed.
+    bool answerAfter(Duration time, PlatformOutcome outcome,
+                     std::vector<PlatformObject> objects = {}, Version version = 0)
+    {
+        std::vector<PlatformCall> calls;
+        while (calls.empty()) {
+            clock.advance(std::max<Duration>(watcher.nextTick() - clock.now(), milliseconds(1)));
+            watcher.applyDelayedUpdates();
+            watcher.tick(calls, nextId);
+        }
+        last = calls[0];
+        clock.advance(time);
+        PlatformResult result;
+        result.id = last.id;
+        result.outcome = outcome;
+        result.objects = std::move(objects);
+        result.version = version;
+        return watcher.handle(result);
+    }
     [[nodiscard]] std::size_t endpoints() const { return table.resources().size(); }
 
     static PlatformObject object(const std::string &name, Version version, bool deleted = false)
@@ -122,11 +142,93 @@
 {
     Fixture fixture;
     fixture.answer(PlatformOutcome::Ok, {Fixture::object("i-1", 5)}, 7);
-    fixture.watcher.recordPlatformAnswer(PlatformOutcome::Refused);
+    fixture.watcher.recordPlatformAnswer(PlatformOutcome::Refused, fixture.clock.now());
     fixture.answer(PlatformOutcome::Ok, {Fixture::object("i-1", 9, true)}, 9);
     LONGS_EQUAL(1, fixture.endpoints());
 }
 
+// Endpoints that had left got requests until they ended, as each cut watch delayed their removal.
+TEST(ConfigWatcher, AWatchThatIsCutDelaysNoDeletion)
+{
+    Fixture fixture;
+    fixture.answerAfter({}, PlatformOutcome::Ok, {Fixture::object("i-1", 5)}, 7);
+    for (int i = 0; i < 3; ++i) {
+        fixture.answerAfter(milliseconds(1600), PlatformOutcome::Unanswered);
+        CHECK(fixture.last.wait > Duration::zero());
+        fixture.answerAfter(milliseconds(4), PlatformOutcome::Ok, {}, 7);
+    }
+    fixture.answerAfter(milliseconds(1600), PlatformOutcome::Unanswered);
+    CHECK(fixture.answerAfter(milliseconds(4), PlatformOutcome::Ok,
+                              {Fixture::object("i-1", 8, true)}, 8));
+    LONGS_EQUAL(0, fixture.endpoints());
+}
+
+TEST(ConfigWatcher, AWatchThatGoesSilentDelaysNoDeletion)
+{
+    Fixture fixture;
+    fixture.answerAfter({}, PlatformOutcome::Ok, {Fixture::object("i-1", 5)}, 7);
+    fixture.answerAfter(milliseconds(2800), PlatformOutcome::Unanswered);
+    CHECK(fixture.answerAfter(milliseconds(4), PlatformOutcome::Ok,
+                              {Fixture::object("i-1", 8, true)}, 8));
+    LONGS_EQUAL(0, fixture.endpoints());
+}
+
+TEST(ConfigWatcher, DelaysDeletionAfterAnOutageThatBeganWhileAWatchWaited)
+{
+    for (const milliseconds time : {milliseconds(1600), milliseconds(2800)}) {
+        Fixture fixture;
+        fixture.answerAfter({}, PlatformOutcome::Ok, {Fixture::object("i-1", 5)}, 7);
+        fixture.answerAfter(time, PlatformOutcome::Unanswered);
+        for (int i = 0; i < 2; ++i) {
+            fixture.answerAfter(milliseconds(800), PlatformOutcome::Unanswered);
+        }
+        fixture.answerAfter(milliseconds(4), PlatformOutcome::Ok, {Fixture::object("i-1", 8, true)},
+                            8);
+        LONGS_EQUAL(1, fixture.endpoints());
+        const std::vector<HeldDeletion> held = fixture.watcher.drainHeldDeletions();
+        LONGS_EQUAL(1, held.size());
+        STRCMP_EQUAL("i-1", held[0].name.c_str());
+    }
+}
+
+// The watches of a daemon that were replaced end later than those that replaced them.
+TEST(ConfigWatcher, CallsThatNobodyRepeatsAreNoEvidenceOfAnOutage)
+{
+    Fixture fixture;
+    fixture.answerAfter({}, PlatformOutcome::Ok, {Fixture::object("i-1", 5)}, 7);
+    fixture.clock.advance(milliseconds(200));
+    std::vector<PlatformCall> calls;
+    fixture.watcher.tick(calls, fixture.nextId);
+    CHECK(calls.at(0).wait > Duration::zero());
+    fixture.watcher.recordPlatformAnswer(PlatformOutcome::Unanswered, std::nullopt);
+    fixture.clock.advance(milliseconds(1600));
+    PlatformResult cut;
+    cut.id = calls[0].id;
+    fixture.watcher.handle(cut);
+    CHECK(fixture.answerAfter(milliseconds(4), PlatformOutcome::Ok,
+                              {Fixture::object("i-1", 8, true)}, 8));
+    LONGS_EQUAL(0, fixture.endpoints());
+}
+
+// A later outage must not keep an endpoint in force that has left.
+TEST(ConfigWatcher, ADelayEndsAlthoughThePlatformFailsAgain)
+{
+    Fixture fixture;
+    fixture.answer(PlatformOutcome::Ok, {Fixture::object("i-1", 5)}, 7);
+    fixture.answer(PlatformOutcome::Refused);
+    fixture.answer(PlatformOutcome::Ok, {Fixture::object("i-1", 8, true)}, 8);
+    const TimePoint returnedAt = fixture.clock.now();
+    while (fixture.clock.now() - returnedAt < milliseconds(1000)) {
+        fixture.answerAfter(milliseconds(50), PlatformOutcome::Refused);
+    }
+    fixture.answerAfter(milliseconds(4), PlatformOutcome::Ok, {Fixture::object("i-1", 8, true)}, 8);
+    LONGS_EQUAL(1, fixture.endpoints());
+    CHECK(fixture.clock.now() - returnedAt < milliseconds(2300));
+    fixture.clock.advanceTo(returnedAt + milliseconds(2300));
+    fixture.watcher.applyDelayedUpdates();
+    LONGS_EQUAL(0, fixture.endpoints());
+}
+
 TEST(ConfigWatcher, AppliesAListingInPagesAsAWhole)
 {
     Fixture fixture;
@@ -171,10 +273,10 @@
     LONGS_EQUAL(1, calls.size());
     // Another watcher finds that the platform gave no answer, and then that it does again.
     fixture.clock.advance(milliseconds(500));
-    fixture.watcher.recordPlatformAnswer(PlatformOutcome::Unanswered);
+    fixture.watcher.recordPlatformAnswer(PlatformOutcome::Unanswered, fixture.clock.now());
     fixture.watcher.tick(calls, fixture.nextId);
     LONGS_EQUAL(1, calls.size());
-    fixture.watcher.recordPlatformAnswer(PlatformOutcome::Ok);
+    fixture.watcher.recordPlatformAnswer(PlatformOutcome::Ok, fixture.clock.now());
     CHECK_FALSE(fixture.watcher.owns(calls[0].id));
     fixture.watcher.tick(calls, fixture.nextId);
     LONGS_EQUAL(2, calls.size());
