[Adapters] Replace connections to peers that have gone silent

Cause: A connection between daemons that goes silent without a reset stayed in use, so all messages to that peer were lost for good. Hosts that don't watch hear of removed endpoints by such messages. Change: ZeroMQ's heartbeats each second; a connection that doesn't answer one for 2 s is replaced. Measured: PeerLink.ReplacesAConnectionThatHasGoneSilent passes (the group takes 3.4 s).

--- a/lib/Adapters/peerlink.cpp
+++ b/lib/Adapters/peerlink.cpp
@@ -23,6 +23,10 @@
 constexpr int sendQueueLength = 10'000;
 /// Maximum size of a received message, in bytes; a complete configuration fits.
 constexpr std::int64_t maxMessageBytes = 16'000'000;
+/// Interval of ZeroMQ's own heartbeats, and the time after which a connection without an answer to
+/// one is replaced: connections may go silent without a reset.
+constexpr std::chrono::milliseconds pingInterval{1000};
+constexpr std::chrono::milliseconds pingTimeout{2000};
 /// Maximum time for which a message is queued until the first connection to its peer is
 /// established. Without the queue, the first order of each daemon to each batcher was lost and
 /// repeated only 0.9 s later. After a longer time the message would be useless.
@@ -70,6 +74,8 @@
         zmq::socket_t socket(context, zmq::socket_type::push);
         socket.set(zmq::sockopt::linger, 0);
         socket.set(zmq::sockopt::sndhwm, sendQueueLength);
+        socket.set(zmq::sockopt::heartbeat_ivl, static_cast<int>(pingInterval.count()));
+        socket.set(zmq::sockopt::heartbeat_timeout, static_cast<int>(pingTimeout.count()));
         // Doesn't queue messages for an unreachable peer: they would arrive too late.
         socket.set(zmq::sockopt::immediate, true);
         if (keys) {
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -4,6 +4,8 @@
 
 #include "harelink.pb.h"
 
+#include "tcprelay.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <fmt/format.h>
@@ -197,6 +199,28 @@
     LONGS_EQUAL(1, pair.sender.counters().sent);
 }
 
+// Messages to a peer were lost for good once the connection to it had gone silent.
+TEST(PeerLink, ReplacesAConnectionThatHasGoneSilent)
+{
+    PeerLink receiver;
+    CHECK(receiver.listen("127.0.0.1:0").ok());
+    TcpRelay relay(receiver.port());
+    PeerLink sender;
+    const PeerSend send{"h2", fmt::format("127.0.0.1:{}", relay.port()), {"h1", 7, Heartbeat{}}};
+    for (int connection = 0; connection < 2; ++connection) {
+        std::optional<PeerMessage> message;
+        for (int attempt = 0; attempt < maxAttempts && !message; ++attempt) {
+            sender.send(send, {});
+            std::this_thread::sleep_for(milliseconds(10));
+            message = receiver.receive();
+        }
+        CHECK(message.has_value());
+        relay.silence();
+        while (receiver.receive()) {
+        }
+    }
+}
+
 TEST(PeerLink, DropsMessagesToUnreachablePeers)
 {
     PeerLink sender;
