[Daemon] Give calls that are made for peers a window

Cause: A daemon that makes a call for a peer read the answer as fast as the endpoint sent it and queued each part for the peer. Nothing told it that the peer's caller reads nothing, and the queue is bounded by messages, not bytes. Change: The daemon that asks states a window of 256 KiB and acknowledges what its caller may take; reading pauses beyond the window, or earlier if the budget of buffers is used up, in which these bytes count now. Acknowledgements state totals and are repeated each second. Peers of an older version get everything, as before. The longest pause goes with the last part.

--- a/include/harelink/Daemon/callrelay.h
+++ b/include/harelink/Daemon/callrelay.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -48,6 +49,7 @@
     std::uint64_t unplaced = 0;  ///< Calls for which there was no peer.
     std::uint64_t served = 0;    ///< Calls made for peers.
     std::uint64_t refused = 0;   ///< Calls of peers that were not made.
+    std::uint64_t pauses = 0;    ///< How often a peer had to take bytes before more were read.
 };
 
 /// The calls that peers make for this daemon, and those that it makes for peers.
@@ -66,12 +68,16 @@
     };
 
     /// All references must outlive the relay.
-    CallRelay(const Clock &clock, HttpClient &http, Sink sink);
+    ///
+    /// \param budget counts the bytes that wait for peers; null for none.
+    CallRelay(const Clock &clock, HttpClient &http, Sink sink, BufferBudget *budget = nullptr);
 
     /// Asks \p host to make the call of \p request; an empty host stands for none.
     void request(const std::string &host, const RelayRequest &request);
     /// Ends the call \p call of a worker; nothing is delivered for it any more.
     void cancel(const CallId &call);
+    /// Tells the peer that makes the call \p call that \p bytes of the answer's body were taken.
+    void acknowledge(const CallId &call, std::uint64_t bytes);
     /// Handles a message of a peer.
     void handle(const PeerMessage &message);
     /// Ends the calls that peers make for which \p isLive returns false.
@@ -90,14 +96,28 @@
     /// A call that this daemon makes for a peer.
     struct Served
     {
+        explicit Served(BufferBudget *budget)
+            : unacknowledged(budget)
+        {
+        }
+
         std::uint64_t transfer = 0; ///< Of the HTTP client.
         std::uint32_t nextPart = 0;
+        std::size_t windowBytes = 0; ///< See RelayCall; 0 for none.
+        std::uint64_t sentBytes = 0; ///< Of the body.
+        std::uint64_t takenBytes = 0;
+        BufferedBytes unacknowledged; ///< Counts the bytes between both.
+        /// Reading continues when at most this number of bytes is unacknowledged; std::nullopt
+        /// while it isn't paused.
+        std::optional<std::uint64_t> resumeAt;
     };
     using ServedId = std::pair<std::string, CallId>; ///< With the peer's name.
 
     void handle(const std::string &host, const RelayCall &call);
     void handle(const std::string &host, const RelayPart &part);
+    void handle(const std::string &host, const RelayAck &ack);
     void handle(const std::string &host, const RelayCancel &cancel);
+    void sendPart(const ServedId &id, const HttpResult &head, const std::string &body);
     void serve(const ServedId &id, const RelayCall &call);
     void fail(const CallId &call, std::string error, bool wasSent);
     [[nodiscard]] bool recordArrival(const ServedId &id);
@@ -105,6 +125,7 @@
     const Clock &m_clock;
     HttpClient &m_http;
     Sink m_sink;
+    BufferBudget *m_budget;
     std::map<CallId, Requested> m_requested;
     std::map<ServedId, Served> m_served;
     /// The calls that have arrived recently, so that a repeated message makes none.
--- a/include/harelink/Daemon/control.h
+++ b/include/harelink/Daemon/control.h
@@ -77,6 +77,8 @@
     /// Lets a peer make a call of a worker, or gives the call up; thread-safe.
     void relayCall(const RelayRequest &request);
     void cancelRelayedCall(const CallId &call);
+    /// Tells the peer that makes \p call that \p bytes of its answer were taken; thread-safe.
+    void acknowledgeRelayedCall(const CallId &call, std::uint64_t bytes);
     /// Handles that another endpoint answered at the address of this one; thread-safe.
     void handleEndpointReplaced(const EndpointReplaced &replaced);
     /// Checks whether an endpoint is cold; thread-safe.
--- a/include/harelink/Daemon/worker.h
+++ b/include/harelink/Daemon/worker.h
@@ -63,6 +63,7 @@
         std::function<void(const EndpointNoticed &)> endpointNoticed;
         std::function<void(RelayRequest)> relayCall;
         std::function<void(const CallId &)> cancelRelayedCall;
+        std::function<void(const CallId &, std::uint64_t)> acknowledgeRelayedCall;
         std::function<void(const StreamBegan &)> streamBegan;
         std::function<void(const LocateStream &)> locateStream;
         std::function<void(const EndpointPaceReport &)> paceSampled;
@@ -141,6 +142,9 @@
         HttpClient::BodyCallback onPart; ///< Empty if the answer is needed as a whole.
         HttpResult result;               ///< What has arrived; without the body if it is passed on.
         std::unique_ptr<BufferedBytes> buffered; ///< Counts the body in the result.
+        std::uint64_t receivedBytes = 0;         ///< Of the body.
+        std::uint64_t acknowledgedBytes = 0;
+        TimePoint acknowledgedAt;
     };
 
     template <typename Event>
@@ -181,6 +185,8 @@
     void endExceededCall(const SendStage &stage, AnswerPart part);
     void applyBackPressure(const CallId &call);
     void resumeCall(const CallId &call);
+    void acknowledge(const CallId &call);
+    void repeatAcknowledgements(TimePoint now);
     void appendPart(Caller &caller, HttpReply part);
     static void sendParts(Caller &caller);
     static void respond(const Caller &caller, HttpReply reply);
--- a/include/harelink/Kernel/peers.h
+++ b/include/harelink/Kernel/peers.h
@@ -181,7 +181,7 @@
 /// Messages that concern calls made for peers; the control forwards them unread.
 template <typename Content>
 concept RelayContent = std::same_as<Content, RelayCall> || std::same_as<
-    Content, RelayPart> || std::same_as<Content, RelayCancel>;
+    Content, RelayPart> || std::same_as<Content, RelayAck> || std::same_as<Content, RelayCancel>;
 
 /// A message with its sender.
 struct PeerMessage
@@ -191,7 +191,7 @@
     std::variant<Heartbeat, ClaimRequest, ClaimDecision, ClaimFinish, ClaimFinished, ConfigPush,
                  ConfigDigest, PieceOrders, PieceOutcomes, PieceWithdrawal, PieceFrees, PeerSummary,
                  CrashReports, CrashesCleared, RelayCall, RelayPart, RelayCancel, StreamRecords,
-                 StreamQuery, StreamReply, BudgetLoanRequest, BudgetLoan>
+                 StreamQuery, StreamReply, BudgetLoanRequest, BudgetLoan, RelayAck>
         content;
 };
 
--- a/include/harelink/Kernel/relays.h
+++ b/include/harelink/Kernel/relays.h
@@ -35,6 +35,9 @@
     Duration timeout{};
     Duration connectTimeout{};
     bool omitsDefaultHeaders = false;
+    /// Bytes of the body that the peer may send beyond those that were acknowledged; 0 for any
+    /// number.
+    std::size_t windowBytes = 0;
 };
 
 /// Message: a part of the answer to a RelayCall. The fields are those of HttpResult.
@@ -51,6 +54,14 @@
     std::string error;
     std::vector<std::pair<std::string, std::string>> fields; ///< In the first and the last part.
     std::string body;                                        ///< What has arrived since.
+    Duration longestPause{}; ///< For which the endpoint was not read; valid in the last part.
+};
+
+/// Message: the daemon that asked for a call has taken bytes of the answer's body.
+struct RelayAck
+{
+    CallId call;
+    std::uint64_t bytes = 0; ///< Of all parts so far, so that a later message replaces this one.
 };
 
 /// Message: the result of a call is no longer needed.
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -481,6 +481,7 @@
         to.set_timeout_micros(toMicros(from.timeout));
         to.set_connect_timeout_micros(toMicros(from.connectTimeout));
         to.set_omits_default_headers(from.omitsDefaultHeaders);
+        to.set_window_bytes(static_cast<std::uint32_t>(from.windowBytes));
     }
     void operator()(const RelayPart &from) const
     {
@@ -500,6 +501,13 @@
             field.set_value(value);
         }
         to.set_body(from.body);
+        to.set_longest_pause_micros(toMicros(from.longestPause));
+    }
+    void operator()(const RelayAck &from) const
+    {
+        wire::RelayAck &to = *m_message.mutable_relay_ack();
+        write(from.call, *to.mutable_call());
+        to.set_bytes(from.bytes);
     }
     void operator()(const RelayCancel &from) const
     {
@@ -758,6 +766,7 @@
     to.timeout = fromMicros(from.timeout_micros());
     to.connectTimeout = fromMicros(from.connect_timeout_micros());
     to.omitsDefaultHeaders = from.omits_default_headers();
+    to.windowBytes = from.window_bytes();
     return to;
 }
 
@@ -777,6 +786,7 @@
         to.fields.emplace_back(field.name(), field.value());
     }
     to.body = from.body();
+    to.longestPause = fromMicros(from.longest_pause_micros());
     return to;
 }
 
@@ -866,6 +876,9 @@
     case wire::PeerMessage::kRelayPart:
         to.content = read(from.relay_part());
         return true;
+    case wire::PeerMessage::kRelayAck:
+        to.content = RelayAck{read(from.relay_ack().call()), from.relay_ack().bytes()};
+        return true;
     case wire::PeerMessage::kRelayCancel:
         to.content = RelayCancel{read(from.relay_cancel().call())};
         return true;
--- a/lib/Daemon/callrelay.cpp
+++ b/lib/Daemon/callrelay.cpp
@@ -4,6 +4,7 @@
 
 #include "harelink/Support/log.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace harelink {
@@ -13,6 +14,9 @@
 
 /// Maximum number of calls that are made for peers at once, which bounds the memory that they take.
 constexpr std::size_t maxServed = 256;
+/// Bytes of an answer's body that may be on their way to the daemon that asked for it, or wait
+/// there for its caller.
+constexpr std::size_t windowBytes = 262'144;
 /// A call that arrives again within this period is a repeated message.
 constexpr std::chrono::seconds arrivalRetention{30};
 
@@ -29,6 +33,7 @@
     message.timeout = request.http.timeout;
     message.connectTimeout = request.http.connectTimeout;
     message.omitsDefaultHeaders = request.http.omitDefaultHeaders;
+    message.windowBytes = windowBytes;
     return message;
 }
 
@@ -50,10 +55,11 @@
 
 } // namespace
 
-CallRelay::CallRelay(const Clock &clock, HttpClient &http, Sink sink)
+CallRelay::CallRelay(const Clock &clock, HttpClient &http, Sink sink, BufferBudget *budget)
     : m_clock(clock)
     , m_http(http)
     , m_sink(std::move(sink))
+    , m_budget(budget)
 {
 }
 
@@ -83,12 +89,22 @@
     }
 }
 
+void CallRelay::acknowledge(const CallId &call, std::uint64_t bytes)
+{
+    const auto found = m_requested.find(call);
+    if (found != m_requested.end()) {
+        m_sink.send(found->second.host, RelayAck{call, bytes});
+    }
+}
+
 void CallRelay::handle(const PeerMessage &message)
 {
     if (const auto *call = std::get_if<RelayCall>(&message.content)) {
         handle(message.host, *call);
     } else if (const auto *part = std::get_if<RelayPart>(&message.content)) {
         handle(message.host, *part);
+    } else if (const auto *ack = std::get_if<RelayAck>(&message.content)) {
+        handle(message.host, *ack);
     } else if (const auto *cancelled = std::get_if<RelayCancel>(&message.content)) {
         handle(message.host, *cancelled);
     }
@@ -151,6 +167,30 @@
     m_sink.deliver({part, false});
 }
 
+void CallRelay::handle(const std::string &host, const RelayAck &ack)
+{
+    const auto found = m_served.find({host, ack.call});
+    if (found == m_served.end()) {
+        return;
+    }
+    Served &served = found->second;
+    if (ack.bytes > served.sentBytes) {
+        logger.record(LogLevel::Warning, "acknowledgement-invalid")
+            .field("call", toText(ack.call))
+            .field("peer", host)
+            .field("bytes", ack.bytes)
+            .field("sent", served.sentBytes);
+        return;
+    }
+    served.takenBytes = std::max(served.takenBytes, ack.bytes);
+    const std::uint64_t left = served.sentBytes - served.takenBytes;
+    served.unacknowledged.set(left);
+    if (served.resumeAt && left <= *served.resumeAt) {
+        served.resumeAt.reset();
+        m_http.resume(served.transfer);
+    }
+}
+
 void CallRelay::handle(const std::string &host, const RelayCancel &cancelled)
 {
     const auto found = m_served.find({host, cancelled.call});
@@ -198,16 +238,7 @@
 void CallRelay::serve(const ServedId &id, const RelayCall &call)
 {
     const auto onPart = [this, id](const HttpResult &head, const std::string &body) {
-        Served &served = m_served.at(id);
-        RelayPart part;
-        part.call = id.second;
-        part.headStatus = head.headStatus;
-        if (served.nextPart == 0) {
-            part.fields = head.fields;
-        }
-        part.number = served.nextPart++;
-        part.body = body;
-        m_sink.send(id.first, std::move(part));
+        sendPart(id, head, body);
     };
     const auto onDone = [this, id](const HttpResult &result) {
         RelayPart part;
@@ -221,10 +252,43 @@
         part.wasRefused = result.connection == HttpConnection::Refused;
         part.error = result.error;
         part.fields = result.fields;
+        part.longestPause = result.longestPause;
         m_served.erase(id);
         m_sink.send(id.first, std::move(part));
     };
-    m_served[id].transfer = m_http.send(toHttp(call), onDone, onPart);
+    Served &served = m_served.try_emplace(id, m_budget).first->second;
+    served.windowBytes = call.windowBytes;
+    served.transfer = m_http.send(toHttp(call), onDone, onPart);
+}
+
+/// Sends a part of the answer to the peer. Pauses reading if the peer has not taken enough of the
+/// parts before: an endpoint may send without end, and the peer's caller may read nothing.
+void CallRelay::sendPart(const ServedId &id, const HttpResult &head, const std::string &body)
+{
+    Served &served = m_served.at(id);
+    RelayPart part;
+    part.call = id.second;
+    part.headStatus = head.headStatus;
+    if (served.nextPart == 0) {
+        part.fields = head.fields;
+    }
+    part.number = served.nextPart++;
+    part.body = body;
+    served.sentBytes += body.size();
+    m_sink.send(id.first, std::move(part));
+    if (served.windowBytes == 0) {
+        return; // A peer of an older version acknowledges nothing.
+    }
+    const std::uint64_t left = served.sentBytes - served.takenBytes;
+    served.unacknowledged.set(left);
+    const bool isWithin =
+        left < served.windowBytes && (m_budget == nullptr || m_budget->allowsMoreOfStream(left));
+    if (!isWithin && !served.resumeAt) {
+        // Peers may keep back the acknowledgement of the last few bytes.
+        served.resumeAt = std::max<std::uint64_t>(left / 2, guaranteedBytes);
+        ++m_counters.pauses;
+        m_http.pause(served.transfer);
+    }
 }
 
 } // namespace harelink
--- a/lib/Daemon/control.cpp
+++ b/lib/Daemon/control.cpp
@@ -186,7 +186,8 @@
                    [this](const std::string &pool) {
                        const PoolEntry *entry = m_snapshot.current().pool(pool);
                        return entry != nullptr && !entry->isPathLost();
-                   }})
+                   }},
+                  &buffers)
 {
 }
 
@@ -275,6 +276,11 @@
     m_loop.post([this, call] { m_callRelay.cancel(call); });
 }
 
+void Control::acknowledgeRelayedCall(const CallId &call, std::uint64_t bytes)
+{
+    m_loop.post([this, call, bytes] { m_callRelay.acknowledge(call, bytes); });
+}
+
 /// Reports to the peers to which pools there is no path, and probes these paths.
 void Control::updatePaths()
 {
@@ -1292,6 +1298,7 @@
         counter("harelink_relayed_calls_unplaced_total", relays.unplaced);
         counter("harelink_relayed_calls_served_total", relays.served);
         counter("harelink_relayed_calls_refused_total", relays.refused);
+        counter("harelink_relayed_calls_paused_total", relays.pauses);
         counter("harelink_endpoint_limit_changes_total", m_notices.limitChanges);
         counter("harelink_endpoint_pauses_total", m_notices.pauses);
         counter("harelink_endpoint_departures_total", m_notices.departures);
--- a/lib/Daemon/daemon.cpp
+++ b/lib/Daemon/daemon.cpp
@@ -287,6 +287,9 @@
     };
     control.relayCall = [this](const RelayRequest &request) { m_control->relayCall(request); };
     control.cancelRelayedCall = [this](const CallId &call) { m_control->cancelRelayedCall(call); };
+    control.acknowledgeRelayedCall = [this](const CallId &call, std::uint64_t bytes) {
+        m_control->acknowledgeRelayedCall(call, bytes);
+    };
     control.streamBegan = [this](const StreamBegan &event) { m_control->handleStream(event); };
     control.locateStream = [this](const LocateStream &event) { m_control->handleStream(event); };
     control.retriesLent = [this](const RetriesLent &event) { m_control->handleLoan(event); };
--- a/lib/Daemon/worker.cpp
+++ b/lib/Daemon/worker.cpp
@@ -23,9 +23,12 @@
 constexpr std::chrono::seconds minimumsLogInterval{5};
 /// Data that may wait for one caller; reading from its endpoint is paused beyond it.
 constexpr std::size_t maxWaitingBytes = 262'144;
-/// The same for an answer that a peer relays, which cannot be paused: the caller is disconnected.
+/// The same for an answer that a peer of an older version relays, which cannot be paused: the
+/// caller is disconnected.
 constexpr std::size_t maxRelayedWaitingBytes = 4 * maxWaitingBytes;
 constexpr std::chrono::milliseconds stallCheckInterval{250};
+/// Interval in which acknowledgements are repeated.
+constexpr std::chrono::seconds acknowledgementInterval{1};
 
 RequestLimits makeRequestLimits(const Settings &settings, const std::atomic<int> &daemons,
                                 const HostLoad &load, TimePoint startedAt)
@@ -374,8 +377,9 @@
             result.headers[lowerCase(name)] = value;
         }
     }
+    found->second.receivedBytes += part.body.size();
     if (found->second.onPart && !part.body.empty()) {
-        // The callback may end the call.
+        // The callback may end the call. It acknowledges the part when its caller may take more.
         const HttpClient::BodyCallback onPart = found->second.onPart;
         const HttpResult head = result;
         onPart(head, part.body);
@@ -387,6 +391,7 @@
     } else {
         result.body += part.body;
         found->second.buffered->set(result.body.size());
+        acknowledge(part.call);
     }
     const auto call = m_relayedCalls.find(part.call);
     if (!part.isLast || call == m_relayedCalls.end()) {
@@ -398,6 +403,7 @@
     ended.result.sent = part.wasSent;
     ended.result.isBroken = part.isBroken;
     ended.result.error = part.error;
+    ended.result.longestPause = part.longestPause;
     if (part.wasSent) {
         ended.result.connection = HttpConnection::Established;
     } else if (part.wasRefused) {
@@ -491,11 +497,13 @@
     dispatch(stageFailure(stage, SendEvidence::Sent, boundError(part, m_bounds)));
 }
 
-/// Pauses reading the answer to \p call if too much of it waits for the caller.
+/// Pauses reading the answer to \p call if too much of it waits for the caller. A peer that makes
+/// the call pauses as long as nothing is acknowledged.
 void Worker::applyBackPressure(const CallId &call)
 {
     const auto found = m_callers.find(call.request.sequence);
     if (found == m_callers.end() || found->second.isDisconnected) {
+        acknowledge(call);
         return;
     }
     const std::shared_ptr<ReplyBacklog> backlog = found->second.backlog;
@@ -504,12 +512,17 @@
         disconnectSlowCaller(found->first);
         return;
     }
-    const auto transfer = m_calls.find(call);
     const bool isWithin = waiting <= maxWaitingBytes && m_buffers.allowsMoreOfStream(waiting);
-    if (isWithin || transfer == m_calls.end()) {
+    if (isWithin) {
+        acknowledge(call);
+        return;
+    }
+    const auto transfer = m_calls.find(call);
+    if (transfer != m_calls.end()) {
+        m_loop.http().pause(transfer->second);
+    } else if (!m_relayedCalls.contains(call)) {
         return;
     }
-    m_loop.http().pause(transfer->second);
     backlog->whenAtMost(waiting / 2,
                         [this, call] { m_loop.post([this, call] { resumeCall(call); }); });
 }
@@ -520,6 +533,35 @@
     if (found != m_calls.end()) {
         m_loop.http().resume(found->second);
     }
+    acknowledge(call);
+}
+
+/// Lets the peer that makes \p call send more, unless hardly anything has arrived since.
+void Worker::acknowledge(const CallId &call)
+{
+    const auto found = m_relayedCalls.find(call);
+    if (found == m_relayedCalls.end()) {
+        return;
+    }
+    RelayedCall &relayed = found->second;
+    if (relayed.receivedBytes - relayed.acknowledgedBytes >= guaranteedBytes) {
+        relayed.acknowledgedBytes = relayed.receivedBytes;
+        relayed.acknowledgedAt = m_clock.now();
+        m_control.acknowledgeRelayedCall(call, relayed.receivedBytes);
+    }
+}
+
+/// Acknowledges again what peers have sent. One whose message was lost between daemons would wait
+/// until the call times out.
+void Worker::repeatAcknowledgements(TimePoint now)
+{
+    for (auto &[call, relayed] : m_relayedCalls) {
+        if (relayed.acknowledgedBytes > 0
+            && now - relayed.acknowledgedAt >= acknowledgementInterval) {
+            relayed.acknowledgedAt = now;
+            m_control.acknowledgeRelayedCall(call, relayed.acknowledgedBytes);
+        }
+    }
 }
 
 void Worker::disconnectSlowCaller(std::uint64_t sequence)
@@ -546,6 +588,12 @@
             m_loop.http().resume(transfer);
         }
     }
+    for (const auto &[call, relayed] : m_relayedCalls) {
+        if (call.request.sequence == sequence) {
+            acknowledge(call);
+            break;
+        }
+    }
 }
 
 /// Ends the requests of callers that have stopped reading. The server closes their connections a
@@ -567,6 +615,7 @@
     for (const std::uint64_t sequence : stalled) {
         disconnectSlowCaller(sequence);
     }
+    repeatAcknowledgements(now);
 }
 
 /// Leaves out the time since the check was due, if this process was suspended: the server's threads
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -408,6 +408,7 @@
     call.timeout = milliseconds(700);
     call.connectTimeout = milliseconds(200);
     call.omitsDefaultHeaders = true;
+    call.windowBytes = 1000;
     const auto readCall = decodePeerMessage(encodePeerMessage({"h1", 7, call}));
     CHECK(readCall.has_value());
     const auto &received = std::get<RelayCall>(readCall->content);
@@ -416,6 +417,7 @@
     CHECK(received.url == call.url && received.target == call.target);
     CHECK(received.body == call.body && received.omitsDefaultHeaders);
     CHECK(received.timeout == call.timeout && received.connectTimeout == call.connectTimeout);
+    CHECK_EQUAL(call.windowBytes, received.windowBytes);
 
     RelayPart part;
     part.call = call.call;
@@ -429,6 +431,7 @@
     part.error = "closed";
     part.fields = {{"A", "b"}, {"A", "c"}};
     part.body = "rest";
+    part.longestPause = milliseconds(1200);
     const auto readPart = decodePeerMessage(encodePeerMessage({"h1", 7, part}));
     CHECK(readPart.has_value());
     const auto &result = std::get<RelayPart>(readPart->content);
@@ -437,6 +440,13 @@
     CHECK(result.status == 503 && result.headStatus == 503);
     CHECK(result.isBroken && result.wasRefused);
     CHECK(result.error == part.error && result.body == part.body);
+    CHECK(result.longestPause == part.longestPause);
+
+    const auto readAck =
+        decodePeerMessage(encodePeerMessage({"h1", 7, RelayAck{call.call, 70'000}}));
+    CHECK(readAck.has_value());
+    CHECK(std::get<RelayAck>(readAck->content).call == call.call);
+    CHECK_EQUAL(70'000u, std::get<RelayAck>(readAck->content).bytes);
 
     Heartbeat heartbeat;
     heartbeat.lostPools = {"engines", "stages/dc1"};
--- a/unittests/Daemon/callrelaytest.cpp
+++ b/unittests/Daemon/callrelaytest.cpp
@@ -24,13 +24,14 @@
 /// One daemon's relay, with what it sends and delivers.
 struct Side
 {
-    explicit Side(const Clock &clock)
+    explicit Side(const Clock &clock, BufferBudget *budget = nullptr)
         : relay(clock, http,
                 {[this](const std::string &, decltype(PeerMessage::content) content) {
                      sent.push_back(std::move(content));
                  },
                  [this](RelayedPart part) { delivered.push_back(std::move(part)); },
-                 [this](const std::string &) { return hasPath; }})
+                 [this](const std::string &) { return hasPath; }},
+                budget)
     {
     }
     void receive(const std::string &from, decltype(PeerMessage::content) content)
@@ -210,6 +211,96 @@
     LONGS_EQUAL(0, fixture.peer.sent.size());
 }
 
+// An endpoint that sends without end filled the memory of the daemon that made the call: what its
+// peer did not take waited there.
+TEST(CallRelay, APeerThatTakesNothingGetsNoMoreThanAWindow)
+{
+    Fixture fixture;
+    std::atomic<bool> isOver{false};
+    const RawEndpoint endpoint([&](const RawConnection &connection, const std::string &) {
+        (void)connection.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        const std::string block(65'536, 'x');
+        while (!isOver && connection.write(block)) {
+        }
+    });
+    RelayRequest request = fixture.request();
+    request.http.url = endpoint.url();
+    fixture.origin.relay.request("h2", request);
+    fixture.peer.receive("h1", fixture.origin.sent.at(0));
+    const std::size_t window = std::get<RelayCall>(fixture.origin.sent.at(0)).windowBytes;
+    CHECK(window > 0);
+    const auto bytesAfter = [&](int polls) {
+        for (int i = 0; i < polls; ++i) {
+            fixture.peer.http.poll(std::chrono::milliseconds(1));
+        }
+        std::size_t bytes = 0;
+        for (const auto &message : fixture.peer.sent) {
+            bytes += partIn(message).body.size();
+        }
+        return bytes;
+    };
+    const std::size_t first = bytesAfter(300);
+    CHECK(first >= window);
+    CHECK(first <= 2 * window);
+    // A total that was not sent is not believed.
+    fixture.peer.receive("h1", RelayAck{firstCall, first + 1});
+    CHECK_EQUAL(first, bytesAfter(100));
+    fixture.peer.receive("h1", RelayAck{firstCall, first});
+    const std::size_t second = bytesAfter(300);
+    CHECK(second >= first + window);
+    CHECK(second <= first + 2 * window);
+    CHECK_EQUAL(2u, fixture.peer.relay.counters().pauses);
+    isOver = true;
+    fixture.peer.receive("h1", RelayCancel{firstCall});
+}
+
+TEST(CallRelay, APeerOfAnOlderVersionGetsEverything)
+{
+    Fixture fixture;
+    const std::string body(2'000'000, 'x');
+    const RawEndpoint endpoint([&](const RawConnection &connection, const std::string &) {
+        (void)connection.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body);
+    });
+    RelayRequest request = fixture.request();
+    request.http.url = endpoint.url();
+    fixture.origin.relay.request("h2", request);
+    RelayCall call = std::get<RelayCall>(fixture.origin.sent.at(0));
+    call.windowBytes = 0;
+    fixture.peer.receive("h1", call);
+    for (int i = 0; i < 1000 && !fixture.peer.relay.idle(); ++i) {
+        fixture.peer.http.poll(std::chrono::milliseconds(10));
+    }
+    CHECK(fixture.peer.relay.idle());
+    LONGS_EQUAL(200, partIn(fixture.peer.sent.back()).status);
+}
+
+TEST(CallRelay, BytesThatWaitForAPeerCountInTheBudget)
+{
+    BufferBudget budget(1'000'000);
+    Fixture fixture;
+    Side peer(fixture.clock, &budget);
+    const std::string body(100'000, 'x');
+    std::atomic<bool> isOver{false};
+    const RawEndpoint endpoint([&](const RawConnection &connection, const std::string &) {
+        (void)connection.write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body);
+        while (!isOver) {
+            std::this_thread::yield();
+        }
+    });
+    RelayRequest request = fixture.request();
+    request.http.url = endpoint.url();
+    fixture.origin.relay.request("h2", request);
+    peer.receive("h1", fixture.origin.sent.at(0));
+    for (int i = 0; i < 500 && budget.used() < body.size(); ++i) {
+        peer.http.poll(std::chrono::milliseconds(10));
+    }
+    CHECK_EQUAL(body.size(), budget.used());
+    peer.receive("h1", RelayAck{firstCall, body.size()});
+    CHECK_EQUAL(0u, budget.used());
+    isOver = true;
+    peer.receive("h1", RelayCancel{firstCall});
+}
+
 // A peer must tell the orderly end of an answer without length or chunks from a reset: the daemon
 // that asked takes the one for a complete answer and the other for a broken call.
 TEST(CallRelay, ThePeerTellsAnOrderlyCloseFromAReset)
--- a/unittests/Platform/boundedmemorytest.cpp
+++ b/unittests/Platform/boundedmemorytest.cpp
@@ -171,6 +171,7 @@
     sink.endpointNoticed = [](const EndpointNoticed &) {};
     sink.relayCall = [](const RelayRequest &) {};
     sink.cancelRelayedCall = [](const CallId &) {};
+    sink.acknowledgeRelayedCall = [](const CallId &, std::uint64_t) {};
     sink.streamBegan = [](const StreamBegan &) {};
     sink.locateStream = [](const LocateStream &) {};
     return sink;
@@ -260,6 +261,8 @@
         return m_finishedClaim;
     }
     [[nodiscard]] int cancelledRelays() const { return m_cancelledRelays; }
+    /// Returns how many bytes of the body the peer was last told to have been taken.
+    [[nodiscard]] std::uint64_t acknowledgedBytes() const { return m_acknowledgedBytes; }
     /// Delivers a part of the answer to the relayed call with the body \p body.
     void relay(const std::string &body, const std::string &requestId)
     {
@@ -317,6 +320,9 @@
             m_relayedCall = request.call;
         };
         sink.cancelRelayedCall = [this](const CallId &) { ++m_cancelledRelays; };
+        sink.acknowledgeRelayedCall = [this](const CallId &, std::uint64_t bytes) {
+            m_acknowledgedBytes = bytes;
+        };
         return sink;
     }
 
@@ -328,6 +334,7 @@
     HostLoad m_load;
     std::atomic<int> m_brokenCalls{0};
     std::atomic<int> m_cancelledRelays{0};
+    std::atomic<std::uint64_t> m_acknowledgedBytes{0};
     std::mutex m_mutex; ///< Guards the two members below.
     std::optional<CallId> m_relayedCall;
     std::optional<ClaimFinish> m_finishedClaim;
@@ -548,7 +555,38 @@
     CHECK(isServed(serving));
 }
 
-// The peer goes on reading from the endpoint, so what waits can't be bounded by pausing.
+// The peer that makes a call pauses when nothing is acknowledged, so only what the caller may take
+// must be.
+TEST(BoundedMemory, AcknowledgesWhatTheCallerOfARelayedCallTakes)
+{
+    Serving serving(33'554'432);
+    serving.losePath();
+    HttpCaller caller(serving.port());
+    caller.write(request("/say/events-0"));
+    CHECK(waitUntil([&] { return serving.relayedCall().has_value(); }));
+    std::string part;
+    for (std::uint64_t i = 0; i < 16; ++i) {
+        part += "data: " + std::string(4090, 'x') + "\n\n";
+    }
+    std::uint64_t sent = 0;
+    while (serving.buffers.used() < 786'432) {
+        serving.relay(part, "r13");
+        sent += part.size();
+        std::this_thread::sleep_for(1ms);
+    }
+    const std::uint64_t unread = sent - serving.acknowledgedBytes();
+    CHECK(unread >= 262'144);
+    // The kernel's buffers and those of the server take some of it.
+    CHECK(waitUntil([&] {
+        (void)caller.readSome(65'536);
+        return serving.acknowledgedBytes() == sent;
+    }));
+    caller.disconnect();
+    CHECK(waitUntil([&] { return serving.buffers.used() == 0; }));
+}
+
+// A peer of an older version goes on reading from the endpoint, so what waits can't be bounded by
+// pausing.
 TEST(BoundedMemory, ACallerOfARelayedCallThatNeverReadsIsDisconnected)
 {
     Serving serving(33'554'432);
