[Test] Read the port of a test relay before its thread runs

Cause: Found by reading: the port was read from an acceptor that another thread uses. Change: Stored by the constructor.

--- a/unittests/Adapters/tcprelay.h
+++ b/unittests/Adapters/tcprelay.h
@@ -25,6 +25,7 @@
     explicit TcpRelay(std::uint16_t target)
         : m_target(asio::ip::address_v4::loopback(), target)
         , m_acceptor(m_context, {asio::ip::address_v4::loopback(), 0})
+        , m_port(m_acceptor.local_endpoint().port())
     {
         accept();
         m_thread = std::thread([this] { m_context.run(); });
@@ -37,7 +38,7 @@
     TcpRelay(const TcpRelay &) = delete;
     TcpRelay &operator=(const TcpRelay &) = delete;
 
-    [[nodiscard]] std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+    [[nodiscard]] std::uint16_t port() const { return m_port; }
     /// Makes the connections that are open now silent for good. They are neither closed nor reset.
     void silence() { ++m_silenced; }
 
@@ -96,6 +97,7 @@
     asio::io_context m_context;
     asio::ip::tcp::endpoint m_target;
     asio::ip::tcp::acceptor m_acceptor;
+    const std::uint16_t m_port;
     std::atomic<int> m_silenced{0};
     std::thread m_thread;
 };
