--- a/include/harelink/Kernel/controlmachine.h
+++ b/include/harelink/Kernel/controlmachine.h
@@ -61,7 +61,7 @@
     std::vector<QuarantineDecision> quarantines; ///< Decided by this daemon.
     std::vector<ConfigFault> faults;             ///< Newly found in declared objects.
     std::vector<StoreReturn> storeReturns;
-    std::vector<RetainedObject> retained;   ///< Newly retained.
+    std::vector<RetainedObject> retained; ///< Newly retained.
     std::vector<HeldDeletion> heldDeletions;
     std::vector<PeerMessage> pieceMessages; ///< For the piece router and the batcher.
     std::vector<PeerMessage> relayMessages; ///< Concern calls that are made for peers.
