[Kernel] Watch from the first page of a listing

In the same way a removal was missed, and an endpoint that was declared meanwhile was never used.

Cause: each page of a listing is as of its own revision, but the watcher took all for one state of the store as of the last page's revision: it watched from there, so that no update reported what had changed on earlier pages, and implied deletions as of there, so that an object which a peer had reported between two pages was taken for deleted, at a later revision than its own.

Change: watch, and imply deletions, as of the first page. What the watch reports again is dropped by its version, so no further call is made. Pages of two histories of the store are not joined. Where the history is shorter than a listing takes, and the watch fails twice in a row, the next listing polls the updates between its pages, so that listing again and again comes to an end; a store without history is listed about once a second, as before.

--- a/include/harelink/Kernel/configmachine.h
+++ b/include/harelink/Kernel/configmachine.h
@@ -14,6 +14,7 @@
 #include "harelink/Kernel/guards.h"
 #include "harelink/Kernel/objecthistory.h"
 #include "harelink/Kernel/outagedetector.h"
+#include "harelink/Kernel/pagedlisting.h"
 #include "harelink/Kernel/platform.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -301,7 +302,8 @@
     void callAfterOutage(TimePoint silentSince);
     [[nodiscard]] Duration watchWait() const;
     [[nodiscard]] Duration updatePause() const;
-    bool handleListing(const PlatformResult &result);
+    [[nodiscard]] bool addPage(const PlatformResult &page);
+    bool handleListing();
     bool handleUpdate(const PlatformObject &update);
     [[nodiscard]] bool mayHaveLapsed(const PlatformObject &update) const;
     void delayDeletion(const PlatformObject &deletion, TimePoint dueAt);
@@ -313,8 +315,7 @@
     const Clock &m_clock;
     BasicConfigTable<G> &m_table;
     std::vector<std::string> m_kinds;
-    std::vector<PlatformObject> m_listed; ///< By the answers so far, if a listing takes several.
-    std::string m_lastListedName;         ///< From which the listing continues.
+    PagedListing m_pages; ///< Of the listing in progress.
     /// An update that is applied when its object has not been written again until then.
     struct DelayedUpdate
     {
@@ -337,12 +338,15 @@
     Version m_since;
     bool m_mustList = true;
     bool m_isWatchGone = false; ///< The last watch got no answer but Gone.
+    /// The store keeps its history for less time than a listing takes, so that a watch from the
+    /// first page is too late after the last one.
+    bool m_pollsBetweenPages = false;
+    bool m_mustPollUpdates = false; ///< Before the next page.
     bool m_synced = false;
     bool m_connected = false;
     std::uint64_t m_callId = 0;
     TimePoint m_callMadeAt;
-    Duration m_callWait{};     ///< For which the platform may hold that call.
-    TimePoint m_listingMadeAt; ///< When the first call of the last listing was made.
+    Duration m_callWait{}; ///< For which the platform may hold that call.
     /// All updates up to this time have been reported.
     TimePoint m_answeredCallMadeAt = TimePoint::min();
     bool m_listing = false;
--- a/include/harelink/Kernel/configmachineimpl.h
+++ b/include/harelink/Kernel/configmachineimpl.h
@@ -509,17 +509,16 @@
     }
     m_callId = nextCallId++;
     m_callMadeAt = m_clock.now();
-    m_listing = m_mustList;
-    m_listingMadeAt = m_lastListedName.empty() ? m_callMadeAt : m_listingMadeAt;
+    m_listing = m_mustList && !m_mustPollUpdates;
     PlatformCall call;
     call.id = m_callId;
     call.operation = m_listing ? PlatformOperation::List : PlatformOperation::Watch;
     call.kind = fmt::format("{}", fmt::join(m_kinds, ","));
-    call.name = m_listing ? m_lastListedName : std::string();
+    call.name = m_listing ? m_pages.lastName() : std::string();
     call.since = m_since;
     // A lost call cannot be told from a watch that waits, so while calls get lost, none waits.
     const bool isSilent = m_silentSince != TimePoint::max();
-    const bool isPoll = std::exchange(m_mustPoll, false);
+    const bool isPoll = std::exchange(m_mustPoll, false) || m_mustPollUpdates;
     call.wait = isPoll || (G::pollsInOutages && isSilent) ? Duration::zero() : watchWait();
     m_callWait = m_listing ? Duration::zero() : call.wait;
     m_isWaiting = m_callWait > Duration::zero();
@@ -535,9 +534,16 @@
         result.outcome != PlatformOutcome::Refused && result.outcome != PlatformOutcome::Unanswered;
     recordPlatformAnswer(result.outcome, answerDueAt());
     if (result.outcome == PlatformOutcome::Gone) {
+        if (std::exchange(m_mustPollUpdates, false)) {
+            // The listing goes on without the updates since its first page. Its end is followed by
+            // another watch from there, which fails too.
+            m_pollsBetweenPages = false;
+            return false;
+        }
         m_mustList = true;
         // Another listing may not help, so they must not cause a flood of calls.
         if (std::exchange(m_isWatchGone, true)) {
+            m_pollsBetweenPages = true;
             backOff();
         }
         return false;
@@ -546,52 +552,68 @@
         backOff();
         return false;
     }
-    m_isWatchGone = m_isWatchGone && m_listing;
+    m_isWatchGone = m_isWatchGone && m_mustList;
+    m_pollsBetweenPages = m_pollsBetweenPages && m_mustList;
     m_backOff = m_isWatchGone ? m_backOff : configwatcher::firstBackOff;
-    if (m_listing && result.more && result.objects.empty()) {
-        // There is no name to continue from, and listing from the start may yield the same again.
-        backOff();
-        return false;
+    if (m_listing) {
+        return addPage(result) && handleListing();
     }
-    if (m_listing && result.more) {
-        m_listed.insert(m_listed.end(), result.objects.begin(), result.objects.end());
-        m_lastListedName = result.objects.empty() ? std::string() : result.objects.back().name;
+    m_since = std::max(m_since, result.version);
+    if (m_mustPollUpdates) {
+        m_pages.addUpdates(result.objects);
+        m_mustPollUpdates = false;
         return false;
     }
+    m_answeredCallMadeAt = m_callMadeAt;
+    // The platform counts each watch as a call, so watches that end early without updates must not
+    // cause a flood of calls.
+    m_nextCall =
+        m_clock.now()
+        + (result.objects.empty() ? Duration(configwatcher::emptyWatchPause) : updatePause());
     bool changed = false;
-    if (m_listing) {
-        changed = handleListing(result);
-    } else {
-        // The platform counts each watch as a call, so watches that end early without updates
-        // must not cause a flood of calls.
-        m_nextCall =
-            m_clock.now()
-            + (result.objects.empty() ? Duration(configwatcher::emptyWatchPause) : updatePause());
-        for (const PlatformObject &object : result.objects) {
-            changed = handleUpdate(object) || changed;
-        }
+    for (const PlatformObject &object : result.objects) {
+        changed = handleUpdate(object) || changed;
     }
-    m_mustList = false;
-    m_answeredCallMadeAt = m_listing ? m_listingMadeAt : m_callMadeAt;
-    // A watch from a revision that the store does not have yet fails.
-    m_since = m_listing ? result.version : std::max(m_since, result.version);
     return changed;
 }
 
+/// Adds a page to the listing. Returns whether the listing is complete.
+template <GuardPolicy G>
+bool BasicConfigWatcher<G>::addPage(const PlatformResult &page)
+{
+    // Without a name to continue from, listing from the start may yield the same again.
+    const bool isStuck = page.more && page.objects.empty();
+    const bool isFirst = m_pages.isEmpty();
+    if (isStuck || !m_pages.add(page, m_callMadeAt)) {
+        backOff();
+        return false;
+    }
+    // Objects of earlier pages may change while the next ones are read, so the updates since the
+    // first page are needed. A watch from a revision that the store does not have yet fails.
+    if (isFirst || !G::watchesFromFirstPage) {
+        m_since = page.version;
+    }
+    m_mustPollUpdates = page.more && m_pollsBetweenPages;
+    return !page.more;
+}
+
+/// Applies the listing. Objects that changed while it was read may be missing from it or out of
+/// date; the updates since its first page correct that.
 template <GuardPolicy G>
-bool BasicConfigWatcher<G>::handleListing(const PlatformResult &result)
+bool BasicConfigWatcher<G>::handleListing()
 {
-    m_listed.insert(m_listed.end(), result.objects.begin(), result.objects.end());
-    std::vector<PlatformObject> objects = std::exchange(m_listed, {});
-    m_lastListedName.clear();
+    const PagedListing pages = std::exchange(m_pages, {});
+    const Version revision = G::watchesFromFirstPage ? pages.revision() : pages.lastRevision();
     const std::vector<PlatformObject> deletions =
-        m_table.impliedDeletions(objects, result.version, m_kinds);
+        m_table.impliedDeletions(pages.objects(), revision, m_kinds);
     // An empty listing is a configuration too, with which the daemon becomes ready.
     bool changed = !m_synced;
     m_synced = true;
-    for (PlatformObject &object : objects) {
+    m_mustList = false;
+    m_answeredCallMadeAt = pages.madeAt();
+    for (const PlatformObject &object : pages.objects()) {
         delayCopy(object);
-        changed = m_table.apply(std::move(object)) || changed;
+        changed = m_table.apply(object) || changed;
     }
     for (const PlatformObject &deletion : deletions) {
         if (isLost(deletion)) {
@@ -600,14 +622,17 @@
             changed = handleUpdate(deletion) || changed;
         }
     }
+    for (const PlatformObject &update : pages.updates()) {
+        changed = handleUpdate(update) || changed;
+    }
     return changed;
 }
 
 template <GuardPolicy G>
 void BasicConfigWatcher<G>::restart()
 {
-    m_listed.clear();
-    m_lastListedName.clear();
+    m_pages.clear();
+    m_mustPollUpdates = false;
     m_mustList = true;
     m_callId = 0;
     m_delayedUpdates.clear();
--- a/include/harelink/Kernel/guards.h
+++ b/include/harelink/Kernel/guards.h
@@ -98,6 +98,8 @@
     static constexpr bool relaysCalls = true;
     /// While the platform gives no answers, no watch waits for updates.
     static constexpr bool pollsInOutages = true;
+    /// Watches the updates since the first page of a listing, not only since the last one.
+    static constexpr bool watchesFromFirstPage = true;
     /// Continues a stream only at endpoints of the software version that sent its first event.
     static constexpr bool keepsStreamVersion = true;
     /// A daemon that has started uses no share of the retry allowance that its predecessor may
@@ -229,6 +231,9 @@
     {
         G::pollsInOutages
         } -> std::convertible_to<bool>;
+    {
+        G::watchesFromFirstPage
+        } -> std::convertible_to<bool>;
     {
         G::keepsStreamVersion
         } -> std::convertible_to<bool>;
--- a/utils/standin/platformstore.cpp
+++ b/utils/standin/platformstore.cpp
@@ -61,7 +61,7 @@
 void PlatformStore::appendChange(PlatformObject change)
 {
     m_changes.push_back(std::move(change));
-    if (m_changes.size() > m_historySize) {
+    while (m_changes.size() > m_historySize) {
         m_droppedUpTo = m_changes.front().version.revision;
         m_changes.pop_front();
     }
@@ -85,6 +85,23 @@
     return objects;
 }
 
+ListingPage PlatformStore::listPage(const std::set<std::string> &kinds, const std::string &after,
+                                    std::size_t size) const
+{
+    std::vector<PlatformObject> objects = list(kinds);
+    std::erase_if(objects, [&](const PlatformObject &object) { return object.name <= after; });
+    std::stable_sort(
+        objects.begin(), objects.end(),
+        [](const PlatformObject &a, const PlatformObject &b) { return a.name < b.name; });
+    std::size_t end = std::min(size, objects.size());
+    while (end > 0 && end < objects.size() && objects[end].name == objects[end - 1].name) {
+        ++end;
+    }
+    const bool more = end < objects.size();
+    objects.resize(end);
+    return {std::move(objects), more};
+}
+
 std::optional<std::vector<PlatformObject>>
 PlatformStore::changes(const std::set<std::string> &kinds, std::uint64_t since) const
 {
--- a/utils/standin/platformstore.h
+++ b/utils/standin/platformstore.h
@@ -24,6 +24,13 @@
 /// Splits a list of kinds such as "Pool,Endpoint".
 [[nodiscard]] std::set<std::string> splitKinds(const std::string &text);
 
+/// A part of a listing.
+struct ListingPage
+{
+    std::vector<PlatformObject> objects; ///< In the order of their names.
+    bool more = false;                   ///< There are objects with later names.
+};
+
 /// In-memory object store. Not thread-safe.
 class PlatformStore
 {
@@ -47,6 +54,10 @@
                                         std::uint64_t ifVersion);
     /// Returns all objects of \p kinds.
     [[nodiscard]] std::vector<PlatformObject> list(const std::set<std::string> &kinds) const;
+    /// Returns the first objects of \p kinds whose names sort after \p after: \p size of them, and
+    /// further ones that share the last name.
+    [[nodiscard]] ListingPage listPage(const std::set<std::string> &kinds, const std::string &after,
+                                       std::size_t size) const;
     /// Returns the last change after \p since to each object of \p kinds, or std::nullopt if
     /// the history does not reach back to \p since, or if it has not reached \p since yet.
     [[nodiscard]] std::optional<std::vector<PlatformObject>>
@@ -55,6 +66,8 @@
     [[nodiscard]] std::uint64_t version() const { return m_version; }
     /// Returns the number of times that the store returned from a copy, plus one.
     [[nodiscard]] std::uint64_t era() const { return m_era; }
+    /// Sets the number of changes kept for watches.
+    void setHistorySize(std::size_t size) { m_historySize = size; }
     /// Returns to \p copy, an earlier state of this store. Changes since are lost, and their
     /// versions are given out again.
     void restore(const PlatformStore &copy);
