[Adapters] Take only statuses that HTTP defines for those of answers

Callers got an answer with status 600 or 999 as an endpoint had sent it, and after an unasked 101 waited until their deadline. Status 000, which was seen on other systems, reached no caller before either: libcurl refuses it.

Cause: libcurl takes any three digits from 100 on for a status, and each reader of the status only compares it with what it expects. The status of a call that a peer makes was not checked at all.

Change: parseStatusLine() decides which status lines begin an answer, for every call of the one HTTP client: to endpoints, for peers, of pieces, of status checks and to the store. Others end the call as failed after it was sent, without evidence of a crash. A peer's status is checked as it is decoded.

Not played with whole daemons.

--- a/lib/Adapters/httpclient.cpp
+++ b/lib/Adapters/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "harelink/Adapters/httpclient.h"
 
+#include "harelink/Adapters/httpstatus.h"
 #include "harelink/Support/log.h"
 #include "harelink/Support/text.h"
 
@@ -31,7 +32,6 @@
 /// 100 times its buffer of 16 KiB from a fast endpoint.
 constexpr std::size_t maxUndeliveredBytes = 65'536;
 
-constexpr int statusOk = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotModified = 304;
 
@@ -73,16 +73,6 @@
     return colon != 0 && line.substr(0, colon).find_first_of(" \t\v\f") == std::string_view::npos;
 }
 
-int parseStatusLine(std::string_view line)
-{
-    const std::size_t space = line.find(' ');
-    int status = 0;
-    if (space != std::string_view::npos) {
-        (void)std::from_chars(line.data() + space + 1, line.data() + line.size(), status);
-    }
-    return status;
-}
-
 /// TCP keep-alive probes detect a dead connection after about three seconds, without any
 /// load for the server process.
 constexpr int keepAliveIdleSeconds = 1;
@@ -402,10 +392,15 @@
         }
         m_isInHead = !isEnd;
         if (isStatusLine) {
+            const std::optional<int> status = parseStatusLine(line);
+            if (!status) {
+                m_headFault = "the status line of the answer has no valid status";
+                return 0;
+            }
             // Discards the fields of an interim response (1xx) that precedes the final one.
             m_result.headers.clear();
             m_result.fields.clear();
-            m_result.headStatus = parseStatusLine(line);
+            m_result.headStatus = *status;
         } else if (isField) {
             const std::string name = trimmed(line.substr(0, colon));
             const std::string value = trimmed(line.substr(colon + 1));
@@ -416,7 +411,7 @@
             }
             m_result.fields.emplace_back(name, value);
         } else if (isEnd) {
-            m_isHeadComplete = m_result.headStatus >= statusOk;
+            m_isHeadComplete = isFinalStatus(m_result.headStatus);
         }
         return line.size();
     }
--- a/lib/Adapters/peercodec.cpp
+++ b/lib/Adapters/peercodec.cpp
@@ -1,5 +1,6 @@
 //===- peercodec.cpp - Peer messages as protobuf --------------------------===//
 
+#include "harelink/Adapters/httpstatus.h"
 #include "harelink/Adapters/peerlink.h"
 
 #include "harelink.pb.h"
@@ -827,18 +828,28 @@
     return to;
 }
 
+/// Returns \p status if it is that of a final answer; 0, which stands for none, if not. Peers of
+/// older versions pass on any status of an endpoint.
+int readStatus(int status)
+{
+    return isFinalStatus(status) ? status : 0;
+}
+
 RelayPart read(const wire::RelayPart &from)
 {
     RelayPart to;
     to.call = read(from.call());
     to.number = from.number();
     to.isLast = from.is_last();
-    to.status = from.status();
-    to.headStatus = from.head_status();
+    to.status = readStatus(from.status());
+    to.headStatus = readStatus(from.head_status());
     to.wasSent = from.was_sent();
     to.isBroken = from.is_broken();
     to.wasRefused = from.was_refused();
     to.error = from.error();
+    if (to.status != from.status()) {
+        to.error = "the answer has no valid status";
+    }
     for (const wire::HeaderField &field : from.fields()) {
         to.fields.emplace_back(field.name(), field.value());
     }
--- a/unittests/Adapters/httpclienttest.cpp
+++ b/unittests/Adapters/httpclienttest.cpp
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <optional>
 #include <string>
@@ -341,6 +342,64 @@
     CHECK_EQUAL(0, result.headStatus);
 }
 
+// Callers got 600 and 999 as the status of their answer, and waited until their deadline for an
+// answer after 101, which none follows.
+TEST(HttpClient, AnswersWithoutAValidStatusAreNone)
+{
+    constexpr std::array lines = {"HTTP/1.1 000 x",  "HTTP/1.1 000",   "HTTP/1.1 0 x",
+                                  "HTTP/1.1 042 x",  "HTTP/1.1 099 x", "HTTP/1.1 101 x",
+                                  "HTTP/1.1 600 x",  "HTTP/1.1 999 x", "HTTP/1.1 1000 x",
+                                  "HTTP/1.1 2000 x", "HTTP/1.1 20 x",  "HTTP/1.1 65736 x",
+                                  "HTTP/1.1 abc x",  "HTTP/1.1 -200",  "HTTP/1.1  200 x",
+                                  "HTTP/1.1 2x0 x",  "HTTP/1.1",       "HTTP/1.1 "};
+    constexpr std::array framings = {"Content-Length: 4\r\n\r\nbody",
+                                     "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                                     "Content-Type: text/event-stream\r\n\r\ndata: x\n\n"};
+    HttpClient client;
+    for (const char *line : lines) {
+        for (const char *framing : framings) {
+            for (const char *interim : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+                const std::string answer = fmt::format("{}{}\r\n{}", interim, line, framing);
+                const RawEndpoint endpoint(
+                    [&answer](const RawConnection &connection, const std::string &) {
+                        (void)connection.write(answer);
+                        (void)connection.readRequest(); // Until the client closes the connection.
+                    });
+                bool hasBody = false;
+                std::optional<HttpResult> result;
+                client.send(
+                    post(endpoint.url(), false), [&](HttpResult end) { result = std::move(end); },
+                    [&](const HttpResult &, const std::string &) { hasBody = true; });
+                while (!result) {
+                    client.poll(std::chrono::milliseconds(100));
+                }
+                CHECK_TEXT(!result->error.empty(), answer.c_str());
+                CHECK_TEXT(result->error != "timeout was reached", answer.c_str());
+                CHECK_EQUAL_TEXT(0, result->status, line);
+                CHECK_TRUE(result->sent);
+                CHECK_FALSE(result->isBroken);
+                CHECK_FALSE(hasBody);
+            }
+        }
+    }
+}
+
+TEST(HttpClient, AnswersWithAValidStatusAreTakenAsTheyCome)
+{
+    HttpClient client;
+    for (const char *line : {"200 OK", "200", "200 ", "299 x", "418 x", "599 x"}) {
+        const RawEndpoint endpoint([&](const RawConnection &connection, const std::string &) {
+            (void)connection.write(fmt::format("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 {}\r\n"
+                                               "Content-Length: 4\r\n\r\nbody",
+                                               line));
+        });
+        const HttpResult result = callWith(client, post(endpoint.url(), false));
+        CHECK_EQUAL(std::stoi(line), result.status);
+        CHECK_EQUAL(std::stoi(line), result.headStatus);
+        STRCMP_EQUAL("body", result.body.c_str());
+    }
+}
+
 // The bounds must not be reached by answers that are as large as they may be.
 TEST(HttpClient, AnswersWithinTheBoundsAreWhole)
 {
--- a/unittests/Adapters/peerlinktest.cpp
+++ b/unittests/Adapters/peerlinktest.cpp
@@ -444,6 +444,25 @@
     CHECK_FALSE(std::get<StreamReply>(unknown->content).record.has_value());
 }
 
+// Peers of older versions pass on any status of an endpoint, and callers got it.
+TEST(PeerLink, RelayedAnswersWithoutAValidStatusAreNone)
+{
+    for (const int status : {-200, 42, 101, 600, 999, 65'736}) {
+        RelayPart part;
+        part.isLast = true;
+        part.wasSent = true;
+        part.status = status;
+        part.headStatus = status;
+        const auto read = decodePeerMessage(encodePeerMessage({"h1", 7, part}));
+        CHECK(read.has_value());
+        const auto &received = std::get<RelayPart>(read->content);
+        CHECK_EQUAL(0, received.status);
+        CHECK_EQUAL(0, received.headStatus);
+        CHECK_TRUE(received.wasSent);
+        CHECK(!received.error.empty());
+    }
+}
+
 TEST(PeerLink, CallsMadeForPeersKeepTheirFields)
 {
     RelayCall call;
