[Kernel] Take no host list for complete at a page without readable hosts

Cause: HostListPoller ended a list at a page from which no host could be read, although the platform stated that more follow, so hosts after it that had not sent anything for a while were removed.

Change: such a page counts as a failed call, and the list is read again after the usual interval.

--- a/lib/Kernel/hostlistpoller.cpp
+++ b/lib/Kernel/hostlistpoller.cpp
@@ -63,14 +63,16 @@
 std::optional<std::vector<PlatformObject>> HostListPoller::handle(const PlatformResult &result)
 {
     m_callId = 0;
-    m_hasFailed = result.outcome != PlatformOutcome::Ok;
+    // The rest of the list cannot be read after a page without the name of a host.
+    const bool isStuck = result.more && result.objects.empty();
+    m_hasFailed = result.outcome != PlatformOutcome::Ok || isStuck;
     if (m_hasFailed) {
         m_pages.clear();
         schedule();
         return std::nullopt;
     }
     m_pages.insert(m_pages.end(), result.objects.begin(), result.objects.end());
-    if (result.more && !result.objects.empty()) {
+    if (result.more) {
         m_nextCall = m_clock.now();
         return std::nullopt;
     }
--- a/unittests/Kernel/largefleettest.cpp
+++ b/unittests/Kernel/largefleettest.cpp
@@ -427,3 +427,30 @@
     CHECK(list.has_value());
     LONGS_EQUAL(3, list->size());
 }
+
+// A list was taken for complete at a page without a readable host, and the hosts after it for gone.
+TEST(LargeFleet, HostListPollerEndsNoListAtAPageWithoutReadableHosts)
+{
+    ManualClock clock;
+    const Membership membership(clock, "h1", "h1:1", "dc1", 1);
+    const PeerRelay relay(clock, membership, 16);
+    HostListPoller poller(clock, membership, relay, false);
+    std::uint64_t nextCallId = 1;
+    std::vector<PlatformCall> calls;
+    const auto answer = [&](std::vector<PlatformObject> hosts, bool more) {
+        clock.advanceTo(poller.nextTick());
+        poller.tick(calls, nextCallId);
+        PlatformResult result;
+        result.id = calls.back().id;
+        result.outcome = PlatformOutcome::Ok;
+        result.more = more;
+        result.objects = std::move(hosts);
+        return poller.handle(result);
+    };
+    CHECK(!answer({{"hosts", "h1", 1, false, "{}"}}, true).has_value());
+    CHECK(!answer({}, true).has_value());
+    CHECK(!poller.hasRead());
+    CHECK(poller.nextTick() > clock.now());
+    CHECK(answer({{"hosts", "h1", 1, false, "{}"}}, false).has_value());
+    STRCMP_EQUAL("", calls.back().name.c_str());
+}
