--- a/include/harelink/Kernel/requestdispatchimpl.h
+++ b/include/harelink/Kernel/requestdispatchimpl.h
@@ -61,8 +61,10 @@
 }
 
 template <GuardPolicy G>
-void BasicRequestMachine<G>::dispatch(const std::string &poolName, const Snapshot &snapshot)
+void BasicRequestMachine<G>::dispatch(const std::string &name, const Snapshot &snapshot)
 {
+    // A copy, since the name may be within a request that ends here.
+    const std::string poolName = name;
     const PoolEntry *pool = snapshot.pool(poolName);
     PoolState &state = poolState(poolName);
     const TimePoint now = m_clock.now();
--- a/include/harelink/Kernel/requestmachine.h
+++ b/include/harelink/Kernel/requestmachine.h
@@ -407,7 +407,7 @@
     static FairQueue::Waiter queueKey(const Request &request);
     static int configuredPriority(const Request &request);
     void enqueue(Request &request, const Snapshot &snapshot);
-    void dispatch(const std::string &pool, const Snapshot &snapshot);
+    void dispatch(const std::string &name, const Snapshot &snapshot);
     static const EndpointEntry *endpointOf(const Request &request, const Snapshot &snapshot);
     static const EndpointEntry *preferredEndpoint(const Request &request, const PoolEntry &pool);
     void send(Request &request, const PoolEntry &pool, const EndpointEntry &endpoint,
--- a/unittests/Kernel/requestmachinetest.cpp
+++ b/unittests/Kernel/requestmachinetest.cpp
@@ -307,6 +307,20 @@
     }
 }
 
+// The pool's name was read within the request that had just been answered and destroyed.
+TEST(RequestMachine, ARequestThatEndsAsItArrivesEndsBeforeThoseThatWait)
+{
+    Fixture fixture(1, 1);
+    while (fixture.machine.queued() < 3) {
+        fixture.arrive("answer", "lab");
+    }
+    fixture.snapshot->pool("encoders")->endpoints[0].load->leaving = true;
+    const RequestId id = fixture.arrive("answer", "drivers");
+    LONGS_EQUAL(0, fixture.machine.queued());
+    LONGS_EQUAL(4, fixture.answers.size());
+    CHECK(fixture.answers.at(0).id == id);
+}
+
 TEST(RequestMachine, EjectsAFailingEndpointAndProbesIt)
 {
     Fixture fixture(2, 50);
