--- a/include/harelink/Kernel/pagedlisting.h
+++ b/include/harelink/Kernel/pagedlisting.h
@@ -15,9 +15,9 @@
 
 namespace harelink {
 
-/// The pages of a listing that have been received. Each page is as of its own revision, so together
-/// they are no state that the store ever had: an object may have changed after its page was read.
-/// Only the revision of the first page is one from which no change is missed.
+/// The pages received of a listing. Each is as of its own revision, and an object may change after
+/// its page was read, so together they may be no state that the store ever had. With the updates
+/// since the first page's revision, no change is missed.
 class PagedListing
 {
 public:
